--- /dev/null
+++ b/src/core/Async.cpp
@@ -0,0 +1,121 @@
+#include "core/Async.h"
+
+#include <QCoreApplication>
+#include <QEvent>
+
+#include <cassert>
+
+namespace amaranthspur {
+
+TimePoint steadyNow() { return SteadyClock().now(); }
+
+namespace detail {
+
+TaskScheduler &TaskScheduler::instance() {
+  static thread_local TaskScheduler Scheduler;
+  return Scheduler;
+}
+
+TaskScheduler::TaskScheduler() {
+  this->Timer.setSingleShot(true);
+  this->Timer.setTimerType(Qt::PreciseTimer);
+  QObject::connect(&this->Timer, &QTimer::timeout, this,
+                   [this] { this->expireDeadlines(); });
+}
+
+void TaskScheduler::makeReady(std::coroutine_handle<> Task) {
+  this->Ready.push_back(Task);
+  if (std::exchange(this->Posted, true))
+    return;
+  QCoreApplication::postEvent(this, new QEvent(QEvent::User));
+}
+
+bool TaskScheduler::event(QEvent *E) {
+  if (E->type() != QEvent::User)
+    return QObject::event(E);
+  this->runReady();
+  return true;
+}
+
+void TaskScheduler::runReady() {
+  // Tasks that become ready meanwhile run in the next round, so that sockets
+  // get their turn in between.
+  std::vector<std::coroutine_handle<>> Batch;
+  Batch.swap(this->Ready);
+  this->Posted = false;
+  for (const std::coroutine_handle<> Task : Batch)
+    Task.resume();
+}
+
+void TaskScheduler::addDeadline(TimePoint Deadline, WaitPoint *Point) {
+  this->Deadlines.emplace(Deadline, Point);
+  this->armTimer();
+}
+
+void TaskScheduler::removeDeadline(TimePoint Deadline, WaitPoint *Point) {
+  // The timer stays armed: an early expiry costs less than arming it anew for
+  // each statement.
+  this->Deadlines.erase({Deadline, Point});
+}
+
+void TaskScheduler::expireDeadlines() {
+  this->ArmedFor = NoDeadline;
+  const TimePoint Now = steadyNow();
+  while (!this->Deadlines.empty() && this->Deadlines.begin()->first <= Now)
+    this->Deadlines.begin()->second->expire();
+  this->armTimer();
+}
+
+void TaskScheduler::armTimer() {
+  if (this->Deadlines.empty())
+    return;
+  const TimePoint First = this->Deadlines.begin()->first;
+  if (First >= this->ArmedFor)
+    return;
+  this->ArmedFor = First;
+  const Duration Delay = std::max(First - steadyNow(), Duration::zero());
+  this->Timer.start(std::chrono::ceil<milliseconds>(Delay));
+}
+
+} // namespace detail
+
+WaitPoint::~WaitPoint() {
+  assert(!this->Waiter && "a task waits at a point that is destroyed");
+  this->release();
+}
+
+void WaitPoint::wake() {
+  if (std::exchange(this->Pending, true) || !this->Waiter)
+    return;
+  const std::coroutine_handle<> Task = this->Waiter;
+  this->release();
+  detail::TaskScheduler::instance().makeReady(Task);
+}
+
+void WaitPoint::suspend(std::coroutine_handle<> Task, TimePoint Until) {
+  assert(!this->Waiter && "two tasks wait at one point");
+  this->Waiter = Task;
+  this->Deadline = Until;
+  if (Until != NoDeadline)
+    detail::TaskScheduler::instance().addDeadline(Until, this);
+}
+
+void WaitPoint::expire() {
+  const std::coroutine_handle<> Task = this->Waiter;
+  this->release();
+  detail::TaskScheduler::instance().makeReady(Task);
+}
+
+void WaitPoint::release() {
+  if (this->Waiter && this->Deadline != NoDeadline)
+    detail::TaskScheduler::instance().removeDeadline(this->Deadline, this);
+  this->Waiter = nullptr;
+}
+
+void Sleep::await_suspend(std::coroutine_handle<> Task) {
+  const Duration Delay = std::max(this->Until - steadyNow(), Duration::zero());
+  QTimer::singleShot(std::chrono::ceil<milliseconds>(Delay), Qt::PreciseTimer,
+                     [Task] { Task.resume(); });
+}
+
+} // namespace amaranthspur
--- /dev/null
+++ b/src/core/Random.h
@@ -0,0 +1,30 @@
+// Randomness as an argument: decisions take a Random, which a test seeds.
+#ifndef AMARANTHSPUR_CORE_RANDOM_H
+#define AMARANTHSPUR_CORE_RANDOM_H
+
+#include <cstdint>
+#include <random>
+
+namespace amaranthspur {
+
+/// A seeded pseudo-random source. The same seed gives the same sequence on
+/// every platform, because only mt19937_64 and integer arithmetic are used.
+class Random {
+public:
+  explicit Random(std::uint64_t Seed) : Engine(Seed) {}
+
+  /// Returns a number in [0, Bound). \pre Bound > 0.
+  std::uint64_t below(std::uint64_t Bound) { return this->Engine() % Bound; }
+
+  /// Returns a number in [0, 1).
+  double unit() {
+    return static_cast<double>(this->Engine() >> 11) * 0x1.0p-53;
+  }
+
+private:
+  std::mt19937_64 Engine;
+};
+
+} // namespace amaranthspur
+
+#endif // AMARANTHSPUR_CORE_RANDOM_H
--- /dev/null
+++ b/src/platform/Platform.h
@@ -0,0 +1,76 @@
+// The platform's service, as far as amaranthspur uses it: a transactional
+// table, an object store and a list of VMs. What must last or be agreed lives
+// there.
+//
+// Every call has a deadline. A failed call may have taken effect: compareAndSet
+// is found again by its operation identifier.
+#ifndef AMARANTHSPUR_PLATFORM_PLATFORM_H
+#define AMARANTHSPUR_PLATFORM_PLATFORM_H
+
+#include "core/Clock.h"
+#include "core/Result.h"
+#include "core/Types.h"
+
+#include <QCoroTask>
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace amaranthspur {
+
+/// One row of the table.
+struct TableRow {
+  std::uint64_t Version = 0; ///< Raised by one with each change; 0: no row.
+  std::string Value;
+  std::string Operation; ///< Identifier of the change that made this version.
+};
+
+/// What a compare-and-set did.
+struct CasOutcome {
+  bool Applied = false; ///< Also if the same operation was applied earlier.
+  TableRow Current;     ///< The row as it is afterwards.
+};
+
+/// One VM in the platform's list, which lags behind the truth.
+struct PlatformVm {
+  EntryVmId Id;
+  std::string PeerAddress;
+  DataCentre Location;
+  bool Leaving = false;
+};
+
+/// Client of the platform's service.
+class Platform {
+public:
+  virtual ~Platform() = default;
+
+  /// Reads the row \p Key; a row that was never written has version 0.
+  virtual QCoro::Task<Result<TableRow>> readRow(std::string Key,
+                                                TimePoint Deadline) = 0;
+
+  /// Sets the row \p Key to \p Value if its version is \p Expected.
+  /// \param Operation unique identifier of this change, so that it can be
+  /// found again after a lost answer.
+  virtual QCoro::Task<Result<CasOutcome>>
+  compareAndSet(std::string Key, std::uint64_t Expected, std::string Value,
+                std::string Operation, TimePoint Deadline) = 0;
+
+  /// Stores \p Content under \p Name; storing the same again is no error.
+  virtual QCoro::Task<Result<Success>>
+  putObject(std::string Name, std::string Content, TimePoint Deadline) = 0;
+
+  /// Reads the object \p Name, or nothing if there is none.
+  virtual QCoro::Task<Result<std::optional<std::string>>>
+  getObject(std::string Name, TimePoint Deadline) = 0;
+
+  /// Reads the list of live and leaving entry VMs.
+  virtual QCoro::Task<Result<std::vector<PlatformVm>>>
+  listVms(TimePoint Deadline) = 0;
+};
+
+} // namespace amaranthspur
+
+#endif // AMARANTHSPUR_PLATFORM_PLATFORM_H
--- /dev/null
+++ b/src/policy/Member.h
@@ -0,0 +1,44 @@
+// A member of the deployment: one entry VM as the others see it.
+#ifndef AMARANTHSPUR_POLICY_MEMBER_H
+#define AMARANTHSPUR_POLICY_MEMBER_H
+
+#include "core/Names.h"
+#include "core/Types.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+namespace amaranthspur {
+
+/// What the others believe of an entry VM.
+enum class MemberState { Live, Suspect, Dead, Leaving };
+
+template <> struct EnumNames<MemberState> {
+  static constexpr auto Entries =
+      std::to_array<std::pair<MemberState, std::string_view>>(
+          {{MemberState::Live, "live"},
+           {MemberState::Suspect, "suspect"},
+           {MemberState::Dead, "dead"},
+           {MemberState::Leaving, "leaving"}});
+};
+
+/// One entry VM.
+struct Member {
+  EntryVmId Id;
+  std::string PeerAddress; ///< `host:port` of its ZeroMQ socket.
+  DataCentre Location;
+  std::uint64_t Incarnation = 0; ///< Start time in µs, raised to refute.
+  MemberState State = MemberState::Live;
+
+  bool operator==(const Member &) const = default;
+};
+
+/// Returns whether \p M may own servers and get new work.
+inline bool takesWork(const Member &M) {
+  return M.State == MemberState::Live || M.State == MemberState::Suspect;
+}
+
+} // namespace amaranthspur
+
+#endif // AMARANTHSPUR_POLICY_MEMBER_H
