--- a/src/wire/Connection.cpp
+++ b/src/wire/Connection.cpp
@@ -51,8 +51,11 @@
 }
 
 QCoro::Task<std::unique_ptr<Connection>>
-Connection::open(Address To, std::size_t MaxFrameBytes, TimePoint Deadline) {
+Connection::open(Address To, std::size_t MaxFrameBytes, TimePoint Deadline,
+                 std::string BindHost) {
   auto *Socket = new QTcpSocket;
+  if (!BindHost.empty())
+    Socket->bind(QHostAddress(QString::fromStdString(BindHost)));
   WaitPoint Done;
   QObject::connect(Socket, &QTcpSocket::connected, Socket,
                    [&Done] { Done.wake(); });
--- a/src/wire/Connection.h
+++ b/src/wire/Connection.h
@@ -60,10 +60,13 @@
   ~Connection();
 
   /// Opens a connection to \p To.
+  /// \param BindHost numeric local address to connect from; empty: the
+  /// system chooses.
   /// \returns the connection, or nothing if it was refused or \p Deadline
   /// passed.
   static QCoro::Task<std::unique_ptr<Connection>>
-  open(Address To, std::size_t MaxFrameBytes, TimePoint Deadline);
+  open(Address To, std::size_t MaxFrameBytes, TimePoint Deadline,
+       std::string BindHost = {});
 
   /// Waits for bytes and feeds them to reader().
   QCoro::Task<ReadEvent> readable(TimePoint Deadline = NoDeadline);
