--- a/src/core/Async.cpp
+++ b/src/core/Async.cpp
@@ -118,4 +118,26 @@
                      [Task] { Task.resume(); });
 }
 
+QCoro::Task<bool> Signal::wait(TimePoint Deadline) {
+  WaitPoint Point;
+  this->Waiting.push_back(&Point);
+  const bool Woken = co_await Point.wait(Deadline);
+  std::erase(this->Waiting, &Point);
+  co_return Woken;
+}
+
+void Signal::notifyAll() {
+  std::vector<WaitPoint *> Woken;
+  Woken.swap(this->Waiting);
+  for (WaitPoint *Point : Woken)
+    Point->wake();
+}
+
+QCoro::Task<bool> TaskGroup::empty(TimePoint Deadline) {
+  while (this->Count > 0)
+    if (!co_await this->Ended.wait(Deadline))
+      co_return false;
+  co_return true;
+}
+
 } // namespace amaranthspur
--- a/src/core/Async.h
+++ b/src/core/Async.h
@@ -20,6 +20,7 @@
 #include <utility>
 #include <vector>
 
+#include <QCoroTask>
 #include <QObject>
 #include <QTimer>
 
@@ -122,6 +123,47 @@
 /// Returns an awaitable that resumes the task after \p Delay.
 inline Sleep sleepFor(Duration Delay) { return Sleep(Delay); }
 
+/// A place where any number of tasks wait for the next notifyAll().
+class Signal {
+public:
+  /// Waits for the next notifyAll(); false if \p Deadline passed first.
+  QCoro::Task<bool> wait(TimePoint Deadline = NoDeadline);
+
+  /// Wakes all tasks that wait now.
+  void notifyAll();
+
+private:
+  std::vector<WaitPoint *> Waiting;
+};
+
+/// Counts the tasks that use an object, so that the object can be kept until
+/// they have ended. A task holds a Guard while it runs.
+class TaskGroup {
+public:
+  class Guard {
+  public:
+    explicit Guard(TaskGroup &Group) : Group(Group) { ++this->Group.Count; }
+    Guard(const Guard &) = delete;
+    Guard &operator=(const Guard &) = delete;
+    ~Guard() {
+      if (--this->Group.Count == 0)
+        this->Group.Ended.notifyAll();
+    }
+
+  private:
+    TaskGroup &Group;
+  };
+
+  std::size_t size() const { return this->Count; }
+
+  /// Waits until no task is in the group; false if \p Deadline passed first.
+  QCoro::Task<bool> empty(TimePoint Deadline = NoDeadline);
+
+private:
+  std::size_t Count = 0;
+  Signal Ended;
+};
+
 /// A bounded queue with one task that takes from it.
 template <typename T> class AsyncQueue {
 public:
--- a/src/core/Outcome.h
+++ b/src/core/Outcome.h
@@ -25,6 +25,7 @@
 /// Why a statement was refused.
 enum class RefusalReason {
   UnknownService,
+  UnknownCaller,
   Overloaded,
   DeadlineUnreachable,
   DeadlineExpired,
@@ -57,6 +58,7 @@
 namespace detail {
 inline constexpr auto RefusalReasons = std::to_array<RefusalReasonInfo>({
     {RefusalReason::UnknownService, "unknown service", "3D000"},
+    {RefusalReason::UnknownCaller, "unknown caller", "28000"},
     {RefusalReason::Overloaded, "overloaded", "53000"},
     {RefusalReason::DeadlineUnreachable, "deadline cannot be met", "57014"},
     {RefusalReason::DeadlineExpired, "deadline expired", "57014"},
--- /dev/null
+++ b/src/policy/SessionSettings.cpp
@@ -0,0 +1,147 @@
+#include "policy/SessionSettings.h"
+
+#include <charconv>
+
+namespace amaranthspur {
+namespace {
+
+std::string fullName(SessionSetting Setting) {
+  return "amaranthspur." + std::string(nameOf(Setting));
+}
+
+Error invalid(SessionSetting Setting, std::string_view Value,
+              const std::string &Allowed) {
+  return Error{"setting " + fullName(Setting) + " is \"" + std::string(Value) +
+               "\"; allowed: " + Allowed};
+}
+
+Result<Duration> parseMilliseconds(SessionSetting Setting,
+                                   std::string_view Value,
+                                   std::int64_t Lowest) {
+  const std::int64_t Highest =
+      std::chrono::duration_cast<milliseconds>(MaxSettableTime).count();
+  std::int64_t Number = 0;
+  const char *End = Value.data() + Value.size();
+  const auto [Rest, Status] = std::from_chars(Value.data(), End, Number);
+  if (Status != std::errc() || Rest != End || Number < Lowest ||
+      Number > Highest)
+    return invalid(Setting, Value,
+                   std::to_string(Lowest) + " to " + std::to_string(Highest));
+  return Duration(milliseconds(Number));
+}
+
+template <typename E>
+Result<Success> assignName(SessionSetting Setting, std::string_view Value,
+                           std::optional<E> &Field) {
+  const std::optional<E> Parsed = parseName<E>(Value);
+  if (!Parsed)
+    return invalid(Setting, Value, allNames<E>());
+  Field = Parsed;
+  return Success();
+}
+
+Result<Success> assignDuration(SessionSetting Setting, std::string_view Value,
+                               std::int64_t Lowest,
+                               std::optional<Duration> &Field) {
+  const Result<Duration> Parsed = parseMilliseconds(Setting, Value, Lowest);
+  if (!succeeded(Parsed))
+    return Error{errorOf(Parsed)};
+  Field = valueOf(Parsed);
+  return Success();
+}
+
+Result<SessionSetting> settingNamed(std::string_view Name) {
+  const auto Setting = parseName<SessionSetting>(Name);
+  if (!Setting)
+    return Error{"setting amaranthspur." + std::string(Name) +
+                 " does not exist; there are: " + allNames<SessionSetting>()};
+  return *Setting;
+}
+
+std::string inMilliseconds(const std::optional<Duration> &D) {
+  if (!D)
+    return {};
+  return std::to_string(std::chrono::duration_cast<milliseconds>(*D).count());
+}
+
+template <typename E> std::string nameOrEmpty(const std::optional<E> &Value) {
+  return Value ? std::string(nameOf(*Value)) : std::string();
+}
+
+} // namespace
+
+Result<Success> SessionSettings::apply(std::string_view Name,
+                                       std::string_view Value) {
+  const Result<SessionSetting> Setting = settingNamed(Name);
+  if (!succeeded(Setting))
+    return Error{errorOf(Setting)};
+  switch (valueOf(Setting)) {
+  case SessionSetting::Session:
+    this->Token = std::string(Value);
+    return Success();
+  case SessionSetting::Class:
+    if (Value.empty())
+      return invalid(SessionSetting::Class, Value, "a class of the service");
+    this->Class = ClassName(std::string(Value));
+    return Success();
+  case SessionSetting::MaxStalenessMs:
+    return assignDuration(SessionSetting::MaxStalenessMs, Value, 0,
+                          this->MaxStaleness);
+  case SessionSetting::Repeatable:
+    return assignName(SessionSetting::Repeatable, Value, this->Mark);
+  case SessionSetting::DeadlineMs:
+    return assignDuration(SessionSetting::DeadlineMs, Value, 1, this->Deadline);
+  case SessionSetting::Access:
+    return assignName(SessionSetting::Access, Value, this->Wants);
+  }
+  return Error{"setting is outside the table"};
+}
+
+Result<std::string> SessionSettings::show(std::string_view Name) const {
+  const Result<SessionSetting> Setting = settingNamed(Name);
+  if (!succeeded(Setting))
+    return Error{errorOf(Setting)};
+  switch (valueOf(Setting)) {
+  case SessionSetting::Session:
+    return this->Token.value_or("");
+  case SessionSetting::Class:
+    return this->Class ? this->Class->str() : std::string();
+  case SessionSetting::MaxStalenessMs:
+    return inMilliseconds(this->MaxStaleness);
+  case SessionSetting::Repeatable:
+    return nameOrEmpty(this->Mark);
+  case SessionSetting::DeadlineMs:
+    return inMilliseconds(this->Deadline);
+  case SessionSetting::Access:
+    return nameOrEmpty(this->Wants);
+  }
+  return Error{"setting is outside the table"};
+}
+
+Result<EffectiveSettings> resolveSettings(const SessionSettings &Session,
+                                          const StatementTraits &Traits,
+                                          const ServiceConfig &Service,
+                                          const CallerConfig &Caller,
+                                          bool InTransaction) {
+  ClassName Wanted = Session.Class.value_or(Caller.DefaultClass);
+  if (Wanted.empty())
+    Wanted = Service.Classes.front().Name;
+  const ClassConfig *Class = nullptr;
+  for (const ClassConfig &Candidate : Service.Classes)
+    if (Candidate.Name == Wanted)
+      Class = &Candidate;
+  if (!Class)
+    return Error{"class \"" + Wanted.str() + "\" does not exist in service \"" +
+                 Service.Name.str() + "\""};
+  EffectiveSettings Effective;
+  Effective.Class = Class->Name;
+  Effective.MaxStaleness = Session.MaxStaleness.value_or(Class->MaxStaleness);
+  Effective.Mark = Session.Mark.value_or(Class->Mark);
+  Effective.Deadline = Session.Deadline.value_or(Class->Deadline);
+  Effective.Wants = Session.Wants.value_or(Traits.Guess);
+  if (InTransaction)
+    Effective.Wants = Access::Write;
+  return Effective;
+}
+
+} // namespace amaranthspur
