--- /dev/null
+++ b/src/policy/Ownership.cpp
@@ -0,0 +1,107 @@
+#include "policy/Ownership.h"
+
+#include <algorithm>
+#include <limits>
+#include <string_view>
+
+namespace amaranthspur {
+namespace {
+
+constexpr std::uint64_t FnvOffset = 14695981039346656037ULL;
+constexpr std::uint64_t FnvPrime = 1099511628211ULL;
+
+std::uint64_t addBytes(std::uint64_t Hash, std::string_view Text) {
+  for (const char C : Text)
+    Hash = (Hash ^ static_cast<unsigned char>(C)) * FnvPrime;
+  return Hash;
+}
+
+/// The finaliser of SplitMix64 (Steele, Lea, Flood 2014). FNV-1a alone orders
+/// names that differ only in the last digit in nearly the same way for every
+/// key, which would give most servers to a few members.
+std::uint64_t mix(std::uint64_t Z) {
+  Z = (Z ^ (Z >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  Z = (Z ^ (Z >> 27U)) * 0x94d049bb133111ebULL;
+  return Z ^ (Z >> 31U);
+}
+
+bool isDrained(const Configuration &Config, const EntryVmId &Vm) {
+  return std::find(Config.DrainedEntryVms.begin(), Config.DrainedEntryVms.end(),
+                   Vm) != Config.DrainedEntryVms.end();
+}
+
+/// Latency from the server's data centre; the longest if it is not known.
+Duration distance(const DataCentreConfig *From, const DataCentre &Own,
+                  const DataCentre &To) {
+  if (Own == To)
+    return Duration::min();
+  if (!From)
+    return Duration::max();
+  const auto Found = From->LatencyTo.find(To);
+  return Found == From->LatencyTo.end() ? Duration::max() : Found->second;
+}
+
+} // namespace
+
+std::uint64_t rendezvousWeight(std::string_view Key, const EntryVmId &Vm) {
+  const std::uint64_t KeyHash = addBytes(FnvOffset, Key);
+  const std::uint64_t VmHash = addBytes(FnvOffset, Vm.str());
+  return mix(mix(KeyHash) ^ VmHash);
+}
+
+std::optional<EntryVmId> RendezvousOwnership::ownerOf(
+    const ServerConfig &Server, const Configuration &Config,
+    const EntryVmId & /*Self*/, const std::vector<Member> &Members) const {
+  const DataCentreConfig *Home = Config.findDataCentre(Server.Location);
+  const Member *Best = nullptr;
+  Duration BestDistance = Duration::max();
+  std::uint64_t BestWeight = 0;
+  for (const Member &M : Members) {
+    if (!takesWork(M) || isDrained(Config, M.Id))
+      continue;
+    const Duration Distance = distance(Home, Server.Location, M.Location);
+    if (Best && Distance > BestDistance)
+      continue;
+    const std::uint64_t Weight = rendezvousWeight(Server.Id.str(), M.Id);
+    // Data centres at equal distance are ordered by name, so that servers of
+    // one data centre have their owners in one place.
+    if (Best && Distance == BestDistance) {
+      if (M.Location > Best->Location)
+        continue;
+      if (M.Location == Best->Location &&
+          (Weight < BestWeight || (Weight == BestWeight && M.Id > Best->Id)))
+        continue;
+    }
+    Best = &M;
+    BestDistance = Distance;
+    BestWeight = Weight;
+  }
+  if (!Best)
+    return std::nullopt;
+  return Best->Id;
+}
+
+unsigned RendezvousOwnership::workConnections(
+    const ServerConfig &Server, const std::vector<Member> & /*Members*/) const {
+  if (Server.ConnectionLimit <= ControlConnections)
+    return 1;
+  return Server.ConnectionLimit - ControlConnections;
+}
+
+std::optional<EntryVmId> StaticShareOwnership::ownerOf(
+    const ServerConfig & /*Server*/, const Configuration & /*Config*/,
+    const EntryVmId &Self, const std::vector<Member> & /*Members*/) const {
+  return Self;
+}
+
+unsigned StaticShareOwnership::workConnections(
+    const ServerConfig &Server, const std::vector<Member> &Members) const {
+  const auto Sharing = static_cast<unsigned>(
+      std::count_if(Members.begin(), Members.end(), takesWork));
+  const unsigned Work = Server.ConnectionLimit > ControlConnections
+                            ? Server.ConnectionLimit - ControlConnections
+                            : 1;
+  return std::max(1U, Work / std::max(1U, Sharing));
+}
+
+} // namespace amaranthspur
