Add routing and retry decisions

Reads prefer a replica of the caller's region; a read that another region would have to answer waits up to 50 ms in all, for which RouteRequest gains the field Waited.

--- a/src/policy/Retry.h
+++ b/src/policy/Retry.h
@@ -11,6 +11,24 @@
 
 namespace amaranthspur {
 
+/// What another attempt can achieve after a refusal.
+enum class RetryProspect {
+  Final,    ///< It meets the same refusal or makes things worse.
+  Redirect, ///< Another server can answer at once.
+  Later,    ///< The condition passes.
+};
+
+template <> struct EnumNames<RetryProspect> {
+  static constexpr auto Entries =
+      std::to_array<std::pair<RetryProspect, std::string_view>>(
+          {{RetryProspect::Final, "final"},
+           {RetryProspect::Redirect, "redirect"},
+           {RetryProspect::Later, "later"}});
+};
+
+/// Returns the prospect of a statement that was refused for \p Reason.
+RetryProspect prospectOf(RefusalReason Reason);
+
 /// What is known when a statement has failed.
 struct RetryQuestion {
   Refusal Failure;
--- a/src/policy/Routing.h
+++ b/src/policy/Routing.h
@@ -19,6 +19,7 @@
   Duration MaxStaleness{};     ///< 0: only the primary's state will do.
   DataCentre From;             ///< Where the entry VM is.
   std::set<ServerId> Excluded; ///< Have refused this statement already.
+  Duration Waited{};           ///< Time that RouteWait has taken so far.
 };
 
 /// Send the statement to this server.
@@ -45,8 +46,16 @@
                       TimePoint Now) const = 0;
 };
 
-/// Reads go to the nearest server that is at or past the floor and young
-/// enough, else to the primary; writes go to the primary.
+/// Longest time in all that a read waits for a replica of its region.
+inline constexpr Duration MaxCatchUpWait = milliseconds(50);
+
+/// Reads go to the nearest replica that is young enough, else to the primary;
+/// writes go to the primary. A server of the caller's region goes before one of
+/// another region, and a replica before the primary.
+///
+/// A replica whose last known position is below the floor is chosen only if no
+/// replica of the same distance is known to be past it: the view lags, and the
+/// owner of the replica checks the floor against what the server reports.
 std::unique_ptr<Routing> makeNearestReplicaRouting();
 
 /// The naive routing: everything goes to the primary.
