Add the platform's client and its stand-in

Cause: configuration and promotion claims live in the platform's table service. Change: fake-platform with conditional writes, objects, a lagging VM list and settable faults; HttpPlatform with deadlines, retries with jitter and a circuit breaker. The platform's VM list may name an admin address.

--- /dev/null
+++ b/src/platform/HttpPlatform.h
@@ -0,0 +1,73 @@
+// The platform's service over HTTP (docs/design.md, section 10.1).
+#ifndef AMARANTHSPUR_PLATFORM_HTTPPLATFORM_H
+#define AMARANTHSPUR_PLATFORM_HTTPPLATFORM_H
+
+#include "core/Random.h"
+#include "platform/CircuitBreaker.h"
+#include "platform/Platform.h"
+#include "wire/Connection.h"
+
+#include <QByteArray>
+#include <QNetworkAccessManager>
+#include <QString>
+
+namespace amaranthspur {
+
+/// Counters for metrics.
+struct PlatformCounters {
+  std::uint64_t Attempts = 0;
+  std::uint64_t Failures = 0;  ///< Attempts without a usable answer.
+  std::uint64_t Refused = 0;   ///< Calls refused by the circuit breaker.
+  std::uint64_t Throttled = 0; ///< Answers 429.
+};
+
+/// Client with deadlines, retries with jitter and a circuit breaker.
+///
+/// Every request is idempotent (a write carries its operation), so each is
+/// retried until its deadline. An error therefore means "outcome unknown" for
+/// a write. Belongs to one thread and outlives its calls.
+class HttpPlatform final : public Platform {
+public:
+  /// \param Service address of the platform's service.
+  /// \param Seed for the jitter of retries.
+  HttpPlatform(const Address &Service, std::uint64_t Seed);
+
+  QCoro::Task<Result<TableRow>> readRow(std::string Key,
+                                        TimePoint Deadline) override;
+  QCoro::Task<Result<CasOutcome>>
+  compareAndSet(std::string Key, std::uint64_t Expected, std::string Value,
+                std::string Operation, TimePoint Deadline) override;
+  QCoro::Task<Result<Success>> putObject(std::string Name, std::string Content,
+                                         TimePoint Deadline) override;
+  QCoro::Task<Result<std::optional<std::string>>>
+  getObject(std::string Name, TimePoint Deadline) override;
+  QCoro::Task<Result<std::vector<PlatformVm>>>
+  listVms(TimePoint Deadline) override;
+
+  BreakerState breakerState() const { return this->Breaker.state(); }
+  const PlatformCounters &counters() const { return this->Counters; }
+
+private:
+  struct Response {
+    int Status = 0;
+    QByteArray Body;
+  };
+
+  /// Sends a request until it is answered with neither 5xx nor 429, or the
+  /// deadline is too near for another attempt.
+  QCoro::Task<Result<Response>> call(QByteArray Verb, QString Path,
+                                     QByteArray Body, TimePoint Deadline);
+  /// Sends a request once.
+  QCoro::Task<Result<Response>> attempt(QByteArray Verb, QString Path,
+                                        QByteArray Body, TimePoint Deadline);
+
+  QString Base;
+  QNetworkAccessManager Http;
+  CircuitBreaker Breaker{CircuitBreaker::Settings()};
+  Random Draw;
+  PlatformCounters Counters;
+};
+
+} // namespace amaranthspur
+
+#endif // AMARANTHSPUR_PLATFORM_HTTPPLATFORM_H
--- a/src/platform/Platform.h
+++ b/src/platform/Platform.h
@@ -13,7 +13,6 @@
 
 #include <QCoroTask>
 
-#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -38,6 +37,7 @@
 struct PlatformVm {
   EntryVmId Id;
   std::string PeerAddress;
+  std::string AdminAddress; ///< `host:port` for HTTP; empty if not known.
   DataCentre Location;
   bool Leaving = false;
 };
--- /dev/null
+++ b/src/testing/fake-platform/PlatformStore.cpp
@@ -0,0 +1,98 @@
+#include "testing/fake-platform/PlatformStore.h"
+
+#include <algorithm>
+
+namespace amaranthspur::fakeplatform {
+
+bool RateLimit::take(std::uint64_t PerSecond, TimePoint Now) {
+  if (PerSecond == 0)
+    return true;
+  const auto Burst = static_cast<double>(PerSecond);
+  if (this->Rate != PerSecond) {
+    this->Rate = PerSecond;
+    this->Tokens = Burst;
+    this->Last = Now;
+  }
+  const double Seconds = toMilliseconds(Now - this->Last) / 1000.0;
+  this->Last = Now;
+  this->Tokens = std::min(Burst, this->Tokens + Seconds * Burst);
+  if (this->Tokens < 1)
+    return false;
+  this->Tokens -= 1;
+  return true;
+}
+
+PlatformStore::PlatformStore(std::uint64_t Seed) : Draw(Seed) {}
+
+Row PlatformStore::readRow(const std::string &Key) const {
+  const auto Found = this->Rows.find(Key);
+  return Found == this->Rows.end() ? Row{} : Found->second;
+}
+
+WriteOutcome PlatformStore::writeRow(const std::string &Key,
+                                     std::uint64_t Expected, std::string Value,
+                                     std::string Operation) {
+  Row &Present = this->Rows[Key];
+  const bool Same = Present.Version > 0 && Present.Operation == Operation;
+  if (Same)
+    return {true, Present};
+  if (Present.Version != Expected)
+    return {false, Present};
+  Present = {Expected + 1, std::move(Value), std::move(Operation)};
+  return {true, Present};
+}
+
+void PlatformStore::putObject(const std::string &Name, std::string Content) {
+  this->Objects[Name] = std::move(Content);
+}
+
+const std::string *PlatformStore::findObject(const std::string &Name) const {
+  const auto Found = this->Objects.find(Name);
+  return Found == this->Objects.end() ? nullptr : &Found->second;
+}
+
+void PlatformStore::putVm(Vm V, TimePoint Now) {
+  std::vector<VmChange> &Changes = this->Vms[V.Id];
+  Changes.push_back({Now, std::move(V)});
+}
+
+void PlatformStore::removeVm(const std::string &Id, TimePoint Now) {
+  this->Vms[Id].push_back({Now, std::nullopt});
+}
+
+std::vector<Vm> PlatformStore::listVms(TimePoint Now) const {
+  std::vector<Vm> List;
+  for (const auto &[Id, Changes] : this->Vms) {
+    const auto Shown =
+        std::find_if(Changes.rbegin(), Changes.rend(), [&](const VmChange &C) {
+          return C.At + this->Current.ListLag <= Now;
+        });
+    if (Shown != Changes.rend() && Shown->To)
+      List.push_back(*Shown->To);
+  }
+  return List;
+}
+
+void PlatformStore::setFaults(const Faults &F,
+                              std::optional<std::uint64_t> Seed) {
+  this->Current = F;
+  if (Seed)
+    this->Draw = Random(*Seed);
+}
+
+Admittance PlatformStore::admit(RequestKind Kind, TimePoint Now) {
+  if (this->Current.Outage)
+    return Admittance::Outage;
+  const bool Allowed =
+      Kind == RequestKind::Read
+          ? this->Reads.take(this->Current.ReadsPerSecond, Now)
+          : this->Writes.take(this->Current.WritesPerSecond, Now);
+  return Allowed ? Admittance::Admitted : Admittance::RateLimited;
+}
+
+bool PlatformStore::losesAnswer() {
+  return this->Current.LoseAnswers > 0 &&
+         this->Draw.unit() < this->Current.LoseAnswers;
+}
+
+} // namespace amaranthspur::fakeplatform
--- /dev/null
+++ b/src/testing/fake-platform/TestApplication.h
@@ -0,0 +1,21 @@
+// The event loop of test programs.
+#ifndef AMARANTHSPUR_TESTING_FAKEPLATFORM_TESTAPPLICATION_H
+#define AMARANTHSPUR_TESTING_FAKEPLATFORM_TESTAPPLICATION_H
+
+#include <QCoreApplication>
+
+namespace amaranthspur {
+
+/// Returns the one QCoreApplication of the test program. A second one in the
+/// same process would lose the timers that tasks have armed.
+inline QCoreApplication &testApplication() {
+  static int Argc = 1;
+  static char Name[] = "test";
+  static char *Argv[] = {Name, nullptr};
+  static QCoreApplication App(Argc, Argv);
+  return App;
+}
+
+} // namespace amaranthspur
+
+#endif // AMARANTHSPUR_TESTING_FAKEPLATFORM_TESTAPPLICATION_H
