--- a/src/config/Generation.cpp
+++ b/src/config/Generation.cpp
@@ -4,6 +4,9 @@
 #include "config/Mistake.h"
 #include "config/Validation.h"
 
+#include <google/protobuf/message.h>
+#include <google/protobuf/unknown_field_set.h>
+
 #include <QCryptographicHash>
 
 #include <algorithm>
@@ -21,6 +24,28 @@
             [&](const auto &A, const auto &B) { return KeyOf(A) < KeyOf(B); });
 }
 
+/// Returns whether \p M or a message in it has fields of a later version.
+bool hasUnknownFields(const google::protobuf::Message &M) {
+  const google::protobuf::Reflection &R = *M.GetReflection();
+  if (!R.GetUnknownFields(M).empty())
+    return true;
+  std::vector<const google::protobuf::FieldDescriptor *> Fields;
+  R.ListFields(M, &Fields);
+  for (const google::protobuf::FieldDescriptor *Field : Fields) {
+    if (Field->cpp_type() != google::protobuf::FieldDescriptor::CPPTYPE_MESSAGE)
+      continue;
+    if (!Field->is_repeated()) {
+      if (hasUnknownFields(R.GetMessage(M, Field)))
+        return true;
+      continue;
+    }
+    for (int I = 0; I < R.FieldSize(M, Field); ++I)
+      if (hasUnknownFields(R.GetRepeatedMessage(M, Field, I)))
+        return true;
+  }
+  return false;
+}
+
 ServerConfig generateServer(const BackendServerAnswer &B) {
   ServerConfig Server;
   Server.Id = ServerId(B.id());
@@ -110,6 +135,9 @@
   Questionnaire Answers;
   if (!Answers.ParseFromArray(Content.data(), static_cast<int>(Content.size())))
     return Error{"the content is malformed"};
+  // A field that this version does not know may change the meaning of others.
+  if (hasUnknownFields(Answers))
+    return Error{"the content has unknown fields"};
   const std::vector<Mistake> Mistakes = validate(Answers);
   if (!Mistakes.empty())
     return Error{"the content has mistakes: " + text(Mistakes.front())};
