--- /dev/null
+++ b/src/testing/fake-backend/ReplicatedLog.cpp
@@ -0,0 +1,93 @@
+#include "testing/fake-backend/ReplicatedLog.h"
+
+#include <algorithm>
+#include <cassert>
+#include <charconv>
+
+namespace amaranthspur::fake {
+namespace {
+
+bool takeNumber(std::string_view &Rest, std::uint64_t &Number) {
+  const auto [End, Status] =
+      std::from_chars(Rest.data(), Rest.data() + Rest.size(), Number);
+  if (Status != std::errc())
+    return false;
+  Rest.remove_prefix(static_cast<std::size_t>(End - Rest.data()));
+  return true;
+}
+
+bool takeCharacter(std::string_view &Rest, char C) {
+  if (Rest.empty() || Rest.front() != C)
+    return false;
+  Rest.remove_prefix(1);
+  return true;
+}
+
+} // namespace
+
+std::string formatTermEnds(const TermEnds &Ends) {
+  std::string Text;
+  const std::size_t Skipped =
+      Ends.size() - std::min(Ends.size(), MaxFormattedTerms);
+  for (std::size_t I = Skipped; I < Ends.size(); ++I) {
+    if (!Text.empty())
+      Text += ',';
+    Text += std::to_string(Ends[I].TermNumber) + '/' +
+            std::to_string(Ends[I].Index);
+  }
+  return Text;
+}
+
+Result<TermEnds> parseTermEnds(std::string_view Text) {
+  TermEnds Ends;
+  while (!Text.empty()) {
+    LogPosition End;
+    if (!takeNumber(Text, End.TermNumber) || !takeCharacter(Text, '/') ||
+        !takeNumber(Text, End.Index))
+      return Error{"description of a log is malformed"};
+    const bool Ascending =
+        Ends.empty() || (Ends.back().TermNumber < End.TermNumber &&
+                         Ends.back().Index < End.Index);
+    if (!Ascending)
+      return Error{"description of a log is not in ascending order"};
+    Ends.push_back(End);
+    if (!Text.empty() && !takeCharacter(Text, ','))
+      return Error{"description of a log is malformed"};
+  }
+  return Ends;
+}
+
+void ReplicatedLog::append(Term T, std::string Sql) {
+  assert(T >= this->end().TermNumber && "terms of a log never descend");
+  this->Entries.push_back({T, std::move(Sql)});
+  if (this->Ends.empty() || this->Ends.back().TermNumber != T)
+    this->Ends.push_back({T, 0});
+  this->Ends.back().Index = this->Entries.size();
+}
+
+std::uint64_t ReplicatedLog::commonIndex(const TermEnds &Other) const {
+  // The highest term that both hold decides: before its first entry the logs
+  // are equal, and in it the shorter one is a prefix of the other.
+  for (auto Theirs = Other.rbegin(); Theirs != Other.rend(); ++Theirs)
+    for (const LogPosition &Own : this->Ends)
+      if (Own.TermNumber == Theirs->TermNumber)
+        return std::min(Own.Index, Theirs->Index);
+  return 0;
+}
+
+void ReplicatedLog::truncate(std::uint64_t Last) {
+  if (Last >= this->Entries.size())
+    return;
+  this->Entries.resize(Last);
+  while (!this->Ends.empty() && this->Ends.back().Index > Last) {
+    const bool TermGone = Last == 0 || this->Entries.back().TermNumber <
+                                           this->Ends.back().TermNumber;
+    if (!TermGone) {
+      this->Ends.back().Index = Last;
+      break;
+    }
+    this->Ends.pop_back();
+  }
+}
+
+} // namespace amaranthspur::fake
--- /dev/null
+++ b/src/testing/fake-backend/Session.cpp
@@ -0,0 +1,426 @@
+#include "testing/fake-backend/Session.h"
+
+#include "testing/fake-backend/ControlStatements.h"
+
+#include <algorithm>
+
+namespace amaranthspur::fake {
+namespace {
+
+/// Bytes handed to the socket at once.
+constexpr std::size_t ChunkBytes = 64U << 10U;
+
+const SqlError CancelledError{"57014", "statement was cancelled"};
+const SqlError FencedError{
+    "57P04", "primary was superseded; the transaction did not commit"};
+
+/// Returns whether CommandComplete of \p S carries a number of rows.
+bool hasCount(std::string_view Tag) {
+  return Tag == "SELECT" || Tag == "INSERT 0" || Tag == "UPDATE" ||
+         Tag == "DELETE";
+}
+
+} // namespace
+
+Session::Session(ServerState &Server, Connection &Link, SessionKind Kind,
+                 SessionKey Key)
+    : Server(Server), Link(Link), Kind(Kind), Key(Key) {
+  this->Server.Sessions.emplace(this->Key.ProcessId, this);
+}
+
+Session::~Session() {
+  this->rollBackWrites();
+  this->Server.Sessions.erase(this->Key.ProcessId);
+}
+
+void Session::cancel() { this->Waiting.giveUp(); }
+
+void Session::terminate() {
+  this->Terminated = true;
+  this->Waiting.giveUp();
+  this->Link.interrupt();
+  // A task that waits for a client to read is woken only by the end of the
+  // connection.
+  if (this->Link.queuedBytes() > Connection::WriteBufferBytes)
+    this->Link.abort();
+}
+
+QCoro::Task<> Session::run() {
+  this->greet();
+  while (!this->Terminated && co_await this->nextFrame()) {
+  }
+  this->rollBackWrites();
+  if (this->Terminated)
+    this->fatal({"57P01", "connection ended by the server"});
+  co_await this->flush();
+  this->Link.close();
+}
+
+void Session::greet() {
+  this->Answer.add(pg::buildAuthenticationOk());
+  const std::pair<std::string_view, std::string_view> Parameters[] = {
+      {"server_version", "15.0"},  {"server_encoding", "UTF8"},
+      {"client_encoding", "UTF8"}, {"DateStyle", "ISO, MDY"},
+      {"integer_datetimes", "on"}, {"standard_conforming_strings", "on"}};
+  for (const auto &[Name, Value] : Parameters)
+    this->Answer.add(pg::buildParameterStatus(Name, Value));
+  this->Answer.add(
+      pg::buildBackendKeyData(this->Key.ProcessId, this->Key.Secret));
+  this->noteSeen();
+  this->endUnit();
+}
+
+/// Handles the next frame; returns false at the end of the connection.
+QCoro::Task<bool> Session::nextFrame() {
+  const auto Next = this->Link.reader().next();
+  if (!succeeded(Next)) {
+    this->fatal({"08P01", errorOf(Next)});
+    co_return false;
+  }
+  if (valueOf(Next)) {
+    const pg::Frame F = *valueOf(Next);
+    co_await this->handle(F);
+    co_return !this->Ended;
+  }
+  co_await this->flush();
+  if (this->Ended)
+    co_return false;
+  const bool Idle = this->State == TransactionState::Idle;
+  const TimePoint Deadline =
+      Idle ? NoDeadline
+           : steadyNow() + this->Server.Config.IdleInTransactionTimeout;
+  const ReadEvent Event = co_await this->Link.readable(Deadline);
+  if (Event == ReadEvent::TimedOut && !this->Terminated)
+    this->fatal({"25P03", "idle-in-transaction timeout"});
+  co_return Event == ReadEvent::Data;
+}
+
+QCoro::Task<> Session::handle(const pg::Frame &F) {
+  if (F.Type == 'X') {
+    this->Ended = true;
+    co_return;
+  }
+  if (F.Type == 'S') {
+    this->SkippingToSync = false;
+    this->endUnit();
+    co_return;
+  }
+  if (this->SkippingToSync)
+    co_return;
+  switch (F.Type) {
+  case 'Q':
+    co_await this->handleQuery(F.Body);
+    break;
+  case 'P':
+    this->handleParse(F.Body);
+    break;
+  case 'B':
+    this->handleBind(F.Body);
+    break;
+  case 'D':
+    this->handleDescribe(F.Body);
+    break;
+  case 'E':
+    co_await this->handleExecute(F.Body);
+    break;
+  case 'C':
+    this->handleClose(F.Body);
+    break;
+  case 'H':
+    co_await this->flush();
+    break;
+  default:
+    this->fatal({"08P01", "message type is not supported"});
+  }
+}
+
+QCoro::Task<> Session::handleQuery(std::string_view Body) {
+  const auto Text = pg::parseQuery(Body);
+  if (!succeeded(Text)) {
+    this->fatal({"08P01", errorOf(Text)});
+    co_return;
+  }
+  this->Answer.DescribeRows = true;
+  this->Waiting.GivenUp = false;
+  std::string_view Rest = valueOf(Text);
+  bool Any = false;
+  bool Good = true;
+  while (Good && !Rest.empty()) {
+    const Statement S = parseStatement(takeStatement(Rest));
+    if (S.Form == StatementForm::Empty)
+      continue;
+    Any = true;
+    static const Parameters NoValues;
+    Good = co_await this->execute(S, NoValues);
+  }
+  if (!Any)
+    this->Answer.add(pg::buildFrame('I', ""));
+  if (!this->Ended)
+    this->endUnit();
+}
+
+/// Ends a Query or a Sync: commits an implicit transaction and reports ready.
+void Session::endUnit() {
+  if (this->State == TransactionState::Idle && this->Writing) {
+    if (const auto Failure = this->commitWrites()) {
+      this->Answer.dropCompletion();
+      this->fail(*Failure);
+    }
+  }
+  if (this->Seen != this->Reported) {
+    this->Reported = this->Seen;
+    this->Answer.add(pg::buildParameterStatus(
+        "group.position", std::to_string(this->Seen.TermNumber) + "/" +
+                              std::to_string(this->Seen.Index)));
+  }
+  this->Answer.add(pg::buildReadyForQuery(this->State));
+}
+
+QCoro::Task<bool> Session::execute(const Statement &S,
+                                   const Parameters &Values) {
+  const bool Ends =
+      S.Form == StatementForm::Commit || S.Form == StatementForm::Rollback;
+  if (this->State == TransactionState::Failed && !Ends)
+    co_return this->fail(FailedTransactionError);
+  switch (S.Form) {
+  case StatementForm::Empty:
+    this->Answer.add(pg::buildFrame('I', ""));
+    co_return true;
+  case StatementForm::Begin:
+    this->State = TransactionState::InTransaction;
+    this->Answer.complete(S.Tag, std::nullopt);
+    co_return true;
+  case StatementForm::Setting:
+    this->Answer.complete(S.Tag, std::nullopt);
+    co_return true;
+  case StatementForm::Commit:
+  case StatementForm::Rollback:
+    co_return this->executeEnd(S);
+  case StatementForm::Control:
+    co_return this->executeControl(S);
+  case StatementForm::Read:
+    ++this->Server.count(BackendCounter::Statements);
+    if (!this->Writing)
+      co_return co_await this->executeRead(S, Values);
+    break;
+  case StatementForm::Write:
+    ++this->Server.count(BackendCounter::Statements);
+    break;
+  }
+  co_return co_await this->executeWrite(S, Values);
+}
+
+bool Session::executeEnd(const Statement &S) {
+  const bool Commits = S.Form == StatementForm::Commit &&
+                       this->State != TransactionState::Failed;
+  this->State = TransactionState::Idle;
+  if (!Commits) {
+    this->rollBackWrites();
+    this->Answer.complete("ROLLBACK", std::nullopt);
+    return true;
+  }
+  if (this->Writing)
+    if (const auto Failure = this->commitWrites())
+      return this->fail(*Failure);
+  this->Answer.complete(S.Tag, std::nullopt);
+  return true;
+}
+
+bool Session::executeControl(const Statement &S) {
+  const auto Ran = runControl(this->Server, S.Call, this->Answer);
+  this->noteSeen();
+  if (errorIn(Ran) != nullptr)
+    return this->fail(*errorIn(Ran));
+  this->Answer.complete(S.Tag, 1);
+  return true;
+}
+
+/// Runs a statement outside write transactions. One that turns out to write
+/// (WITH ... INSERT) takes the way of a write.
+QCoro::Task<bool> Session::executeRead(const Statement &S,
+                                       const Parameters &Values) {
+  if (!co_await this->takeSlot())
+    co_return this->fail(CancelledError);
+  std::optional<SqlResult<Effect>> Ran;
+  {
+    auto Sql = this->Server.Storage.prepare(Image::Committed, S.Text);
+    if (errorIn(Sql) != nullptr)
+      Ran = *errorIn(Sql);
+    else if (auto &Prepared = std::get<PreparedSql>(Sql); !Prepared.isWrite())
+      Ran = this->Server.Storage.run(Prepared, Values, this->Answer);
+  }
+  this->noteSeen();
+  if (!Ran) {
+    this->giveSlot();
+    co_return co_await this->executeWrite(S, Values);
+  }
+  if (errorIn(*Ran) != nullptr) {
+    this->giveSlot();
+    co_return this->fail(*errorIn(*Ran));
+  }
+  const auto &Done = std::get<Effect>(*Ran);
+  const bool Worked =
+      Done.Work == Duration::zero() || co_await this->work(Done.Work);
+  this->giveSlot();
+  if (!Worked)
+    co_return this->fail(CancelledError);
+  this->Answer.complete(S.Tag, hasCount(S.Tag) ? std::optional(Done.Rows)
+                                               : std::nullopt);
+  co_return true;
+}
+
+QCoro::Task<bool> Session::executeWrite(const Statement &S,
+                                        const Parameters &Values) {
+  if (!this->Writing)
+    if (const auto Failure = co_await this->lockForWriting())
+      co_return this->fail(*Failure);
+  // The lock is taken before the slot: waiters for the lock hold no slot, so
+  // the holder's next statement can always get one.
+  if (!co_await this->takeSlot())
+    co_return this->fail(CancelledError);
+  Effect Done;
+  if (const auto Failure = this->runWrite(S, Values, Done)) {
+    this->giveSlot();
+    co_return this->fail(*Failure);
+  }
+  const bool Worked =
+      Done.Work == Duration::zero() || co_await this->work(Done.Work);
+  this->giveSlot();
+  if (!Worked)
+    co_return this->fail(CancelledError);
+  this->Answer.complete(S.Tag, hasCount(S.Tag) ? std::optional(Done.Rows)
+                                               : std::nullopt);
+  co_return true;
+}
+
+QCoro::Task<std::optional<SqlError>> Session::lockForWriting() {
+  const std::optional<SqlError> ReadOnly =
+      SqlError{"25006", "server is a replica"};
+  if (!this->Server.Members.isPrimary())
+    co_return ReadOnly;
+  const TimePoint Deadline = steadyNow() + this->Server.Config.LockTimeout;
+  const bool Locked =
+      co_await this->Server.Writer.acquire(this, this->Waiting, Deadline);
+  if (!Locked) {
+    std::optional<SqlError> Failure = CancelledError;
+    if (!this->Waiting.GivenUp)
+      Failure = SqlError{"55P03", "write lock was not free in time"};
+    co_return Failure;
+  }
+  if (!this->Server.Members.isPrimary()) {
+    this->Server.Writer.release(this);
+    co_return ReadOnly;
+  }
+  this->Server.Storage.begin();
+  this->Writing = true;
+  co_return std::optional<SqlError>();
+}
+
+/// Runs a statement in the open write transaction.
+std::optional<SqlError>
+Session::runWrite(const Statement &S, const Parameters &Values, Effect &Done) {
+  if (!this->Server.Writer.heldBy(this))
+    return FencedError;
+  auto Sql = this->Server.Storage.prepare(Image::Working, S.Text);
+  if (errorIn(Sql) != nullptr)
+    return *errorIn(Sql);
+  auto &Prepared = std::get<PreparedSql>(Sql);
+  const bool Writes = Prepared.isWrite();
+  if (Writes && !Prepared.isDeterministic())
+    return SqlError{"0A000", "a write must not call a function whose value "
+                             "differs between servers"};
+  const auto Ran = this->Server.Storage.run(Prepared, Values, this->Answer);
+  if (errorIn(Ran) != nullptr)
+    return *errorIn(Ran);
+  Done = std::get<Effect>(Ran);
+  if (Writes)
+    this->Statements.push_back(Values.empty() ? std::string(S.Text)
+                                              : Prepared.expanded());
+  this->noteSeen();
+  return std::nullopt;
+}
+
+std::optional<SqlError> Session::commitWrites() {
+  if (!this->Server.Writer.heldBy(this)) {
+    this->rollBackWrites();
+    return FencedError;
+  }
+  const auto Committed = this->Server.Members.commit(this->Statements);
+  this->Statements.clear();
+  this->Writing = false;
+  this->Server.Writer.release(this);
+  if (errorIn(Committed) != nullptr)
+    return *errorIn(Committed);
+  ++this->Server.count(BackendCounter::Commits);
+  this->noteSeen();
+  return std::nullopt;
+}
+
+void Session::rollBackWrites() {
+  this->Statements.clear();
+  this->Writing = false;
+  if (!this->Server.Writer.heldBy(this))
+    return;
+  this->Server.Storage.rollback();
+  this->Server.Writer.release(this);
+}
+
+QCoro::Task<bool> Session::takeSlot() {
+  if (this->Kind == SessionKind::Control)
+    co_return true;
+  const bool Taken =
+      co_await this->Server.Slots.acquire(this->Waiting, NoDeadline);
+  if (Taken && this->Waiting.GivenUp)
+    this->giveSlot();
+  co_return Taken && !this->Waiting.GivenUp;
+}
+
+void Session::giveSlot() {
+  if (this->Kind != SessionKind::Control)
+    this->Server.Slots.release();
+}
+
+/// Lets the time of sim_work pass; returns false if the statement is cancelled.
+QCoro::Task<bool> Session::work(Duration Time) {
+  const TimePoint End = steadyNow() + Time;
+  while (!this->Waiting.GivenUp && steadyNow() < End)
+    co_await this->Waiting.Point.wait(End);
+  co_return !this->Waiting.GivenUp;
+}
+
+/// Reports an error and fails the transaction. Always returns false.
+bool Session::fail(const SqlError &E) {
+  this->rollBackWrites();
+  if (this->State == TransactionState::InTransaction)
+    this->State = TransactionState::Failed;
+  if (!this->Ended)
+    this->Answer.error(E);
+  return false;
+}
+
+void Session::fatal(const SqlError &E) {
+  if (!std::exchange(this->Ended, true))
+    this->Answer.error(E, "FATAL");
+}
+
+QCoro::Task<> Session::flush() {
+  std::string_view Rest = this->Answer.bytes();
+  while (!Rest.empty() && this->Link.isOpen()) {
+    this->Link.write(Rest.substr(0, ChunkBytes));
+    Rest.remove_prefix(std::min(Rest.size(), ChunkBytes));
+    if (this->Link.queuedBytes() <= Connection::WriteBufferBytes)
+      continue;
+    // A client that does not read must not keep the write lock.
+    const TimePoint Deadline =
+        this->State == TransactionState::Idle
+            ? NoDeadline
+            : steadyNow() + this->Server.Config.IdleInTransactionTimeout;
+    if (!co_await this->Link.writable(Deadline)) {
+      this->Ended = true;
+      this->Link.abort();
+    }
+  }
+  this->Answer.clear();
+}
+
+} // namespace amaranthspur::fake
--- /dev/null
+++ b/src/testing/fake-backend/Statement.cpp
@@ -0,0 +1,197 @@
+#include "testing/fake-backend/Statement.h"
+
+#include <algorithm>
+#include <cctype>
+#include <optional>
+
+namespace amaranthspur::fake {
+namespace {
+
+bool isBlank(char C) {
+  return std::isspace(static_cast<unsigned char>(C)) != 0;
+}
+
+bool isWordCharacter(char C) {
+  return std::isalnum(static_cast<unsigned char>(C)) != 0 || C == '_';
+}
+
+std::size_t findFrom(std::string_view Text, std::string_view Part,
+                     std::size_t At) {
+  const std::size_t Found = Text.find(Part, At);
+  return Found == std::string_view::npos ? Text.size() : Found + Part.size();
+}
+
+/// Returns the end of the quoted text or comment that starts at \p At, or
+/// \p At if none does. Doubled quotes count as two adjacent texts.
+std::size_t skipOpaque(std::string_view Text, std::size_t At) {
+  const char C = Text[At];
+  if (C == '\'' || C == '"' || C == '`')
+    return findFrom(Text, std::string_view(&C, 1), At + 1);
+  if (Text.substr(At, 2) == "--")
+    return findFrom(Text, "\n", At + 2);
+  if (Text.substr(At, 2) == "/*")
+    return findFrom(Text, "*/", At + 2);
+  return At;
+}
+
+std::string_view skipBlanksAndComments(std::string_view Text) {
+  std::size_t At = 0;
+  while (At < Text.size()) {
+    if (isBlank(Text[At])) {
+      ++At;
+      continue;
+    }
+    const bool Comment =
+        Text.substr(At, 2) == "--" || Text.substr(At, 2) == "/*";
+    if (!Comment)
+      break;
+    At = skipOpaque(Text, At);
+  }
+  return Text.substr(At);
+}
+
+/// Takes one word, number, quoted text (without quotes) or single character.
+std::string takeToken(std::string_view &Rest) {
+  Rest = skipBlanksAndComments(Rest);
+  if (Rest.empty())
+    return {};
+  std::size_t End = 1;
+  if (Rest.front() == '\'') {
+    End = skipOpaque(Rest, 0);
+    std::string Text(Rest.substr(1, End > 1 ? End - 2 : 0));
+    Rest.remove_prefix(End);
+    return Text;
+  }
+  if (isWordCharacter(Rest.front()))
+    End = static_cast<std::size_t>(
+        std::find_if_not(Rest.begin(), Rest.end(), isWordCharacter) -
+        Rest.begin());
+  std::string Token(Rest.substr(0, End));
+  Rest.remove_prefix(End);
+  return Token;
+}
+
+std::string toUpper(std::string Text) {
+  std::transform(Text.begin(), Text.end(), Text.begin(), [](unsigned char C) {
+    return static_cast<char>(std::toupper(C));
+  });
+  return Text;
+}
+
+std::string takeWord(std::string_view &Rest) {
+  return toUpper(takeToken(Rest));
+}
+
+/// Parses `SELECT [* FROM] group_name(argument, ...)`.
+std::optional<ControlCall> parseControl(std::string_view Rest) {
+  std::string Name = takeToken(Rest);
+  if (Name == "*") {
+    if (takeWord(Rest) != "FROM")
+      return std::nullopt;
+    Name = takeToken(Rest);
+  }
+  std::transform(Name.begin(), Name.end(), Name.begin(), [](unsigned char C) {
+    return static_cast<char>(std::tolower(C));
+  });
+  const auto Function = parseName<ControlFunction>(Name);
+  if (!Function || takeToken(Rest) != "(")
+    return std::nullopt;
+  ControlCall Call{*Function, {}};
+  std::string Token = takeToken(Rest);
+  while (!Token.empty() && Token != ")") {
+    if (Token != ",")
+      Call.Arguments.push_back(Token);
+    Token = takeToken(Rest);
+  }
+  if (Token != ")" || !skipBlanksAndComments(Rest).empty())
+    return std::nullopt;
+  return Call;
+}
+
+/// First words and what they make of a statement.
+struct FirstWord {
+  std::string_view Word;
+  StatementForm Form;
+};
+
+constexpr auto FirstWords = std::to_array<FirstWord>({
+    {"SELECT", StatementForm::Read},
+    {"INSERT", StatementForm::Write},
+    {"UPDATE", StatementForm::Write},
+    {"DELETE", StatementForm::Write},
+    {"REPLACE", StatementForm::Write},
+    {"CREATE", StatementForm::Write},
+    {"DROP", StatementForm::Write},
+    {"ALTER", StatementForm::Write},
+    {"BEGIN", StatementForm::Begin},
+    {"START", StatementForm::Begin},
+    {"COMMIT", StatementForm::Commit},
+    {"END", StatementForm::Commit},
+    {"ROLLBACK", StatementForm::Rollback},
+    {"ABORT", StatementForm::Rollback},
+    {"SET", StatementForm::Setting},
+    {"RESET", StatementForm::Setting},
+    {"DISCARD", StatementForm::Setting},
+    {"DEALLOCATE", StatementForm::Setting},
+});
+
+StatementForm formOf(std::string_view Word) {
+  for (const FirstWord &Entry : FirstWords)
+    if (Entry.Word == Word)
+      return Entry.Form;
+  return StatementForm::Read;
+}
+
+std::string tagOf(StatementForm Form, std::string Word, std::string_view Rest) {
+  switch (Form) {
+  case StatementForm::Begin:
+    return "BEGIN";
+  case StatementForm::Commit:
+    return "COMMIT";
+  case StatementForm::Rollback:
+    return "ROLLBACK";
+  default:
+    break;
+  }
+  if (Word == "CREATE" || Word == "DROP" || Word == "ALTER" ||
+      Word == "DISCARD")
+    return Word + " " + takeWord(Rest);
+  if (Word == "INSERT" || Word == "REPLACE")
+    return "INSERT 0";
+  return Form == StatementForm::Read ? "SELECT" : Word;
+}
+
+} // namespace
+
+std::string_view takeStatement(std::string_view &Rest) {
+  Rest = skipBlanksAndComments(Rest);
+  std::string_view Words = Rest;
+  if (takeWord(Words) == "CREATE" && takeWord(Words) == "TRIGGER")
+    return std::exchange(Rest, {});
+  std::size_t At = 0;
+  while (At < Rest.size() && Rest[At] != ';')
+    At = std::max(skipOpaque(Rest, At), At + 1);
+  const std::string_view Text = Rest.substr(0, At);
+  Rest.remove_prefix(std::min(At + 1, Rest.size()));
+  return Text;
+}
+
+Statement parseStatement(std::string_view Text) {
+  Statement Parsed;
+  Parsed.Text = skipBlanksAndComments(Text);
+  std::string_view Rest = Parsed.Text;
+  const std::string Word = takeWord(Rest);
+  if (Word.empty())
+    return Parsed;
+  Parsed.Form = formOf(Word);
+  Parsed.Tag = tagOf(Parsed.Form, Word, Rest);
+  if (Word != "SELECT")
+    return Parsed;
+  if (auto Call = parseControl(Rest)) {
+    Parsed.Form = StatementForm::Control;
+    Parsed.Call = std::move(*Call);
+  }
+  return Parsed;
+}
+
+} // namespace amaranthspur::fake
