--- /dev/null
+++ b/src/policy/Durability.cpp
@@ -0,0 +1,148 @@
+#include "policy/Durability.h"
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+
+namespace amaranthspur {
+namespace {
+
+class MajorityDurability final : public Durability {
+public:
+  void configure(const std::vector<ServerId> &Servers) override {
+    this->Servers = Servers;
+    std::erase_if(this->Latest, [&Servers](const auto &Entry) {
+      return std::find(Servers.begin(), Servers.end(), Entry.first) ==
+             Servers.end();
+    });
+  }
+
+  void observe(const ServerId &Server, const ServerStatus &Status,
+               TimePoint SentAt, TimePoint) override {
+    if (std::find(this->Servers.begin(), this->Servers.end(), Server) ==
+        this->Servers.end())
+      return;
+    this->Latest[Server] = {Status, SentAt};
+    // A term is that of the log, not the adopted one: before its primary has
+    // been promoted, nothing can be held in it.
+    if (countsFor(Status, Status.AdoptedTerm))
+      this->Current = std::max(this->Current, Status.AdoptedTerm);
+    this->confirm();
+  }
+
+  LogPosition confirmed() const override { return this->Confirmed; }
+
+  bool isConfirmed(LogPosition Position) const override {
+    return Position.TermNumber == this->Confirmed.TermNumber &&
+           Position.Index <= this->Confirmed.Index;
+  }
+
+  bool termEnded(Term T) const override {
+    if (T < this->Current)
+      return true;
+    std::size_t Beyond = 0;
+    for (const auto &[Server, Seen] : this->Latest)
+      if (Seen.Status.AdoptedTerm > T)
+        ++Beyond;
+    return !this->Servers.empty() && Beyond >= majorityOf(this->Servers.size());
+  }
+
+  bool acceptsWrites(TimePoint Now) const override {
+    std::size_t Answering = 0;
+    bool PrimaryAnswers = false;
+    for (const auto &[Server, Seen] : this->Latest) {
+      if (!countsFor(Seen.Status, this->Current) ||
+          Now - Seen.SentAt > MajorityAnswerLimit)
+        continue;
+      ++Answering;
+      PrimaryAnswers =
+          PrimaryAnswers || Seen.Status.Role == ServerRole::Primary;
+    }
+    return PrimaryAnswers && Answering >= majorityOf(this->Servers.size());
+  }
+
+private:
+  struct Observation {
+    ServerStatus Status;
+    TimePoint SentAt;
+  };
+
+  /// The rule of section 8.1: adopted term and log term are both \p T.
+  static bool countsFor(const ServerStatus &Status, Term T) {
+    return T > 0 && Status.AdoptedTerm == T && Status.LogEnd.TermNumber == T;
+  }
+
+  /// Returns the primary of the current term if any status names it.
+  std::optional<ServerId> primary() const {
+    for (const auto &[Server, Seen] : this->Latest) {
+      if (!countsFor(Seen.Status, this->Current))
+        continue;
+      if (Seen.Status.Role == ServerRole::Primary)
+        return Server;
+      if (!Seen.Status.Primary.empty())
+        return Seen.Status.Primary;
+    }
+    return std::nullopt;
+  }
+
+  void confirm() {
+    std::vector<std::uint64_t> Held;
+    const std::optional<ServerId> Primary = this->primary();
+    std::uint64_t Highest = 0;
+    for (const auto &[Server, Seen] : this->Latest) {
+      if (!countsFor(Seen.Status, this->Current))
+        continue;
+      Highest = std::max(Highest, Seen.Status.LogEnd.Index);
+      if (Server != Primary)
+        Held.push_back(Seen.Status.LogEnd.Index);
+    }
+    // Entries of a term come from its primary alone, which appended them while
+    // it had not adopted a later term. What any server holds in the term, its
+    // primary therefore holds, even if its own last status is older.
+    if (Primary && std::find(this->Servers.begin(), this->Servers.end(),
+                             *Primary) != this->Servers.end())
+      Held.push_back(Highest);
+    const std::size_t Needed = majorityOf(this->Servers.size());
+    if (Held.size() < Needed)
+      return;
+    std::sort(Held.begin(), Held.end(), std::greater<>());
+    this->Confirmed =
+        std::max(this->Confirmed, LogPosition{this->Current, Held[Needed - 1]});
+  }
+
+  std::vector<ServerId> Servers;
+  std::map<ServerId, Observation> Latest;
+  Term Current = 0; ///< Highest term in which a log was seen.
+  LogPosition Confirmed;
+};
+
+class ImmediateDurability final : public Durability {
+public:
+  void configure(const std::vector<ServerId> &) override {}
+
+  void observe(const ServerId &, const ServerStatus &Status, TimePoint,
+               TimePoint) override {
+    if (Status.Role == ServerRole::Primary)
+      this->Confirmed = std::max(this->Confirmed, Status.LogEnd);
+  }
+
+  LogPosition confirmed() const override { return this->Confirmed; }
+  bool isConfirmed(LogPosition) const override { return true; }
+  bool termEnded(Term) const override { return false; }
+  bool acceptsWrites(TimePoint) const override { return true; }
+
+private:
+  LogPosition Confirmed;
+};
+
+} // namespace
+
+std::unique_ptr<Durability> makeMajorityDurability() {
+  return std::make_unique<MajorityDurability>();
+}
+
+std::unique_ptr<Durability> makeImmediateDurability() {
+  return std::make_unique<ImmediateDurability>();
+}
+
+} // namespace amaranthspur
