--- a/src/policy/Failover.cpp
+++ b/src/policy/Failover.cpp
@@ -8,6 +8,10 @@
 namespace amaranthspur {
 namespace {
 
+/// An action ends this long after its limit at the latest, unless the process
+/// was paused meanwhile.
+constexpr Duration ActionSlack = milliseconds(100);
+
 /// Detection and the course of a promotion; the parts in which the majority
 /// failover and the naive one differ are virtual.
 class FailoverCourse : public Failover {
@@ -100,7 +104,7 @@
   /// leave the group without a primary for longer.
   void noticePause(const GroupObservation &Seen, TimePoint Now) {
     const Duration Limit = Seen.Outcome
-                               ? PauseLimit + std::max(ClaimLimit, CallLimit)
+                               ? std::max(ClaimLimit, CallLimit) + ActionSlack
                                : PauseLimit;
     const bool Paused = !this->LastStep || Now - *this->LastStep > Limit;
     this->LastStep = Now;
