--- a/src/policy/FairAdmission.cpp
+++ b/src/policy/FairAdmission.cpp
@@ -7,8 +7,6 @@
 namespace amaranthspur {
 namespace {
 
-/// Slots are kept for short work for this long after some has arrived.
-constexpr Duration ShortMemory = std::chrono::seconds(1);
 /// Longest expected wait of short work that is accepted in a burst.
 constexpr Duration BurstWait = std::chrono::seconds(1);
 /// The same once the queue has stood for StandingTime. After a crest the queue
@@ -60,7 +58,7 @@
       this->Estimator.estimate(Item.Class, Item.Shape);
   // Also refused short work counts: it shows that short work is wanted.
   if (Expected.Length == WorkLength::Short)
-    this->LastShortArrival = Now;
+    this->Reserve.arrived(Now);
   this->updateStandingQueue(Now);
   std::optional<Refusal> Refused = this->checkBounds(Item, *C);
   if (!Refused)
@@ -170,13 +168,7 @@
 }
 
 unsigned FairAdmission::longLimit(TimePoint Now) const {
-  const unsigned Slots = this->Concurrency.limit();
-  const bool ShortLately =
-      this->LastShortArrival && Now - *this->LastShortArrival < ShortMemory;
-  // Two fifths of the slots, or one fifth, rounded up: of 5 slots long work
-  // holds 3 or 4.
-  const unsigned Kept = (Slots * (ShortLately ? 2 : 1) + 4) / 5;
-  return std::max(1U, Slots - std::min(Kept, Slots));
+  return this->Reserve.longLimit(this->Concurrency.limit(), Now);
 }
 
 FairAdmission::Caller *FairAdmission::findOrAddCaller(const CallerName &Name) {
@@ -390,6 +382,8 @@
   }
   const Duration Length = Now - E.Started;
   this->Estimator.finished(E.Item.Class, E.Item.Shape, Length, E.Overran);
+  if (E.Length == WorkLength::Short)
+    this->Reserve.finished(Length, Now);
   const Duration Correction = Length - E.Estimate;
   this->setTag(C, C.Tag + static_cast<double>(Correction.count()) / C.Weight);
   this->forgetIfIdle(C);
--- a/src/policy/FairAdmission.h
+++ b/src/policy/FairAdmission.h
@@ -21,6 +21,7 @@
 #include "policy/Admission.h"
 #include "policy/ConcurrencyLimit.h"
 #include "policy/LengthEstimator.h"
+#include "policy/ShortReserve.h"
 #include "policy/WorkQueue.h"
 
 #include <array>
@@ -108,6 +109,7 @@
   AdmissionLimits Limits;
   LengthEstimator Estimator;
   ConcurrencyLimit Concurrency;
+  ShortReserve Reserve;
   std::map<CallerName, unsigned> Weights;
 
   std::unordered_map<CallerName, Caller> Callers;
@@ -131,7 +133,6 @@
   unsigned RunningLong = 0;
   std::set<std::pair<TimePoint, WorkId>> RunningShortSince;
   std::set<std::pair<TimePoint, WorkId>> RunningLongUntil;
-  std::optional<TimePoint> LastShortArrival;
   std::optional<TimePoint> StandingSince;
 };
 
