Add SWIM-style membership

Suspicion, refutation, deaths decided in the member's own data centre only, bounded news on each message and a page of members for a newcomer.

--- /dev/null
+++ b/src/policy/SwimMembership.cpp
@@ -0,0 +1,616 @@
+#include "policy/SwimMembership.h"
+
+#include "policy/Ownership.h"
+
+#include <algorithm>
+#include <bit>
+#include <cassert>
+
+namespace amaranthspur {
+namespace {
+
+/// Members that are asked to ping in place of this one.
+constexpr std::size_t IndirectProbes = 2;
+/// Every second period one member of another data centre is pinged, so that
+/// news and the configuration revision get there.
+constexpr std::uint64_t OtherCentrePeriods = 2;
+/// After a partition inside a data centre both sides hold each other for dead,
+/// and one has to begin. About this many members of a data centre ping a dead
+/// one in each period.
+constexpr std::uint64_t DeadPings = 2;
+/// Periods between two looks through all members.
+constexpr std::uint64_t ReviewPeriods = 4;
+/// Candidates that are pinged in one period.
+constexpr std::size_t CandidatesPerPeriod = 8;
+/// Longer than a rotation through 3,400 members, so that every member has
+/// learned of a death before it is forgotten.
+constexpr Duration DeadMemory = std::chrono::minutes(10);
+/// The platform's list lags; a member that is missing in it is not checked
+/// before this time.
+constexpr Duration UnlistedGrace = std::chrono::seconds(10);
+constexpr Duration UnlistedCheckInterval = std::chrono::seconds(3);
+constexpr Duration MaxUnlistedCheckInterval = std::chrono::minutes(5);
+constexpr unsigned UnlistedChecks = 3;
+/// Checks by all members are spread over this time per member.
+constexpr std::uint64_t UnlistedSpreadMs = 10;
+constexpr Duration RelayTime = milliseconds(500);
+constexpr std::size_t MaxRelays = 256;
+/// Times that news is sent, per doubling of the number of members.
+constexpr unsigned SendsPerDoubling = 3;
+
+unsigned rank(MemberState State) {
+  switch (State) {
+  case MemberState::Live:
+    return 0;
+  case MemberState::Suspect:
+    return 1;
+  case MemberState::Leaving:
+    return 2;
+  case MemberState::Dead:
+    return 3;
+  }
+  return 0;
+}
+
+bool overrides(const Member &New, const Member &Old) {
+  if (New.Incarnation != Old.Incarnation)
+    return New.Incarnation > Old.Incarnation;
+  return rank(New.State) > rank(Old.State);
+}
+
+} // namespace
+
+SwimMembership::SwimMembership(Member Self) : Self(std::move(Self)) {}
+
+// --- Reports about members ---------------------------------------------------
+
+void SwimMembership::applyReport(const Member &Report, const Member *Reporter,
+                                 bool Direct, TimePoint Now) {
+  if (Report.Id == this->Self.Id) {
+    this->applyAboutSelf(Report);
+    return;
+  }
+  const auto Found = this->Records.find(Report.Id);
+  if (Found != this->Records.end()) {
+    if (overrides(Report, Found->second.M))
+      this->replace(Found->second, Report, Now);
+    return;
+  }
+  if (Report.State == MemberState::Dead)
+    return;
+  // After a long partition another data centre may still report members of
+  // this one that died and were forgotten meanwhile; they have to answer.
+  const bool Trusted = Direct || !this->sameCentre(Report) ||
+                       (Reporter && this->sameCentre(*Reporter));
+  if (Trusted)
+    this->insert(Report, Now);
+  else
+    this->Candidates.addReported(
+        {Report.Id, Report.PeerAddress, Report.Location, false}, Now);
+}
+
+void SwimMembership::applyAboutSelf(const Member &Report) {
+  if (Report.Incarnation < this->Self.Incarnation)
+    return;
+  if (Report.Incarnation == this->Self.Incarnation &&
+      (Report.State == MemberState::Live || Report.State == this->Self.State))
+    return;
+  this->refute(Report.Incarnation);
+}
+
+void SwimMembership::refute(std::uint64_t Above) {
+  this->Self.Incarnation = std::max(this->Self.Incarnation, Above) + 1;
+  ++this->Counters.Refutations;
+  this->changed();
+}
+
+void SwimMembership::insert(const Member &Report, TimePoint Now) {
+  if (this->Records.size() >= MaxMembers)
+    return;
+  Record &R = this->Records[Report.Id];
+  R.M = Report;
+  if (const ListedMember *Listed = this->Candidates.find(Report.Id))
+    R.ListedLeaving = Listed->Leaving;
+  this->Candidates.remove(Report.Id);
+  if (Report.State == MemberState::Suspect) {
+    R.M.State = MemberState::Live;
+    this->startSuspicion(R, Now);
+  }
+  this->News.add(Report.Id);
+  this->changed();
+}
+
+void SwimMembership::replace(Record &R, const Member &Report, TimePoint Now) {
+  if (R.SuspicionEnd)
+    this->Suspicions.erase({*R.SuspicionEnd, R.M.Id});
+  R.SuspicionEnd.reset();
+  const bool NewIncarnation = Report.Incarnation > R.M.Incarnation;
+  if (NewIncarnation) {
+    R.M = Report;
+    R.Gone = false;
+    R.Unanswered = 0;
+  }
+  R.M.State = Report.State;
+  if (Report.State == MemberState::Dead)
+    R.DeadSince = Now;
+  if (Report.State == MemberState::Suspect) {
+    R.M.State = MemberState::Live;
+    this->startSuspicion(R, Now);
+  }
+  this->News.add(R.M.Id);
+  this->changed();
+}
+
+void SwimMembership::startSuspicion(Record &R, TimePoint Now) {
+  if (R.M.State == MemberState::Dead || R.SuspicionEnd)
+    return;
+  // A leaving member keeps its state: it gets no work anyway.
+  if (R.M.State == MemberState::Live) {
+    R.M.State = MemberState::Suspect;
+    this->News.add(R.M.Id);
+    this->changed();
+  }
+  if (!this->sameCentre(R.M))
+    return;
+  ++this->Counters.Suspicions;
+  R.SuspicionEnd = Now + SuspicionTime;
+  this->Suspicions.emplace(*R.SuspicionEnd, R.M.Id);
+}
+
+void SwimMembership::addSeeds(const std::vector<ListedMember> &Seeds,
+                              TimePoint Now) {
+  for (const ListedMember &Seed : Seeds)
+    if (Seed.Id != this->Self.Id && !this->Records.contains(Seed.Id))
+      this->Candidates.add(Seed, true, Now);
+}
+
+void SwimMembership::setListed(const std::vector<ListedMember> &List,
+                               TimePoint Now) {
+  if (List.empty())
+    return;
+  std::set<EntryVmId> Ids;
+  bool SelfLeaving = false;
+  for (const ListedMember &Listed : List) {
+    Ids.insert(Listed.Id);
+    if (Listed.Id == this->Self.Id) {
+      SelfLeaving = Listed.Leaving;
+      continue;
+    }
+    const auto Found = this->Records.find(Listed.Id);
+    if (Found == this->Records.end() || Found->second.Gone) {
+      this->Candidates.add(Listed, false, Now);
+      continue;
+    }
+    Record &R = Found->second;
+    R.UnlistedSince.reset();
+    R.Unanswered = 0;
+    if (std::exchange(R.ListedLeaving, Listed.Leaving) != Listed.Leaving)
+      this->changed();
+  }
+  for (auto &[Id, R] : this->Records)
+    if (!Ids.contains(Id) && !R.UnlistedSince) {
+      R.UnlistedSince = Now;
+      R.CheckInterval = UnlistedCheckInterval;
+      // Not all members at once.
+      R.NextCheck = Now + UnlistedGrace +
+                    milliseconds(rendezvousWeight(this->Self.Id.str(), Id) %
+                                 (UnlistedSpreadMs * this->Records.size()));
+    }
+  this->Candidates.retain(Ids);
+  if (std::exchange(this->LeavingByList, SelfLeaving) != SelfLeaving)
+    this->announceSelf(SelfLeaving || this->LeavingBySelf);
+}
+
+void SwimMembership::leave() {
+  if (!std::exchange(this->LeavingBySelf, true))
+    this->announceSelf(true);
+}
+
+void SwimMembership::announceSelf(bool IsLeaving) {
+  this->Self.State = IsLeaving ? MemberState::Leaving : MemberState::Live;
+  ++this->Self.Incarnation;
+  this->changed();
+}
+
+// --- What is due at a tick ---------------------------------------------------
+
+std::vector<OutgoingMembershipMessage> SwimMembership::tick(TimePoint Now,
+                                                            Random &Rng) {
+  Outgoing Out;
+  if (this->LastTick && Now - *this->LastTick > MaxTickGap)
+    this->afterPause(Now);
+  if (!this->LastTick)
+    this->NextPeriod = Now;
+  this->LastTick = Now;
+  this->checkProbes(Now, Rng, Out);
+  this->checkSuspicions(Now);
+  if (Now < this->NextPeriod)
+    return Out;
+  this->NextPeriod = std::max(this->NextPeriod + ProbePeriod, Now);
+  ++this->Period;
+  this->probeNext(Now, Rng, Out);
+  if (this->Period % OtherCentrePeriods == 0)
+    this->pingOtherCentre(Rng, Out);
+  this->pingDead(Rng, Out);
+  this->pingCandidates(Now, Rng, Out);
+  if (this->Period % ReviewPeriods != 0)
+    return Out;
+  this->checkUnlisted(Now, Out);
+  this->forgetDead(Now);
+  return Out;
+}
+
+void SwimMembership::afterPause(TimePoint Now) {
+  ++this->Counters.Pauses;
+  this->Probes.clear();
+  this->Relays.clear();
+  this->Suspicions.clear();
+  for (auto &[Id, R] : this->Records) {
+    if (!R.SuspicionEnd)
+      continue;
+    R.SuspicionEnd = Now + SuspicionTime;
+    this->Suspicions.emplace(*R.SuspicionEnd, Id);
+  }
+}
+
+void SwimMembership::probeNext(TimePoint Now, Random &Rng, Outgoing &Out) {
+  this->refreshIndex();
+  while (true) {
+    if (this->Ring.empty()) {
+      if (this->OwnCentre.empty()) {
+        this->pingOtherCentre(Rng, Out);
+        return;
+      }
+      this->Ring = this->OwnCentre;
+      detail::shuffle(this->Ring, Rng);
+    }
+    const EntryVmId Id = this->Ring.back();
+    this->Ring.pop_back();
+    const auto Found = this->Records.find(Id);
+    if (Found == this->Records.end() ||
+        Found->second.M.State == MemberState::Dead || Found->second.Gone)
+      continue;
+    const std::uint64_t Sequence = this->NextSequence++;
+    this->Probes.emplace(Sequence, Probe{Id, Now, false});
+    Out.push_back(
+        this->to(Found->second,
+                 this->makeMessage(MembershipMessageKind::Ping, Sequence, Id)));
+    return;
+  }
+}
+
+void SwimMembership::checkProbes(TimePoint Now, Random &Rng, Outgoing &Out) {
+  for (auto It = this->Probes.begin(); It != this->Probes.end();) {
+    auto &[Sequence, P] = *It;
+    const auto Target = this->Records.find(P.Target);
+    if (Target == this->Records.end()) {
+      It = this->Probes.erase(It);
+      continue;
+    }
+    if (Now - P.SentAt >= DirectTimeout + ProbePeriod / 2) {
+      this->startSuspicion(Target->second, Now);
+      It = this->Probes.erase(It);
+      continue;
+    }
+    if (Now - P.SentAt >= DirectTimeout && !std::exchange(P.Indirect, true)) {
+      this->refreshIndex();
+      std::vector<EntryVmId> Helpers = this->OwnCentre;
+      // In a small data centre members of others help; they decide nothing.
+      if (Helpers.size() <= IndirectProbes)
+        for (const auto &Centre : this->OtherCentres)
+          Helpers.push_back(Centre[Rng.below(Centre.size())]);
+      detail::shuffle(Helpers, Rng);
+      std::size_t Sent = 0;
+      for (const EntryVmId &Helper : Helpers) {
+        if (Helper == P.Target || Sent == IndirectProbes)
+          continue;
+        MembershipMessage Request = this->makeMessage(
+            MembershipMessageKind::PingRequest, Sequence, Helper);
+        Request.About = P.Target;
+        Out.push_back(this->to(this->Records.at(Helper), std::move(Request)));
+        ++Sent;
+      }
+    }
+    ++It;
+  }
+  std::erase_if(this->Relays,
+                [Now](const auto &Entry) { return Entry.second.Until <= Now; });
+}
+
+void SwimMembership::checkSuspicions(TimePoint Now) {
+  while (!this->Suspicions.empty() && this->Suspicions.begin()->first <= Now) {
+    Record &R = this->Records.at(this->Suspicions.begin()->second);
+    this->Suspicions.erase(this->Suspicions.begin());
+    R.SuspicionEnd.reset();
+    R.M.State = MemberState::Dead;
+    R.DeadSince = Now;
+    ++this->Counters.Deaths;
+    this->News.add(R.M.Id);
+    this->changed();
+  }
+}
+
+void SwimMembership::pingOtherCentre(Random &Rng, Outgoing &Out) {
+  this->refreshIndex();
+  if (this->OtherCentres.empty())
+    return;
+  const auto &Centre = this->OtherCentres[Rng.below(this->OtherCentres.size())];
+  const EntryVmId &Id = Centre[Rng.below(Centre.size())];
+  Out.push_back(this->to(this->Records.at(Id),
+                         this->makeMessage(MembershipMessageKind::Ping,
+                                           this->NextSequence++, Id)));
+}
+
+void SwimMembership::pingDead(Random &Rng, Outgoing &Out) {
+  this->refreshIndex();
+  if (this->DeadOnes.empty() ||
+      Rng.below(this->OwnCentre.size() + 1) >= DeadPings)
+    return;
+  const EntryVmId &Id = this->DeadOnes[Rng.below(this->DeadOnes.size())];
+  Out.push_back(this->to(this->Records.at(Id),
+                         this->makeMessage(MembershipMessageKind::Ping,
+                                           this->NextSequence++, Id)));
+}
+
+void SwimMembership::pingCandidates(TimePoint Now, Random &Rng, Outgoing &Out) {
+  // The own data centre first: its members answer with those whom this one has
+  // to probe.
+  for (const ListedMember &C :
+       this->Candidates.due(CandidatesPerPeriod, this->Self.Location, Now, Rng))
+    Out.push_back({C.Id, C.PeerAddress,
+                   this->makeMessage(MembershipMessageKind::Ping,
+                                     this->NextSequence++, C.Id)});
+}
+
+void SwimMembership::checkUnlisted(TimePoint Now, Outgoing &Out) {
+  std::size_t Sent = 0;
+  for (auto &[Id, R] : this->Records) {
+    if (!R.UnlistedSince || R.Gone || Now < R.NextCheck ||
+        R.M.State == MemberState::Dead)
+      continue;
+    if (R.Unanswered >= UnlistedChecks) {
+      if (R.SuspicionEnd)
+        this->Suspicions.erase({*R.SuspicionEnd, Id});
+      R.SuspicionEnd.reset();
+      R.Gone = true;
+      R.DeadSince = Now;
+      this->News.remove(Id);
+      this->changed();
+      continue;
+    }
+    // One that answers is asked ever less often: it is new to the platform's
+    // list, and every member asks.
+    if (R.Unanswered == 0 && std::exchange(R.Asked, false)) {
+      R.NextCheck = Now + R.CheckInterval;
+      R.CheckInterval = std::min(2 * R.CheckInterval, MaxUnlistedCheckInterval);
+      continue;
+    }
+    if (Sent++ == CandidatesPerPeriod)
+      break;
+    ++R.Unanswered;
+    R.Asked = true;
+    R.NextCheck = Now + UnlistedCheckInterval;
+    Out.push_back(this->to(R, this->makeMessage(MembershipMessageKind::Ping,
+                                                this->NextSequence++, Id)));
+  }
+}
+
+void SwimMembership::forgetDead(TimePoint Now) {
+  for (auto It = this->Records.begin(); It != this->Records.end();) {
+    const Record &R = It->second;
+    const bool Over = R.Gone || R.M.State == MemberState::Dead;
+    if (!Over || Now - R.DeadSince < DeadMemory) {
+      ++It;
+      continue;
+    }
+    this->News.remove(It->first);
+    It = this->Records.erase(It);
+    this->changed();
+  }
+}
+
+// --- Messages ----------------------------------------------------------------
+
+unsigned SwimMembership::maxSends() const {
+  return SendsPerDoubling *
+         static_cast<unsigned>(std::bit_width(this->Records.size() + 1));
+}
+
+MembershipMessage SwimMembership::makeMessage(MembershipMessageKind Kind,
+                                              std::uint64_t Sequence,
+                                              const EntryVmId &To) {
+  MembershipMessage Message;
+  Message.Kind = Kind;
+  Message.Sequence = Sequence;
+  Message.Revision = this->Revision;
+  Message.Members.push_back(this->Self);
+  const auto Recipient = this->Records.find(To);
+  const bool Known = Recipient != this->Records.end();
+  const bool Near = Known && this->sameCentre(Recipient->second.M);
+  // Who is suspected or held for dead is told so that it can refute.
+  if (Known && !Recipient->second.Gone &&
+      (Recipient->second.M.State == MemberState::Suspect ||
+       Recipient->second.M.State == MemberState::Dead))
+    Message.Members.push_back(Recipient->second.M);
+  // Suspicions matter only where deaths are decided.
+  const auto Wanted = [this, Near, &To](const EntryVmId &Id) {
+    if (Id == To)
+      return false;
+    return Near || this->Records.at(Id).M.State != MemberState::Suspect;
+  };
+  for (const EntryVmId &Id : this->News.take(MaxNews, this->maxSends(), Wanted))
+    Message.Members.push_back(this->Records.at(Id).M);
+  auto Next = this->Records.upper_bound(this->RotationCursor);
+  if (Next == this->Records.end())
+    Next = this->Records.begin();
+  if (Next == this->Records.end())
+    return Message;
+  this->RotationCursor = Next->first;
+  if (!Next->second.Gone && Next->first != To &&
+      (Near || Next->second.M.State != MemberState::Suspect))
+    Message.Members.push_back(Next->second.M);
+  return Message;
+}
+
+void SwimMembership::addPage(MembershipMessage &Message, Random &Rng) {
+  this->refreshIndex();
+  const auto AddFrom = [this, &Message, &Rng](const std::vector<EntryVmId> &Ids,
+                                              std::size_t Count) {
+    if (Ids.empty())
+      return;
+    const std::size_t First = Rng.below(Ids.size());
+    for (std::size_t I = 0; I < std::min(Count, Ids.size()); ++I)
+      Message.Members.push_back(
+          this->Records.at(Ids[(First + I) % Ids.size()]).M);
+  };
+  AddFrom(this->OwnCentre, MaxPage / 2);
+  for (const auto &Centre : this->OtherCentres)
+    AddFrom(Centre, MaxPage / 2 / this->OtherCentres.size());
+}
+
+MembershipResponse SwimMembership::onMessage(const EntryVmId &From,
+                                             std::uint64_t Incarnation,
+                                             const MembershipMessage &Message,
+                                             TimePoint Now, Random &Rng) {
+  MembershipResponse Response;
+  if (From == this->Self.Id) {
+    Response.Verdict = MembershipVerdict::ClaimsToBeSelf;
+    return Response;
+  }
+  auto Sender = this->Records.find(From);
+  const bool FirstContact = Sender == this->Records.end() ||
+                            Sender->second.Gone ||
+                            Incarnation > Sender->second.M.Incarnation + MaxRefutations;
+  const Member *Own = nullptr;
+  for (const Member &M : Message.Members)
+    if (M.Id == From && M.Incarnation == Incarnation)
+      Own = &M;
+  if (Sender == this->Records.end() && !Own) {
+    Response.Verdict = MembershipVerdict::UnknownSender;
+    return Response;
+  }
+  if (Sender != this->Records.end() &&
+      Incarnation + MaxRefutations < Sender->second.M.Incarnation) {
+    // A process that was started with its clock set back cannot know that its
+    // incarnation is too low; the answer tells it.
+    Response.Verdict = MembershipVerdict::StaleSender;
+    MembershipMessage Answer =
+        this->makeMessage(MembershipMessageKind::Ack, Message.Sequence, From);
+    Answer.About = this->Self.Id;
+    Answer.Members.push_back(Sender->second.M);
+    if (Message.Kind == MembershipMessageKind::Ping && Own)
+      Response.Send.push_back({From, Own->PeerAddress, std::move(Answer)});
+    return Response;
+  }
+  if (Own)
+    this->applyReport(*Own, nullptr, true, Now);
+  Sender = this->Records.find(From);
+  if (Sender == this->Records.end()) {
+    Response.Verdict = MembershipVerdict::UnknownSender;
+    return Response;
+  }
+  Record &R = Sender->second;
+  R.Unanswered = 0;
+  if (std::exchange(R.Gone, false))
+    this->changed();
+  this->Candidates.remove(From);
+  const Member Reporter = R.M;
+  for (const Member &M : Message.Members)
+    if (M.Id != From)
+      this->applyReport(M, &Reporter, false, Now);
+
+  switch (Message.Kind) {
+  case MembershipMessageKind::Ping: {
+    MembershipMessage Answer =
+        this->makeMessage(MembershipMessageKind::Ack, Message.Sequence, From);
+    Answer.About = this->Self.Id;
+    if (FirstContact)
+      this->addPage(Answer, Rng);
+    Response.Send.push_back(this->to(R, std::move(Answer)));
+    break;
+  }
+  case MembershipMessageKind::PingRequest: {
+    const auto Target = this->Records.find(Message.About);
+    if (Target == this->Records.end() || this->Relays.size() >= MaxRelays)
+      break;
+    const std::uint64_t Sequence = this->NextSequence++;
+    this->Relays[Sequence] = {From, Message.Sequence, Message.About,
+                              Now + RelayTime};
+    Response.Send.push_back(
+        this->to(Target->second, this->makeMessage(MembershipMessageKind::Ping,
+                                                   Sequence, Message.About)));
+    break;
+  }
+  case MembershipMessageKind::Ack: {
+    const auto Probed = this->Probes.find(Message.Sequence);
+    if (Probed != this->Probes.end() && Probed->second.Target == Message.About)
+      this->Probes.erase(Probed);
+    const auto Relayed = this->Relays.find(Message.Sequence);
+    if (Relayed == this->Relays.end() || Relayed->second.Target != From)
+      break;
+    const Relay Back = Relayed->second;
+    this->Relays.erase(Relayed);
+    const auto Requester = this->Records.find(Back.Requester);
+    if (Requester == this->Records.end())
+      break;
+    MembershipMessage Answer = this->makeMessage(MembershipMessageKind::Ack,
+                                                 Back.Sequence, Back.Requester);
+    Answer.About = Back.Target;
+    Response.Send.push_back(this->to(Requester->second, std::move(Answer)));
+    break;
+  }
+  }
+  return Response;
+}
+
+// --- Views -------------------------------------------------------------------
+
+void SwimMembership::refreshIndex() const {
+  if (!std::exchange(this->IndexStale, false))
+    return;
+  this->View.clear();
+  this->OwnCentre.clear();
+  this->OtherCentres.clear();
+  this->DeadOnes.clear();
+  std::map<DataCentre, std::vector<EntryVmId>> Others;
+  this->View.push_back(this->Self);
+  for (const auto &[Id, R] : this->Records) {
+    if (R.Gone)
+      continue;
+    Member Shown = R.M;
+    if (R.ListedLeaving && takesWork(Shown))
+      Shown.State = MemberState::Leaving;
+    this->View.push_back(std::move(Shown));
+    const bool Dead = R.M.State == MemberState::Dead;
+    if (this->sameCentre(R.M))
+      (Dead ? this->DeadOnes : this->OwnCentre).push_back(Id);
+    else if (!Dead)
+      Others[R.M.Location].push_back(Id);
+  }
+  for (auto &[Centre, Ids] : Others)
+    this->OtherCentres.push_back(std::move(Ids));
+  std::sort(this->View.begin(), this->View.end(),
+            [](const Member &A, const Member &B) { return A.Id < B.Id; });
+}
+
+const std::vector<Member> &SwimMembership::members() const {
+  this->refreshIndex();
+  return this->View;
+}
+
+MembershipStats SwimMembership::stats() const {
+  MembershipStats Stats = this->Counters;
+  Stats.Candidates = this->Candidates.size();
+  for (const Member &M : this->members()) {
+    Stats.Live += takesWork(M) ? 1 : 0;
+    Stats.Leaving += M.State == MemberState::Leaving ? 1 : 0;
+    Stats.Dead += M.State == MemberState::Dead ? 1 : 0;
+  }
+  return Stats;
+}
+
+std::unique_ptr<Membership> makeSwimMembership(Member Self) {
+  return std::make_unique<SwimMembership>(std::move(Self));
+}
+
+} // namespace amaranthspur
--- /dev/null
+++ b/src/policy/SwimMembership.h
@@ -0,0 +1,139 @@
+// The SWIM-style implementation of Membership.
+#ifndef AMARANTHSPUR_POLICY_SWIMMEMBERSHIP_H
+#define AMARANTHSPUR_POLICY_SWIMMEMBERSHIP_H
+
+#include "policy/CandidateList.h"
+#include "policy/Membership.h"
+#include "policy/NewsQueue.h"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace amaranthspur {
+
+class SwimMembership final : public Membership {
+public:
+  explicit SwimMembership(Member Self);
+
+  std::vector<OutgoingMembershipMessage> tick(TimePoint Now,
+                                              Random &Rng) override;
+  MembershipResponse onMessage(const EntryVmId &From, std::uint64_t Incarnation,
+                               const MembershipMessage &Message, TimePoint Now,
+                               Random &Rng) override;
+  void addSeeds(const std::vector<ListedMember> &Seeds, TimePoint Now) override;
+  void setListed(const std::vector<ListedMember> &List, TimePoint Now) override;
+  void setRevision(std::uint64_t NewRevision) override {
+    this->Revision = NewRevision;
+  }
+  void leave() override;
+  const std::vector<Member> &members() const override;
+  std::uint64_t version() const override { return this->Version; }
+  Member self() const override { return this->Self; }
+  MembershipStats stats() const override;
+
+private:
+  using Outgoing = std::vector<OutgoingMembershipMessage>;
+
+  /// What is known of another member.
+  struct Record {
+    Member M;
+    TimePoint DeadSince{};
+    std::optional<TimePoint> SuspicionEnd;
+    std::optional<TimePoint> UnlistedSince;
+    unsigned Unanswered = 0; ///< Pings since it was found unlisted.
+    bool Asked = false;      ///< Since it was last found to answer.
+    TimePoint NextCheck{};
+    Duration CheckInterval{};
+    bool ListedLeaving = false;
+    /// Dropped because it is neither listed nor heard from. Not shown and not
+    /// passed on, but remembered so that stale reports do not bring it back.
+    bool Gone = false;
+  };
+
+  struct Probe {
+    EntryVmId Target;
+    TimePoint SentAt;
+    bool Indirect = false;
+  };
+
+  struct Relay {
+    EntryVmId Requester;
+    std::uint64_t Sequence = 0;
+    EntryVmId Target;
+    TimePoint Until;
+  };
+
+  bool sameCentre(const Member &M) const {
+    return M.Location == this->Self.Location;
+  }
+  void changed() {
+    ++this->Version;
+    this->IndexStale = true;
+  }
+
+  // Reports about members.
+  void applyReport(const Member &Report, const Member *Reporter, bool Direct,
+                   TimePoint Now);
+  void applyAboutSelf(const Member &Report);
+  void insert(const Member &Report, TimePoint Now);
+  void replace(Record &R, const Member &Report, TimePoint Now);
+  void refute(std::uint64_t Above);
+  void announceSelf(bool IsLeaving);
+
+  // What is due at a tick.
+  void afterPause(TimePoint Now);
+  void checkProbes(TimePoint Now, Random &Rng, Outgoing &Out);
+  void checkSuspicions(TimePoint Now);
+  void checkUnlisted(TimePoint Now, Outgoing &Out);
+  void forgetDead(TimePoint Now);
+  void probeNext(TimePoint Now, Random &Rng, Outgoing &Out);
+  void pingOtherCentre(Random &Rng, Outgoing &Out);
+  void pingCandidates(TimePoint Now, Random &Rng, Outgoing &Out);
+  void pingDead(Random &Rng, Outgoing &Out);
+  void startSuspicion(Record &R, TimePoint Now);
+
+  // Messages.
+  MembershipMessage makeMessage(MembershipMessageKind Kind,
+                                std::uint64_t Sequence, const EntryVmId &To);
+  OutgoingMembershipMessage to(const Record &R, MembershipMessage Message) {
+    return {R.M.Id, R.M.PeerAddress, std::move(Message)};
+  }
+  void addPage(MembershipMessage &Message, Random &Rng);
+  unsigned maxSends() const;
+
+  void refreshIndex() const;
+
+  Member Self;
+  bool LeavingBySelf = false;
+  bool LeavingByList = false;
+  std::uint64_t Revision = 0;
+  std::uint64_t Version = 1;
+
+  std::map<EntryVmId, Record> Records;
+  CandidateList Candidates;
+  NewsQueue News;
+  EntryVmId RotationCursor;
+
+  std::uint64_t NextSequence = 1;
+  std::map<std::uint64_t, Probe> Probes;
+  std::map<std::uint64_t, Relay> Relays;
+  std::set<std::pair<TimePoint, EntryVmId>> Suspicions;
+  std::vector<EntryVmId> Ring; ///< Own data centre, in the order of probing.
+
+  std::optional<TimePoint> LastTick;
+  TimePoint NextPeriod{};
+  std::uint64_t Period = 0;
+  MembershipStats Counters;
+
+  // Derived from Records on demand.
+  mutable bool IndexStale = true;
+  mutable std::vector<Member> View;
+  mutable std::vector<EntryVmId> OwnCentre;
+  mutable std::vector<std::vector<EntryVmId>> OtherCentres;
+  mutable std::vector<EntryVmId> DeadOnes; ///< Of the own data centre.
+};
+
+} // namespace amaranthspur
+
+#endif // AMARANTHSPUR_POLICY_SWIMMEMBERSHIP_H
