--- /dev/null
+++ b/src/testing/Processes.cpp
@@ -0,0 +1,255 @@
+#include "testing/Processes.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <csignal>
+#include <cstdlib>
+#include <cstring>
+#include <filesystem>
+#include <set>
+#include <thread>
+
+extern "C" char **environ; // NOLINT(readability-identifier-naming)
+
+namespace amaranthspur {
+namespace {
+
+/// Interval of looking whether a process has ended.
+constexpr Duration EndPollInterval = milliseconds(2);
+/// Time that the destructor leaves a process after SIGTERM.
+constexpr Duration DestructorGrace = std::chrono::seconds(1);
+/// Directories above the executable in which findProgram looks.
+constexpr int MaxParents = 6;
+constexpr int MaxPortAttempts = 1000;
+
+bool isExecutable(const std::filesystem::path &Path) {
+  return access(Path.c_str(), X_OK) == 0 &&
+         std::filesystem::is_regular_file(Path);
+}
+
+TimePoint now() { return SteadyClock().now(); }
+
+int pollTimeout(TimePoint Deadline) {
+  const Duration Left = std::max(Deadline - now(), Duration::zero());
+  return static_cast<int>(std::chrono::ceil<milliseconds>(Left).count());
+}
+
+/// The environment of this process with variables added, for posix_spawn.
+std::vector<std::string> makeEnvironment(const ProcessOptions &Options) {
+  std::vector<std::string> Variables;
+  for (char **Variable = environ; *Variable != nullptr; ++Variable)
+    Variables.emplace_back(*Variable);
+  for (const auto &[Name, Value] : Options.Environment) {
+    std::erase_if(Variables, [Start = Name + "="](const std::string &Variable) {
+      return Variable.starts_with(Start);
+    });
+    Variables.push_back(Name + "=" + Value);
+  }
+  return Variables;
+}
+
+std::vector<char *> toPointers(std::vector<std::string> &Texts) {
+  std::vector<char *> Pointers;
+  for (std::string &Text : Texts)
+    Pointers.push_back(Text.data());
+  Pointers.push_back(nullptr);
+  return Pointers;
+}
+
+/// Starts a process whose standard output is \p OutputEnd.
+/// \returns the process identifier, or minus the error number.
+pid_t spawn(const std::string &Program,
+            const std::vector<std::string> &Arguments,
+            const ProcessOptions &Options, int OutputEnd) {
+  std::vector<std::string> Texts = {Program};
+  Texts.insert(Texts.end(), Arguments.begin(), Arguments.end());
+  std::vector<std::string> Variables = makeEnvironment(Options);
+  posix_spawn_file_actions_t Actions;
+  posix_spawn_file_actions_init(&Actions);
+  posix_spawn_file_actions_adddup2(&Actions, OutputEnd, STDOUT_FILENO);
+  if (!Options.ErrorLog.empty())
+    posix_spawn_file_actions_addopen(&Actions, STDERR_FILENO,
+                                     Options.ErrorLog.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
+  pid_t Pid = 0;
+  const int Failure =
+      posix_spawn(&Pid, Program.c_str(), &Actions, nullptr,
+                  toPointers(Texts).data(), toPointers(Variables).data());
+  posix_spawn_file_actions_destroy(&Actions);
+  return Failure == 0 ? Pid : -Failure;
+}
+
+} // namespace
+
+Result<std::string> findProgram(const std::string &Name) {
+  namespace fs = std::filesystem;
+  if (const char *Directory = std::getenv("AMARANTHSPUR_BIN");
+      Directory != nullptr)
+    if (const fs::path Path = fs::path(Directory) / Name; isExecutable(Path))
+      return Path.string();
+  std::error_code Ignored;
+  fs::path Directory = fs::read_symlink("/proc/self/exe", Ignored);
+  Directory = Directory.parent_path();
+  if (const fs::path Path = Directory / Name; isExecutable(Path))
+    return Path.string();
+  for (int I = 0; I < MaxParents; ++I) {
+    Directory = Directory.parent_path();
+    if (const fs::path Path = Directory / "bin" / Name; isExecutable(Path))
+      return Path.string();
+  }
+  return Error{"program " + Name +
+               " was not found; set AMARANTHSPUR_BIN to its directory"};
+}
+
+std::uint16_t freePort(const std::string &Host) {
+  static std::set<std::uint16_t> Given;
+  for (int I = 0; I < MaxPortAttempts; ++I) {
+    const int Probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in Bound = {};
+    Bound.sin_family = AF_INET;
+    inet_pton(AF_INET, Host.c_str(), &Bound.sin_addr);
+    socklen_t Size = sizeof(Bound);
+    auto *Generic = reinterpret_cast<sockaddr *>(&Bound);
+    const bool Good = bind(Probe, Generic, Size) == 0 &&
+                      getsockname(Probe, Generic, &Size) == 0;
+    close(Probe);
+    const std::uint16_t Port = ntohs(Bound.sin_port);
+    if (Good && Given.insert(Port).second)
+      return Port;
+  }
+  std::abort();
+}
+
+Result<ChildProcess>
+ChildProcess::start(const std::string &Program,
+                    const std::vector<std::string> &Arguments,
+                    const ProcessOptions &Options) {
+  int Pipe[2];
+  if (pipe2(Pipe, O_CLOEXEC) != 0)
+    return Error{"no pipe for " + Program};
+  const pid_t Pid = spawn(Program, Arguments, Options, Pipe[1]);
+  close(Pipe[1]);
+  if (Pid < 0) {
+    close(Pipe[0]);
+    return Error{"cannot start " + Program + ": " + std::strerror(-Pid)};
+  }
+  ChildProcess Started(Pid, Pipe[0]);
+  if (Options.WaitForReady) {
+    const auto Ready = Started.waitForReady(Options.ReadyTimeout);
+    if (!succeeded(Ready))
+      return Error{Program + ": " + errorOf(Ready)};
+  }
+  return Started;
+}
+
+Result<Success> ChildProcess::waitForReady(Duration Limit) {
+  const TimePoint Deadline = now() + Limit;
+  std::string Text;
+  while (now() < Deadline) {
+    pollfd Wait = {this->Output, POLLIN, 0};
+    if (poll(&Wait, 1, pollTimeout(Deadline)) <= 0)
+      continue;
+    char Buffer[256];
+    const ssize_t Count = read(this->Output, Buffer, sizeof(Buffer));
+    if (Count < 0 && errno == EINTR)
+      continue;
+    if (Count <= 0)
+      return Error{"ended before it was ready"};
+    Text.append(Buffer, static_cast<std::size_t>(Count));
+    if (("\n" + Text).find("\nready\n") != std::string::npos)
+      return Success();
+  }
+  return Error{"was not ready in time"};
+}
+
+ChildProcess::ChildProcess(ChildProcess &&Other) noexcept
+    : Pid(std::exchange(Other.Pid, 0)), Output(std::exchange(Other.Output, -1)),
+      Status(Other.Status) {}
+
+ChildProcess &ChildProcess::operator=(ChildProcess &&Other) noexcept {
+  if (this == &Other)
+    return *this;
+  this->terminate(DestructorGrace);
+  this->closeOutput();
+  this->Pid = std::exchange(Other.Pid, 0);
+  this->Output = std::exchange(Other.Output, -1);
+  this->Status = Other.Status;
+  return *this;
+}
+
+ChildProcess::~ChildProcess() {
+  this->terminate(DestructorGrace);
+  this->closeOutput();
+}
+
+void ChildProcess::closeOutput() {
+  if (this->Output >= 0)
+    close(std::exchange(this->Output, -1));
+}
+
+/// Collects the end of the process; returns whether it has ended.
+bool ChildProcess::reap(bool Block) {
+  if (this->Pid == 0)
+    return true;
+  int Raw = 0;
+  pid_t Done = 0;
+  do
+    Done = waitpid(this->Pid, &Raw, Block ? 0 : WNOHANG);
+  while (Done < 0 && errno == EINTR);
+  if (Done == 0)
+    return false;
+  this->Pid = 0;
+  this->Status = WIFEXITED(Raw) ? WEXITSTATUS(Raw) : -WTERMSIG(Raw);
+  return true;
+}
+
+bool ChildProcess::running() { return !this->reap(false); }
+
+Result<int> ChildProcess::waitForEnd(Duration Limit) {
+  const TimePoint Deadline = now() + Limit;
+  while (!this->reap(false)) {
+    if (now() >= Deadline)
+      return Error{"process still runs"};
+    std::this_thread::sleep_for(EndPollInterval);
+  }
+  return this->Status;
+}
+
+int ChildProcess::terminate(Duration Grace) {
+  if (this->reap(false))
+    return this->Status;
+  ::kill(this->Pid, SIGTERM);
+  // A paused process does not see SIGTERM.
+  ::kill(this->Pid, SIGCONT);
+  if (!succeeded(this->waitForEnd(Grace)))
+    this->kill();
+  return this->Status;
+}
+
+void ChildProcess::kill() {
+  if (this->reap(false))
+    return;
+  ::kill(this->Pid, SIGKILL);
+  this->reap(true);
+}
+
+void ChildProcess::pause() {
+  if (this->running())
+    ::kill(this->Pid, SIGSTOP);
+}
+
+void ChildProcess::resume() {
+  if (this->running())
+    ::kill(this->Pid, SIGCONT);
+}
+
+} // namespace amaranthspur
--- a/src/testing/fake-backend/ExtendedProtocol.cpp
+++ b/src/testing/fake-backend/ExtendedProtocol.cpp
@@ -199,7 +199,8 @@
   this->Waiting.GivenUp = false;
   std::string_view Rest = Found->second.Statement;
   const Statement S = parseStatement(takeStatement(Rest));
-  if (!co_await this->execute(S, Found->second.Values))
+  const bool Good = co_await this->execute(S, Found->second.Values);
+  if (!Good)
     this->SkippingToSync = true;
 }
 
--- a/src/testing/fake-backend/Queueing.cpp
+++ b/src/testing/fake-backend/Queueing.cpp
@@ -55,10 +55,10 @@
 
 QCoro::Task<bool> WriteLock::acquire(const void *Session, Patience &Caller,
                                      TimePoint Deadline) {
-  if (!co_await this->Queue.acquire(Caller, Deadline))
-    co_return false;
-  this->Holder = Session;
-  co_return true;
+  const bool Granted = co_await this->Queue.acquire(Caller, Deadline);
+  if (Granted)
+    this->Holder = Session;
+  co_return Granted;
 }
 
 void WriteLock::release(const void *Session) {
--- a/src/testing/fake-backend/Server.cpp
+++ b/src/testing/fake-backend/Server.cpp
@@ -16,11 +16,23 @@
 /// Interval at which stop() looks whether all connections have ended.
 constexpr Duration StopPollInterval = milliseconds(5);
 
+/// Returns what the connection is for. libpq has no start-up parameters of its
+/// own choice; it passes `-c name=value` on in the parameter `options`.
 SessionKind kindOf(const pg::Startup &Start) {
-  const auto Role = Start.Parameters.find("amaranthspur.role");
-  if (Role == Start.Parameters.end())
-    return SessionKind::Work;
-  return parseName<SessionKind>(Role->second).value_or(SessionKind::Work);
+  std::string Name;
+  if (const auto Role = Start.Parameters.find("amaranthspur.role");
+      Role != Start.Parameters.end())
+    Name = Role->second;
+  if (const auto Options = Start.Parameters.find("options");
+      Options != Start.Parameters.end()) {
+    constexpr std::string_view Assignment = "-c amaranthspur.role=";
+    const std::size_t At = Options->second.find(Assignment);
+    if (At != std::string::npos) {
+      Name = Options->second.substr(At + Assignment.size());
+      Name.resize(std::min(Name.size(), Name.find(' ')));
+    }
+  }
+  return parseName<SessionKind>(Name).value_or(SessionKind::Work);
 }
 
 } // namespace
@@ -94,10 +106,11 @@
       co_await this->serveSession(Link, Kind);
   }
   Link.close();
-  // The destructor of the connection aborts what close() has not yet sent.
-  while (Link.isOpen() && Link.queuedBytes() > 0)
-    if (!co_await Link.writable(steadyNow() + StartupTimeout))
-      break;
+  // The destructor of the connection would discard what close() has yet to
+  // send.
+  const TimePoint Deadline = steadyNow() + StartupTimeout;
+  while (Link.isOpen() && steadyNow() < Deadline)
+    co_await Link.readable(Deadline);
   this->Links.erase(&Link);
 }
 
@@ -109,7 +122,8 @@
     if (!succeeded(Next))
       break;
     if (!valueOf(Next)) {
-      if (co_await Link.readable(Deadline) != ReadEvent::Data)
+      const ReadEvent Event = co_await Link.readable(Deadline);
+      if (Event != ReadEvent::Data)
         break;
       continue;
     }
--- a/src/testing/fake-backend/Session.cpp
+++ b/src/testing/fake-backend/Session.cpp
@@ -47,8 +47,9 @@
 
 QCoro::Task<> Session::run() {
   this->greet();
-  while (!this->Terminated && co_await this->nextFrame()) {
-  }
+  bool More = true;
+  while (More && !this->Terminated)
+    More = co_await this->nextFrame();
   this->rollBackWrites();
   if (this->Terminated)
     this->fatal({"57P01", "connection ended by the server"});
@@ -200,14 +201,17 @@
     co_return this->executeControl(S);
   case StatementForm::Read:
     ++this->Server.count(BackendCounter::Statements);
-    if (!this->Writing)
-      co_return co_await this->executeRead(S, Values);
     break;
   case StatementForm::Write:
     ++this->Server.count(BackendCounter::Statements);
     break;
   }
-  co_return co_await this->executeWrite(S, Values);
+  bool Good = false;
+  if (S.Form == StatementForm::Read && !this->Writing)
+    Good = co_await this->executeRead(S, Values);
+  else
+    Good = co_await this->executeWrite(S, Values);
+  co_return Good;
 }
 
 bool Session::executeEnd(const Statement &S) {
@@ -239,7 +243,8 @@
 /// (WITH ... INSERT) takes the way of a write.
 QCoro::Task<bool> Session::executeRead(const Statement &S,
                                        const Parameters &Values) {
-  if (!co_await this->takeSlot())
+  const bool Slot = co_await this->takeSlot();
+  if (!Slot)
     co_return this->fail(CancelledError);
   std::optional<SqlResult<Effect>> Ran;
   {
@@ -252,15 +257,17 @@
   this->noteSeen();
   if (!Ran) {
     this->giveSlot();
-    co_return co_await this->executeWrite(S, Values);
+    const bool Written = co_await this->executeWrite(S, Values);
+    co_return Written;
   }
   if (errorIn(*Ran) != nullptr) {
     this->giveSlot();
     co_return this->fail(*errorIn(*Ran));
   }
   const auto &Done = std::get<Effect>(*Ran);
-  const bool Worked =
-      Done.Work == Duration::zero() || co_await this->work(Done.Work);
+  bool Worked = true;
+  if (Done.Work > Duration::zero())
+    Worked = co_await this->work(Done.Work);
   this->giveSlot();
   if (!Worked)
     co_return this->fail(CancelledError);
@@ -271,20 +278,24 @@
 
 QCoro::Task<bool> Session::executeWrite(const Statement &S,
                                         const Parameters &Values) {
-  if (!this->Writing)
-    if (const auto Failure = co_await this->lockForWriting())
+  if (!this->Writing) {
+    const std::optional<SqlError> Failure = co_await this->lockForWriting();
+    if (Failure)
       co_return this->fail(*Failure);
+  }
   // The lock is taken before the slot: waiters for the lock hold no slot, so
   // the holder's next statement can always get one.
-  if (!co_await this->takeSlot())
+  const bool Slot = co_await this->takeSlot();
+  if (!Slot)
     co_return this->fail(CancelledError);
   Effect Done;
   if (const auto Failure = this->runWrite(S, Values, Done)) {
     this->giveSlot();
     co_return this->fail(*Failure);
   }
-  const bool Worked =
-      Done.Work == Duration::zero() || co_await this->work(Done.Work);
+  bool Worked = true;
+  if (Done.Work > Duration::zero())
+    Worked = co_await this->work(Done.Work);
   this->giveSlot();
   if (!Worked)
     co_return this->fail(CancelledError);
@@ -415,7 +426,8 @@
         this->State == TransactionState::Idle
             ? NoDeadline
             : steadyNow() + this->Server.Config.IdleInTransactionTimeout;
-    if (!co_await this->Link.writable(Deadline)) {
+    const bool Taken = co_await this->Link.writable(Deadline);
+    if (!Taken) {
       this->Ended = true;
       this->Link.abort();
     }
--- a/src/testing/fake-backend/Session.h
+++ b/src/testing/fake-backend/Session.h
@@ -28,6 +28,9 @@
 };
 
 /// Serves one connection after its start-up message.
+///
+/// In its coroutines co_await of a task always stands alone or initialises a
+/// variable: as an operand of a condition, GCC 12 destroys the task twice.
 class Session {
 public:
   Session(ServerState &Server, Connection &Link, SessionKind Kind,
--- /dev/null
+++ b/src/testing/testing/FakeBackendLimitsTest.cpp
@@ -0,0 +1,138 @@
+// Slots, connection limits, time limits and the ownership lease of the
+// fake-backend, over libpq against real processes.
+#include "testing/testing/TestGroup.h"
+
+using namespace amaranthspur;
+
+namespace {
+
+std::string counter(const TestBackend &Backend, const std::string &Name) {
+  return Backend.control("SELECT * FROM group_counters()").value(Name);
+}
+
+std::string status(const TestBackend &Backend, const std::string &Name) {
+  return Backend.control("SELECT * FROM group_status()").value(Name);
+}
+
+} // namespace
+
+// Guards against a limit that is not kept, counted wrongly, or kept for ever
+// after the connections have closed.
+TEST_CASE("connection limits") {
+  struct Row {
+    const char *Role;
+    std::size_t Limit;
+    const char *Counter;
+  };
+  const Row Rows[] = {
+      {"work", 3, "refused_connections"},
+      {"control", 4, "refused_control_connections"},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Role);
+    const TestBackend Backend =
+        startBackend("a", {"--role", "primary", "--connection-limit", "3"});
+    {
+      std::vector<PgClient> Open;
+      for (std::size_t I = 0; I < R.Limit; ++I)
+        Open.push_back(Backend.connect(R.Role));
+      for (int Attempt = 0; Attempt < 2; ++Attempt) {
+        const auto Refused = Backend.tryConnect(R.Role);
+        REQUIRE_FALSE(succeeded(Refused));
+        CHECK(errorOf(Refused).find("connection limit") != std::string::npos);
+      }
+      CHECK(Open.front().query("SELECT 1").value() == "1");
+      CHECK(Open.front()
+                .query("SELECT * FROM group_counters()")
+                .value(R.Counter) == "2");
+    }
+    CHECK(eventually([&] { return succeeded(Backend.tryConnect(R.Role)); }));
+  }
+}
+
+// Guards against more statements running at once than there are slots, against
+// control connections waiting for slots, and against a queue that is not in
+// the order of arrival.
+TEST_CASE("slots are granted in order of arrival") {
+  const TestBackend Backend =
+      startBackend("a", {"--role", "primary", "--slots", "1"});
+  PgClient Holder = Backend.connect();
+  REQUIRE(Holder.send("SELECT sim_work(3600000)"));
+  REQUIRE(eventually([&] { return status(Backend, "running") == "1"; }));
+  PgClient First = Backend.connect();
+  PgClient Second = Backend.connect();
+  REQUIRE(First.send("SELECT sim_work(3600000)"));
+  REQUIRE(eventually([&] { return status(Backend, "queue_ms") != "0"; }));
+  REQUIRE(Second.send("SELECT 2"));
+  CHECK(status(Backend, "running") == "1");
+  CHECK(status(Backend, "connections") == "3");
+  CHECK(Holder.cancel());
+  CHECK(Holder.receive().SqlState == "57014");
+  // The second can only be answered once the first has had the slot.
+  REQUIRE(eventually([&] { return counter(Backend, "statements") == "3"; }));
+  CHECK(First.cancel());
+  CHECK(First.receive().SqlState == "57014");
+  CHECK(Second.receive().value() == "2");
+}
+
+// Guards against an abandoned transaction that keeps the write lock.
+TEST_CASE("an abandoned transaction ends") {
+  struct Row {
+    const char *Name;
+    bool Close;
+  };
+  const Row Rows[] = {{"connection closed", true}, {"idle too long", false}};
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    const TestBackend Backend = startBackend(
+        "a", {"--role", "primary", "--idle-in-transaction-timeout-ms",
+              R.Close ? "3600000" : "200", "--lock-timeout-ms", "20000"});
+    PgClient Other = Backend.connect();
+    REQUIRE(Other.query("CREATE TABLE t (v)").good());
+    {
+      PgClient Client = Backend.connect();
+      REQUIRE(Client.query("BEGIN").good());
+      REQUIRE(Client.query("INSERT INTO t VALUES (1)").good());
+      if (!R.Close) {
+        REQUIRE(Other.query("INSERT INTO t VALUES (2)").good());
+        CHECK_FALSE(Client.query("SELECT 1").good());
+        CHECK_FALSE(Client.open());
+      }
+    }
+    if (R.Close)
+      REQUIRE(Other.query("INSERT INTO t VALUES (2)").good());
+    CHECK(Other.query("SELECT sum(v) FROM t").value() == "2");
+  }
+}
+
+// Guards against two owners at once, and against the connections of an owner
+// whose lease has ended counting against the next one.
+TEST_CASE("the ownership lease") {
+  struct Row {
+    std::string Arguments;
+    std::string SqlState;
+    std::string Holder;
+    bool WorkSurvives;
+  };
+  const Row Rows[] = {
+      {"'vm-1', 100, 3600000", "", "vm-1", true},
+      {"'vm-1', 100, 3600000", "", "vm-1", true},
+      {"'vm-2', 200, 3600000", "55006", "", true},
+      {"'vm-1', 99, 3600000", "55006", "", true},
+      {"'vm-1', 101, 0", "", "vm-1", false},
+      {"'vm-2', 200, 3600000", "", "vm-2", false},
+      {"'vm-1', 101, 3600000", "55006", "", true},
+      {"'vm-1', x, 1", "22023", "", true},
+      {"'vm-1'", "42883", "", true},
+  };
+  const TestBackend Backend = startBackend("a", {"--role", "primary"});
+  for (const Row &R : Rows) {
+    CAPTURE(R.Arguments);
+    PgClient Work = Backend.connect();
+    const PgAnswer Answer = Backend.control(
+        "SELECT * FROM group_acquire_owner(" + R.Arguments + ")");
+    CHECK(Answer.SqlState == R.SqlState);
+    CHECK(Answer.value("holder") == R.Holder);
+    CHECK(Work.query("SELECT 1").good() == R.WorkSurvives);
+  }
+}
