--- a/src/testing/fake-backend/Replication.cpp
+++ b/src/testing/fake-backend/Replication.cpp
@@ -74,7 +74,7 @@
   Link.write(pg::buildFrame('l', std::to_string(Sent)));
   WaitPoint Appended;
   const LogSubscription Subscription(Server, Appended);
-  while (Link.isOpen() && Members.leads(T)) {
+  while (Link.isOpen() && Members.leads(T) && !Server.Stopping) {
     while (Sent < Members.end().Index &&
            Link.queuedBytes() <= Connection::WriteBufferBytes) {
       ++Sent;
--- a/src/testing/fake-backend/Server.cpp
+++ b/src/testing/fake-backend/Server.cpp
@@ -61,17 +61,17 @@
 }
 
 QCoro::Task<> Server::stop(TimePoint Deadline) {
+  this->State.Stopping = true;
   this->Listener.close();
   this->Receiver.stop();
+  this->wakeLogWaiters();
   for (const auto &[ProcessId, Client] : this->State.Sessions)
     Client->terminate();
   for (Connection *Link : this->Links)
     Link->interrupt();
   while ((!this->Links.empty() || this->Receiver.running()) &&
-         steadyNow() < Deadline) {
+         steadyNow() < Deadline)
     co_await sleepFor(StopPollInterval);
-    this->wakeLogWaiters();
-  }
 }
 
 void Server::accept() {
--- a/src/testing/fake-backend/ServerState.h
+++ b/src/testing/fake-backend/ServerState.h
@@ -85,6 +85,7 @@
   unsigned WorkConnections = 0;
   unsigned ControlConnections = 0;
   std::set<WaitPoint *> LogWaiters; ///< Woken at each append and change.
+  bool Stopping = false;            ///< The process is ending.
 
 private:
   std::array<std::uint64_t, EnumNames<BackendCounter>::Entries.size()> Counts{};
