--- a/src/testing/PgClient.cpp
+++ b/src/testing/PgClient.cpp
@@ -60,6 +60,7 @@
 std::vector<const char *>
 toPointers(const std::vector<std::optional<std::string>> &Values) {
   std::vector<const char *> Pointers;
+  Pointers.reserve(Values.size());
   for (const auto &Value : Values)
     Pointers.push_back(Value ? Value->c_str() : nullptr);
   return Pointers;
--- a/src/testing/Processes.cpp
+++ b/src/testing/Processes.cpp
@@ -49,16 +49,18 @@
   for (char **Variable = environ; *Variable != nullptr; ++Variable)
     Variables.emplace_back(*Variable);
   for (const auto &[Name, Value] : Options.Environment) {
-    std::erase_if(Variables, [Start = Name + "="](const std::string &Variable) {
+    const std::string Start = Name + "=";
+    std::erase_if(Variables, [&Start](const std::string &Variable) {
       return Variable.starts_with(Start);
     });
-    Variables.push_back(Name + "=" + Value);
+    Variables.push_back(Start + Value);
   }
   return Variables;
 }
 
 std::vector<char *> toPointers(std::vector<std::string> &Texts) {
   std::vector<char *> Pointers;
+  Pointers.reserve(Texts.size() + 1);
   for (std::string &Text : Texts)
     Pointers.push_back(Text.data());
   Pointers.push_back(nullptr);
--- a/src/testing/fake-backend/ControlStatements.cpp
+++ b/src/testing/fake-backend/ControlStatements.cpp
@@ -148,6 +148,7 @@
     return {"lag_ms"};
   case ControlFunction::Counters: {
     std::vector<std::string> Names;
+    Names.reserve(EnumNames<BackendCounter>::Entries.size());
     for (const auto &Entry : EnumNames<BackendCounter>::Entries)
       Names.emplace_back(Entry.second);
     return Names;
--- a/src/testing/fake-backend/Database.cpp
+++ b/src/testing/fake-backend/Database.cpp
@@ -162,6 +162,7 @@
 std::vector<std::string> PreparedSql::columns() const {
   std::vector<std::string> Names;
   const int Count = sqlite3_column_count(this->Handle.get());
+  Names.reserve(static_cast<std::size_t>(Count));
   for (int I = 0; I < Count; ++I)
     Names.emplace_back(sqlite3_column_name(this->Handle.get(), I));
   return Names;
--- a/src/testing/fake-backend/Session.cpp
+++ b/src/testing/fake-backend/Session.cpp
@@ -48,8 +48,8 @@
 QCoro::Task<> Session::run() {
   this->greet();
   bool More = true;
-  while (More && !this->Terminated)
-    More = co_await this->nextFrame();
+  while (More)
+    More = co_await this->serveFrames();
   this->rollBackWrites();
   if (this->Terminated)
     this->fatal({"57P01", "connection ended by the server"});
@@ -71,20 +71,23 @@
   this->endUnit();
 }
 
-/// Handles the next frame; returns false at the end of the connection.
-QCoro::Task<bool> Session::nextFrame() {
-  const auto Next = this->Link.reader().next();
-  if (!succeeded(Next)) {
-    this->fatal({"08P01", errorOf(Next)});
-    co_return false;
-  }
-  if (valueOf(Next)) {
+/// Handles the frames that have arrived and waits for more; returns false at
+/// the end of the connection.
+QCoro::Task<bool> Session::serveFrames() {
+  while (!this->Ended && !this->Terminated) {
+    const auto Next = this->Link.reader().next();
+    if (!succeeded(Next))
+      this->fatal({"08P01", errorOf(Next)});
+    if (this->Ended || !valueOf(Next))
+      break;
     const pg::Frame F = *valueOf(Next);
-    co_await this->handle(F);
-    co_return !this->Ended;
+    if (!this->handleAtOnce(F))
+      co_await this->handle(F);
+    if (this->Answer.bytes().size() > ChunkBytes)
+      co_await this->flush();
   }
   co_await this->flush();
-  if (this->Ended)
+  if (this->Ended || this->Terminated)
     co_return false;
   const bool Idle = this->State == TransactionState::Idle;
   const TimePoint Deadline =
@@ -96,45 +99,48 @@
   co_return Event == ReadEvent::Data;
 }
 
-QCoro::Task<> Session::handle(const pg::Frame &F) {
-  if (F.Type == 'X') {
-    this->Ended = true;
-    co_return;
-  }
+/// Handles a frame that never waits; returns false if \p F is another one.
+bool Session::handleAtOnce(const pg::Frame &F) {
   if (F.Type == 'S') {
     this->SkippingToSync = false;
     this->endUnit();
-    co_return;
+    return true;
+  }
+  if (F.Type == 'X') {
+    this->Ended = true;
+    return true;
   }
   if (this->SkippingToSync)
-    co_return;
+    return true;
   switch (F.Type) {
-  case 'Q':
-    co_await this->handleQuery(F.Body);
-    break;
   case 'P':
     this->handleParse(F.Body);
-    break;
+    return true;
   case 'B':
     this->handleBind(F.Body);
-    break;
+    return true;
   case 'D':
     this->handleDescribe(F.Body);
-    break;
-  case 'E':
-    co_await this->handleExecute(F.Body);
-    break;
+    return true;
   case 'C':
     this->handleClose(F.Body);
-    break;
-  case 'H':
-    co_await this->flush();
-    break;
+    return true;
   default:
-    this->fatal({"08P01", "message type is not supported"});
+    return false;
   }
 }
 
+QCoro::Task<> Session::handle(const pg::Frame &F) {
+  if (F.Type == 'Q')
+    co_await this->handleQuery(F.Body);
+  else if (F.Type == 'E')
+    co_await this->handleExecute(F.Body);
+  else if (F.Type == 'H')
+    co_await this->flush();
+  else
+    this->fatal({"08P01", "message type is not supported"});
+}
+
 QCoro::Task<> Session::handleQuery(std::string_view Body) {
   const auto Text = pg::parseQuery(Body);
   if (!succeeded(Text)) {
@@ -189,8 +195,7 @@
     co_return true;
   case StatementForm::Begin:
     this->State = TransactionState::InTransaction;
-    this->Answer.complete(S.Tag, std::nullopt);
-    co_return true;
+    [[fallthrough]];
   case StatementForm::Setting:
     this->Answer.complete(S.Tag, std::nullopt);
     co_return true;
@@ -200,8 +205,6 @@
   case StatementForm::Control:
     co_return this->executeControl(S);
   case StatementForm::Read:
-    ++this->Server.count(BackendCounter::Statements);
-    break;
   case StatementForm::Write:
     ++this->Server.count(BackendCounter::Statements);
     break;
--- a/src/testing/fake-backend/Session.h
+++ b/src/testing/fake-backend/Session.h
@@ -67,7 +67,8 @@
   };
 
   void greet();
-  QCoro::Task<bool> nextFrame();
+  QCoro::Task<bool> serveFrames();
+  bool handleAtOnce(const pg::Frame &F);
   QCoro::Task<> handle(const pg::Frame &F);
   QCoro::Task<> handleQuery(std::string_view Body);
   QCoro::Task<> handleExecute(std::string_view Body);
--- a/src/testing/fake-backend/Statement.cpp
+++ b/src/testing/fake-backend/Statement.cpp
@@ -50,11 +50,12 @@
   return Text.substr(At);
 }
 
-/// Takes one word, number, quoted text (without quotes) or single character.
-std::string takeToken(std::string_view &Rest) {
+/// Takes one word, number, quoted text (without quotes) or single character;
+/// nothing at the end.
+std::optional<std::string> takeToken(std::string_view &Rest) {
   Rest = skipBlanksAndComments(Rest);
   if (Rest.empty())
-    return {};
+    return std::nullopt;
   std::size_t End = 1;
   if (Rest.front() == '\'') {
     End = skipOpaque(Rest, 0);
@@ -79,16 +80,16 @@
 }
 
 std::string takeWord(std::string_view &Rest) {
-  return toUpper(takeToken(Rest));
+  return toUpper(takeToken(Rest).value_or(""));
 }
 
 /// Parses `SELECT [* FROM] group_name(argument, ...)`.
 std::optional<ControlCall> parseControl(std::string_view Rest) {
-  std::string Name = takeToken(Rest);
+  std::string Name = takeToken(Rest).value_or("");
   if (Name == "*") {
     if (takeWord(Rest) != "FROM")
       return std::nullopt;
-    Name = takeToken(Rest);
+    Name = takeToken(Rest).value_or("");
   }
   std::transform(Name.begin(), Name.end(), Name.begin(), [](unsigned char C) {
     return static_cast<char>(std::tolower(C));
@@ -97,10 +98,10 @@
   if (!Function || takeToken(Rest) != "(")
     return std::nullopt;
   ControlCall Call{*Function, {}};
-  std::string Token = takeToken(Rest);
-  while (!Token.empty() && Token != ")") {
+  std::optional<std::string> Token = takeToken(Rest);
+  while (Token && Token != ")") {
     if (Token != ",")
-      Call.Arguments.push_back(Token);
+      Call.Arguments.push_back(*Token);
     Token = takeToken(Rest);
   }
   if (Token != ")" || !skipBlanksAndComments(Rest).empty())
@@ -142,7 +143,8 @@
   return StatementForm::Read;
 }
 
-std::string tagOf(StatementForm Form, std::string Word, std::string_view Rest) {
+std::string tagOf(StatementForm Form, const std::string &Word,
+                  std::string_view Rest) {
   switch (Form) {
   case StatementForm::Begin:
     return "BEGIN";
