--- /dev/null
+++ b/src/bench/CallerConnection.cpp
@@ -0,0 +1,98 @@
+#include "bench/CallerConnection.h"
+
+#include <utility>
+
+namespace amaranthspur::bench {
+namespace {
+
+constexpr std::string_view TokenParameter = "amaranthspur.session";
+
+} // namespace
+
+QCoro::Task<Result<std::unique_ptr<CallerConnection>>>
+CallerConnection::open(Address To, std::string BindHost,
+                       std::map<std::string, std::string> Parameters,
+                       TimePoint Deadline) {
+  using Opened = Result<std::unique_ptr<CallerConnection>>;
+  std::unique_ptr<Connection> Wire = co_await Connection::open(
+      To, pg::MaxServerFrameBytes, Deadline, std::move(BindHost));
+  if (!Wire)
+    co_return Opened(Error{"cannot connect to " + To.str()});
+  Wire->write(pg::buildStartup(Parameters));
+  std::unique_ptr<CallerConnection> Made(new CallerConnection(std::move(Wire)));
+  const Answer Greeting = co_await Made->receive(Deadline);
+  if (Greeting.End == AnswerEnd::Refused)
+    co_return Opened(
+        Error{To.str() + " refused the session: " + Greeting.Refusal.SqlState +
+              " " + Greeting.Refusal.Message});
+  if (Greeting.End != AnswerEnd::Complete)
+    co_return Opened(Error{To.str() + " did not complete the start-up: " +
+                           std::string(nameOf(Greeting.End))});
+  co_return Opened(std::move(Made));
+}
+
+QCoro::Task<Answer> CallerConnection::query(std::string Sql,
+                                            TimePoint Deadline) {
+  this->Wire->write(pg::buildQuery(Sql));
+  Answer Received = co_await this->receive(Deadline);
+  co_return Received;
+}
+
+QCoro::Task<Answer> CallerConnection::receive(TimePoint Deadline) {
+  Answer Received;
+  for (;;) {
+    const auto Next = this->Wire->reader().next();
+    if (!succeeded(Next))
+      break;
+    if (valueOf(Next)) {
+      if (this->take(*valueOf(Next), Received))
+        co_return Received;
+      continue;
+    }
+    const ReadEvent Event = co_await this->Wire->readable(Deadline);
+    if (Event == ReadEvent::Data)
+      continue;
+    if (Event == ReadEvent::TimedOut)
+      Received.End = AnswerEnd::TimedOut;
+    break;
+  }
+  this->Broken = true;
+  co_return Received;
+}
+
+bool CallerConnection::take(const pg::Frame &F, Answer &Into) {
+  switch (F.Type) {
+  case 'S': {
+    const auto Status = pg::parseParameterStatus(F.Body);
+    if (succeeded(Status) && valueOf(Status).Name == TokenParameter)
+      this->Token = valueOf(Status).Value;
+    return false;
+  }
+  case 'D': {
+    auto Row = pg::parseDataRow(F.Body);
+    if (succeeded(Row))
+      Into.Rows.push_back(valueOf(std::move(Row)));
+    return false;
+  }
+  case 'C':
+    Into.Tag = F.Body.substr(0, F.Body.find('\0'));
+    return false;
+  case 'E':
+    if (Into.End != AnswerEnd::Refused)
+      Into.Refusal = pg::parseError(F.Body);
+    Into.End = AnswerEnd::Refused;
+    return false;
+  case 'Z': {
+    const auto State = pg::parseReadyForQuery(F.Body);
+    if (succeeded(State))
+      Into.State = valueOf(State);
+    if (Into.End != AnswerEnd::Refused)
+      Into.End = AnswerEnd::Complete;
+    return true;
+  }
+  default:
+    return false;
+  }
+}
+
+} // namespace amaranthspur::bench
--- /dev/null
+++ b/src/bench/LoadClient.cpp
@@ -0,0 +1,300 @@
+#include "bench/LoadClient.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <numeric>
+
+namespace amaranthspur::bench {
+namespace {
+
+/// Pause before the next entry VM is tried after a failed connection.
+constexpr Duration ReconnectDelay = milliseconds(50);
+/// Longest wait for one connection.
+constexpr Duration ConnectTimeout = milliseconds(1000);
+/// A caller waits this much longer than its deadline for an answer, so that a
+/// refusal at the deadline still arrives.
+constexpr Duration AnswerGrace = milliseconds(1500);
+
+std::string quoted(const std::string &Text) { return "'" + Text + "'"; }
+
+std::string insertStatement(const Operation &Op, unsigned Part) {
+  return "INSERT INTO bench_rows(operation, session, sequence, part) VALUES (" +
+         quoted(Op.Id) + ", " + quoted(Op.Session) + ", " +
+         std::to_string(Op.Sequence) + ", " + std::to_string(Part) +
+         ") RETURNING operation";
+}
+
+std::string readStatement(const Operation &Op) {
+  return "SELECT " + quoted(Op.Id) +
+         ", COALESCE(MAX(sequence), 0) FROM bench_rows WHERE session = " +
+         quoted(Op.Session);
+}
+
+std::string workStatement(const Operation &Op, Duration Length) {
+  return "SELECT " + quoted(Op.Id) + ", sim_work(" +
+         std::to_string(Length / milliseconds(1)) + ")";
+}
+
+std::uint64_t parseCount(const std::string &Text) {
+  std::uint64_t Value = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  return Value;
+}
+
+} // namespace
+
+struct LoadClient::Session {
+  const CallerLoad &Load;
+  std::string Name;
+  Random Draw;
+  std::size_t Entry;
+  TimePoint LastArrival;
+  std::string Token;
+  std::unique_ptr<CallerConnection> Wire;
+  std::uint64_t Operations = 0;
+  std::uint64_t Sequence = 0;
+  WaitPoint Pause; ///< Woken by stop().
+};
+
+LoadClient::LoadClient(LoadPlan Given) : Plan(std::move(Given)) {
+  for (const RatePhase &Phase : this->Plan.Phases)
+    this->MaxFactor = std::max(this->MaxFactor, Phase.Factor);
+  std::size_t Number = 0;
+  for (const CallerLoad &Load : this->Plan.Callers)
+    for (unsigned I = 0; I < Load.Sessions; ++I, ++Number)
+      this->Sessions.push_back(std::unique_ptr<Session>(
+          new Session{Load,
+                      this->Plan.Prefix + std::to_string(Number),
+                      Random(this->Plan.Seed * 1000003 + Number),
+                      I % Load.Entries.size(),
+                      TimePoint(),
+                      {},
+                      nullptr,
+                      0,
+                      0,
+                      {}}));
+}
+
+LoadClient::~LoadClient() = default;
+
+QCoro::Task<> LoadClient::run() {
+  this->Start = steadyNow() + this->Plan.ConnectTime;
+  this->End = this->Start + this->Plan.Length;
+  this->Running = this->Sessions.size();
+  for (const auto &S : this->Sessions)
+    this->runSession(*S);
+  while (this->Running > 0)
+    co_await this->AllEnded.wait();
+}
+
+void LoadClient::stop() {
+  this->Stopping = true;
+  for (const auto &S : this->Sessions)
+    S->Pause.wake();
+}
+
+QCoro::Task<> LoadClient::runSession(Session &S) {
+  // Connections are spread over the time before the start, because opening one
+  // takes a backend server about 12 ms.
+  const auto Spread = static_cast<std::int64_t>(
+      S.Draw.unit() * static_cast<double>(this->Plan.ConnectTime.count()) / 2);
+  co_await S.Pause.wait(steadyNow() + Duration(Spread));
+  co_await this->connect(S, this->Start);
+  S.LastArrival = this->Start;
+  for (;;) {
+    const TimePoint Intended = this->nextArrival(S);
+    if (Intended >= this->End)
+      break;
+    S.LastArrival = Intended;
+    if (Intended > steadyNow())
+      co_await S.Pause.wait(Intended);
+    if (this->Stopping)
+      break;
+    Operation Op = this->draw(S, Intended);
+    co_await this->runOperation(S, Op);
+    this->Recorded.Operations.push_back(std::move(Op));
+  }
+  S.Wire.reset();
+  if (--this->Running == 0)
+    this->AllEnded.wake();
+}
+
+TimePoint LoadClient::nextArrival(Session &S) const {
+  if (S.Load.RatePerSecond <= 0) {
+    // The first operations of a closed loop are spread over one think time.
+    if (S.Operations == 0)
+      return this->Start + Duration(static_cast<std::int64_t>(
+                               S.Draw.unit() *
+                               static_cast<double>(S.Load.ThinkTime.count())));
+    return steadyNow() + S.Load.ThinkTime;
+  }
+  // Thinning: candidates come at the highest rate of the plan and are kept in
+  // proportion to the rate at their time.
+  const double PeakPerMicrosecond =
+      S.Load.RatePerSecond * this->MaxFactor / S.Load.Sessions / 1e6;
+  TimePoint At = S.LastArrival;
+  do {
+    const double Gap = -std::log(1 - S.Draw.unit()) / PeakPerMicrosecond;
+    At += Duration(static_cast<std::int64_t>(Gap) + 1);
+  } while (At < this->End &&
+           S.Draw.unit() * this->MaxFactor >= this->factorAt(At));
+  return At;
+}
+
+double LoadClient::factorAt(TimePoint When) const {
+  double Factor = 1;
+  for (const RatePhase &Phase : this->Plan.Phases)
+    if (When >= this->Start + Phase.Since)
+      Factor = Phase.Factor;
+  return Factor;
+}
+
+Operation LoadClient::draw(Session &S, TimePoint Intended) const {
+  Operation Op;
+  Op.Id = S.Name + "." + std::to_string(++S.Operations);
+  Op.Caller = S.Load.Caller;
+  Op.Service = S.Load.Service;
+  Op.Session = S.Name;
+  Op.Intended = Intended;
+  const unsigned Total =
+      std::accumulate(S.Load.Mix.begin(), S.Load.Mix.end(), 0U);
+  std::uint64_t Pick = S.Draw.below(Total);
+  std::size_t Index = 0;
+  while (Pick >= S.Load.Mix[Index])
+    Pick -= S.Load.Mix[Index++];
+  Op.Kind = EnumNames<OperationKind>::Entries[Index].first;
+  if (writesRows(Op.Kind) || Op.Kind == OperationKind::Rollback)
+    Op.Sequence = ++S.Sequence;
+  return Op;
+}
+
+void LoadClient::roam(Session &S) const {
+  if (S.Load.Entries.size() < 2 || S.Draw.unit() >= S.Load.RoamShare)
+    return;
+  S.Entry = (S.Entry + 1 + S.Draw.below(S.Load.Entries.size() - 1)) %
+            S.Load.Entries.size();
+  S.Wire.reset();
+}
+
+QCoro::Task<> LoadClient::runOperation(Session &S, Operation &Op) {
+  const TimePoint Deadline = Op.Intended + S.Load.Deadline;
+  if (steadyNow() < Deadline) {
+    this->roam(S);
+    const bool Connected = co_await this->connect(S, Deadline);
+    Op.EntryVm = S.Load.Entries[S.Entry].Name;
+    if (Connected) {
+      Op.Sent = steadyNow();
+      co_await this->perform(S, Op, Deadline + AnswerGrace);
+    }
+  }
+  Op.Answered = steadyNow();
+}
+
+QCoro::Task<bool> LoadClient::connect(Session &S, TimePoint Deadline) {
+  while (!this->Stopping) {
+    if (S.Wire && S.Wire->usable())
+      co_return true;
+    S.Wire.reset();
+    std::map<std::string, std::string> Parameters = S.Load.Settings;
+    Parameters["user"] = S.Load.Caller.str();
+    Parameters["database"] = S.Load.Service.str();
+    if (!S.Token.empty())
+      Parameters["amaranthspur.session"] = S.Token;
+    const Address To = S.Load.Entries[S.Entry].At;
+    const TimePoint Limit = std::min(Deadline, steadyNow() + ConnectTimeout);
+    auto Opened =
+        co_await CallerConnection::open(To, S.Load.BindHost, Parameters, Limit);
+    if (succeeded(Opened)) {
+      S.Wire = std::move(valueOf(Opened));
+      continue;
+    }
+    S.Entry = (S.Entry + 1) % S.Load.Entries.size();
+    if (steadyNow() + ReconnectDelay >= Deadline)
+      co_return false;
+    co_await sleepFor(ReconnectDelay);
+  }
+  co_return false;
+}
+
+QCoro::Task<> LoadClient::perform(Session &S, Operation &Op,
+                                  TimePoint Deadline) {
+  switch (Op.Kind) {
+  case OperationKind::Read:
+    co_await this->send(S, Op, readStatement(Op), Deadline);
+    break;
+  case OperationKind::Write:
+    co_await this->send(S, Op, insertStatement(Op, 0), Deadline);
+    break;
+  case OperationKind::Work:
+    co_await this->send(S, Op, workStatement(Op, S.Load.WorkLength), Deadline);
+    break;
+  case OperationKind::Transaction:
+  case OperationKind::Rollback:
+    co_await this->performTransaction(S, Op, Deadline);
+    break;
+  }
+  // A connection whose answer did not come is of no use, and its entry VM may
+  // be dead.
+  if (!S.Wire->usable()) {
+    S.Wire.reset();
+    S.Entry = (S.Entry + 1) % S.Load.Entries.size();
+  }
+}
+
+QCoro::Task<> LoadClient::performTransaction(Session &S, Operation &Op,
+                                             TimePoint Deadline) {
+  const std::string Body[] = {"BEGIN", insertStatement(Op, 1),
+                              insertStatement(Op, 2)};
+  for (const std::string &Sql : Body) {
+    const bool Good = co_await this->send(S, Op, Sql, Deadline);
+    if (Good)
+      continue;
+    // The COMMIT was never sent, so whatever ran must leave no row.
+    Op.End = OperationEnd::RolledBack;
+    S.Wire.reset();
+    co_return;
+  }
+  if (Op.Kind == OperationKind::Rollback) {
+    co_await this->send(S, Op, "ROLLBACK", Deadline);
+    Op.End = OperationEnd::RolledBack;
+    co_return;
+  }
+  co_await this->send(S, Op, "COMMIT", Deadline);
+}
+
+QCoro::Task<bool> LoadClient::send(Session &S, Operation &Op, std::string Sql,
+                                   TimePoint Deadline) {
+  Op.Statement = Sql;
+  const Answer Got = co_await S.Wire->query(std::move(Sql), Deadline);
+  S.Token = S.Wire->token().empty() ? S.Token : S.Wire->token();
+  takeAnswer(Op, Got);
+  co_return Op.End == OperationEnd::Acknowledged;
+}
+
+void LoadClient::takeAnswer(Operation &Op, const Answer &Got) {
+  if (Got.End == AnswerEnd::Refused) {
+    Op.SqlState = Got.Refusal.SqlState;
+    Op.Message = Got.Refusal.Message;
+    Op.End = endOfRefusal(Op.SqlState, Op.Message);
+    return;
+  }
+  if (Got.End != AnswerEnd::Complete) {
+    Op.Message = nameOf(Got.End);
+    Op.End = OperationEnd::Unknown;
+    return;
+  }
+  ++Op.Statements;
+  Op.End = OperationEnd::Acknowledged;
+  // A COMMIT of a failed transaction is answered with ROLLBACK.
+  if (Op.Statement == "COMMIT" && Got.Tag == "ROLLBACK")
+    Op.End = OperationEnd::RolledBack;
+  for (const auto &Row : Got.Rows) {
+    if (!Row.empty())
+      Op.Echoes.push_back(Row.front().value_or(""));
+    if (Op.Kind == OperationKind::Read && Row.size() > 1)
+      Op.SeenSequence = parseCount(Row[1].value_or("0"));
+  }
+}
+
+} // namespace amaranthspur::bench
