--- a/src/bench/Deployment.cpp
+++ b/src/bench/Deployment.cpp
@@ -227,8 +227,8 @@
   co_return Result<Success>(Success());
 }
 
-void Deployment::makeServerProcess(ServerNode &Node,
-                                   const ServerNode *Primary) {
+void Deployment::makeServerProcess(ServerNode &Node, const ServerNode *Primary,
+                                   Term Reached) {
   std::vector<std::string> Arguments{
       "--id",
       Node.Id.str(),
@@ -243,13 +243,15 @@
       "--connect-delay-ms",
       std::to_string(this->Spec.ConnectDelayMs),
       "--replication-lag-ms",
-      std::to_string(this->Spec.ReplicationLagMs)};
+      std::to_string(this->Spec.ReplicationLagMs),
+      "--term",
+      std::to_string(Reached)};
   if (Primary) {
     Arguments.insert(Arguments.end(),
                      {"--role", "replica", "--primary",
                       Primary->Id.str() + "=" + Primary->Shaped.str()});
   } else {
-    Arguments.insert(Arguments.end(), {"--role", "primary", "--term", "1"});
+    Arguments.insert(Arguments.end(), {"--role", "primary"});
   }
   Node.Process = std::make_unique<ChildProcess>(
       programPath("fake-backend"), Arguments, this->logFile(Node.Id.str()));
@@ -262,7 +264,7 @@
     if (Node.Service != Service)
       Primary = nullptr;
     Service = Node.Service;
-    this->makeServerProcess(Node, Primary);
+    this->makeServerProcess(Node, Primary, 1);
     const Result<Success> Started =
         co_await Node.Process->start(steadyNow() + StartTimeout);
     if (!succeeded(Started))
@@ -379,7 +381,14 @@
         Error{"no other primary for " + Node.Id.str() + " to follow"});
   if (Node.Process)
     Node.Process->kill();
-  this->makeServerProcess(Node, &this->Servers[*Primary]);
+  // The new process has forgotten which terms it adopted.
+  const auto Report =
+      co_await askStatus(this->Servers[*Primary].Direct, Node.Service,
+                         steadyNow() + DirectTimeout);
+  if (!succeeded(Report))
+    co_return Result<Success>(Error{errorOf(Report)});
+  this->makeServerProcess(Node, &this->Servers[*Primary],
+                          valueOf(Report).AdoptedTerm);
   const Result<Success> Started =
       co_await Node.Process->start(steadyNow() + StartTimeout);
   co_return Started;
--- a/src/bench/Deployment.h
+++ b/src/bench/Deployment.h
@@ -97,7 +97,8 @@
   void layOutServers();
   void layOutEntries();
   void makeEntryProcess(EntryNode &Node);
-  void makeServerProcess(ServerNode &Node, const ServerNode *Primary);
+  void makeServerProcess(ServerNode &Node, const ServerNode *Primary,
+                         Term Reached);
   QCoro::Task<Result<Success>> startPlatform();
   QCoro::Task<Result<Success>> startProxies();
   QCoro::Task<Result<Success>> startServers();
--- a/src/bench/Links.cpp
+++ b/src/bench/Links.cpp
@@ -132,12 +132,18 @@
   const auto Rules = latencyRules(this->Spec);
   for (const auto &[Scope, Rule] : Rules)
     co_await this->send(Scope, Rule);
-  // A rule cannot be removed, so a fault's scope gets the latency that would
-  // apply without it.
   std::vector<LinkScope> Scopes;
   Scopes.swap(this->Faulted);
   for (const LinkScope &Scope : Scopes)
-    co_await this->send(Scope, effectiveRule(Rules, Scope.From, Scope.To));
+    co_await this->restore(Scope);
+}
+
+QCoro::Task<> Links::restore(LinkScope Scope) {
+  // A rule cannot be removed, so a fault's scope gets the latency that would
+  // apply without it.
+  const LinkRule Rule =
+      effectiveRule(latencyRules(this->Spec), Scope.From, Scope.To);
+  co_await this->send(Scope, Rule);
 }
 
 QCoro::Task<std::uint64_t> Links::crossRegionBytes() {
--- a/src/bench/Links.h
+++ b/src/bench/Links.h
@@ -56,6 +56,12 @@
 std::vector<std::pair<LinkScope, LinkRule>>
 isolationRules(const DeploymentSpec &Spec, std::size_t Place);
 
+/// Returns the rules that cut the links into server \p Server of data centre
+/// \p Place from all other data centres. Entry VMs beside it still reach it.
+std::vector<std::pair<LinkScope, LinkRule>>
+serverIsolationRules(const DeploymentSpec &Spec, std::size_t Place,
+                     const std::string &Server);
+
 /// Returns the rule of \p Rules that fault-proxy applies to a connection from
 /// \p Client over the link \p Link: the longest `to`, then the longest `from`.
 LinkRule effectiveRule(const std::vector<std::pair<LinkScope, LinkRule>> &Rules,
@@ -77,6 +83,8 @@
   QCoro::Task<> set(LinkScope Scope, LinkRule Rule);
   /// Cuts data centre \p Place off.
   QCoro::Task<> isolate(std::size_t Place);
+  /// Takes back the fault of \p Scope.
+  QCoro::Task<> restore(LinkScope Scope);
   /// Takes back every fault.
   QCoro::Task<> heal();
   /// Returns the bytes that have crossed between regions, both ways.
--- /dev/null
+++ b/src/bench/Main.cpp
@@ -0,0 +1,199 @@
+// amaranthspur-bench: load and experiments on deployments of its own processes.
+#include "bench/Scenario.h"
+
+#include <QCoreApplication>
+#include <QJsonDocument>
+
+#include <cxxopts.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <numeric>
+
+#include <sys/resource.h>
+
+namespace amaranthspur::bench {
+namespace {
+
+/// Time of one scenario for all its variants, unless --seconds says otherwise.
+constexpr unsigned DefaultSeconds = 44;
+/// Share of the time that the variant amaranthspur gets next to another one:
+/// its figures need more faults to be worth something.
+constexpr unsigned MainShare = 3;
+constexpr unsigned OtherShare = 2;
+
+/// What the command line asks for.
+struct Order {
+  const Scenario *Row = nullptr;
+  std::uint64_t Seed = 1;
+  unsigned Seconds = DefaultSeconds;
+  std::vector<PolicyVariant> Variants;
+  bool Compact = false;
+  std::string PlotFile;
+  std::string LogDirectory;
+};
+
+cxxopts::Options makeOptions() {
+  cxxopts::Options Options("amaranthspur-bench",
+                           "Load and experiments on amaranthspur.\n"
+                           "  amaranthspur-bench list\n"
+                           "  amaranthspur-bench run SCENARIO [options]\n"
+                           "  amaranthspur-bench demo");
+  Options.add_options()("command", "list, run or demo",
+                        cxxopts::value<std::string>()->default_value(""))(
+      "scenario", "name of a scenario",
+      cxxopts::value<std::string>()->default_value(""))(
+      "seed", "seed of all arrivals and choices",
+      cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "seconds", "time for all variants together",
+      cxxopts::value<unsigned>()->default_value(
+          std::to_string(DefaultSeconds)))(
+      "variant", "policy variants, separated by commas",
+      cxxopts::value<std::vector<std::string>>()->default_value(
+          "amaranthspur,naive"))("json", "print the result on one line")(
+      "plot", "file for a drawing of the run over time, SVG",
+      cxxopts::value<std::string>()->default_value(""))(
+      "log-directory", "existing directory for the processes' logs",
+      cxxopts::value<std::string>()->default_value(""))("help",
+                                                        "show this text");
+  Options.positional_help("COMMAND [SCENARIO]");
+  Options.parse_positional({"command", "scenario"});
+  return Options;
+}
+
+Result<Order> readOrder(const cxxopts::ParseResult &Given) {
+  Order Read;
+  const auto Wanted = Given["scenario"].as<std::string>();
+  const auto Name = parseName<ScenarioName>(Wanted);
+  const auto Rows = scenarios();
+  const auto Row = std::ranges::find_if(
+      Rows, [&Name](const Scenario &R) { return Name && R.Name == *Name; });
+  if (Row == Rows.end())
+    return Error{"unknown scenario \"" + Wanted + "\"; see \"list\""};
+  Read.Row = &*Row;
+  for (const std::string &Text :
+       Given["variant"].as<std::vector<std::string>>()) {
+    const auto Variant = parseName<PolicyVariant>(Text);
+    if (!Variant)
+      return Error{"unknown variant \"" + Text +
+                   "\"; allowed: " + allNames<PolicyVariant>()};
+    Read.Variants.push_back(*Variant);
+  }
+  Read.Seed = Given["seed"].as<std::uint64_t>();
+  Read.Seconds = Given["seconds"].as<unsigned>();
+  Read.Compact = Given.count("json") > 0;
+  Read.PlotFile = Given["plot"].as<std::string>();
+  Read.LogDirectory = Given["log-directory"].as<std::string>();
+  return Read;
+}
+
+unsigned shareOf(PolicyVariant Variant) {
+  return Variant == PolicyVariant::Amaranthspur ? MainShare : OtherShare;
+}
+
+QCoro::Task<int> runOrder(Order Wanted) {
+  const unsigned Shares = std::accumulate(
+      Wanted.Variants.begin(), Wanted.Variants.end(), 0U,
+      [](unsigned Sum, PolicyVariant V) { return Sum + shareOf(V); });
+  QJsonObject Variants;
+  std::vector<PlotRun> Runs;
+  for (const PolicyVariant Variant : Wanted.Variants) {
+    RunSettings Settings;
+    Settings.Seed = Wanted.Seed;
+    Settings.Length = std::chrono::seconds(Wanted.Seconds) * shareOf(Variant) /
+                      std::max(Shares, 1U);
+    Settings.Variant = Variant;
+    Settings.LogDirectory = Wanted.LogDirectory;
+    auto Done = co_await Wanted.Row->Run(Settings);
+    if (!succeeded(Done)) {
+      std::cerr << "event=scenario-failed scenario=" << nameOf(Wanted.Row->Name)
+                << " variant=" << nameOf(Variant) << " reason=\""
+                << errorOf(Done) << "\"\n";
+      co_return EXIT_FAILURE;
+    }
+    Variants[QString::fromStdString(std::string(nameOf(Variant)))] =
+        valueOf(Done).Figures;
+    for (PlotRun &Run : valueOf(Done).Runs)
+      Runs.push_back(std::move(Run));
+  }
+  QJsonObject Output;
+  Output["scenario"] =
+      QString::fromStdString(std::string(nameOf(Wanted.Row->Name)));
+  Output["seed"] = static_cast<qint64>(Wanted.Seed);
+  Output["variants"] = Variants;
+  std::cout << QJsonDocument(Output)
+                   .toJson(Wanted.Compact ? QJsonDocument::Compact
+                                          : QJsonDocument::Indented)
+                   .toStdString();
+  std::cout << (Wanted.Compact ? "\n" : "") << std::flush;
+  if (!Wanted.PlotFile.empty()) {
+    std::ofstream File(Wanted.PlotFile);
+    File << drawSvg(Runs);
+    if (!File.flush()) {
+      std::cerr << "cannot write " << Wanted.PlotFile << "\n";
+      co_return EXIT_FAILURE;
+    }
+  }
+  co_return EXIT_SUCCESS;
+}
+
+/// Runs \p Work on the event loop and returns its exit status.
+int runOnEventLoop(QCoro::Task<int> Work) {
+  Work.then([](int Status) { QCoreApplication::exit(Status); });
+  return QCoreApplication::exec();
+}
+
+/// Thousands of connections need more files than the usual limit.
+void raiseFileLimit() {
+  rlimit Limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &Limit) == 0) {
+    Limit.rlim_cur = Limit.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &Limit);
+  }
+}
+
+void listScenarios() {
+  for (const Scenario &Row : scenarios())
+    std::cout << nameOf(Row.Name) << "\t" << Row.About << "\n";
+}
+
+int runCommand(int Argc, char **Argv) {
+  cxxopts::Options Options = makeOptions();
+  const cxxopts::ParseResult Given = Options.parse(Argc, Argv);
+  const auto Command = Given["command"].as<std::string>();
+  if (Given.count("help") > 0) {
+    std::cout << Options.help();
+    return EXIT_SUCCESS;
+  }
+  if (Command == "list") {
+    listScenarios();
+    return EXIT_SUCCESS;
+  }
+  if (Command != "run") {
+    std::cerr << Options.help();
+    return EXIT_FAILURE;
+  }
+  const Result<Order> Wanted = readOrder(Given);
+  if (!succeeded(Wanted)) {
+    std::cerr << errorOf(Wanted) << "\n";
+    return EXIT_FAILURE;
+  }
+  raiseFileLimit();
+  return runOnEventLoop(runOrder(valueOf(Wanted)));
+}
+
+} // namespace
+} // namespace amaranthspur::bench
+
+int main(int Argc, char **Argv) {
+  const QCoreApplication Application(Argc, Argv);
+  // cxxopts reports errors by exceptions; they end here.
+  try {
+    return amaranthspur::bench::runCommand(Argc, Argv);
+  } catch (const std::exception &Failure) {
+    std::cerr << Failure.what() << "\n";
+    return EXIT_FAILURE;
+  }
+}
--- a/src/bench/ServerProbe.cpp
+++ b/src/bench/ServerProbe.cpp
@@ -28,24 +28,35 @@
 
 } // namespace
 
-QCoro::Task<Result<ServerReport>> askStatus(Address At, std::string Service,
-                                            TimePoint Deadline) {
+QCoro::Task<Result<std::map<std::string, std::string>>>
+askRow(Address At, std::string Service, std::string Sql, TimePoint Deadline) {
+  using Row = std::map<std::string, std::string>;
   auto Opened = co_await CallerConnection::open(
       At, {}, controlParameters(Service), Deadline);
   if (!succeeded(Opened))
-    co_return Result<ServerReport>(Error{errorOf(Opened)});
-  const Answer Got =
-      co_await valueOf(Opened)->query("SELECT * FROM group_status()", Deadline);
+    co_return Result<Row>(Error{errorOf(Opened)});
+  const Answer Got = co_await valueOf(Opened)->query(Sql, Deadline);
   if (Got.End != AnswerEnd::Complete || Got.Rows.empty())
-    co_return Result<ServerReport>(refusalOf(At, Got));
-  ServerReport Report;
+    co_return Result<Row>(refusalOf(At, Got));
+  Row Read;
   for (std::size_t I = 0; I < Got.Columns.size(); ++I)
-    Report.Columns[Got.Columns[I]] = Got.Rows.front()[I].value_or("");
-  Report.Role = parseName<ServerRole>(Report.Columns["role"])
-                    .value_or(ServerRole::Replica);
-  Report.AdoptedTerm = numberOf(Report.Columns["adopted_term"]);
-  Report.LogEnd = {numberOf(Report.Columns["log_term"]),
-                   numberOf(Report.Columns["log_index"])};
+    Read[Got.Columns[I]] = Got.Rows.front()[I].value_or("");
+  co_return Result<Row>(std::move(Read));
+}
+
+QCoro::Task<Result<ServerReport>> askStatus(Address At, std::string Service,
+                                            TimePoint Deadline) {
+  auto Row =
+      co_await askRow(At, Service, "SELECT * FROM group_status()", Deadline);
+  if (!succeeded(Row))
+    co_return Result<ServerReport>(Error{errorOf(Row)});
+  auto &Columns = valueOf(Row);
+  ServerReport Report;
+  Report.Role =
+      parseName<ServerRole>(Columns["role"]).value_or(ServerRole::Replica);
+  Report.AdoptedTerm = numberOf(Columns["adopted_term"]);
+  Report.LogEnd = {numberOf(Columns["log_term"]),
+                   numberOf(Columns["log_index"])};
   co_return Result<ServerReport>(std::move(Report));
 }
 
--- a/src/bench/ServerProbe.h
+++ b/src/bench/ServerProbe.h
@@ -20,13 +20,16 @@
   ServerRole Role = ServerRole::Replica;
   Term AdoptedTerm = 0;
   LogPosition LogEnd;
-  std::map<std::string, std::string> Columns; ///< Text of all columns by name.
 };
 
 /// Asks the server at \p At for `group_status()`.
 QCoro::Task<Result<ServerReport>> askStatus(Address At, std::string Service,
                                             TimePoint Deadline);
 
+/// Runs \p Sql and returns the first row, as text by column name.
+QCoro::Task<Result<std::map<std::string, std::string>>>
+askRow(Address At, std::string Service, std::string Sql, TimePoint Deadline);
+
 /// Runs \p Statements one after the other on the server at \p At.
 QCoro::Task<Result<Success>> runDirect(Address At, std::string Service,
                                        std::vector<std::string> Statements,
