--- a/src/bench/Deployment.cpp
+++ b/src/bench/Deployment.cpp
@@ -123,7 +123,10 @@
 void Deployment::layOutEntries() {
   for (std::size_t Place = 0; Place < this->Spec.Places.size(); ++Place)
     for (unsigned I = 0; I < this->Spec.EntryVms[Place]; ++I) {
-      const std::string Host = hostAddress(Place, FirstEntryHost + I);
+      const bool Apart = this->Spec.FirstEntryApart && this->Entries.empty();
+      const std::string Host =
+          Apart ? ApartPrefix + std::to_string(FirstEntryHost)
+                : hostAddress(Place, FirstEntryHost + I);
       EntryNode Node;
       Node.Id = EntryVmId(this->Spec.Places[Place].Name.str() + "-vm" +
                           std::to_string(I + 1));
--- a/src/bench/DeploymentSpec.h
+++ b/src/bench/DeploymentSpec.h
@@ -54,9 +54,16 @@
   std::vector<unsigned> EntryVms;
   PolicyVariant Variant = PolicyVariant::Amaranthspur;
   bool Shaped = true; ///< Whether links have latencies; false: no fault-proxy.
+  /// Gives the first entry VM an address of its own prefix, ApartPrefix, so
+  /// that the fault-proxies count its bytes by themselves. Its links have no
+  /// latency.
+  bool FirstEntryApart = false;
   std::string LogDirectory; ///< For the processes' logs; empty: no logs.
 };
 
+/// See DeploymentSpec::FirstEntryApart.
+inline const std::string ApartPrefix = "127.0.100.";
+
 /// Returns the deployment \p Kind with one service and seven entry VMs.
 DeploymentSpec makeDeployment(DeploymentKind Kind);
 
--- a/src/bench/Links.cpp
+++ b/src/bench/Links.cpp
@@ -76,6 +76,19 @@
   return Rules;
 }
 
+std::vector<std::pair<LinkScope, LinkRule>>
+serverIsolationRules(const DeploymentSpec &Spec, std::size_t Place,
+                     const std::string &Server) {
+  std::vector<std::pair<LinkScope, LinkRule>> Rules;
+  LinkRule Cut;
+  Cut.Cut = true;
+  for (std::size_t Other = 0; Other < Spec.Places.size(); ++Other)
+    if (Other != Place)
+      Rules.push_back(
+          {{addressPrefix(Other), linkPrefix(Spec, Place) + Server}, Cut});
+  return Rules;
+}
+
 LinkRule effectiveRule(const std::vector<std::pair<LinkScope, LinkRule>> &Rules,
                        const std::string &Client, const std::string &Link) {
   const std::pair<LinkScope, LinkRule> *Best = nullptr;
@@ -90,24 +103,30 @@
   return Best ? Best->second : LinkRule();
 }
 
-std::uint64_t crossRegionBytesIn(const DeploymentSpec &Spec,
-                                 const QJsonObject &Stats) {
-  std::uint64_t Sum = 0;
+std::vector<LinkTraffic> readTraffic(const QJsonObject &Stats) {
+  std::vector<LinkTraffic> List;
   const QJsonArray Entries = Stats["stats"].toArray();
   for (const auto &Entry : Entries) {
     const QJsonObject Fields = Entry.toObject();
-    const std::string From = Fields["from"].toString().toStdString();
-    const std::string Link = Fields["link"].toString().toStdString();
-    for (std::size_t A = 0; A < Spec.Places.size(); ++A)
-      for (std::size_t B = 0; B < Spec.Places.size(); ++B)
-        if (Spec.Places[A].In != Spec.Places[B].In &&
-            (From + ".").starts_with(addressPrefix(A)) &&
-            Link.starts_with(linkPrefix(Spec, B)))
-          Sum +=
-              static_cast<std::uint64_t>(Fields["forward_bytes"].toInteger() +
-                                         Fields["backward_bytes"].toInteger());
+    LinkTraffic Traffic;
+    Traffic.From = Fields["from"].toString().toStdString() + ".";
+    Traffic.Link = Fields["link"].toString().toStdString();
+    Traffic.Bytes =
+        static_cast<std::uint64_t>(Fields["forward_bytes"].toInteger() +
+                                   Fields["backward_bytes"].toInteger());
+    List.push_back(std::move(Traffic));
   }
-  return Sum;
+  return List;
+}
+
+bool crossesRegions(const DeploymentSpec &Spec, const LinkTraffic &Traffic) {
+  for (std::size_t A = 0; A < Spec.Places.size(); ++A)
+    for (std::size_t B = 0; B < Spec.Places.size(); ++B)
+      if (Spec.Places[A].In != Spec.Places[B].In &&
+          Traffic.From.starts_with(addressPrefix(A)) &&
+          Traffic.Link.starts_with(linkPrefix(Spec, B)))
+        return true;
+  return false;
 }
 
 QCoro::Task<> Links::send(LinkScope Scope, LinkRule Rule) {
@@ -146,15 +165,36 @@
   co_await this->send(Scope, Rule);
 }
 
-QCoro::Task<std::uint64_t> Links::crossRegionBytes() {
-  std::uint64_t Sum = 0;
+QCoro::Task<std::vector<LinkTraffic>> Links::traffic() {
+  std::vector<LinkTraffic> All;
   for (const Address &Control : this->Controls) {
     const QJsonObject Command = statsCommand();
     const auto Stats =
         co_await sendJsonLine(Control, Command, steadyNow() + ControlTimeout);
-    if (succeeded(Stats))
-      Sum += crossRegionBytesIn(this->Spec, valueOf(Stats));
+    if (!succeeded(Stats))
+      continue;
+    for (LinkTraffic &Each : readTraffic(valueOf(Stats)))
+      All.push_back(std::move(Each));
   }
+  co_return All;
+}
+
+QCoro::Task<std::uint64_t> Links::crossRegionBytes() {
+  std::uint64_t Sum = 0;
+  const std::vector<LinkTraffic> All = co_await this->traffic();
+  for (const LinkTraffic &Each : All)
+    if (crossesRegions(this->Spec, Each))
+      Sum += Each.Bytes;
+  co_return Sum;
+}
+
+QCoro::Task<std::uint64_t> Links::nodeBytes(std::string Prefix,
+                                            std::string Entry) {
+  std::uint64_t Sum = 0;
+  const std::vector<LinkTraffic> All = co_await this->traffic();
+  for (const LinkTraffic &Each : All)
+    if (Each.From.starts_with(Prefix) || Each.Link.ends_with("." + Entry))
+      Sum += Each.Bytes;
   co_return Sum;
 }
 
--- a/src/bench/Links.h
+++ b/src/bench/Links.h
@@ -67,9 +67,19 @@
 LinkRule effectiveRule(const std::vector<std::pair<LinkScope, LinkRule>> &Rules,
                        const std::string &Client, const std::string &Link);
 
-/// Returns the bytes between regions in an answer of fault-proxy to `stats`.
-std::uint64_t crossRegionBytesIn(const DeploymentSpec &Spec,
-                                 const QJsonObject &Stats);
+/// One entry of fault-proxy's `stats`: what clients of one address prefix have
+/// sent and received over one link.
+struct LinkTraffic {
+  std::string From; ///< Address prefix with its last dot.
+  std::string Link;
+  std::uint64_t Bytes = 0; ///< Both ways.
+};
+
+/// Reads an answer of fault-proxy to `stats`.
+std::vector<LinkTraffic> readTraffic(const QJsonObject &Stats);
+
+/// Returns whether \p Traffic crosses between regions of \p Spec.
+bool crossesRegions(const DeploymentSpec &Spec, const LinkTraffic &Traffic);
 
 /// Sends rules to the fault-proxies of a deployment.
 class Links {
@@ -89,9 +99,13 @@
   QCoro::Task<> heal();
   /// Returns the bytes that have crossed between regions, both ways.
   QCoro::Task<std::uint64_t> crossRegionBytes();
+  /// Returns the bytes that clients with the address prefix \p Prefix, or links
+  /// to entry VM \p Entry, have carried so far, both ways.
+  QCoro::Task<std::uint64_t> nodeBytes(std::string Prefix, std::string Entry);
 
 private:
   QCoro::Task<> send(LinkScope Scope, LinkRule Rule);
+  QCoro::Task<std::vector<LinkTraffic>> traffic();
 
   const DeploymentSpec &Spec;
   std::vector<Address> Controls;
--- a/src/bench/LoadClient.cpp
+++ b/src/bench/LoadClient.cpp
@@ -32,8 +32,10 @@
 }
 
 std::string workStatement(const Operation &Op, Duration Length) {
-  return "SELECT " + quoted(Op.Id) + ", sim_work(" +
-         std::to_string(Length / milliseconds(1)) + ")";
+  // The name makes statements of different lengths differ in shape, as they
+  // would in a caller's program; lengths are learned by shape.
+  const std::string Ms = std::to_string(Length / milliseconds(1));
+  return "SELECT " + quoted(Op.Id) + ", sim_work(" + Ms + ") AS work_" + Ms;
 }
 
 std::uint64_t parseCount(const std::string &Text) {
--- a/src/bench/Main.cpp
+++ b/src/bench/Main.cpp
@@ -10,7 +10,6 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
-#include <numeric>
 
 #include <sys/resource.h>
 
@@ -19,11 +18,6 @@
 
 /// Time of one scenario for all its variants, unless --seconds says otherwise.
 constexpr unsigned DefaultSeconds = 44;
-/// Share of the time that the variant amaranthspur gets next to another one:
-/// its figures need more faults to be worth something.
-constexpr unsigned MainShare = 3;
-constexpr unsigned OtherShare = 2;
-
 /// What the command line asks for.
 struct Order {
   const Scenario *Row = nullptr;
@@ -89,21 +83,21 @@
   return Read;
 }
 
-unsigned shareOf(PolicyVariant Variant) {
-  return Variant == PolicyVariant::Amaranthspur ? MainShare : OtherShare;
+unsigned shareOf(const Scenario &Row, PolicyVariant Variant) {
+  return Variant == PolicyVariant::Amaranthspur ? Row.MainShare : 1;
 }
 
 QCoro::Task<int> runOrder(Order Wanted) {
-  const unsigned Shares = std::accumulate(
-      Wanted.Variants.begin(), Wanted.Variants.end(), 0U,
-      [](unsigned Sum, PolicyVariant V) { return Sum + shareOf(V); });
+  unsigned Shares = 0;
+  for (const PolicyVariant Variant : Wanted.Variants)
+    Shares += shareOf(*Wanted.Row, Variant);
   QJsonObject Variants;
   std::vector<PlotRun> Runs;
   for (const PolicyVariant Variant : Wanted.Variants) {
     RunSettings Settings;
     Settings.Seed = Wanted.Seed;
-    Settings.Length = std::chrono::seconds(Wanted.Seconds) * shareOf(Variant) /
-                      std::max(Shares, 1U);
+    Settings.Length = std::chrono::seconds(Wanted.Seconds) *
+                      shareOf(*Wanted.Row, Variant) / std::max(Shares, 1U);
     Settings.Variant = Variant;
     Settings.LogDirectory = Wanted.LogDirectory;
     auto Done = co_await Wanted.Row->Run(Settings);
--- a/src/bench/Scenario.cpp
+++ b/src/bench/Scenario.cpp
@@ -4,8 +4,20 @@
 namespace {
 
 constexpr auto Table = std::to_array<Scenario>({
-    {ScenarioName::Overhead, "cost of the proxy next to a direct connection",
+    {ScenarioName::Overhead, "cost of the proxy next to a direct connection", 1,
      runOverhead},
+    // Twenty promotions take longer than what the naive variant is worth.
+    {ScenarioName::Failover, "primaries killed, isolated and paused", 3,
+     runFailover},
+    {ScenarioName::ReplicaReads, "reads that tolerate age", 1, runReplicaReads},
+    {ScenarioName::Crest, "demand times 10 for 10 s", 1, runCrest},
+    {ScenarioName::ShortBehindLong, "short statements beside long ones", 1,
+     runShortBehindLong},
+    {ScenarioName::Handover, "entry VMs that own servers killed", 1,
+     runHandover},
+    {ScenarioName::ControlCost, "an idle node among more and more peers", 1,
+     runControlCost},
+    {ScenarioName::Faults, "rows of faults, each checked", 2, runFaults},
 });
 
 } // namespace
--- a/src/bench/Scenario.h
+++ b/src/bench/Scenario.h
@@ -52,6 +52,8 @@
 struct Scenario {
   ScenarioName Name = ScenarioName::Overhead;
   const char *About = "";
+  /// Share of the time that the variant amaranthspur gets, to 1 of each other.
+  unsigned MainShare = 1;
   QCoro::Task<Result<RunReport>> (*Run)(RunSettings) = nullptr;
 };
 
--- a/src/bench/Stage.cpp
+++ b/src/bench/Stage.cpp
@@ -147,6 +147,27 @@
   return Run;
 }
 
+std::vector<CallerLoad> spreadCallers(const Deployment &Over,
+                                      const CallerLoad &Load,
+                                      unsigned Sessions) {
+  constexpr double RoamShare = 0.1;
+  std::vector<CallerLoad> Loads;
+  for (std::size_t Place = 0; Place < Over.spec().Places.size(); ++Place) {
+    CallerLoad Beside = Load;
+    Beside.Sessions = Sessions;
+    Beside.Entries = Over.entryPoints(Place);
+    Beside.BindHost = Deployment::callerAddress(Place);
+    if (!Beside.Entries.empty())
+      Loads.push_back(Beside);
+  }
+  CallerLoad Roaming = Load;
+  Roaming.Sessions = Sessions;
+  Roaming.Entries = Over.entryPoints();
+  Roaming.RoamShare = RoamShare;
+  Loads.push_back(Roaming);
+  return Loads;
+}
+
 QJsonObject violationsJson(const std::vector<Violation> &Violations) {
   std::set<Rule> Shown;
   for (const Violation &V : Violations)
--- a/src/bench/Stage.h
+++ b/src/bench/Stage.h
@@ -80,6 +80,13 @@
 /// Returns how many operations of \p Run ended in each way.
 QJsonObject endsJson(const History &Run);
 
+/// Returns \p Load once for each data centre, with callers that reach the entry
+/// VMs beside them, and once with callers that roam between all entry VMs.
+/// \param Sessions of each.
+std::vector<CallerLoad> spreadCallers(const Deployment &Over,
+                                      const CallerLoad &Load,
+                                      unsigned Sessions);
+
 /// Returns a mix of the given relative frequencies.
 constexpr auto mixOf(unsigned Read, unsigned Write, unsigned Transaction,
                      unsigned Rollback, unsigned Work) {
