Test replication across link faults; check that the stand-ins end cleanly

The fault-proxy left its control connections open at the end, which the leak sanitizer reported. Ports of tests now lie below the range of outgoing connections. A diverged log is replayed as one transaction.

--- a/src/testing/Processes.cpp
+++ b/src/testing/Processes.cpp
@@ -15,7 +15,6 @@
 #include <cstdlib>
 #include <cstring>
 #include <filesystem>
-#include <set>
 #include <thread>
 
 extern "C" char **environ; // NOLINT(readability-identifier-naming)
@@ -29,7 +28,10 @@
 constexpr Duration DestructorGrace = std::chrono::seconds(1);
 /// Directories above the executable in which findProgram looks.
 constexpr int MaxParents = 6;
-constexpr int MaxPortAttempts = 1000;
+/// Ports that freePort gives out. They are below the system's range for
+/// outgoing connections, which would take them at any time.
+constexpr std::uint32_t FirstPort = 10000;
+constexpr std::uint32_t PortCount = 20000;
 
 bool isExecutable(const std::filesystem::path &Path) {
   return access(Path.c_str(), X_OK) == 0 &&
@@ -43,6 +45,22 @@
   return static_cast<int>(std::chrono::ceil<milliseconds>(Left).count());
 }
 
+/// Returns whether a listener could be opened.
+bool isFree(const std::string &Host, std::uint16_t Port) {
+  const int Probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int On = 1;
+  setsockopt(Probe, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  sockaddr_in At = {};
+  At.sin_family = AF_INET;
+  At.sin_port = htons(Port);
+  inet_pton(AF_INET, Host.c_str(), &At.sin_addr);
+  const bool Free =
+      bind(Probe, reinterpret_cast<sockaddr *>(&At), sizeof(At)) == 0 &&
+      listen(Probe, 1) == 0;
+  close(Probe);
+  return Free;
+}
+
 /// The environment of this process with variables added, for posix_spawn.
 std::vector<std::string> makeEnvironment(const ProcessOptions &Options) {
   std::vector<std::string> Variables;
@@ -113,19 +131,11 @@
 }
 
 std::uint16_t freePort(const std::string &Host) {
-  static std::set<std::uint16_t> Given;
-  for (int I = 0; I < MaxPortAttempts; ++I) {
-    const int Probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in Bound = {};
-    Bound.sin_family = AF_INET;
-    inet_pton(AF_INET, Host.c_str(), &Bound.sin_addr);
-    socklen_t Size = sizeof(Bound);
-    auto *Generic = reinterpret_cast<sockaddr *>(&Bound);
-    const bool Good = bind(Probe, Generic, Size) == 0 &&
-                      getsockname(Probe, Generic, &Size) == 0;
-    close(Probe);
-    const std::uint16_t Port = ntohs(Bound.sin_port);
-    if (Good && Given.insert(Port).second)
+  static std::uint32_t Next = static_cast<std::uint32_t>(getpid()) * 61U;
+  for (std::uint32_t I = 0; I < PortCount; ++I) {
+    const auto Port =
+        static_cast<std::uint16_t>(FirstPort + Next++ % PortCount);
+    if (isFree(Host, Port))
       return Port;
   }
   std::abort();
--- a/src/testing/Processes.h
+++ b/src/testing/Processes.h
@@ -22,8 +22,8 @@
 Result<std::string> findProgram(const std::string &Name);
 
 /// Returns a port that is free on \p Host at the moment. It is not reserved:
-/// another process could take it before it is used. Ports handed out before by
-/// this process are not repeated.
+/// another process could take it before it is used. Processes start at
+/// different ports and count up, so that those of one test run rarely meet.
 std::uint16_t freePort(const std::string &Host = "127.0.0.1");
 
 /// How a process is started.
--- a/src/testing/fake-backend/Database.cpp
+++ b/src/testing/fake-backend/Database.cpp
@@ -308,6 +308,16 @@
   this->execute(Target, "COMMIT");
 }
 
+void Database::replay(const std::vector<const std::string *> &Entries) {
+  this->clear();
+  this->Seen->StopAt = TimePoint::max();
+  sqlite3 *Target = this->Committed.get();
+  this->execute(Target, "BEGIN");
+  for (const std::string *Sql : Entries)
+    this->execute(Target, Sql->c_str());
+  this->execute(Target, "COMMIT");
+}
+
 void Database::copyToWorking() {
   sqlite3_backup *Copy = sqlite3_backup_init(this->Working.get(), "main",
                                              this->Committed.get(), "main");
--- a/src/testing/fake-backend/Database.h
+++ b/src/testing/fake-backend/Database.h
@@ -118,8 +118,9 @@
   /// succeeded before, so an error is a broken invariant and aborts.
   void apply(Image Where, const std::string &Sql);
 
-  /// Makes both databases empty, before a log is replayed.
-  void clear();
+  /// Makes both databases empty and runs \p Entries in Committed, as one
+  /// transaction.
+  void replay(const std::vector<const std::string *> &Entries);
 
   /// Makes Working equal to Committed, page by page. \pre No transaction is
   /// open in either.
@@ -139,6 +140,7 @@
   };
 
   Handle open();
+  void clear();
   sqlite3 *image(Image Where) const {
     return Where == Image::Committed ? this->Committed.get()
                                      : this->Working.get();
--- a/src/testing/fake-backend/Group.cpp
+++ b/src/testing/fake-backend/Group.cpp
@@ -114,9 +114,11 @@
   if (Common == this->end().Index)
     return true;
   this->Log.truncate(Common);
-  this->Storage.clear();
+  std::vector<const std::string *> Kept;
+  Kept.reserve(Common);
   for (std::uint64_t Index = 1; Index <= Common; ++Index)
-    this->Storage.apply(Image::Committed, this->Log.at(Index).Sql);
+    Kept.push_back(&this->Log.at(Index).Sql);
+  this->Storage.replay(Kept);
   return true;
 }
 
--- a/src/testing/fault-proxy/FaultProxy.cpp
+++ b/src/testing/fault-proxy/FaultProxy.cpp
@@ -111,7 +111,11 @@
   const std::set<LinkConnection *> Open = this->Connections;
   for (LinkConnection *Link : Open)
     Link->reset();
-  while (!this->Connections.empty() && steadyNow() < Deadline)
+  const std::set<QTcpSocket *> Clients = this->ControlClients;
+  for (QTcpSocket *Client : Clients)
+    Client->abort();
+  while ((!this->Connections.empty() || !this->ControlClients.empty()) &&
+         steadyNow() < Deadline)
     co_await sleepFor(StopPollInterval);
 }
 
@@ -132,6 +136,7 @@
   const std::unique_ptr<QTcpSocket> Owned(Client);
   Client->setParent(nullptr);
   Client->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  this->ControlClients.insert(Client);
   WaitPoint Readable;
   QObject::connect(Client, &QTcpSocket::readyRead, Client,
                    [&Readable] { Readable.wake(); });
@@ -144,6 +149,7 @@
     co_await Readable.wait();
   }
   Client->disconnect();
+  this->ControlClients.erase(Client);
 }
 
 QByteArray FaultProxy::answer(const QByteArray &Line) {
--- a/src/testing/fault-proxy/FaultProxy.h
+++ b/src/testing/fault-proxy/FaultProxy.h
@@ -57,6 +57,7 @@
   Random Chance{1};
   std::vector<std::unique_ptr<QTcpServer>> Listeners;
   std::set<LinkConnection *> Connections;
+  std::set<QTcpSocket *> ControlClients;
   std::map<StatsKey, LinkStats> Stats; ///< By client's network and link.
 };
 
--- a/src/testing/testing/FakeBackendGroupTest.cpp
+++ b/src/testing/testing/FakeBackendGroupTest.cpp
@@ -1,6 +1,6 @@
 // Replication, terms and promotion of groups of fake-backends, as real
 // processes.
-#include "testing/testing/TestGroup.h"
+#include "testing/testing/TestProxy.h"
 
 using namespace amaranthspur;
 
@@ -322,11 +322,69 @@
     TestGroup Group(2);
     REQUIRE(Group[A].connect().query("CREATE TABLE t (v)").good());
     REQUIRE(Group.converged({A, B}));
-    Group[Paused].Process.pause();
+    Group[Paused].Process->pause();
     std::this_thread::sleep_for(milliseconds(1500));
-    Group[Paused].Process.resume();
+    Group[Paused].Process->resume();
     REQUIRE(Group[A].connect().query("INSERT INTO t VALUES (1)").good());
     REQUIRE(Group.converged({A, B}));
     CHECK(countOf(Group[B], "t") == "1");
   }
 }
+
+// Guards against replication that waits for ever on a connection that went
+// silent, or that loses or repeats entries around a fault of its link.
+TEST_CASE("replication gets over faults of its link") {
+  struct Row {
+    const char *Name;
+    std::string Fields;
+    bool DuringFault; ///< Entries arrive while the fault lasts.
+  };
+  const Row Rows[] = {
+      {"delay", "\"delay_us\":5000,\"jitter_us\":5000", true},
+      {"silent", "\"silent\":true", true},
+      {"cut", "\"cut\":true", false},
+      // After the start-up message a replica only receives.
+      {"drop forward", "\"drop_forward\":true", true},
+      {"drop backward", "\"drop_backward\":true", false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    TestGroup Group(1);
+    const TestProxy Proxy(Group[A].address());
+    Group.Servers.push_back(startBackend(
+        "b", {"--primary", "a=127.0.0.1:" + std::to_string(Proxy.LinkPort)}));
+    PgClient Client = Group[A].connect();
+    REQUIRE(Client.query("CREATE TABLE t (v INTEGER PRIMARY KEY)").good());
+    REQUIRE(Group.converged({A, B}));
+    Proxy.set(R.Fields);
+    for (int I = 1; I <= 20; ++I)
+      REQUIRE(Client.query("INSERT INTO t VALUES (" + std::to_string(I) + ")")
+                  .good());
+    if (R.DuringFault) {
+      REQUIRE(Group.converged({A, B}));
+    } else {
+      std::this_thread::sleep_for(milliseconds(100));
+      CHECK(countOf(Group[B], "t") == "0");
+    }
+    Proxy.set("");
+    REQUIRE(Group.converged({A, B}));
+    CHECK(countOf(Group[B], "t") == "20");
+  }
+}
+
+// Guards against a replica that is started before its primary, or that has
+// never had one, and stays behind.
+TEST_CASE("replicas start in any order") {
+  const std::uint16_t Port = freePort();
+  const std::string Address = "127.0.0.1:" + std::to_string(Port);
+  const TestBackend Early = startBackend("b", {"--primary", "a=" + Address});
+  const TestBackend Alone = startBackend("c", {});
+  const CheckedProcess Primary = startProgram(
+      "fake-backend", {"--id", "a", "--listen", Address, "--role", "primary"});
+  REQUIRE(
+      Alone.control("SELECT group_follow(1, 'a', '" + Address + "')").good());
+  for (const TestBackend *Replica : {&Early, &Alone}) {
+    CAPTURE(Replica->Id);
+    CHECK(eventually([Replica] { return Replica->position() == "1/1"; }));
+  }
+}
--- a/src/testing/testing/FakeBackendLimitsTest.cpp
+++ b/src/testing/testing/FakeBackendLimitsTest.cpp
@@ -136,3 +136,20 @@
     CHECK(Work.query("SELECT 1").good() == R.WorkSurvives);
   }
 }
+
+// Guards against connections that open faster than asked for, which would make
+// a pool look better than it is. The upper side varies with the machine.
+TEST_CASE("opening a connection takes its time") {
+  struct Row {
+    const char *Role;
+  };
+  const Row Rows[] = {{"work"}, {"control"}};
+  const TestBackend Backend =
+      startBackend("a", {"--role", "primary", "--connect-delay-ms", "50"});
+  for (const Row &R : Rows) {
+    CAPTURE(R.Role);
+    const TimePoint Start = SteadyClock().now();
+    Backend.connect(R.Role);
+    CHECK(SteadyClock().now() - Start >= milliseconds(50));
+  }
+}
--- a/src/testing/testing/FaultProxyTest.cpp
+++ b/src/testing/testing/FaultProxyTest.cpp
@@ -1,62 +1,10 @@
 // The fault-proxy in front of a fake-backend, as real processes.
-#include "testing/testing/TestGroup.h"
-
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include "testing/testing/TestProxy.h"
 
 using namespace amaranthspur;
 
 namespace {
 
-/// A running fault-proxy with one link, "link", to a backend.
-struct TestProxy {
-  std::uint16_t ControlPort = freePort();
-  std::uint16_t LinkPort = freePort();
-  ChildProcess Process;
-
-  explicit TestProxy(const TestBackend &Backend)
-      : Process(startProgram(
-            "fault-proxy",
-            {"--control", "127.0.0.1:" + std::to_string(ControlPort), "--link",
-             "link=127.0.0.1:" + std::to_string(LinkPort) + ">" +
-                 Backend.address()})) {}
-
-  /// Sends one line to the control port and returns the answer.
-  std::string command(const std::string &Line) const {
-    const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in To = {};
-    To.sin_family = AF_INET;
-    To.sin_port = htons(this->ControlPort);
-    To.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    std::string Answer;
-    if (::connect(Socket, reinterpret_cast<sockaddr *>(&To), sizeof(To)) == 0) {
-      const std::string Text = Line + "\n";
-      char Byte = 0;
-      if (write(Socket, Text.data(), Text.size()) > 0)
-        while (read(Socket, &Byte, 1) == 1 && Byte != '\n')
-          Answer += Byte;
-    }
-    close(Socket);
-    return Answer;
-  }
-
-  /// Sets the fields of the rule for everything.
-  void set(const std::string &Fields) const {
-    CHECK(this->command("{\"command\":\"set\"" +
-                        (Fields.empty() ? "" : "," + Fields) + "}") ==
-          "{\"ok\":true}");
-  }
-
-  Result<PgClient> connect(Duration Timeout = GenerousLimit) const {
-    PgTarget Target;
-    Target.Port = this->LinkPort;
-    Target.ConnectTimeout = Timeout;
-    return PgClient::connect(Target);
-  }
-};
-
 /// How long a test waits for an answer that must not come.
 constexpr Duration ShortLimit = milliseconds(200);
 
@@ -89,7 +37,7 @@
   for (const Row &R : Rows) {
     CAPTURE(R.Name);
     const TestBackend Backend = startBackend("a", {"--role", "primary"});
-    const TestProxy Proxy(Backend);
+    const TestProxy Proxy(Backend.address());
     auto Old = Proxy.connect();
     REQUIRE(succeeded(Old));
     REQUIRE(valueOf(Old).query("SELECT 1").value() == "1");
@@ -115,7 +63,7 @@
 // was sent.
 TEST_CASE("an idle connection survives a drop") {
   const TestBackend Backend = startBackend("a", {"--role", "primary"});
-  const TestProxy Proxy(Backend);
+  const TestProxy Proxy(Backend.address());
   auto Client = Proxy.connect();
   REQUIRE(succeeded(Client));
   Proxy.set("\"drop_forward\":true,\"drop_backward\":true");
@@ -127,7 +75,7 @@
 // bench's latencies too good. The upper side varies with the machine.
 TEST_CASE("a delay is not shorter than asked for") {
   const TestBackend Backend = startBackend("a", {"--role", "primary"});
-  const TestProxy Proxy(Backend);
+  const TestProxy Proxy(Backend.address());
   Proxy.set("\"delay_us\":20000");
   const TimePoint Start = SteadyClock().now();
   auto Client = Proxy.connect();
@@ -142,7 +90,7 @@
 // Guards against bytes that are lost or reordered on a delayed link.
 TEST_CASE("a large answer crosses a delayed link whole") {
   const TestBackend Backend = startBackend("a", {"--role", "primary"});
-  const TestProxy Proxy(Backend);
+  const TestProxy Proxy(Backend.address());
   Proxy.set("\"delay_us\":8000,\"jitter_us\":4000");
   auto Client = Proxy.connect();
   REQUIRE(succeeded(Client));
@@ -160,7 +108,7 @@
 // Guards against a mistyped command that is taken for a fault in force.
 TEST_CASE("the control port refuses what it does not know") {
   const TestBackend Backend = startBackend("a", {"--role", "primary"});
-  const TestProxy Proxy(Backend);
+  const TestProxy Proxy(Backend.address());
   const std::string Lines[] = {
       "",
       "cut",
@@ -180,7 +128,7 @@
 // Guards against traffic that is counted for another link or not at all.
 TEST_CASE("bytes are counted by network and link") {
   const TestBackend Backend = startBackend("a", {"--role", "primary"});
-  const TestProxy Proxy(Backend);
+  const TestProxy Proxy(Backend.address());
   auto Client = Proxy.connect();
   REQUIRE(succeeded(Client));
   REQUIRE(valueOf(Client).query("SELECT 1").good());
--- a/src/testing/testing/TestGroup.h
+++ b/src/testing/testing/TestGroup.h
@@ -28,23 +28,41 @@
   return true;
 }
 
+/// A program of this project that must end without an error: one that crashed
+/// or leaked during the test fails it.
+struct CheckedProcess {
+  ChildProcess Process;
+
+  explicit CheckedProcess(ChildProcess Started) : Process(std::move(Started)) {}
+  CheckedProcess(CheckedProcess &&) = default;
+  CheckedProcess &operator=(CheckedProcess &&) = delete;
+  CheckedProcess(const CheckedProcess &) = delete;
+  CheckedProcess &operator=(const CheckedProcess &) = delete;
+  ~CheckedProcess() {
+    if (this->Process.id() != 0)
+      CHECK(this->Process.terminate(GenerousLimit) == 0);
+  }
+
+  ChildProcess *operator->() { return &this->Process; }
+};
+
 /// Starts a program of this project; fails the test if it cannot.
-inline ChildProcess startProgram(const std::string &Name,
-                                 const std::vector<std::string> &Arguments) {
+inline CheckedProcess startProgram(const std::string &Name,
+                                   const std::vector<std::string> &Arguments) {
   const auto Program = findProgram(Name);
   INFO((succeeded(Program) ? Name : errorOf(Program)));
   REQUIRE(succeeded(Program));
   auto Started = ChildProcess::start(valueOf(Program), Arguments);
   INFO((succeeded(Started) ? Name : errorOf(Started)));
   REQUIRE(succeeded(Started));
-  return valueOf(std::move(Started));
+  return CheckedProcess(valueOf(std::move(Started)));
 }
 
 /// One running fake-backend.
 struct TestBackend {
   std::string Id;
   std::uint16_t Port = 0;
-  ChildProcess Process;
+  CheckedProcess Process;
 
   std::string address() const {
     return "127.0.0.1:" + std::to_string(this->Port);
