--- a/src/testing/fake-backend/Database.cpp
+++ b/src/testing/fake-backend/Database.cpp
@@ -140,6 +140,14 @@
   return Bytes;
 }
 
+/// Copies all pages of a database; neither has a transaction open.
+void copyDatabase(sqlite3 *From, sqlite3 *To) {
+  sqlite3_backup *Copy = sqlite3_backup_init(To, "main", From, "main");
+  if (Copy == nullptr || sqlite3_backup_step(Copy, -1) != SQLITE_DONE)
+    std::abort();
+  sqlite3_backup_finish(Copy);
+}
+
 /// Resets a statement at the end of a run, so that it holds no locks.
 struct ResetAtEnd {
   sqlite3_stmt *Sql;
@@ -309,7 +317,6 @@
 }
 
 void Database::replay(const std::vector<const std::string *> &Entries) {
-  this->clear();
   this->Seen->StopAt = TimePoint::max();
   sqlite3 *Target = this->Committed.get();
   this->execute(Target, "BEGIN");
@@ -318,12 +325,27 @@
   this->execute(Target, "COMMIT");
 }
 
+void Database::noteApplied(std::uint64_t Index) {
+  if (Index % SnapshotInterval != 0)
+    return;
+  this->Snapshots.push_back({Index, this->open()});
+  copyDatabase(this->Committed.get(), this->Snapshots.back().Copy.get());
+  if (this->Snapshots.size() > MaxSnapshots)
+    this->Snapshots.pop_front();
+}
+
+std::uint64_t Database::restore(std::uint64_t Index) {
+  while (!this->Snapshots.empty() && this->Snapshots.back().Index > Index)
+    this->Snapshots.pop_back();
+  this->clear();
+  if (this->Snapshots.empty())
+    return 0;
+  copyDatabase(this->Snapshots.back().Copy.get(), this->Committed.get());
+  return this->Snapshots.back().Index;
+}
+
 void Database::copyToWorking() {
-  sqlite3_backup *Copy = sqlite3_backup_init(this->Working.get(), "main",
-                                             this->Committed.get(), "main");
-  if (Copy == nullptr || sqlite3_backup_step(Copy, -1) != SQLITE_DONE)
-    std::abort();
-  sqlite3_backup_finish(Copy);
+  copyDatabase(this->Committed.get(), this->Working.get());
 }
 
 void Database::execute(sqlite3 *Target, const char *Sql) {
--- a/src/testing/fake-backend/Database.h
+++ b/src/testing/fake-backend/Database.h
@@ -14,6 +14,7 @@
 #include "core/Clock.h"
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -118,10 +119,24 @@
   /// succeeded before, so an error is a broken invariant and aborts.
   void apply(Image Where, const std::string &Sql);
 
-  /// Makes both databases empty and runs \p Entries in Committed, as one
-  /// transaction.
+  /// Tells that Committed now has the effect of the log up to \p Index; at
+  /// every SnapshotInterval-th index a copy is kept for restore().
+  void noteApplied(std::uint64_t Index);
+
+  /// Sets Committed back to the last snapshot at or before \p Index and makes
+  /// Working empty.
+  /// \returns the snapshot's index; 0 if Committed is empty now.
+  std::uint64_t restore(std::uint64_t Index);
+
+  /// Runs \p Entries in Committed, as one transaction.
   void replay(const std::vector<const std::string *> &Entries);
 
+  /// Entries between two snapshots. Replaying 100,000 entries stopped a server
+  /// for 1.6 s; a tenth of a second is less than any time limit of the design.
+  static constexpr std::uint64_t SnapshotInterval = 5000;
+  /// Snapshots that are kept; each takes as much memory as the database.
+  static constexpr std::size_t MaxSnapshots = 3;
+
   /// Makes Working equal to Committed, page by page. \pre No transaction is
   /// open in either.
   void copyToWorking();
@@ -139,6 +154,12 @@
     TimePoint StopAt{};
   };
 
+  /// A copy of Committed.
+  struct Snapshot {
+    std::uint64_t Index = 0;
+    Handle Copy;
+  };
+
   Handle open();
   void clear();
   sqlite3 *image(Image Where) const {
@@ -150,6 +171,7 @@
   std::unique_ptr<Callbacks> Seen;
   Handle Committed;
   Handle Working;
+  std::deque<Snapshot> Snapshots; ///< In ascending order.
 };
 
 } // namespace amaranthspur::fake
--- a/src/testing/fake-backend/Group.cpp
+++ b/src/testing/fake-backend/Group.cpp
@@ -104,6 +104,7 @@
   std::string Sql = joined(Statements);
   this->Storage.apply(Image::Committed, Sql);
   this->Log.append(this->Adopted, std::move(Sql));
+  this->Storage.noteApplied(this->end().Index);
   this->OnAppend();
   return std::monostate();
 }
@@ -114,9 +115,10 @@
   if (Common == this->end().Index)
     return true;
   this->Log.truncate(Common);
+  const std::uint64_t Restored = this->Storage.restore(Common);
   std::vector<const std::string *> Kept;
-  Kept.reserve(Common);
-  for (std::uint64_t Index = 1; Index <= Common; ++Index)
+  Kept.reserve(Common - Restored);
+  for (std::uint64_t Index = Restored + 1; Index <= Common; ++Index)
     Kept.push_back(&this->Log.at(Index).Sql);
   this->Storage.replay(Kept);
   return true;
@@ -129,6 +131,7 @@
     return false;
   this->Storage.apply(Image::Committed, Entry.Sql);
   this->Log.append(Entry.TermNumber, std::move(Entry.Sql));
+  this->Storage.noteApplied(this->end().Index);
   this->OnAppend();
   return true;
 }
