--- a/src/config/AnswersJson.cpp
+++ b/src/config/AnswersJson.cpp
@@ -68,7 +68,8 @@
     QJsonObject Fitting;
     for (auto It = Given.begin(); It != Given.end(); ++It) {
       const std::string Name = It.key().toStdString();
-      const std::string At = Path.empty() ? Name : Path + "." + Name;
+      std::string At = Path;
+      At.append(Path.empty() ? "" : ".").append(Name);
       const FieldDescriptor *Field = Type.FindFieldByName(Name);
       if (Field == nullptr) {
         this->add(At, "the field " + quoted(Name), fieldNames(Type));
--- a/src/ctl/Commands.cpp
+++ b/src/ctl/Commands.cpp
@@ -326,6 +326,7 @@
 
   QCoro::Task<Report> status() {
     std::vector<AskedVm> Vms;
+    Vms.reserve(this->O.AdminAddresses.size());
     for (const Address &A : this->O.AdminAddresses)
       Vms.push_back({"", A, false});
     std::optional<std::uint64_t> Newest;
--- a/src/ctl/Commands.h
+++ b/src/ctl/Commands.h
@@ -20,7 +20,7 @@
   /// Reads a file, or standard input for `-`.
   std::function<Result<std::string>(const std::string &Path)> ReadFile;
   /// Returns the text of the example named \p Name, or nothing.
-  std::function<std::optional<std::string>(const std::string &Name)> Example;
+  std::function<std::optional<std::string>(std::string_view Name)> Example;
   /// Tells the operator something before a command ends.
   std::function<void(const std::string &Line)> Notice;
   std::function<std::string()> NewOperation; ///< A unique identifier.
--- a/src/ctl/Main.cpp
+++ b/src/ctl/Main.cpp
@@ -1,10 +1,10 @@
 // amaranthspurctl: the operator's command line.
 #include "ctl/Commands.h"
+#include "ctl/Examples.h"
 #include "platform/HttpPlatform.h"
 
 #include <QCoreApplication>
 #include <QDateTime>
-#include <QFile>
 #include <QJsonDocument>
 #include <QUuid>
 
@@ -35,13 +35,6 @@
   return std::string(std::istreambuf_iterator<char>(File), {});
 }
 
-std::optional<std::string> readExample(const std::string &Name) {
-  QFile File(":/examples/" + QString::fromStdString(Name) + ".json");
-  if (Name.find('/') != std::string::npos || !File.open(QFile::ReadOnly))
-    return std::nullopt;
-  return File.readAll().toStdString();
-}
-
 std::optional<std::string> variable(const std::string &Name) {
   const char *Value = std::getenv(Name.c_str());
   return Value ? std::optional<std::string>(Value) : std::nullopt;
@@ -85,7 +78,7 @@
       Service ? &*Service : nullptr,
       &Status,
       readFile,
-      readExample,
+      exampleAnswers,
       [](const std::string &Line) { std::cerr << Line << "\n"; },
       newOperation,
       timeOfDay};
--- a/src/ctl/Options.cpp
+++ b/src/ctl/Options.cpp
@@ -132,7 +132,7 @@
   }
 
   std::string shortText(const std::string &Flag) {
-    const std::string Value = this->text(Flag).value_or("");
+    std::string Value = this->text(Flag).value_or("");
     const bool Printable = std::all_of(Value.begin(), Value.end(), [](char C) {
       return static_cast<unsigned char>(C) >= ' ' && C != '/';
     });
--- a/src/ctl/StatusQuery.cpp
+++ b/src/ctl/StatusQuery.cpp
@@ -40,7 +40,7 @@
 }
 
 std::string nameOfVm(const AskedVm &Vm) {
-  const std::string At = Vm.Admin ? Vm.Admin->str() : "";
+  std::string At = Vm.Admin ? Vm.Admin->str() : "";
   if (Vm.Id.empty())
     return At;
   return At.empty() ? Vm.Id : Vm.Id + " (" + At + ")";
@@ -84,7 +84,7 @@
     Answers[I].Vm = Vms[I];
     askOne(Source, Answers[I], Deadline, Open, Done);
   }
-  while (Open > 0)
+  if (!Vms.empty())
     co_await Done.wait();
   co_return Answers;
 }
--- a/src/ctl/testing/CommandsTest.cpp
+++ b/src/ctl/testing/CommandsTest.cpp
@@ -34,7 +34,7 @@
             return Error{"cannot read " + Path};
           return Found->second;
         },
-        [](const std::string &) { return std::nullopt; },
+        [](std::string_view) { return std::nullopt; },
         [this](const std::string &Line) { this->Notices += Line + "\n"; },
         [this] { return "op-" + std::to_string(++this->Operations); },
         [] { return std::string("2026-01-01T00:00:00Z"); }};
