--- a/src/policy/PathHealth.cpp
+++ b/src/policy/PathHealth.cpp
@@ -9,38 +9,38 @@
 
 void PathHealth::progressed() {
   this->WaitingSince.reset();
-  this->Current = State::Healthy;
+  this->Current = PathState::Healthy;
 }
 
 void PathHealth::replaced() { this->progressed(); }
 
 void PathHealth::probeFinished(bool Answered, TimePoint Now) {
   // Progress in the meantime has settled the question.
-  if (this->Current != State::Probing)
+  if (this->Current != PathState::Probing)
     return;
-  this->Current = Answered ? State::Replace : State::Unreachable;
+  this->Current = Answered ? PathState::Replace : PathState::Unreachable;
   this->ProbeAt = Now + ProbeInterval;
 }
 
 PathAction PathHealth::step(TimePoint Now) {
   switch (this->Current) {
-  case State::Healthy:
+  case PathState::Healthy:
     if (!this->WaitingSince || Now - *this->WaitingSince < ProgressLimit)
       return PathAction::None;
-    this->Current = State::Probing;
+    this->Current = PathState::Probing;
     return PathAction::ProbeFresh;
-  case State::Probing:
+  case PathState::Probing:
     return PathAction::None;
-  case State::Replace:
+  case PathState::Replace:
     this->replaced();
     return PathAction::ReplaceAll;
-  case State::Unreachable:
-    this->Current = State::Resting;
+  case PathState::Unreachable:
+    this->Current = PathState::Resting;
     return PathAction::ReportUnreachable;
-  case State::Resting:
+  case PathState::Resting:
     if (Now < this->ProbeAt)
       return PathAction::None;
-    this->Current = State::Probing;
+    this->Current = PathState::Probing;
     return PathAction::ProbeFresh;
   }
   return PathAction::None;
@@ -48,16 +48,16 @@
 
 std::optional<TimePoint> PathHealth::wakeAt() const {
   switch (this->Current) {
-  case State::Healthy:
+  case PathState::Healthy:
     if (!this->WaitingSince)
       return std::nullopt;
     return *this->WaitingSince + ProgressLimit;
-  case State::Probing:
+  case PathState::Probing:
     return std::nullopt;
-  case State::Resting:
+  case PathState::Resting:
     return this->ProbeAt;
-  case State::Replace:
-  case State::Unreachable:
+  case PathState::Replace:
+  case PathState::Unreachable:
     break;
   }
   return TimePoint::min();
--- a/src/policy/PathHealth.h
+++ b/src/policy/PathHealth.h
@@ -36,6 +36,25 @@
            {PathAction::ReportUnreachable, "report-unreachable"}});
 };
 
+/// What is known of a path.
+enum class PathState {
+  Healthy,
+  Probing,
+  Replace,     ///< The probe was answered, ReplaceAll is due.
+  Unreachable, ///< The probe failed, ReportUnreachable is due.
+  Resting,     ///< Reported; the next probe is due later.
+};
+
+template <> struct EnumNames<PathState> {
+  static constexpr auto Entries =
+      std::to_array<std::pair<PathState, std::string_view>>(
+          {{PathState::Healthy, "healthy"},
+           {PathState::Probing, "probing"},
+           {PathState::Replace, "replace"},
+           {PathState::Unreachable, "unreachable"},
+           {PathState::Resting, "resting"}});
+};
+
 /// Watches one path. Constant time and memory.
 class PathHealth {
 public:
@@ -57,6 +76,8 @@
   /// Returns when step() has to be called next, if nothing happens before.
   std::optional<TimePoint> wakeAt() const;
 
+  PathState state() const { return this->Current; }
+
   /// Time without progress after which a probe is made. Twice the interval of
   /// the lease renewals, so that one lost answer is noticed before the lease of
   /// 900 ms ends.
@@ -65,9 +86,7 @@
   static constexpr Duration ProbeInterval = milliseconds(500);
 
 private:
-  enum class State { Healthy, Probing, Replace, Unreachable, Resting };
-
-  State Current = State::Healthy;
+  PathState Current = PathState::Healthy;
   std::optional<TimePoint> WaitingSince; ///< Oldest request without progress.
   TimePoint ProbeAt{};                   ///< Next probe, while Resting.
 };
--- a/src/policy/testing/FailoverTest.cpp
+++ b/src/policy/testing/FailoverTest.cpp
@@ -37,7 +37,7 @@
     const TimePoint End = this->Now + Limit;
     while (this->Now < End) {
       this->Now += milliseconds(25);
-      const FailoverAction Action = this->step();
+      FailoverAction Action = this->step();
       if (Action.Step == FailoverStep::Follow)
         this->Follows += Action.Server.str() + ">" + Action.Primary.str() +
                          "@" + std::to_string(Action.TermNumber) + " ";
@@ -51,7 +51,7 @@
     for (std::size_t S = 0; S < this->Seen.Servers.size(); ++S)
       if (!this->Silent[S])
         this->Seen.Servers[S].AnsweredAt = this->Now;
-    const FailoverAction Action = this->Promotion->step(this->Seen, this->Now);
+    FailoverAction Action = this->Promotion->step(this->Seen, this->Now);
     this->Seen.Outcome.reset();
     return Action;
   }
@@ -122,7 +122,7 @@
     std::function<FailoverAction(W &)> Run;
     std::string Expected;
   };
-  const auto AfterAdoption = [](std::vector<Adoption> Adoptions) {
+  const auto AfterAdoption = [](const std::vector<Adoption> &Adoptions) {
     return [Adoptions](W &S) {
       S.upTo(FailoverStep::Adopt);
       return S.outcome(FailoverStep::Adopt, Succeeded, Adoptions);
