--- a/src/bench/ChildProcess.cpp
+++ b/src/bench/ChildProcess.cpp
@@ -77,9 +77,9 @@
 QCoro::Task<> ChildProcess::stop(TimePoint Deadline) {
   this->resume();
   this->Process.terminate();
-  while (this->Process.state() != QProcess::NotRunning)
-    if (!co_await this->Changed.wait(Deadline))
-      break;
+  bool InTime = true;
+  while (InTime && this->Process.state() != QProcess::NotRunning)
+    InTime = co_await this->Changed.wait(Deadline);
   this->kill();
 }
 
--- a/src/testing/fake-backend/Replication.cpp
+++ b/src/testing/fake-backend/Replication.cpp
@@ -84,7 +84,8 @@
       co_await Link.writable(steadyNow() + HeartbeatInterval);
       continue;
     }
-    if (!co_await Appended.wait(steadyNow() + HeartbeatInterval))
+    const bool Woken = co_await Appended.wait(steadyNow() + HeartbeatInterval);
+    if (!Woken)
       Link.write(pg::buildFrame('h', ""));
   }
   Link.close();
