--- a/src/bench/Deployment.cpp
+++ b/src/bench/Deployment.cpp
@@ -46,8 +46,12 @@
 // GCC 12 does not compile initialiser lists of strings inside coroutines, so
 // these are functions.
 
-std::vector<std::string> acceptArguments(const std::string &File) {
-  return {"accept", "--answers", File};
+std::vector<std::string> acceptArguments(const std::string &File,
+                                         std::uint64_t From,
+                                         const std::string &Operation) {
+  return {"accept",      File,      "--from-revision", std::to_string(From),
+          "--operation", Operation, "--author",        "bench",
+          "--json"};
 }
 
 QJsonObject vmEntry(const EntryNode &Node, const DataCentre &Location) {
@@ -157,7 +161,8 @@
     if (!succeeded(Done))
       co_return Done;
   }
-  const Result<std::string> Accepted = co_await this->accept(this->answers());
+  const Result<std::string> Accepted =
+      co_await this->accept(this->answers(), 0, "bench-first");
   if (!succeeded(Accepted))
     co_return failed(errorOf(Accepted));
   const Result<Success> Started = co_await this->startEntries();
@@ -498,14 +503,16 @@
   co_return Program.output();
 }
 
-QCoro::Task<Result<std::string>> Deployment::accept(QJsonObject Answers) {
+QCoro::Task<Result<std::string>> Deployment::accept(QJsonObject Answers,
+                                                    std::uint64_t From,
+                                                    std::string Operation) {
   QTemporaryFile File;
   if (!File.open())
     co_return failed("no temporary file can be made");
   File.write(QJsonDocument(Answers).toJson());
   File.close();
-  auto Done =
-      co_await this->control(acceptArguments(File.fileName().toStdString()));
+  auto Done = co_await this->control(
+      acceptArguments(File.fileName().toStdString(), From, Operation));
   co_return Done;
 }
 
--- a/src/bench/Deployment.h
+++ b/src/bench/Deployment.h
@@ -86,8 +86,11 @@
   /// Returns the source address of callers in data centre \p Place.
   static std::string callerAddress(std::size_t Place);
 
-  /// Accepts the questionnaire \p Answers through amaranthspurctl.
-  QCoro::Task<Result<std::string>> accept(QJsonObject Answers);
+  /// Accepts the questionnaire \p Answers through amaranthspurctl as the
+  /// revision after \p From; returns its JSON output.
+  /// \param Operation identifier of the change, the same for a repetition.
+  QCoro::Task<Result<std::string>>
+  accept(QJsonObject Answers, std::uint64_t From, std::string Operation);
   /// Returns the questionnaire of this deployment.
   QJsonObject answers() const;
   /// Runs amaranthspurctl and returns its output.
--- a/src/bench/Links.cpp
+++ b/src/bench/Links.cpp
@@ -105,15 +105,14 @@
 
 std::vector<LinkTraffic> readTraffic(const QJsonObject &Stats) {
   std::vector<LinkTraffic> List;
-  const QJsonArray Entries = Stats["stats"].toArray();
+  const QJsonArray Entries = Stats["links"].toArray();
   for (const auto &Entry : Entries) {
     const QJsonObject Fields = Entry.toObject();
     LinkTraffic Traffic;
     Traffic.From = Fields["from"].toString().toStdString() + ".";
     Traffic.Link = Fields["link"].toString().toStdString();
-    Traffic.Bytes =
-        static_cast<std::uint64_t>(Fields["forward_bytes"].toInteger() +
-                                   Fields["backward_bytes"].toInteger());
+    Traffic.Bytes = static_cast<std::uint64_t>(Fields["forward"].toInteger() +
+                                               Fields["backward"].toInteger());
     List.push_back(std::move(Traffic));
   }
   return List;
--- a/src/bench/Main.cpp
+++ b/src/bench/Main.cpp
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <optional>
 
 #include <sys/resource.h>
 
@@ -133,10 +134,26 @@
   co_return EXIT_SUCCESS;
 }
 
+QCoro::Task<int> runDemoOrder(RunSettings Settings) {
+  const auto Done = co_await runDemo(Settings);
+  if (succeeded(Done))
+    co_return EXIT_SUCCESS;
+  std::cerr << "event=demo-failed reason=\"" << errorOf(Done) << "\"\n";
+  co_return EXIT_FAILURE;
+}
+
+QCoro::Task<> finish(QCoro::Task<int> &Work, std::optional<int> &Status) {
+  Status = co_await Work;
+  QCoreApplication::quit();
+}
+
 /// Runs \p Work on the event loop and returns its exit status.
 int runOnEventLoop(QCoro::Task<int> Work) {
-  Work.then([](int Status) { QCoreApplication::exit(Status); });
-  return QCoreApplication::exec();
+  std::optional<int> Status;
+  finish(Work, Status);
+  if (!Status)
+    QCoreApplication::exec();
+  return Status.value_or(EXIT_FAILURE);
 }
 
 /// Thousands of connections need more files than the usual limit.
@@ -165,6 +182,13 @@
     listScenarios();
     return EXIT_SUCCESS;
   }
+  raiseFileLimit();
+  if (Command == "demo") {
+    RunSettings Settings;
+    Settings.Seed = Given["seed"].as<std::uint64_t>();
+    Settings.LogDirectory = Given["log-directory"].as<std::string>();
+    return runOnEventLoop(runDemoOrder(Settings));
+  }
   if (Command != "run") {
     std::cerr << Options.help();
     return EXIT_FAILURE;
@@ -174,7 +198,6 @@
     std::cerr << errorOf(Wanted) << "\n";
     return EXIT_FAILURE;
   }
-  raiseFileLimit();
   return runOnEventLoop(runOrder(valueOf(Wanted)));
 }
 
--- a/src/bench/Scenario.cpp
+++ b/src/bench/Scenario.cpp
@@ -15,6 +15,8 @@
      runShortBehindLong},
     {ScenarioName::Handover, "entry VMs that own servers killed", 1,
      runHandover},
+    {ScenarioName::Config, "configuration changes with a failing store", 1,
+     runConfig},
     {ScenarioName::ControlCost, "an idle node among more and more peers", 1,
      runControlCost},
     {ScenarioName::Faults, "rows of faults, each checked", 2, runFaults},
--- a/src/bench/Scenario.h
+++ b/src/bench/Scenario.h
@@ -71,6 +71,10 @@
 QCoro::Task<Result<RunReport>> runControlCost(RunSettings Settings);
 QCoro::Task<Result<RunReport>> runFaults(RunSettings Settings);
 
+/// Shows the main properties on a small deployment and prints an account.
+/// \returns an error if something did not come out as it should.
+QCoro::Task<Result<Success>> runDemo(RunSettings Settings);
+
 } // namespace amaranthspur::bench
 
 namespace amaranthspur {
