--- a/src/bench/ChildProcess.cpp
+++ b/src/bench/ChildProcess.cpp
@@ -95,14 +95,17 @@
 void ChildProcess::resume() { this->signal(SIGCONT); }
 
 QCoro::Task<std::optional<int>> ChildProcess::ended(TimePoint Deadline) {
-  while (this->Process.state() != QProcess::NotRunning)
-    if (!co_await this->Changed.wait(Deadline))
-      co_return std::nullopt;
+  std::optional<int> Status;
+  while (this->Process.state() != QProcess::NotRunning) {
+    const bool Woken = co_await this->Changed.wait(Deadline);
+    if (!Woken)
+      co_return Status;
+  }
   this->Output += this->Process.readAllStandardOutput().toStdString();
-  co_return std::optional<int>(this->Process.exitStatus() ==
-                                       QProcess::NormalExit
-                                   ? this->Process.exitCode()
-                                   : -1);
+  Status = this->Process.exitStatus() == QProcess::NormalExit
+               ? this->Process.exitCode()
+               : -1;
+  co_return Status;
 }
 
 ProcessUsage ChildProcess::usage() const {
--- a/src/bench/Stage.cpp
+++ b/src/bench/Stage.cpp
@@ -94,13 +94,15 @@
 
 QCoro::Task<std::optional<Term>>
 Stage::promoted(std::string Service, Term OldTerm, TimePoint Deadline) {
-  while (steadyNow() < Deadline) {
+  std::optional<Term> Found;
+  while (!Found && steadyNow() < Deadline) {
     const Term Now = co_await this->leadingTerm(Service);
     if (Now > OldTerm)
-      co_return std::optional<Term>(Now);
-    co_await sleepFor(PollDelay);
+      Found = Now;
+    else
+      co_await sleepFor(PollDelay);
   }
-  co_return std::nullopt;
+  co_return Found;
 }
 
 QCoro::Task<Result<std::vector<Violation>>> Stage::check() {
