--- a/src/bench/ServerProbe.cpp
+++ b/src/bench/ServerProbe.cpp
@@ -15,11 +15,9 @@
   return Value;
 }
 
-std::map<std::string, std::string>
-controlParameters(const std::string &Service) {
-  return {{"user", "bench"},
-          {"database", Service},
-          {"amaranthspur.role", "control"}};
+std::map<std::string, std::string> probeParameters(const std::string &Service) {
+  // Not a control connection: the watchers take the four that a server has.
+  return {{"user", "bench"}, {"database", Service}};
 }
 
 Error refusalOf(const Address &At, const Answer &Got) {
@@ -33,7 +31,7 @@
 askRow(Address At, std::string Service, std::string Sql, TimePoint Deadline) {
   using Row = std::map<std::string, std::string>;
   auto Opened = co_await CallerConnection::open(
-      At, {}, controlParameters(Service), Deadline);
+      At, {}, probeParameters(Service), Deadline);
   if (!succeeded(Opened))
     co_return failed(errorOf(Opened));
   const Answer Got = co_await valueOf(Opened)->query(Sql, Deadline);
@@ -65,7 +63,7 @@
                                        std::vector<std::string> Statements,
                                        TimePoint Deadline) {
   auto Opened = co_await CallerConnection::open(
-      At, {}, controlParameters(Service), Deadline);
+      At, {}, probeParameters(Service), Deadline);
   if (!succeeded(Opened))
     co_return failed(errorOf(Opened));
   for (const std::string &Sql : Statements) {
@@ -80,7 +78,7 @@
 readFinalRows(Address At, std::string Service, TimePoint Deadline) {
   using Rows = std::vector<FinalRow>;
   auto Opened = co_await CallerConnection::open(
-      At, {}, controlParameters(Service), Deadline);
+      At, {}, probeParameters(Service), Deadline);
   if (!succeeded(Opened))
     co_return failed(errorOf(Opened));
   const Answer Got =
