--- a/src/testing/fake-backend/testing/DatabaseTest.cpp
+++ b/src/testing/fake-backend/testing/DatabaseTest.cpp
@@ -66,6 +66,7 @@
     for (std::uint64_t Index = Restored + 1; Index <= R.Cut; ++Index)
       Rest.push_back(entry(Index));
     std::vector<const std::string *> Pointers;
+    Pointers.reserve(Rest.size());
     for (const std::string &Sql : Rest)
       Pointers.push_back(&Sql);
     Storage.replay(Pointers);
