--- a/src/policy/SwimMembership.cpp
+++ b/src/policy/SwimMembership.cpp
@@ -17,6 +17,9 @@
 /// Every second period one member of another data centre is pinged, so that
 /// news and the configuration revision get there.
 constexpr std::uint64_t OtherCentrePeriods = 2;
+/// Members of the own data centre that are told at once of a death, a new
+/// revision or leaving; so is one of each other data centre.
+constexpr std::size_t PushOwnCentre = 3;
 /// After a partition inside a data centre both sides hold each other for dead,
 /// and one has to begin. About this many members of a data centre ping a dead
 /// one in each period.
@@ -32,8 +35,6 @@
 constexpr std::uint64_t UnlistedSpreadMs = 10;
 /// What a member learns from others in its first seconds is no news to them.
 constexpr Duration JoinTime = std::chrono::seconds(10);
-constexpr Duration RelayTime = milliseconds(500);
-constexpr std::size_t MaxRelays = 256;
 /// Times that news is sent, per doubling of the number of members.
 constexpr unsigned SendsPerDoubling = 3;
 
@@ -196,6 +197,7 @@
 
 void SwimMembership::announceSelf(bool IsLeaving) {
   this->Self.State = IsLeaving ? MemberState::Leaving : MemberState::Live;
+  this->PushDue = true;
   ++this->Self.Incarnation;
   this->changed();
 }
@@ -212,6 +214,8 @@
   this->LastTick = Now;
   this->checkProbes(Now, Rng, Out);
   this->checkSuspicions(Now);
+  if (std::exchange(this->PushDue, false))
+    this->pushNews(Rng, Out);
   if (Now < this->NextPeriod)
     return Out;
   this->NextPeriod = std::max(this->NextPeriod + ProbePeriod, Now);
@@ -303,8 +307,7 @@
     }
     ++It;
   }
-  std::erase_if(this->Relays,
-                [Now](const auto &Entry) { return Entry.second.Until <= Now; });
+  this->Relays.expire(Now);
 }
 
 void SwimMembership::checkSuspicions(TimePoint Now) {
@@ -315,6 +318,7 @@
     R.M.State = MemberState::Dead;
     R.DeadSince = Now;
     ++this->Counters.Deaths;
+    this->PushDue = true;
     this->News.add(R.M.Id);
     this->changed();
   }
@@ -344,6 +348,14 @@
   this->ping(*Centre[Rng.below(Centre.size())], Out);
 }
 
+void SwimMembership::pushNews(Random &Rng, Outgoing &Out) {
+  const MemberIndex &Known = this->index();
+  for (std::size_t I = 0; I < PushOwnCentre && !Known.OwnCentre.empty(); ++I)
+    this->ping(*Known.OwnCentre[Rng.below(Known.OwnCentre.size())], Out);
+  for (const auto &Centre : Known.OtherCentres)
+    this->ping(*Centre[Rng.below(Centre.size())], Out);
+}
+
 void SwimMembership::pingDead(Random &Rng, Outgoing &Out) {
   if (this->index().DeadOnes.empty() ||
       Rng.below(this->index().OwnCentre.size() + 1) >= DeadPings)
@@ -518,11 +530,11 @@
       break;
     }
     const auto Target = this->Records.find(Message.About);
-    if (Target == this->Records.end() || this->Relays.size() >= MaxRelays)
-      break;
     const std::uint64_t Sequence = this->NextSequence++;
-    this->Relays[Sequence] = {From, Message.Sequence, Message.About,
-                              Now + RelayTime};
+    if (Target == this->Records.end() ||
+        !this->Relays.add(Sequence, {From, Message.Sequence, Message.About,
+                                     Now + RelayTable::AnswerTime}))
+      break;
     Response.Send.push_back(
         this->to(Target->second, this->makeMessage(MembershipMessageKind::Ping,
                                                    Sequence, Message.About)));
@@ -532,17 +544,14 @@
     const auto Probed = this->Probes.find(Message.Sequence);
     if (Probed != this->Probes.end() && Probed->second.Target == Message.About)
       this->Probes.erase(Probed);
-    const auto Relayed = this->Relays.find(Message.Sequence);
-    if (Relayed == this->Relays.end() || Relayed->second.Target != From)
-      break;
-    const Relay Back = Relayed->second;
-    this->Relays.erase(Relayed);
-    const auto Requester = this->Records.find(Back.Requester);
+    const std::optional<Relay> Back = this->Relays.take(Message.Sequence, From);
+    const auto Requester =
+        Back ? this->Records.find(Back->Requester) : this->Records.end();
     if (Requester == this->Records.end())
       break;
-    MembershipMessage Answer = this->makeMessage(MembershipMessageKind::Ack,
-                                                 Back.Sequence, Back.Requester);
-    Answer.About = Back.Target;
+    MembershipMessage Answer = this->makeMessage(
+        MembershipMessageKind::Ack, Back->Sequence, Back->Requester);
+    Answer.About = Back->Target;
     Response.Send.push_back(this->to(Requester->second, std::move(Answer)));
     break;
   }
--- a/src/policy/SwimMembership.h
+++ b/src/policy/SwimMembership.h
@@ -6,6 +6,7 @@
 #include "policy/MemberIndex.h"
 #include "policy/Membership.h"
 #include "policy/NewsQueue.h"
+#include "policy/RelayTable.h"
 
 #include <map>
 #include <optional>
@@ -25,7 +26,8 @@
   void addSeeds(const std::vector<ListedMember> &Seeds, TimePoint Now) override;
   void setListed(const std::vector<ListedMember> &List, TimePoint Now) override;
   void setRevision(std::uint64_t NewRevision) override {
-    this->Revision = NewRevision;
+    if (std::exchange(this->Revision, NewRevision) != NewRevision)
+      this->PushDue = true;
   }
   void leave() override;
   const std::vector<Member> &members() const override;
@@ -45,13 +47,6 @@
     bool Indirect = false;
   };
 
-  struct Relay {
-    EntryVmId Requester;
-    std::uint64_t Sequence = 0;
-    EntryVmId Target;
-    TimePoint Until;
-  };
-
   bool sameCentre(const Member &M) const {
     return M.Location == this->Self.Location;
   }
@@ -81,6 +76,7 @@
   void pingSuspects(Outgoing &Out);
   void pingOtherCentre(Random &Rng, Outgoing &Out);
   void pingCandidates(TimePoint Now, Random &Rng, Outgoing &Out);
+  void pushNews(Random &Rng, Outgoing &Out);
   void pingDead(Random &Rng, Outgoing &Out);
   void startSuspicion(Record &R, TimePoint Now);
 
@@ -99,6 +95,7 @@
   bool LeavingBySelf = false;
   bool LeavingByList = false;
   std::uint64_t Revision = 0;
+  bool PushDue = false; ///< There is news that must not wait.
   std::uint64_t Version = 1;
 
   MemberRecords Records;
@@ -108,7 +105,7 @@
 
   std::uint64_t NextSequence = 1;
   std::map<std::uint64_t, Probe> Probes;
-  std::map<std::uint64_t, Relay> Relays;
+  RelayTable Relays;
   std::set<std::pair<TimePoint, EntryVmId>> Suspicions;
   std::vector<EntryVmId> Ring; ///< Own data centre, in the order of probing.
 
