--- a/src/policy/SwimMembership.cpp
+++ b/src/policy/SwimMembership.cpp
@@ -82,16 +82,12 @@
 }
 
 void SwimMembership::applyAboutSelf(const Member &Report) {
-  if (Report.Incarnation < this->Self.Incarnation)
+  const bool Agrees =
+      Report.Incarnation == this->Self.Incarnation &&
+      (Report.State == MemberState::Live || Report.State == this->Self.State);
+  if (Report.Incarnation < this->Self.Incarnation || Agrees)
     return;
-  if (Report.Incarnation == this->Self.Incarnation &&
-      (Report.State == MemberState::Live || Report.State == this->Self.State))
-    return;
-  this->refute(Report.Incarnation);
-}
-
-void SwimMembership::refute(std::uint64_t Above) {
-  this->Self.Incarnation = std::max(this->Self.Incarnation, Above) + 1;
+  this->Self.Incarnation = Report.Incarnation + 1;
   ++this->Counters.Refutations;
   this->changed();
 }
@@ -450,6 +446,14 @@
   return Message;
 }
 
+MembershipMessage SwimMembership::makeAck(std::uint64_t Sequence,
+                                          const EntryVmId &To) {
+  MembershipMessage Answer =
+      this->makeMessage(MembershipMessageKind::Ack, Sequence, To);
+  Answer.About = this->Self.Id;
+  return Answer;
+}
+
 void SwimMembership::addPage(MembershipMessage &Message, Random &Rng) {
   const auto AddFrom = [&Message, &Rng](const std::vector<const Record *> &All,
                                         std::size_t Count) {
--- a/src/policy/SwimMembership.h
+++ b/src/policy/SwimMembership.h
@@ -62,7 +62,6 @@
   void applyAboutSelf(const Member &Report);
   void insert(const Member &Report, bool Direct, TimePoint Now);
   void replace(Record &R, const Member &Report, TimePoint Now);
-  void refute(std::uint64_t Above);
   void announceSelf(bool IsLeaving);
 
   // What is due at a tick.
@@ -83,6 +82,7 @@
   // Messages.
   MembershipMessage makeMessage(MembershipMessageKind Kind,
                                 std::uint64_t Sequence, const EntryVmId &To);
+  MembershipMessage makeAck(std::uint64_t Sequence, const EntryVmId &To);
   OutgoingMembershipMessage to(const Record &R, MembershipMessage Message) {
     return {R.M.Id, R.M.PeerAddress, std::move(Message)};
   }
