--- a/src/policy/MemberIndex.h
+++ b/src/policy/MemberIndex.h
@@ -12,6 +12,11 @@
 
 namespace amaranthspur {
 
+/// Returns whether the report \p New counts and \p Old does not: the higher
+/// incarnation, or of equal ones the later in the order live, suspect, leaving,
+/// dead.
+bool overrides(const Member &New, const Member &Old);
+
 /// What SwimMembership knows of another member.
 struct MemberRecord {
   Member M;
--- a/src/policy/SwimMembership.cpp
+++ b/src/policy/SwimMembership.cpp
@@ -3,7 +3,6 @@
 #include "policy/Ownership.h"
 
 #include <algorithm>
-#include <array>
 #include <bit>
 
 namespace amaranthspur {
@@ -38,20 +37,6 @@
 /// Times that news is sent, per doubling of the number of members.
 constexpr unsigned SendsPerDoubling = 3;
 
-/// Which of two reports with the same incarnation counts; in the order of the
-/// enumeration: live, suspect, dead, leaving.
-constexpr std::array<unsigned, 4> Ranks = {0, 1, 3, 2};
-
-unsigned rank(MemberState State) {
-  return Ranks[static_cast<std::size_t>(State)];
-}
-
-bool overrides(const Member &New, const Member &Old) {
-  if (New.Incarnation != Old.Incarnation)
-    return New.Incarnation > Old.Incarnation;
-  return rank(New.State) > rank(Old.State);
-}
-
 } // namespace
 
 SwimMembership::SwimMembership(Member Self) : Self(std::move(Self)) {}
