--- a/src/ctl/testing/OptionsTest.cpp
+++ b/src/ctl/testing/OptionsTest.cpp
@@ -2,7 +2,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <fstream>
+#include <iterator>
 #include <map>
+#include <sstream>
 
 using namespace amaranthspur;
 using namespace amaranthspur::ctl;
@@ -85,6 +89,34 @@
   CHECK(valueOf(O).Timeout == std::chrono::seconds(10));
 }
 
+// Guards against a manual page or a completion that leaves out a command or an
+// option.
+TEST_CASE("manual page and completion name what the help names") {
+  const auto Read = [](const std::string &Path) {
+    std::ifstream File(SHARE_FOLDER "/" + Path);
+    return std::string(std::istreambuf_iterator<char>(File), {});
+  };
+  const std::string Completion =
+      Read("bash-completion/completions/amaranthspurctl");
+  std::string Manual = Read("man/man1/amaranthspurctl.1");
+  Manual.erase(std::remove(Manual.begin(), Manual.end(), '\\'), Manual.end());
+  const Result<Options> O = read({"--help"}, {});
+  REQUIRE(succeeded(O));
+  std::istringstream Words(valueOf(O).HelpText);
+  std::vector<std::string> Names;
+  for (std::string Word; Words >> Word;)
+    if (Word.starts_with("--") && Word != "--a-b")
+      Names.push_back(Word);
+  CHECK(Names.size() >= 9);
+  for (const auto &[Command, Name] : EnumNames<CommandKind>::Entries)
+    Names.emplace_back(Name);
+  for (const std::string &Name : Names) {
+    CAPTURE(Name);
+    CHECK(Completion.find(Name) != std::string::npos);
+    CHECK(Manual.find(Name) != std::string::npos);
+  }
+}
+
 // Guards against a command, an option or a status that the help leaves out.
 TEST_CASE("the help names every command") {
   const Result<Options> O = read({"--help"}, {});
