--- a/src/bench/ChildProcess.cpp
+++ b/src/bench/ChildProcess.cpp
@@ -77,9 +77,7 @@
 QCoro::Task<> ChildProcess::stop(TimePoint Deadline) {
   this->resume();
   this->Process.terminate();
-  while (this->Process.state() != QProcess::NotRunning)
-    if (!co_await this->Changed.wait(Deadline))
-      break;
+  co_await this->ended(Deadline);
   this->kill();
 }
 
