--- a/src/bench/ChildProcess.cpp
+++ b/src/bench/ChildProcess.cpp
@@ -77,9 +77,7 @@
 QCoro::Task<> ChildProcess::stop(TimePoint Deadline) {
   this->resume();
   this->Process.terminate();
-  bool InTime = true;
-  while (InTime && this->Process.state() != QProcess::NotRunning)
-    InTime = co_await this->Changed.wait(Deadline);
+  co_await this->ended(Deadline);
   this->kill();
 }
 
