--- a/src/bench/LoadClient.cpp
+++ b/src/bench/LoadClient.cpp
@@ -241,7 +241,7 @@
   }
   // A connection whose answer did not come is of no use, and its entry VM may
   // be dead.
-  if (!S.Wire->usable()) {
+  if (S.Wire && !S.Wire->usable()) {
     S.Wire.reset();
     S.Entry = (S.Entry + 1) % S.Load.Entries.size();
   }
@@ -257,7 +257,8 @@
       continue;
     // The COMMIT was never sent, so whatever ran must leave no row.
     Op.End = OperationEnd::RolledBack;
-    S.Wire.reset();
+    if (S.Wire->usable())
+      S.Wire.reset();
     co_return;
   }
   if (Op.Kind == OperationKind::Rollback) {
