--- a/src/bench/Failover.cpp
+++ b/src/bench/Failover.cpp
@@ -97,9 +97,23 @@
       After > Before ? static_cast<unsigned>(After - Before) : 0;
 }
 
-/// Fails the primary of \p Service again and again.
-QCoro::Task<> failPrimaries(Stage &Scene, std::string Service,
-                            std::size_t FirstKind, Progress &Seen) {
+/// Returns whether a write of \p Service was acknowledged after \p Since.
+bool wroteAfter(const History &Run, const std::string &Service,
+                TimePoint Since) {
+  // The history is in the order of the answers of all sessions.
+  for (auto Op = Run.Operations.rbegin();
+       Op != Run.Operations.rend() && Op->Answered > Since; ++Op)
+    if (Op->Service.str() == Service && writesRows(Op->Kind) &&
+        Op->End == OperationEnd::Acknowledged)
+      return true;
+  return false;
+}
+
+/// Fails the primary of \p Service again and again. The next fault comes only
+/// after writes have resumed, so that each gap belongs to one fault.
+QCoro::Task<> failPrimaries(Stage &Scene, const LoadClient &Load,
+                            std::string Service, std::size_t FirstKind,
+                            Progress &Seen) {
   Deployment &Over = Scene.deployment();
   for (std::size_t Round = FirstKind; Scene.left() > Reserve; ++Round) {
     const auto Primary = co_await Over.primaryOf(Service);
@@ -120,6 +134,10 @@
                                      steadyNow() + Scene.left() - Reserve / 2);
     const auto Later = co_await Scene.promoted(Service, Before, Limit);
     Fault.Promoted = Later.has_value();
+    const TimePoint Then = steadyNow();
+    while (Fault.Promoted && steadyNow() < Limit &&
+           !wroteAfter(Load.history(), Service, Then))
+      co_await sleepFor(ThinkTime);
     if (Fault.Promoted)
       co_await sleepFor(AfterPromotion);
     Fault.Until = steadyNow();
@@ -177,7 +195,8 @@
     co_await Driver;
   Drivers.clear();
   for (std::size_t I = 0; I < Over.spec().Services.size(); ++I)
-    Drivers.push_back(failPrimaries(Scene, Over.spec().Services[I], I, Seen));
+    Drivers.push_back(
+        failPrimaries(Scene, Load, Over.spec().Services[I], I, Seen));
   for (QCoro::Task<> &Driver : Drivers)
     co_await Driver;
   Load.stop();
