--- a/src/platform/testing/HttpPlatformTest.cpp
+++ b/src/platform/testing/HttpPlatformTest.cpp
@@ -121,9 +121,9 @@
 TEST_CASE("a throttled request is retried and leaves the breaker closed") {
   Fixture F;
   Faults Limited;
-  Limited.ReadsPerSecond = 5;
+  Limited.ReadsPerSecond = 1;
   F.Store.setFaults(Limited, std::nullopt);
-  for (int I = 0; I < 8; ++I)
+  for (int I = 0; I < 3; ++I)
     CHECK(succeeded(QCoro::waitFor(F.Client.readRow("k", inSeconds(20)))));
   CHECK(F.Client.counters().Throttled > 0);
   CHECK(nameOf(F.Client.breakerState()) == nameOf(BreakerState::Closed));
