Do not copy literals and signs to look for keywords

Cause: classify made an upper-case copy of every token of a statement, also of literals, which can be megabytes long and are never keywords. Change: only words are compared.

--- a/src/policy/StatementTraits.cpp
+++ b/src/policy/StatementTraits.cpp
@@ -250,6 +250,16 @@
   }
 }
 
+/// Takes in a word behind the first one.
+void classifyWord(std::string_view Text, StatementTraits &Traits) {
+  const std::string Word = upper(Text);
+  // SELECT ... FOR UPDATE takes locks, SELECT ... INTO makes a table.
+  if (Word == "UPDATE" || Word == "SHARE" || Word == "INTO")
+    Traits.Guess = Access::Write;
+  if (Word == "TEMP" || Word == "TEMPORARY")
+    Traits.Kind = StatementKind::SessionState;
+}
+
 void addToShape(std::uint64_t &Shape, std::string_view Text) {
   for (const char C : Text)
     Shape = (Shape ^ static_cast<unsigned char>(
@@ -280,13 +290,8 @@
        T = Words.next()) {
     Traits.Multiple = Traits.Multiple || (Ended && T.Text != ";");
     Ended = Ended || T.Text == ";";
-    const std::string Word = upper(T.Text);
-    // SELECT ... FOR UPDATE takes locks, SELECT ... INTO makes a table.
-    if (T.What == Scanner::Token::Kind::Word &&
-        (Word == "UPDATE" || Word == "SHARE" || Word == "INTO"))
-      Traits.Guess = Access::Write;
-    if (Word == "TEMP" || Word == "TEMPORARY")
-      Traits.Kind = StatementKind::SessionState;
+    if (T.What == Scanner::Token::Kind::Word)
+      classifyWord(T.Text, Traits);
     addToShape(Traits.Shape,
                T.What == Scanner::Token::Kind::Literal ? "?" : T.Text);
   }
