--- /dev/null
+++ b/src/root/telemetry/Metrics.h
@@ -0,0 +1,227 @@
+// Counters, gauges and histograms of a process, in Prometheus's text format.
+//
+// The library behind it (prometheus-cpp) stays in the source file. Names and
+// help texts stand in tables by enumerator, so that a metric is spelled in one
+// place.
+//
+// Bounded: a label whose values come from callers has at most
+// MaxLabelValues values for each metric, and a histogram at most
+// MaxHistogramSeries series; what comes later is counted under "other".
+#ifndef AMARANTHSPUR_ROOT_TELEMETRY_METRICS_H
+#define AMARANTHSPUR_ROOT_TELEMETRY_METRICS_H
+
+#include "core/Clock.h"
+#include "core/Names.h"
+#include "core/Types.h"
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace amaranthspur {
+
+/// What is counted. Each counter has at most one label.
+enum class Counter {
+  Statements,
+  Refusals,
+  Retries,
+  Promotions,
+  PromotionsRefused,
+  LateAnswers,
+  ChildRestarts,
+  CallerConnections,
+  CallersRejected,
+  BackendConnections,
+  PeerMessages,
+  PeerMessagesDropped,
+  PathsReplaced,
+  EventLoopPauses,
+  ConfigurationsAccepted,
+};
+
+/// Name, label and help text of one counter.
+struct CounterInfo {
+  Counter Which;
+  std::string_view Name;
+  std::string_view Label; ///< Empty: no label.
+  std::string_view Help;
+};
+
+namespace detail {
+inline constexpr auto Counters = std::to_array<CounterInfo>({
+    {Counter::Statements, "amaranthspur_statements_total", "target",
+     "Statements answered, by the role of the server that answered."},
+    {Counter::Refusals, "amaranthspur_refusals_total", "reason",
+     "Statements refused, by reason."},
+    {Counter::Retries, "amaranthspur_retries_total", "reason",
+     "Statements sent again, by the reason of the first refusal."},
+    {Counter::Promotions, "amaranthspur_promotions_total", "service",
+     "Promotions carried out by this entry VM."},
+    {Counter::PromotionsRefused, "amaranthspur_promotions_refused_total",
+     "service", "Promotions started by this entry VM and refused by servers."},
+    {Counter::LateAnswers, "amaranthspur_late_answers_total", "",
+     "Answers dropped because no request waited for them."},
+    {Counter::ChildRestarts, "amaranthspur_child_restarts_total", "child",
+     "Restarts by the supervisor."},
+    {Counter::CallerConnections, "amaranthspur_caller_connections_total", "",
+     "Caller connections accepted."},
+    {Counter::CallersRejected, "amaranthspur_callers_rejected_total", "reason",
+     "Caller connections rejected at start-up."},
+    {Counter::BackendConnections, "amaranthspur_backend_connections_total",
+     "server", "Connections opened to backend servers."},
+    {Counter::PeerMessages, "amaranthspur_peer_messages_total", "direction",
+     "Messages exchanged with other entry VMs."},
+    {Counter::PeerMessagesDropped, "amaranthspur_peer_messages_dropped_total",
+     "reason", "Messages dropped because a queue was full or a key wrong."},
+    {Counter::PathsReplaced, "amaranthspur_paths_replaced_total", "server",
+     "Times that all connections of a silent path were replaced."},
+    {Counter::EventLoopPauses, "amaranthspur_event_loop_pauses_total", "",
+     "Gaps in the event loop that made decisions start again."},
+    {Counter::ConfigurationsAccepted,
+     "amaranthspur_configurations_accepted_total", "",
+     "Configuration revisions taken into force."},
+});
+} // namespace detail
+
+template <> struct EnumNames<Counter> {
+  static constexpr auto Entries = [] {
+    std::array<std::pair<Counter, std::string_view>, detail::Counters.size()>
+        Names{};
+    for (std::size_t I = 0; I < Names.size(); ++I)
+      Names[I] = {detail::Counters[I].Which, detail::Counters[I].Name};
+    return Names;
+  }();
+};
+
+/// What has a present value. Each gauge has at most one label.
+enum class Gauge {
+  OpenCallerConnections,
+  OpenBackendConnections,
+  QueuedStatements,
+  QueuedBytes,
+  OwnedServers,
+  ConcurrencyLimit,
+  ReplicaAgeSeconds,
+  ConfigurationRevision,
+  LiveMembers,
+};
+
+/// Name, label and help text of one gauge.
+struct GaugeInfo {
+  Gauge Which;
+  std::string_view Name;
+  std::string_view Label; ///< Empty: no label.
+  std::string_view Help;
+};
+
+namespace detail {
+inline constexpr auto Gauges = std::to_array<GaugeInfo>({
+    {Gauge::OpenCallerConnections, "amaranthspur_open_caller_connections", "",
+     "Open caller connections."},
+    {Gauge::OpenBackendConnections, "amaranthspur_open_backend_connections",
+     "server", "Open work connections to a backend server."},
+    {Gauge::QueuedStatements, "amaranthspur_queued_statements", "server",
+     "Statements queued for a backend server."},
+    {Gauge::QueuedBytes, "amaranthspur_queued_bytes", "server",
+     "Bytes of statements queued for a backend server."},
+    {Gauge::OwnedServers, "amaranthspur_owned_servers", "",
+     "Backend servers that this entry VM owns."},
+    {Gauge::ConcurrencyLimit, "amaranthspur_concurrency_limit", "server",
+     "Statements allowed to run at once on a backend server."},
+    {Gauge::ReplicaAgeSeconds, "amaranthspur_replica_age_seconds", "server",
+     "Upper bound of a replica's age."},
+    {Gauge::ConfigurationRevision, "amaranthspur_configuration_revision", "",
+     "Configuration revision in force."},
+    {Gauge::LiveMembers, "amaranthspur_live_members", "",
+     "Entry VMs believed to be live, this one included."},
+});
+} // namespace detail
+
+template <> struct EnumNames<Gauge> {
+  static constexpr auto Entries = [] {
+    std::array<std::pair<Gauge, std::string_view>, detail::Gauges.size()>
+        Names{};
+    for (std::size_t I = 0; I < Names.size(); ++I)
+      Names[I] = {detail::Gauges[I].Which, detail::Gauges[I].Name};
+    return Names;
+  }();
+};
+
+/// What is timed, per service, caller and class of work.
+enum class Timing { StatementLatency, QueueWait, ConfirmationWait };
+
+template <> struct EnumNames<Timing> {
+  static constexpr auto Entries =
+      std::to_array<std::pair<Timing, std::string_view>>(
+          {{Timing::StatementLatency, "amaranthspur_statement_seconds"},
+           {Timing::QueueWait, "amaranthspur_queue_wait_seconds"},
+           {Timing::ConfirmationWait, "amaranthspur_confirmation_seconds"}});
+};
+
+/// Whose work is timed.
+struct TimingLabels {
+  ServiceName Service;
+  CallerName Caller;
+  ClassName WorkClass;
+
+  auto operator<=>(const TimingLabels &) const = default;
+};
+
+/// One series of a histogram; lives as long as its Metrics.
+class TimingSeries {
+public:
+  virtual ~TimingSeries() = default;
+  /// Adds one observation. Linear in the number of buckets.
+  virtual void observe(Duration Time) = 0;
+};
+
+/// All metrics of one process. Used by one thread.
+class Metrics {
+public:
+  /// Most values that one label takes in one metric, "other" apart.
+  static constexpr std::size_t MaxLabelValues = 200;
+  /// Most series of one histogram, "other" apart. A series takes about 1 KB.
+  static constexpr std::size_t MaxHistogramSeries = 500;
+  /// Longer label values are cut to this many bytes.
+  static constexpr std::size_t MaxLabelBytes = 64;
+
+  Metrics();
+  Metrics(const Metrics &) = delete;
+  Metrics &operator=(const Metrics &) = delete;
+  ~Metrics();
+
+  /// Adds \p By to a counter.
+  /// \param LabelValue value of the counter's label; ignored if it has none.
+  void add(Counter Which, std::string_view LabelValue = {},
+           std::uint64_t By = 1);
+
+  /// Sets a gauge.
+  /// \param LabelValue value of the gauge's label; ignored if it has none.
+  void set(Gauge Which, double Value, std::string_view LabelValue = {});
+
+  /// Removes the series of a gauge for \p LabelValue, as when a server is no
+  /// longer owned.
+  void remove(Gauge Which, std::string_view LabelValue);
+
+  /// Returns the series for \p Labels, to be kept by a task that observes
+  /// often. Costs a look-up in an ordered tree.
+  TimingSeries &series(Timing Which, const TimingLabels &Labels);
+
+  /// Adds one observation; a look-up and TimingSeries::observe.
+  void observe(Timing Which, const TimingLabels &Labels, Duration Time) {
+    this->series(Which, Labels).observe(Time);
+  }
+
+  /// Returns all metrics in Prometheus's text format.
+  std::string serialise() const;
+
+private:
+  class Registry;
+  std::unique_ptr<Registry> Library;
+};
+
+} // namespace amaranthspur
+
+#endif // AMARANTHSPUR_ROOT_TELEMETRY_METRICS_H
