--- a/src/policy/Retry.cpp
+++ b/src/policy/Retry.cpp
@@ -19,6 +19,7 @@
 
 constexpr auto Prospects = std::to_array<ReasonProspect>({
     {RefusalReason::UnknownService, RetryProspect::Final},
+    {RefusalReason::UnknownCaller, RetryProspect::Final},
     // A retry under overload adds to it.
     {RefusalReason::Overloaded, RetryProspect::Final},
     {RefusalReason::DeadlineUnreachable, RetryProspect::Final},
--- a/src/root/Settings.cpp
+++ b/src/root/Settings.cpp
@@ -167,8 +167,7 @@
                    " bytes; allowed: 8 bytes or more\n";
   Out.Variant = In.choice<PolicyVariant>("policy-variant");
   Out.SeedPeers = readSeeds(In);
-  Out.DrainTimeout =
-      milliseconds(In.number("drain-timeout-ms", 0, MaxTimeMs));
+  Out.DrainTimeout = milliseconds(In.number("drain-timeout-ms", 0, MaxTimeMs));
   Out.DrainNotice = milliseconds(In.number("drain-notice-ms", 0, MaxTimeMs));
   Out.MaxCallers = In.number("max-callers", 1, 1000000);
   Out.Least = In.choice<LogLevel>("log-level");
--- a/src/root/Settings.h
+++ b/src/root/Settings.h
@@ -19,11 +19,11 @@
 struct Settings {
   EntryVmId VmId;
   DataCentre Location;
-  Address Callers;  ///< Listens for callers.
-  Address Peers;    ///< Listens for other entry VMs.
+  Address Callers;         ///< Listens for callers.
+  Address Peers;           ///< Listens for other entry VMs.
   Address AdvertisedPeers; ///< Where other entry VMs reach this one.
-  Address Admin;    ///< Listens for /metrics, /status, /ready.
-  Address Platform; ///< The platform's service.
+  Address Admin;           ///< Listens for /metrics, /status, /ready.
+  Address Platform;        ///< The platform's service.
   std::string BindHost; ///< Source address of outgoing connections, or empty.
   std::string DeploymentKey;
   PolicyVariant Variant = PolicyVariant::Amaranthspur;
@@ -54,7 +54,8 @@
 };
 
 /// Reads one environment variable; a parameter, so that tests can replace it.
-using Environment = std::function<std::optional<std::string>(const std::string &)>;
+using Environment =
+    std::function<std::optional<std::string>(const std::string &)>;
 
 /// Reads the settings; a flag goes before its environment variable.
 /// \returns an error that lists every bad setting with its value and what is
--- a/src/root/peers/Forwarding.cpp
+++ b/src/root/peers/Forwarding.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-/// An owner may overrun a statement's deadline by this before its silence counts
-/// as an unknown outcome.
+/// An owner may overrun a statement's deadline by this before its silence
+/// counts as an unknown outcome.
 constexpr Duration AnswerGrace = milliseconds(400);
 /// An answer that gets no credit for this long belongs to a VM that is gone.
 constexpr Duration CreditTime = std::chrono::seconds(10);
@@ -131,9 +131,8 @@
   return std::make_shared<RemoteExecutor>(*this, Owner);
 }
 
-QCoro::Task<StatementResult> Forwarder::execute(EntryVmId Owner,
-                                                StatementOrder Order,
-                                                AnswerSink &Sink) {
+QCoro::Task<StatementResult>
+Forwarder::execute(EntryVmId Owner, StatementOrder Order, AnswerSink &Sink) {
   const std::uint64_t Correlation = this->NextCorrelation++;
   const TimePoint Until = Order.Deadline + AnswerGrace;
   Request Entry;
@@ -146,8 +145,7 @@
   if (this->Network.send(Owner, std::move(Message)))
     Result = co_await this->takeAnswer(Entry, Correlation, Until, Sink);
   else
-    Result = refusedWith(
-        notRun(RefusalReason::OwnerUnreachable, Owner.str()));
+    Result = refusedWith(notRun(RefusalReason::OwnerUnreachable, Owner.str()));
   this->Requests.erase(Correlation);
   co_return Result;
 }
@@ -171,7 +169,8 @@
     }
     const std::size_t Bytes = Part->frames().size();
     const bool Last = Part->last();
-    if (Bytes > 0 && !co_await Sink.deliver(std::move(*Part->mutable_frames()))) {
+    if (Bytes > 0 &&
+        !co_await Sink.deliver(std::move(*Part->mutable_frames()))) {
       this->closeStream(Entry.Owner, Entry.Stream);
       co_return refusedWith(
           outcomeUnknown(RefusalReason::ConnectionLost, "the caller is gone"));
--- a/src/root/peers/Forwarding.h
+++ b/src/root/peers/Forwarding.h
@@ -4,7 +4,8 @@
 // entry VM, the owner of the server. ForwardingService is the receiving side.
 //
 // Invariants:
-// - A correlation identifier is never used twice by one incarnation of a sender.
+// - A correlation identifier is never used twice by one incarnation of a
+// sender.
 // - An answer with an unknown correlation, from another VM than was asked, or
 //   out of sequence is dropped and counted; it never reaches a caller.
 // - A request that send() did not take was not run. After send() took it, only
