--- /dev/null
+++ b/src/root/telemetry/AdminServer.cpp
@@ -0,0 +1,74 @@
+#include "root/telemetry/AdminServer.h"
+
+#include <QHostAddress>
+#include <QHttpServer>
+#include <QHttpServerResponse>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+namespace amaranthspur {
+namespace {
+
+/// Content type of Prometheus's text format, version 0.0.4.
+constexpr const char *MetricsType = "text/plain; version=0.0.4; charset=utf-8";
+
+} // namespace
+
+AdminServer::AdminServer(Address Listen, const Metrics &Source)
+    : Listen(std::move(Listen)), Source(Source) {}
+
+AdminServer::~AdminServer() = default;
+
+void AdminServer::addStatus(std::string Name,
+                            std::function<QJsonValue()> Provider) {
+  this->Providers.insert_or_assign(std::move(Name), std::move(Provider));
+}
+
+void AdminServer::removeStatus(const std::string &Name) {
+  this->Providers.erase(Name);
+}
+
+void AdminServer::setReady(std::function<bool()> IsReady) {
+  this->IsReady = std::move(IsReady);
+}
+
+void AdminServer::addRoutes() {
+  this->Server->route("/metrics", QHttpServerRequest::Method::Get, [this] {
+    return QHttpServerResponse(MetricsType,
+                               QByteArray::fromStdString(Source.serialise()));
+  });
+  this->Server->route("/status", QHttpServerRequest::Method::Get, [this] {
+    QJsonObject Status;
+    for (const auto &[Name, Provider] : this->Providers)
+      Status.insert(QString::fromStdString(Name), Provider());
+    return QHttpServerResponse("application/json", QJsonDocument(Status).toJson(
+                                                       QJsonDocument::Compact));
+  });
+  this->Server->route("/ready", QHttpServerRequest::Method::Get, [this] {
+    if (this->IsReady())
+      return QHttpServerResponse("text/plain", "ready\n");
+    return QHttpServerResponse(
+        "text/plain", "not ready\n",
+        QHttpServerResponse::StatusCode::ServiceUnavailable);
+  });
+}
+
+QCoro::Task<Result<Success>> AdminServer::start() {
+  this->Server = std::make_unique<QHttpServer>();
+  this->addRoutes();
+  const QHostAddress Host(QString::fromStdString(this->Listen.Host));
+  if (this->Server->listen(Host, this->Listen.Port) == 0) {
+    this->Server.reset();
+    co_return Error{"cannot listen on " + this->Listen.str()};
+  }
+  // QCoro's promise takes a bare std::monostate for "no value yet".
+  const Result<Success> Started = Success();
+  co_return Started;
+}
+
+QCoro::Task<> AdminServer::stop(TimePoint /*Deadline*/) {
+  this->Server.reset();
+  co_return;
+}
+
+} // namespace amaranthspur
--- /dev/null
+++ b/src/root/telemetry/testing/AdminServerTest.cpp
@@ -0,0 +1,104 @@
+#include "root/telemetry/AdminServer.h"
+
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QNetworkAccessManager>
+#include <QNetworkReply>
+#include <QTcpServer>
+
+#include <catch2/catch.hpp>
+
+using namespace amaranthspur;
+
+namespace {
+
+std::uint16_t freePort() {
+  QTcpServer Probe;
+  Probe.listen(QHostAddress::LocalHost, 0);
+  return Probe.serverPort();
+}
+
+struct HttpAnswer {
+  int Status = 0;
+  QByteArray Type;
+  QByteArray Body;
+};
+
+HttpAnswer get(std::uint16_t Port, const QString &Path) {
+  QNetworkAccessManager Client;
+  const QUrl Url(QString("http://127.0.0.1:%1%2").arg(Port).arg(Path));
+  QNetworkReply *Reply = Client.get(QNetworkRequest(Url));
+  QEventLoop Loop;
+  QObject::connect(Reply, &QNetworkReply::finished, &Loop, &QEventLoop::quit);
+  Loop.exec();
+  HttpAnswer Answer;
+  Answer.Status =
+      Reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+  Answer.Type = Reply->header(QNetworkRequest::ContentTypeHeader).toByteArray();
+  Answer.Body = Reply->readAll();
+  delete Reply;
+  return Answer;
+}
+
+} // namespace
+
+// Guards against monitoring getting no answer, a wrong content type, or
+// "ready" from an entry VM that is not.
+TEST_CASE("the admin server answers its three paths") {
+  int Argc = 0;
+  const QCoreApplication App(Argc, nullptr);
+  Metrics M;
+  M.add(Counter::LateAnswers);
+  const std::uint16_t Port = freePort();
+  AdminServer Server({"127.0.0.1", Port}, M);
+  bool Ready = false;
+  Server.addStatus("members", [] { return QJsonValue(4); });
+  Server.addStatus("gone", [] { return QJsonValue(1); });
+  Server.removeStatus("gone");
+  REQUIRE(succeeded(QCoro::waitFor(Server.start())));
+
+  struct Row {
+    const char *Path;
+    bool Ready;
+    int Status;
+    const char *Type;
+    const char *Part;
+  };
+  const Row Rows[] = {
+      {"/metrics", true, 200, "text/plain; version=0.0.4; charset=utf-8",
+       "amaranthspur_late_answers_total 1"},
+      {"/status", true, 200, "application/json", "{\"members\":4}"},
+      {"/ready", true, 200, "text/plain", "ready"},
+      {"/ready", false, 503, "text/plain", "not ready"},
+      {"/elsewhere", true, 404, "", ""},
+  };
+  CHECK(get(Port, "/ready").Status == 503);
+  Server.setReady([&Ready] { return Ready; });
+  for (const Row &R : Rows) {
+    CAPTURE(R.Path, R.Ready);
+    Ready = R.Ready;
+    const HttpAnswer Answer = get(Port, R.Path);
+    CHECK(Answer.Status == R.Status);
+    if (R.Status != 404)
+      CHECK(Answer.Type.toStdString() == R.Type);
+    CHECK(Answer.Body.contains(R.Part));
+  }
+
+  // A restart by the supervisor takes the same port and keeps the providers.
+  QCoro::waitFor(Server.stop(steadyNow()));
+  REQUIRE(succeeded(QCoro::waitFor(Server.start())));
+  CHECK(get(Port, "/ready").Status == 200);
+}
+
+// Guards against an entry VM that serves without its monitoring.
+TEST_CASE("an address in use is an error at the start") {
+  int Argc = 0;
+  const QCoreApplication App(Argc, nullptr);
+  QTcpServer Taken;
+  REQUIRE(Taken.listen(QHostAddress::LocalHost, 0));
+  Metrics M;
+  AdminServer Server({"127.0.0.1", Taken.serverPort()}, M);
+  CHECK_FALSE(succeeded(QCoro::waitFor(Server.start())));
+}
