--- /dev/null
+++ b/src/platform/testing/MockPlatform.h
@@ -0,0 +1,38 @@
+// A Platform whose answers a test sets.
+#ifndef AMARANTHSPUR_PLATFORM_TESTING_MOCKPLATFORM_H
+#define AMARANTHSPUR_PLATFORM_TESTING_MOCKPLATFORM_H
+
+#include "platform/Platform.h"
+
+#include <trompeloeil.hpp>
+
+namespace amaranthspur {
+
+class MockPlatform final : public Platform {
+public:
+  MAKE_MOCK2(readRow, QCoro::Task<Result<TableRow>>(std::string, TimePoint),
+             override);
+  MAKE_MOCK5(compareAndSet,
+             QCoro::Task<Result<CasOutcome>>(std::string, std::uint64_t,
+                                             std::string, std::string,
+                                             TimePoint),
+             override);
+  MAKE_MOCK3(putObject,
+             QCoro::Task<Result<Success>>(std::string, std::string, TimePoint),
+             override);
+  MAKE_MOCK2(getObject,
+             QCoro::Task<Result<std::optional<std::string>>>(std::string,
+                                                             TimePoint),
+             override);
+  MAKE_MOCK1(listVms, QCoro::Task<Result<std::vector<PlatformVm>>>(TimePoint),
+             override);
+};
+
+/// Returns a task that has ended with \p Value.
+template <typename T> QCoro::Task<Result<T>> answered(Result<T> Value) {
+  co_return Value;
+}
+
+} // namespace amaranthspur
+
+#endif // AMARANTHSPUR_PLATFORM_TESTING_MOCKPLATFORM_H
--- /dev/null
+++ b/src/root/directory/testing/ConfigDirectoryTest.cpp
@@ -0,0 +1,248 @@
+#include "root/directory/ConfigDirectory.h"
+#include "config/Generation.h"
+#include "platform/testing/MockPlatform.h"
+#include "testing/fake-platform/TestApplication.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace amaranthspur;
+
+namespace {
+
+constexpr const char *Here = "joburg-a";
+
+/// Delivers messages between the directories of one test from the event loop.
+class LocalNetwork {
+public:
+  class Port final : public PeerNetwork {
+  public:
+    Port(LocalNetwork &Network, EntryVmId Self)
+        : Network(Network), Self(std::move(Self)) {
+      Network.Ports[this->Self] = this;
+      Network.Members.push_back({this->Self, "127.0.1.1:7000", DataCentre(Here),
+                                 1, MemberState::Live});
+    }
+
+    bool send(const EntryVmId &To, peer::Envelope Message) override {
+      const auto Found = this->Network.Ports.find(To);
+      if (Found == this->Network.Ports.end())
+        return false;
+      QTimer::singleShot(
+          0, [Target = Found->second, From = this->Self, Message]() mutable {
+            const auto Handler = Target->Handlers.find(Message.body_case());
+            if (Handler != Target->Handlers.end())
+              Handler->second(From, Message);
+          });
+      return true;
+    }
+    void handle(peer::Envelope::BodyCase Kind, Handler H) override {
+      this->Handlers[Kind] = std::move(H);
+    }
+    const std::vector<Member> &members() const override {
+      return this->Network.Members;
+    }
+    void listen(std::function<void()> /*Listener*/) override {}
+    void leave() override {}
+
+  private:
+    LocalNetwork &Network;
+    EntryVmId Self;
+    QObject Context; ///< Messages to a port that is gone are dropped.
+    std::map<peer::Envelope::BodyCase, Handler> Handlers;
+  };
+
+  std::map<EntryVmId, Port *> Ports;
+  std::vector<Member> Members;
+};
+
+config::Questionnaire answers(unsigned Port = 5432) {
+  config::Questionnaire Q;
+  auto *R = Q.add_regions();
+  R->set_name("gauteng");
+  R->add_data_centres(Here);
+  auto *S = Q.add_services();
+  S->set_name("orders-1");
+  auto *B = S->add_backend_servers();
+  B->set_id("orders-1-a");
+  B->set_host("10.0.0.1");
+  B->set_port(Port);
+  B->set_data_centre(Here);
+  B->set_slots(5);
+  B->set_connection_limit(30);
+  auto *C = S->add_classes();
+  C->set_name("order");
+  C->set_deadline_ms(1000);
+  C->set_expected_length_ms(4);
+  auto *K = S->add_callers();
+  K->set_name("bench");
+  K->set_weight(1);
+  K->set_default_class("order");
+  return Q;
+}
+
+TableRow headRow(std::uint64_t Revision, const std::string &Content) {
+  const config::Head H{Revision,   config::hashOf(Content), "op",
+                       "operator", "2026-01-01T00:00:00Z",  ""};
+  return {Revision, config::formatHead(H), "op"};
+}
+
+/// One entry VM with a directory and a platform that answers as set.
+struct Vm {
+  Vm(LocalNetwork &Network, const std::string &Id)
+      : Port(Network, EntryVmId(Id)),
+        Directory(EntryVmId(Id), DataCentre(Here), this->Service, this->Port) {}
+
+  ~Vm() {
+    QCoro::waitFor(this->Directory.stop(steadyNow() + std::chrono::seconds(1)));
+  }
+
+  void start() { QCoro::waitFor(this->Directory.start()); }
+
+  std::uint64_t revision() const { return this->Directory.current()->Revision; }
+
+  QCoreApplication &App = testApplication();
+  Result<TableRow> Row = Error{"down"};
+  Result<std::optional<std::string>> Object = Error{"down"};
+  Result<std::vector<PlatformVm>> List = Error{"down"};
+  MockPlatform Service;
+  std::unique_ptr<trompeloeil::expectation> Calls[3] = {
+      NAMED_ALLOW_CALL(this->Service, readRow("config/head", trompeloeil::_))
+          .LR_RETURN(answered(this->Row)),
+      NAMED_ALLOW_CALL(this->Service, getObject(trompeloeil::_, trompeloeil::_))
+          .LR_RETURN(answered(this->Object)),
+      NAMED_ALLOW_CALL(this->Service, listVms(trompeloeil::_))
+          .LR_RETURN(answered(this->List))};
+  LocalNetwork::Port Port;
+  ConfigDirectory Directory;
+};
+
+/// Runs the event loop until \p Holds, for at most 20 s.
+template <typename Condition> bool eventually(Condition Holds) {
+  const TimePoint Deadline = steadyNow() + std::chrono::seconds(20);
+  while (!Holds() && steadyNow() < Deadline)
+    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 20);
+  return Holds();
+}
+
+/// Runs the event loop until the head has been read \p More times.
+bool headReads(const Vm &V, std::uint64_t More) {
+  const std::uint64_t Before = V.Directory.counters().HeadReads;
+  return eventually(
+      [&] { return V.Directory.counters().HeadReads >= Before + More; });
+}
+
+} // namespace
+
+// Guards against an accepted revision that does not take force, and against a
+// listener that is not told.
+TEST_CASE("a reader takes the revision that the store names") {
+  LocalNetwork Network;
+  Vm V(Network, "vm-1");
+  const std::string Content = config::contentOf(answers());
+  V.Row = headRow(3, Content);
+  V.Object = std::optional(Content);
+  unsigned Changes = 0;
+  V.Directory.listen([&] { ++Changes; });
+  CHECK(V.revision() == 0);
+  V.start();
+  REQUIRE(eventually([&] { return V.revision() == 3; }));
+  CHECK(V.Directory.current()->findService(ServiceName("orders-1")) != nullptr);
+  CHECK(Changes == 1);
+
+  SECTION("a newer one replaces it") {
+    const std::string Newer = config::contentOf(answers(5433));
+    V.Row = headRow(4, Newer);
+    V.Object = std::optional(Newer);
+    REQUIRE(eventually([&] { return V.revision() == 4; }));
+    CHECK(V.Directory.current()->Services[0].Servers[0].Port == 5433);
+    CHECK(Changes == 2);
+  }
+  SECTION("an older one, from a table that was set back, is ignored") {
+    V.Row = headRow(2, Content);
+    REQUIRE(headReads(V, 2));
+    CHECK(V.revision() == 3);
+    CHECK(Changes == 1);
+  }
+  SECTION("a restart of the child keeps it while the store is down") {
+    V.Row = Error{"down"};
+    QCoro::waitFor(V.Directory.stop(steadyNow() + std::chrono::seconds(1)));
+    V.start();
+    CHECK(V.revision() == 3);
+  }
+}
+
+// Guards against content that was damaged or is invalid taking force.
+TEST_CASE("bad content does not take force") {
+  config::Questionnaire NoSlots = answers();
+  NoSlots.mutable_services(0)->mutable_backend_servers(0)->set_slots(0);
+  const std::string Good = config::contentOf(answers());
+  struct Case {
+    const char *Name;
+    std::string Hashed;
+    std::optional<std::string> Stored;
+  };
+  const Case Cases[] = {
+      {"no object", Good, std::nullopt},
+      {"other bytes", Good, Good + "x"},
+      {"malformed", "\xff\xff", "\xff\xff"},
+      {"invalid answers", config::contentOf(NoSlots),
+       config::contentOf(NoSlots)},
+      {"not in normal form", Good + Good, Good + Good},
+  };
+  for (const Case &C : Cases) {
+    CAPTURE(C.Name);
+    LocalNetwork Network;
+    Vm V(Network, "vm-1");
+    V.Row = headRow(1, C.Hashed);
+    V.Object = C.Stored;
+    V.start();
+    REQUIRE(eventually([&] { return V.Directory.counters().Rejected > 0; }));
+    CHECK(V.revision() == 0);
+    CHECK(V.Directory.current() != nullptr);
+  }
+}
+
+// Guards against an entry VM that does not follow when it cannot reach the
+// store itself.
+TEST_CASE("a revision is fetched from the peer that has it") {
+  LocalNetwork Network;
+  Vm Source(Network, "vm-1");
+  const std::string Content = config::contentOf(answers());
+  Source.Row = headRow(7, Content);
+  Source.Object = std::optional(Content);
+  Source.start();
+  REQUIRE(eventually([&] { return Source.revision() == 7; }));
+
+  SECTION("at its start, without a heartbeat") {
+    Vm Late(Network, "vm-2");
+    Late.start();
+    CHECK(eventually([&] { return Late.revision() == 7; }));
+  }
+  SECTION("after a heartbeat that names it") {
+    Vm Other(Network, "vm-2");
+    Other.Row = headRow(6, Content);
+    Other.Object = std::optional(Content);
+    Other.start();
+    REQUIRE(eventually([&] { return Other.revision() >= 6; }));
+    Other.Directory.onPeerRevision(EntryVmId("vm-1"), 7);
+    CHECK(eventually([&] { return Other.revision() == 7; }));
+    CHECK(Source.Directory.counters().ContentSent >= 1);
+  }
+}
+
+// Guards against members that never learn who is leaving.
+TEST_CASE("the platform's VM list reaches the listener") {
+  LocalNetwork Network;
+  Vm V(Network, "vm-1");
+  std::vector<PlatformVm> Seen;
+  V.Directory.listenToVmList(
+      [&](const std::vector<PlatformVm> &List) { Seen = List; });
+  V.List = std::vector<PlatformVm>{
+      {EntryVmId("vm-9"), "127.0.1.9:7000", "", DataCentre(Here), true}};
+  V.start();
+  REQUIRE(eventually([&] { return !Seen.empty(); }));
+  CHECK(Seen[0].Id.str() == "vm-9");
+  CHECK(Seen[0].Leaving);
+}
