--- a/src/config/AnswersJson.cpp
+++ b/src/config/AnswersJson.cpp
@@ -50,8 +50,10 @@
 
 std::string fieldNames(const Descriptor &Type) {
   std::string Names = "one of the fields";
-  for (int I = 0; I < Type.field_count(); ++I)
-    Names += (I == 0 ? " " : ", ") + Type.field(I)->name();
+  for (int I = 0; I < Type.field_count(); ++I) {
+    Names += I == 0 ? " " : ", ";
+    Names += Type.field(I)->name();
+  }
   return Names;
 }
 
@@ -154,8 +156,9 @@
   return std::any_of(Reported.begin(), Reported.end(), [&](const Mistake &R) {
     if (!M.Path.starts_with(R.Path))
       return false;
-    const char Next = M.Path.size() > R.Path.size() ? M.Path[R.Path.size()] : 0;
-    return Next == 0 || Next == '.' || Next == '[';
+    const char Next =
+        M.Path.size() > R.Path.size() ? M.Path[R.Path.size()] : '\0';
+    return Next == '\0' || Next == '.' || Next == '[';
   });
 }
 
--- a/src/config/Plan.cpp
+++ b/src/config/Plan.cpp
@@ -94,6 +94,13 @@
          valueText(M, *Type.FindFieldByName("to"));
 }
 
+/// Returns `SUBJECT` followed by kind and name of an entry.
+std::string entryName(std::string Subject, const FieldDescriptor &Field,
+                      const std::string &Name) {
+  Subject.append(words(Field)).append(" ").append(Name);
+  return Subject;
+}
+
 /// Collects the differences between two messages of one type.
 class Differ {
 public:
@@ -136,9 +143,9 @@
     for (const auto &[Key, Entry] : Old)
       if (!New.contains(Key))
         this->Changes.push_back(
-            {ChangeKind::Removed, Subject + words(Field) + " " + Key, Key, ""});
+            {ChangeKind::Removed, entryName(Subject, Field, Key), Key, ""});
     for (const auto &[Key, Entry] : New) {
-      const std::string Name = Subject + words(Field) + " " + Key;
+      const std::string Name = entryName(Subject, Field, Key);
       const auto Before = Old.find(Key);
       if (Before == Old.end())
         this->Changes.push_back({ChangeKind::Added, Name, "", Key});
@@ -153,13 +160,12 @@
     const auto New = names(To, Field);
     for (const std::string &Name : Old)
       if (!New.contains(Name))
-        this->Changes.push_back({ChangeKind::Removed,
-                                 Subject + words(Field) + " " + Name, Name,
-                                 ""});
+        this->Changes.push_back(
+            {ChangeKind::Removed, entryName(Subject, Field, Name), Name, ""});
     for (const std::string &Name : New)
       if (!Old.contains(Name))
         this->Changes.push_back(
-            {ChangeKind::Added, Subject + words(Field) + " " + Name, "", Name});
+            {ChangeKind::Added, entryName(Subject, Field, Name), "", Name});
   }
 
   static std::map<std::string, const Message *>
--- a/src/config/testing/PlanTest.cpp
+++ b/src/config/testing/PlanTest.cpp
@@ -13,6 +13,7 @@
 
 template <typename E> std::vector<std::string> texts(const E &Entries) {
   std::vector<std::string> Lines;
+  Lines.reserve(Entries.size());
   for (const auto &Entry : Entries)
     Lines.push_back(text(Entry));
   return Lines;
@@ -20,6 +21,7 @@
 
 std::vector<std::string> riskNames(const Plan &P) {
   std::vector<std::string> Names;
+  Names.reserve(P.Warnings.size());
   for (const Warning &W : P.Warnings)
     Names.emplace_back(nameOf(W.Kind));
   return Names;
--- /dev/null
+++ b/src/ctl/Options.cpp
@@ -0,0 +1,276 @@
+#include "ctl/Options.h"
+
+#include <cxxopts.hpp>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace amaranthspur::ctl {
+namespace {
+
+constexpr std::size_t MaxTextLength = 100;
+
+/// Arguments and needs of one command.
+struct CommandInfo {
+  CommandKind Command;
+  std::string_view Arguments;
+  std::size_t Count;
+  bool NeedsPlatform;
+  std::string_view Summary;
+};
+
+constexpr auto Commands = std::to_array<CommandInfo>({
+    {CommandKind::Init, "engravers|association", 1, false,
+     "print an example of the answers to start from"},
+    {CommandKind::Check, "FILE", 1, false,
+     "report every mistake in the answers; - reads standard input"},
+    {CommandKind::Plan, "FILE", 1, true,
+     "tell what accepting the answers would change, with warnings"},
+    {CommandKind::Accept, "FILE", 1, true,
+     "make the answers the next revision after --from-revision"},
+    {CommandKind::History, "", 0, true, "list the accepted revisions"},
+    {CommandKind::Show, "", 0, true,
+     "print the answers of the newest or the given revision"},
+    {CommandKind::Status, "", 0, false,
+     "ask the entry VMs which revision they have in force"},
+    {CommandKind::Drain, "backend-server|entry-vm ID", 2, true,
+     "accept a revision in which it gets no new work"},
+    {CommandKind::Undrain, "backend-server|entry-vm ID", 2, true,
+     "accept a revision in which it gets work again"},
+    {CommandKind::Help, "", 0, false, "print this text"},
+    {CommandKind::Version, "", 0, false, "print the version"},
+});
+
+const CommandInfo &infoOf(CommandKind Command) {
+  return *std::find_if(
+      Commands.begin(), Commands.end(),
+      [&](const CommandInfo &Info) { return Info.Command == Command; });
+}
+
+/// One flag; its environment variable is AMARANTHSPUR_ and the name in capital
+/// letters with `_` for `-`.
+struct FlagInfo {
+  std::string_view Name;
+  std::string_view Value;
+  std::string_view Summary;
+};
+
+constexpr auto Flags = std::to_array<FlagInfo>({
+    {"platform-address", "HOST:PORT", "the platform's service"},
+    {"admin-address", "HOST:PORT,...",
+     "admin addresses of entry VMs for status, instead of the platform's list"},
+    {"from-revision", "N", "the revision that the change was made from"},
+    {"revision", "N", "the revision to show (default: the newest)"},
+    {"operation", "ID",
+     "identifier of the change; give it again to repeat a change whose outcome "
+     "is unknown (default: a new one)"},
+    {"author", "NAME", "who makes the change (default: $USER)"},
+    {"limit", "N", "entries of the history (default: 20)"},
+    {"timeout-ms", "N", "time for the whole command (default: 10000)"},
+});
+
+std::string variableOf(std::string_view Flag) {
+  std::string Name = "AMARANTHSPUR_";
+  for (const char C : Flag)
+    Name += C == '-' ? '_' : static_cast<char>(std::toupper(C));
+  return Name;
+}
+
+std::string helpText() {
+  std::string Text =
+      "Usage: amaranthspurctl COMMAND [ARGUMENT...] [OPTION...]\n\n"
+      "Changes and shows the configuration of amaranthspur.\n\nCommands:\n";
+  constexpr std::size_t Column = 38;
+  const auto Entry = [&](std::string Left, std::string_view Summary) {
+    Left.resize(std::max(Column, Left.size() + 1), ' ');
+    Text.append(Left).append(Summary).append("\n");
+  };
+  for (const CommandInfo &Info : Commands) {
+    std::string Left = "  ";
+    Left.append(nameOf(Info.Command)).append(" ").append(Info.Arguments);
+    Entry(std::move(Left), Info.Summary);
+  }
+  Text += "\nOptions:\n";
+  for (const FlagInfo &Flag : Flags) {
+    std::string Left = "  --";
+    Left.append(Flag.Name).append(" ").append(Flag.Value);
+    Entry(std::move(Left), Flag.Summary);
+  }
+  Entry("  --json", "print one JSON object instead of words");
+  Text += "\nEach option --a-b can be set by the environment variable "
+          "AMARANTHSPUR_A_B.\n\n"
+          "Exit status:\n"
+          "  0  done\n"
+          "  1  refused: a conflict, or entry VMs that have not confirmed\n"
+          "  2  bad usage, or mistakes in the answers\n"
+          "  3  the platform is unreachable; a change may have taken effect\n";
+  return Text;
+}
+
+/// Collects the options and what is wrong with them.
+class Reader {
+public:
+  Reader(const cxxopts::ParseResult &Parsed, const Environment &Variables)
+      : Parsed(Parsed), Variables(Variables) {}
+
+  std::string Problems;
+
+  void problem(std::string_view Text) {
+    this->Problems.append(this->Problems.empty() ? "" : "\n").append(Text);
+  }
+
+  std::optional<std::string> text(const std::string &Flag) {
+    std::optional<std::string> Value;
+    if (this->Parsed.count(Flag) > 0)
+      Value = this->Parsed[Flag].as<std::string>();
+    else
+      Value = this->Variables(variableOf(Flag));
+    if (Value && Value->empty())
+      Value.reset();
+    return Value;
+  }
+
+  std::string shortText(const std::string &Flag) {
+    const std::string Value = this->text(Flag).value_or("");
+    const bool Printable = std::all_of(Value.begin(), Value.end(), [](char C) {
+      return static_cast<unsigned char>(C) >= ' ' && C != '/';
+    });
+    if (Value.size() > MaxTextLength || !Printable)
+      this->problem("--" + Flag + ": at most " + std::to_string(MaxTextLength) +
+                    " printable characters other than / are allowed");
+    return Value;
+  }
+
+  std::optional<std::uint64_t> number(const std::string &Flag,
+                                      std::uint64_t Least, std::uint64_t Most) {
+    const std::optional<std::string> Value = this->text(Flag);
+    if (!Value)
+      return std::nullopt;
+    std::uint64_t Number = 0;
+    const char *End = Value->data() + Value->size();
+    const auto [At, Status] = std::from_chars(Value->data(), End, Number);
+    if (Status == std::errc() && At == End && Number >= Least && Number <= Most)
+      return Number;
+    this->problem("--" + Flag + ": \"" + *Value + "\" is not allowed; from " +
+                  std::to_string(Least) + " to " + std::to_string(Most));
+    return std::nullopt;
+  }
+
+  std::vector<Address> addresses(const std::string &Flag) {
+    std::vector<Address> Found;
+    std::string Rest = this->text(Flag).value_or("");
+    while (!Rest.empty()) {
+      const std::size_t Comma = std::min(Rest.find(','), Rest.size());
+      Result<Address> A = parseAddress(Rest.substr(0, Comma));
+      if (succeeded(A))
+        Found.push_back(valueOf(std::move(A)));
+      else
+        this->problem("--" + Flag + ": " + errorOf(A));
+      Rest.erase(0, Comma + 1);
+    }
+    return Found;
+  }
+
+private:
+  const cxxopts::ParseResult &Parsed;
+  const Environment &Variables;
+};
+
+/// Reads the command and its arguments.
+void readCommand(const std::vector<std::string> &Words, Options &Into,
+                 Reader &Read) {
+  if (Words.empty())
+    return Read.problem("a command is needed; see --help");
+  const std::optional<CommandKind> Command = parseName<CommandKind>(Words[0]);
+  if (!Command)
+    return Read.problem("\"" + Words[0] + "\" is not a command; allowed: " +
+                        allNames<CommandKind>());
+  Into.Command = *Command;
+  Into.Arguments.assign(Words.begin() + 1, Words.end());
+  const CommandInfo &Info = infoOf(*Command);
+  if (Into.Arguments.size() != Info.Count)
+    return Read.problem("usage: amaranthspurctl " + Words[0] + " " +
+                        std::string(Info.Arguments));
+  if (Info.NeedsPlatform && !Into.Platform)
+    Read.problem(Words[0] + " needs --platform-address");
+  if (*Command == CommandKind::Accept && !Into.FromRevision)
+    Read.problem("accept needs --from-revision, the revision that the answers "
+                 "were made from (0 for the first)");
+  if (*Command == CommandKind::Status && !Into.Platform &&
+      Into.AdminAddresses.empty())
+    Read.problem("status needs --platform-address or --admin-address");
+  if (*Command != CommandKind::Drain && *Command != CommandKind::Undrain)
+    return;
+  const std::optional<DrainTarget> Target =
+      parseName<DrainTarget>(Into.Arguments[0]);
+  if (!Target)
+    return Read.problem("\"" + Into.Arguments[0] + "\" cannot be drained; " +
+                        "allowed: " + allNames<DrainTarget>());
+  Into.Target = *Target;
+}
+
+Options readAll(const cxxopts::ParseResult &Parsed,
+                const Environment &Variables, Reader &Read) {
+  constexpr std::uint64_t MaxRevision = std::uint64_t{1} << 53U;
+  constexpr std::uint64_t MaxLimit = 10'000;
+  // Below 3 s no time would be left to look a change up after a lost answer.
+  constexpr std::uint64_t MinTimeoutMs = 3000;
+  constexpr std::uint64_t MaxTimeoutMs = 600'000;
+  Options O;
+  const std::vector<Address> Platform = Read.addresses("platform-address");
+  if (!Platform.empty())
+    O.Platform = Platform.front();
+  O.AdminAddresses = Read.addresses("admin-address");
+  O.FromRevision = Read.number("from-revision", 0, MaxRevision);
+  O.Revision = Read.number("revision", 1, MaxRevision);
+  O.Operation = Read.shortText("operation");
+  O.Author = Read.shortText("author");
+  if (O.Author.empty())
+    O.Author = Variables("USER").value_or("unknown");
+  O.Limit = Read.number("limit", 1, MaxLimit).value_or(20);
+  O.Timeout = milliseconds(
+      Read.number("timeout-ms", MinTimeoutMs, MaxTimeoutMs).value_or(10'000));
+  const std::string Json = Variables("AMARANTHSPUR_JSON").value_or("");
+  O.Json = Parsed.count("json") > 0 || Json == "1" || Json == "true";
+  return O;
+}
+
+} // namespace
+
+Result<Options> readOptions(const std::vector<std::string> &Arguments,
+                            const Environment &Variables) {
+  cxxopts::Options Parser("amaranthspurctl");
+  for (const FlagInfo &Flag : Flags)
+    Parser.add_options()(std::string(Flag.Name), std::string(Flag.Summary),
+                         cxxopts::value<std::string>());
+  Parser.add_options()("json", "")("help", "")("version", "")(
+      "words", "", cxxopts::value<std::vector<std::string>>());
+  Parser.parse_positional({"words"});
+  std::vector<const char *> Pointers = {"amaranthspurctl"};
+  for (const std::string &Argument : Arguments)
+    Pointers.push_back(Argument.c_str());
+  try {
+    const cxxopts::ParseResult Parsed =
+        Parser.parse(static_cast<int>(Pointers.size()), Pointers.data());
+    Reader Read(Parsed, Variables);
+    Options O = readAll(Parsed, Variables, Read);
+    O.HelpText = helpText();
+    if (Parsed.count("help") > 0 || Parsed.count("version") > 0) {
+      O.Command =
+          Parsed.count("help") > 0 ? CommandKind::Help : CommandKind::Version;
+      return O;
+    }
+    std::vector<std::string> Words;
+    if (Parsed.count("words") > 0)
+      Words = Parsed["words"].as<std::vector<std::string>>();
+    readCommand(Words, O, Read);
+    if (!Read.Problems.empty())
+      return Error{Read.Problems};
+    return O;
+  } catch (const cxxopts::exceptions::exception &E) {
+    return Error{E.what()};
+  }
+}
+
+} // namespace amaranthspur::ctl
--- a/src/platform/CircuitBreaker.h
+++ b/src/platform/CircuitBreaker.h
@@ -28,9 +28,9 @@
 class CircuitBreaker {
 public:
   struct Settings {
-    unsigned FailuresToOpen = 5;
-    Duration FirstOpen = milliseconds(500); ///< Doubles per failed trial.
-    Duration MaxOpen = std::chrono::seconds(2);
+    unsigned FailuresToOpen;
+    Duration FirstOpen; ///< Doubles per failed trial.
+    Duration MaxOpen;
   };
 
   explicit CircuitBreaker(Settings S) : Limits(S) {}
--- a/src/platform/HttpPlatform.cpp
+++ b/src/platform/HttpPlatform.cpp
@@ -54,8 +54,9 @@
 
 } // namespace
 
-HttpPlatform::HttpPlatform(const Address &Service, std::uint64_t Seed)
-    : Draw(Seed) {
+HttpPlatform::HttpPlatform(const Address &Service, std::uint64_t Seed,
+                           CircuitBreaker::Settings Limits)
+    : Breaker(Limits), Draw(Seed) {
   const QString Host = QString::fromStdString(Service.Host);
   const bool Ipv6 = Host.contains(':');
   this->Base = "http://" + (Ipv6 ? "[" + Host + "]" : Host) + ":" +
--- a/src/platform/HttpPlatform.h
+++ b/src/platform/HttpPlatform.h
@@ -30,7 +30,9 @@
 public:
   /// \param Service address of the platform's service.
   /// \param Seed for the jitter of retries.
-  HttpPlatform(const Address &Service, std::uint64_t Seed);
+  HttpPlatform(const Address &Service, std::uint64_t Seed,
+               CircuitBreaker::Settings Limits = {5, milliseconds(500),
+                                                  std::chrono::seconds(2)});
 
   QCoro::Task<Result<TableRow>> readRow(std::string Key,
                                         TimePoint Deadline) override;
@@ -63,7 +65,7 @@
 
   QString Base;
   QNetworkAccessManager Http;
-  CircuitBreaker Breaker{CircuitBreaker::Settings()};
+  CircuitBreaker Breaker;
   Random Draw;
   PlatformCounters Counters;
 };
--- a/src/root/directory/ConfigDirectory.cpp
+++ b/src/root/directory/ConfigDirectory.cpp
@@ -69,6 +69,12 @@
   this->VmListListeners.push_back(std::move(Listener));
 }
 
+QJsonObject ConfigDirectory::status() const {
+  return {{"revision", static_cast<qint64>(this->InForce->Revision)},
+          {"hash", QString::fromStdString(this->HashInForce)},
+          {"platform_reachable", this->PlatformReachable}};
+}
+
 void ConfigDirectory::onPeerRevision(const EntryVmId &Peer,
                                      std::uint64_t Revision) {
   this->Adoption.onPeerRevision(Peer, Revision);
--- a/src/root/directory/ConfigDirectory.h
+++ b/src/root/directory/ConfigDirectory.h
@@ -10,6 +10,8 @@
 #include "root/directory/Directory.h"
 #include "root/peers/PeerNetwork.h"
 
+#include <QJsonObject>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -50,6 +52,10 @@
   /// Calls \p Listener with every VM list that the platform gives.
   void listenToVmList(VmListListener Listener);
 
+  /// Returns the member `configuration` of `/status`: `{"revision", "hash",
+  /// "platform_reachable"}`. amaranthspurctl reads the revision.
+  QJsonObject status() const;
+
   const DirectoryCounters &counters() const { return this->Counters; }
 
 private:
