--- /dev/null
+++ b/src/core/testing/AsyncTest.cpp
@@ -0,0 +1,107 @@
+#include "core/Async.h"
+#include "testing/TaskRunner.h"
+
+#include <catch2/catch.hpp>
+
+using namespace amaranthspur;
+
+namespace {
+
+QCoro::Task<> wakeLater(WaitPoint &Point) {
+  co_await sleepFor(milliseconds(1));
+  Point.wake();
+}
+
+QCoro::Task<bool> waitAt(WaitPoint &Point, TimePoint Deadline) {
+  co_return co_await Point.wait(Deadline);
+}
+
+QCoro::Task<bool> waitForSignal(Signal &S, int &Woken) {
+  const bool Notified = co_await S.wait();
+  ++Woken;
+  co_return Notified;
+}
+
+QCoro::Task<> hold(TaskGroup &Group) {
+  const TaskGroup::Guard Guard(Group);
+  co_await sleepFor(milliseconds(5));
+}
+
+} // namespace
+
+// Guards against a task that sleeps on because its wake-up came before its
+// wait.
+TEST_CASE("a wait ends by a wake-up or by its deadline") {
+  struct Row {
+    const char *Name;
+    bool WakeBefore;
+    bool WakeLater;
+    Duration Limit;
+    bool Expected;
+  };
+  const Row Rows[] = {
+      {"woken before", true, false, std::chrono::seconds(60), true},
+      {"woken later", false, true, std::chrono::seconds(60), true},
+      {"deadline", false, false, milliseconds(2), false},
+      {"deadline in the past", false, false, milliseconds(-5), false},
+  };
+  testApplication();
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    WaitPoint Point;
+    if (R.WakeBefore)
+      Point.wake();
+    if (R.WakeLater)
+      wakeLater(Point);
+    CHECK(runTask(waitAt(Point, steadyNow() + R.Limit)) == R.Expected);
+  }
+}
+
+// Guards against a wake-up that is counted twice.
+TEST_CASE("a wake-up is used up by one wait") {
+  testApplication();
+  WaitPoint Point;
+  Point.wake();
+  Point.wake();
+  CHECK(runTask(waitAt(Point, NoDeadline)));
+  CHECK_FALSE(runTask(waitAt(Point, steadyNow() + milliseconds(1))));
+}
+
+// Guards against a signal that wakes only one of the tasks that wait.
+TEST_CASE("a signal wakes every task that waits") {
+  testApplication();
+  Signal S;
+  int Woken = 0;
+  const QCoro::Task<bool> First = waitForSignal(S, Woken);
+  const QCoro::Task<bool> Second = waitForSignal(S, Woken);
+  S.notifyAll();
+  CHECK(Woken == 0); // Never resumed inside the call that wakes.
+  while (Woken < 2)
+    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
+  CHECK(Woken == 2);
+}
+
+// Guards against an object that is destroyed while a task still uses it.
+TEST_CASE("a task group is empty only after its last task") {
+  testApplication();
+  TaskGroup Group;
+  hold(Group);
+  hold(Group);
+  CHECK(Group.size() == 2);
+  CHECK_FALSE(runTask(Group.empty(steadyNow() - milliseconds(1))));
+  CHECK(runTask(Group.empty()));
+  CHECK(Group.size() == 0);
+}
+
+// Guards against a queue that grows without bound or loses what it took.
+TEST_CASE("a queue refuses what is over its bound and gives out the rest") {
+  AsyncQueue<int> Queue(2);
+  CHECK(Queue.push(1));
+  CHECK(Queue.push(2));
+  CHECK_FALSE(Queue.push(3));
+  Queue.close();
+  CHECK_FALSE(Queue.push(4));
+  CHECK(Queue.tryPop() == 1);
+  CHECK(Queue.tryPop() == 2);
+  CHECK_FALSE(Queue.tryPop());
+}
--- /dev/null
+++ b/src/root/testing/SettingsTest.cpp
@@ -0,0 +1,137 @@
+#include "root/Settings.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace amaranthspur;
+
+namespace {
+
+using Values = std::map<std::string, std::string>;
+
+Values goodValues() {
+  return {{"--vm-id", "vm-1"},
+          {"--data-centre", "joburg-a"},
+          {"--caller-address", "127.0.1.1:5432"},
+          {"--peer-address", "127.0.1.1:7000"},
+          {"--admin-address", "127.0.1.1:9000"},
+          {"--platform-address", "127.0.9.1:8000"},
+          {"--deployment-key", "twelve-bytes"}};
+}
+
+Result<ParsedSettings> read(const Values &Flags, const Values &Variables = {}) {
+  std::vector<std::string> Arguments;
+  for (const auto &[Flag, Value] : Flags)
+    Arguments.push_back(Flag + "=" + Value);
+  return readSettings(
+      Arguments,
+      [&Variables](const std::string &Name) -> std::optional<std::string> {
+        const auto Found = Variables.find(Name);
+        if (Found == Variables.end())
+          return std::nullopt;
+        return Found->second;
+      });
+}
+
+} // namespace
+
+// Guards against a bad setting that starts a daemon, or an error that does not
+// name the setting, the value and what is allowed.
+TEST_CASE("a bad setting is named with its value and what is allowed") {
+  struct Row {
+    const char *Flag;
+    const char *Value;
+    const char *Expected;
+  };
+  const Row Rows[] = {
+      {"--vm-id", "", "1 to 64 letters"},
+      {"--vm-id", "a b", "\"a b\"; allowed: 1 to 64"},
+      {"--caller-address", "localhost:5432", "numeric host:port"},
+      {"--caller-address", "127.0.0.1:0", "1 to 65535"},
+      {"--peer-address", "127.0.0.1", "numeric host:port"},
+      {"--bind-address", "here", "numeric address"},
+      {"--deployment-key", "short", "8 bytes or more"},
+      {"--policy-variant", "best", "allowed: amaranthspur, naive"},
+      {"--seed-peers", "vm-2", "id=host:port@data-centre"},
+      {"--drain-timeout-ms", "1s", "0 to 3600000"},
+      {"--drain-timeout-ms", "-1", "0 to 3600000"},
+      {"--log-level", "loud", "error, warning, info, debug"},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Flag, R.Value);
+    Values Flags = goodValues();
+    Flags[R.Flag] = R.Value;
+    const auto Parsed = read(Flags);
+    REQUIRE_FALSE(succeeded(Parsed));
+    CHECK(errorOf(Parsed).find(R.Flag) != std::string::npos);
+    CHECK(errorOf(Parsed).find(R.Expected) != std::string::npos);
+  }
+}
+
+// Guards against a mistake that hides the next one.
+TEST_CASE("every mistake is reported at once") {
+  Values Flags = goodValues();
+  Flags["--log-level"] = "loud";
+  Flags["--peer-address"] = "x";
+  const auto Parsed = read(Flags);
+  REQUIRE_FALSE(succeeded(Parsed));
+  CHECK(errorOf(Parsed).find("--log-level") != std::string::npos);
+  CHECK(errorOf(Parsed).find("--peer-address") != std::string::npos);
+}
+
+// Guards against an environment variable that overrides a flag, or is ignored.
+TEST_CASE("a flag goes before its environment variable") {
+  struct Row {
+    bool Flag;
+    bool Variable;
+    const char *Expected; ///< Null: the setting is missing.
+  };
+  const Row Rows[] = {{true, true, "flag"},
+                      {true, false, "flag"},
+                      {false, true, "variable"},
+                      {false, false, nullptr}};
+  for (const Row &R : Rows) {
+    CAPTURE(R.Flag, R.Variable);
+    Values Flags = goodValues();
+    Flags.erase("--vm-id");
+    if (R.Flag)
+      Flags["--vm-id"] = "flag";
+    Values Variables;
+    if (R.Variable)
+      Variables["AMARANTHSPUR_VM_ID"] = "variable";
+    const auto Parsed = read(Flags, Variables);
+    REQUIRE(succeeded(Parsed) == (R.Expected != nullptr));
+    if (R.Expected)
+      CHECK(valueOf(Parsed).Values.VmId.str() == R.Expected);
+    else
+      CHECK(errorOf(Parsed).find("--vm-id (AMARANTHSPUR_VM_ID) is missing") !=
+            std::string::npos);
+  }
+}
+
+// Guards against a start by mistake where only a check or help was asked for.
+TEST_CASE("actions") {
+  struct Row {
+    std::vector<std::string> Arguments;
+    bool Good;
+    SettingsAction Action;
+  };
+  const auto None = [](const std::string &) -> std::optional<std::string> {
+    return std::nullopt;
+  };
+  const Row Rows[] = {
+      {{"--help"}, true, SettingsAction::ShowHelp},
+      {{"--version"}, true, SettingsAction::ShowVersion},
+      {{"--check"}, false, SettingsAction::CheckOnly},
+      {{"--no-such-flag"}, false, SettingsAction::Run},
+      {{"stray"}, false, SettingsAction::Run},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Arguments);
+    const auto Parsed = readSettings(R.Arguments, None);
+    REQUIRE(succeeded(Parsed) == R.Good);
+    if (R.Good)
+      CHECK(valueOf(Parsed).Action == R.Action);
+  }
+}
