--- a/src/core/Async.cpp
+++ b/src/core/Async.cpp
@@ -134,9 +134,11 @@
 }
 
 QCoro::Task<bool> TaskGroup::empty(TimePoint Deadline) {
-  while (this->Count > 0)
-    if (!co_await this->Ended.wait(Deadline))
-      co_return false;
+  while (this->Count > 0) {
+    const bool Woken = co_await this->Ended.wait(Deadline);
+    if (!Woken)
+      co_return this->Count == 0;
+  }
   co_return true;
 }
 
--- a/src/core/Result.h
+++ b/src/core/Result.h
@@ -17,8 +17,8 @@
 /// Either a value or an Error.
 template <typename T> using Result = std::variant<T, Error>;
 
-/// The value of a function that returns nothing but can fail. A type of its own:
-/// QCoro keeps a task's result in a variant whose empty state is
+/// The value of a function that returns nothing but can fail. A type of its
+/// own: QCoro keeps a task's result in a variant whose empty state is
 /// std::monostate, so a task that returned one would seem to have no result.
 struct Success {
   bool operator==(const Success &) const = default;
--- a/src/core/testing/AsyncTest.cpp
+++ b/src/core/testing/AsyncTest.cpp
@@ -22,9 +22,9 @@
   co_return Notified;
 }
 
-QCoro::Task<> hold(TaskGroup &Group) {
+QCoro::Task<> hold(TaskGroup &Group, WaitPoint &Release) {
   const TaskGroup::Guard Guard(Group);
-  co_await sleepFor(milliseconds(5));
+  co_await Release.wait();
 }
 
 } // namespace
@@ -85,10 +85,15 @@
 TEST_CASE("a task group is empty only after its last task") {
   testApplication();
   TaskGroup Group;
-  hold(Group);
-  hold(Group);
+  WaitPoint First;
+  WaitPoint Second;
+  hold(Group, First);
+  hold(Group, Second);
   CHECK(Group.size() == 2);
-  CHECK_FALSE(runTask(Group.empty(steadyNow() - milliseconds(1))));
+  First.wake();
+  CHECK_FALSE(runTask(Group.empty(steadyNow() + milliseconds(1))));
+  CHECK(Group.size() == 1);
+  Second.wake();
   CHECK(runTask(Group.empty()));
   CHECK(Group.size() == 0);
 }
--- a/src/policy/SwimMembership.cpp
+++ b/src/policy/SwimMembership.cpp
@@ -478,9 +478,9 @@
     return Response;
   }
   auto Sender = this->Records.find(From);
-  const bool FirstContact = Sender == this->Records.end() ||
-                            Sender->second.Gone ||
-                            Incarnation > Sender->second.M.Incarnation + MaxRefutations;
+  const bool FirstContact =
+      Sender == this->Records.end() || Sender->second.Gone ||
+      Incarnation > Sender->second.M.Incarnation + MaxRefutations;
   const Member *Own = nullptr;
   for (const Member &M : Message.Members)
     if (M.Id == From && M.Incarnation == Incarnation)
--- a/src/root/backends/ServerConnection.cpp
+++ b/src/root/backends/ServerConnection.cpp
@@ -80,7 +80,8 @@
     if (!succeeded(Next))
       co_return ConnectFailure{"", errorOf(Next)};
     if (!valueOf(Next)) {
-      if (co_await Opened->Wire->readable(Deadline) != ReadEvent::Data)
+      const ReadEvent Event = co_await Opened->Wire->readable(Deadline);
+      if (Event != ReadEvent::Data)
         co_return ConnectFailure{"", "no answer to start-up from " + To.str()};
       continue;
     }
@@ -101,8 +102,9 @@
     co_return;
   Wire->write(pg::buildCancel(ProcessId, SecretKey));
   // The server closes the connection when it has taken the request.
-  while (co_await Wire->readable(Deadline) == ReadEvent::Data)
-    continue;
+  ReadEvent Event = ReadEvent::Data;
+  while (Event == ReadEvent::Data)
+    Event = co_await Wire->readable(Deadline);
 }
 
 } // namespace amaranthspur
--- a/src/root/backends/ServerOwner.cpp
+++ b/src/root/backends/ServerOwner.cpp
@@ -122,9 +122,9 @@
 }
 
 QCoro::Task<bool> ServerOwner::waitLease(TimePoint Deadline) {
-  while (!this->holdsLease() && !this->Stopping)
-    if (!co_await this->LeaseChanged.wait(Deadline))
-      break;
+  bool InTime = true;
+  while (!this->holdsLease() && !this->Stopping && InTime)
+    InTime = co_await this->LeaseChanged.wait(Deadline);
   co_return this->holdsLease() && !this->Stopping;
 }
 
@@ -153,7 +153,8 @@
   // takes longer than most statements.
   const std::size_t Wanted = std::min<std::size_t>(this->Setup.Server.Slots,
                                                    this->Setup.WorkConnections);
-  if (!co_await this->waitLease(steadyNow() + ConnectTime))
+  const bool Leased = co_await this->waitLease(steadyNow() + ConnectTime);
+  if (!Leased)
     co_return;
   while (this->OpenConnections < Wanted && !this->Stopping) {
     std::variant<Conn, Refusal> Opened =
@@ -231,8 +232,11 @@
 QCoro::Task<StatementResult> ServerOwner::execute(StatementOrder Order,
                                                   AnswerSink &Sink) {
   const TaskGroup::Guard Guard(this->Tasks);
-  if (!Order.InTransaction && !co_await this->waitLease(Order.Deadline))
-    co_return refusedWith(notRun(RefusalReason::NotOwner));
+  if (!Order.InTransaction) {
+    const bool Leased = co_await this->waitLease(Order.Deadline);
+    if (!Leased)
+      co_return refusedWith(notRun(RefusalReason::NotOwner));
+  }
   if (std::optional<Refusal> R = this->refuseAtOnce(Order))
     co_return refusedWith(std::move(*R));
   if (Order.Wants == Access::Read && !Order.InTransaction &&
@@ -281,7 +285,8 @@
   this->Waiting.emplace(Id, &Entry);
   this->dispatch();
   while (!Entry.Started && !Entry.Refused) {
-    if (co_await Entry.Wake.wait(Order.Deadline) || Entry.Started)
+    const bool Woken = co_await Entry.Wake.wait(Order.Deadline);
+    if (Woken || Entry.Started)
       continue;
     this->Queue->withdraw(Id);
     Entry.Refused = notRun(RefusalReason::DeadlineExpired);
@@ -333,7 +338,8 @@
     if (!succeeded(Next))
       co_return false;
     if (!valueOf(Next)) {
-      if (co_await C.Wire->readable(Until) != ReadEvent::Data)
+      const ReadEvent Event = co_await C.Wire->readable(Until);
+      if (Event != ReadEvent::Data)
         co_return false;
       continue;
     }
@@ -361,7 +367,10 @@
       Conn C = std::move(this->Idle.back());
       this->Idle.pop_back();
       const bool Stale = steadyNow() - C->IdleSince > ValidateAfter;
-      if (C->Wire->isOpen() && (!Stale || co_await this->validate(*C)))
+      bool Usable = C->Wire->isOpen();
+      if (Usable && Stale)
+        Usable = co_await this->validate(*C);
+      if (Usable)
         co_return C;
       // What silenced this connection has silenced those that were idle as
       // long: replace them all.
@@ -373,7 +382,8 @@
     if (this->OpenConnections < this->Setup.WorkConnections)
       co_return co_await this->openConnection(
           std::min(Order.Deadline, steadyNow() + ConnectTime));
-    if (!co_await this->ConnectionFreed.wait(Order.Deadline))
+    const bool Freed = co_await this->ConnectionFreed.wait(Order.Deadline);
+    if (!Freed)
       co_return notRun(RefusalReason::DeadlineExpired,
                        "no connection became free");
   }
@@ -421,7 +431,8 @@
     }
     if (A.Frames.size() >= PieceBytes) {
       A.Delivered = true;
-      if (!co_await Sink.deliver(std::exchange(A.Frames, {})))
+      const bool Taken = co_await Sink.deliver(std::exchange(A.Frames, {}));
+      if (!Taken)
         co_return outcomeUnknown(RefusalReason::ConnectionLost,
                                  "the caller is gone");
     }
@@ -487,12 +498,17 @@
     co_return refusedWith(notRun(*Role));
   // What the primary has shown or done is passed on only when a failover cannot
   // take it back.
-  if (*A.Ready == TransactionState::Idle && this->isPrimary() &&
-      !co_await this->Durable.waitConfirmed(
-          Position, std::max(Order.Deadline, steadyNow() + AnswerGrace)))
-    co_return refusedWith(outcomeUnknown(RefusalReason::NotConfirmed));
+  if (*A.Ready == TransactionState::Idle && this->isPrimary()) {
+    const bool Confirmed = co_await this->Durable.waitConfirmed(
+        Position, std::max(Order.Deadline, steadyNow() + AnswerGrace));
+    if (!Confirmed)
+      co_return refusedWith(outcomeUnknown(RefusalReason::NotConfirmed));
+  }
   A.Frames += A.Tail;
-  if (!A.Frames.empty() && !co_await Sink.deliver(std::move(A.Frames)))
+  bool Taken = true;
+  if (!A.Frames.empty())
+    Taken = co_await Sink.deliver(std::move(A.Frames));
+  if (!Taken)
     co_return refusedWith(
         outcomeUnknown(RefusalReason::ConnectionLost, "the caller is gone"));
   co_return Result;
--- a/src/root/callers/CallerListener.cpp
+++ b/src/root/callers/CallerListener.cpp
@@ -40,7 +40,8 @@
     this->Server->close();
   for (const auto &[Number, Session] : this->Sessions)
     Session->finish();
-  if (!co_await this->Tasks.empty(Deadline))
+  const bool Ended = co_await this->Tasks.empty(Deadline);
+  if (!Ended)
     for (const auto &[Number, Session] : this->Sessions)
       Session->abort();
   co_await this->Tasks.empty(steadyNow() + std::chrono::seconds(1));
--- a/src/root/callers/CallerSession.cpp
+++ b/src/root/callers/CallerSession.cpp
@@ -30,7 +30,9 @@
     this->Wire.write(Frames);
     std::size_t Before = this->Wire.queuedBytes();
     while (Before > Connection::WriteBufferBytes) {
-      if (co_await this->Wire.writable(steadyNow() + SlowCallerTime))
+      const bool Written =
+          co_await this->Wire.writable(steadyNow() + SlowCallerTime);
+      if (Written)
         break;
       const std::size_t Left = this->Wire.queuedBytes();
       if (!this->Wire.isOpen() || Left >= Before)
@@ -54,7 +56,8 @@
       Key(Key), OnCancel(std::move(OnCancel)) {}
 
 QCoro::Task<> CallerSession::run() {
-  if (!co_await this->startUp())
+  const bool Started = co_await this->startUp();
+  if (!Started)
     co_return;
   while (this->Wire->isOpen()) {
     std::optional<Batch> Next = co_await this->readBatch();
@@ -102,7 +105,8 @@
       co_return false;
     }
     if (!valueOf(Next)) {
-      if (co_await this->Wire->readable(Until) != ReadEvent::Data)
+      const ReadEvent Event = co_await this->Wire->readable(Until);
+      if (Event != ReadEvent::Data)
         co_return false;
       continue;
     }
@@ -214,7 +218,8 @@
                            this->State == TransactionState::Idle;
       if (this->Finishing && Between)
         co_return std::nullopt;
-      if (co_await this->Wire->readable() == ReadEvent::Closed)
+      const ReadEvent Event = co_await this->Wire->readable();
+      if (Event == ReadEvent::Closed)
         co_return std::nullopt;
       continue;
     }
--- a/src/root/peers/Forwarding.cpp
+++ b/src/root/peers/Forwarding.cpp
@@ -160,7 +160,8 @@
       if (Entry.Answers.closed())
         co_return refusedWith(
             outcomeUnknown(RefusalReason::OwnerUnreachable, Entry.Owner.str()));
-      if (!co_await Entry.Answers.ready(Until)) {
+      const bool InTime = co_await Entry.Answers.ready(Until);
+      if (!InTime) {
         this->closeStream(Entry.Owner, Entry.Stream);
         co_return refusedWith(outcomeUnknown(RefusalReason::DeadlineExpired,
                                              "the owner has not answered"));
@@ -169,8 +170,10 @@
     }
     const std::size_t Bytes = Part->frames().size();
     const bool Last = Part->last();
-    if (Bytes > 0 &&
-        !co_await Sink.deliver(std::move(*Part->mutable_frames()))) {
+    bool Taken = true;
+    if (Bytes > 0)
+      Taken = co_await Sink.deliver(std::move(*Part->mutable_frames()));
+    if (!Taken) {
       this->closeStream(Entry.Owner, Entry.Stream);
       co_return refusedWith(
           outcomeUnknown(RefusalReason::ConnectionLost, "the caller is gone"));
@@ -237,9 +240,12 @@
     std::size_t At = 0;
     while (At < Frames.size()) {
       const std::size_t Piece = std::min(MaxPiece, Frames.size() - At);
-      while (this->Control.Window < Piece)
-        if (!co_await this->Control.Credited.wait(steadyNow() + CreditTime))
+      while (this->Control.Window < Piece) {
+        const bool Credited =
+            co_await this->Control.Credited.wait(steadyNow() + CreditTime);
+        if (!Credited)
           co_return false;
+      }
       this->Control.Window -= Piece;
       peer::Envelope Message;
       peer::StatementAnswer &Part = *Message.mutable_statement_answer();
--- a/src/wire/Connection.cpp
+++ b/src/wire/Connection.cpp
@@ -62,9 +62,9 @@
   QObject::connect(Socket, &QTcpSocket::errorOccurred, Socket,
                    [&Done] { Done.wake(); });
   Socket->connectToHost(QHostAddress(QString::fromStdString(To.Host)), To.Port);
-  while (Socket->state() == QAbstractSocket::ConnectingState)
-    if (!co_await Done.wait(Deadline))
-      break;
+  bool InTime = true;
+  while (InTime && Socket->state() == QAbstractSocket::ConnectingState)
+    InTime = co_await Done.wait(Deadline);
   Socket->disconnect();
   if (Socket->state() != QAbstractSocket::ConnectedState) {
     Socket->abort();
@@ -103,9 +103,11 @@
 }
 
 QCoro::Task<bool> Connection::writable(TimePoint Deadline) {
-  while (!this->Ended && this->queuedBytes() > WriteBufferBytes)
-    if (!co_await this->Writable.wait(Deadline))
+  while (!this->Ended && this->queuedBytes() > WriteBufferBytes) {
+    const bool InTime = co_await this->Writable.wait(Deadline);
+    if (!InTime)
       co_return false;
+  }
   co_return !this->Ended;
 }
 
