--- a/src/root/peers/testing/ZmqPeerNetworkTest.cpp
+++ b/src/root/peers/testing/ZmqPeerNetworkTest.cpp
@@ -70,7 +70,7 @@
     this->Network = std::make_unique<ZmqPeerNetwork>(Options);
     bool Started = false;
     this->Network->start().then(
-        [&Started](Result<Success> R) { Started = succeeded(R); });
+        [&Started](const Result<Success> &R) { Started = succeeded(R); });
     REQUIRE(runUntil([&Started] { return Started; }));
   }
 
@@ -83,9 +83,9 @@
   }
 
   ListedMember listed() const {
-    return {this->Id(), this->Address, DataCentre("a"), false};
+    return {this->id(), this->Address, DataCentre("a"), false};
   }
-  EntryVmId Id() const { return this->Network->members().front().Id; }
+  EntryVmId id() const { return this->Network->members().front().Id; }
 
   bool sees(const std::string &Other, MemberState State) const {
     for (const Member &M : this->Network->members())
