--- a/src/root/peers/PeerCodec.cpp
+++ b/src/root/peers/PeerCodec.cpp
@@ -64,7 +64,7 @@
 Result<peer::Envelope> decodeEnvelope(std::string_view Bytes) {
   // The library writes a line to standard error for each malformed message;
   // they are counted instead (PeerDrop::Malformed).
-  [[maybe_unused]] static const auto *const Former =
+  [[maybe_unused]] static auto *const Former =
       google::protobuf::SetLogHandler(nullptr);
   peer::Envelope Message;
   if (!Message.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
