--- a/src/root/backends/GroupWatcher.cpp
+++ b/src/root/backends/GroupWatcher.cpp
@@ -57,8 +57,9 @@
   std::unique_ptr<BackendServer> Server;
   std::optional<ServerStatus> Status;
   TimePoint AnsweredAt{};
-  TimePoint PolledAt{}; ///< When the last poll was sent.
-  bool Failed = false;  ///< The last poll had no answer.
+  TimePoint StatusSentAt{}; ///< When the question for Status was sent.
+  TimePoint PolledAt{};     ///< When the last poll was sent.
+  bool Failed = false;      ///< The last poll had no answer.
   bool PollNow = true;
   bool Removed = false;
   bool TaskEnded = false;
@@ -109,6 +110,7 @@
   this->Waiters.clear();
   this->ConfirmWake.wake();
   this->FailoverWake.wake();
+  this->Observed.notifyAll();
   for (const std::shared_ptr<Entry> &E : this->Entries) {
     E->Server->reset();
     E->Wake.wake();
@@ -257,12 +259,14 @@
                        E.Status->LogEnd.TermNumber != Status.LogEnd.TermNumber;
   E.Status = Status;
   E.AnsweredAt = Now;
+  E.StatusSentAt = SentAt;
   E.Failed = false;
   if (E.Removed)
     return;
   this->Policies.Durable->observe(E.Config.Id, Status, SentAt, Now);
   this->Ages.observe(E.Config.Id, Status, SentAt);
   this->ConfirmWake.wake();
+  this->Observed.notifyAll();
   if (Changed)
     this->FailoverWake.wake();
   this->publish(Changed);
@@ -287,11 +291,48 @@
   if (First)
     this->wakeServers();
   // Whoever wakes the point has removed the waiter.
-  if (!co_await Own.Point.wait(Deadline))
+  const bool Woken = co_await Own.Point.wait(Deadline);
+  if (!Woken)
     this->Waiters.erase(Place);
   co_return Own.Confirmed;
 }
 
+std::optional<LogPosition> GroupWatcher::floorSince(TimePoint Start) const {
+  // A promotion that was complete before Start would show: its majority shares
+  // a server with the one that answers here, and that server has adopted its
+  // term.
+  const Entry *Primary = nullptr;
+  for (const std::shared_ptr<Entry> &E : this->Entries)
+    if (E->Status && E->StatusSentAt >= Start &&
+        E->Status->Role == ServerRole::Primary &&
+        E->Status->LogEnd.TermNumber == E->Status->AdoptedTerm)
+      Primary = E.get();
+  if (!Primary)
+    return std::nullopt;
+  std::size_t Agreeing = 0;
+  for (const std::shared_ptr<Entry> &E : this->Entries)
+    if (E->Status && E->StatusSentAt >= Start &&
+        E->Status->AdoptedTerm == Primary->Status->AdoptedTerm)
+      ++Agreeing;
+  if (Agreeing < majorityOf(this->Entries.size()))
+    return std::nullopt;
+  return Primary->Status->LogEnd;
+}
+
+QCoro::Task<std::optional<LogPosition>>
+GroupWatcher::currentFloor(TimePoint Deadline) {
+  const TimePoint Start = this->Parts.Time.now();
+  this->pollAllNow();
+  for (;;) {
+    const std::optional<LogPosition> Floor = this->floorSince(Start);
+    if (Floor || this->Stopping)
+      co_return Floor;
+    const bool InTime = co_await this->Observed.wait(Deadline);
+    if (!InTime)
+      co_return std::nullopt;
+  }
+}
+
 QCoro::Task<> GroupWatcher::confirm() {
   while (!this->Stopping) {
     co_await this->ConfirmWake.wait();
@@ -447,7 +488,8 @@
   while (Round->Unanswered > 0) {
     if (Round->Adoptions.size() >= Action.Needed)
       Until = std::min(Until, this->Parts.Time.now() + AdoptGrace);
-    if (!co_await Round->Progress.wait(Until))
+    const bool Progressed = co_await Round->Progress.wait(Until);
+    if (!Progressed)
       break;
   }
   const bool Enough = Round->Adoptions.size() >= Action.Needed;
--- a/src/root/backends/GroupWatcher.h
+++ b/src/root/backends/GroupWatcher.h
@@ -79,6 +79,9 @@
   QCoro::Task<bool> waitConfirmed(LogPosition Position,
                                   TimePoint Deadline) override;
   bool acceptsWrites(TimePoint Now) const override;
+  QCoro::Task<std::optional<LogPosition>>
+  currentFloor(TimePoint Deadline) override;
+  void refresh() override { this->pollAllNow(); }
 
   const WatcherCounts &counts() const { return this->Counts; }
 
@@ -108,6 +111,7 @@
   TimePoint nextPoll(const Entry &E) const;
   void observed(Entry &E, const ServerStatus &Status, TimePoint SentAt);
 
+  std::optional<LogPosition> floorSince(TimePoint Start) const;
   QCoro::Task<> confirm();
   void wakeConfirmed();
 
@@ -134,6 +138,7 @@
   WatcherCounts Counts;
   std::vector<std::shared_ptr<Entry>> Entries;
   std::multimap<LogPosition, Waiter *> Waiters;
+  Signal Observed; ///< A server has answered a poll.
   WaitPoint ConfirmWake;
   WaitPoint FailoverWake;
   WaitPoint Ended;
--- a/src/root/backends/ServerOwner.cpp
+++ b/src/root/backends/ServerOwner.cpp
@@ -16,6 +16,8 @@
 constexpr Duration ExpiryInterval = milliseconds(10);
 /// Longest wait of a read for the replica to catch up.
 constexpr Duration CatchUpTime = milliseconds(50);
+/// How often the replica's position is asked for in that time.
+constexpr Duration CatchUpPoll = milliseconds(5);
 /// A connection that was idle longer is tested before it is used: something on
 /// the path may have lost track of it.
 constexpr Duration ValidateAfter = milliseconds(1000);
@@ -220,10 +222,12 @@
   const TimePoint Until = std::min(steadyNow() + CatchUpTime, Order.Deadline);
   WaitPoint Updated;
   while (!this->freshEnough(Order, steadyNow())) {
+    // The last poll may be older than the catching up.
+    this->Durable.refresh();
     this->Views.wakeOnUpdate(this->Setup.Service, &Updated);
-    const bool Woken = co_await Updated.wait(Until);
+    co_await Updated.wait(std::min(Until, steadyNow() + CatchUpPoll));
     this->Views.forget(&Updated);
-    if (!Woken)
+    if (steadyNow() >= Until)
       co_return notRun(RefusalReason::TooStale);
   }
   co_return std::nullopt;
--- a/src/root/backends/ServerOwner.h
+++ b/src/root/backends/ServerOwner.h
@@ -68,6 +68,7 @@
   void configure(const ServiceConfig &Service, const ServerConfig &Server,
                  unsigned WorkConnections);
 
+  const ServiceName &service() const { return this->Setup.Service; }
   const ServerConfig &server() const { return this->Setup.Server; }
   AdmissionStats queueStats() const { return this->Queue->stats(); }
   std::size_t openConnections() const { return this->OpenConnections; }
--- a/src/root/callers/CallerSession.cpp
+++ b/src/root/callers/CallerSession.cpp
@@ -176,6 +176,7 @@
   if (std::optional<Refusal> R = this->applySettings(Given, this->Settings))
     return R;
   this->TokenChecked = !this->Settings.Token;
+  this->Context.OnUse(this->Service);
   return std::nullopt;
 }
 
@@ -482,6 +483,7 @@
     co_return;
   }
   const EffectiveSettings &E = valueOf(Effective);
+  this->Context.OnUse(this->Service);
   StatementOrder Order;
   Order.Service = this->Service;
   Order.Stream = this->Stream;
--- a/src/root/callers/CallerSession.h
+++ b/src/root/callers/CallerSession.h
@@ -31,6 +31,8 @@
   StatementRouter &Router;
   ExecutorLookup &Executors;
   Metrics &Counters;
+  /// Called when a caller uses a service.
+  std::function<void(const ServiceName &)> OnUse;
   /// Budgets of retries by service and caller; bounded by the configuration.
   std::map<std::pair<ServiceName, CallerName>, RetryBudget> Budgets;
 };
--- a/src/root/peers/ZmqPeerNetwork.cpp
+++ b/src/root/peers/ZmqPeerNetwork.cpp
@@ -68,7 +68,7 @@
           static_cast<std::int64_t>(MaxPeerMessageBytes));
     S.set(zmq::sockopt::curve_server, true);
     S.set(zmq::sockopt::curve_secretkey, this->Transport.Keys.SecretKey);
-    S.bind("tcp://" + this->Options.PeerAddress);
+    S.bind("tcp://" + this->Options.ListenAddress);
     this->Notifier.reset(
         new QSocketNotifier(S.get(zmq::sockopt::fd), QSocketNotifier::Read));
     this->Router = std::move(S);
@@ -89,8 +89,8 @@
     co_return Result<Success>(Success());
   std::string Why;
   if (!this->bind(Why))
-    co_return Error{"cannot listen for peers at " + this->Options.PeerAddress +
-                    ": " + Why};
+    co_return Error{"cannot listen for peers at " +
+                    this->Options.ListenAddress + ": " + Why};
   this->Running = true;
   this->Inbox = std::make_unique<AsyncQueue<peer::Envelope>>(MaxInboxMessages);
   this->MembershipTaskEnded = false;
--- a/src/root/peers/ZmqPeerNetwork.h
+++ b/src/root/peers/ZmqPeerNetwork.h
@@ -30,8 +30,9 @@
 struct PeerNetworkOptions {
   EntryVmId Self;
   DataCentre Location;
-  std::string PeerAddress; ///< `host:port`, bound and told to others.
-  std::string BindHost;    ///< Source of connections; empty: any.
+  std::string ListenAddress; ///< `host:port` that is bound.
+  std::string PeerAddress;   ///< `host:port` that others connect to.
+  std::string BindHost;      ///< Source of connections; empty: any.
   std::string DeploymentKey;
   std::uint64_t Incarnation = 0; ///< Start time of the process in µs.
   /// Returns the configuration revision in force.
--- a/src/root/peers/testing/ZmqPeerNetworkTest.cpp
+++ b/src/root/peers/testing/ZmqPeerNetworkTest.cpp
@@ -63,6 +63,7 @@
     Options.Self = EntryVmId(Id);
     Options.Location = DataCentre("a");
     Options.PeerAddress = this->Address;
+    Options.ListenAddress = Options.PeerAddress;
     Options.BindHost = "127.0.0.1";
     Options.DeploymentKey = Key;
     Options.Incarnation = startTime();
--- a/src/root/telemetry/Log.cpp
+++ b/src/root/telemetry/Log.cpp
@@ -101,6 +101,11 @@
   Written = Least;
 }
 
+void logLine(LogLevel Level, const std::string &Line) {
+  if (Written && Level <= *Written)
+    logger().log(libraryLevel(Level), Line);
+}
+
 void log(LogLevel Level, LogEvent Event,
          std::initializer_list<LogField> Fields) {
   if (!Written || Level > *Written)
--- a/src/root/telemetry/Log.h
+++ b/src/root/telemetry/Log.h
@@ -119,6 +119,9 @@
 /// \param Process identifier of this process; stands in every line.
 void startLog(LogLevel Least, std::string_view Process);
 
+/// Writes a line that a module without access to this one has formatted.
+void logLine(LogLevel Level, const std::string &Line);
+
 /// Writes one line. Costs a comparison if \p Level is not written, besides the
 /// making of the fields.
 void log(LogLevel Level, LogEvent Event,
