--- a/src/policy/Membership.h
+++ b/src/policy/Membership.h
@@ -29,6 +29,7 @@
 
 #include <array>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace amaranthspur {
@@ -137,6 +138,9 @@
   /// remembered included. Linear after a change, else constant.
   virtual const std::vector<Member> &members() const = 0;
 
+  /// Returns what members() has of \p Id, or nothing. Logarithmic.
+  virtual std::optional<Member> find(const EntryVmId &Id) const = 0;
+
   /// Returns a number that grows with every change of members().
   virtual std::uint64_t version() const = 0;
 
--- a/src/policy/NewsQueue.h
+++ b/src/policy/NewsQueue.h
@@ -4,16 +4,16 @@
 
 #include "core/Types.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
-#include <set>
 #include <utility>
 #include <vector>
 
 namespace amaranthspur {
 
 /// Members whose state changed, each to be sent a bounded number of times; what
-/// was sent least often goes first. Logarithmic.
+/// was sent least often goes first, of that the newest. Logarithmic.
 class NewsQueue {
 public:
   /// Starts to pass on news of \p Id anew.
@@ -28,11 +28,15 @@
   take(std::size_t Count, unsigned MaxSends,
        const std::function<bool(const EntryVmId &)> &Wanted);
 
-  bool empty() const { return this->Sends.empty(); }
+  bool empty() const { return this->Keys.empty(); }
 
 private:
-  std::map<EntryVmId, unsigned> Sends;
-  std::set<std::pair<unsigned, EntryVmId>> Order;
+  /// Times sent, and a number that falls with each addition.
+  using Key = std::pair<unsigned, std::uint64_t>;
+
+  std::map<EntryVmId, Key> Keys;
+  std::map<Key, EntryVmId> Order;
+  std::uint64_t NextAge = UINT64_MAX;
 };
 
 } // namespace amaranthspur
--- a/src/policy/SwimMembership.cpp
+++ b/src/policy/SwimMembership.cpp
@@ -30,6 +30,8 @@
 constexpr Duration DeadMemory = std::chrono::minutes(10);
 /// Checks by all members are spread over this time per member.
 constexpr std::uint64_t UnlistedSpreadMs = 10;
+/// What a member learns from others in its first seconds is no news to them.
+constexpr Duration JoinTime = std::chrono::seconds(10);
 constexpr Duration RelayTime = milliseconds(500);
 constexpr std::size_t MaxRelays = 256;
 /// Times that news is sent, per doubling of the number of members.
@@ -72,7 +74,7 @@
   const bool Trusted = Direct || !this->sameCentre(Report) ||
                        (Reporter && this->sameCentre(*Reporter));
   if (Trusted)
-    this->insert(Report, Now);
+    this->insert(Report, Direct, Now);
   else
     this->Candidates.addReported(
         {Report.Id, Report.PeerAddress, Report.Location, false}, Now);
@@ -93,7 +95,7 @@
   this->changed();
 }
 
-void SwimMembership::insert(const Member &Report, TimePoint Now) {
+void SwimMembership::insert(const Member &Report, bool Direct, TimePoint Now) {
   if (this->Records.size() >= MaxMembers)
     return;
   Record &R = this->Records[Report.Id];
@@ -105,7 +107,8 @@
     R.M.State = MemberState::Live;
     this->startSuspicion(R, Now);
   }
-  this->News.add(Report.Id);
+  if (Direct || (this->FirstTick && Now - *this->FirstTick > JoinTime))
+    this->News.add(Report.Id);
   this->changed();
 }
 
@@ -202,8 +205,10 @@
   Outgoing Out;
   if (this->LastTick && Now - *this->LastTick > MaxTickGap)
     this->afterPause(Now);
-  if (!this->LastTick)
+  if (!this->LastTick) {
     this->NextPeriod = Now;
+    this->FirstTick = Now;
+  }
   this->LastTick = Now;
   this->checkProbes(Now, Rng, Out);
   this->checkSuspicions(Now);
@@ -238,14 +243,14 @@
 }
 
 void SwimMembership::probeNext(TimePoint Now, Random &Rng, Outgoing &Out) {
-  this->refreshIndex();
   while (true) {
     if (this->Ring.empty()) {
-      if (this->OwnCentre.empty()) {
+      if (this->index().OwnCentre.empty()) {
         this->pingOtherCentre(Rng, Out);
         return;
       }
-      this->Ring = this->OwnCentre;
+      for (const Record *R : this->index().OwnCentre)
+        this->Ring.push_back(R->M.Id);
       detail::shuffle(this->Ring, Rng);
     }
     const EntryVmId Id = this->Ring.back();
@@ -278,22 +283,22 @@
       continue;
     }
     if (Now - P.SentAt >= DirectTimeout && !std::exchange(P.Indirect, true)) {
-      this->refreshIndex();
-      std::vector<EntryVmId> Helpers = this->OwnCentre;
-      std::erase(Helpers, P.Target);
+      std::vector<const Record *> Helpers = this->index().OwnCentre;
+      std::erase(Helpers, &Target->second);
       detail::shuffle(Helpers, Rng);
       if (Helpers.size() > IndirectProbes)
         Helpers.resize(IndirectProbes);
-      if (!this->OtherCentres.empty()) {
+      if (!this->index().OtherCentres.empty()) {
         const auto &Centre =
-            this->OtherCentres[Rng.below(this->OtherCentres.size())];
+            this->index()
+                .OtherCentres[Rng.below(this->index().OtherCentres.size())];
         Helpers.push_back(Centre[Rng.below(Centre.size())]);
       }
-      for (const EntryVmId &Helper : Helpers) {
+      for (const Record *Helper : Helpers) {
         MembershipMessage Request = this->makeMessage(
-            MembershipMessageKind::PingRequest, Sequence, Helper);
+            MembershipMessageKind::PingRequest, Sequence, Helper->M.Id);
         Request.About = P.Target;
-        Out.push_back(this->to(this->Records.at(Helper), std::move(Request)));
+        Out.push_back(this->to(*Helper, std::move(Request)));
       }
     }
     ++It;
@@ -322,31 +327,29 @@
   for (const auto &[End, Id] : this->Suspicions) {
     const Record &R = this->Records.at(Id);
     if (R.OwnSuspicion)
-      Out.push_back(this->to(R, this->makeMessage(MembershipMessageKind::Ping,
-                                                  this->NextSequence++, Id)));
+      this->ping(R, Out);
   }
 }
 
+void SwimMembership::ping(const Record &R, Outgoing &Out) {
+  Out.push_back(this->to(R, this->makeMessage(MembershipMessageKind::Ping,
+                                              this->NextSequence++, R.M.Id)));
+}
+
 void SwimMembership::pingOtherCentre(Random &Rng, Outgoing &Out) {
-  this->refreshIndex();
-  if (this->OtherCentres.empty())
+  if (this->index().OtherCentres.empty())
     return;
-  const auto &Centre = this->OtherCentres[Rng.below(this->OtherCentres.size())];
-  const EntryVmId &Id = Centre[Rng.below(Centre.size())];
-  Out.push_back(this->to(this->Records.at(Id),
-                         this->makeMessage(MembershipMessageKind::Ping,
-                                           this->NextSequence++, Id)));
+  const auto &Centre =
+      this->index().OtherCentres[Rng.below(this->index().OtherCentres.size())];
+  this->ping(*Centre[Rng.below(Centre.size())], Out);
 }
 
 void SwimMembership::pingDead(Random &Rng, Outgoing &Out) {
-  this->refreshIndex();
-  if (this->DeadOnes.empty() ||
-      Rng.below(this->OwnCentre.size() + 1) >= DeadPings)
+  if (this->index().DeadOnes.empty() ||
+      Rng.below(this->index().OwnCentre.size() + 1) >= DeadPings)
     return;
-  const EntryVmId &Id = this->DeadOnes[Rng.below(this->DeadOnes.size())];
-  Out.push_back(this->to(this->Records.at(Id),
-                         this->makeMessage(MembershipMessageKind::Ping,
-                                           this->NextSequence++, Id)));
+  this->ping(*this->index().DeadOnes[Rng.below(this->index().DeadOnes.size())],
+             Out);
 }
 
 void SwimMembership::pingCandidates(TimePoint Now, Random &Rng, Outgoing &Out) {
@@ -365,8 +368,7 @@
       continue;
     const UnlistedStep Step = R.Unlisted.step(Now);
     if (Step == UnlistedStep::Ping)
-      Out.push_back(this->to(R, this->makeMessage(MembershipMessageKind::Ping,
-                                                  this->NextSequence++, Id)));
+      this->ping(R, Out);
     if (Step != UnlistedStep::GiveUp)
       continue;
     if (R.SuspicionEnd)
@@ -435,19 +437,17 @@
 }
 
 void SwimMembership::addPage(MembershipMessage &Message, Random &Rng) {
-  this->refreshIndex();
-  const auto AddFrom = [this, &Message, &Rng](const std::vector<EntryVmId> &Ids,
-                                              std::size_t Count) {
-    if (Ids.empty())
+  const auto AddFrom = [&Message, &Rng](const std::vector<const Record *> &All,
+                                        std::size_t Count) {
+    if (All.empty())
       return;
-    const std::size_t First = Rng.below(Ids.size());
-    for (std::size_t I = 0; I < std::min(Count, Ids.size()); ++I)
-      Message.Members.push_back(
-          this->Records.at(Ids[(First + I) % Ids.size()]).M);
+    const std::size_t First = Rng.below(All.size());
+    for (std::size_t I = 0; I < std::min(Count, All.size()); ++I)
+      Message.Members.push_back(All[(First + I) % All.size()]->M);
   };
-  AddFrom(this->OwnCentre, MaxPage / 2);
-  for (const auto &Centre : this->OtherCentres)
-    AddFrom(Centre, MaxPage / 2 / this->OtherCentres.size());
+  AddFrom(this->index().OwnCentre, MaxPage / 2);
+  for (const auto &Centre : this->index().OtherCentres)
+    AddFrom(Centre, MaxPage / 2 / this->index().OtherCentres.size());
 }
 
 MembershipResponse SwimMembership::onMessage(const EntryVmId &From,
@@ -545,43 +545,43 @@
   return Response;
 }
 
-void SwimMembership::refreshIndex() const {
-  if (!std::exchange(this->IndexStale, false))
-    return;
+const MemberIndex &SwimMembership::index() {
+  if (std::exchange(this->IndexStale, false))
+    this->Index.rebuild(this->Records, this->Self.Location);
+  return this->Index;
+}
+
+const std::vector<Member> &SwimMembership::members() const {
+  if (!std::exchange(this->ViewStale, false))
+    return this->View;
   this->View.clear();
-  this->OwnCentre.clear();
-  this->OtherCentres.clear();
-  this->DeadOnes.clear();
-  std::map<DataCentre, std::vector<EntryVmId>> Others;
   this->View.push_back(this->Self);
-  for (const auto &[Id, R] : this->Records) {
-    if (R.Gone)
-      continue;
-    Member Shown = R.M;
-    if (R.ListedLeaving && takesWork(Shown))
-      Shown.State = MemberState::Leaving;
-    this->View.push_back(std::move(Shown));
-    const bool Dead = R.M.State == MemberState::Dead;
-    if (this->sameCentre(R.M))
-      (Dead ? this->DeadOnes : this->OwnCentre).push_back(Id);
-    else if (!Dead)
-      Others[R.M.Location].push_back(Id);
-  }
-  for (auto &[Centre, Ids] : Others)
-    this->OtherCentres.push_back(std::move(Ids));
+  for (const auto &[Id, R] : this->Records)
+    if (!R.Gone)
+      this->View.push_back(R.shown());
   std::sort(this->View.begin(), this->View.end(),
             [](const Member &A, const Member &B) { return A.Id < B.Id; });
+  return this->View;
 }
 
-const std::vector<Member> &SwimMembership::members() const {
-  this->refreshIndex();
-  return this->View;
+std::optional<Member> SwimMembership::find(const EntryVmId &Id) const {
+  if (Id == this->Self.Id)
+    return this->Self;
+  const auto Found = this->Records.find(Id);
+  if (Found == this->Records.end() || Found->second.Gone)
+    return std::nullopt;
+  return Found->second.shown();
 }
 
 MembershipStats SwimMembership::stats() const {
   MembershipStats Stats = this->Counters;
   Stats.Candidates = this->Candidates.size();
-  for (const Member &M : this->members()) {
+  Stats.Live = takesWork(this->Self) ? 1 : 0;
+  Stats.Leaving = 1 - Stats.Live;
+  for (const auto &[Id, R] : this->Records) {
+    if (R.Gone)
+      continue;
+    const Member M = R.shown();
     Stats.Live += takesWork(M) ? 1 : 0;
     Stats.Leaving += M.State == MemberState::Leaving ? 1 : 0;
     Stats.Dead += M.State == MemberState::Dead ? 1 : 0;
--- a/src/policy/SwimMembership.h
+++ b/src/policy/SwimMembership.h
@@ -3,9 +3,9 @@
 #define AMARANTHSPUR_POLICY_SWIMMEMBERSHIP_H
 
 #include "policy/CandidateList.h"
+#include "policy/MemberIndex.h"
 #include "policy/Membership.h"
 #include "policy/NewsQueue.h"
-#include "policy/UnlistedWatch.h"
 
 #include <map>
 #include <optional>
@@ -29,6 +29,7 @@
   }
   void leave() override;
   const std::vector<Member> &members() const override;
+  std::optional<Member> find(const EntryVmId &Id) const override;
   std::uint64_t version() const override { return this->Version; }
   Member self() const override { return this->Self; }
   MembershipStats stats() const override;
@@ -36,18 +37,7 @@
 private:
   using Outgoing = std::vector<OutgoingMembershipMessage>;
 
-  /// What is known of another member.
-  struct Record {
-    Member M;
-    TimePoint DeadSince{};
-    std::optional<TimePoint> SuspicionEnd;
-    bool OwnSuspicion = false; ///< A probe of this member failed.
-    UnlistedWatch Unlisted;
-    bool ListedLeaving = false;
-    /// Dropped because it is neither listed nor heard from. Not shown and not
-    /// passed on, but remembered so that stale reports do not bring it back.
-    bool Gone = false;
-  };
+  using Record = MemberRecord;
 
   struct Probe {
     EntryVmId Target;
@@ -68,13 +58,14 @@
   void changed() {
     ++this->Version;
     this->IndexStale = true;
+    this->ViewStale = true;
   }
 
   // Reports about members.
   void applyReport(const Member &Report, const Member *Reporter, bool Direct,
                    TimePoint Now);
   void applyAboutSelf(const Member &Report);
-  void insert(const Member &Report, TimePoint Now);
+  void insert(const Member &Report, bool Direct, TimePoint Now);
   void replace(Record &R, const Member &Report, TimePoint Now);
   void refute(std::uint64_t Above);
   void announceSelf(bool IsLeaving);
@@ -86,6 +77,7 @@
   void checkUnlisted(TimePoint Now, Outgoing &Out);
   void forgetDead(TimePoint Now);
   void probeNext(TimePoint Now, Random &Rng, Outgoing &Out);
+  void ping(const Record &R, Outgoing &Out);
   void pingSuspects(Outgoing &Out);
   void pingOtherCentre(Random &Rng, Outgoing &Out);
   void pingCandidates(TimePoint Now, Random &Rng, Outgoing &Out);
@@ -101,7 +93,7 @@
   void addPage(MembershipMessage &Message, Random &Rng);
   unsigned maxSends() const;
 
-  void refreshIndex() const;
+  const MemberIndex &index();
 
   Member Self;
   bool LeavingBySelf = false;
@@ -109,7 +101,7 @@
   std::uint64_t Revision = 0;
   std::uint64_t Version = 1;
 
-  std::map<EntryVmId, Record> Records;
+  MemberRecords Records;
   CandidateList Candidates;
   NewsQueue News;
   EntryVmId RotationCursor;
@@ -120,17 +112,17 @@
   std::set<std::pair<TimePoint, EntryVmId>> Suspicions;
   std::vector<EntryVmId> Ring; ///< Own data centre, in the order of probing.
 
+  std::optional<TimePoint> FirstTick;
   std::optional<TimePoint> LastTick;
   TimePoint NextPeriod{};
   std::uint64_t Period = 0;
   MembershipStats Counters;
 
   // Derived from Records on demand.
-  mutable bool IndexStale = true;
+  bool IndexStale = true;
+  MemberIndex Index;
+  mutable bool ViewStale = true;
   mutable std::vector<Member> View;
-  mutable std::vector<EntryVmId> OwnCentre;
-  mutable std::vector<std::vector<EntryVmId>> OtherCentres;
-  mutable std::vector<EntryVmId> DeadOnes; ///< Of the own data centre.
 };
 
 } // namespace amaranthspur
--- a/src/policy/testing/MembershipGroup.h
+++ b/src/policy/testing/MembershipGroup.h
@@ -37,7 +37,7 @@
     for (std::size_t I = 0; I < Count; ++I) {
       Node N;
       N.Start.Id = EntryVmId("vm-" + std::to_string(I));
-      N.Start.PeerAddress = "10.0.0." + std::to_string(I) + ":7000";
+      N.Start.PeerAddress = "h." + std::to_string(I) + ":1";
       N.Start.Location = DataCentre("dc-" + std::to_string(I % Centres));
       N.Start.Incarnation = 1000000;
       this->Nodes.push_back(std::move(N));
@@ -90,10 +90,10 @@
 
   /// Returns how \p Viewer sees \p About, or nothing.
   std::optional<MemberState> view(std::size_t Viewer, std::size_t About) const {
-    for (const Member &M : this->Nodes[Viewer].M->members())
-      if (M.Id == this->Nodes[About].Start.Id)
-        return M.State;
-    return std::nullopt;
+    const auto Found = this->Nodes[Viewer].M->find(this->Nodes[About].Start.Id);
+    if (!Found)
+      return std::nullopt;
+    return Found->State;
   }
 
   /// Returns the number of running nodes whose view of \p About is \p State.
--- a/src/root/peers/testing/MembershipCost.cpp
+++ b/src/root/peers/testing/MembershipCost.cpp
@@ -24,11 +24,17 @@
 /// protocols define them. Acknowledgements and handshakes are not counted.
 constexpr std::uint64_t FramingBytes = 52 + 9 + 33;
 
+/// Addresses and names of data centres are shorter here than in a deployment
+/// (`h.123:1` for `10.123.45.67:7000`, `dc-0` for `joburg-a`), which keeps the
+/// memory of 3,400 instances small.
+constexpr std::uint64_t PaddingPerMember = 14;
+
 std::uint64_t wireSize(const MembershipMessage &Message) {
   peer::Envelope Envelope = toEnvelope(Message);
   Envelope.set_sender(Message.Members.front().Id.str());
   Envelope.set_incarnation(1700000000000000);
-  return encodeEnvelope(Envelope).size() + FramingBytes;
+  return encodeEnvelope(Envelope).size() + FramingBytes +
+         PaddingPerMember * Message.Members.size();
 }
 
 long milliSince(const MembershipGroup &Group, TimePoint Start) {
@@ -103,10 +109,10 @@
   Group.Size = wireSize;
   Group.startAll();
   const TimePoint Start = Group.Now;
-  const auto Joined = [&Group, Count] {
+  const auto Joined = [&Group] {
     return std::all_of(Group.Nodes.begin(), Group.Nodes.end(),
-                       [Count](const MembershipGroup::Node &N) {
-                         return N.M->members().size() == Count;
+                       [](const MembershipGroup::Node &N) {
+                         return N.M->stats().Candidates == 0;
                        });
   };
   while (!Joined() && Group.Now - Start < seconds(60))
@@ -138,11 +144,8 @@
   const long RevisionMs = spreadRevision(Group, Count / 2);
   const Detection Times = detect(Group, 0, Centres);
   std::uint64_t Deaths = 0;
-  for (std::size_t I = 0; I < Count; ++I)
-    for (const Member &M : Group.Nodes[I].M->members())
-      Deaths += M.State == MemberState::Dead && M.Id != Group.Nodes[0].Start.Id
-                    ? 1
-                    : 0;
+  for (std::size_t I = 1; I < Count; ++I)
+    Deaths += Group.count(I, MemberState::Dead);
   std::printf("%zu,%zu,%ld,%.1f,%llu,%llu,%llu,%ld,%ld,%ld,%ld,%ld,%llu\n",
               Count, Centres, JoinMs,
               static_cast<double>(SumMessages) /
