--- a/src/bench/CallerConnection.cpp
+++ b/src/bench/CallerConnection.cpp
@@ -1,5 +1,6 @@
 #include "bench/CallerConnection.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace amaranthspur::bench {
@@ -7,6 +8,23 @@
 
 constexpr std::string_view TokenParameter = "amaranthspur.session";
 
+/// Returns the column names of a RowDescription. Each column is a
+/// zero-terminated name and 18 bytes of type information.
+std::vector<std::string> columnNames(std::string_view Body) {
+  constexpr std::size_t CountBytes = 2;
+  constexpr std::size_t TypeBytes = 18;
+  std::vector<std::string> Names;
+  Body.remove_prefix(std::min(CountBytes, Body.size()));
+  while (!Body.empty()) {
+    const std::size_t End = Body.find('\0');
+    if (End == std::string_view::npos || Body.size() < End + 1 + TypeBytes)
+      break;
+    Names.emplace_back(Body.substr(0, End));
+    Body.remove_prefix(End + 1 + TypeBytes);
+  }
+  return Names;
+}
+
 } // namespace
 
 QCoro::Task<Result<std::unique_ptr<CallerConnection>>>
@@ -68,6 +86,9 @@
       this->Token = valueOf(Status).Value;
     return false;
   }
+  case 'T':
+    Into.Columns = columnNames(F.Body);
+    return false;
   case 'D': {
     auto Row = pg::parseDataRow(F.Body);
     if (succeeded(Row))
--- a/src/bench/CallerConnection.h
+++ b/src/bench/CallerConnection.h
@@ -28,8 +28,9 @@
 struct Answer {
   AnswerEnd End = AnswerEnd::Closed;
   std::vector<std::vector<std::optional<std::string>>> Rows;
-  std::string Tag;         ///< Of the last CommandComplete.
-  pg::ErrorFields Refusal; ///< Of the first ErrorResponse.
+  std::vector<std::string> Columns; ///< Names of the row description.
+  std::string Tag;                  ///< Of the last CommandComplete.
+  pg::ErrorFields Refusal;          ///< Of the first ErrorResponse.
   TransactionState State = TransactionState::Idle;
 };
 
--- a/src/bench/Checker.h
+++ b/src/bench/Checker.h
@@ -19,7 +19,7 @@
 enum class Rule {
   ReadYourWrites,       ///< A read shows all acknowledged writes before it.
   NoLostWrite,          ///< An acknowledged write is in the database.
-  NoDoubledWrite,       ///< A write is in the database at most once.
+  NoDoubledWrite,       ///< An unrepeatable write is there at most once.
   NoMixedTransaction,   ///< Both rows or none; none after a rollback.
   AnswerMatchesRequest, ///< An answer carries its request's identifier.
   NotRunAbsent,         ///< What was reported "not run" left no row.
--- /dev/null
+++ b/src/bench/ChildProcess.cpp
@@ -0,0 +1,127 @@
+#include "bench/ChildProcess.h"
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+#include <sys/prctl.h>
+#include <unistd.h>
+
+namespace amaranthspur::bench {
+namespace {
+
+constexpr int KillWaitMs = 3000;
+constexpr std::string_view ReadyLine = "ready\n";
+
+} // namespace
+
+ChildProcess::ChildProcess(std::string Program,
+                           std::vector<std::string> Arguments,
+                           std::string LogFile)
+    : Program(std::move(Program)) {
+  QStringList List;
+  for (const std::string &Argument : Arguments)
+    List << QString::fromStdString(Argument);
+  this->Process.setProgram(QString::fromStdString(this->Program));
+  this->Process.setArguments(List);
+  this->Process.setStandardErrorFile(LogFile.empty()
+                                         ? QProcess::nullDevice()
+                                         : QString::fromStdString(LogFile),
+                                     QIODevice::Append);
+  // A bench that is killed leaves no process behind.
+  this->Process.setChildProcessModifier(
+      [] { ::prctl(PR_SET_PDEATHSIG, SIGKILL); });
+  QObject::connect(&this->Process, &QProcess::readyReadStandardOutput,
+                   &this->Process, [this] {
+                     this->Output +=
+                         this->Process.readAllStandardOutput().toStdString();
+                     this->Changed.wake();
+                   });
+  QObject::connect(&this->Process, &QProcess::finished, &this->Process,
+                   [this] { this->Changed.wake(); });
+  QObject::connect(&this->Process, &QProcess::errorOccurred, &this->Process,
+                   [this] { this->Changed.wake(); });
+}
+
+ChildProcess::~ChildProcess() {
+  this->Process.disconnect();
+  this->kill();
+}
+
+void ChildProcess::launch() {
+  this->Output.clear();
+  this->Process.start();
+}
+
+QCoro::Task<Result<Success>> ChildProcess::start(TimePoint Deadline) {
+  this->launch();
+  while (this->Output.find(ReadyLine) == std::string::npos) {
+    if (this->Process.state() == QProcess::NotRunning)
+      co_return Result<Success>(Error{this->Program + " did not start"});
+    if (!co_await this->Changed.wait(Deadline))
+      co_return Result<Success>(Error{this->Program + " is not ready in time"});
+  }
+  co_return Result<Success>(Success());
+}
+
+QCoro::Task<> ChildProcess::stop(TimePoint Deadline) {
+  this->resume();
+  this->Process.terminate();
+  while (this->Process.state() != QProcess::NotRunning)
+    if (!co_await this->Changed.wait(Deadline))
+      break;
+  this->kill();
+}
+
+void ChildProcess::kill() {
+  if (this->Process.state() == QProcess::NotRunning)
+    return;
+  this->Process.kill();
+  this->Process.waitForFinished(KillWaitMs);
+}
+
+void ChildProcess::pause() { this->signal(SIGSTOP); }
+
+void ChildProcess::resume() { this->signal(SIGCONT); }
+
+QCoro::Task<std::optional<int>> ChildProcess::ended(TimePoint Deadline) {
+  while (this->Process.state() != QProcess::NotRunning)
+    if (!co_await this->Changed.wait(Deadline))
+      co_return std::optional<int>();
+  this->Output += this->Process.readAllStandardOutput().toStdString();
+  co_return std::optional<int>(this->Process.exitStatus() ==
+                                       QProcess::NormalExit
+                                   ? this->Process.exitCode()
+                                   : -1);
+}
+
+ProcessUsage ChildProcess::usage() const {
+  ProcessUsage Usage;
+  std::ifstream File("/proc/" + std::to_string(this->Process.processId()) +
+                     "/stat");
+  std::string Text((std::istreambuf_iterator<char>(File)), {});
+  // The second field, the name, is in parentheses and may hold spaces.
+  const std::size_t End = Text.rfind(')');
+  if (End == std::string::npos)
+    return Usage;
+  std::istringstream Fields(Text.substr(End + 2));
+  constexpr int UserTimeField = 14;
+  constexpr int ResidentField = 24;
+  std::string Field;
+  for (int Number = 3; Number <= ResidentField && Fields >> Field; ++Number) {
+    if (Number == UserTimeField || Number == UserTimeField + 1)
+      Usage.CpuSeconds +=
+          std::stod(Field) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+    if (Number == ResidentField)
+      Usage.ResidentBytes =
+          std::stoull(Field) * static_cast<std::uint64_t>(::getpagesize());
+  }
+  return Usage;
+}
+
+void ChildProcess::signal(int Number) const {
+  if (this->running())
+    ::kill(static_cast<pid_t>(this->Process.processId()), Number);
+}
+
+} // namespace amaranthspur::bench
--- /dev/null
+++ b/src/bench/Deployment.cpp
@@ -0,0 +1,497 @@
+#include "bench/Deployment.h"
+
+#include "bench/Remote.h"
+
+#include <QCoreApplication>
+#include <QFileInfo>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QTemporaryFile>
+
+#include <algorithm>
+
+namespace amaranthspur::bench {
+namespace {
+
+constexpr Duration StartTimeout = std::chrono::seconds(5);
+constexpr Duration ServeTimeout = std::chrono::seconds(10);
+constexpr Duration StopTimeout = std::chrono::seconds(3);
+constexpr Duration ControlTimeout = std::chrono::seconds(5);
+constexpr Duration DirectTimeout = milliseconds(1500);
+constexpr Duration FinalRowsTimeout = std::chrono::seconds(10);
+constexpr Duration StatusTimeout = milliseconds(400);
+constexpr Duration PollDelay = milliseconds(50);
+
+/// Last numbers of the addresses of a data centre.
+constexpr unsigned PlatformHost = 5;
+constexpr unsigned ProxyHost = 6;
+constexpr unsigned FirstServerHost = 11;
+constexpr unsigned FirstEntryHost = 101;
+constexpr unsigned CallerHost = 201;
+
+constexpr const char *DeploymentKey = "bench-deployment-key";
+
+std::string hostAddress(std::size_t Place, unsigned Host) {
+  return addressPrefix(Place) + std::to_string(Host);
+}
+
+Address addressOn(const std::string &Host) { return {Host, freePort(Host)}; }
+
+std::string linkArgument(const std::string &Name, const Address &Listen,
+                         const Address &Upstream) {
+  return Name + "=" + Listen.str() + ">" + Upstream.str();
+}
+
+// GCC 12 does not compile initialiser lists of strings inside coroutines, so
+// these are functions.
+
+std::vector<std::string> acceptArguments(const std::string &File) {
+  return {"accept", "--answers", File};
+}
+
+QJsonObject vmEntry(const EntryNode &Node, const DataCentre &Location) {
+  return {{"peer_address", QString::fromStdString(Node.ShapedPeers.str())},
+          {"admin_address", QString::fromStdString(Node.Admin.str())},
+          {"data_centre", QString::fromStdString(Location.str())},
+          {"leaving", false}};
+}
+
+/// Returns whether all logs end in one term and close to each other; under load
+/// the replicas are always a little behind.
+bool similar(const std::vector<LogPosition> &Ends) {
+  constexpr std::uint64_t MaxBehind = 200;
+  const auto [Least, Most] = std::ranges::minmax(Ends);
+  return Least.TermNumber == Most.TermNumber &&
+         Most.Index - Least.Index <= MaxBehind;
+}
+
+} // namespace
+
+std::string programPath(const std::string &Name) {
+  const QString Here = QCoreApplication::applicationDirPath();
+  const std::string Places[] = {"/", "/../root/", "/../ctl/", "/../testing/",
+                                "/../testing/" + Name + "/"};
+  for (const std::string &Place : Places) {
+    const QString Path = Here + QString::fromStdString(Place + Name);
+    if (QFileInfo(Path).isExecutable())
+      return QFileInfo(Path).canonicalFilePath().toStdString();
+  }
+  return Name;
+}
+
+Deployment::Deployment(DeploymentSpec Given)
+    : Spec(std::move(Given)), Shaping(this->Spec) {
+  this->PlatformDirect = addressOn(hostAddress(0, PlatformHost));
+  this->PlatformShaped = this->shaped(0, this->PlatformDirect.Host);
+  if (!this->Spec.Shaped)
+    this->PlatformShaped = this->PlatformDirect;
+  this->layOutServers();
+  this->layOutEntries();
+}
+
+Deployment::~Deployment() = default;
+
+std::string Deployment::callerAddress(std::size_t Place) {
+  return hostAddress(Place, CallerHost);
+}
+
+std::string Deployment::logFile(const std::string &Name) const {
+  if (this->Spec.LogDirectory.empty())
+    return {};
+  return this->Spec.LogDirectory + "/" + Name + ".log";
+}
+
+Address Deployment::shaped(std::size_t Place, const std::string &Host) const {
+  return this->Spec.Shaped ? addressOn(hostAddress(Place, ProxyHost))
+                           : Address{Host, 0};
+}
+
+void Deployment::layOutServers() {
+  unsigned Host = FirstServerHost;
+  for (const std::string &Service : this->Spec.Services)
+    for (std::size_t Place = 0; Place < this->Spec.Places.size(); ++Place) {
+      ServerNode Node;
+      Node.Id = ServerId(Service + "-" + std::to_string(Place + 1));
+      Node.Service = Service;
+      Node.Place = Place;
+      Node.Direct = addressOn(hostAddress(Place, Host++));
+      Node.Shaped = this->Spec.Shaped ? this->shaped(Place, {}) : Node.Direct;
+      this->Servers.push_back(std::move(Node));
+    }
+}
+
+void Deployment::layOutEntries() {
+  for (std::size_t Place = 0; Place < this->Spec.Places.size(); ++Place)
+    for (unsigned I = 0; I < this->Spec.EntryVms[Place]; ++I) {
+      const std::string Host = hostAddress(Place, FirstEntryHost + I);
+      EntryNode Node;
+      Node.Id = EntryVmId(this->Spec.Places[Place].Name.str() + "-vm" +
+                          std::to_string(I + 1));
+      Node.Place = Place;
+      Node.Callers = addressOn(Host);
+      Node.Peers = addressOn(Host);
+      Node.Admin = addressOn(Host);
+      const bool Shaped = this->Spec.Shaped;
+      Node.ShapedCallers = Shaped ? this->shaped(Place, {}) : Node.Callers;
+      Node.ShapedPeers = Shaped ? this->shaped(Place, {}) : Node.Peers;
+      this->Entries.push_back(std::move(Node));
+    }
+}
+
+QCoro::Task<Result<Success>> Deployment::start() {
+  using Step = QCoro::Task<Result<Success>> (Deployment::*)();
+  const Step Steps[] = {&Deployment::startPlatform, &Deployment::startProxies,
+                        &Deployment::startServers, &Deployment::createTables};
+  for (const Step S : Steps) {
+    const Result<Success> Done = co_await (this->*S)();
+    if (!succeeded(Done))
+      co_return Done;
+  }
+  const Result<std::string> Accepted = co_await this->accept(this->answers());
+  if (!succeeded(Accepted))
+    co_return Result<Success>(Error{errorOf(Accepted)});
+  const Result<Success> Started = co_await this->startEntries();
+  co_return Started;
+}
+
+QCoro::Task<> Deployment::stop() {
+  const TimePoint Deadline = steadyNow() + StopTimeout;
+  for (EntryNode &Node : this->Entries)
+    if (Node.Process)
+      Node.Process->kill();
+  for (ServerNode &Node : this->Servers)
+    if (Node.Process)
+      Node.Process->kill();
+  for (const auto &Proxy : this->Proxies)
+    co_await Proxy->stop(Deadline);
+  if (this->PlatformProcess)
+    co_await this->PlatformProcess->stop(Deadline);
+}
+
+QCoro::Task<Result<Success>> Deployment::startPlatform() {
+  std::vector<std::string> Arguments;
+  Arguments.emplace_back("--listen");
+  Arguments.push_back(this->PlatformDirect.str());
+  this->PlatformProcess = std::make_unique<ChildProcess>(
+      programPath("fake-platform"), Arguments, this->logFile("fake-platform"));
+  const Result<Success> Started =
+      co_await this->PlatformProcess->start(steadyNow() + StartTimeout);
+  if (!succeeded(Started))
+    co_return Started;
+  for (const EntryNode &Node : this->Entries) {
+    const QJsonObject Vm = vmEntry(Node, this->Spec.Places[Node.Place].Name);
+    const Result<std::string> Registered = co_await sendHttp(
+        HttpMethod::Put, this->PlatformDirect, "/vms/" + Node.Id.str(),
+        QJsonDocument(Vm).toJson(QJsonDocument::Compact).toStdString(),
+        steadyNow() + DirectTimeout);
+    if (!succeeded(Registered))
+      co_return Result<Success>(Error{errorOf(Registered)});
+  }
+  co_return Result<Success>(Success());
+}
+
+QCoro::Task<Result<Success>> Deployment::startProxies() {
+  if (!this->Spec.Shaped)
+    co_return Result<Success>(Success());
+  for (std::size_t Place = 0; Place < this->Spec.Places.size(); ++Place) {
+    const std::string Prefix = linkPrefix(this->Spec, Place);
+    const Address Control = addressOn(hostAddress(Place, ProxyHost));
+    std::vector<std::string> Arguments;
+    Arguments.emplace_back("--control");
+    Arguments.push_back(Control.str());
+    const auto Add = [&](const std::string &Name, const Address &Listen,
+                         const Address &Upstream) {
+      Arguments.emplace_back("--link");
+      Arguments.push_back(linkArgument(Prefix + Name, Listen, Upstream));
+    };
+    if (Place == 0)
+      Add("platform", this->PlatformShaped, this->PlatformDirect);
+    for (const ServerNode &Node : this->Servers)
+      if (Node.Place == Place)
+        Add(Node.Id.str(), Node.Shaped, Node.Direct);
+    for (const EntryNode &Node : this->Entries)
+      if (Node.Place == Place) {
+        Add("peers." + Node.Id.str(), Node.ShapedPeers, Node.Peers);
+        Add("callers." + Node.Id.str(), Node.ShapedCallers, Node.Callers);
+      }
+    this->Proxies.push_back(std::make_unique<ChildProcess>(
+        programPath("fault-proxy"), Arguments,
+        this->logFile("fault-proxy-" + std::to_string(Place))));
+    const Result<Success> Started =
+        co_await this->Proxies.back()->start(steadyNow() + StartTimeout);
+    if (!succeeded(Started))
+      co_return Started;
+    this->Shaping.addControl(Control);
+  }
+  co_await this->Shaping.heal();
+  co_return Result<Success>(Success());
+}
+
+void Deployment::makeServerProcess(ServerNode &Node,
+                                   const ServerNode *Primary) {
+  std::vector<std::string> Arguments{
+      "--id",
+      Node.Id.str(),
+      "--listen",
+      Node.Direct.str(),
+      "--bind-address",
+      Node.Direct.Host,
+      "--slots",
+      std::to_string(this->Spec.Slots),
+      "--connection-limit",
+      std::to_string(this->Spec.ConnectionLimit),
+      "--connect-delay-ms",
+      std::to_string(this->Spec.ConnectDelayMs),
+      "--replication-lag-ms",
+      std::to_string(this->Spec.ReplicationLagMs)};
+  if (Primary) {
+    Arguments.insert(Arguments.end(),
+                     {"--role", "replica", "--primary",
+                      Primary->Id.str() + "=" + Primary->Shaped.str()});
+  } else {
+    Arguments.insert(Arguments.end(), {"--role", "primary", "--term", "1"});
+  }
+  Node.Process = std::make_unique<ChildProcess>(
+      programPath("fake-backend"), Arguments, this->logFile(Node.Id.str()));
+}
+
+QCoro::Task<Result<Success>> Deployment::startServers() {
+  const ServerNode *Primary = nullptr;
+  std::string Service;
+  for (ServerNode &Node : this->Servers) {
+    if (Node.Service != Service)
+      Primary = nullptr;
+    Service = Node.Service;
+    this->makeServerProcess(Node, Primary);
+    const Result<Success> Started =
+        co_await Node.Process->start(steadyNow() + StartTimeout);
+    if (!succeeded(Started))
+      co_return Started;
+    if (!Primary)
+      Primary = &Node;
+  }
+  co_return Result<Success>(Success());
+}
+
+QCoro::Task<Result<Success>> Deployment::createTables() {
+  for (const std::string &Service : this->Spec.Services) {
+    const auto Node =
+        std::ranges::find(this->Servers, Service, &ServerNode::Service);
+    const std::vector<std::string> Statements(std::begin(SetupStatements),
+                                              std::end(SetupStatements));
+    const Result<Success> Done = co_await runDirect(
+        Node->Direct, Service, Statements, steadyNow() + DirectTimeout);
+    if (!succeeded(Done))
+      co_return Done;
+  }
+  co_return Result<Success>(Success());
+}
+
+void Deployment::makeEntryProcess(EntryNode &Node) {
+  std::string Peers;
+  for (const EntryNode &Other : this->Entries) {
+    if (Other.Id == Node.Id)
+      continue;
+    Peers += (Peers.empty() ? "" : ",") + Other.Id.str() + "=" +
+             Other.ShapedPeers.str() + "@" +
+             this->Spec.Places[Other.Place].Name.str();
+  }
+  Node.Process = std::make_unique<ChildProcess>(
+      programPath("amaranthspurd"),
+      std::vector<std::string>{"--vm-id",
+                               Node.Id.str(),
+                               "--data-centre",
+                               this->Spec.Places[Node.Place].Name.str(),
+                               "--caller-address",
+                               Node.Callers.str(),
+                               "--peer-address",
+                               Node.Peers.str(),
+                               "--advertised-peer-address",
+                               Node.ShapedPeers.str(),
+                               "--admin-address",
+                               Node.Admin.str(),
+                               "--platform-address",
+                               this->PlatformShaped.str(),
+                               "--bind-address",
+                               Node.Callers.Host,
+                               "--deployment-key",
+                               DeploymentKey,
+                               "--policy-variant",
+                               std::string(nameOf(this->Spec.Variant)),
+                               "--seed-peers",
+                               Peers},
+      this->logFile(Node.Id.str()));
+}
+
+QCoro::Task<Result<Success>> Deployment::startEntries() {
+  for (EntryNode &Node : this->Entries) {
+    this->makeEntryProcess(Node);
+    const Result<Success> Started =
+        co_await Node.Process->start(steadyNow() + StartTimeout);
+    if (!succeeded(Started))
+      co_return Started;
+  }
+  for (std::size_t I = 0; I < this->Entries.size(); ++I) {
+    const Result<Success> Serving = co_await this->waitServing(I);
+    if (!succeeded(Serving))
+      co_return Serving;
+  }
+  co_return Result<Success>(Success());
+}
+
+QCoro::Task<Result<Success>> Deployment::waitServing(std::size_t Entry) {
+  const TimePoint Deadline = steadyNow() + ServeTimeout;
+  const std::string Probe = "SELECT COUNT(*) FROM bench_rows";
+  for (const std::string &Service : this->Spec.Services) {
+    std::string Last = "no answer";
+    std::map<std::string, std::string> Parameters;
+    Parameters["user"] = this->Spec.Callers.front().Name;
+    Parameters["database"] = Service;
+    Parameters["amaranthspur.max_staleness_ms"] = "0";
+    for (;;) {
+      auto Opened = co_await CallerConnection::open(
+          this->Entries[Entry].Callers, {}, Parameters,
+          steadyNow() + DirectTimeout);
+      if (succeeded(Opened)) {
+        const Answer Got =
+            co_await valueOf(Opened)->query(Probe, steadyNow() + DirectTimeout);
+        if (Got.End == AnswerEnd::Complete)
+          break;
+        Last = Got.Refusal.Message;
+      } else {
+        Last = errorOf(Opened);
+      }
+      if (steadyNow() > Deadline)
+        co_return Result<Success>(Error{this->Entries[Entry].Id.str() +
+                                        " does not serve " + Service + ": " +
+                                        Last});
+      co_await sleepFor(PollDelay);
+    }
+  }
+  co_return Result<Success>(Success());
+}
+
+QCoro::Task<Result<Success>> Deployment::restartServer(std::size_t Index) {
+  ServerNode &Node = this->Servers[Index];
+  const auto Primary = co_await this->primaryOf(Node.Service);
+  if (!Primary || *Primary == Index)
+    co_return Result<Success>(
+        Error{"no other primary for " + Node.Id.str() + " to follow"});
+  if (Node.Process)
+    Node.Process->kill();
+  this->makeServerProcess(Node, &this->Servers[*Primary]);
+  const Result<Success> Started =
+      co_await Node.Process->start(steadyNow() + StartTimeout);
+  co_return Started;
+}
+
+QCoro::Task<Result<Success>> Deployment::restartEntry(std::size_t Index) {
+  EntryNode &Node = this->Entries[Index];
+  if (Node.Process)
+    Node.Process->kill();
+  this->makeEntryProcess(Node);
+  const Result<Success> Started =
+      co_await Node.Process->start(steadyNow() + StartTimeout);
+  co_return Started;
+}
+
+QJsonObject Deployment::answers() const {
+  std::vector<ServerAnswer> List;
+  for (const ServerNode &Node : this->Servers)
+    List.push_back({Node.Service, Node.Id.str(), Node.Shaped.Host,
+                    Node.Shaped.Port, this->Spec.Places[Node.Place].Name});
+  return questionnaire(this->Spec, List);
+}
+
+std::vector<EntryPoint>
+Deployment::entryPoints(std::optional<std::size_t> Place) const {
+  std::vector<EntryPoint> List;
+  for (const EntryNode &Node : this->Entries)
+    if (!Place || Node.Place == *Place)
+      List.push_back({Node.Id.str(), Node.ShapedCallers});
+  return List;
+}
+
+QCoro::Task<std::optional<std::size_t>>
+Deployment::primaryOf(std::string Service) {
+  std::optional<std::size_t> Best;
+  Term Highest = 0;
+  for (std::size_t I = 0; I < this->Servers.size(); ++I) {
+    const ServerNode &Node = this->Servers[I];
+    if (Node.Service != Service || !Node.Process || !Node.Process->running())
+      continue;
+    const auto Report =
+        co_await askStatus(Node.Direct, Service, steadyNow() + StatusTimeout);
+    if (!succeeded(Report) || valueOf(Report).Role != ServerRole::Primary)
+      continue;
+    if (!Best || valueOf(Report).AdoptedTerm > Highest) {
+      Best = I;
+      Highest = valueOf(Report).AdoptedTerm;
+    }
+  }
+  co_return Best;
+}
+
+QCoro::Task<bool> Deployment::settled(std::string Service, TimePoint Deadline) {
+  while (steadyNow() < Deadline) {
+    std::vector<LogPosition> Ends;
+    unsigned Primaries = 0;
+    for (const ServerNode &Node : this->Servers) {
+      if (Node.Service != Service)
+        continue;
+      const auto Report =
+          co_await askStatus(Node.Direct, Service, steadyNow() + StatusTimeout);
+      if (!succeeded(Report))
+        break;
+      Ends.push_back(valueOf(Report).LogEnd);
+      Primaries += valueOf(Report).Role == ServerRole::Primary ? 1 : 0;
+    }
+    const std::size_t Group = static_cast<std::size_t>(
+        std::ranges::count(this->Servers, Service, &ServerNode::Service));
+    if (Ends.size() == Group && Primaries == 1 && similar(Ends))
+      co_return true;
+    co_await sleepFor(PollDelay);
+  }
+  co_return false;
+}
+
+QCoro::Task<Result<std::vector<FinalRow>>>
+Deployment::finalRows(std::string Service) {
+  const auto Primary = co_await this->primaryOf(Service);
+  if (!Primary)
+    co_return Result<std::vector<FinalRow>>(
+        Error{"service " + Service + " has no primary"});
+  auto Rows = co_await readFinalRows(this->Servers[*Primary].Direct, Service,
+                                     steadyNow() + FinalRowsTimeout);
+  co_return Rows;
+}
+
+QCoro::Task<Result<std::string>>
+Deployment::control(std::vector<std::string> Arguments) {
+  Arguments.emplace_back("--platform-address");
+  Arguments.push_back(this->PlatformDirect.str());
+  ChildProcess Program(programPath("amaranthspurctl"), Arguments,
+                       this->logFile("amaranthspurctl"));
+  Program.launch();
+  const auto Status = co_await Program.ended(steadyNow() + ControlTimeout);
+  if (!Status)
+    co_return Result<std::string>(Error{"amaranthspurctl does not end"});
+  if (*Status != 0)
+    co_return Result<std::string>(Error{"amaranthspurctl ended with " +
+                                        std::to_string(*Status) + ": " +
+                                        Program.output()});
+  co_return Result<std::string>(Program.output());
+}
+
+QCoro::Task<Result<std::string>> Deployment::accept(QJsonObject Answers) {
+  QTemporaryFile File;
+  if (!File.open())
+    co_return Result<std::string>(Error{"no temporary file can be made"});
+  File.write(QJsonDocument(Answers).toJson());
+  File.close();
+  auto Done =
+      co_await this->control(acceptArguments(File.fileName().toStdString()));
+  co_return Done;
+}
+
+} // namespace amaranthspur::bench
--- /dev/null
+++ b/src/bench/Links.cpp
@@ -0,0 +1,155 @@
+#include "bench/Links.h"
+
+#include "bench/Remote.h"
+
+#include <QJsonArray>
+
+#include <algorithm>
+
+namespace amaranthspur::bench {
+namespace {
+
+constexpr Duration ControlTimeout = std::chrono::seconds(2);
+
+QJsonObject setCommand(const LinkScope &Scope, const LinkRule &Rule) {
+  return QJsonObject{{"command", "set"},
+                     {"from", QString::fromStdString(Scope.From)},
+                     {"to", QString::fromStdString(Scope.To)},
+                     {"delay_us", static_cast<qint64>(Rule.Delay.count())},
+                     {"jitter_us", 0},
+                     {"cut", Rule.Cut},
+                     {"silent", Rule.Silent},
+                     {"drop_forward", Rule.DropForward},
+                     {"drop_backward", Rule.DropBackward},
+                     {"bandwidth_kbit", static_cast<int>(Rule.BandwidthKbit)}};
+}
+
+QJsonObject statsCommand() { return QJsonObject{{"command", "stats"}}; }
+
+} // namespace
+
+std::string addressPrefix(std::size_t Place) {
+  return "127.0." + std::to_string(Place + 1) + ".";
+}
+
+std::string linkPrefix(const DeploymentSpec &Spec, std::size_t Place) {
+  return Spec.Places[Place].Name.str() + ".";
+}
+
+std::string callerLinkPrefix(const DeploymentSpec &Spec, std::size_t Place) {
+  return linkPrefix(Spec, Place) + "callers.";
+}
+
+std::vector<std::pair<LinkScope, LinkRule>>
+latencyRules(const DeploymentSpec &Spec) {
+  std::vector<std::pair<LinkScope, LinkRule>> Rules;
+  for (std::size_t To = 0; To < Spec.Places.size(); ++To) {
+    for (std::size_t From = 0; From < Spec.Places.size(); ++From) {
+      LinkRule Rule;
+      Rule.Delay = latencyBetween(Spec, From, To);
+      if (Spec.Places[From].In != Spec.Places[To].In)
+        Rule.BandwidthKbit = Spec.RegionLinkKbit;
+      Rules.push_back({{addressPrefix(From), linkPrefix(Spec, To)}, Rule});
+    }
+    LinkRule ToClients;
+    ToClients.Delay = Spec.ToClients;
+    Rules.push_back({{"", callerLinkPrefix(Spec, To)}, ToClients});
+  }
+  return Rules;
+}
+
+std::vector<std::pair<LinkScope, LinkRule>>
+isolationRules(const DeploymentSpec &Spec, std::size_t Place) {
+  std::vector<std::pair<LinkScope, LinkRule>> Rules;
+  LinkRule Cut;
+  Cut.Cut = true;
+  for (std::size_t Other = 0; Other < Spec.Places.size(); ++Other) {
+    if (Other == Place)
+      continue;
+    Rules.push_back({{addressPrefix(Other), linkPrefix(Spec, Place)}, Cut});
+    Rules.push_back({{addressPrefix(Place), linkPrefix(Spec, Other)}, Cut});
+    Rules.push_back(
+        {{addressPrefix(Other), callerLinkPrefix(Spec, Place)}, Cut});
+    Rules.push_back(
+        {{addressPrefix(Place), callerLinkPrefix(Spec, Other)}, Cut});
+  }
+  return Rules;
+}
+
+LinkRule effectiveRule(const std::vector<std::pair<LinkScope, LinkRule>> &Rules,
+                       const std::string &Client, const std::string &Link) {
+  const std::pair<LinkScope, LinkRule> *Best = nullptr;
+  const auto Rank = [](const LinkScope &Scope) {
+    return std::pair(Scope.To.size(), Scope.From.size());
+  };
+  for (const auto &Entry : Rules)
+    if (Client.starts_with(Entry.first.From) &&
+        Link.starts_with(Entry.first.To) &&
+        (!Best || Rank(Best->first) <= Rank(Entry.first)))
+      Best = &Entry;
+  return Best ? Best->second : LinkRule();
+}
+
+std::uint64_t crossRegionBytesIn(const DeploymentSpec &Spec,
+                                 const QJsonObject &Stats) {
+  std::uint64_t Sum = 0;
+  const QJsonArray Entries = Stats["stats"].toArray();
+  for (const auto &Entry : Entries) {
+    const QJsonObject Fields = Entry.toObject();
+    const std::string From = Fields["from"].toString().toStdString();
+    const std::string Link = Fields["link"].toString().toStdString();
+    for (std::size_t A = 0; A < Spec.Places.size(); ++A)
+      for (std::size_t B = 0; B < Spec.Places.size(); ++B)
+        if (Spec.Places[A].In != Spec.Places[B].In &&
+            (From + ".").starts_with(addressPrefix(A)) &&
+            Link.starts_with(linkPrefix(Spec, B)))
+          Sum +=
+              static_cast<std::uint64_t>(Fields["forward_bytes"].toInteger() +
+                                         Fields["backward_bytes"].toInteger());
+  }
+  return Sum;
+}
+
+QCoro::Task<> Links::send(LinkScope Scope, LinkRule Rule) {
+  for (const Address &Control : this->Controls)
+    co_await sendJsonLine(Control, setCommand(Scope, Rule),
+                          steadyNow() + ControlTimeout);
+}
+
+QCoro::Task<> Links::set(LinkScope Scope, LinkRule Rule) {
+  if (std::ranges::find(this->Faulted, Scope) == this->Faulted.end())
+    this->Faulted.push_back(Scope);
+  co_await this->send(Scope, Rule);
+}
+
+QCoro::Task<> Links::isolate(std::size_t Place) {
+  const auto Rules = isolationRules(this->Spec, Place);
+  for (const auto &[Scope, Rule] : Rules)
+    co_await this->set(Scope, Rule);
+}
+
+QCoro::Task<> Links::heal() {
+  const auto Rules = latencyRules(this->Spec);
+  for (const auto &[Scope, Rule] : Rules)
+    co_await this->send(Scope, Rule);
+  // A rule cannot be removed, so a fault's scope gets the latency that would
+  // apply without it.
+  std::vector<LinkScope> Scopes;
+  Scopes.swap(this->Faulted);
+  for (const LinkScope &Scope : Scopes)
+    co_await this->send(Scope, effectiveRule(Rules, Scope.From, Scope.To));
+}
+
+QCoro::Task<std::uint64_t> Links::crossRegionBytes() {
+  std::uint64_t Sum = 0;
+  for (const Address &Control : this->Controls) {
+    const QJsonObject Command = statsCommand();
+    const auto Stats =
+        co_await sendJsonLine(Control, Command, steadyNow() + ControlTimeout);
+    if (succeeded(Stats))
+      Sum += crossRegionBytesIn(this->Spec, valueOf(Stats));
+  }
+  co_return Sum;
+}
+
+} // namespace amaranthspur::bench
--- a/src/bench/LoadClient.cpp
+++ b/src/bench/LoadClient.cpp
@@ -157,6 +157,9 @@
   Op.Service = S.Load.Service;
   Op.Session = S.Name;
   Op.Intended = Intended;
+  const auto Mark = S.Load.Settings.find("amaranthspur.repeatable");
+  if (Mark != S.Load.Settings.end())
+    Op.Mark = parseName<Repeatable>(Mark->second).value_or(Repeatable::Off);
   const unsigned Total =
       std::accumulate(S.Load.Mix.begin(), S.Load.Mix.end(), 0U);
   std::uint64_t Pick = S.Draw.below(Total);
--- /dev/null
+++ b/src/bench/ServerProbe.cpp
@@ -0,0 +1,88 @@
+#include "bench/ServerProbe.h"
+
+#include "bench/CallerConnection.h"
+#include "bench/LoadClient.h"
+
+#include <charconv>
+
+namespace amaranthspur::bench {
+namespace {
+
+std::uint64_t numberOf(const std::string &Text) {
+  std::uint64_t Value = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  return Value;
+}
+
+std::map<std::string, std::string>
+controlParameters(const std::string &Service) {
+  return {{"user", "bench"},
+          {"database", Service},
+          {"amaranthspur.role", "control"}};
+}
+
+Error refusalOf(const Address &At, const Answer &Got) {
+  return Error{At.str() + ": " + std::string(nameOf(Got.End)) + " " +
+               Got.Refusal.SqlState + " " + Got.Refusal.Message};
+}
+
+} // namespace
+
+QCoro::Task<Result<ServerReport>> askStatus(Address At, std::string Service,
+                                            TimePoint Deadline) {
+  auto Opened = co_await CallerConnection::open(
+      At, {}, controlParameters(Service), Deadline);
+  if (!succeeded(Opened))
+    co_return Result<ServerReport>(Error{errorOf(Opened)});
+  const Answer Got =
+      co_await valueOf(Opened)->query("SELECT * FROM group_status()", Deadline);
+  if (Got.End != AnswerEnd::Complete || Got.Rows.empty())
+    co_return Result<ServerReport>(refusalOf(At, Got));
+  ServerReport Report;
+  for (std::size_t I = 0; I < Got.Columns.size(); ++I)
+    Report.Columns[Got.Columns[I]] = Got.Rows.front()[I].value_or("");
+  Report.Role = parseName<ServerRole>(Report.Columns["role"])
+                    .value_or(ServerRole::Replica);
+  Report.AdoptedTerm = numberOf(Report.Columns["adopted_term"]);
+  Report.LogEnd = {numberOf(Report.Columns["log_term"]),
+                   numberOf(Report.Columns["log_index"])};
+  co_return Result<ServerReport>(std::move(Report));
+}
+
+QCoro::Task<Result<Success>> runDirect(Address At, std::string Service,
+                                       std::vector<std::string> Statements,
+                                       TimePoint Deadline) {
+  auto Opened = co_await CallerConnection::open(
+      At, {}, controlParameters(Service), Deadline);
+  if (!succeeded(Opened))
+    co_return Result<Success>(Error{errorOf(Opened)});
+  for (const std::string &Sql : Statements) {
+    const Answer Got = co_await valueOf(Opened)->query(Sql, Deadline);
+    if (Got.End != AnswerEnd::Complete)
+      co_return Result<Success>(refusalOf(At, Got));
+  }
+  co_return Result<Success>(Success());
+}
+
+QCoro::Task<Result<std::vector<FinalRow>>>
+readFinalRows(Address At, std::string Service, TimePoint Deadline) {
+  using Rows = std::vector<FinalRow>;
+  auto Opened = co_await CallerConnection::open(
+      At, {}, controlParameters(Service), Deadline);
+  if (!succeeded(Opened))
+    co_return Result<Rows>(Error{errorOf(Opened)});
+  const Answer Got =
+      co_await valueOf(Opened)->query(FinalRowsStatement, Deadline);
+  if (Got.End != AnswerEnd::Complete)
+    co_return Result<Rows>(refusalOf(At, Got));
+  Rows Read;
+  Read.reserve(Got.Rows.size());
+  for (const auto &Row : Got.Rows)
+    if (Row.size() == 4)
+      Read.push_back({Row[0].value_or(""), Row[1].value_or(""),
+                      numberOf(Row[2].value_or("")),
+                      static_cast<unsigned>(numberOf(Row[3].value_or("")))});
+  co_return Result<Rows>(std::move(Read));
+}
+
+} // namespace amaranthspur::bench
--- a/src/bench/testing/CheckerTest.cpp
+++ b/src/bench/testing/CheckerTest.cpp
@@ -27,6 +27,11 @@
   return Op;
 }
 
+Operation repeatable(Operation Op) {
+  Op.Mark = Repeatable::On;
+  return Op;
+}
+
 Operation withEchoes(Operation Op, std::vector<std::string> Echoes) {
   Op.Echoes = std::move(Echoes);
   return Op;
@@ -95,6 +100,10 @@
      {makeOperation("u1", Write, Unknown, 1)},
      {{"u1", "s", 1, 0}, {"u1", "s", 1, 0}},
      {Rule::NoDoubledWrite}},
+    {"no-doubled-write: a repeatable write may be there twice",
+     {repeatable(makeOperation("w1", Write, Acknowledged, 1))},
+     {{"w1", "s", 1, 0}, {"w1", "s", 1, 0}},
+     {}},
     {"no-doubled-write: a transaction is there twice",
      {makeOperation("t1", Transaction, Acknowledged, 1)},
      {{"t1", "s", 1, 1},
