--- /dev/null
+++ b/src/policy/testing/FailoverTest.cpp
@@ -0,0 +1,413 @@
+#include "policy/Failover.h"
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <string>
+
+using namespace amaranthspur;
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::seconds(100)};
+
+/// A watcher whose observations a test sets by hand. s0 is the primary of term
+/// 1; s1 and s2 follow it and hold 1/10, s0 holds 1/12.
+class Watcher {
+public:
+  explicit Watcher(bool Naive = false)
+      : Promotion(Naive ? makeNaiveFailover(this->Rng)
+                        : makeMajorityFailover(this->Rng)) {
+    for (const char *Id : {"s0", "s1", "s2"}) {
+      ServerStatus Status;
+      Status.AdoptedTerm = 1;
+      Status.LogEnd = {1, 10};
+      Status.Primary = ServerId("s0");
+      this->Seen.Servers.push_back({ServerId(Id), false, Status, Start});
+    }
+    this->status(0).Role = ServerRole::Primary;
+    this->status(0).LogEnd = {1, 12};
+  }
+
+  ServerStatus &status(std::size_t S) { return *this->Seen.Servers[S].Status; }
+
+  /// Steps every 25 ms until an action other than Wait and Follow, or \p Limit.
+  /// Servers in Silent do not answer.
+  FailoverAction run(Duration Limit) {
+    const TimePoint End = this->Now + Limit;
+    while (this->Now < End) {
+      this->Now += milliseconds(25);
+      const FailoverAction Action = this->step();
+      if (Action.Step == FailoverStep::Follow)
+        this->Follows += Action.Server.str() + ">" + Action.Primary.str() +
+                         "@" + std::to_string(Action.TermNumber) + " ";
+      else if (Action.Step != FailoverStep::Wait)
+        return Action;
+    }
+    return {};
+  }
+
+  FailoverAction step() {
+    for (std::size_t S = 0; S < this->Seen.Servers.size(); ++S)
+      if (!this->Silent[S])
+        this->Seen.Servers[S].AnsweredAt = this->Now;
+    const FailoverAction Action = this->Promotion->step(this->Seen, this->Now);
+    this->Seen.Outcome.reset();
+    return Action;
+  }
+
+  /// Gives the outcome of the last action after \p Took.
+  FailoverAction outcome(FailoverStep Step, ActionResult Result,
+                         std::vector<Adoption> Adoptions = {}, Term T = 0,
+                         Duration Took = milliseconds(10)) {
+    this->Now += Took;
+    this->Seen.Outcome = FailoverOutcome{Step, Result, T, std::move(Adoptions)};
+    return this->step();
+  }
+
+  /// Lets the primary fall silent and carries the promotion up to \p Until.
+  FailoverAction upTo(FailoverStep Until) {
+    this->Silent[0] = true;
+    FailoverAction Action = this->run(std::chrono::seconds(2));
+    while (Action.Step != Until && Action.Step != FailoverStep::Wait) {
+      ActionResult Result = ActionResult::Succeeded;
+      std::vector<Adoption> Adoptions;
+      if (Action.Step == FailoverStep::ProbeFresh)
+        Result = ActionResult::NoAnswer;
+      if (Action.Step == FailoverStep::Adopt)
+        Adoptions = {{ServerId("s1"), {1, 10}}, {ServerId("s2"), {1, 11}}};
+      Action = this->outcome(Action.Step, Result, Adoptions);
+      if (Action.Step == FailoverStep::Wait)
+        Action = this->run(std::chrono::seconds(2));
+    }
+    return Action;
+  }
+
+  Duration elapsed() const { return this->Now - Start; }
+
+  Random Rng{7};
+  std::unique_ptr<Failover> Promotion;
+  GroupObservation Seen;
+  bool Silent[3] = {false, false, false};
+  TimePoint Now = Start;
+  std::string Follows;
+};
+
+std::string describe(const FailoverAction &Action) {
+  std::string Text(nameOf(Action.Step));
+  if (!Action.Server.empty())
+    Text += " " + Action.Server.str();
+  for (const ServerId &Id : Action.Adopters)
+    Text += " " + Id.str();
+  if (Action.TermNumber > 0)
+    Text += " " + std::to_string(Action.TermNumber);
+  return Text;
+}
+
+constexpr ActionResult Succeeded = ActionResult::Succeeded;
+constexpr ActionResult NoAnswer = ActionResult::NoAnswer;
+constexpr ActionResult Refused = ActionResult::Refused;
+
+Adoption adoption(const char *Id, LogPosition End) {
+  return {ServerId(Id), End};
+}
+
+} // namespace
+
+// Guards against a wrong next step at each point of a promotion.
+TEST_CASE("the next step of a promotion") {
+  using W = Watcher;
+  struct Row {
+    const char *Name;
+    std::function<FailoverAction(W &)> Run;
+    std::string Expected;
+  };
+  const auto AfterAdoption = [](std::vector<Adoption> Adoptions) {
+    return [Adoptions](W &S) {
+      S.upTo(FailoverStep::Adopt);
+      return S.outcome(FailoverStep::Adopt, Succeeded, Adoptions);
+    };
+  };
+  const Row Rows[] = {
+      {"nothing is wrong", [](W &S) { return S.run(std::chrono::seconds(30)); },
+       "wait"},
+      {"silent primary is probed",
+       [](W &S) { return S.upTo(FailoverStep::ProbeFresh); }, "probe-fresh s0"},
+      {"claims the next term", [](W &S) { return S.upTo(FailoverStep::Claim); },
+       "claim 2"},
+      {"claims a term above every adopted one",
+       [](W &S) {
+         S.status(1).AdoptedTerm = 6;
+         return S.upTo(FailoverStep::Claim);
+       },
+       "claim 7"},
+      {"adopts everywhere", [](W &S) { return S.upTo(FailoverStep::Adopt); },
+       "adopt s0 s1 s2 2"},
+      {"goes on without an answer of the table",
+       [](W &S) {
+         S.upTo(FailoverStep::Claim);
+         return S.outcome(FailoverStep::Claim, NoAnswer);
+       },
+       "adopt s0 s1 s2 2"},
+      {"gives way to another claim",
+       [](W &S) {
+         S.upTo(FailoverStep::Claim);
+         return S.outcome(FailoverStep::Claim, Refused, {}, 2);
+       },
+       "wait"},
+      {"promotes the highest log",
+       AfterAdoption({adoption("s1", {1, 10}), adoption("s2", {1, 11})}),
+       "promote s2 2"},
+      {"a higher term goes before a longer log",
+       AfterAdoption({adoption("s1", {2, 3}), adoption("s2", {1, 99})}),
+       "promote s1 2"},
+      {"the former primary if it has the highest log",
+       AfterAdoption({adoption("s0", {1, 12}), adoption("s1", {1, 10}),
+                      adoption("s2", {1, 11})}),
+       "promote s0 2"},
+      {"no majority adopted", AfterAdoption({adoption("s1", {1, 10})}), "wait"},
+      {"an empty log does not count",
+       AfterAdoption({adoption("s1", {1, 10}), adoption("s2", {0, 0})}),
+       "wait"},
+      {"a server of another group does not count",
+       AfterAdoption({adoption("s1", {1, 10}), adoption("x", {1, 10})}),
+       "wait"},
+      {"the primary answers the probe",
+       [](W &S) {
+         S.upTo(FailoverStep::ProbeFresh);
+         S.Silent[0] = false;
+         S.outcome(FailoverStep::ProbeFresh, Succeeded);
+         return S.run(std::chrono::seconds(5));
+       },
+       "wait"},
+      {"the primary answers during the claim",
+       [](W &S) {
+         S.upTo(FailoverStep::Claim);
+         S.Silent[0] = false;
+         return S.outcome(FailoverStep::Claim, Succeeded);
+       },
+       "wait"},
+      {"no majority is reachable",
+       [](W &S) {
+         S.Silent[1] = true;
+         return S.upTo(FailoverStep::Claim);
+       },
+       "wait"},
+      {"the primary answers as a replica",
+       [](W &S) {
+         S.run(milliseconds(100));
+         S.status(0).Role = ServerRole::Replica;
+         return S.run(milliseconds(50));
+       },
+       "claim 2"},
+      {"the primary lost its log",
+       [](W &S) {
+         S.run(milliseconds(100));
+         S.status(0).LogEnd = {1, 3};
+         return S.run(milliseconds(50));
+       },
+       "claim 2"},
+      {"a term without a primary is recovered",
+       [](W &S) {
+         S.run(milliseconds(100));
+         S.status(1).AdoptedTerm = S.status(2).AdoptedTerm = 4;
+         return S.run(milliseconds(700));
+       },
+       "claim 5"},
+      {"a term adopted just now is left to its promoter",
+       [](W &S) {
+         S.Seen.Rank = 1;
+         S.Silent[0] = true;
+         S.run(std::chrono::seconds(1));
+         S.outcome(FailoverStep::ProbeFresh, NoAnswer);
+         S.run(milliseconds(200));
+         S.status(1).AdoptedTerm = S.status(2).AdoptedTerm = 2;
+         return S.run(milliseconds(500));
+       },
+       "wait"},
+      {"a promoted server is followed, not replaced",
+       [](W &S) {
+         S.upTo(FailoverStep::Promote);
+         S.outcome(FailoverStep::Promote, Succeeded);
+         S.status(2).Role = ServerRole::Primary;
+         S.status(2).AdoptedTerm = 2;
+         S.status(2).LogEnd = {2, 12};
+         return S.run(std::chrono::seconds(5));
+       },
+       "wait"},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Watcher S;
+    CHECK(describe(R.Run(S)) == R.Expected);
+  }
+}
+
+// Guards against a term that is used twice, which could give it two primaries.
+TEST_CASE("a term is not used again after an unknown outcome") {
+  struct Row {
+    const char *Name;
+    FailoverStep Step;
+    ActionResult Result;
+  };
+  const Row Rows[] = {
+      {"promotion refused", FailoverStep::Promote, Refused},
+      {"promotion without an answer", FailoverStep::Promote, NoAnswer},
+      {"adoption without answers", FailoverStep::Adopt, Refused},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Watcher S;
+    const FailoverAction First = S.upTo(R.Step);
+    REQUIRE(First.TermNumber == 2);
+    CHECK(describe(S.outcome(R.Step, R.Result)) == "wait");
+    const TimePoint RefusedAt = S.Now;
+    FailoverAction Next = S.run(std::chrono::seconds(2));
+    CHECK(S.Now - RefusedAt >= MinBackOff);
+    CHECK(S.Now - RefusedAt <= MaxBackOff + milliseconds(75));
+    REQUIRE(Next.Step == FailoverStep::ProbeFresh);
+    Next = S.outcome(FailoverStep::ProbeFresh, NoAnswer);
+    if (Next.Step == FailoverStep::Wait)
+      Next = S.run(std::chrono::seconds(2));
+    CHECK(describe(Next) == "claim 3");
+  }
+}
+
+// Guards against a promotion because this process slept, and not the primary.
+TEST_CASE("a pause restarts the detection") {
+  struct Row {
+    const char *Name;
+    Duration Pause;
+    bool Restarts;
+  };
+  const Row Rows[] = {
+      {"no pause", milliseconds(25), false},
+      {"slow loop", milliseconds(250), false},
+      {"pause", milliseconds(251), true},
+      {"long pause", std::chrono::seconds(60), true},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Watcher S;
+    S.run(milliseconds(100));
+    S.Silent[0] = true;
+    S.run(milliseconds(500));
+    S.Now += R.Pause - milliseconds(25);
+    const TimePoint Resumed = S.Now + milliseconds(25);
+    CHECK(describe(S.run(std::chrono::seconds(2))) == "probe-fresh s0");
+    CHECK((S.Now - Resumed >= SilenceLimit) == R.Restarts);
+  }
+}
+
+// Guards against detection that is early, which promotes without need, or late.
+TEST_CASE("ranks act one after the other") {
+  struct Row {
+    unsigned Rank;
+    Duration Earliest;
+  };
+  const Row Rows[] = {
+      {0, milliseconds(900)}, {1, milliseconds(1150)}, {2, milliseconds(1400)}};
+  for (const Row &R : Rows) {
+    CAPTURE(R.Rank);
+    Watcher S;
+    S.Seen.Rank = R.Rank;
+    S.step();
+    S.Silent[0] = true;
+    CHECK(describe(S.run(std::chrono::seconds(2))) == "probe-fresh s0");
+    CHECK(S.elapsed() == SilenceLimit);
+    FailoverAction Next =
+        S.outcome(FailoverStep::ProbeFresh, NoAnswer, {}, 0, ProbeLimit);
+    if (Next.Step == FailoverStep::Wait)
+      Next = S.run(std::chrono::seconds(2));
+    CHECK(describe(Next) == "claim 2");
+    CHECK(S.elapsed() >= R.Earliest);
+    CHECK(S.elapsed() <= R.Earliest + milliseconds(25));
+  }
+}
+
+// Guards against a server that stays behind on its own: one that comes back in
+// whatever state follows the primary of the highest term.
+TEST_CASE("servers are made to follow") {
+  struct Row {
+    const char *Name;
+    std::function<void(Watcher &)> Change;
+    std::string Expected;
+  };
+  const Row Rows[] = {
+      {"all follow", [](Watcher &) {}, ""},
+      {"follows another",
+       [](Watcher &S) { S.status(1).Primary = ServerId("s2"); }, "s1>s0@1 "},
+      {"came back empty", [](Watcher &S) { S.status(1) = ServerStatus(); },
+       "s1>s0@1 "},
+      {"primary of an older term",
+       [](Watcher &S) {
+         S.status(1).Role = ServerRole::Primary;
+         S.status(1).AdoptedTerm = 2;
+         S.status(1).LogEnd = {2, 13};
+         S.status(1).Primary = ServerId("s1");
+         S.status(2).AdoptedTerm = 2;
+         S.status(2).Primary = ServerId("s1");
+       },
+       "s0>s1@2 "},
+      {"a later term is not touched",
+       [](Watcher &S) { S.status(2).AdoptedTerm = 3; }, ""},
+      {"does not answer",
+       [](Watcher &S) {
+         S.Silent[2] = true;
+         S.status(2).Primary = ServerId("s1");
+         S.Seen.Servers[2].AnsweredAt = Start - std::chrono::seconds(1);
+       },
+       ""},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Watcher S;
+    R.Change(S);
+    CHECK(describe(S.run(milliseconds(200))) == "wait");
+    CHECK(S.Follows == R.Expected);
+  }
+}
+
+// Guards against a leaving primary that hands over to nobody or to a server
+// that is leaving too.
+TEST_CASE("planned switch") {
+  struct Row {
+    const char *Name;
+    std::function<void(Watcher &)> Change;
+    std::string First;
+    std::string Promoted;
+  };
+  const Row Rows[] = {
+      {"others are ready", [](Watcher &) {}, "claim 2", "promote s2 2"},
+      {"another one leaves too",
+       [](Watcher &S) { S.Seen.Servers[2].Leaving = true; }, "wait", ""},
+      {"another one is behind in its term",
+       [](Watcher &S) {
+         S.status(2).LogEnd = {0, 3};
+       },
+       "wait", ""},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Watcher S;
+    S.Seen.Servers[0].Leaving = true;
+    R.Change(S);
+    CHECK(describe(S.run(std::chrono::seconds(3))) == R.First);
+    if (R.Promoted.empty())
+      continue;
+    S.outcome(FailoverStep::Claim, Succeeded);
+    CHECK(describe(S.outcome(FailoverStep::Adopt, Succeeded,
+                             {adoption("s0", {1, 12}), adoption("s1", {1, 10}),
+                              adoption("s2", {1, 11})})) == R.Promoted);
+  }
+}
+
+// Guards against a naive variant that waits for a majority after all.
+TEST_CASE("the naive failover promotes the first reachable replica") {
+  Watcher S(true);
+  S.Silent[1] = true;
+  S.Seen.Servers[1].AnsweredAt = Start - std::chrono::seconds(1);
+  CHECK(describe(S.upTo(FailoverStep::Adopt)) == "adopt s2 2");
+  CHECK(describe(S.outcome(FailoverStep::Adopt, Succeeded,
+                           {adoption("s2", {1, 1})})) == "promote s2 2");
+}
--- a/src/root/backends/PgBackendServer.cpp
+++ b/src/root/backends/PgBackendServer.cpp
@@ -13,6 +13,10 @@
 /// overflow the conversion.
 constexpr double MaxQueueMs = 3.6e6;
 
+/// The outcome of a call without a value. QCoro 0.8 takes a std::monostate that
+/// is returned as such for its own empty state and throws when it is awaited.
+Result<Success> done() { return Success(); }
+
 constexpr std::string_view StatusSql = "SELECT * FROM group_status()";
 
 std::string quoted(std::string_view Text) {
@@ -222,7 +226,7 @@
       "SELECT group_promote(" + std::to_string(T) + ")", Deadline);
   if (!succeeded(Answer))
     co_return Error{errorOf(Answer)};
-  co_return Success();
+  co_return done();
 }
 
 QCoro::Task<Result<Success>> PgBackendServer::follow(Term T, ServerId Primary,
@@ -234,7 +238,7 @@
       Deadline);
   if (!succeeded(Answer))
     co_return Error{errorOf(Answer)};
-  co_return Success();
+  co_return done();
 }
 
 QCoro::Task<Result<OwnerLease>>
