--- a/src/policy/testing/FailoverModelTest.cpp
+++ b/src/policy/testing/FailoverModelTest.cpp
@@ -249,6 +249,20 @@
       {"nothing", [](GroupModel &) {}},
       {"primary paused for 500 ms",
        [](GroupModel &M) { M.pauseServer(0, milliseconds(500)); }},
+      {"primary paused for 650 ms",
+       [](GroupModel &M) { M.pauseServer(0, milliseconds(650)); }},
+      {"every message 150 ms late for 600 ms",
+       [](GroupModel &M) {
+         M.setExtraDelay(milliseconds(150));
+         M.run(milliseconds(600));
+         M.setExtraDelay({});
+       }},
+      {"every message 300 ms late for 500 ms",
+       [](GroupModel &M) {
+         M.setExtraDelay(milliseconds(300));
+         M.run(milliseconds(500));
+         M.setExtraDelay({});
+       }},
       {"every watcher paused for 5 s",
        [](GroupModel &M) {
          for (std::size_t W = 0; W < 3; ++W)
--- a/src/policy/testing/GroupModel.cpp
+++ b/src/policy/testing/GroupModel.cpp
@@ -6,7 +6,8 @@
 namespace {
 
 constexpr Duration StepInterval = milliseconds(25);
-constexpr Duration PollInterval = milliseconds(100);
+/// The longer of the two intervals, for which a pause looks longest.
+constexpr Duration PollInterval = milliseconds(200);
 constexpr Duration ReplicateInterval = milliseconds(5);
 constexpr Duration WriteInterval = milliseconds(20);
 constexpr Duration FaultInterval = milliseconds(50);
@@ -133,8 +134,8 @@
 }
 
 Duration GroupModel::delay() {
-  return Duration(
-      static_cast<Duration::rep>(100 + this->Rng.below(MaxDelayUs)));
+  return this->ExtraDelay + Duration(static_cast<Duration::rep>(
+                                100 + this->Rng.below(MaxDelayUs)));
 }
 
 bool GroupModel::lost() {
@@ -189,14 +190,15 @@
   });
 }
 
-void GroupModel::call(std::size_t W, std::size_t S, Request R, Done D) {
+void GroupModel::call(std::size_t W, std::size_t S, Request R, Done D,
+                      Duration Limit) {
   const auto Finished = std::make_shared<bool>(false);
   const Done Once = [Finished, D = std::move(D)](const auto &Answer) {
     if (!std::exchange(*Finished, true))
       D(Answer);
   };
   const std::uint64_t Epoch = this->Watchers[W]->Epoch;
-  this->at(this->Now + CallLimit, [this, W, Epoch, Once] {
+  this->at(this->Now + Limit, [this, W, Epoch, Once] {
     this->toWatcher(W, Epoch, [Once] { Once(std::nullopt); });
   });
   if (this->lost())
@@ -263,6 +265,9 @@
   Watcher &Self = *this->Watchers[W];
   const std::uint64_t Id = ++Self.PollId[S];
   const TimePoint SentAt = this->Now;
+  const TimePoint End = Self.Seen[S].AnsweredAt + SilenceLimit + ProbeLimit;
+  const Duration Limit =
+      End - SentAt < milliseconds(200) ? ProbeLimit : End - SentAt;
   this->call(
       W, S,
       [](ModelServer &Server) {
@@ -281,14 +286,18 @@
                        this->poll(W, S);
                    });
                  });
-      });
+      },
+      Limit);
 }
 
 void GroupModel::observe(std::size_t W, std::size_t S,
                          const ServerStatus &Status, TimePoint SentAt) {
   Watcher &Self = *this->Watchers[W];
-  Self.Seen[S].Status = Status;
+  const bool Overlaps = SentAt < Self.Seen[S].AnsweredAt;
   Self.Seen[S].AnsweredAt = this->Now;
+  if (Overlaps)
+    return; // As in the real watcher: it may be older than what is held.
+  Self.Seen[S].Status = Status;
   const LogPosition Before = Self.Durable->confirmed();
   Self.Durable->observe(this->Servers[S].Id, Status, SentAt, this->Now);
   const LogPosition After = Self.Durable->confirmed();
@@ -307,7 +316,6 @@
   const TimePoint SentAt = this->Now;
   switch (Action.Step) {
   case FailoverStep::ProbeFresh:
-    ++this->Watchers[W]->PollId[S]; // Voids the poll on the open connection.
     this->call(
         W, S,
         [](ModelServer &Server) {
--- a/src/policy/testing/GroupModel.h
+++ b/src/policy/testing/GroupModel.h
@@ -89,6 +89,8 @@
   void pauseServer(std::size_t Server, Duration Time);
   void pauseWatcher(std::size_t Watcher, Duration Time);
   void cutServer(std::size_t Server, bool Cut);
+  /// Delays every message and answer by this much more.
+  void setExtraDelay(Duration Extra) { this->ExtraDelay = Extra; }
   void cutLink(std::size_t A, std::size_t B);
   void setStoreDown(bool Down) { this->StoreDown = Down; }
   void setLeaving(std::size_t Server) { this->Servers[Server].Leaving = true; }
@@ -133,7 +135,8 @@
     return this->Servers.size() + W;
   }
 
-  void call(std::size_t W, std::size_t S, Request R, Done D);
+  void call(std::size_t W, std::size_t S, Request R, Done D,
+            Duration Limit = CallLimit);
   void arrive(std::size_t W, std::size_t S, const Request &R,
               const Done &Answer);
   void toWatcher(std::size_t W, std::uint64_t Epoch,
@@ -165,6 +168,7 @@
   std::set<std::pair<std::size_t, std::size_t>> Cuts;
   bool Faults = false;
   bool StoreDown = false;
+  Duration ExtraDelay{};
   Term ClaimedTerm = 0;
   std::size_t ClaimedBy = 0;
   std::optional<Duration> KillPromoted;
--- a/src/root/backends/BackendServer.h
+++ b/src/root/backends/BackendServer.h
@@ -14,6 +14,7 @@
 #include <QCoroTask>
 
 #include <cstdint>
+#include <string_view>
 
 namespace amaranthspur {
 
@@ -23,6 +24,10 @@
   Duration Remaining{};
 };
 
+/// Starts the message of an error that the server itself reported. The server
+/// is then known to live, whatever it refused.
+inline constexpr std::string_view ServerAnswered = "server answered ";
+
 /// Control operations on one backend server. At most one call runs at a time;
 /// calls fail with an error when the deadline passes or the connection is lost.
 class BackendServer {
--- a/src/root/backends/GroupWatcher.cpp
+++ b/src/root/backends/GroupWatcher.cpp
@@ -233,9 +233,8 @@
 
 QCoro::Task<> GroupWatcher::poll(Entry &E) {
   const TimePoint SentAt = this->Parts.Time.now();
-  // An open connection is given up at the silence limit, so that the probe over
-  // a fresh one can follow at once.
-  TimePoint Deadline = E.AnsweredAt + SilenceLimit;
+  // An open connection has until the end of the probe over a fresh one.
+  TimePoint Deadline = E.AnsweredAt + SilenceLimit + ProbeLimit;
   if (E.Failed || Deadline - SentAt < IdlePollInterval)
     Deadline = SentAt + ProbeLimit;
   E.PollNow = false;
@@ -252,6 +251,13 @@
 void GroupWatcher::observed(Entry &E, const ServerStatus &Status,
                             TimePoint SentAt) {
   const TimePoint Now = this->Parts.Time.now();
+  // A probe's question overlaps with that on the open connection. The answer
+  // that comes second may be the older one, so only its arrival counts.
+  const bool Overlaps = SentAt < E.AnsweredAt;
+  if (Overlaps) {
+    E.AnsweredAt = Now;
+    return;
+  }
   const bool Changed = !E.Status || E.Status->Role != Status.Role ||
                        E.Status->AdoptedTerm != Status.AdoptedTerm ||
                        E.Status->LogEnd.TermNumber != Status.LogEnd.TermNumber;
@@ -371,22 +377,32 @@
   if (!E)
     co_return Outcome;
   ++this->Counts.Probes;
-  WaitPoint Done;
-  const TimePoint Deadline = this->Parts.Time.now() + ProbeLimit;
-  this->submit(*E, [&](BackendServer &Server) -> QCoro::Task<> {
-    const TimePoint SentAt = this->Parts.Time.now();
-    if (SentAt < Deadline && !this->Stopping) {
-      const auto Answer = co_await Server.probeFresh(Deadline);
-      if (succeeded(Answer)) {
-        Outcome.Result = ActionResult::Succeeded;
-        this->observed(*E, valueOf(Answer), SentAt);
-      }
-    }
-    Done.wake();
-  });
-  // Ends a poll that hangs on the silent connection.
+  // The probe goes beside the open connection, not instead of it: under a
+  // latency spike the answer that is under way comes before one to a new
+  // question. Whichever comes first shows that the server lives.
+  const std::unique_ptr<BackendServer> Fresh = this->Parts.Connect(E->Config);
+  const TimePoint SentAt = this->Parts.Time.now();
+  const TimePoint Deadline = SentAt + ProbeLimit;
+  const Result<ServerStatus> Answer = co_await Fresh->probeFresh(Deadline);
+  if (succeeded(Answer))
+    this->observed(*E, valueOf(Answer), SentAt);
+  while (E->AnsweredAt < SentAt && !E->Failed && !this->Stopping &&
+         this->Parts.Time.now() < Deadline)
+    co_await this->FailoverWake.wait(
+        std::min(Deadline, this->Parts.Time.now() + StepInterval));
+  // A server that refuses the connection (53300) lives. With the open
+  // connection closed there is room for a new one.
+  const bool Lives =
+      !succeeded(Answer) && errorOf(Answer).starts_with(ServerAnswered);
+  if (E->AnsweredAt >= SentAt || Lives)
+    Outcome.Result = ActionResult::Succeeded;
+  // The open connection is silent or its server is gone.
   E->Server->reset();
-  co_await Done.wait();
+  E->PollNow = true;
+  E->Wake.wake();
+  // Keeps a server that goes on refusing from being probed in a tight loop.
+  if (Lives && E->AnsweredAt < SentAt && !this->Stopping)
+    co_await sleepFor(2 * StepInterval);
   co_return Outcome;
 }
 
--- a/src/root/backends/PgBackendServer.cpp
+++ b/src/root/backends/PgBackendServer.cpp
@@ -173,8 +173,8 @@
     }
     if (Frame->Type == 'E') {
       const pg::ErrorFields Fields = pg::parseError(Frame->Body);
-      Reported =
-          Error{"server answered " + Fields.SqlState + ": " + Fields.Message};
+      Reported = Error{std::string(ServerAnswered) + Fields.SqlState + ": " +
+                       Fields.Message};
     } else if (Frame->Type == 'D') {
       auto Columns = pg::parseDataRow(Frame->Body);
       if (!succeeded(Columns))
--- a/src/root/backends/testing/WatcherFakes.h
+++ b/src/root/backends/testing/WatcherFakes.h
@@ -29,8 +29,10 @@
 /// How a fake server treats calls.
 enum class FakeMode {
   Answering,
-  Refusing,         ///< Connections are refused.
-  Silent,           ///< Neither the open nor a fresh connection answers.
+  Refusing,   ///< Connections are refused.
+  Silent,     ///< Neither the open nor a fresh connection answers.
+  SilentFull, ///< The open connection is silent, and there is no room beside
+              ///< it.
   SilentConnection, ///< The open connection is silent, a fresh one works.
 };
 
@@ -43,7 +45,6 @@
     unsigned Calls = 0;    ///< That run now, over all watchers.
     unsigned Statuses = 0; ///< Answered.
     unsigned Probes = 0;
-    bool OpenSilent = false; ///< The open connection is the silent one.
   };
 
   explicit FakeGroup(std::size_t Count) {
@@ -141,7 +142,10 @@
     co_return OwnerLease{std::move(Vm), Ttl};
   }
 
-  void reset() override { this->Reset.wake(); }
+  void reset() override {
+    this->Replaced = true;
+    this->Reset.wake();
+  }
 
   /// Most calls that ran at a time on any fake; the interface allows one.
   static inline unsigned MostCalls = 0;
@@ -160,14 +164,17 @@
     MostCalls = std::max(MostCalls, this->Running);
     std::string Failure;
     const FakeMode Mode = this->server().Mode;
-    const bool Hangs = Mode == FakeMode::Silent ||
-                       (Mode == FakeMode::SilentConnection && !Fresh &&
-                        !std::exchange(this->Replaced, false));
+    const bool OpenSilent =
+        Mode == FakeMode::SilentConnection || Mode == FakeMode::SilentFull;
+    const bool Hangs =
+        Mode == FakeMode::Silent || (OpenSilent && !Fresh && !this->Replaced);
     if (Fresh)
       this->Replaced = true;
     if (Hangs) {
       co_await this->Reset.wait(Deadline);
       Failure = "no answer";
+    } else if (Mode == FakeMode::SilentFull && Fresh) {
+      Failure = "server answered 53300: too many connections";
     } else if (Mode == FakeMode::Refusing) {
       Failure = "connection refused";
     } else {
