--- a/src/policy/Membership.h
+++ b/src/policy/Membership.h
@@ -19,7 +19,8 @@
 // Each message carries the sender's own entry, at most MaxNews changes and one
 // entry in rotation, which repairs what lost messages have left out. The cost
 // of a member is therefore bounded whatever the number of members; only the
-// answer to a first contact carries a page of up to MaxPage entries.
+// answer to a member that does not know the recipient yet carries a page of up
+// to MaxPage entries.
 #ifndef AMARANTHSPUR_POLICY_MEMBERSHIP_H
 #define AMARANTHSPUR_POLICY_MEMBERSHIP_H
 
@@ -49,7 +50,9 @@
   MembershipMessageKind Kind = MembershipMessageKind::Ping;
   std::uint64_t Sequence = 0; ///< Of the ping; an Ack repeats it.
   EntryVmId About;            ///< Of an Ack: who is alive. Of a PingRequest:
-                              ///< whom to ping. Unused in a Ping.
+                              ///< whom to ping; the recipient itself if the
+                              ///< sender does not know it yet, and then the
+                              ///< Ack has a page. Unused in a Ping.
   std::vector<Member> Members;
   std::uint64_t Revision = 0; ///< Configuration in force at the sender.
 };
@@ -158,7 +161,8 @@
   static constexpr Duration SuspicionTime = milliseconds(600);
   /// Changes in one message.
   static constexpr std::size_t MaxNews = 8;
-  /// Entries in the answer to a first contact.
+  /// Entries in the answer to a member that knows the recipient only from a
+  /// list.
   static constexpr std::size_t MaxPage = 128;
   /// Refutations raise the incarnation by one each; a new process starts with
   /// the time in µs and so with more than this above an earlier one. What lies
--- a/src/policy/SwimMembership.cpp
+++ b/src/policy/SwimMembership.cpp
@@ -355,11 +355,13 @@
 void SwimMembership::pingCandidates(TimePoint Now, Random &Rng, Outgoing &Out) {
   // The own data centre first: its members answer with those whom this one has
   // to probe.
-  for (const ListedMember &C :
-       this->Candidates.due(CandidatesPerPeriod, this->Self.Location, Now, Rng))
-    Out.push_back({C.Id, C.PeerAddress,
-                   this->makeMessage(MembershipMessageKind::Ping,
-                                     this->NextSequence++, C.Id)});
+  for (const ListedMember &C : this->Candidates.due(
+           CandidatesPerPeriod, this->Self.Location, Now, Rng)) {
+    MembershipMessage Request = this->makeMessage(
+        MembershipMessageKind::PingRequest, this->NextSequence++, C.Id);
+    Request.About = C.Id;
+    Out.push_back({C.Id, C.PeerAddress, std::move(Request)});
+  }
 }
 
 void SwimMembership::checkUnlisted(TimePoint Now, Outgoing &Out) {
@@ -460,9 +462,6 @@
     return Response;
   }
   auto Sender = this->Records.find(From);
-  const bool FirstContact =
-      Sender == this->Records.end() || Sender->second.Gone ||
-      Incarnation > Sender->second.M.Incarnation + MaxRefutations;
   const Member *Own = nullptr;
   for (const Member &M : Message.Members)
     if (M.Id == From && M.Incarnation == Incarnation)
@@ -506,12 +505,18 @@
     MembershipMessage Answer =
         this->makeMessage(MembershipMessageKind::Ack, Message.Sequence, From);
     Answer.About = this->Self.Id;
-    if (FirstContact)
-      this->addPage(Answer, Rng);
     Response.Send.push_back(this->to(R, std::move(Answer)));
     break;
   }
   case MembershipMessageKind::PingRequest: {
+    if (Message.About == this->Self.Id) {
+      MembershipMessage Answer =
+          this->makeMessage(MembershipMessageKind::Ack, Message.Sequence, From);
+      Answer.About = this->Self.Id;
+      this->addPage(Answer, Rng);
+      Response.Send.push_back(this->to(R, std::move(Answer)));
+      break;
+    }
     const auto Target = this->Records.find(Message.About);
     if (Target == this->Records.end() || this->Relays.size() >= MaxRelays)
       break;
--- a/src/policy/testing/AdmissionModelTest.cpp
+++ b/src/policy/testing/AdmissionModelTest.cpp
@@ -399,7 +399,7 @@
     Item.Id = this->NextId++;
     Item.Caller = CallerName("c" + std::to_string(Caller));
     Item.Class = ClassName(Kind == 2 ? "report" : "quick");
-    Item.Shape = static_cast<std::uint64_t>(Kind + 1);
+    Item.Shape = 1 + static_cast<std::uint64_t>(Kind);
     Item.Deadline = this->Now + Deadline;
     Item.Bytes = 100;
     Item.InTransaction = InTransaction;
--- a/src/policy/testing/AdmissionTargetsTest.cpp
+++ b/src/policy/testing/AdmissionTargetsTest.cpp
@@ -57,7 +57,7 @@
       const double Share =
           0.5 / R.Callers + (C + 1.0) / (R.Callers * (R.Callers + 1.0));
       Server.add({"caller-" + std::to_string(C), "short",
-                  static_cast<std::uint64_t>(C + 1), PerSecond * Share,
+                  1 + static_cast<std::uint64_t>(C), PerSecond * Share,
                   milliseconds(2), milliseconds(8), R.Deadline, 10, seconds(5),
                   seconds(15)});
     }
@@ -103,7 +103,7 @@
       const double PerSecond = R.ShortLoad * Slots / 0.005 / 4;
       for (int C = 0; C < 4; ++C)
         Server.add({"caller-" + std::to_string(C), "short",
-                    static_cast<std::uint64_t>(C + 1), PerSecond,
+                    1 + static_cast<std::uint64_t>(C), PerSecond,
                     milliseconds(2), milliseconds(8), seconds(2)});
       if (LongJobs)
         for (int C = 0; C < 2; ++C)
--- a/src/policy/testing/MembershipGroup.h
+++ b/src/policy/testing/MembershipGroup.h
@@ -46,6 +46,7 @@
 
   std::vector<ListedMember> list() const {
     std::vector<ListedMember> List;
+    List.reserve(this->Nodes.size());
     for (const Node &N : this->Nodes)
       List.push_back(
           {N.Start.Id, N.Start.PeerAddress, N.Start.Location, false});
@@ -55,7 +56,7 @@
   /// Starts node \p I with a new incarnation.
   void start(std::size_t I) {
     Node &N = this->Nodes[I];
-    N.Start.Incarnation += 1000;
+    N.Start.Incarnation += 1000000;
     N.Start.State = MemberState::Live;
     N.M = makeSwimMembership(N.Start);
     if (!N.Running)
@@ -70,6 +71,37 @@
     }
   }
 
+  /// Starts all nodes and tells each of all others at once, as if they had been
+  /// running for long.
+  void startAcquainted() {
+    std::vector<Member> All;
+    All.reserve(this->Nodes.size());
+    for (std::size_t I = 0; I < this->Nodes.size(); ++I) {
+      this->start(I);
+      All.push_back(this->Nodes[I].Start);
+    }
+    for (std::size_t I = 0; I < this->Nodes.size(); ++I)
+      for (std::size_t First = 0; First < All.size();
+           First += Membership::MaxPage) {
+        // Told by a member of the same data centre, which is trusted.
+        const std::size_t Last =
+            std::min(First + Membership::MaxPage, All.size());
+        for (std::size_t J = 0; J < All.size(); ++J) {
+          if (J == I || All[J].Location != All[I].Location)
+            continue;
+          MembershipMessage Page;
+          Page.Kind = MembershipMessageKind::Ack;
+          Page.About = All[J].Id;
+          Page.Members.assign(All.begin() + static_cast<std::ptrdiff_t>(First),
+                              All.begin() + static_cast<std::ptrdiff_t>(Last));
+          Page.Members.push_back(All[J]);
+          (void)this->Nodes[I].M->onMessage(All[J].Id, All[J].Incarnation, Page,
+                                            this->Now, this->Rng);
+          break;
+        }
+      }
+  }
+
   void stop(std::size_t I) { this->Nodes[I].Running = false; }
 
   /// Stops the loop of node \p I; its messages wait.
--- a/src/policy/testing/MembershipTest.cpp
+++ b/src/policy/testing/MembershipTest.cpp
@@ -294,7 +294,7 @@
   Group.startAll();
   Group.run(seconds(5));
   Group.stop(3);
-  Group.Nodes[3].Start.Incarnation -= 500000;
+  Group.Nodes[3].Start.Incarnation -= 1500000;
   Group.run(seconds(3));
   Group.start(3);
   Group.Nodes[3].M->setListed(Group.list(), Group.Now);
@@ -326,21 +326,21 @@
   };
   for (const Row &R : Rows) {
     CAPTURE(R.Name);
-    const auto entry = [](const std::string &Id, std::uint64_t Incarnation) {
+    const auto Entry = [](const std::string &Id, std::uint64_t Incarnation) {
       return Member{EntryVmId(Id), Id + ":1", DataCentre("dc"), Incarnation,
                     MemberState::Live};
     };
     Random Rng(1);
     const TimePoint Now{seconds(1000)};
-    const auto M = makeSwimMembership(entry("a", 5000000));
+    const auto M = makeSwimMembership(Entry("a", 5000000));
     MembershipMessage Hello;
-    Hello.Members = {entry("b", 5000000)};
+    Hello.Members = {Entry("b", 5000000)};
     REQUIRE(M->onMessage(EntryVmId("b"), 5000000, Hello, Now, Rng).Verdict ==
             MembershipVerdict::Accepted);
     MembershipMessage Message;
     Message.Sequence = 77;
     if (R.OwnEntry)
-      Message.Members = {entry(R.From, R.Incarnation)};
+      Message.Members = {Entry(R.From, R.Incarnation)};
     const auto Response =
         M->onMessage(EntryVmId(R.From), R.Incarnation, Message, Now, Rng);
     CHECK(Response.Verdict == R.Expected);
@@ -384,6 +384,7 @@
     Group.stop(1);
     Group.run(seconds(10));
     std::vector<std::vector<Member>> Views;
+    Views.reserve(Group.Nodes.size());
     for (const MembershipGroup::Node &N : Group.Nodes)
       Views.push_back(N.M->members());
     return Views;
--- a/src/policy/testing/OwnershipTest.cpp
+++ b/src/policy/testing/OwnershipTest.cpp
@@ -96,6 +96,7 @@
 // against a death that moves servers of living owners.
 TEST_CASE("servers are spread evenly, and a death moves only its own") {
   std::vector<Member> Members;
+  Members.reserve(7);
   for (int I = 0; I < 7; ++I)
     Members.push_back(member("vm-" + std::to_string(I), "a"));
   const Configuration Config = threeCentres();
@@ -144,6 +145,7 @@
     ServerConfig Server = serverIn("a");
     Server.ConnectionLimit = R.Limit;
     std::vector<Member> Members;
+    Members.reserve(R.Members);
     for (std::size_t I = 0; I < R.Members; ++I)
       Members.push_back(member("vm-" + std::to_string(I), "a"));
     CHECK(RendezvousOwnership().workConnections(Server, Members) == R.Owner);
--- a/src/root/peers/testing/MembershipCost.cpp
+++ b/src/root/peers/testing/MembershipCost.cpp
@@ -2,7 +2,7 @@
 // members, and compares two ways of spreading group views. Many instances run
 // in one process in simulated time: no sockets, no model of the product.
 //
-// Usage: membership-cost members COUNT... | membership-cost views
+// Usage: membership-cost members SEED COUNT... | membership-cost views
 #include "policy/Ownership.h"
 #include "policy/testing/MembershipGroup.h"
 #include "root/peers/PeerCodec.h"
@@ -19,6 +19,9 @@
 
 namespace {
 
+/// For printf's %llu.
+unsigned long long printable(std::uint64_t Number) { return Number; }
+
 /// TCP, ZMTP and CURVE around one message: 52 bytes of IP and TCP, 9 of the
 /// ZMTP frame, 33 of the CURVE MESSAGE command with its nonce and code, as the
 /// protocols define them. Acknowledgements and handshakes are not counted.
@@ -103,22 +106,25 @@
   return Ms;
 }
 
-void measureMembers(std::size_t Count) {
+/// Replaces the last node by a new process that has only the platform's list,
+/// and returns when it knows everybody.
+long join(MembershipGroup &Group) {
+  const std::size_t Newcomer = Group.Nodes.size() - 1;
+  Group.start(Newcomer);
+  Membership &M = *Group.Nodes[Newcomer].M;
+  M.setListed(Group.list(), Group.Now);
+  const TimePoint Start = Group.Now;
+  while (M.stats().Candidates > 0 && Group.Now - Start < seconds(60))
+    Group.run(milliseconds(50));
+  return milliSince(Group, Start);
+}
+
+void measureMembers(std::size_t Count, std::uint64_t Seed) {
   const std::size_t Centres = Count >= 300 ? 6 : (Count < 6 ? 1 : 3);
-  MembershipGroup Group(Count, Centres, 1);
+  MembershipGroup Group(Count, Centres, Seed);
   Group.Size = wireSize;
-  Group.startAll();
-  const TimePoint Start = Group.Now;
-  const auto Joined = [&Group] {
-    return std::all_of(Group.Nodes.begin(), Group.Nodes.end(),
-                       [](const MembershipGroup::Node &N) {
-                         return N.M->stats().Candidates == 0;
-                       });
-  };
-  while (!Joined() && Group.Now - Start < seconds(60))
-    Group.run(milliseconds(250));
-  const long JoinMs = milliSince(Group, Start);
-  Group.run(seconds(Count > 1000 ? 15 : 30));
+  Group.startAcquainted();
+  Group.run(seconds(15));
 
   const seconds Idle(Count > 1000 ? 5 : 20);
   std::vector<std::uint64_t> Bytes;
@@ -141,20 +147,19 @@
     Largest = std::max(Largest, Group.Nodes[I].LargestMessage);
   }
   const auto PerSecond = static_cast<std::uint64_t>(Idle.count());
+  const long NewcomerMs = join(Group);
   const long RevisionMs = spreadRevision(Group, Count / 2);
   const Detection Times = detect(Group, 0, Centres);
   std::uint64_t Deaths = 0;
   for (std::size_t I = 1; I < Count; ++I)
     Deaths += Group.count(I, MemberState::Dead);
   std::printf("%zu,%zu,%ld,%.1f,%llu,%llu,%llu,%ld,%ld,%ld,%ld,%ld,%llu\n",
-              Count, Centres, JoinMs,
+              Count, Centres, NewcomerMs,
               static_cast<double>(SumMessages) /
                   static_cast<double>(Count * PerSecond),
-              static_cast<unsigned long long>(Sum / Count / PerSecond),
-              static_cast<unsigned long long>(Most / PerSecond),
-              static_cast<unsigned long long>(Largest), Times.FirstMs,
-              Times.OwnCentreMs, Times.HalfMs, Times.AllMs, RevisionMs,
-              static_cast<unsigned long long>(Deaths));
+              printable(Sum / Count / PerSecond), printable(Most / PerSecond),
+              printable(Largest), Times.FirstMs, Times.OwnCentreMs,
+              Times.HalfMs, Times.AllMs, RevisionMs, printable(Deaths));
   std::fflush(stdout);
 }
 
@@ -191,8 +196,7 @@
   // What is added to a membership message that is sent anyway.
   const std::uint64_t Piggyback = Envelope.group_view_update().ByteSizeLong();
   std::printf("one view: %llu bytes encoded, %llu with framing\n",
-              static_cast<unsigned long long>(Bytes),
-              static_cast<unsigned long long>(Bytes + FramingBytes));
+              printable(Bytes), printable(Bytes + FramingBytes));
   std::printf("case,members,concerned,direct messages,direct bytes,"
               "spread copies,spread bytes\n");
   for (const Row &R : Rows) {
@@ -200,8 +204,8 @@
     // 3 * bit_width(n) times, on membership messages; counted in a run.
     const std::size_t Centres = R.Members >= 300 ? 6 : 3;
     MembershipGroup Group(R.Members, Centres, 2);
-    Group.startAll();
-    Group.run(seconds(20));
+    Group.startAcquainted();
+    Group.run(seconds(2));
     std::vector<unsigned> Left(R.Members, 0);
     std::vector<bool> Has(R.Members, false);
     const unsigned MaxSends =
@@ -236,13 +240,11 @@
            !std::all_of(Has.begin(), Has.end(), [](bool B) { return B; }))
       Group.run(milliseconds(50));
     const long AllMs = milliSince(Group, Start);
-    Group.run(seconds(15));
+    Group.run(seconds(5));
     std::printf("%s,%zu,%zu,%zu,%llu,%llu,%llu (all have it after %ld ms)\n",
                 R.Name, R.Members, R.Concerned, R.Concerned - 1,
-                static_cast<unsigned long long>((R.Concerned - 1) *
-                                                (Bytes + FramingBytes)),
-                static_cast<unsigned long long>(Copies),
-                static_cast<unsigned long long>(Copies * Piggyback), AllMs);
+                printable((R.Concerned - 1) * (Bytes + FramingBytes)),
+                printable(Copies), printable(Copies * Piggyback), AllMs);
     std::fflush(stdout);
   }
 }
@@ -255,16 +257,17 @@
     compareViews();
     return 0;
   }
-  if (Words.size() < 2 || Words[0] != "members") {
-    std::fputs("usage: membership-cost members COUNT... | "
+  if (Words.size() < 3 || Words[0] != "members") {
+    std::fputs("usage: membership-cost members SEED COUNT... | "
                "membership-cost views\n",
                stderr);
     return 2;
   }
-  std::printf("members,data centres,joined ms,messages/s,bytes/s,most bytes/s,"
-              "largest message,first dead ms,own data centre ms,half ms,all ms,"
-              "revision ms,false deaths\n");
-  for (std::size_t I = 1; I < Words.size(); ++I)
-    measureMembers(std::stoul(Words[I]));
+  std::printf(
+      "members,data centres,newcomer ms,messages/s,bytes/s,most bytes/s,"
+      "largest message,first dead ms,own data centre ms,half ms,all ms,"
+      "revision ms,false deaths\n");
+  for (std::size_t I = 2; I < Words.size(); ++I)
+    measureMembers(std::stoul(Words[I]), std::stoul(Words[1]));
   return 0;
 }
