--- a/src/bench/ChildProcess.h
+++ b/src/bench/ChildProcess.h
@@ -61,6 +61,8 @@
 
 private:
   void signal(int Number) const;
+  bool ready() const;
+  Error failure(const char *What) const;
 
   QProcess Process;
   std::string Program;
--- a/src/bench/ControlCost.cpp
+++ b/src/bench/ControlCost.cpp
@@ -1,4 +1,5 @@
 // Scenario `control-cost`: what an idle entry VM costs among its peers.
+#include "bench/Failure.h"
 #include "bench/Stage.h"
 
 #include <QJsonArray>
@@ -51,7 +52,7 @@
   Stage Scene(Settings, specFor(Peers));
   const Result<Success> Started = co_await Scene.start();
   if (!succeeded(Started))
-    co_return Result<NodeCost>(Error{errorOf(Started)});
+    co_return failed(errorOf(Started));
   co_await sleepFor(QuietTime);
   Deployment &Over = Scene.deployment();
   EntryNode &Node = Over.entries().front();
@@ -70,7 +71,7 @@
   Cost.ResidentMb = static_cast<double>(After.ResidentBytes) / 1e6;
   Cost.BytesPerSecond = static_cast<double>(BytesAfter - BytesBefore) / Seconds;
   co_await Over.stop();
-  co_return Result<NodeCost>(Cost);
+  co_return Cost;
 }
 
 } // namespace
@@ -82,7 +83,7 @@
   for (const unsigned Peers : PeerCounts) {
     const auto Cost = co_await measure(Each, Peers);
     if (!succeeded(Cost))
-      co_return Result<RunReport>(Error{errorOf(Cost)});
+      co_return failed(errorOf(Cost));
     Costs.push_back(valueOf(Cost));
   }
   RunReport Report;
@@ -100,7 +101,7 @@
   Report.Figures["slope_resident_mb"] = slopeOf(Costs, &NodeCost::ResidentMb);
   Report.Figures["slope_bytes_per_second"] =
       slopeOf(Costs, &NodeCost::BytesPerSecond);
-  co_return Result<RunReport>(std::move(Report));
+  co_return std::move(Report);
 }
 
 } // namespace amaranthspur::bench
--- a/src/bench/Crest.cpp
+++ b/src/bench/Crest.cpp
@@ -1,4 +1,5 @@
 // Scenario `crest`: demand times 10 within 1 s, for 10 s, by all callers.
+#include "bench/Failure.h"
 #include "bench/Stage.h"
 #include "bench/Statistics.h"
 
@@ -136,7 +137,7 @@
   Stage Scene(Settings, makeDeployment(DeploymentKind::Association));
   const Result<Success> Started = co_await Scene.start();
   if (!succeeded(Started))
-    co_return Result<RunReport>(Error{errorOf(Started)});
+    co_return failed(errorOf(Started));
   Deployment &Over = Scene.deployment();
   const Duration Rest = std::max<Duration>(
       Scene.left() - Reserve - ConnectTime - RampTime - CrestTime,
@@ -147,7 +148,7 @@
   co_await Load.run();
   const auto Broken = co_await Scene.check();
   if (!succeeded(Broken))
-    co_return Result<RunReport>(Error{errorOf(Broken)});
+    co_return failed(errorOf(Broken));
   RunReport Report;
   Report.Figures = figuresOf(Load.history(), Over.spec(), Load.start(), Before);
   violationsJson(valueOf(Broken));
@@ -155,7 +156,7 @@
       static_cast<int>(countByRule(valueOf(Broken)).at(Rule::NotRunAbsent));
   Report.Runs.push_back(Scene.plot("crest"));
   co_await Over.stop();
-  co_return Result<RunReport>(std::move(Report));
+  co_return std::move(Report);
 }
 
 } // namespace amaranthspur::bench
--- a/src/bench/Failover.cpp
+++ b/src/bench/Failover.cpp
@@ -1,4 +1,5 @@
 // Scenario `failover`: primaries of three services fail in turn.
+#include "bench/Failure.h"
 #include "bench/Stage.h"
 #include "bench/Statistics.h"
 
@@ -160,7 +161,7 @@
   Stage Scene(Settings, threeServices());
   const Result<Success> Started = co_await Scene.start();
   if (!succeeded(Started))
-    co_return Result<RunReport>(Error{errorOf(Started)});
+    co_return failed(errorOf(Started));
   Deployment &Over = Scene.deployment();
   LoadClient &Load =
       Scene.addLoad(makePlan(Settings, Over, Scene.left() - Reserve / 2));
@@ -184,13 +185,13 @@
 
   const auto Broken = co_await Scene.check();
   if (!succeeded(Broken))
-    co_return Result<RunReport>(Error{errorOf(Broken)});
+    co_return failed(errorOf(Broken));
   RunReport Report;
   Report.Figures = figuresOf(Load.history(), Seen, Load.start(), CalmUntil);
   Report.Figures["violations"] = violationsJson(valueOf(Broken));
   Report.Runs.push_back(Scene.plot("failover"));
   co_await Over.stop();
-  co_return Result<RunReport>(std::move(Report));
+  co_return std::move(Report);
 }
 
 } // namespace amaranthspur::bench
--- a/src/bench/Faults.cpp
+++ b/src/bench/Faults.cpp
@@ -1,4 +1,5 @@
 // Scenario `faults`: rows of faults under one load, each checked.
+#include "bench/Failure.h"
 #include "bench/Remote.h"
 #include "bench/Stage.h"
 #include "bench/Statistics.h"
@@ -315,7 +316,7 @@
   Stage Scene(Settings, std::move(Spec));
   const Result<Success> Started = co_await Scene.start();
   if (!succeeded(Started))
-    co_return Result<RunReport>(Error{errorOf(Started)});
+    co_return failed(errorOf(Started));
   // The load lasts until stop(): a row may take longer than its share.
   LoadClient &Load = Scene.addLoad(
       makePlan(Settings, Scene.deployment(), 3 * Settings.Length));
@@ -337,12 +338,12 @@
   co_await Loading;
   const auto Broken = co_await Scene.check();
   if (!succeeded(Broken))
-    co_return Result<RunReport>(Error{errorOf(Broken)});
+    co_return failed(errorOf(Broken));
   RunReport Report;
   Report.Figures["rows"] = rowFigures(Load.history(), Times, valueOf(Broken));
   Report.Runs.push_back(Scene.plot("faults"));
   co_await Scene.deployment().stop();
-  co_return Result<RunReport>(std::move(Report));
+  co_return std::move(Report);
 }
 
 } // namespace amaranthspur::bench
--- a/src/bench/Handover.cpp
+++ b/src/bench/Handover.cpp
@@ -2,6 +2,7 @@
 //
 // Any VM of the primary's data centre may own it, so each is killed in turn;
 // the longest gap is the owner's.
+#include "bench/Failure.h"
 #include "bench/Stage.h"
 #include "bench/Statistics.h"
 
@@ -53,7 +54,7 @@
   Stage Scene(Settings, makeDeployment(DeploymentKind::Engravers));
   const Result<Success> Started = co_await Scene.start();
   if (!succeeded(Started))
-    co_return Result<RunReport>(Error{errorOf(Started)});
+    co_return failed(errorOf(Started));
   Deployment &Over = Scene.deployment();
   LoadClient &Load =
       Scene.addLoad(makePlan(Settings, Over, Scene.left() - Reserve));
@@ -91,11 +92,11 @@
       co_await refusedConnections(Over);
   const auto Broken = co_await Scene.check();
   if (!succeeded(Broken))
-    co_return Result<RunReport>(Error{errorOf(Broken)});
+    co_return failed(errorOf(Broken));
   violationsJson(valueOf(Broken));
   Report.Runs.push_back(Scene.plot("handover"));
   co_await Over.stop();
-  co_return Result<RunReport>(std::move(Report));
+  co_return std::move(Report);
 }
 
 } // namespace amaranthspur::bench
--- a/src/bench/Overhead.cpp
+++ b/src/bench/Overhead.cpp
@@ -1,4 +1,5 @@
 // Scenario `overhead`: one entry VM, no shaped links.
+#include "bench/Failure.h"
 #include "bench/Stage.h"
 #include "bench/Statistics.h"
 
@@ -71,7 +72,7 @@
   Stage Scene(Settings, oneEntryVm());
   const Result<Success> Started = co_await Scene.start();
   if (!succeeded(Started))
-    co_return Result<RunReport>(Error{errorOf(Started)});
+    co_return failed(errorOf(Started));
   const Duration Slice = Scene.left() / (2 * Turns + 4);
   EntryNode &Node = Scene.deployment().entries().front();
   const EntryPoint Proxied{Node.Id.str(), Node.Callers};
@@ -111,7 +112,7 @@
   Figures["bytes_per_idle_connection"] = IdleBytes;
   Report.Runs.push_back(Scene.plot("overhead"));
   co_await Scene.deployment().stop();
-  co_return Result<RunReport>(std::move(Report));
+  co_return std::move(Report);
 }
 
 } // namespace amaranthspur::bench
--- a/src/bench/ReplicaReads.cpp
+++ b/src/bench/ReplicaReads.cpp
@@ -1,4 +1,5 @@
 // Scenario `replica-reads`: callers in both regions read data of a stated age.
+#include "bench/Failure.h"
 #include "bench/Stage.h"
 #include "bench/Statistics.h"
 
@@ -62,7 +63,7 @@
   Stage Scene(Settings, std::move(Spec));
   const Result<Success> Started = co_await Scene.start();
   if (!succeeded(Started))
-    co_return Result<RunReport>(Error{errorOf(Started)});
+    co_return failed(errorOf(Started));
   Deployment &Over = Scene.deployment();
   const Duration Slice = (Scene.left() - Reserve) / 4;
 
@@ -91,7 +92,7 @@
                          static_cast<double>(countOf(Mixed.history(), isWrite));
   const auto Broken = co_await Scene.check();
   if (!succeeded(Broken))
-    co_return Result<RunReport>(Error{errorOf(Broken)});
+    co_return failed(errorOf(Broken));
   violationsJson(valueOf(Broken));
   RunReport Report;
   Report.Figures["replica_share"] =
@@ -100,7 +101,7 @@
       ReadCount > 0 ? std::max(ReadBytes, 0.0) / ReadCount : 0;
   Report.Runs.push_back(Scene.plot("replica-reads"));
   co_await Over.stop();
-  co_return Result<RunReport>(std::move(Report));
+  co_return std::move(Report);
 }
 
 } // namespace amaranthspur::bench
--- a/src/bench/ServerProbe.cpp
+++ b/src/bench/ServerProbe.cpp
@@ -1,6 +1,7 @@
 #include "bench/ServerProbe.h"
 
 #include "bench/CallerConnection.h"
+#include "bench/Failure.h"
 #include "bench/LoadClient.h"
 
 #include <charconv>
@@ -34,14 +35,14 @@
   auto Opened = co_await CallerConnection::open(
       At, {}, controlParameters(Service), Deadline);
   if (!succeeded(Opened))
-    co_return Result<Row>(Error{errorOf(Opened)});
+    co_return failed(errorOf(Opened));
   const Answer Got = co_await valueOf(Opened)->query(Sql, Deadline);
   if (Got.End != AnswerEnd::Complete || Got.Rows.empty())
-    co_return Result<Row>(refusalOf(At, Got));
+    co_return refusalOf(At, Got);
   Row Read;
   for (std::size_t I = 0; I < Got.Columns.size(); ++I)
     Read[Got.Columns[I]] = Got.Rows.front()[I].value_or("");
-  co_return Result<Row>(std::move(Read));
+  co_return std::move(Read);
 }
 
 QCoro::Task<Result<ServerReport>> askStatus(Address At, std::string Service,
@@ -49,7 +50,7 @@
   auto Row =
       co_await askRow(At, Service, "SELECT * FROM group_status()", Deadline);
   if (!succeeded(Row))
-    co_return Result<ServerReport>(Error{errorOf(Row)});
+    co_return failed(errorOf(Row));
   auto &Columns = valueOf(Row);
   ServerReport Report;
   Report.Role =
@@ -57,7 +58,7 @@
   Report.AdoptedTerm = numberOf(Columns["adopted_term"]);
   Report.LogEnd = {numberOf(Columns["log_term"]),
                    numberOf(Columns["log_index"])};
-  co_return Result<ServerReport>(std::move(Report));
+  co_return std::move(Report);
 }
 
 QCoro::Task<Result<Success>> runDirect(Address At, std::string Service,
@@ -66,13 +67,13 @@
   auto Opened = co_await CallerConnection::open(
       At, {}, controlParameters(Service), Deadline);
   if (!succeeded(Opened))
-    co_return Result<Success>(Error{errorOf(Opened)});
+    co_return failed(errorOf(Opened));
   for (const std::string &Sql : Statements) {
     const Answer Got = co_await valueOf(Opened)->query(Sql, Deadline);
     if (Got.End != AnswerEnd::Complete)
-      co_return Result<Success>(refusalOf(At, Got));
+      co_return refusalOf(At, Got);
   }
-  co_return Result<Success>(Success());
+  co_return done();
 }
 
 QCoro::Task<Result<std::vector<FinalRow>>>
@@ -81,11 +82,11 @@
   auto Opened = co_await CallerConnection::open(
       At, {}, controlParameters(Service), Deadline);
   if (!succeeded(Opened))
-    co_return Result<Rows>(Error{errorOf(Opened)});
+    co_return failed(errorOf(Opened));
   const Answer Got =
       co_await valueOf(Opened)->query(FinalRowsStatement, Deadline);
   if (Got.End != AnswerEnd::Complete)
-    co_return Result<Rows>(refusalOf(At, Got));
+    co_return refusalOf(At, Got);
   Rows Read;
   Read.reserve(Got.Rows.size());
   for (const auto &Row : Got.Rows)
@@ -93,7 +94,7 @@
       Read.push_back({Row[0].value_or(""), Row[1].value_or(""),
                       numberOf(Row[2].value_or("")),
                       static_cast<unsigned>(numberOf(Row[3].value_or("")))});
-  co_return Result<Rows>(std::move(Read));
+  co_return std::move(Read);
 }
 
 } // namespace amaranthspur::bench
--- a/src/bench/ShortBehindLong.cpp
+++ b/src/bench/ShortBehindLong.cpp
@@ -1,4 +1,5 @@
 // Scenario `short-behind-long`: proofs beside heraldry checks on one server.
+#include "bench/Failure.h"
 #include "bench/Stage.h"
 #include "bench/Statistics.h"
 
@@ -65,7 +66,7 @@
   Stage Scene(Settings, makeDeployment(DeploymentKind::Engravers));
   const Result<Success> Started = co_await Scene.start();
   if (!succeeded(Started))
-    co_return Result<RunReport>(Error{errorOf(Started)});
+    co_return failed(errorOf(Started));
   Deployment &Over = Scene.deployment();
   const Duration Slice = (Scene.left() - Reserve) / 2 - milliseconds(800);
   LoadClient &Without = Scene.addLoad(makePlan(Settings, Over, false, Slice));
@@ -92,7 +93,7 @@
       LongMs / (SlotsLeftToLong * toMilliseconds(Until - From));
   Report.Runs.push_back(Scene.plot("short-behind-long"));
   co_await Over.stop();
-  co_return Result<RunReport>(std::move(Report));
+  co_return std::move(Report);
 }
 
 } // namespace amaranthspur::bench
--- /dev/null
+++ b/src/bench/testing/LoadClientTest.cpp
@@ -0,0 +1,165 @@
+// The load client against a real fake-backend process, without a daemon.
+#include "bench/LoadClient.h"
+#include "bench/Checker.h"
+#include "bench/Deployment.h"
+#include "bench/Remote.h"
+#include "bench/Stage.h"
+#include "bench/Statistics.h"
+
+#include <QCoreApplication>
+
+#include <catch2/catch.hpp>
+
+using namespace amaranthspur;
+using namespace amaranthspur::bench;
+
+namespace {
+
+constexpr const char *Service = "orders";
+
+template <typename T>
+QCoro::Task<> finish(QCoro::Task<T> &Work, std::optional<T> &Value) {
+  Value = co_await Work;
+  QCoreApplication::quit();
+}
+
+/// Runs \p Work to its end on an event loop.
+template <typename T> T runTask(QCoro::Task<T> Work) {
+  std::optional<T> Value;
+  finish(Work, Value);
+  if (!Value)
+    QCoreApplication::exec();
+  return std::move(*Value);
+}
+
+/// What one load did and what the database holds after it.
+struct Outcome {
+  History Run;
+  std::vector<FinalRow> Rows;
+  std::string Failure;
+};
+
+Address serverAddress() { return {"127.0.9.11", freePort("127.0.9.11")}; }
+
+std::vector<std::string> setupStatements() {
+  return {std::begin(SetupStatements), std::end(SetupStatements)};
+}
+
+std::vector<std::string> serverArguments(const Address &At) {
+  return {"--id", "s1", "--listen", At.str(), "--role", "primary"};
+}
+
+QCoro::Task<Outcome> runLoad(LoadPlan Plan, Duration KillAfter) {
+  Outcome Seen;
+  const Address At = serverAddress();
+  ChildProcess Server(programPath("fake-backend"), serverArguments(At),
+                      std::string());
+  const auto Started =
+      co_await Server.start(steadyNow() + std::chrono::seconds(5));
+  if (!succeeded(Started)) {
+    Seen.Failure = errorOf(Started);
+    co_return Seen;
+  }
+  const std::vector<std::string> Setup = setupStatements();
+  const auto Made = co_await runDirect(At, Service, Setup,
+                                       steadyNow() + std::chrono::seconds(2));
+  if (!succeeded(Made)) {
+    Seen.Failure = errorOf(Made);
+    co_return Seen;
+  }
+  EntryPoint Entry;
+  Entry.Name = "s1";
+  Entry.At = At;
+  for (CallerLoad &Load : Plan.Callers)
+    Load.Entries.push_back(Entry);
+  LoadClient Client(std::move(Plan));
+  QCoro::Task<> Running = Client.run();
+  if (KillAfter > Duration::zero()) {
+    co_await sleepFor(KillAfter);
+    Server.kill();
+  }
+  co_await Running;
+  Seen.Run = Client.history();
+  if (Server.running()) {
+    const auto Rows = co_await readFinalRows(
+        At, Service, steadyNow() + std::chrono::seconds(2));
+    if (succeeded(Rows))
+      Seen.Rows = valueOf(Rows);
+  }
+  co_return Seen;
+}
+
+LoadPlan planOf(double RatePerSecond) {
+  CallerLoad Load;
+  Load.Caller = CallerName("bench");
+  Load.Service = ServiceName(Service);
+  Load.Sessions = 8;
+  Load.RatePerSecond = RatePerSecond;
+  Load.ThinkTime = milliseconds(5);
+  Load.WorkLength = milliseconds(2);
+  Load.Mix = mixOf(4, 4, 2, 1, 1);
+  Load.Deadline = milliseconds(500);
+  LoadPlan Plan;
+  Plan.Callers = {Load};
+  Plan.Length = milliseconds(1500);
+  Plan.Seed = 5;
+  return Plan;
+}
+
+} // namespace
+
+// Guards against a load whose statements the backend server does not take, or
+// whose answers the checker cannot decide on.
+TEST_CASE("a load on a healthy server is answered and passes the checker") {
+  int Count = 1;
+  char Name[] = "bench-load-test";
+  char *Arguments[] = {Name, nullptr};
+  const QCoreApplication Application(Count, Arguments);
+  struct Row {
+    const char *Name;
+    double RatePerSecond;
+    std::size_t LeastOperations;
+    std::size_t MostOperations;
+  };
+  // An open loop of 200/s for 1.5 s means 300 operations, give or take chance.
+  const Row Rows[] = {{"closed loop", 0, 200, 3000},
+                      {"open loop", 200, 220, 380}};
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    const Outcome Seen = runTask(runLoad(planOf(R.RatePerSecond), {}));
+    REQUIRE(Seen.Failure == "");
+    CHECK(Seen.Run.Operations.size() >= R.LeastOperations);
+    CHECK(Seen.Run.Operations.size() <= R.MostOperations);
+    for (const auto &[Kind, Text] : EnumNames<OperationKind>::Entries) {
+      CAPTURE(Text);
+      const auto OfKind = [K = Kind](const Operation &Op) {
+        const OperationEnd Expected = Op.Kind == OperationKind::Rollback
+                                          ? OperationEnd::RolledBack
+                                          : OperationEnd::Acknowledged;
+        return Op.Kind == K && Op.End == Expected;
+      };
+      const auto All = [K = Kind](const Operation &Op) { return Op.Kind == K; };
+      CHECK(countOf(Seen.Run, All) > 0);
+      CHECK(countOf(Seen.Run, OfKind) == countOf(Seen.Run, All));
+    }
+    CHECK_FALSE(Seen.Rows.empty());
+    CHECK(check(Seen.Run, Seen.Rows).empty());
+  }
+}
+
+// Guards against a client that hangs, or that takes a lost connection for an
+// acknowledgement, when the server dies under load.
+TEST_CASE("a load ends when the server dies") {
+  int Count = 1;
+  char Name[] = "bench-load-test";
+  char *Arguments[] = {Name, nullptr};
+  const QCoreApplication Application(Count, Arguments);
+  const Outcome Seen = runTask(runLoad(planOf(0), milliseconds(900)));
+  REQUIRE(Seen.Failure == "");
+  REQUIRE_FALSE(Seen.Run.Operations.empty());
+  const Operation &Last = Seen.Run.Operations.back();
+  CHECK(Last.End != OperationEnd::Acknowledged);
+  CHECK(countOf(Seen.Run, [](const Operation &Op) {
+          return Op.End == OperationEnd::NotSent;
+        }) > 0);
+}
