--- a/src/root/callers/CallerSession.cpp
+++ b/src/root/callers/CallerSession.cpp
@@ -30,7 +30,9 @@
     this->Wire.write(Frames);
     std::size_t Before = this->Wire.queuedBytes();
     while (Before > Connection::WriteBufferBytes) {
-      if (co_await this->Wire.writable(steadyNow() + SlowCallerTime))
+      const bool Written =
+          co_await this->Wire.writable(steadyNow() + SlowCallerTime);
+      if (Written)
         break;
       const std::size_t Left = this->Wire.queuedBytes();
       if (!this->Wire.isOpen() || Left >= Before)
@@ -54,7 +56,8 @@
       Key(Key), OnCancel(std::move(OnCancel)) {}
 
 QCoro::Task<> CallerSession::run() {
-  if (!co_await this->startUp())
+  const bool Started = co_await this->startUp();
+  if (!Started)
     co_return;
   while (this->Wire->isOpen()) {
     std::optional<Batch> Next = co_await this->readBatch();
@@ -102,7 +105,8 @@
       co_return false;
     }
     if (!valueOf(Next)) {
-      if (co_await this->Wire->readable(Until) != ReadEvent::Data)
+      const ReadEvent Event = co_await this->Wire->readable(Until);
+      if (Event != ReadEvent::Data)
         co_return false;
       continue;
     }
@@ -172,6 +176,7 @@
   if (std::optional<Refusal> R = this->applySettings(Given, this->Settings))
     return R;
   this->TokenChecked = !this->Settings.Token;
+  this->Context.OnUse(this->Service);
   return std::nullopt;
 }
 
@@ -214,7 +219,8 @@
                            this->State == TransactionState::Idle;
       if (this->Finishing && Between)
         co_return std::nullopt;
-      if (co_await this->Wire->readable() == ReadEvent::Closed)
+      const ReadEvent Event = co_await this->Wire->readable();
+      if (Event == ReadEvent::Closed)
         co_return std::nullopt;
       continue;
     }
@@ -477,6 +483,7 @@
     co_return;
   }
   const EffectiveSettings &E = valueOf(Effective);
+  this->Context.OnUse(this->Service);
   StatementOrder Order;
   Order.Service = this->Service;
   Order.Stream = this->Stream;
--- a/src/testing/fake-backend/Session.cpp
+++ b/src/testing/fake-backend/Session.cpp
@@ -47,8 +47,9 @@
 
 QCoro::Task<> Session::run() {
   this->greet();
-  while (!this->Terminated && co_await this->nextFrame()) {
-  }
+  bool More = true;
+  while (More)
+    More = co_await this->serveFrames();
   this->rollBackWrites();
   if (this->Terminated)
     this->fatal({"57P01", "connection ended by the server"});
@@ -70,20 +71,23 @@
   this->endUnit();
 }
 
-/// Handles the next frame; returns false at the end of the connection.
-QCoro::Task<bool> Session::nextFrame() {
-  const auto Next = this->Link.reader().next();
-  if (!succeeded(Next)) {
-    this->fatal({"08P01", errorOf(Next)});
-    co_return false;
-  }
-  if (valueOf(Next)) {
+/// Handles the frames that have arrived and waits for more; returns false at
+/// the end of the connection.
+QCoro::Task<bool> Session::serveFrames() {
+  while (!this->Ended && !this->Terminated) {
+    const auto Next = this->Link.reader().next();
+    if (!succeeded(Next))
+      this->fatal({"08P01", errorOf(Next)});
+    if (this->Ended || !valueOf(Next))
+      break;
     const pg::Frame F = *valueOf(Next);
-    co_await this->handle(F);
-    co_return !this->Ended;
+    if (!this->handleAtOnce(F))
+      co_await this->handle(F);
+    if (this->Answer.bytes().size() > ChunkBytes)
+      co_await this->flush();
   }
   co_await this->flush();
-  if (this->Ended)
+  if (this->Ended || this->Terminated)
     co_return false;
   const bool Idle = this->State == TransactionState::Idle;
   const TimePoint Deadline =
@@ -95,45 +99,48 @@
   co_return Event == ReadEvent::Data;
 }
 
-QCoro::Task<> Session::handle(const pg::Frame &F) {
-  if (F.Type == 'X') {
-    this->Ended = true;
-    co_return;
-  }
+/// Handles a frame that never waits; returns false if \p F is another one.
+bool Session::handleAtOnce(const pg::Frame &F) {
   if (F.Type == 'S') {
     this->SkippingToSync = false;
     this->endUnit();
-    co_return;
+    return true;
+  }
+  if (F.Type == 'X') {
+    this->Ended = true;
+    return true;
   }
   if (this->SkippingToSync)
-    co_return;
+    return true;
   switch (F.Type) {
-  case 'Q':
-    co_await this->handleQuery(F.Body);
-    break;
   case 'P':
     this->handleParse(F.Body);
-    break;
+    return true;
   case 'B':
     this->handleBind(F.Body);
-    break;
+    return true;
   case 'D':
     this->handleDescribe(F.Body);
-    break;
-  case 'E':
-    co_await this->handleExecute(F.Body);
-    break;
+    return true;
   case 'C':
     this->handleClose(F.Body);
-    break;
-  case 'H':
-    co_await this->flush();
-    break;
+    return true;
   default:
-    this->fatal({"08P01", "message type is not supported"});
+    return false;
   }
 }
 
+QCoro::Task<> Session::handle(const pg::Frame &F) {
+  if (F.Type == 'Q')
+    co_await this->handleQuery(F.Body);
+  else if (F.Type == 'E')
+    co_await this->handleExecute(F.Body);
+  else if (F.Type == 'H')
+    co_await this->flush();
+  else
+    this->fatal({"08P01", "message type is not supported"});
+}
+
 QCoro::Task<> Session::handleQuery(std::string_view Body) {
   const auto Text = pg::parseQuery(Body);
   if (!succeeded(Text)) {
@@ -188,8 +195,7 @@
     co_return true;
   case StatementForm::Begin:
     this->State = TransactionState::InTransaction;
-    this->Answer.complete(S.Tag, std::nullopt);
-    co_return true;
+    [[fallthrough]];
   case StatementForm::Setting:
     this->Answer.complete(S.Tag, std::nullopt);
     co_return true;
@@ -199,15 +205,16 @@
   case StatementForm::Control:
     co_return this->executeControl(S);
   case StatementForm::Read:
-    ++this->Server.count(BackendCounter::Statements);
-    if (!this->Writing)
-      co_return co_await this->executeRead(S, Values);
-    break;
   case StatementForm::Write:
     ++this->Server.count(BackendCounter::Statements);
     break;
   }
-  co_return co_await this->executeWrite(S, Values);
+  bool Good = false;
+  if (S.Form == StatementForm::Read && !this->Writing)
+    Good = co_await this->executeRead(S, Values);
+  else
+    Good = co_await this->executeWrite(S, Values);
+  co_return Good;
 }
 
 bool Session::executeEnd(const Statement &S) {
@@ -239,7 +246,8 @@
 /// (WITH ... INSERT) takes the way of a write.
 QCoro::Task<bool> Session::executeRead(const Statement &S,
                                        const Parameters &Values) {
-  if (!co_await this->takeSlot())
+  const bool Slot = co_await this->takeSlot();
+  if (!Slot)
     co_return this->fail(CancelledError);
   std::optional<SqlResult<Effect>> Ran;
   {
@@ -252,15 +260,17 @@
   this->noteSeen();
   if (!Ran) {
     this->giveSlot();
-    co_return co_await this->executeWrite(S, Values);
+    const bool Written = co_await this->executeWrite(S, Values);
+    co_return Written;
   }
   if (errorIn(*Ran) != nullptr) {
     this->giveSlot();
     co_return this->fail(*errorIn(*Ran));
   }
   const auto &Done = std::get<Effect>(*Ran);
-  const bool Worked =
-      Done.Work == Duration::zero() || co_await this->work(Done.Work);
+  bool Worked = true;
+  if (Done.Work > Duration::zero())
+    Worked = co_await this->work(Done.Work);
   this->giveSlot();
   if (!Worked)
     co_return this->fail(CancelledError);
@@ -271,20 +281,24 @@
 
 QCoro::Task<bool> Session::executeWrite(const Statement &S,
                                         const Parameters &Values) {
-  if (!this->Writing)
-    if (const auto Failure = co_await this->lockForWriting())
+  if (!this->Writing) {
+    const std::optional<SqlError> Failure = co_await this->lockForWriting();
+    if (Failure)
       co_return this->fail(*Failure);
+  }
   // The lock is taken before the slot: waiters for the lock hold no slot, so
   // the holder's next statement can always get one.
-  if (!co_await this->takeSlot())
+  const bool Slot = co_await this->takeSlot();
+  if (!Slot)
     co_return this->fail(CancelledError);
   Effect Done;
   if (const auto Failure = this->runWrite(S, Values, Done)) {
     this->giveSlot();
     co_return this->fail(*Failure);
   }
-  const bool Worked =
-      Done.Work == Duration::zero() || co_await this->work(Done.Work);
+  bool Worked = true;
+  if (Done.Work > Duration::zero())
+    Worked = co_await this->work(Done.Work);
   this->giveSlot();
   if (!Worked)
     co_return this->fail(CancelledError);
@@ -415,7 +429,8 @@
         this->State == TransactionState::Idle
             ? NoDeadline
             : steadyNow() + this->Server.Config.IdleInTransactionTimeout;
-    if (!co_await this->Link.writable(Deadline)) {
+    const bool Taken = co_await this->Link.writable(Deadline);
+    if (!Taken) {
       this->Ended = true;
       this->Link.abort();
     }
--- a/src/testing/fake-backend/Session.h
+++ b/src/testing/fake-backend/Session.h
@@ -28,6 +28,9 @@
 };
 
 /// Serves one connection after its start-up message.
+///
+/// In its coroutines co_await of a task always stands alone or initialises a
+/// variable: as an operand of a condition, GCC 12 destroys the task twice.
 class Session {
 public:
   Session(ServerState &Server, Connection &Link, SessionKind Kind,
@@ -64,7 +67,8 @@
   };
 
   void greet();
-  QCoro::Task<bool> nextFrame();
+  QCoro::Task<bool> serveFrames();
+  bool handleAtOnce(const pg::Frame &F);
   QCoro::Task<> handle(const pg::Frame &F);
   QCoro::Task<> handleQuery(std::string_view Body);
   QCoro::Task<> handleExecute(std::string_view Body);
