--- a/src/policy/Ownership.h
+++ b/src/policy/Ownership.h
@@ -32,8 +32,10 @@
                   const std::vector<Member> &Members) const = 0;
 };
 
-/// Connections of a server that are kept for control.
-inline constexpr unsigned ControlConnections = 4;
+/// Connections of a server that are kept for control: three watchers with one
+/// connection and one probe each, the owner's lease, and the lease of the next
+/// owner while servers change hands.
+inline constexpr unsigned ControlConnections = 8;
 
 /// Rendezvous hashing over the live members of the server's data centre; if it
 /// has none, of the nearest data centre that has one.
--- a/src/policy/SessionSettings.cpp
+++ b/src/policy/SessionSettings.cpp
@@ -1,6 +1,7 @@
 #include "policy/SessionSettings.h"
 
 #include <charconv>
+#include <utility>
 
 namespace amaranthspur {
 namespace {
@@ -118,6 +119,41 @@
   return Error{"setting is outside the table"};
 }
 
+Result<std::vector<SettingAssignment>>
+settingsFromOptions(std::string_view Options) {
+  constexpr std::string_view Prefix = "amaranthspur.";
+  std::vector<std::string> Words;
+  bool InWord = false;
+  for (std::size_t I = 0; I < Options.size(); ++I) {
+    const bool Escaped = Options[I] == '\\' && I + 1 < Options.size();
+    if (!Escaped && Options[I] == ' ') {
+      InWord = false;
+      continue;
+    }
+    if (!std::exchange(InWord, true))
+      Words.emplace_back();
+    Words.back() += Escaped ? Options[++I] : Options[I];
+  }
+  std::vector<SettingAssignment> Settings;
+  for (std::size_t I = 0; I < Words.size(); ++I) {
+    std::string_view Text = Words[I];
+    if (Text == "-c" && I + 1 < Words.size())
+      Text = Words[++I];
+    else if (Text.starts_with("-c") || Text.starts_with("--"))
+      Text.remove_prefix(2);
+    else
+      Text = {};
+    const std::size_t Equals = Text.find('=');
+    if (!Text.starts_with(Prefix) || Equals == std::string_view::npos)
+      return Error{"option \"" + Words[I] +
+                   "\" is not supported; allowed: -c amaranthspur.NAME=VALUE"};
+    Settings.push_back(
+        {std::string(Text.substr(Prefix.size(), Equals - Prefix.size())),
+         std::string(Text.substr(Equals + 1))});
+  }
+  return Settings;
+}
+
 Result<EffectiveSettings> resolveSettings(const SessionSettings &Session,
                                           const StatementTraits &Traits,
                                           const ServiceConfig &Service,
--- a/src/policy/SessionSettings.h
+++ b/src/policy/SessionSettings.h
@@ -56,6 +56,14 @@
   Result<std::string> show(std::string_view Name) const;
 };
 
+/// Reads the settings out of the start-up parameter `options`, in which client
+/// libraries pass them: `-c amaranthspur.class=check`, also `--name=value`,
+/// with a backslash before a space that belongs to a value. \returns an error
+/// for anything else: a setting that is not understood must not be lost in
+/// silence.
+Result<std::vector<SettingAssignment>>
+settingsFromOptions(std::string_view Options);
+
 /// What holds for one statement, with all fall-backs taken.
 struct EffectiveSettings {
   ClassName Class;
--- a/src/policy/testing/SessionSettingsTest.cpp
+++ b/src/policy/testing/SessionSettingsTest.cpp
@@ -44,6 +44,38 @@
   }
 }
 
+// Guards against settings of a client library that are lost, and against an
+// option that is passed over although the caller relies on it.
+TEST_CASE("settings in the start-up options") {
+  struct Row {
+    const char *Options;
+    int Settings; ///< -1: refused.
+    const char *LastValue;
+  };
+  const Row Rows[] = {
+      {"", 0, ""},
+      {"-c amaranthspur.class=check", 1, "check"},
+      {"-camaranthspur.class=check", 1, "check"},
+      {"--amaranthspur.class=check", 1, "check"},
+      {"  -c amaranthspur.class=a  -c amaranthspur.access=read ", 2, "read"},
+      {"-c amaranthspur.class=a\\ b", 1, "a b"},
+      {"-c search_path=x", -1, ""},
+      {"-c", -1, ""},
+      {"-c amaranthspur.class", -1, ""},
+      {"-d 3", -1, ""},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Options);
+    const auto Settings = settingsFromOptions(R.Options);
+    REQUIRE(succeeded(Settings) == (R.Settings >= 0));
+    if (R.Settings < 0)
+      continue;
+    REQUIRE(valueOf(Settings).size() == static_cast<std::size_t>(R.Settings));
+    if (R.Settings > 0)
+      CHECK(valueOf(Settings).back().Value == R.LastValue);
+  }
+}
+
 // Guards against a fall-back to the wrong class, and against a statement of a
 // transaction that is sent to a replica.
 TEST_CASE("what holds for a statement") {
--- a/src/root/backends/testing/GroupWatcherTest.cpp
+++ b/src/root/backends/testing/GroupWatcherTest.cpp
@@ -149,8 +149,9 @@
     S.Group.Replicating = false;
     unsigned Confirmed = 0;
     const auto Wait = [&S, &Confirmed](LogPosition Position) -> QCoro::Task<> {
-      if (co_await S.watcher().waitConfirmed(Position, steadyNow() + Patience))
-        ++Confirmed;
+      const bool Durable =
+          co_await S.watcher().waitConfirmed(Position, steadyNow() + Patience);
+      Confirmed += Durable ? 1 : 0;
     };
     for (unsigned I = 0; I < Writes; ++I)
       Wait(S.Group.write(0));
--- a/src/root/backends/testing/PgBackendServerTest.cpp
+++ b/src/root/backends/testing/PgBackendServerTest.cpp
@@ -66,7 +66,8 @@
       if (!succeeded(Next))
         co_return;
       if (!valueOf(Next)) {
-        if (co_await Client.readable() == ReadEvent::Closed)
+        const ReadEvent Event = co_await Client.readable();
+        if (Event == ReadEvent::Closed)
           co_return;
         continue;
       }
--- a/src/root/callers/CallerSession.cpp
+++ b/src/root/callers/CallerSession.cpp
@@ -173,6 +173,12 @@
   for (const auto &[Name, Value] : Start.Parameters)
     if (Name.starts_with(SettingPrefix))
       Given.Settings.push_back({Name.substr(SettingPrefix.size()), Value});
+  Result<std::vector<SettingAssignment>> Options =
+      settingsFromOptions(Find("options"));
+  if (!succeeded(Options))
+    return notRun(RefusalReason::InvalidSetting, errorOf(Options));
+  for (SettingAssignment &Option : valueOf(Options))
+    Given.Settings.push_back(std::move(Option));
   if (std::optional<Refusal> R = this->applySettings(Given, this->Settings))
     return R;
   this->TokenChecked = !this->Settings.Token;
--- a/src/root/peers/testing/ZmqPeerNetworkTest.cpp
+++ b/src/root/peers/testing/ZmqPeerNetworkTest.cpp
@@ -310,9 +310,12 @@
   bool Restarted = false;
   const auto Restart = [&]() -> QCoro::Task<> {
     co_await A.Network->stop(steadyNow());
-    while (!succeeded(co_await A.Network->start()))
-      co_await sleepFor(milliseconds(10));
-    Restarted = true;
+    while (!Restarted) {
+      const Result<Success> Started = co_await A.Network->start();
+      Restarted = succeeded(Started);
+      if (!Restarted)
+        co_await sleepFor(milliseconds(10));
+    }
   };
   const QCoro::Task<> Running = Restart();
   REQUIRE(runUntil([&] { return Restarted; }));
--- a/src/testing/fake-backend/ServerState.h
+++ b/src/testing/fake-backend/ServerState.h
@@ -56,7 +56,7 @@
 class Session;
 
 /// Control connections that are accepted besides the work connections.
-inline constexpr unsigned ReservedConnections = 4;
+inline constexpr unsigned ReservedConnections = 8;
 
 /// The ownership lease; see docs/design.md, section 7.
 struct Lease {
