--- a/src/policy/testing/FailoverModelTest.cpp
+++ b/src/policy/testing/FailoverModelTest.cpp
@@ -219,7 +219,7 @@
   };
   for (const GapRow &R : Rows) {
     std::vector<Duration> Gaps;
-    for (unsigned Seed = 1; Seed <= 100; ++Seed) {
+    for (unsigned Seed = 1; Seed <= 50; ++Seed) {
       ModelOptions Options;
       Options.Seed = Seed;
       GroupModel Model(Options);
@@ -279,11 +279,11 @@
       {"store down", [](GroupModel &M) { M.setStoreDown(true); }},
   };
   for (const QuietRow &R : Rows) {
-    for (unsigned Seed = 1; Seed <= 40; ++Seed) {
+    for (unsigned Seed = 1; Seed <= 20; ++Seed) {
       ModelOptions Options;
       Options.Seed = Seed;
       GroupModel Model(Options);
-      Model.run(Settle + Duration(static_cast<Duration::rep>(Seed * 3331)));
+      Model.run(Settle + Duration(static_cast<Duration::rep>(Seed * 10007)));
       R.Event(Model);
       Model.run(std::chrono::seconds(10));
       CAPTURE(R.Name, Seed);
@@ -315,7 +315,7 @@
 // before it has caught up. The third server is behind, so that a promotion
 // without the primary would lose what the two others had confirmed.
 TEST_CASE("a server that lost its log does not count for a majority") {
-  for (unsigned Seed = 1; Seed <= 150; ++Seed) {
+  for (unsigned Seed = 1; Seed <= 75; ++Seed) {
     ModelOptions Options;
     Options.Seed = Seed;
     GroupModel Model(Options);
@@ -325,7 +325,7 @@
     Model.restart(1, true);
     // The follow comes with one of the next polls, so that the primary dies
     // before, during or after the copying of the log.
-    Model.run(Duration(static_cast<Duration::rep>(Seed * 2000)));
+    Model.run(Duration(static_cast<Duration::rep>(Seed * 4000)));
     Model.kill(0);
     Model.run(std::chrono::seconds(8));
     CAPTURE(Seed);
--- a/src/root/backends/testing/PgBackendServerTest.cpp
+++ b/src/root/backends/testing/PgBackendServerTest.cpp
@@ -7,6 +7,8 @@
 #include <QTcpServer>
 
 #include <functional>
+#include <map>
+#include <set>
 
 using namespace amaranthspur;
 using namespace amaranthspur::testing;
@@ -43,6 +45,15 @@
     this->Listener.listen(QHostAddress::LocalHost);
   }
 
+  ~Stand() {
+    this->Listener.close();
+    for (Connection *Client : this->Clients)
+      Client->abort();
+    while (!this->Clients.empty())
+      QCoro::waitFor(
+          []() -> QCoro::Task<> { co_await sleepFor(milliseconds(1)); }());
+  }
+
   PgServerSettings settings() const {
     return {ServerId("s1"),
             {"127.0.0.1", this->Listener.serverPort()},
@@ -61,26 +72,30 @@
     ++this->Connections;
     Connection Client(this->Listener.nextPendingConnection(),
                       pg::MaxCallerFrameBytes, true);
-    for (;;) {
+    this->Clients.insert(&Client);
+    while (Client.isOpen()) {
       const auto Next = Client.reader().next();
       if (!succeeded(Next))
-        co_return;
-      if (!valueOf(Next)) {
-        if (co_await Client.readable() == ReadEvent::Closed)
-          co_return;
-        continue;
-      }
-      const pg::Frame &Frame = *valueOf(Next);
-      if (Frame.Type == 0) {
-        this->Startup = valueOf(pg::parseStartup(Frame.Body)).Parameters;
-        Client.write(this->Greeting);
-      } else if (Frame.Type == 'Q') {
-        this->Statements.emplace_back(valueOf(pg::parseQuery(Frame.Body)));
-        Client.write(this->Reply(this->Statements.back()));
-      }
+        break;
+      if (valueOf(Next))
+        this->answer(*valueOf(Next), Client);
+      else
+        co_await Client.readable();
+    }
+    this->Clients.erase(&Client);
+  }
+
+  void answer(const pg::Frame &Frame, Connection &Client) {
+    if (Frame.Type == 0) {
+      this->Startup = valueOf(pg::parseStartup(Frame.Body)).Parameters;
+      Client.write(this->Greeting);
+    } else if (Frame.Type == 'Q') {
+      this->Statements.emplace_back(valueOf(pg::parseQuery(Frame.Body)));
+      Client.write(this->Reply(this->Statements.back()));
     }
   }
 
+  std::set<Connection *> Clients;
   Answer Reply;
   QTcpServer Listener;
 };
