--- a/src/root/callers/CallerSession.cpp
+++ b/src/root/callers/CallerSession.cpp
@@ -522,8 +522,12 @@
                      B);
   } else {
     this->Wrote = B.Traits.Kind == StatementKind::Plain && Wrote;
+    RoutedStatement Statement;
+    Statement.Order = std::move(Order);
+    Statement.Mark = E.Mark;
+    Statement.DeclaredRead = Own.Wants == Access::Read;
     const RoutedResult Out =
-        co_await this->runOutside(std::move(Order), E.Mark, Sink);
+        co_await this->runOutside(std::move(Statement), Sink);
     this->takeResult(Out.Result, B);
   }
   this->Context.Counters.observe(Timing::StatementLatency,
@@ -539,12 +543,8 @@
   co_return co_await Executor->execute(std::move(Order), Sink);
 }
 
-QCoro::Task<RoutedResult> CallerSession::runOutside(StatementOrder Order,
-                                                    Repeatable Mark,
+QCoro::Task<RoutedResult> CallerSession::runOutside(RoutedStatement Statement,
                                                     AnswerSink &Sink) {
-  RoutedStatement Statement;
-  Statement.Order = std::move(Order);
-  Statement.Mark = Mark;
   Statement.Budget = &this->Context.Budgets[{this->Service, this->Caller}];
   RoutedResult Out =
       co_await this->Context.Router.run(std::move(Statement), Sink);
--- a/src/root/callers/CallerSession.h
+++ b/src/root/callers/CallerSession.h
@@ -92,7 +92,7 @@
   QCoro::Task<> serveStatement(Batch B);
   QCoro::Task<StatementResult> runInTransaction(StatementOrder Order,
                                                 AnswerSink &Sink);
-  QCoro::Task<RoutedResult> runOutside(StatementOrder Order, Repeatable Mark,
+  QCoro::Task<RoutedResult> runOutside(RoutedStatement Statement,
                                        AnswerSink &Sink);
   QCoro::Task<std::optional<Refusal>> prepareFloor(TimePoint Deadline);
   QCoro::Task<std::optional<Refusal>> checkToken(TimePoint Deadline);
--- a/src/root/callers/StatementRouter.cpp
+++ b/src/root/callers/StatementRouter.cpp
@@ -48,7 +48,8 @@
       Location(std::move(Location)) {}
 
 Route StatementRouter::routeOnce(const RoutedStatement &Statement,
-                                 const std::set<ServerId> &Excluded) const {
+                                 const std::set<ServerId> &Excluded,
+                                 Duration Waited) const {
   const std::shared_ptr<const Configuration> Config = this->Config.current();
   const StatementOrder &Order = Statement.Order;
   const ServiceConfig *Service = Config->findService(Order.Service);
@@ -63,6 +64,7 @@
   Request.MaxStaleness = Order.MaxStaleness;
   Request.From = this->Location;
   Request.Excluded = Excluded;
+  Request.Waited = Waited;
   const GroupView Expected = expectedNow(*View, Order.Floor, steadyNow());
   return this->Routes->route(Request, Expected, *Service, *Config, View->Taken);
 }
@@ -72,8 +74,10 @@
                         const std::set<ServerId> &Excluded) {
   Attempt Chosen;
   WaitPoint Updated;
+  const TimePoint Start = steadyNow();
   for (;;) {
-    const Route Next = this->routeOnce(Statement, Excluded);
+    const Route Next =
+        this->routeOnce(Statement, Excluded, steadyNow() - Start);
     if (const auto *R = std::get_if<Refusal>(&Next)) {
       Chosen.Refused = *R;
       co_return Chosen;
@@ -138,7 +142,10 @@
     }
     RetryQuestion Question;
     Question.Failure = Failure;
-    Question.Wants = Statement.Order.Wants;
+    // On a replica no statement has effects; elsewhere a guess is not enough.
+    const bool HasNoEffects =
+        Chosen.As == ServerRole::Replica || Statement.DeclaredRead;
+    Question.Wants = HasNoEffects ? Statement.Order.Wants : Access::Write;
     Question.Mark = Statement.Mark;
     Question.Attempts = Outcome.Attempts;
     Question.Deadline = Statement.Order.Deadline;
--- a/src/root/callers/StatementRouter.h
+++ b/src/root/callers/StatementRouter.h
@@ -43,6 +43,9 @@
 struct RoutedStatement {
   StatementOrder Order; ///< Server is filled in here.
   Repeatable Mark = Repeatable::Off;
+  /// The caller has said that it only reads; else it was guessed from the text,
+  /// and a SELECT may have effects on a primary.
+  bool DeclaredRead = false;
   RetryBudget *Budget = nullptr; ///< Of the caller; outlives the call.
 };
 
@@ -77,7 +80,7 @@
   QCoro::Task<Attempt> choose(const RoutedStatement &Statement,
                               const std::set<ServerId> &Excluded);
   Route routeOnce(const RoutedStatement &Statement,
-                  const std::set<ServerId> &Excluded) const;
+                  const std::set<ServerId> &Excluded, Duration Waited) const;
 
   Directory &Config;
   ViewTable &Views;
