--- a/src/root/directory/testing/ConfigDirectoryTest.cpp
+++ b/src/root/directory/testing/ConfigDirectoryTest.cpp
@@ -177,6 +177,30 @@
   }
 }
 
+// Guards against a peer that lags behind and sets this entry VM back.
+TEST_CASE("an older revision that a peer sends is ignored") {
+  LocalNetwork Network;
+  Vm V(Network, "vm-1");
+  const std::string Content = config::contentOf(answers());
+  V.Row = headRow(3, Content);
+  V.Object = std::optional(Content);
+  V.start();
+  REQUIRE(eventually([&] { return V.revision() == 3; }));
+  LocalNetwork::Port Peer(Network, EntryVmId("vm-9"));
+  const std::string Older = config::contentOf(answers(5433));
+  config::AcceptedRevision Accepted;
+  Accepted.set_revision(2);
+  Accepted.set_hash(config::hashOf(Older));
+  Accepted.set_content(Older);
+  peer::Envelope Message;
+  Message.mutable_config_content()->set_revision(2);
+  Message.mutable_config_content()->set_content(Accepted.SerializeAsString());
+  REQUIRE(Peer.send(EntryVmId("vm-1"), Message));
+  REQUIRE(headReads(V, 2));
+  CHECK(V.revision() == 3);
+  CHECK(V.Directory.counters().Adopted == 1);
+}
+
 // Guards against members that never learn who is leaving.
 TEST_CASE("the platform's VM list reaches the listener") {
   LocalNetwork Network;
