--- a/src/root/backends/ServerOwner.cpp
+++ b/src/root/backends/ServerOwner.cpp
@@ -319,11 +319,11 @@
 QCoro::Task<std::variant<ServerOwner::Conn, Refusal>>
 ServerOwner::openConnection(TimePoint Deadline) {
   ++this->OpenConnections;
-  // Named, since g++ 12 destroys an aggregate that is made in the arguments of an
-  // awaited call twice.
+  // Named, since g++ 12 destroys an aggregate that is made in the arguments of
+  // an awaited call twice.
   const Address To{this->Setup.Server.Host, this->Setup.Server.Port};
-  auto Opened = co_await openServerConnection(
-      To, this->Setup.BindHost, this->Setup.Self.str(), Deadline);
+  auto Opened = co_await openServerConnection(To, this->Setup.BindHost,
+                                              this->Setup.Self.str(), Deadline);
   if (auto *C = std::get_if<Conn>(&Opened))
     co_return std::move(*C);
   --this->OpenConnections;
