--- /dev/null
+++ b/src/root/testing/DaemonTest.cpp
@@ -0,0 +1,294 @@
+// The whole path with real processes: platform stand-in, three backend servers
+// and three entry VMs in three data centres, driven through libpq.
+#include "testing/testing/TestGroup.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdio>
+#include <fstream>
+#include <functional>
+#include <memory>
+
+using namespace amaranthspur;
+
+namespace {
+
+constexpr std::size_t Places = 3;
+constexpr const char *PlaceNames[] = {"joburg-a", "pretoria-b", "paarl-a"};
+
+/// One entry VM.
+struct TestEntryVm {
+  std::uint16_t Callers = 0;
+  std::uint16_t Peers = 0;
+  std::uint16_t Admin = 0;
+  std::unique_ptr<CheckedProcess> Process;
+};
+
+/// One service "orders" before the group "a", "b", "c".
+class TestSystem {
+public:
+  TestSystem()
+      : Group(Places, {"--connection-limit", "40"}), PlatformPort(freePort()),
+        Platform(startProgram("fake-platform",
+                              {"--listen", local(this->PlatformPort)})) {
+    for (TestEntryVm &Vm : this->Vms)
+      Vm = {freePort(), freePort(), freePort(), nullptr};
+    for (std::size_t I = 0; I < Places; ++I)
+      this->startVm(I);
+    this->accept();
+    REQUIRE(eventually([this] {
+      for (std::size_t I = 0; I < Places; ++I)
+        if (!succeeded(this->tryConnect(I)) ||
+            !this->connect(I).query("SELECT 1").good())
+          return false;
+      return true;
+    }));
+  }
+
+  Result<PgClient>
+  tryConnect(std::size_t Vm,
+             std::map<std::string, std::string> Parameters = {}) const {
+    PgTarget Target;
+    Target.Port = this->Vms[Vm].Callers;
+    Target.User = "bench";
+    Target.Database = "orders";
+    Target.Parameters = std::move(Parameters);
+    return PgClient::connect(Target);
+  }
+
+  PgClient connect(std::size_t Vm,
+                   std::map<std::string, std::string> Parameters = {}) const {
+    auto Client = this->tryConnect(Vm, std::move(Parameters));
+    INFO((succeeded(Client) ? "" : errorOf(Client)));
+    REQUIRE(succeeded(Client));
+    return valueOf(std::move(Client));
+  }
+
+  TestGroup Group;
+  TestEntryVm Vms[Places];
+
+private:
+  static std::string local(std::uint16_t Port) {
+    return "127.0.0.1:" + std::to_string(Port);
+  }
+
+  void startVm(std::size_t I) {
+    std::string Seeds;
+    for (std::size_t J = 0; J < Places; ++J)
+      Seeds += (J > 0 ? ",vm-" : "vm-") + std::to_string(J) + "=" +
+               local(this->Vms[J].Peers) + "@" + PlaceNames[J];
+    TestEntryVm &Vm = this->Vms[I];
+    Vm.Process = std::make_unique<CheckedProcess>(
+        startProgram("amaranthspurd", {"--vm-id",
+                                       "vm-" + std::to_string(I),
+                                       "--data-centre",
+                                       PlaceNames[I],
+                                       "--caller-address",
+                                       local(Vm.Callers),
+                                       "--peer-address",
+                                       local(Vm.Peers),
+                                       "--admin-address",
+                                       local(Vm.Admin),
+                                       "--platform-address",
+                                       local(this->PlatformPort),
+                                       "--deployment-key",
+                                       "key-of-the-test",
+                                       "--seed-peers",
+                                       Seeds,
+                                       "--drain-notice-ms",
+                                       "100",
+                                       "--log-level",
+                                       "warning"}));
+  }
+
+  void accept() const {
+    std::string Servers;
+    for (std::size_t I = 0; I < Places; ++I)
+      Servers += std::string(I > 0 ? "," : "") + R"({"id":")" +
+                 std::string(1, static_cast<char>('a' + I)) +
+                 R"(","host":"127.0.0.1","port":)" +
+                 std::to_string(this->Group.Servers[I].Port) +
+                 R"(,"data_centre":")" + PlaceNames[I] +
+                 R"(","slots":5,"connection_limit":40})";
+    const std::string Path =
+        "daemon-test-" + std::to_string(this->PlatformPort) + ".json";
+    std::ofstream(Path)
+        << R"({"regions":[{"name":"gauteng","data_centres":["joburg-a","pretoria-b"]},)"
+           R"({"name":"westcape","data_centres":["paarl-a"]}],)"
+           R"("latency":{"within_region_ms":1,"between_regions_ms":8},)"
+           R"("services":[{"name":"orders","backend_servers":[)"
+        << Servers
+        << R"(],"classes":[{"name":"order","deadline_ms":20000,"expected_length_ms":4},)"
+           R"({"name":"proof","deadline_ms":20000,"expected_length_ms":4,"max_staleness_ms":10000}],)"
+           R"("callers":[{"name":"bench","weight":1,"default_class":"order"}]}]})";
+    const auto Program = findProgram("amaranthspurctl");
+    REQUIRE(succeeded(Program));
+    ProcessOptions Options;
+    Options.WaitForReady = false;
+    auto Started = ChildProcess::start(
+        valueOf(Program),
+        {"accept", Path, "--platform-address", local(this->PlatformPort),
+         "--from-revision", "0", "--author", "test"},
+        Options);
+    REQUIRE(succeeded(Started));
+    const Result<int> Code = valueOf(Started).waitForEnd(GenerousLimit);
+    std::remove(Path.c_str());
+    REQUIRE(succeeded(Code));
+    REQUIRE(valueOf(Code) == 0);
+  }
+
+  std::uint16_t PlatformPort;
+  CheckedProcess Platform;
+};
+
+} // namespace
+
+// Guards against answers, transactions and errors that an ordinary client
+// library does not get as from a database, through the owner itself and through
+// one hop.
+TEST_CASE("an ordinary client library drives any entry VM") {
+  const TestSystem System;
+  System.connect(0).query("CREATE TABLE t(id INTEGER PRIMARY KEY, v TEXT)");
+  for (std::size_t Vm = 0; Vm < Places; ++Vm) {
+    CAPTURE(Vm);
+    const std::string Id = std::to_string(Vm * 10);
+    PgClient Client = System.connect(Vm);
+    CHECK(Client.query("BEGIN").good());
+    CHECK(Client.transaction() == 'T');
+    CHECK(Client.query("INSERT INTO t VALUES (" + Id + ", 'x')").good());
+    CHECK(Client.query("SELECT count(*) FROM t WHERE id = " + Id).value() ==
+          "1");
+    CHECK(Client.query("ROLLBACK").good());
+    CHECK(Client.query("SELECT count(*) FROM t WHERE id = " + Id).value() ==
+          "0");
+    CHECK(Client.query("INSERT INTO t VALUES ($1, $2)", {Id, "y"}).good());
+    CHECK(Client.query("INSERT INTO t VALUES (" + Id + ", 'z')").SqlState ==
+          "23505");
+    CHECK(Client.query("SELECT nonsense nonsense nonsense").SqlState ==
+          "42601");
+    CHECK(Client.transaction() == 'I');
+    const PgAnswer Large = Client.query("SELECT hex(zeroblob(5242880)) AS big");
+    CHECK(Large.value("big").size() == 10485760);
+    const PgAnswer Named = Client.prepare("name", "SELECT 1");
+    CHECK(Named.SqlState == "0A000");
+    CHECK(Named.Message.find("not run") != std::string::npos);
+    CHECK(Client.query("SET search_path = x").SqlState == "0A000");
+    CHECK(Client.query("SELECT 1").value() == "1");
+  }
+}
+
+// Guards against a session that misses its own writes after it has roamed, with
+// its token or without, and against a token that is accepted where it must not.
+TEST_CASE("a session reads its own writes after roaming") {
+  const TestSystem System;
+  System.connect(0).query("CREATE TABLE t(id INTEGER PRIMARY KEY)");
+  for (int I = 0; I < 20; ++I) {
+    CAPTURE(I);
+    const std::size_t From = static_cast<std::size_t>(I) % Places;
+    const std::size_t To = static_cast<std::size_t>(I + 1 + I / 3) % Places;
+    PgClient Writer = System.connect(From);
+    REQUIRE(Writer.query("INSERT INTO t VALUES (" + std::to_string(I) + ")")
+                .good());
+    const std::string Token = Writer.parameter("amaranthspur.session");
+    REQUIRE_FALSE(Token.empty());
+    std::map<std::string, std::string> Settings = {
+        {"amaranthspur.class", "proof"}};
+    if (I % 2 == 0)
+      Settings["amaranthspur.session"] = Token;
+    PgClient Reader = System.connect(To, Settings);
+    CHECK(Reader.query("SELECT count(*) FROM t WHERE id = " + std::to_string(I))
+              .value() == "1");
+  }
+  CHECK_FALSE(succeeded(System.tryConnect(
+      0, {{"amaranthspur.session", "v1.orders.1.1.0000000000000000"}})));
+}
+
+// Guards against an acknowledged write that a failover takes back, and against
+// writes that stay impossible.
+TEST_CASE("writing resumes after the primary is killed and nothing is lost") {
+  TestSystem System;
+  PgClient Client = System.connect(1);
+  REQUIRE(Client.query("CREATE TABLE t(id INTEGER PRIMARY KEY)").good());
+  std::vector<int> Acknowledged;
+  for (int I = 0; I < 60; ++I) {
+    if (I == 30)
+      System.Group[0].Process->kill();
+    const PgAnswer Answer =
+        Client.query("INSERT INTO t VALUES (" + std::to_string(I) + ")");
+    if (Answer.good())
+      Acknowledged.push_back(I);
+    else
+      CHECK((Answer.Message.starts_with("not run:") ||
+             Answer.SqlState == "08007"));
+  }
+  CHECK(Acknowledged.back() == 59);
+  for (const int Id : Acknowledged) {
+    CAPTURE(Id);
+    CHECK(
+        Client.query("SELECT count(*) FROM t WHERE id = " + std::to_string(Id))
+            .value() == "1");
+  }
+}
+
+// Guards against a transaction that stays open on the server after the proxy
+// has refused one of its statements: it would hold locks that all writers wait
+// for.
+TEST_CASE("a refused statement ends its transaction at the owner") {
+  const TestSystem System;
+  System.connect(0).query("CREATE TABLE t(id INTEGER PRIMARY KEY)");
+  for (std::size_t Vm = 0; Vm < Places; ++Vm) {
+    CAPTURE(Vm);
+    PgClient Client = System.connect(Vm);
+    REQUIRE(Client.query("BEGIN").good());
+    REQUIRE(Client.query("INSERT INTO t VALUES (" + std::to_string(Vm) + ")")
+                .good());
+    const PgAnswer Refused = Client.query(
+        "/* amaranthspur.deadline_ms=100 */ SELECT sim_work(5000)");
+    CHECK_FALSE(Refused.good());
+    CHECK(Client.transaction() == 'E');
+    CHECK(Client.query("SELECT 1").SqlState == "25P02");
+    CHECK(System.connect(0)
+              .query("INSERT INTO t VALUES (" + std::to_string(100 + Vm) + ")")
+              .good());
+    CHECK(Client.query("ROLLBACK").good());
+    CHECK(
+        Client.query("SELECT count(*) FROM t WHERE id = " + std::to_string(Vm))
+            .value() == "0");
+  }
+}
+
+// Guards against a planned stop that cuts off a request or leaves a server
+// without an owner.
+TEST_CASE("a planned stop finishes what runs and hands over") {
+  TestSystem System;
+  PgClient Busy = System.connect(0);
+  REQUIRE(Busy.query("CREATE TABLE t(id INTEGER PRIMARY KEY)").good());
+  REQUIRE(Busy.send("SELECT sim_work(1500)"));
+  PgClient Other = System.connect(1);
+  CHECK(System.Vms[0].Process->Process.terminate(GenerousLimit) == 0);
+  CHECK(Busy.receive().good());
+  CHECK(eventually(
+      [&Other] { return Other.query("INSERT INTO t VALUES (1)").good(); }));
+}
+
+// Guards against connections that are lost or starved when many come at once.
+TEST_CASE("many callers at once") {
+  const TestSystem System;
+  struct Row {
+    std::size_t Callers;
+    bool Query;
+  };
+  for (const Row &R : {Row{500, true}, Row{2000, false}}) {
+    CAPTURE(R.Callers);
+    std::vector<PgClient> Clients;
+    for (std::size_t I = 0; I < R.Callers; ++I)
+      Clients.push_back(System.connect(2));
+    for (PgClient &Client : Clients)
+      if (R.Query)
+        REQUIRE(Client.send("SELECT 1"));
+    for (PgClient &Client : Clients)
+      if (R.Query)
+        REQUIRE(Client.receive().value() == "1");
+    CHECK(Clients.back().query("SELECT 2").value() == "2");
+  }
+}
