--- a/src/bench/Deployment.cpp
+++ b/src/bench/Deployment.cpp
@@ -67,9 +67,9 @@
   constexpr std::uint64_t MaxBehind = 200;
   if (Ends.empty())
     return false;
-  const auto [Least, Most] = std::ranges::minmax(Ends);
-  return Least.TermNumber == Most.TermNumber &&
-         Most.Index - Least.Index <= MaxBehind;
+  const auto [Least, Most] = std::minmax_element(Ends.begin(), Ends.end());
+  return Least->TermNumber == Most->TermNumber &&
+         Most->Index - Least->Index <= MaxBehind;
 }
 
 } // namespace
--- a/src/root/backends/ServerOwner.cpp
+++ b/src/root/backends/ServerOwner.cpp
@@ -414,6 +414,7 @@
   Entry.Wants = Order.Wants;
   this->RunningStreams[Order.Stream] = &Entry;
   Answer A;
+  A.FromPrimary = this->isPrimary();
   C->Wire->write(Order.Frames);
   const std::optional<Refusal> Lost =
       co_await this->readAnswer(*C, Entry, A, Order, Sink);
@@ -519,7 +520,8 @@
     co_return refusedWith(notRun(*Role));
   // What the primary has shown or done is passed on only when a failover cannot
   // take it back.
-  if (*A.Ready == TransactionState::Idle && this->isPrimary()) {
+  const bool NeedsConfirmation = A.FromPrimary || this->isPrimary();
+  if (*A.Ready == TransactionState::Idle && NeedsConfirmation) {
     const bool Confirmed = co_await this->Durable.waitConfirmed(
         Position, std::max(Order.Deadline, steadyNow() + AnswerGrace));
     if (!Confirmed)
--- a/src/root/backends/ServerOwner.h
+++ b/src/root/backends/ServerOwner.h
@@ -105,6 +105,9 @@
     bool Copy = false;
     std::optional<TransactionState> Ready;
     std::string FirstError; ///< SQLSTATE of the first ErrorResponse.
+    /// The server was the primary when the statement was sent. Its answer then
+    /// needs confirmation even if another server leads by now.
+    bool FromPrimary = false;
   };
 
   QCoro::Task<StatementResult> runOrder(StatementOrder Order, AnswerSink &Sink);
--- /dev/null
+++ b/src/root/backends/testing/ServerOwnerTest.cpp
@@ -0,0 +1,148 @@
+// An owner in this process before a fake-backend process.
+#include "root/backends/ServerOwner.h"
+
+#include "testing/TaskRunner.h"
+#include "testing/testing/TestGroup.h"
+
+#include <catch2/catch.hpp>
+
+using namespace amaranthspur;
+
+namespace {
+
+/// Confirms all positions or none.
+class FixedConfirmations final : public Confirmations {
+public:
+  explicit FixedConfirmations(bool Confirms) : Confirms(Confirms) {}
+
+  QCoro::Task<bool> waitConfirmed(LogPosition, TimePoint) override {
+    ++this->Asked;
+    co_return this->Confirms;
+  }
+  bool acceptsWrites(TimePoint) const override { return true; }
+  QCoro::Task<std::optional<LogPosition>> currentFloor(TimePoint) override {
+    co_return std::nullopt;
+  }
+  void refresh() override {}
+
+  unsigned Asked = 0;
+
+private:
+  bool Confirms;
+};
+
+class CollectingSink final : public AnswerSink {
+public:
+  QCoro::Task<bool> deliver(std::string Frames) override {
+    this->Collected += Frames;
+    co_return true;
+  }
+  std::string Collected;
+};
+
+GroupView viewLedBy(const std::string &Primary, Term T) {
+  GroupView View;
+  View.Service = ServiceName("orders");
+  View.TermNumber = T;
+  View.Primary = ServerId(Primary);
+  View.Taken = steadyNow();
+  for (const char *Id : {"a", "b"}) {
+    ServerView Server;
+    Server.Id = ServerId(Id);
+    Server.Reachable = true;
+    Server.Age = Duration::zero();
+    View.Servers.push_back(Server);
+  }
+  return View;
+}
+
+StatementOrder orderOf(std::string_view Sql, Access Wants) {
+  StatementOrder Order;
+  Order.Service = ServiceName("orders");
+  Order.Server = ServerId("a");
+  Order.Stream = {EntryVmId("vm"), 1};
+  Order.Caller = CallerName("bench");
+  Order.Class = ClassName("order");
+  Order.Wants = Wants;
+  Order.MaxStaleness = std::chrono::seconds(60);
+  Order.Deadline = steadyNow() + GenerousLimit;
+  Order.Frames = pg::buildQuery(Sql);
+  return Order;
+}
+
+/// An owner of the fake-backend "a", without a lease.
+struct OwnerOfA {
+  TestBackend Backend = startBackend("a", {"--role", "primary"});
+  ViewTable Views;
+  FixedConfirmations Durable;
+  std::unique_ptr<ServerOwner> Owner;
+
+  explicit OwnerOfA(bool Confirms) : Durable(Confirms) {
+    testApplication();
+    this->Views.update(viewLedBy("a", 1));
+    ServiceConfig Service;
+    Service.Name = ServiceName("orders");
+    Service.Classes = {{ClassName("order"), GenerousLimit}};
+    Service.Callers = {{CallerName("bench"), 1, ClassName("order")}};
+    ServerOwnerSetup Setup;
+    Setup.Self = EntryVmId("vm");
+    Setup.Service = Service.Name;
+    Setup.Server.Id = ServerId("a");
+    Setup.Server.Host = "127.0.0.1";
+    Setup.Server.Port = this->Backend.Port;
+    Setup.WorkConnections = 10;
+    Setup.NeedsLease = false;
+    this->Owner = std::make_unique<ServerOwner>(
+        Setup, makeFifoAdmission(Service, AdmissionLimits()), nullptr,
+        this->Durable, this->Views);
+    this->Owner->start();
+  }
+  ~OwnerOfA() { runTask(this->Owner->stop(steadyNow())); }
+};
+
+} // namespace
+
+// Guards against an answer of a superseded primary that is passed on without
+// confirmation because the view has changed while the statement ran: a failover
+// would take back what the caller was told.
+TEST_CASE("an answer of the primary needs confirmation whoever leads by now") {
+  struct Row {
+    const char *Name;
+    const char *Sql;
+    Access Wants;
+    bool ViewChanges;
+    bool Confirms;
+    bool Answered;
+  };
+  const Row Rows[] = {
+      {"read, confirmed", "SELECT sim_work(300)", Access::Read, false, true,
+       true},
+      {"read, not confirmed", "SELECT sim_work(300)", Access::Read, false,
+       false, false},
+      {"read, superseded", "SELECT sim_work(300)", Access::Read, true, false,
+       false},
+      {"write, not confirmed", "CREATE TABLE t(id)", Access::Write, false,
+       false, false},
+      {"write, superseded", "SELECT sim_work(300)", Access::Write, true, true,
+       false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    OwnerOfA System(R.Confirms);
+    CollectingSink Sink;
+    QTimer Change;
+    Change.setSingleShot(true);
+    QObject::connect(&Change, &QTimer::timeout, &Change, [&System] {
+      System.Views.update(viewLedBy("b", 2));
+      System.Owner->onViewChanged();
+    });
+    if (R.ViewChanges)
+      Change.start(std::chrono::milliseconds(100));
+    const StatementResult Result =
+        runTask(System.Owner->execute(orderOf(R.Sql, R.Wants), Sink));
+    CHECK(!Result.Refused == R.Answered);
+    CHECK((Sink.Collected.find("SELECT 1") != std::string::npos) == R.Answered);
+    if (Result.Refused)
+      CHECK(Result.Refused->Kind == RefusalKind::OutcomeUnknown);
+  }
+}
--- a/src/root/callers/CallerSession.cpp
+++ b/src/root/callers/CallerSession.cpp
@@ -389,7 +389,7 @@
   std::string Out;
   for (const char Type : B.Types) {
     if (Type == 'Q')
-      Out += Description + Data + Complete;
+      Out.append(Description).append(Data).append(Complete);
     if (Type == 'P')
       Out += pg::buildFrame('1', "");
     if (Type == 'B')
@@ -399,7 +399,7 @@
     if (Type == 'D')
       Out += Columns.empty() ? pg::buildFrame('n', "") : Description;
     if (Type == 'E')
-      Out += Data + Complete;
+      Out.append(Data).append(Complete);
   }
   this->Wire->write(Out);
   this->writeReady();
