--- a/src/root/backends/ServerOwner.cpp
+++ b/src/root/backends/ServerOwner.cpp
@@ -520,7 +520,9 @@
     co_return refusedWith(notRun(*Role));
   // What the primary has shown or done is passed on only when a failover cannot
   // take it back.
-  const bool NeedsConfirmation = A.FromPrimary || this->isPrimary();
+  // A COMMIT may reach a primary that the view no longer calls one.
+  const bool NeedsConfirmation =
+      Order.Wants == Access::Write || A.FromPrimary || this->isPrimary();
   if (*A.Ready == TransactionState::Idle && NeedsConfirmation) {
     const bool Confirmed = co_await this->Durable.waitConfirmed(
         Position, std::max(Order.Deadline, steadyNow() + AnswerGrace));
--- a/src/root/backends/testing/ServerOwnerTest.cpp
+++ b/src/root/backends/testing/ServerOwnerTest.cpp
@@ -146,3 +146,21 @@
       CHECK(Result.Refused->Kind == RefusalKind::OutcomeUnknown);
   }
 }
+
+// Guards against a COMMIT that an isolated former primary carries out and that
+// is acknowledged although another server leads by then.
+TEST_CASE("a COMMIT on a superseded primary is not acknowledged") {
+  OwnerOfA System(false);
+  CollectingSink Sink;
+  StatementOrder Begin = orderOf("BEGIN", Access::Write);
+  Begin.Begins = true;
+  REQUIRE_FALSE(runTask(System.Owner->execute(std::move(Begin), Sink)).Refused);
+  System.Views.update(viewLedBy("b", 2));
+  StatementOrder Commit = orderOf("COMMIT", Access::Write);
+  Commit.InTransaction = true;
+  const StatementResult Result =
+      runTask(System.Owner->execute(std::move(Commit), Sink));
+  REQUIRE(Result.Refused);
+  CHECK(Result.Refused->Kind == RefusalKind::OutcomeUnknown);
+  CHECK(System.Durable.Asked == 1);
+}
