--- a/src/root/backends/testing/ServerOwnerTest.cpp
+++ b/src/root/backends/testing/ServerOwnerTest.cpp
@@ -154,12 +154,12 @@
   CollectingSink Sink;
   StatementOrder Begin = orderOf("BEGIN", Access::Write);
   Begin.Begins = true;
-  REQUIRE_FALSE(runTask(System.Owner->execute(std::move(Begin), Sink)).Refused);
+  const StatementResult Begun = runTask(System.Owner->execute(Begin, Sink));
+  REQUIRE_FALSE(Begun.Refused);
   System.Views.update(viewLedBy("b", 2));
   StatementOrder Commit = orderOf("COMMIT", Access::Write);
   Commit.InTransaction = true;
-  const StatementResult Result =
-      runTask(System.Owner->execute(std::move(Commit), Sink));
+  const StatementResult Result = runTask(System.Owner->execute(Commit, Sink));
   REQUIRE(Result.Refused);
   CHECK(Result.Refused->Kind == RefusalKind::OutcomeUnknown);
   CHECK(System.Durable.Asked == 1);
