--- a/src/root/Daemon.cpp
+++ b/src/root/Daemon.cpp
@@ -76,7 +76,8 @@
                 [this](const ServerId &Server) {
                   return this->Registry.findOwned(Server);
                 }),
-      Exchange(this->Values.VmId, this->Peers, this->Views, this->Registry),
+      Exchange(this->Values.VmId, this->Peers, this->Views, this->Registry,
+               this->Counters),
       Router(this->Config, this->Views, this->Registry,
              makeRouting(this->Values.Variant), makeRetry(this->Values.Variant),
              this->Values.Location),
--- a/src/root/backends/ServerOwner.cpp
+++ b/src/root/backends/ServerOwner.cpp
@@ -31,12 +31,6 @@
 /// Most bytes of an answer that are held back until it is confirmed.
 constexpr std::size_t MaxHeldBytes = 16U << 20U;
 
-StatementResult refusedWith(Refusal R) {
-  StatementResult Result;
-  Result.Refused = std::move(R);
-  return Result;
-}
-
 /// Returns the refusal that \p SqlState stands for if it says that the
 /// statement took no effect because of the server's role.
 std::optional<RefusalReason> roleRefusal(std::string_view SqlState) {
--- a/src/root/backends/StatementExecutor.h
+++ b/src/root/backends/StatementExecutor.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace amaranthspur {
 
@@ -48,6 +49,13 @@
   TransactionState State = TransactionState::Idle;
 };
 
+/// Makes the result of a statement that was refused.
+inline StatementResult refusedWith(Refusal R) {
+  StatementResult Result;
+  Result.Refused = std::move(R);
+  return Result;
+}
+
 /// Takes an answer's frames. ReadyForQuery is never among them.
 class AnswerSink {
 public:
--- a/src/root/peers/Forwarding.cpp
+++ b/src/root/peers/Forwarding.cpp
@@ -87,12 +87,6 @@
   Last.set_refusal_detail(Result.Refused->Detail);
 }
 
-StatementResult refusedWith(Refusal R) {
-  StatementResult Result;
-  Result.Refused = std::move(R);
-  return Result;
-}
-
 } // namespace
 
 /// The way to one owner.
--- a/src/root/peers/ViewExchange.cpp
+++ b/src/root/peers/ViewExchange.cpp
@@ -1,5 +1,7 @@
 #include "root/peers/ViewExchange.h"
 
+#include "root/peers/PeerCodec.h"
+
 namespace amaranthspur {
 namespace {
 
@@ -9,58 +11,19 @@
 /// A service that no caller has used for this long is no longer asked for.
 constexpr Duration InterestTime = std::chrono::seconds(30);
 
-peer::Envelope encodeView(const GroupView &View, TimePoint Now) {
+peer::Envelope envelopeOf(const GroupView &View) {
   peer::Envelope Message;
-  peer::GroupViewUpdate &Out = *Message.mutable_group_view_update();
-  Out.set_service(View.Service.str());
-  Out.set_term(View.TermNumber);
-  if (View.Primary)
-    Out.set_primary(View.Primary->str());
-  Out.mutable_confirmed()->set_term(View.Confirmed.TermNumber);
-  Out.mutable_confirmed()->set_index(View.Confirmed.Index);
-  Out.set_accepts_writes(View.AcceptsWrites);
-  for (const ServerView &Server : View.Servers) {
-    peer::ServerViewMessage &To = *Out.add_servers();
-    To.set_id(Server.Id.str());
-    To.set_reachable(Server.Reachable);
-    To.set_leaving(Server.Leaving);
-    To.mutable_held()->set_term(Server.Held.TermNumber);
-    To.mutable_held()->set_index(Server.Held.Index);
-    To.set_age_known(Server.Age.has_value());
-    if (Server.Age)
-      To.set_age_us((*Server.Age + (Now - View.Taken)).count());
-  }
+  *Message.mutable_group_view_update() = toMessage(View, steadyNow());
   return Message;
 }
 
-GroupView decodeView(const peer::GroupViewUpdate &In, TimePoint Now) {
-  GroupView View;
-  View.Service = ServiceName(In.service());
-  View.TermNumber = In.term();
-  if (!In.primary().empty())
-    View.Primary = ServerId(In.primary());
-  View.Confirmed = {In.confirmed().term(), In.confirmed().index()};
-  View.AcceptsWrites = In.accepts_writes();
-  View.Taken = Now;
-  for (const peer::ServerViewMessage &From : In.servers()) {
-    ServerView Server;
-    Server.Id = ServerId(From.id());
-    Server.Reachable = From.reachable();
-    Server.Leaving = From.leaving();
-    Server.Held = {From.held().term(), From.held().index()};
-    if (From.age_known())
-      Server.Age = Duration(From.age_us());
-    View.Servers.push_back(std::move(Server));
-  }
-  return View;
-}
-
 } // namespace
 
 ViewExchange::ViewExchange(EntryVmId Self, PeerNetwork &Network,
-                           ViewTable &Views, ServerRegistry &Registry)
-    : Self(std::move(Self)), Network(Network), Views(Views),
-      Registry(Registry) {
+                           ViewTable &Views, ServerRegistry &Registry,
+                           Metrics &Counters)
+    : Self(std::move(Self)), Network(Network), Views(Views), Registry(Registry),
+      Counters(Counters) {
   Network.handle(peer::Envelope::kGroupViewQuery,
                  [this](const EntryVmId &From, peer::Envelope &Message) {
                    this->onQuery(From, Message.group_view_query());
@@ -130,18 +93,23 @@
   Last = {View.TermNumber, View.Primary};
   for (const Member &M : this->Network.members())
     if (M.Id != this->Self && M.State != MemberState::Dead)
-      this->Network.send(M.Id, encodeView(View, steadyNow()));
+      this->Network.send(M.Id, envelopeOf(View));
 }
 
 void ViewExchange::onQuery(const EntryVmId &From,
                            const peer::GroupViewQuery &Query) {
   const GroupView *View = this->Views.find(ServiceName(Query.service()));
   if (View && this->Registry.watches(View->Service))
-    this->Network.send(From, encodeView(*View, steadyNow()));
+    this->Network.send(From, envelopeOf(*View));
 }
 
 void ViewExchange::onUpdate(const peer::GroupViewUpdate &Update) {
-  GroupView View = decodeView(Update, steadyNow());
+  Result<GroupView> Received = groupViewOf(Update, steadyNow());
+  if (!succeeded(Received)) {
+    this->Counters.add(Counter::PeerMessagesDropped, "invalid view");
+    return;
+  }
+  GroupView &View = valueOf(Received);
   const auto Found = this->Interests.find(View.Service);
   if (Found != this->Interests.end())
     Found->second.Answered = View.Taken;
--- a/src/root/peers/ViewExchange.h
+++ b/src/root/peers/ViewExchange.h
@@ -11,6 +11,7 @@
 #include "root/ViewTable.h"
 #include "root/backends/ServerRegistry.h"
 #include "root/peers/PeerNetwork.h"
+#include "root/telemetry/Metrics.h"
 
 #include <map>
 
@@ -21,7 +22,7 @@
 public:
   /// All references outlive the exchange.
   ViewExchange(EntryVmId Self, PeerNetwork &Network, ViewTable &Views,
-               ServerRegistry &Registry);
+               ServerRegistry &Registry, Metrics &Counters);
 
   std::string_view name() const override { return "views"; }
   QCoro::Task<Result<Success>> start() override;
@@ -48,6 +49,7 @@
   PeerNetwork &Network;
   ViewTable &Views;
   ServerRegistry &Registry;
+  Metrics &Counters;
   std::map<ServiceName, Interest> Interests;
   std::map<ServiceName, std::pair<Term, std::optional<ServerId>>> LastSpread;
   TaskGroup Tasks;
