--- a/src/testing/line-group/LineGroup.cpp
+++ b/src/testing/line-group/LineGroup.cpp
@@ -101,7 +101,7 @@
     }
     std::string Setting;
     for (const auto &[Name, Value] : this->Values)
-      Setting += Name + "=" + Value + " ";
+      Setting.append(Name).append("=").append(Value).append(" ");
     this->To.Ran.push_back(Setting + S.Text);
     this->Wrote = this->Wrote || S.Kind == StatementVerb::Write;
     if (S.Kind == StatementVerb::Begin) {
--- a/src/testing/line-group/LineServer.cpp
+++ b/src/testing/line-group/LineServer.cpp
@@ -123,8 +123,8 @@
       continue;
     }
     const std::optional<LogPosition> Floor = takeFloor(Text);
-    const Result<lines::CallerLine> Decoded =
-        lines::decodeCallerLine("QUERY " + StatementId + " " + Text);
+    const Result<lines::CallerLine> Decoded = lines::decodeCallerLine(
+        std::string("QUERY ").append(StatementId).append(" ").append(Text));
     if (!succeeded(Decoded))
       co_return;
     const Statement S = std::get<Statement>(valueOf(Decoded));
