Keep the answers of other calls when one call times out

Cause: HttpClient cleared the connection cache of its QNetworkAccessManager after a call without an answer and before a call on a fresh connection. This ends the manager's network thread, so that every other request under way never finishes.

Ruled out: a store that does not answer; connections that have gone silent (the reads between the polls took 0.1 s); polls that are too long.

Change: the client replaces the manager and lets requests under way keep theirs. HttpClientTest attacks it and failed before.

--- a/src/platform/HttpClient.cpp
+++ b/src/platform/HttpClient.cpp
@@ -2,13 +2,12 @@
 
 #include "core/Async.h"
 
+#include <QNetworkAccessManager>
 #include <QNetworkProxy>
 #include <QNetworkReply>
 #include <QNetworkRequest>
 #include <QUrl>
 
-#include <memory>
-
 namespace amaranthspur {
 namespace {
 
@@ -23,8 +22,13 @@
   const bool Ipv6 = Host.contains(':');
   this->Base = "http://" + (Ipv6 ? "[" + Host + "]" : Host) + ":" +
                QString::number(Server.Port);
-  this->Http.setProxy(QNetworkProxy::NoProxy);
-  this->Http.setAutoDeleteReplies(false);
+  this->renewConnections();
+}
+
+void HttpClient::renewConnections() {
+  this->Http = std::make_shared<QNetworkAccessManager>();
+  this->Http->setProxy(QNetworkProxy::NoProxy);
+  this->Http->setAutoDeleteReplies(false);
 }
 
 QCoro::Task<Result<HttpResponse>> HttpClient::send(HttpRequest Sent,
@@ -36,9 +40,11 @@
   for (const auto &[Name, Value] : Sent.Headers)
     Request.setRawHeader(Name, Value);
   if (Sent.FreshConnection)
-    this->Http.clearConnectionCache();
+    this->renewConnections();
+  // Destroyed behind the reply, which belongs to it.
+  const std::shared_ptr<QNetworkAccessManager> Manager = this->Http;
   const std::unique_ptr<QNetworkReply> Reply(
-      this->Http.sendCustomRequest(Request, Sent.Verb, Sent.Body));
+      Manager->sendCustomRequest(Request, Sent.Verb, Sent.Body));
   WaitPoint Finished;
   bool TooLarge = false;
   QNetworkReply *Running = Reply.get();
@@ -55,7 +61,8 @@
   if (TooLarge || !InTime) {
     Running->abort();
     // Others to the same server may be as silent; the next request opens one.
-    this->Http.clearConnectionCache();
+    if (this->Http == Manager)
+      this->renewConnections();
     co_return Error{TooLarge ? "the platform's answer is too large"
                              : "the platform did not answer in time"};
   }
--- a/src/platform/HttpClient.h
+++ b/src/platform/HttpClient.h
@@ -8,12 +8,14 @@
 
 #include <QByteArray>
 #include <QCoroTask>
-#include <QNetworkAccessManager>
 #include <QString>
 
+#include <memory>
 #include <utility>
 #include <vector>
 
+class QNetworkAccessManager;
+
 namespace amaranthspur {
 
 /// A request without its server.
@@ -51,8 +53,13 @@
                                          TimePoint Deadline);
 
 private:
+  void renewConnections();
+
   QString Base;
-  QNetworkAccessManager Http;
+  /// Holds the connections for new requests. It is replaced rather than told to
+  /// clear its connections, since that ends its thread and leaves the requests
+  /// that it still carries without an answer.
+  std::shared_ptr<QNetworkAccessManager> Http;
 };
 
 } // namespace amaranthspur
