--- a/src/ctl/Explain.cpp
+++ b/src/ctl/Explain.cpp
@@ -121,7 +121,7 @@
   std::string Line = R.Time + " " + R.Event;
   for (const auto &[Key, Value] : R.Fields)
     if (Key != "level" && !Value.empty())
-      Line += " " + Key + "=" + Value;
+      Line.append(" ").append(Key).append("=").append(Value);
   return Line;
 }
 
