Shorten the design page and draw the way of one statement

Change: the stand-ins' flags and protocols move to docs/stand-ins.md, the house style to docs/developers.md; session settings are in docs/callers.md alone. No change of code but a reference in a comment.

--- a/src/testing/fake-backend/Settings.h
+++ b/src/testing/fake-backend/Settings.h
@@ -7,7 +7,7 @@
 
 namespace amaranthspur::fake {
 
-/// See docs/design.md, section 10.3.
+/// See docs/stand-ins.md.
 struct Settings {
   ServerId Id;
   Address Listen;
