--- a/src/platform/HttpPlatform.h
+++ b/src/platform/HttpPlatform.h
@@ -1,15 +1,11 @@
-// The platform's service over HTTP (docs/design.md, section 10.1).
+// The platform's service over HTTP: rows, long polls and objects.
 #ifndef AMARANTHSPUR_PLATFORM_HTTPPLATFORM_H
 #define AMARANTHSPUR_PLATFORM_HTTPPLATFORM_H
 
 #include "core/Random.h"
 #include "platform/CircuitBreaker.h"
+#include "platform/HttpClient.h"
 #include "platform/Platform.h"
-#include "wire/Connection.h"
-
-#include <QByteArray>
-#include <QNetworkAccessManager>
-#include <QString>
 
 namespace amaranthspur {
 
@@ -43,6 +39,10 @@
                                          TimePoint Deadline) override;
   QCoro::Task<Result<std::optional<std::string>>>
   getObject(std::string Name, TimePoint Deadline) override;
+  QCoro::Task<Result<WatchedRows>> readTable(WatchedTable Table,
+                                             TimePoint Deadline) override;
+  QCoro::Task<Result<WatchedRows>>
+  awaitChanges(WatchedTable Table, std::uint64_t After, Duration Wait) override;
   QCoro::Task<Result<std::vector<PlatformVm>>>
   listVms(TimePoint Deadline) override;
 
@@ -50,21 +50,15 @@
   const PlatformCounters &counters() const { return this->Counters; }
 
 private:
-  struct Response {
-    int Status = 0;
-    QByteArray Body;
-  };
-
   /// Sends a request until it is answered with neither 5xx nor 429, or the
   /// deadline is too near for another attempt.
-  QCoro::Task<Result<Response>> call(QByteArray Verb, QString Path,
-                                     QByteArray Body, TimePoint Deadline);
-  /// Sends a request once.
-  QCoro::Task<Result<Response>> attempt(QByteArray Verb, QString Path,
-                                        QByteArray Body, TimePoint Deadline);
+  QCoro::Task<Result<HttpResponse>> call(HttpRequest Request,
+                                         TimePoint Deadline);
+  /// Reads all rows of a table, page by page.
+  QCoro::Task<Result<WatchedRows>> readAll(std::string Table,
+                                           TimePoint Deadline);
 
-  QString Base;
-  QNetworkAccessManager Http;
+  HttpClient Http;
   CircuitBreaker Breaker;
   Random Draw;
   PlatformCounters Counters;
--- a/src/platform/Platform.h
+++ b/src/platform/Platform.h
@@ -8,11 +8,13 @@
 #define AMARANTHSPUR_PLATFORM_PLATFORM_H
 
 #include "core/Clock.h"
+#include "core/Names.h"
 #include "core/Result.h"
 #include "core/Types.h"
 
 #include <QCoroTask>
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -22,7 +24,7 @@
 
 /// One row of the table.
 struct TableRow {
-  std::uint64_t Version = 0; ///< Raised by one with each change; 0: no row.
+  std::uint64_t Version = 0; ///< Raised by each change; 0: no row.
   std::string Value;
   std::string Operation; ///< Identifier of the change that made this version.
 };
@@ -42,6 +44,34 @@
   bool Leaving = false;
 };
 
+/// Tables that others write and this program follows.
+enum class WatchedTable {
+  Operator, ///< What the operator has accepted.
+  Servers,  ///< Registrations of backend servers.
+};
+
+template <> struct EnumNames<WatchedTable> {
+  static constexpr auto Entries =
+      std::to_array<std::pair<WatchedTable, std::string_view>>(
+          {{WatchedTable::Operator, "operator"},
+           {WatchedTable::Servers, "servers"}});
+};
+
+/// One row of a watched table.
+struct WatchedRow {
+  std::string Key;
+  std::string Value; ///< Bytes, whatever they are.
+  std::uint64_t Version = 0;
+  bool Removed = false;
+};
+
+/// Rows of a watched table, in the order of their changes.
+struct WatchedRows {
+  std::vector<WatchedRow> Rows;
+  std::uint64_t Version = 0; ///< Up to which changes are included.
+  bool HistoryLost = false;  ///< Changes are missing: read the table anew.
+};
+
 /// Client of the platform's service.
 class Platform {
 public:
@@ -66,6 +96,15 @@
   virtual QCoro::Task<Result<std::optional<std::string>>>
   getObject(std::string Name, TimePoint Deadline) = 0;
 
+  /// Reads all rows of \p Table.
+  virtual QCoro::Task<Result<WatchedRows>> readTable(WatchedTable Table,
+                                                     TimePoint Deadline) = 0;
+
+  /// Waits until rows of \p Table change after version \p After.
+  /// \returns the changed rows, or none if nothing changed within \p Wait.
+  virtual QCoro::Task<Result<WatchedRows>>
+  awaitChanges(WatchedTable Table, std::uint64_t After, Duration Wait) = 0;
+
   /// Reads the list of live and leaving entry VMs.
   virtual QCoro::Task<Result<std::vector<PlatformVm>>>
   listVms(TimePoint Deadline) = 0;
--- /dev/null
+++ b/src/platform/Promotions.cpp
@@ -0,0 +1,43 @@
+#include "platform/Promotions.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+
+namespace amaranthspur {
+namespace {
+
+constexpr int HttpServiceUnavailable = 503;
+
+} // namespace
+
+QCoro::Task<PromotionOutcome> HttpPromotions::promote(PromotionOrder Order,
+                                                      TimePoint Deadline) {
+  HttpRequest Request{
+      "POST", "/promotions",
+      QJsonDocument(
+          QJsonObject{{"service", QString::fromStdString(Order.Service.str())},
+                      {"id", QString::fromStdString(Order.Target.str())}})
+          .toJson(QJsonDocument::Compact),
+      "application/json"};
+  Request.Headers = {
+      {"Duty-Holder", QByteArray::fromStdString(Order.Holder.str())},
+      {"Fence-Token", QByteArray::number(static_cast<qulonglong>(Order.Fence))},
+  };
+  // Over a used connection the order could lie in a silent path and arrive
+  // after a later one.
+  Request.FreshConnection = true;
+  const Result<HttpResponse> R =
+      co_await this->Http.send(std::move(Request), Deadline);
+  if (!succeeded(R))
+    co_return PromotionOutcome::Unknown;
+  const int Status = valueOf(R).Status;
+  if (Status == HttpOk)
+    co_return PromotionOutcome::Accepted;
+  if (Status == HttpTooManyRequests || Status == HttpServiceUnavailable)
+    co_return PromotionOutcome::NotDone;
+  if (Status < HttpFirstServerError)
+    co_return PromotionOutcome::Refused;
+  co_return PromotionOutcome::Unknown;
+}
+
+} // namespace amaranthspur
--- /dev/null
+++ b/src/platform/RowCodec.cpp
@@ -0,0 +1,81 @@
+#include "platform/RowCodec.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+namespace amaranthspur::rows {
+namespace {
+
+QByteArray compact(const QJsonObject &O) {
+  return QJsonDocument(O).toJson(QJsonDocument::Compact);
+}
+
+std::optional<WatchedRow> decodeRow(const QJsonObject &O) {
+  if (!O["key"].isString() || !O["row-version"].isDouble())
+    return std::nullopt;
+  WatchedRow Row;
+  Row.Key = O["key"].toString().toStdString();
+  Row.Version = static_cast<std::uint64_t>(O["row-version"].toInteger());
+  Row.Removed = O["deleted"].toBool();
+  Row.Value =
+      QByteArray::fromBase64(O["value"].toString().toLatin1()).toStdString();
+  return Row;
+}
+
+} // namespace
+
+QByteArray encodeConditionalWrite(const std::string &Table,
+                                  const std::string &Key,
+                                  std::uint64_t Expected,
+                                  const QByteArray &Value) {
+  QJsonObject Row{{"table", QString::fromStdString(Table)},
+                  {"part", ""},
+                  {"key", QString::fromStdString(Key)}};
+  QJsonObject Condition = Row;
+  Condition["row-version"] = static_cast<qint64>(Expected);
+  Row["value"] = QString::fromLatin1(Value.toBase64());
+  return compact({{"expected", QJsonArray{Condition}},
+                  {"set-keys", QJsonArray{Row}},
+                  {"remove", QJsonArray{}}});
+}
+
+Result<Page> decodePage(const QByteArray &Body) {
+  const QJsonDocument Document = QJsonDocument::fromJson(Body);
+  const QJsonObject O = Document.object();
+  if (!O["rows"].isArray() || !O["row-version"].isDouble())
+    return Error{"the platform sent a malformed page of rows"};
+  Page Out;
+  Out.StoreVersion = static_cast<std::uint64_t>(O["row-version"].toInteger());
+  Out.More = O["has-more"].toBool();
+  const QJsonArray Rows = O["rows"].toArray();
+  for (const auto &Entry : Rows)
+    if (std::optional<WatchedRow> Row = decodeRow(Entry.toObject()))
+      Out.Rows.push_back(std::move(*Row));
+  return Out;
+}
+
+Result<std::uint64_t> decodeNewVersion(const QByteArray &Body) {
+  const QJsonDocument Document = QJsonDocument::fromJson(Body);
+  const QJsonObject O = Document.object();
+  if (!O["row-version"].isDouble())
+    return Error{"the platform's answer to a write has no version"};
+  return static_cast<std::uint64_t>(O["row-version"].toInteger());
+}
+
+QByteArray encodeValue(const std::string &Value, const std::string &Operation) {
+  return compact({{"value", QString::fromStdString(Value)},
+                  {"operation", QString::fromStdString(Operation)}});
+}
+
+Result<TableRow> decodeValue(const WatchedRow &Row) {
+  const QJsonDocument Document =
+      QJsonDocument::fromJson(QByteArray::fromStdString(Row.Value));
+  const QJsonObject O = Document.object();
+  if (!O["value"].isString() || !O["operation"].isString())
+    return Error{"row \"" + Row.Key + "\" is malformed"};
+  return TableRow{Row.Version, O["value"].toString().toStdString(),
+                  O["operation"].toString().toStdString()};
+}
+
+} // namespace amaranthspur::rows
--- /dev/null
+++ b/src/policy/Freshness.cpp
@@ -0,0 +1,68 @@
+#include "policy/Freshness.h"
+
+#include <algorithm>
+
+namespace amaranthspur {
+
+void Freshness::observeReport(Term T, LogPosition Position, TimePoint SentAt) {
+  const bool Usable = this->provedSince(T, SentAt);
+  if (!this->Reports.empty()) {
+    Report &Last = this->Reports.back();
+    // Answers may overtake each other; one sent earlier adds nothing.
+    if (SentAt < Last.SentAt)
+      return;
+    const bool Close = this->Reports.size() > 1 &&
+                       SentAt - this->Reports[this->Reports.size() - 2].SentAt <
+                           MinSpacing;
+    // A usable report is not replaced by one that still needs a proof.
+    if (Close && (Usable || !Last.Usable)) {
+      Last = {T, Position, SentAt, Usable};
+      return;
+    }
+  }
+  this->Reports.push_back({T, Position, SentAt, Usable});
+  while (SentAt - this->Reports.front().SentAt > MaxAge)
+    this->Reports.pop_front();
+}
+
+void Freshness::observeProof(Term T, TimePoint At) {
+  if (T < this->ProvedTerm)
+    return;
+  if (T > this->ProvedTerm) {
+    // No proof for an earlier term will come any more.
+    std::erase_if(this->Reports, [T](const Report &R) {
+      return R.TermNumber < T && !R.Usable;
+    });
+    this->ProvedTerm = T;
+    this->ProvedAt = At;
+  }
+  this->ProvedAt = std::max(this->ProvedAt, At);
+  for (Report &R : this->Reports)
+    R.Usable = R.Usable || this->provedSince(R.TermNumber, R.SentAt);
+}
+
+bool Freshness::provedSince(Term T, TimePoint Since) const {
+  return T != 0 && T == this->ProvedTerm && this->ProvedAt >= Since;
+}
+
+std::optional<LogPosition> Freshness::floorAsOf(TimePoint Since) const {
+  for (const Report &R : this->Reports)
+    if (R.SentAt >= Since && R.Usable)
+      return R.Position;
+  return std::nullopt;
+}
+
+std::optional<TimePoint> Freshness::newestUsable() const {
+  for (auto R = this->Reports.rbegin(); R != this->Reports.rend(); ++R)
+    if (R->Usable)
+      return R->SentAt;
+  return std::nullopt;
+}
+
+std::optional<TimePoint> Freshness::newestReport() const {
+  if (this->Reports.empty())
+    return std::nullopt;
+  return this->Reports.back().SentAt;
+}
+
+} // namespace amaranthspur
--- /dev/null
+++ b/src/policy/GroupBeliefs.cpp
@@ -0,0 +1,208 @@
+#include "policy/GroupBeliefs.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace amaranthspur {
+
+Distance Whereabouts::distanceTo(const DataCentre &There) const {
+  if (There == this->Here)
+    return Distance::SameDataCentre;
+  const auto Own = this->Regions.find(this->Here);
+  const auto Other = this->Regions.find(There);
+  const bool Same = Own != this->Regions.end() &&
+                    Other != this->Regions.end() &&
+                    Own->second == Other->second;
+  return Same ? Distance::SameRegion : Distance::OtherRegion;
+}
+
+bool GroupBeliefs::setServers(const std::vector<RegisteredServer> &Listed,
+                              TimePoint Now) {
+  std::map<ServerId, ServerBelief> Next;
+  bool Changed = Listed.size() != this->Servers.size();
+  for (const RegisteredServer &R : Listed) {
+    ServerBelief Belief;
+    const auto Known = this->Servers.find(R.Id);
+    const bool Same = Known != this->Servers.end() &&
+                      Known->second.Registration.BornMs == R.BornMs &&
+                      Known->second.Registration.At == R.At;
+    if (Same)
+      Belief = Known->second;
+    const bool RoleChanged = R.Role && R.Role != Belief.Registration.Role;
+    Changed = Changed || !Same || RoleChanged ||
+              Belief.Registration.Draining != R.Draining;
+    if (RoleChanged && R.Role != Belief.Role) {
+      Belief.Role = R.Role;
+      Belief.TermNumber = 0;
+    }
+    if (R.Draining && !Belief.DrainingSince)
+      Belief.DrainingSince = Now;
+    if (!R.Draining)
+      Belief.DrainingSince.reset();
+    Belief.Registration = R;
+    Next.emplace(R.Id, std::move(Belief));
+  }
+  this->Servers = std::move(Next);
+  return Changed;
+}
+
+const ServerBelief *GroupBeliefs::find(const ServerId &Id) const {
+  const auto Found = this->Servers.find(Id);
+  return Found == this->Servers.end() ? nullptr : &Found->second;
+}
+
+ServerBelief *GroupBeliefs::findMutable(const ServerId &Id) {
+  const auto Found = this->Servers.find(Id);
+  return Found == this->Servers.end() ? nullptr : &Found->second;
+}
+
+void GroupBeliefs::observeStatus(const ServerId &Id, const ServerReport &Report,
+                                 TimePoint Now) {
+  ServerBelief *Server = this->findMutable(Id);
+  if (!Server)
+    return;
+  Server->Role = Report.Role;
+  Server->TermNumber = Report.TermNumber;
+  Server->AdoptedTerm = Report.AdoptedTerm;
+  Server->FailingSince.reset();
+  Server->LastAnswer = Now;
+}
+
+void GroupBeliefs::observeAnswer(const ServerId &Id,
+                                 std::optional<LogPosition> Position,
+                                 TimePoint Now) {
+  ServerBelief *Server = this->findMutable(Id);
+  if (!Server)
+    return;
+  if (Position)
+    Server->Position = std::max(Server->Position, *Position);
+  Server->FailingSince.reset();
+  Server->LastAnswer = Now;
+}
+
+void GroupBeliefs::observeLatency(const ServerId &Id, Duration Took,
+                                  TimePoint Now) {
+  ServerBelief *Server = this->findMutable(Id);
+  if (!Server)
+    return;
+  if (Server->LatencyAt == TimePoint())
+    Server->Latency = PriorLatency;
+  const double Next =
+      (1 - LatencyWeight) * static_cast<double>(Server->Latency.count()) +
+      LatencyWeight * static_cast<double>(Took.count());
+  Server->Latency = Duration(std::llround(Next));
+  Server->LatencyAt = Now;
+}
+
+void GroupBeliefs::observeFailure(const ServerId &Id, TimePoint Now) {
+  ServerBelief *Server = this->findMutable(Id);
+  if (!Server)
+    return;
+  if (!Server->FailingSince)
+    Server->FailingSince = Now;
+  Server->LastFailure = Now;
+}
+
+void GroupBeliefs::observeNotPrimary(const ServerId &Id) {
+  ServerBelief *Server = this->findMutable(Id);
+  if (!Server)
+    return;
+  Server->Role = ServerRole::Replica;
+  Server->TermNumber = 0;
+}
+
+void GroupBeliefs::addInFlight(const ServerId &Id, int By) {
+  ServerBelief *Server = this->findMutable(Id);
+  if (!Server)
+    return;
+  const int Next = static_cast<int>(Server->InFlight) + By;
+  Server->InFlight = static_cast<unsigned>(std::max(Next, 0));
+}
+
+std::optional<BelievedPrimary> GroupBeliefs::primary() const {
+  const ServerBelief *Best = nullptr;
+  const auto Precedes = [](const ServerBelief &A, const ServerBelief &B) {
+    // A server that has just registered as primary has an unknown term; it is
+    // the successor of those whose terms are known.
+    if ((A.TermNumber == 0) != (B.TermNumber == 0))
+      return A.TermNumber == 0;
+    if (A.TermNumber != B.TermNumber)
+      return A.TermNumber > B.TermNumber;
+    return A.Registration.Version > B.Registration.Version;
+  };
+  for (const auto &[Id, Server] : this->Servers)
+    if (Server.Role == ServerRole::Primary &&
+        (!Best || Precedes(Server, *Best)))
+      Best = &Server;
+  if (!Best)
+    return std::nullopt;
+  return BelievedPrimary{Best->id(), Best->TermNumber};
+}
+
+bool GroupBeliefs::avoided(const ServerBelief &Server, TimePoint Now) const {
+  return Server.FailingSince && Now - Server.LastFailure < AvoidAfterFailure;
+}
+
+double GroupBeliefs::readCost(const ServerBelief &Server,
+                              const std::optional<BelievedPrimary> &Leader,
+                              std::optional<LogPosition> Floor,
+                              TimePoint Now) const {
+  const auto Prior = static_cast<double>(PriorLatency.count());
+  double Expected = Prior;
+  if (Server.LatencyAt != TimePoint()) {
+    const double HalfLives =
+        static_cast<double>((Now - Server.LatencyAt).count()) /
+        static_cast<double>(LatencyHalfLife.count());
+    Expected += (static_cast<double>(Server.Latency.count()) - Prior) *
+                std::exp2(-HalfLives);
+  }
+  // Statements of other entry VMs share the slots, so each of our own counts
+  // for a part of the queue that cannot be seen.
+  double Cost = Expected * (1.0 + Server.InFlight);
+  switch (this->Where.distanceTo(Server.Registration.Location)) {
+  case Distance::SameDataCentre:
+    break;
+  case Distance::SameRegion:
+    Cost += static_cast<double>(SameRegionCost.count());
+    break;
+  case Distance::OtherRegion:
+    Cost += static_cast<double>(OtherRegionCost.count());
+    break;
+  }
+  const bool Leads = Leader && Leader->Id == Server.id();
+  if (Leads)
+    Cost += static_cast<double>(PrimaryReadCost.count());
+  else if (Floor && Server.Position < *Floor)
+    Cost += static_cast<double>(BelowFloorCost.count());
+  return Cost;
+}
+
+std::vector<ServerId>
+GroupBeliefs::readOrder(std::optional<LogPosition> Floor,
+                        TimePoint Now) const {
+  struct Candidate {
+    bool Last; ///< Only if no other is left.
+    double Cost;
+    ServerId Id;
+  };
+  const std::optional<BelievedPrimary> Leader = this->primary();
+  std::vector<Candidate> Found;
+  for (const auto &[Id, Server] : this->Servers) {
+    if (Server.Registration.Draining && !(Leader && Leader->Id == Id))
+      continue;
+    Found.push_back({this->avoided(Server, Now) || Server.Registration.Draining,
+                     this->readCost(Server, Leader, Floor, Now), Id});
+  }
+  std::sort(Found.begin(), Found.end(),
+            [](const Candidate &A, const Candidate &B) {
+              return std::tie(A.Last, A.Cost, A.Id) <
+                     std::tie(B.Last, B.Cost, B.Id);
+            });
+  std::vector<ServerId> Order;
+  Order.reserve(Found.size());
+  for (const Candidate &C : Found)
+    Order.push_back(C.Id);
+  return Order;
+}
+
+} // namespace amaranthspur
--- a/src/root/Daemon.cpp
+++ b/src/root/Daemon.cpp
@@ -94,7 +94,7 @@
           {}},
       Callers(this->Sessions, this->Values.Callers, this->Values.MaxCallers,
               this->Incarnation, this->Values.DrainNotice),
-      Admin(this->Values.Admin, this->Counters),
+      Admin({this->Values.Admin}, this->Counters),
       Root([this](std::string_view Name, const Error &Reason) {
         this->Counters.add(Counter::ChildRestarts, Name);
         log(LogLevel::Warning, LogEvent::ChildFailed,
@@ -260,4 +260,10 @@
   log(LogLevel::Info, LogEvent::DrainFinished);
 }
 
+void Daemon::reload() {
+  log(LogLevel::Info, LogEvent::Reload,
+      {{"changed", "nothing"},
+       {"revision", this->Config.current()->Revision}});
+}
+
 } // namespace amaranthspur
--- a/src/root/Daemon.h
+++ b/src/root/Daemon.h
@@ -33,6 +33,10 @@
   /// handed over.
   QCoro::Task<> stop();
 
+  /// Notes a reload. All settings are fixed at start; the configuration comes
+  /// from the platform's service.
+  void reload();
+
 private:
   static std::uint64_t startTime();
   void connectParts();
--- /dev/null
+++ b/src/root/LineDaemon.cpp
@@ -0,0 +1,112 @@
+#include "root/LineDaemon.h"
+
+#include "root/telemetry/Log.h"
+
+#include <QJsonArray>
+#include <QJsonObject>
+
+namespace amaranthspur {
+
+std::uint64_t LineDaemon::startTime() {
+  const auto Since = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(Since).count());
+}
+
+LineDaemon::LineDaemon(Settings Given)
+    : Values(std::move(Given)), Incarnation(startTime()),
+      Rng(this->Incarnation ^ std::hash<EntryVmId>{}(this->Values.VmId)),
+      Where{this->Values.Location, this->Values.Regions},
+      Store(this->Values.Platform, this->Rng.below(1ULL << 62U)),
+      Orders(this->Values.Promotions), Connector(this->Values.VmId),
+      Directory(this->Store),
+      Groups(this->Directory, this->Connector, this->Where,
+             {this->Values.VmId, this->Store, this->Orders, this->Counters,
+              this->Rng}),
+      Around{this->Directory, this->Groups, this->Counters},
+      Sessions(this->Around, this->Streams, this->Values.Callers,
+               this->Values.MaxCallers, this->Values.DrainNotice),
+      Admin({this->Values.Admin, this->Values.Readiness}, this->Counters),
+      Root([this](std::string_view Name, const Error &Reason) {
+        this->Counters.add(Counter::ChildRestarts, Name);
+        log(LogLevel::Warning, LogEvent::ChildFailed,
+            {{"child", Name}, {"error", Reason.Message}});
+      }) {
+  this->Directory.Changed = [this] { this->Groups.refresh(); };
+  this->addStatus();
+  for (Child *C : std::initializer_list<Child *>{
+           &this->Admin, &this->Directory, &this->Groups, &this->Sessions})
+    this->Root.add(*C);
+}
+
+bool LineDaemon::isReady() const {
+  return !this->Draining && this->Sessions.accepting() &&
+         this->Directory.plan()->Revision > 0 && this->Groups.anyReachable();
+}
+
+void LineDaemon::addStatus() {
+  this->Admin.setReady([this] { return this->isReady(); });
+  this->Admin.addStatus("vm", [this] {
+    return QJsonValue(QJsonObject{
+        {"id", QString::fromStdString(this->Values.VmId.str())},
+        {"data_centre", QString::fromStdString(this->Values.Location.str())},
+        {"draining", this->Draining},
+        {"sessions", static_cast<qint64>(this->Sessions.sessions())}});
+  });
+  this->Admin.addStatus("configuration", [this] {
+    return QJsonValue(QJsonObject{
+        {"revision", static_cast<qint64>(this->Directory.plan()->Revision)}});
+  });
+  this->Admin.addStatus("services", [this] {
+    QJsonArray Out;
+    for (const auto &[Service, Limits] : this->Directory.plan()->Services) {
+      const std::shared_ptr<Group> G = this->Groups.find(Service);
+      if (!G)
+        continue;
+      QJsonObject Entry{{"service", QString::fromStdString(Service.str())}};
+      if (const auto Leader = G->beliefs().primary()) {
+        Entry["primary"] = QString::fromStdString(Leader->Id.str());
+        Entry["term"] = static_cast<qint64>(Leader->TermNumber);
+      }
+      Entry["servers"] = static_cast<qint64>(G->beliefs().servers().size());
+      Out.append(Entry);
+    }
+    return QJsonValue(Out);
+  });
+}
+
+QCoro::Task<> LineDaemon::observe() {
+  while (!this->Draining) {
+    this->Counters.set(Gauge::ConfigurationRevision,
+                       static_cast<double>(this->Directory.plan()->Revision));
+    const bool Ready = this->isReady();
+    if (Ready != this->WasReady)
+      log(LogLevel::Info, LogEvent::ReadinessChanged,
+          {{"ready", Ready ? "yes" : "no"},
+           {"plan", this->Directory.plan()->Revision}});
+    this->WasReady = Ready;
+    co_await sleepFor(ReadinessInterval);
+  }
+}
+
+QCoro::Task<Result<Success>> LineDaemon::start() {
+  Result<Success> Started = co_await this->Root.start();
+  if (succeeded(Started))
+    this->observe();
+  co_return Started;
+}
+
+QCoro::Task<> LineDaemon::stop() {
+  if (std::exchange(this->Draining, true))
+    co_return;
+  log(LogLevel::Info, LogEvent::DrainStarted);
+  co_await this->Root.stop(steadyNow() + this->Values.DrainTimeout);
+  log(LogLevel::Info, LogEvent::DrainFinished);
+}
+
+void LineDaemon::reload() {
+  log(LogLevel::Info, LogEvent::Reload,
+      {{"changed", "nothing"}, {"plan", this->Directory.plan()->Revision}});
+}
+
+} // namespace amaranthspur
--- a/src/root/Main.cpp
+++ b/src/root/Main.cpp
@@ -3,9 +3,10 @@
 // Exit status: 0 after a graceful stop or a check without mistakes, 1 if a part
 // could not start, 2 if a setting is wrong.
 #include "root/Daemon.h"
+#include "root/LineDaemon.h"
 #include "root/Settings.h"
 #include "root/telemetry/Log.h"
-#include "testing/TerminationSignal.h"
+#include "core/ProcessSignals.h"
 
 #include <QCoreApplication>
 
@@ -26,8 +27,8 @@
   return std::string(Value);
 }
 
-QCoro::Task<> runDaemon(Daemon &Root) {
-  const Result<Success> Started = co_await Root.start();
+template <typename Root> QCoro::Task<> runDaemon(Root &Tree) {
+  const Result<Success> Started = co_await Tree.start();
   if (!succeeded(Started)) {
     std::fprintf(stderr, "amaranthspurd: %s\n", errorOf(Started).c_str());
     std::_Exit(ExitFailure);
@@ -37,13 +38,24 @@
   std::fflush(stdout);
 }
 
-QCoro::Task<> stopDaemon(Daemon &Root) {
-  co_await Root.stop();
+template <typename Root> QCoro::Task<> stopDaemon(Root &Tree) {
+  log(LogLevel::Info, LogEvent::Stopping);
+  co_await Tree.stop();
+  log(LogLevel::Info, LogEvent::Stopped);
   // Tasks of the libraries may still wait; nothing of theirs is kept.
   std::fflush(stdout);
   std::_Exit(EXIT_SUCCESS);
 }
 
+/// Runs the supervisor tree \p Root until the process is asked to end.
+template <typename Root> int serve(const Settings &Values) {
+  Root Tree(Values);
+  onTerminationSignal([&Tree] { stopDaemon(Tree); });
+  onReloadSignal([&Tree] { Tree.reload(); });
+  runDaemon(Tree);
+  return QCoreApplication::exec();
+}
+
 } // namespace
 
 int main(int Count, char **Arguments) {
@@ -67,8 +79,11 @@
   QCoreApplication Application(Count, Arguments);
   const Settings &Values = valueOf(Parsed).Values;
   startLog(Values.Least, Values.VmId.str());
-  Daemon Root(Values);
-  onTerminationSignal([&Root] { stopDaemon(Root); });
-  runDaemon(Root);
-  return QCoreApplication::exec();
+  log(LogLevel::Info, LogEvent::Starting,
+      {{"front_end", nameOf(Values.Front)},
+       {"data_centre", Values.Location.str()},
+       {"platform", Values.Platform.str()}});
+  if (Values.Front == FrontEnd::Lines)
+    return serve<LineDaemon>(Values);
+  return serve<Daemon>(Values);
 }
--- a/src/root/Settings.cpp
+++ b/src/root/Settings.cpp
@@ -12,31 +12,48 @@
 namespace amaranthspur {
 namespace {
 
+/// Which front ends a setting is for.
+enum class SettingScope { All, PostgreSql, Lines };
+
 /// One setting: its flag, its default and its help text.
 struct SettingInfo {
   const char *Flag;
-  const char *Default; ///< Null: the setting is required.
+  const char *Default; ///< Null: the setting is required where it applies.
   const char *Help;
+  SettingScope Scope = SettingScope::All;
 };
 
 constexpr auto SettingTable = std::to_array<SettingInfo>({
+    {"front-end", "postgresql",
+     "postgresql, or lines for the platform's line protocol"},
     {"vm-id", nullptr, "name of this entry VM; letters, digits, '.', '-'"},
     {"data-centre", nullptr, "data centre that this entry VM is in"},
     {"caller-address", nullptr, "host:port on which callers are served"},
-    {"peer-address", nullptr, "host:port on which other entry VMs are served"},
+    {"peer-address", nullptr, "host:port on which other entry VMs are served",
+     SettingScope::PostgreSql},
     {"advertised-peer-address", "",
      "host:port at which other entry VMs reach this one; default: "
-     "peer-address"},
+     "peer-address",
+     SettingScope::PostgreSql},
     {"admin-address", nullptr,
      "host:port of /metrics, /status and /ready over HTTP"},
+    {"readiness-address", nullptr, "host:port of /ready for the balancer",
+     SettingScope::Lines},
     {"platform-address", nullptr, "host:port of the platform's service"},
+    {"promotion-address", nullptr,
+     "host:port that takes orders of promotions", SettingScope::Lines},
+    {"regions", nullptr,
+     "region of each data centre, data-centre=region, separated by commas",
+     SettingScope::Lines},
     {"bind-address", "", "source address of outgoing connections"},
     {"deployment-key", nullptr,
-     "secret that all entry VMs of the deployment share; at least 8 bytes"},
+     "secret that all entry VMs of the deployment share; at least 8 bytes",
+     SettingScope::PostgreSql},
     {"policy-variant", "amaranthspur",
      "policies in use; all but the default are for tests"},
     {"seed-peers", "",
-     "entry VMs to start from, id=host:port@data-centre, separated by commas"},
+     "entry VMs to start from, id=host:port@data-centre, separated by commas",
+     SettingScope::PostgreSql},
     {"drain-timeout-ms", "10000",
      "longest time for open requests after SIGTERM"},
     {"drain-notice-ms", "1000",
@@ -143,30 +160,65 @@
   return Seeds;
 }
 
+std::map<DataCentre, Region> readRegions(Reader &In) {
+  std::map<DataCentre, Region> Regions;
+  std::string_view Rest = In.text("regions");
+  while (!Rest.empty()) {
+    const std::size_t Comma = std::min(Rest.find(','), Rest.size());
+    const std::string_view Entry = Rest.substr(0, Comma);
+    const std::size_t Equals = Entry.find('=');
+    if (Equals == std::string_view::npos || Equals == 0 ||
+        Equals + 1 == Entry.size()) {
+      In.mistake("regions", "data-centre=region, separated by commas");
+      break;
+    }
+    Regions.insert_or_assign(DataCentre(std::string(Entry.substr(0, Equals))),
+                             Region(std::string(Entry.substr(Equals + 1))));
+    Rest.remove_prefix(std::min(Comma + 1, Rest.size()));
+  }
+  return Regions;
+}
+
+/// Reads what only the PostgreSQL front end has.
+void readPeerValues(Reader &In, Settings &Out) {
+  constexpr std::size_t MinKeyBytes = 8;
+  Out.Peers = In.address("peer-address");
+  Out.AdvertisedPeers = In.text("advertised-peer-address").empty()
+                            ? Out.Peers
+                            : In.address("advertised-peer-address");
+  Out.DeploymentKey = In.text("deployment-key");
+  if (Out.DeploymentKey.size() < MinKeyBytes)
+    In.Mistakes += "--deployment-key (" + environmentName("deployment-key") +
+                   ") has " + std::to_string(Out.DeploymentKey.size()) +
+                   " bytes; allowed: 8 bytes or more\n";
+  Out.SeedPeers = readSeeds(In);
+}
+
+/// Reads what only the line front end has.
+void readLineValues(Reader &In, Settings &Out) {
+  Out.Readiness = In.address("readiness-address");
+  Out.Promotions = In.address("promotion-address");
+  Out.Regions = readRegions(In);
+}
+
 Settings readValues(Reader &In) {
   constexpr std::uint64_t MaxTimeMs = 3600ULL * 1000;
-  constexpr std::size_t MinKeyBytes = 8;
   Settings Out;
+  Out.Front = In.choice<FrontEnd>("front-end");
   Out.VmId = EntryVmId(In.name("vm-id"));
   Out.Location = DataCentre(In.name("data-centre"));
   Out.Callers = In.address("caller-address");
-  Out.Peers = In.address("peer-address");
-  Out.AdvertisedPeers = In.text("advertised-peer-address").empty()
-                            ? Out.Peers
-                            : In.address("advertised-peer-address");
   Out.Admin = In.address("admin-address");
   Out.Platform = In.address("platform-address");
   Out.BindHost = In.text("bind-address");
   if (!Out.BindHost.empty() &&
       QHostAddress(QString::fromStdString(Out.BindHost)).isNull())
     In.mistake("bind-address", "a numeric address, or nothing");
-  Out.DeploymentKey = In.text("deployment-key");
-  if (Out.DeploymentKey.size() < MinKeyBytes)
-    In.Mistakes += "--deployment-key (" + environmentName("deployment-key") +
-                   ") has " + std::to_string(Out.DeploymentKey.size()) +
-                   " bytes; allowed: 8 bytes or more\n";
   Out.Variant = In.choice<PolicyVariant>("policy-variant");
-  Out.SeedPeers = readSeeds(In);
+  if (Out.Front == FrontEnd::PostgreSql)
+    readPeerValues(In, Out);
+  else
+    readLineValues(In, Out);
   Out.DrainTimeout = milliseconds(In.number("drain-timeout-ms", 0, MaxTimeMs));
   Out.DrainNotice = milliseconds(In.number("drain-notice-ms", 0, MaxTimeMs));
   Out.MaxCallers = In.number("max-callers", 1, 1000000);
@@ -184,7 +236,9 @@
   for (const SettingInfo &Info : SettingTable) {
     std::string Help = Info.Help;
     if (!Info.Default)
-      Help += " (required)";
+      Help += Info.Scope == SettingScope::All          ? " (required)"
+              : Info.Scope == SettingScope::PostgreSql ? " (required, postgresql)"
+                                                       : " (required, lines)";
     else if (*Info.Default)
       Help += " (default: " + std::string(Info.Default) + ")";
     Add(Info.Flag, Help, cxxopts::value<std::string>());
@@ -224,6 +278,7 @@
       Out.Action = SettingsAction::CheckOnly;
     std::map<std::string, std::string> Values;
     std::string Missing;
+    SettingScope Front = SettingScope::PostgreSql;
     for (const SettingInfo &Info : SettingTable) {
       std::string &Value = Values[Info.Flag];
       const auto Variable = Variables(environmentName(Info.Flag));
@@ -233,10 +288,13 @@
         Value = *Variable;
       else if (Info.Default)
         Value = Info.Default;
-      else
+      else if (Info.Scope == SettingScope::All || Info.Scope == Front)
         Missing += "--" + std::string(Info.Flag) + " (" +
                    environmentName(Info.Flag) + ") is missing; " + Info.Help +
                    "\n";
+      // The first row of the table decides which others are needed.
+      if (Values.size() == 1 && Value == nameOf(FrontEnd::Lines))
+        Front = SettingScope::Lines;
     }
     if (!Missing.empty())
       return Error{Missing};
--- a/src/root/Settings.h
+++ b/src/root/Settings.h
@@ -9,21 +9,39 @@
 #include "root/telemetry/Log.h"
 #include "wire/Connection.h"
 
+#include <array>
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
 namespace amaranthspur {
 
+/// What callers and backend servers speak.
+enum class FrontEnd {
+  PostgreSql, ///< PostgreSQL's protocol; servers have owners among entry VMs.
+  Lines,      ///< The platform's line protocol; every entry VM serves alone.
+};
+
+template <> struct EnumNames<FrontEnd> {
+  static constexpr auto Entries =
+      std::to_array<std::pair<FrontEnd, std::string_view>>(
+          {{FrontEnd::PostgreSql, "postgresql"}, {FrontEnd::Lines, "lines"}});
+};
+
 /// Checked settings; every value is in its allowed range.
 struct Settings {
+  FrontEnd Front = FrontEnd::PostgreSql;
   EntryVmId VmId;
   DataCentre Location;
+  std::map<DataCentre, Region> Regions; ///< Of the data centres; Lines only.
   Address Callers;         ///< Listens for callers.
   Address Peers;           ///< Listens for other entry VMs.
   Address AdvertisedPeers; ///< Where other entry VMs reach this one.
   Address Admin;           ///< Listens for /metrics, /status, /ready.
+  Address Readiness;       ///< Listens for /ready as well; Lines only.
   Address Platform;        ///< The platform's service.
+  Address Promotions;      ///< Takes orders of promotions; Lines only.
   std::string BindHost; ///< Source address of outgoing connections, or empty.
   std::string DeploymentKey;
   PolicyVariant Variant = PolicyVariant::Amaranthspur;
--- /dev/null
+++ b/src/root/groups/Group.cpp
@@ -0,0 +1,293 @@
+#include "root/groups/Group.h"
+
+#include "core/BootClock.h"
+#include "root/telemetry/Log.h"
+
+#include <algorithm>
+
+namespace amaranthspur {
+
+Group::Group(ServiceName Name, ServerConnector &Connector,
+             const Whereabouts &Where)
+    : Name(std::move(Name)), Connector(Connector), Where(Where),
+      Beliefs(Where) {}
+
+Group::~Group() = default;
+
+void Group::start() {
+  this->proveLeadership();
+  this->samplePrimary();
+}
+
+QCoro::Task<> Group::stop() {
+  this->Stopping = true;
+  this->ProveWake.wake();
+  this->SampleWake.wake();
+  this->WatchWake.wake();
+  this->Proved.notifyAll();
+  this->PrimaryChange.notifyAll();
+  for (const auto &[Id, Link] : this->Controls)
+    if (Link)
+      Link->abort();
+  co_await this->Tasks.empty();
+}
+
+void Group::configure(const ServiceLimits &NewLimits,
+                      const std::vector<RegisteredServer> &Servers) {
+  this->Limits = NewLimits;
+  const std::size_t MaxOpen =
+      std::max<std::size_t>(2, this->Limits.MaxConnections / ConnectionShare);
+  const std::map<ServerId, ServerBelief> Before = this->Beliefs.servers();
+  const bool Changed = this->Beliefs.setServers(Servers, steadyNow());
+  std::map<ServerId, std::shared_ptr<ServerPool>> Kept;
+  for (const RegisteredServer &Server : Servers) {
+    const auto Old = Before.find(Server.Id);
+    const bool Same = Old != Before.end() &&
+                      Old->second.Registration.BornMs == Server.BornMs &&
+                      Old->second.Registration.At == Server.At;
+    std::shared_ptr<ServerPool> &Pool = Kept[Server.Id];
+    if (Same)
+      Pool = this->Pools[Server.Id];
+    if (!Pool)
+      Pool = std::make_shared<ServerPool>(this->Connector, Server);
+    if (!Same)
+      this->Controls.erase(Server.Id);
+    Pool->setMaxOpen(MaxOpen);
+  }
+  this->Pools = std::move(Kept);
+  std::erase_if(this->Controls, [this](const auto &Entry) {
+    return this->Pools.count(Entry.first) == 0;
+  });
+  if (Changed) {
+    this->WatchWake.wake();
+    this->noticePrimary();
+  }
+}
+
+std::shared_ptr<ServerPool> Group::pool(const ServerId &Id) {
+  const auto Found = this->Pools.find(Id);
+  return Found == this->Pools.end() ? nullptr : Found->second;
+}
+
+void Group::noticePrimary() {
+  const std::optional<BelievedPrimary> Leader = this->Beliefs.primary();
+  if (Leader == this->LastPrimary)
+    return;
+  this->LastPrimary = Leader;
+  log(LogLevel::Info, LogEvent::PrimaryChanged,
+      {{"service", this->Name.str()},
+       {"server", Leader ? Leader->Id.str() : "none"},
+       {"term", Leader ? Leader->TermNumber : 0}});
+  this->PrimaryChange.notifyAll();
+  this->Proved.notifyAll();
+  this->WatchWake.wake();
+}
+
+QCoro::Task<bool> Group::proved(Term T, TimePoint Since, TimePoint Deadline) {
+  while (!this->Fresh.provedSince(T, Since)) {
+    const std::optional<BelievedPrimary> Leader = this->Beliefs.primary();
+    if (this->Stopping || !Leader || Leader->TermNumber != T)
+      co_return false;
+    this->ProofWantedFor = std::max(this->ProofWantedFor, Since);
+    this->ProveWake.wake();
+    const bool Woken = co_await this->Proved.wait(Deadline);
+    if (!Woken)
+      co_return this->Fresh.provedSince(T, Since);
+  }
+  co_return true;
+}
+
+std::optional<LogPosition> Group::floorAsOf(TimePoint Since) {
+  const bool WasIdle = steadyNow() - this->LastUse > UseLimit;
+  this->LastUse = steadyNow();
+  if (WasIdle)
+    this->SampleWake.wake();
+  return this->Fresh.floorAsOf(Since);
+}
+
+void Group::answered(const ServerId &Id, const Answer &A, TimePoint SentAt) {
+  this->Beliefs.observeAnswer(Id, A.Position, steadyNow());
+  const std::optional<BelievedPrimary> Leader = this->Beliefs.primary();
+  if (A.Position && Leader && Leader->Id == Id && Leader->TermNumber != 0)
+    this->Fresh.observeReport(Leader->TermNumber, *A.Position, SentAt);
+}
+
+void Group::committed(const ServerId &Id, const Answer &A, TimePoint SentAt) {
+  if (!A.Position)
+    return;
+  this->Acknowledged = std::max(this->Acknowledged, *A.Position);
+  const std::optional<BelievedPrimary> Leader = this->Beliefs.primary();
+  // A replica had to hold the commit, so the primary led when it was sent.
+  if (this->Limits.SyncReplicas > 0 && Leader && Leader->Id == Id &&
+      Leader->TermNumber != 0 &&
+      Leader->TermNumber == A.Position->TermNumber) {
+    this->Fresh.observeProof(Leader->TermNumber, SentAt);
+    this->Proved.notifyAll();
+  }
+}
+
+void Group::failed(const ServerId &Id, const std::string &Why) {
+  const ServerBelief *Server = this->Beliefs.find(Id);
+  const bool First = Server && !Server->FailingSince;
+  this->Beliefs.observeFailure(Id, steadyNow());
+  if (First)
+    log(LogLevel::Warning, LogEvent::ServerUnreachable,
+        {{"service", this->Name.str()}, {"server", Id.str()}, {"why", Why}});
+  const std::optional<BelievedPrimary> Leader = this->Beliefs.primary();
+  if (Leader && Leader->Id == Id)
+    this->WatchWake.wake();
+}
+
+void Group::lives(const ServerId &Id) {
+  this->Beliefs.observeAnswer(Id, std::nullopt, steadyNow());
+}
+
+void Group::notPrimary(const ServerId &Id) {
+  this->Beliefs.observeNotPrimary(Id);
+  this->noticePrimary();
+}
+
+void Group::reported(const ServerId &Id, const ServerReport &Report) {
+  this->Beliefs.observeStatus(Id, Report, steadyNow());
+  this->noticePrimary();
+}
+
+bool Group::reachable() const {
+  for (const auto &[Id, Server] : this->Beliefs.servers())
+    if (!Server.FailingSince)
+      return true;
+  return false;
+}
+
+void Group::closeIdle() {
+  for (const auto &[Id, Pool] : this->Pools)
+    Pool->closeIdle(steadyNow());
+}
+
+QCoro::Task<std::optional<ServerReport>> Group::controlStatus(ServerId Id) {
+  const ServerBelief *Server = this->Beliefs.find(Id);
+  if (!Server)
+    co_return std::nullopt;
+  const RegisteredServer Registration = Server->Registration;
+  const TimePoint Deadline = steadyNow() + StatusLimit;
+  // The link is taken out of the table while it is in use, so that the two
+  // tasks of the group never share it.
+  std::unique_ptr<ServerLink> Link = std::move(this->Controls[Id]);
+  this->Controls.erase(Id);
+  if (!Link || !Link->isUsable()) {
+    OpenedLink Opened = co_await this->Connector.open(Registration, Deadline);
+    if (const auto *Failure = std::get_if<OpenFailure>(&Opened)) {
+      if (!Failure->Reached)
+        this->failed(Id, Failure->Detail);
+      co_return std::nullopt;
+    }
+    Link = std::move(std::get<std::unique_ptr<ServerLink>>(Opened));
+  }
+  const Result<StatusAnswer> R = co_await Link->status(Deadline);
+  if (!succeeded(R)) {
+    this->failed(Id, errorOf(R));
+    co_return std::nullopt;
+  }
+  if (!this->Stopping && this->Beliefs.find(Id))
+    this->Controls[Id] = std::move(Link);
+  const auto *Report = std::get_if<ServerReport>(&valueOf(R));
+  if (!Report)
+    co_return std::nullopt;
+  this->reported(Id, *Report);
+  co_return *Report;
+}
+
+std::vector<ServerId> Group::proofOrder(const BelievedPrimary &Leader) const {
+  std::vector<std::pair<int, ServerId>> Ranked;
+  for (const auto &[Id, Server] : this->Beliefs.servers()) {
+    if (Id == Leader.Id)
+      continue;
+    int Rank =
+        static_cast<int>(this->Where.distanceTo(Server.Registration.Location));
+    if (Server.FailingSince || Server.AdoptedTerm > Leader.TermNumber)
+      Rank += 10;
+    Ranked.emplace_back(Rank, Id);
+  }
+  std::sort(Ranked.begin(), Ranked.end());
+  std::vector<ServerId> Order;
+  Order.reserve(Ranked.size());
+  for (const auto &[Rank, Id] : Ranked)
+    Order.push_back(Id);
+  return Order;
+}
+
+QCoro::Task<bool> Group::askReplica(ServerId Id, Term T) {
+  const TimePoint SentAt = bootNow();
+  const std::optional<ServerReport> Report = co_await this->controlStatus(Id);
+  if (!Report)
+    co_return false;
+  const Term Newest = std::max(Report->TermNumber, Report->AdoptedTerm);
+  if (Newest > T)
+    this->WatchWake.wake();
+  if (Report->Role != ServerRole::Replica || Newest > T)
+    co_return false;
+  this->Fresh.observeProof(T, SentAt);
+  this->Proved.notifyAll();
+  co_return true;
+}
+
+QCoro::Task<bool> Group::proveOnce() {
+  const std::optional<BelievedPrimary> Leader = this->Beliefs.primary();
+  if (!Leader)
+    co_return false;
+  if (Leader->TermNumber == 0) {
+    co_await this->controlStatus(Leader->Id);
+    co_return false;
+  }
+  for (const ServerId &Id : this->proofOrder(*Leader)) {
+    const bool Done = co_await this->askReplica(Id, Leader->TermNumber);
+    if (Done)
+      co_return true;
+  }
+  co_return false;
+}
+
+QCoro::Task<> Group::proveLeadership() {
+  const TaskGroup::Guard Guard(this->Tasks);
+  while (!this->Stopping) {
+    const std::optional<BelievedPrimary> Leader = this->Beliefs.primary();
+    const bool Wanted =
+        this->ProofWantedFor != TimePoint() && Leader &&
+        !this->Fresh.provedSince(Leader->TermNumber, this->ProofWantedFor);
+    if (!Wanted) {
+      co_await this->ProveWake.wait();
+      continue;
+    }
+    const bool Done = co_await this->proveOnce();
+    if (!Done && !this->Stopping)
+      co_await sleepFor(ProofRetry);
+  }
+}
+
+QCoro::Task<> Group::samplePrimary() {
+  const TaskGroup::Guard Guard(this->Tasks);
+  while (!this->Stopping) {
+    if (steadyNow() - this->LastUse > UseLimit) {
+      co_await this->SampleWake.wait();
+      continue;
+    }
+    const std::optional<BelievedPrimary> Leader = this->Beliefs.primary();
+    const std::optional<TimePoint> Newest = this->Fresh.newestReport();
+    if (Leader && (!Newest || bootNow() - *Newest >= SampleInterval)) {
+      const TimePoint SentAt = bootNow();
+      const std::optional<ServerReport> Report =
+          co_await this->controlStatus(Leader->Id);
+      if (Report && Report->Role == ServerRole::Primary)
+        this->Fresh.observeReport(Report->TermNumber, Report->Received, SentAt);
+    }
+    const std::optional<TimePoint> Usable = this->Fresh.newestUsable();
+    const std::optional<TimePoint> Reported = this->Fresh.newestReport();
+    if (Reported && (!Usable || bootNow() - *Usable >= SampleInterval)) {
+      this->ProofWantedFor = std::max(this->ProofWantedFor, *Reported);
+      this->ProveWake.wake();
+    }
+    co_await this->SampleWake.wait(steadyNow() + SampleInterval / 2);
+  }
+}
+
+} // namespace amaranthspur
--- /dev/null
+++ b/src/root/groups/Group.h
@@ -0,0 +1,140 @@
+// One group of backend servers, as this entry VM uses it.
+//
+// Owns the beliefs about the group, a pool of connections per server and two
+// tasks: one obtains proofs of leadership for the reads that wait for them, one
+// samples the end of the primary's log while the group is in use. The takeover
+// of the group is a child of its own (GroupWatch.h).
+#ifndef AMARANTHSPUR_ROOT_GROUPS_GROUP_H
+#define AMARANTHSPUR_ROOT_GROUPS_GROUP_H
+
+#include "core/Async.h"
+#include "policy/Freshness.h"
+#include "policy/GroupBeliefs.h"
+#include "root/groups/ServerPool.h"
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace amaranthspur {
+
+/// One group. Tasks of sessions keep it alive by a shared pointer.
+class Group {
+public:
+  /// Interval of reports of the primary's position while sessions read with a
+  /// staleness bound; a third of the smallest bound of the sites, 1,500 ms.
+  static constexpr Duration SampleInterval = milliseconds(450);
+  /// A group without reads for this time is not sampled.
+  static constexpr Duration UseLimit = std::chrono::seconds(2);
+  /// Time for one status call; a round trip between regions takes 16 ms, and a
+  /// slot may be waited for behind long statements.
+  static constexpr Duration StatusLimit = milliseconds(300);
+  /// Pause after all replicas failed to give a proof.
+  static constexpr Duration ProofRetry = milliseconds(30);
+  /// Share of a server's connections that one entry VM may open. The sites
+  /// have six to eight entry VMs and an uneven balancer; a server refuses what
+  /// exceeds its limit, which is harmless.
+  static constexpr std::size_t ConnectionShare = 2;
+
+  /// All references outlive the group.
+  Group(ServiceName Name, ServerConnector &Connector, const Whereabouts &Where);
+  Group(const Group &) = delete;
+  Group &operator=(const Group &) = delete;
+  ~Group();
+
+  /// Starts the tasks. To be called once.
+  void start();
+  /// Ends the tasks; returns when they have ended.
+  QCoro::Task<> stop();
+
+  /// Takes in limits and servers.
+  void configure(const ServiceLimits &Limits,
+                 const std::vector<RegisteredServer> &Servers);
+
+  const ServiceName &name() const { return this->Name; }
+  const ServiceLimits &limits() const { return this->Limits; }
+  GroupBeliefs &beliefs() { return this->Beliefs; }
+  const Freshness &freshness() const { return this->Fresh; }
+  ServerConnector &connector() { return this->Connector; }
+  const Whereabouts &where() const { return this->Where; }
+
+  /// Returns the pool of \p Id, or null if the server is gone.
+  std::shared_ptr<ServerPool> pool(const ServerId &Id);
+
+  /// Waits until the primary of \p T is proved to have led at \p Since.
+  /// \param Since on the clock that counts suspension.
+  /// \returns false if that was not so by \p Deadline or another term is
+  /// believed to have begun.
+  QCoro::Task<bool> proved(Term T, TimePoint Since, TimePoint Deadline);
+
+  /// Returns the lowest known position that covers every commit acknowledged
+  /// before \p Since, and keeps samples coming.
+  std::optional<LogPosition> floorAsOf(TimePoint Since);
+
+  /// A server answered a statement that was sent at \p SentAt (a time of the
+  /// clock that counts suspension).
+  void answered(const ServerId &Id, const Answer &A, TimePoint SentAt);
+  /// The server that was believed to lead acknowledged a commit.
+  void committed(const ServerId &Id, const Answer &A, TimePoint SentAt);
+  /// A server could not be reached, or a connection to it was lost.
+  void failed(const ServerId &Id, const std::string &Why);
+  /// A server gave a sign of life.
+  void lives(const ServerId &Id);
+  /// A server refused a write because it does not lead.
+  void notPrimary(const ServerId &Id);
+  /// A fresh report came.
+  void reported(const ServerId &Id, const ServerReport &Report);
+
+  /// Highest position of a commit that this entry VM saw acknowledged.
+  LogPosition acknowledged() const { return this->Acknowledged; }
+
+  /// Writes that wait for their acknowledgement; the oldest start is what the
+  /// watch looks at.
+  std::multiset<TimePoint> &pendingWrites() { return this->PendingWrites; }
+
+  /// Returns whether any server answered lately or has not failed.
+  bool reachable() const;
+
+  /// Woken when beliefs change in a way that may concern the watch.
+  WaitPoint &watchWake() { return this->WatchWake; }
+  /// Notified when the believed primary changes.
+  Signal &primaryChanged() { return this->PrimaryChange; }
+
+  /// Closes connections that were idle for too long.
+  void closeIdle();
+
+private:
+  QCoro::Task<> proveLeadership();
+  QCoro::Task<> samplePrimary();
+  QCoro::Task<bool> proveOnce();
+  QCoro::Task<bool> askReplica(ServerId Id, Term T);
+  /// Returns a status over the kept control connection of \p Id.
+  QCoro::Task<std::optional<ServerReport>> controlStatus(ServerId Id);
+  std::vector<ServerId> proofOrder(const BelievedPrimary &Leader) const;
+  void noticePrimary();
+
+  ServiceName Name;
+  ServerConnector &Connector;
+  const Whereabouts &Where;
+  ServiceLimits Limits;
+  GroupBeliefs Beliefs;
+  Freshness Fresh;
+  std::map<ServerId, std::shared_ptr<ServerPool>> Pools;
+  std::map<ServerId, std::unique_ptr<ServerLink>> Controls;
+  std::optional<BelievedPrimary> LastPrimary;
+  LogPosition Acknowledged;
+  std::multiset<TimePoint> PendingWrites;
+  TimePoint ProofWantedFor{}; ///< Latest time for which a proof is wanted.
+  TimePoint LastUse{};        ///< Of floors; steady clock.
+  WaitPoint ProveWake;
+  WaitPoint SampleWake;
+  WaitPoint WatchWake;
+  Signal Proved;
+  Signal PrimaryChange;
+  TaskGroup Tasks;
+  bool Stopping = false;
+};
+
+} // namespace amaranthspur
+
+#endif // AMARANTHSPUR_ROOT_GROUPS_GROUP_H
--- /dev/null
+++ b/src/root/groups/ServerPool.h
@@ -0,0 +1,101 @@
+// Work connections of this entry VM to one backend server.
+//
+// Connections are opened when they are needed and kept while they are in use
+// now and then. Settings and prepared names stay on a connection after its use;
+// whoever takes it next brings it to its own session (see prepareFor).
+#ifndef AMARANTHSPUR_ROOT_GROUPS_SERVERPOOL_H
+#define AMARANTHSPUR_ROOT_GROUPS_SERVERPOOL_H
+
+#include "core/Async.h"
+#include "root/groups/ServerLink.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace amaranthspur {
+
+/// A statement that a session has prepared.
+struct PreparedStatement {
+  Access Mode = Access::Read;
+  std::string Shape;
+
+  auto operator<=>(const PreparedStatement &) const = default;
+};
+
+/// Settings of a session by name.
+using SessionValues = std::map<std::string, std::string>;
+
+/// A connection and what is set on it.
+struct PooledLink {
+  std::unique_ptr<ServerLink> Link;
+  SessionValues Values;
+  std::set<std::string> Prepared; ///< Names, which derive from the statements.
+  TimePoint IdleSince{};
+};
+
+/// Returns the name under which \p Statement is prepared on every connection.
+/// Sessions that prepare the same thing share it.
+std::string sharedName(const PreparedStatement &Statement);
+
+/// Brings \p Link to the settings \p Values, with \p Needed prepared.
+/// \returns nothing if that is so; otherwise the link is to be dropped.
+QCoro::Task<std::optional<Error>> prepareFor(PooledLink &Link,
+                                             SessionValues Values,
+                                             std::optional<PreparedStatement> Needed,
+                                             TimePoint Deadline);
+
+/// The result of taking a connection.
+using TakenLink = std::variant<std::unique_ptr<PooledLink>, OpenFailure>;
+
+/// Connections to one server.
+///
+/// Invariant: at most MaxOpen connections are open or being opened.
+class ServerPool {
+public:
+  /// An idle connection is closed after this time. Servers close theirs after
+  /// 60 s; a new one costs 12 ms of a slot.
+  static constexpr Duration IdleLimit = std::chrono::seconds(20);
+  /// Time for opening a connection: 12 ms of a slot behind a full queue.
+  static constexpr Duration OpenLimit = milliseconds(800);
+
+  /// \param Connector outlives the pool.
+  ServerPool(ServerConnector &Connector, RegisteredServer Server)
+      : Connector(Connector), Server(std::move(Server)) {}
+
+  /// Sets how many connections may be open.
+  void setMaxOpen(std::size_t Count) { this->MaxOpen = Count; }
+
+  /// Takes an idle connection, preferably one with \p Values, or opens one;
+  /// waits for one while MaxOpen are in use.
+  QCoro::Task<TakenLink> take(SessionValues Values, TimePoint Deadline);
+
+  /// Gives a connection back; one that is of no use is dropped.
+  void giveBack(std::unique_ptr<PooledLink> Link);
+
+  /// Closes connections that were idle for too long.
+  void closeIdle(TimePoint Now);
+
+  /// Closes all idle connections, as when their path is suspect.
+  void dropIdle() { this->Idle.clear(); }
+
+  std::size_t open() const { return this->InUse + this->Idle.size(); }
+  std::size_t inUse() const { return this->InUse; }
+
+private:
+  std::unique_ptr<PooledLink> takeIdle(const SessionValues &Values);
+
+  ServerConnector &Connector;
+  RegisteredServer Server;
+  std::size_t MaxOpen = 1;
+  std::size_t InUse = 0; ///< Taken, or being opened.
+  std::vector<std::unique_ptr<PooledLink>> Idle;
+  Signal GivenBack;
+};
+
+} // namespace amaranthspur
+
+#endif // AMARANTHSPUR_ROOT_GROUPS_SERVERPOOL_H
--- /dev/null
+++ b/src/root/sessions/CallerStream.h
@@ -0,0 +1,72 @@
+// The connection of a caller's session, without its wire.
+#ifndef AMARANTHSPUR_ROOT_SESSIONS_CALLERSTREAM_H
+#define AMARANTHSPUR_ROOT_SESSIONS_CALLERSTREAM_H
+
+#include "core/Async.h"
+#include "policy/Statement.h"
+
+#include <QCoroTask>
+#include <QTcpSocket>
+
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace amaranthspur {
+
+/// The caller asks for a session on a database.
+struct SessionRequest {
+  std::string Database;
+};
+/// The caller ends its session, or its connection is gone.
+struct CallerGone {};
+/// The caller sent something that cannot be read.
+struct BadMessage {
+  AnswerCode Code = AnswerCode::Malformed;
+  std::string Why;
+};
+/// Nothing came in time, or the wait was interrupted.
+struct NothingYet {};
+
+using CallerMessage = std::variant<SessionRequest, Statement, CallerGone,
+                                   BadMessage, NothingYet>;
+
+/// One caller's connection, used by one task.
+class CallerStream {
+public:
+  virtual ~CallerStream() = default;
+
+  /// Waits for the next message.
+  virtual QCoro::Task<CallerMessage> receive(TimePoint Deadline) = 0;
+
+  /// Tells the caller that its session is open.
+  virtual void greet() = 0;
+  /// Refuses the session; finish() is to follow.
+  virtual void reject(AnswerCode Code, std::string Why) = 0;
+  /// Answers a statement.
+  virtual void send(const Answer &A) = 0;
+
+  /// Waits until enough of what was sent has been taken; false if the caller
+  /// does not read by \p Deadline or is gone.
+  virtual QCoro::Task<bool> flushed(TimePoint Deadline) = 0;
+
+  /// Makes a pending or the next receive() return NothingYet.
+  virtual void interrupt() = 0;
+  /// Closes after what was sent; returns when that is done or \p Deadline has
+  /// passed.
+  virtual QCoro::Task<> finish(TimePoint Deadline) = 0;
+  /// Closes at once.
+  virtual void abort() = 0;
+  virtual bool isOpen() const = 0;
+};
+
+/// Makes the stream of an accepted connection.
+class CallerStreamFactory {
+public:
+  virtual ~CallerStreamFactory() = default;
+  virtual std::unique_ptr<CallerStream> make(QTcpSocket *Accepted) = 0;
+};
+
+} // namespace amaranthspur
+
+#endif // AMARANTHSPUR_ROOT_SESSIONS_CALLERSTREAM_H
--- /dev/null
+++ b/src/root/sessions/Session.cpp
@@ -0,0 +1,442 @@
+#include "root/sessions/Session.h"
+
+#include "core/BootClock.h"
+#include "root/telemetry/Log.h"
+
+#include <algorithm>
+
+namespace amaranthspur {
+namespace {
+
+std::string positionText(std::optional<LogPosition> Position) {
+  if (!Position)
+    return "-";
+  return std::to_string(Position->TermNumber) + "." +
+         std::to_string(Position->Index);
+}
+
+std::uint64_t wholeMilliseconds(Duration D) {
+  return static_cast<std::uint64_t>(std::max<Duration::rep>(0, D.count()) /
+                                    1000);
+}
+
+} // namespace
+
+Session::Session(const SessionSurroundings &Around,
+                 std::unique_ptr<CallerStream> Caller)
+    : Around(Around), Caller(std::move(Caller)) {}
+
+void Session::finish() {
+  this->Finishing = true;
+  this->Caller->interrupt();
+}
+
+void Session::abort() {
+  this->Finishing = true;
+  this->Caller->abort();
+}
+
+QCoro::Task<> Session::run() {
+  const bool Opened = co_await this->open();
+  if (Opened)
+    co_await this->serve();
+  co_await this->leaveTransaction();
+  co_await this->Caller->finish(steadyNow() + FinishLimit);
+}
+
+QCoro::Task<bool> Session::open() {
+  const CallerMessage First =
+      co_await this->Caller->receive(steadyNow() + GreetingLimit);
+  const auto *Request = std::get_if<SessionRequest>(&First);
+  if (!Request) {
+    if (std::holds_alternative<BadMessage>(First) ||
+        std::holds_alternative<Statement>(First))
+      this->Caller->reject(AnswerCode::Malformed, "a session begins otherwise");
+    co_return false;
+  }
+  this->Database = Request->Database;
+  const TimePoint Limit = steadyNow() + PlanLimit;
+  while (this->Around.Directory.plan()->Revision == 0 && steadyNow() < Limit)
+    co_await sleepFor(milliseconds(50));
+  const std::shared_ptr<const AccessPlan> Plan = this->Around.Directory.plan();
+  if (Plan->Databases.count(this->Database) > 0) {
+    this->Caller->greet();
+    this->Around.Counters.add(Counter::CallerConnections);
+    co_return true;
+  }
+  const bool Unknown = Plan->Revision != 0;
+  this->Around.Counters.add(Counter::CallersRejected,
+                            Unknown ? "unknown database" : "no configuration");
+  log(LogLevel::Info, LogEvent::SessionRejected,
+      {{"database", this->Database}, {"plan", Plan->Revision}});
+  if (Unknown)
+    this->Caller->reject(AnswerCode::UnknownDatabase, this->Database);
+  else
+    this->Caller->reject(AnswerCode::Busy, "no configuration yet");
+  co_return false;
+}
+
+TimePoint Session::nextDeadline() const {
+  if (!this->Transaction)
+    return NoDeadline;
+  return steadyNow() + this->Around.Directory.plan()->TransactionIdle;
+}
+
+QCoro::Task<> Session::serve() {
+  while (this->Caller->isOpen()) {
+    if (this->Finishing && this->State == TransactionState::Idle)
+      co_return;
+    CallerMessage Message = co_await this->Caller->receive(this->nextDeadline());
+    if (std::holds_alternative<NothingYet>(Message)) {
+      // An idle transaction holds a connection that others need.
+      if (this->Transaction && !this->Finishing) {
+        co_await this->leaveTransaction();
+        this->State = TransactionState::Failed;
+      }
+      continue;
+    }
+    if (const auto *Bad = std::get_if<BadMessage>(&Message)) {
+      this->Caller->send(failure(Bad->Code, Bad->Why, this->State));
+      co_return;
+    }
+    auto *S = std::get_if<Statement>(&Message);
+    if (!S)
+      co_return;
+    const Answer A = co_await this->handle(std::move(*S));
+    this->Caller->send(A);
+    const bool Taken = co_await this->Caller->flushed(steadyNow() + SendLimit);
+    if (!Taken)
+      co_return;
+  }
+}
+
+QCoro::Task<Answer> Session::handle(Statement S) {
+  if (this->State == TransactionState::Failed) {
+    if (S.Kind == StatementVerb::Commit || S.Kind == StatementVerb::Rollback)
+      co_await this->leaveTransaction();
+    co_return this->handleFailed(S);
+  }
+  switch (S.Kind) {
+  case StatementVerb::Begin:
+    co_return this->handleBegin(S);
+  case StatementVerb::Set:
+    co_return co_await this->handleSet(std::move(S));
+  case StatementVerb::Prepare:
+    co_return this->handlePrepare(S);
+  case StatementVerb::Deallocate:
+    co_return this->handleDeallocate(S);
+  case StatementVerb::Commit:
+    co_return co_await this->handleCommit(std::move(S));
+  case StatementVerb::Rollback:
+    co_return co_await this->handleRollback();
+  case StatementVerb::Read:
+  case StatementVerb::Write:
+  case StatementVerb::Execute:
+    break;
+  }
+  if (this->State == TransactionState::InTransaction)
+    co_return co_await this->handleInTransaction(std::move(S));
+  co_return co_await this->handleSingle(std::move(S));
+}
+
+Answer Session::handleFailed(const Statement &S) {
+  if (S.Kind == StatementVerb::Rollback) {
+    this->endTransaction();
+    return success(TransactionState::Idle);
+  }
+  if (S.Kind == StatementVerb::Commit) {
+    this->endTransaction();
+    return failure(AnswerCode::Aborted, "the transaction failed; rolled back");
+  }
+  return failure(AnswerCode::Malformed, "the transaction failed",
+                 TransactionState::Failed);
+}
+
+Answer Session::handleBegin(const Statement &S) {
+  if (this->State != TransactionState::Idle)
+    return failure(AnswerCode::Malformed, "a transaction is open",
+                   this->State);
+  const std::shared_ptr<const AccessPlan> Plan = this->Around.Directory.plan();
+  const auto Route = Plan->Databases.find(this->Database);
+  if (Route == Plan->Databases.end())
+    return failure(AnswerCode::UnknownDatabase, this->Database);
+  this->TransactionGroup = this->Around.Groups.find(Route->second.Service);
+  if (!this->TransactionGroup)
+    return refuseNotRun("the service is not configured");
+  this->TransactionRoute = Route->second;
+  this->TransactionMode = S.Mode;
+  this->TransactionArrived = steadyNow();
+  this->TransactionArrivedBoot = bootNow();
+  this->TransactionWrote = false;
+  this->State = TransactionState::InTransaction;
+  return success(this->State);
+}
+
+QCoro::Task<Answer> Session::handleSet(Statement S) {
+  SessionValues Next = this->Values;
+  Next[S.Name] = S.Body;
+  if (this->Transaction) {
+    const std::optional<Error> Mistake = co_await prepareFor(
+        *this->Transaction->Link, Next, std::nullopt,
+        steadyNow() + this->TransactionRoute.StatementTimeout);
+    if (Mistake) {
+      this->Transaction->Link.drop();
+      co_return this->failTransaction(
+          failure(AnswerCode::Aborted, Mistake->Message));
+    }
+  }
+  this->Values = std::move(Next);
+  co_return success(this->State);
+}
+
+Answer Session::handlePrepare(const Statement &S) {
+  this->Prepared[S.Name] = {S.Mode, S.Body};
+  return success(this->State);
+}
+
+Answer Session::handleDeallocate(const Statement &S) {
+  if (this->Prepared.erase(S.Name) == 0)
+    return failure(AnswerCode::UnknownStatement, S.Name, this->State);
+  return success(this->State);
+}
+
+bool Session::writes(const Statement &S) const {
+  if (S.Kind != StatementVerb::Execute)
+    return S.Kind == StatementVerb::Write;
+  const auto Found = this->Prepared.find(S.Name);
+  return Found != this->Prepared.end() &&
+         Found->second.Mode == Access::Write;
+}
+
+std::optional<Answer> Session::prepareErrand(const Statement &S, Errand &E) {
+  E.Arrived = steadyNow();
+  E.ArrivedBoot = bootNow();
+  E.Deadline = E.Arrived + E.Route.StatementTimeout - AnswerMargin;
+  E.Values = this->Values;
+  E.CallerPresent = [this] { return this->Caller->isOpen(); };
+  if (this->Floor && E.Route.Service == this->FloorService)
+    E.SessionFloor = this->Floor;
+  if (S.Kind != StatementVerb::Execute)
+    return std::nullopt;
+  const auto Found = this->Prepared.find(S.Name);
+  if (Found == this->Prepared.end())
+    return failure(AnswerCode::UnknownStatement, S.Name, this->State);
+  E.Prepared = Found->second;
+  return std::nullopt;
+}
+
+QCoro::Task<Answer> Session::handleSingle(Statement S) {
+  const std::shared_ptr<const AccessPlan> Plan = this->Around.Directory.plan();
+  const auto Route = Plan->Databases.find(this->Database);
+  Errand E;
+  if (Route == Plan->Databases.end())
+    co_return failure(AnswerCode::UnknownDatabase, this->Database);
+  E.Route = Route->second;
+  E.Servers = this->Around.Groups.find(E.Route.Service);
+  if (!E.Servers)
+    co_return refuseNotRun("the service is not configured");
+  if (std::optional<Answer> Refused = this->prepareErrand(S, E))
+    co_return *Refused;
+  const bool Writes = this->writes(S);
+  Answer A;
+  if (Writes)
+    A = co_await runWrite(S, E);
+  else
+    A = co_await runRead(S, E);
+  if (Writes && A.succeeded()) {
+    this->Floor = A.Position;
+    this->FloorService = E.Route.Service;
+  }
+  this->note(S, E, A, steadyNow() - E.Arrived);
+  co_return A;
+}
+
+QCoro::Task<std::optional<Answer>> Session::openTransaction(Errand &E) {
+  if (this->Transaction)
+    co_return std::nullopt;
+  E.ArrivedBoot = this->TransactionArrivedBoot;
+  const ReadGuard Guard = guardOf(E);
+  auto Begun = co_await beginTransaction(this->TransactionMode, Guard, E);
+  if (auto *Refused = std::get_if<Answer>(&Begun))
+    co_return *Refused;
+  this->Transaction = std::move(std::get<OpenTransaction>(Begun));
+  co_return std::nullopt;
+}
+
+QCoro::Task<Answer> Session::handleInTransaction(Statement S) {
+  Errand E;
+  E.Route = this->TransactionRoute;
+  E.Servers = this->TransactionGroup;
+  if (std::optional<Answer> Refused = this->prepareErrand(S, E))
+    co_return this->failTransaction(*Refused);
+  if (std::optional<Answer> Refused = co_await this->openTransaction(E)) {
+    const Answer Failed = this->failTransaction(*Refused);
+    this->note(S, E, Failed, steadyNow() - E.Arrived);
+    co_return Failed;
+  }
+  BorrowedLink &Link = this->Transaction->Link;
+  E.LastServer = Link.server();
+  ++E.Attempts;
+  Answer A;
+  const std::optional<Error> Mistake =
+      co_await prepareFor(*Link, E.Values, E.Prepared, E.Deadline);
+  if (Mistake) {
+    A = failure(AnswerCode::Aborted, Mistake->Message);
+    Link.drop();
+  } else {
+    const bool Writes = this->writes(S);
+    this->TransactionWrote = this->TransactionWrote || Writes;
+    const std::string Name = E.Prepared ? sharedName(*E.Prepared) : "";
+    const Result<Answer> R =
+        co_await Link.wire().run(S, std::nullopt, Name, E.Deadline);
+    if (succeeded(R)) {
+      A = valueOf(R);
+    } else {
+      E.Servers->failed(Link.server(), errorOf(R));
+      // COMMIT was not sent, and the closed connection rolls back.
+      A = failure(AnswerCode::Aborted, errorOf(R) + "; rolled back");
+      Link.drop();
+    }
+    if (A.succeeded() && !Writes && this->Transaction->NeedsProof) {
+      const bool Proved =
+          co_await E.Servers->proved(this->Transaction->LeaderTerm,
+                                     this->TransactionArrivedBoot, E.Deadline);
+      this->Transaction->NeedsProof = !Proved;
+      if (!Proved) {
+        A = failure(AnswerCode::Aborted, "not proved to be the primary");
+        Link.drop();
+      }
+    }
+  }
+  if (A.Code == AnswerCode::ReadOnly)
+    E.Servers->notPrimary(E.LastServer);
+  if (!A.succeeded())
+    A = this->failTransaction(A);
+  this->note(S, E, A, steadyNow() - E.Arrived);
+  co_return A;
+}
+
+QCoro::Task<Answer> Session::handleCommit(Statement S) {
+  if (this->State != TransactionState::InTransaction)
+    co_return failure(AnswerCode::Malformed, "no transaction is open");
+  Errand E;
+  E.Route = this->TransactionRoute;
+  E.Servers = this->TransactionGroup;
+  this->prepareErrand(S, E);
+  if (std::optional<Answer> Refused = co_await this->openTransaction(E)) {
+    this->endTransaction();
+    this->note(S, E, *Refused, steadyNow() - E.Arrived);
+    co_return *Refused;
+  }
+  BorrowedLink Link = std::move(this->Transaction->Link);
+  E.LastServer = Link.server();
+  ++E.Attempts;
+  const bool Wrote = this->TransactionWrote;
+  const TimePoint SentAt = bootNow();
+  const auto Pending = E.Servers->pendingWrites().insert(steadyNow());
+  const Result<Answer> R =
+      co_await Link.wire().run(S, std::nullopt, "", E.Deadline);
+  E.Servers->pendingWrites().erase(Pending);
+  this->endTransaction();
+  Answer A;
+  if (succeeded(R)) {
+    A = valueOf(R);
+    E.Servers->answered(Link.server(), A, SentAt);
+    if (A.succeeded() && Wrote) {
+      E.Servers->committed(Link.server(), A, SentAt);
+      this->Floor = A.Position;
+      this->FloorService = E.Route.Service;
+    }
+    if (A.Code == AnswerCode::ReadOnly)
+      E.Servers->notPrimary(Link.server());
+    if (A.State != TransactionState::Idle)
+      Link.drop();
+  } else {
+    E.Servers->failed(Link.server(), errorOf(R));
+    Link.drop();
+    // Without a write there is nothing whose fate could be unknown.
+    A = Wrote ? failure(AnswerCode::OutcomeUnknown, errorOf(R))
+              : failure(AnswerCode::Aborted, errorOf(R) + "; nothing written");
+  }
+  A.State = TransactionState::Idle;
+  this->note(S, E, A, steadyNow() - E.Arrived);
+  co_return A;
+}
+
+QCoro::Task<Answer> Session::handleRollback() {
+  co_await this->leaveTransaction();
+  this->endTransaction();
+  co_return success(TransactionState::Idle);
+}
+
+QCoro::Task<> Session::leaveTransaction() {
+  if (!this->Transaction)
+    co_return;
+  BorrowedLink Link = std::move(this->Transaction->Link);
+  this->Transaction.reset();
+  if (!Link)
+    co_return;
+  const Result<Answer> R =
+      co_await Link.wire().rollback(steadyNow() + RollbackLimit);
+  const bool Clean = succeeded(R) && valueOf(R).succeeded() &&
+                     valueOf(R).State == TransactionState::Idle;
+  if (!Clean)
+    Link.drop();
+}
+
+Answer Session::failTransaction(Answer A) {
+  this->State = TransactionState::Failed;
+  A.State = TransactionState::Failed;
+  if (this->Transaction && !this->Transaction->Link)
+    this->Transaction.reset();
+  return A;
+}
+
+void Session::endTransaction() {
+  this->State = TransactionState::Idle;
+  this->Transaction.reset();
+  this->TransactionGroup.reset();
+}
+
+void Session::observeTime(const Errand &E, Duration Took) {
+  this->Around.Counters.observe(
+      Timing::StatementLatency,
+      {E.Route.Service, CallerName(this->Database),
+       ClassName(std::string(nameOf(E.Route.Consistency)))},
+      Took);
+}
+
+void Session::note(const Statement &S, const Errand &E, const Answer &A,
+                   Duration Took) {
+  this->observeTime(E, Took);
+  this->Around.Counters.add(Counter::Statements,
+                            E.LastServer.empty() ? "none"
+                                                 : E.LastServer.str());
+  if (A.Code)
+    this->Around.Counters.add(Counter::Refusals, nameOf(*A.Code));
+  const std::optional<BelievedPrimary> Leader = E.Servers->beliefs().primary();
+  const std::optional<TimePoint> Known = E.Servers->freshness().newestUsable();
+  const bool Good = A.succeeded();
+  log(LogLevel::Info,
+      Good ? LogEvent::StatementAnswered : LogEvent::StatementRefused,
+      {{"id", S.Id},
+       {"database", this->Database},
+       {"service", E.Route.Service.str()},
+       {"kind", nameOf(S.Kind)},
+       {"consistency", nameOf(E.Route.Consistency)},
+       {"plan", this->Around.Directory.plan()->Revision},
+       {"primary", Leader ? Leader->Id.str() : "none"},
+       {"term", Leader ? Leader->TermNumber : 0},
+       {"known_age_ms",
+        Known ? wholeMilliseconds(bootNow() - *Known) : 0},
+       {"floor", positionText(E.Floor)},
+       {"server", E.LastServer.str()},
+       {"attempts", E.Attempts},
+       {"trail", E.Trail},
+       {"position", positionText(A.Position)},
+       {"outcome", Good ? "ok" : nameOf(*A.Code)},
+       {"why", Good ? "" : A.Detail},
+       {"ms", wholeMilliseconds(Took)}});
+}
+
+} // namespace amaranthspur
--- /dev/null
+++ b/src/root/sessions/Session.h
@@ -0,0 +1,109 @@
+// One caller's session: one task from its first message to its end.
+//
+// Invariants:
+//  - settings and prepared names are the session's own and are brought to each
+//    connection before a statement uses it;
+//  - a transaction keeps its connection from its first statement to its end;
+//  - nothing is sent to a server for a caller that has left, and a COMMIT only
+//    if the caller sent one.
+#ifndef AMARANTHSPUR_ROOT_SESSIONS_SESSION_H
+#define AMARANTHSPUR_ROOT_SESSIONS_SESSION_H
+
+#include "root/directory/PlatformDirectory.h"
+#include "root/groups/GroupRegistry.h"
+#include "root/sessions/CallerStream.h"
+#include "root/sessions/StatementRunner.h"
+#include "root/telemetry/Metrics.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace amaranthspur {
+
+/// What all sessions share. References outlive them.
+struct SessionSurroundings {
+  const PlatformDirectory &Directory;
+  const GroupRegistry &Groups;
+  Metrics &Counters;
+};
+
+/// A session.
+class Session {
+public:
+  /// Time for the first message; callers send it at once.
+  static constexpr Duration GreetingLimit = std::chrono::seconds(5);
+  /// Time for which a new session waits for the first configuration; callers
+  /// give up after 2 s.
+  static constexpr Duration PlanLimit = milliseconds(1500);
+  /// Time for rolling back what a caller left behind.
+  static constexpr Duration RollbackLimit = milliseconds(500);
+  /// Time for a caller to take an answer before it counts as gone.
+  static constexpr Duration SendLimit = std::chrono::seconds(10);
+
+  /// Time for what was sent to leave before the connection is dropped.
+  static constexpr Duration FinishLimit = std::chrono::seconds(1);
+
+  Session(const SessionSurroundings &Around,
+          std::unique_ptr<CallerStream> Caller);
+
+  /// Serves the caller until it leaves or finish() takes effect.
+  QCoro::Task<> run();
+
+  /// Ends the session when it is next idle outside a transaction.
+  void finish();
+  /// Ends the session now.
+  void abort();
+  /// Returns whether a transaction is open.
+  bool inTransaction() const {
+    return this->State != TransactionState::Idle;
+  }
+
+private:
+  QCoro::Task<bool> open();
+  QCoro::Task<> serve();
+  QCoro::Task<Answer> handle(Statement S);
+  Answer handleFailed(const Statement &S);
+  Answer handleBegin(const Statement &S);
+  QCoro::Task<Answer> handleSet(Statement S);
+  Answer handlePrepare(const Statement &S);
+  Answer handleDeallocate(const Statement &S);
+  QCoro::Task<Answer> handleSingle(Statement S);
+  QCoro::Task<Answer> handleInTransaction(Statement S);
+  QCoro::Task<Answer> handleCommit(Statement S);
+  QCoro::Task<Answer> handleRollback();
+
+  QCoro::Task<std::optional<Answer>> openTransaction(Errand &E);
+  QCoro::Task<> leaveTransaction();
+  std::optional<Answer> prepareErrand(const Statement &S, Errand &E);
+  bool writes(const Statement &S) const;
+  Answer failTransaction(Answer A);
+  void endTransaction();
+  TimePoint nextDeadline() const;
+  void note(const Statement &S, const Errand &E, const Answer &A,
+            Duration Took);
+  void observeTime(const Errand &E, Duration Took);
+
+  const SessionSurroundings &Around;
+  std::unique_ptr<CallerStream> Caller;
+  std::string Database;
+  SessionValues Values;
+  std::map<std::string, PreparedStatement> Prepared;
+  std::optional<LogPosition> Floor; ///< Of the session's commits.
+  ServiceName FloorService;         ///< Whose log Floor is of.
+
+  TransactionState State = TransactionState::Idle;
+  Access TransactionMode = Access::Write;
+  TimePoint TransactionArrived;
+  TimePoint TransactionArrivedBoot;
+  std::shared_ptr<Group> TransactionGroup;
+  DatabaseRoute TransactionRoute;
+  std::optional<OpenTransaction> Transaction; ///< After its first statement.
+  bool TransactionWrote = false;
+  bool Finishing = false;
+};
+
+} // namespace amaranthspur
+
+#endif // AMARANTHSPUR_ROOT_SESSIONS_SESSION_H
--- /dev/null
+++ b/src/root/sessions/SessionListener.h
@@ -0,0 +1,55 @@
+// The child that accepts callers: a listener and one task for each session.
+#ifndef AMARANTHSPUR_ROOT_SESSIONS_SESSIONLISTENER_H
+#define AMARANTHSPUR_ROOT_SESSIONS_SESSIONLISTENER_H
+
+#include "core/Address.h"
+#include "root/Supervisor.h"
+#include "root/sessions/Session.h"
+
+#include <QTcpServer>
+
+#include <memory>
+#include <set>
+
+namespace amaranthspur {
+
+/// Accepts callers and owns their sessions.
+class SessionListener final : public Child {
+public:
+  /// \param Around and \param Streams outlive the listener.
+  /// \param MaxSessions connections at most; more are closed at once.
+  /// \param Notice time between a stop and the end of idle sessions, in which a
+  /// balancer notices that this entry VM is not ready.
+  SessionListener(const SessionSurroundings &Around,
+                  CallerStreamFactory &Streams, Address Listen,
+                  std::size_t MaxSessions, Duration Notice);
+  ~SessionListener() override;
+
+  std::string_view name() const override { return "sessions"; }
+  QCoro::Task<Result<Success>> start() override;
+  /// Serves on for the notice, then ends idle sessions; those in a transaction
+  /// have until \p Deadline.
+  QCoro::Task<> stop(TimePoint Deadline) override;
+
+  std::size_t sessions() const { return this->Sessions.size(); }
+  bool accepting() const { return this->Accepting; }
+
+private:
+  void acceptPending();
+  QCoro::Task<> serve(QTcpSocket *Socket);
+
+  const SessionSurroundings &Around;
+  CallerStreamFactory &Streams;
+  Address Listen;
+  std::size_t MaxSessions;
+  Duration Notice;
+  std::unique_ptr<QTcpServer> Server;
+  std::set<Session *> Sessions;
+  TaskGroup Tasks;
+  bool Accepting = false;
+  bool Finishing = false;
+};
+
+} // namespace amaranthspur
+
+#endif // AMARANTHSPUR_ROOT_SESSIONS_SESSIONLISTENER_H
--- a/src/root/telemetry/AdminServer.cpp
+++ b/src/root/telemetry/AdminServer.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-AdminServer::AdminServer(Address Listen, const Metrics &Source)
+AdminServer::AdminServer(std::vector<Address> Listen, const Metrics &Source)
     : Listen(std::move(Listen)), Source(Source) {}
 
 AdminServer::~AdminServer() = default;
@@ -56,10 +56,12 @@
 QCoro::Task<Result<Success>> AdminServer::start() {
   this->Server = std::make_unique<QHttpServer>();
   this->addRoutes();
-  const QHostAddress Host(QString::fromStdString(this->Listen.Host));
-  if (this->Server->listen(Host, this->Listen.Port) == 0) {
-    this->Server.reset();
-    co_return Error{"cannot listen on " + this->Listen.str()};
+  for (const Address &At : this->Listen) {
+    const QHostAddress Host(QString::fromStdString(At.Host));
+    if (this->Server->listen(Host, At.Port) == 0) {
+      this->Server.reset();
+      co_return Error{"cannot listen on " + At.str()};
+    }
   }
   // QCoro's promise takes a bare std::monostate for "no value yet".
   const Result<Success> Started = Success();
--- a/src/root/telemetry/AdminServer.h
+++ b/src/root/telemetry/AdminServer.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 class QHttpServer;
 
@@ -24,9 +25,9 @@
 /// Requests are answered on the event loop at once; providers must not block.
 class AdminServer final : public Child {
 public:
-  /// \param Listen address of the listener.
+  /// \param Listen addresses of the listeners.
   /// \param Source metrics that are served; outlives the server.
-  AdminServer(Address Listen, const Metrics &Source);
+  AdminServer(std::vector<Address> Listen, const Metrics &Source);
   ~AdminServer() override;
 
   /// Adds a member of `/status`.
@@ -49,7 +50,7 @@
 private:
   void addRoutes();
 
-  Address Listen;
+  std::vector<Address> Listen;
   const Metrics &Source;
   std::map<std::string, std::function<QJsonValue()>> Providers;
   std::function<bool()> IsReady = [] { return false; };
--- a/src/root/telemetry/Log.cpp
+++ b/src/root/telemetry/Log.cpp
@@ -1,6 +1,8 @@
 #include "root/telemetry/Log.h"
 
-#include <log4cplus/consoleappender.h>
+#include "root/telemetry/LineBudget.h"
+
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
@@ -8,13 +10,64 @@
 
 #include <algorithm>
 #include <cctype>
+#include <climits>
 #include <memory>
 #include <optional>
 
+#include <poll.h>
+#include <unistd.h>
+
 namespace amaranthspur {
 namespace {
 
+/// Bytes of lines that wait while the reader of standard output is slow.
+constexpr std::size_t MaxWaitingBytes = 64U << 10U;
+
+/// Writes lines to standard output and never blocks: what does not fit is
+/// dropped and counted.
+class OutputAppender final : public log4cplus::Appender {
+public:
+  OutputAppender() = default;
+  ~OutputAppender() override { this->destructorImpl(); }
+
+  void close() override {}
+
+  /// Returns how many lines were dropped since the last call.
+  std::uint64_t takeDropped() { return std::exchange(this->Dropped, 0); }
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent &Event) override {
+    std::string &Line = this->formatEvent(Event);
+    if (this->Waiting.size() + Line.size() > MaxWaitingBytes)
+      ++this->Dropped;
+    else
+      this->Waiting += Line;
+    this->flush();
+  }
+
+private:
+  void flush() {
+    while (!this->Waiting.empty()) {
+      // A pipe that is writable takes PIPE_BUF bytes without blocking.
+      pollfd Output{STDOUT_FILENO, POLLOUT, 0};
+      if (::poll(&Output, 1, 0) != 1 || (Output.revents & POLLOUT) == 0)
+        return;
+      const ssize_t Taken =
+          ::write(STDOUT_FILENO, this->Waiting.data(),
+                  std::min<std::size_t>(this->Waiting.size(), PIPE_BUF));
+      if (Taken <= 0)
+        return;
+      this->Waiting.erase(0, static_cast<std::size_t>(Taken));
+    }
+  }
+
+  std::string Waiting;
+  std::uint64_t Dropped = 0;
+};
+
 std::optional<LogLevel> Written;
+OutputAppender *Output = nullptr; ///< Owned by the root logger.
+LineBudget Budget;
 
 log4cplus::LogLevel libraryLevel(LogLevel Level) {
   switch (Level) {
@@ -85,9 +138,8 @@
 void startLog(LogLevel Least, std::string_view Process) {
   log4cplus::Logger &Root = logger();
   Root.removeAllAppenders();
-  // Standard output is kept for the line `ready`.
-  const log4cplus::SharedAppenderPtr Appender(
-      new log4cplus::ConsoleAppender(true, true));
+  Output = new OutputAppender;
+  const log4cplus::SharedAppenderPtr Appender(Output);
   std::string Name;
   appendValue(Name, Process);
   // A percent sign starts a conversion in the layout's pattern.
@@ -102,7 +154,8 @@
 }
 
 void logLine(LogLevel Level, const std::string &Line) {
-  if (Written && Level <= *Written)
+  if (Written && Level <= *Written &&
+      Budget.admit(false, SteadyClock().now()))
     logger().log(libraryLevel(Level), Line);
 }
 
@@ -110,6 +163,14 @@
          std::initializer_list<LogField> Fields) {
   if (!Written || Level > *Written)
     return;
+  const bool Routine = Event == LogEvent::StatementAnswered;
+  const bool Admitted = Budget.admit(Routine, SteadyClock().now());
+  const std::uint64_t Dropped = Budget.takeDropped() + Output->takeDropped();
+  if (Dropped > 0)
+    logger().log(libraryLevel(LogLevel::Warning),
+                 formatLogLine(LogEvent::LinesDropped, {{"lines", Dropped}}));
+  if (!Admitted)
+    return;
   logger().log(libraryLevel(Level), formatLogLine(Event, Fields));
 }
 
--- a/src/root/telemetry/Log.h
+++ b/src/root/telemetry/Log.h
@@ -1,7 +1,9 @@
 // Structured log lines, `event=<name> key=value ...`.
 //
-// Counters come first; a line is written only when a state changes, never for
-// each statement. The library behind it (log4cplus) stays in the source file.
+// A line is written for each decision that touches a statement and for each
+// change of what the process believes. The volume is bounded (LineBudget.h),
+// writing never blocks, and dropped lines are counted in a line of their own.
+// The library behind it (log4cplus) stays in the source file.
 #ifndef AMARANTHSPUR_ROOT_TELEMETRY_LOG_H
 #define AMARANTHSPUR_ROOT_TELEMETRY_LOG_H
 
@@ -30,6 +32,7 @@
 
 /// What a line reports.
 enum class LogEvent {
+  AdoptionUndone,
   CallerRejected,
   ChildFailed,
   ChildRestarted,
@@ -40,6 +43,7 @@
   DrainFinished,
   DrainStarted,
   EventLoopPaused,
+  LinesDropped,
   MemberStateChanged,
   OwnershipAcquired,
   OwnershipLost,
@@ -47,17 +51,28 @@
   PathReplaced,
   PathSilent,
   PeerRejected,
+  PlanAccepted,
+  PlanRejected,
   PlatformReachable,
   PlatformUnreachable,
   PrimaryChanged,
   PromotionFinished,
+  PromotionOrdered,
   PromotionRefused,
   PromotionStarted,
+  ReadinessChanged,
   Ready,
+  RegistrationRejected,
+  Reload,
   ServerReachable,
   ServerUnreachable,
+  ServersChanged,
+  SessionEnded,
+  SessionRejected,
   SettingsRejected,
   Starting,
+  StatementAnswered,
+  StatementRefused,
   Stopped,
   Stopping,
 };
@@ -65,7 +80,8 @@
 template <> struct EnumNames<LogEvent> {
   static constexpr auto Entries =
       std::to_array<std::pair<LogEvent, std::string_view>>(
-          {{LogEvent::CallerRejected, "caller-rejected"},
+          {{LogEvent::AdoptionUndone, "adoption-undone"},
+           {LogEvent::CallerRejected, "caller-rejected"},
            {LogEvent::ChildFailed, "child-failed"},
            {LogEvent::ChildRestarted, "child-restarted"},
            {LogEvent::ConcurrencyChanged, "concurrency-changed"},
@@ -75,6 +91,7 @@
            {LogEvent::DrainFinished, "drain-finished"},
            {LogEvent::DrainStarted, "drain-started"},
            {LogEvent::EventLoopPaused, "event-loop-paused"},
+           {LogEvent::LinesDropped, "lines-dropped"},
            {LogEvent::MemberStateChanged, "member-state-changed"},
            {LogEvent::OwnershipAcquired, "ownership-acquired"},
            {LogEvent::OwnershipLost, "ownership-lost"},
@@ -82,17 +99,28 @@
            {LogEvent::PathReplaced, "path-replaced"},
            {LogEvent::PathSilent, "path-silent"},
            {LogEvent::PeerRejected, "peer-rejected"},
+           {LogEvent::PlanAccepted, "plan-accepted"},
+           {LogEvent::PlanRejected, "plan-rejected"},
            {LogEvent::PlatformReachable, "platform-reachable"},
            {LogEvent::PlatformUnreachable, "platform-unreachable"},
            {LogEvent::PrimaryChanged, "primary-changed"},
            {LogEvent::PromotionFinished, "promotion-finished"},
+           {LogEvent::PromotionOrdered, "promotion-ordered"},
            {LogEvent::PromotionRefused, "promotion-refused"},
            {LogEvent::PromotionStarted, "promotion-started"},
+           {LogEvent::ReadinessChanged, "readiness-changed"},
            {LogEvent::Ready, "ready"},
+           {LogEvent::RegistrationRejected, "registration-rejected"},
+           {LogEvent::Reload, "reload"},
            {LogEvent::ServerReachable, "server-reachable"},
            {LogEvent::ServerUnreachable, "server-unreachable"},
+           {LogEvent::ServersChanged, "servers-changed"},
+           {LogEvent::SessionEnded, "session-ended"},
+           {LogEvent::SessionRejected, "session-rejected"},
            {LogEvent::SettingsRejected, "settings-rejected"},
            {LogEvent::Starting, "starting"},
+           {LogEvent::StatementAnswered, "statement-answered"},
+           {LogEvent::StatementRefused, "statement-refused"},
            {LogEvent::Stopped, "stopped"},
            {LogEvent::Stopping, "stopping"}});
 };
@@ -114,7 +142,7 @@
 std::string formatLogLine(LogEvent Event,
                           std::initializer_list<LogField> Fields);
 
-/// Directs log lines to standard error. Without a call nothing is written.
+/// Directs log lines to standard output. Without a call nothing is written.
 /// \param Least level from which on lines are written.
 /// \param Process identifier of this process; stands in every line.
 void startLog(LogLevel Least, std::string_view Process);
--- a/src/root/telemetry/testing/AdminServerTest.cpp
+++ b/src/root/telemetry/testing/AdminServerTest.cpp
@@ -52,7 +52,7 @@
   Metrics M;
   M.add(Counter::LateAnswers);
   const std::uint16_t Port = freePort();
-  AdminServer Server({"127.0.0.1", Port}, M);
+  AdminServer Server({{"127.0.0.1", Port}}, M);
   bool Ready = false;
   Server.addStatus("members", [] { return QJsonValue(4); });
   Server.addStatus("gone", [] { return QJsonValue(1); });
@@ -99,6 +99,6 @@
   QTcpServer Taken;
   REQUIRE(Taken.listen(QHostAddress::LocalHost, 0));
   Metrics M;
-  AdminServer Server({"127.0.0.1", Taken.serverPort()}, M);
+  AdminServer Server({{"127.0.0.1", Taken.serverPort()}}, M);
   CHECK_FALSE(succeeded(QCoro::waitFor(Server.start())));
 }
--- a/src/testing/fake-backend/Main.cpp
+++ b/src/testing/fake-backend/Main.cpp
@@ -1,5 +1,5 @@
 // Stand-in for a backend server of a database group.
-#include "testing/TerminationSignal.h"
+#include "core/ProcessSignals.h"
 #include "testing/fake-backend/Server.h"
 
 #include <QCoreApplication>
--- a/src/testing/fault-proxy/Main.cpp
+++ b/src/testing/fault-proxy/Main.cpp
@@ -1,5 +1,5 @@
 // Delays, cuts, silences or drops TCP links on command.
-#include "testing/TerminationSignal.h"
+#include "core/ProcessSignals.h"
 #include "testing/fault-proxy/FaultProxy.h"
 
 #include <QCoreApplication>
--- /dev/null
+++ b/src/wire/ByteStream.cpp
@@ -0,0 +1,154 @@
+#include "wire/ByteStream.h"
+
+#include <QHostAddress>
+
+#include <charconv>
+#include <utility>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace amaranthspur {
+
+Result<Address> parseAddress(std::string_view Text) {
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string_view::npos)
+    return Error{"address \"" + std::string(Text) + "\" has no port"};
+  Address Parsed;
+  Parsed.Host = Text.substr(0, Colon);
+  const std::string_view Port = Text.substr(Colon + 1);
+  const auto [End, Status] =
+      std::from_chars(Port.data(), Port.data() + Port.size(), Parsed.Port);
+  if (Status != std::errc() || End != Port.data() + Port.size() ||
+      Parsed.Port == 0)
+    return Error{"address \"" + std::string(Text) + "\" has an invalid port"};
+  if (QHostAddress(QString::fromStdString(Parsed.Host)).isNull())
+    return Error{"address \"" + std::string(Text) +
+                 "\" does not have a numeric host"};
+  return Parsed;
+}
+
+ByteStream::ByteStream(QTcpSocket *Socket) : Socket(Socket) {
+  this->Socket->setParent(nullptr);
+  this->Socket->setReadBufferSize(ReadBufferBytes);
+  this->Socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  QObject::connect(this->Socket, &QTcpSocket::readyRead, this->Socket,
+                   [this] { this->Readable.wake(); });
+  QObject::connect(this->Socket, &QTcpSocket::disconnected, this->Socket,
+                   [this] {
+                     this->Ended = true;
+                     this->Readable.wake();
+                     this->Writable.wake();
+                   });
+  QObject::connect(this->Socket, &QTcpSocket::bytesWritten, this->Socket,
+                   [this] { this->Writable.wake(); });
+  this->Ended = this->Socket->state() != QAbstractSocket::ConnectedState;
+}
+
+ByteStream::~ByteStream() {
+  this->Socket->disconnect();
+  this->Socket->abort();
+  this->Socket->deleteLater();
+}
+
+QCoro::Task<QTcpSocket *> openSocket(Address To, TimePoint Deadline,
+                                     std::string BindHost) {
+  auto *Socket = new QTcpSocket;
+  if (!BindHost.empty())
+    Socket->bind(QHostAddress(QString::fromStdString(BindHost)));
+  WaitPoint Done;
+  QObject::connect(Socket, &QTcpSocket::connected, Socket,
+                   [&Done] { Done.wake(); });
+  QObject::connect(Socket, &QTcpSocket::errorOccurred, Socket,
+                   [&Done] { Done.wake(); });
+  Socket->connectToHost(QHostAddress(QString::fromStdString(To.Host)), To.Port);
+  bool InTime = true;
+  while (InTime && Socket->state() == QAbstractSocket::ConnectingState)
+    InTime = co_await Done.wait(Deadline);
+  Socket->disconnect();
+  if (Socket->state() != QAbstractSocket::ConnectedState) {
+    Socket->abort();
+    Socket->deleteLater();
+    Socket = nullptr;
+  }
+  co_return Socket;
+}
+
+void ByteStream::setSilenceLimits(const SilenceLimits &Limits) {
+  const auto Seconds = [](Duration D) {
+    return static_cast<int>(
+        std::chrono::duration_cast<std::chrono::seconds>(D).count());
+  };
+  const auto Descriptor = static_cast<int>(this->Socket->socketDescriptor());
+  const auto Set = [Descriptor](int Level, int Name, int Value) {
+    // A refused option leaves the kernel's default, which is only slower.
+    [[maybe_unused]] const int Status =
+        setsockopt(Descriptor, Level, Name, &Value, sizeof(Value));
+  };
+  Set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  Set(IPPROTO_TCP, TCP_KEEPIDLE, Seconds(Limits.KeepAliveIdle));
+  Set(IPPROTO_TCP, TCP_KEEPINTVL, Seconds(Limits.KeepAliveInterval));
+  Set(IPPROTO_TCP, TCP_KEEPCNT, Limits.KeepAliveProbes);
+  Set(IPPROTO_TCP, TCP_USER_TIMEOUT,
+      static_cast<int>(Limits.UserTimeout / milliseconds(1)));
+}
+
+bool ByteStream::readAvailable() {
+  if (this->Socket->bytesAvailable() == 0)
+    return false;
+  const QByteArray Bytes = this->Socket->readAll();
+  this->feed({Bytes.constData(), static_cast<std::size_t>(Bytes.size())});
+  return true;
+}
+
+QCoro::Task<ReadEvent> ByteStream::readable(TimePoint Deadline) {
+  if (this->readAvailable())
+    co_return ReadEvent::Data;
+  while (!this->Ended) {
+    const bool Woken = co_await this->Readable.wait(Deadline);
+    if (this->readAvailable())
+      co_return ReadEvent::Data;
+    // A wake-up for bytes that were taken before is not an interruption.
+    if (!this->Ended && (std::exchange(this->Interrupted, false) || !Woken))
+      co_return ReadEvent::TimedOut;
+  }
+  co_return this->readAvailable() ? ReadEvent::Data : ReadEvent::Closed;
+}
+
+void ByteStream::write(std::string_view Bytes) {
+  if (!this->Ended)
+    this->Socket->write(Bytes.data(), static_cast<qint64>(Bytes.size()));
+}
+
+QCoro::Task<bool> ByteStream::writable(TimePoint Deadline) {
+  while (!this->Ended && this->queuedBytes() > WriteBufferBytes) {
+    const bool InTime = co_await this->Writable.wait(Deadline);
+    if (!InTime)
+      co_return false;
+  }
+  co_return !this->Ended;
+}
+
+std::size_t ByteStream::queuedBytes() const {
+  return static_cast<std::size_t>(this->Socket->bytesToWrite());
+}
+
+void ByteStream::close() { this->Socket->disconnectFromHost(); }
+
+QCoro::Task<bool> ByteStream::closed(TimePoint Deadline) {
+  while (!this->Ended) {
+    const bool Woken = co_await this->Writable.wait(Deadline);
+    if (!Woken)
+      break;
+  }
+  co_return this->Ended;
+}
+
+void ByteStream::abort() {
+  this->Socket->abort();
+  this->Ended = true;
+  this->Readable.wake();
+}
+
+} // namespace amaranthspur
