--- a/src/platform/LineCodec.cpp
+++ b/src/platform/LineCodec.cpp
@@ -249,13 +249,6 @@
   return "QUERY - " + std::string(Text) + "\r\n";
 }
 
-std::string beginText(Access Mode, std::optional<LogPosition> Floor) {
-  std::string Out;
-  if (Floor)
-    Out += "WAITFOR " + positionText(Floor) + " ";
-  return Out + (Mode == Access::Read ? "BEGIN READ" : "BEGIN");
-}
-
 std::string setText(std::string_view Name, std::string_view Value) {
   return "SET " + std::string(Name) + " " + std::string(Value);
 }
--- a/src/platform/LineCodec.h
+++ b/src/platform/LineCodec.h
@@ -66,14 +66,13 @@
 
 /// Encodes a statement of a caller for a server, its text unchanged but for a
 /// prepared name.
-/// \param Floor of a read.
+/// \param Floor of a read or of a transaction that begins.
 /// \param PreparedName replaces the name in an Execute.
 std::string encodeForward(const Statement &S, std::optional<LogPosition> Floor,
                           std::string_view PreparedName);
 /// Encodes a statement of the proxy itself.
 std::string encodeOwn(std::string_view Text);
 
-std::string beginText(Access Mode, std::optional<LogPosition> Floor);
 std::string setText(std::string_view Name, std::string_view Value);
 std::string prepareText(std::string_view Name, Access Mode,
                         std::string_view Shape);
--- a/src/platform/LineServerLink.cpp
+++ b/src/platform/LineServerLink.cpp
@@ -22,12 +22,6 @@
     return this->exchange(lines::encodeForward(S, Floor, PreparedName),
                           Deadline);
   }
-  QCoro::Task<Result<Answer>> begin(Access Mode,
-                                    std::optional<LogPosition> Floor,
-                                    TimePoint Deadline) override {
-    return this->exchange(lines::encodeOwn(lines::beginText(Mode, Floor)),
-                          Deadline);
-  }
   QCoro::Task<Result<Answer>> rollback(TimePoint Deadline) override {
     return this->exchange(lines::encodeOwn(lines::RollbackText), Deadline);
   }
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -26,17 +26,12 @@
   this->WatchWake.wake();
   this->Proved.notifyAll();
   this->PrimaryChange.notifyAll();
-  for (const auto &[Id, Link] : this->Controls)
-    if (Link)
-      Link->abort();
   co_await this->Tasks.empty();
 }
 
 void Group::configure(const ServiceLimits &NewLimits,
                       const std::vector<RegisteredServer> &Servers) {
   this->Limits = NewLimits;
-  const std::size_t MaxOpen =
-      std::max<std::size_t>(2, this->Limits.MaxConnections / ConnectionShare);
   const std::map<ServerId, ServerBelief> Before = this->Beliefs.servers();
   const bool Changed = this->Beliefs.setServers(Servers, steadyNow());
   std::map<ServerId, std::shared_ptr<ServerPool>> Kept;
@@ -50,14 +45,9 @@
       Pool = this->Pools[Server.Id];
     if (!Pool)
       Pool = std::make_shared<ServerPool>(this->Connector, Server);
-    if (!Same)
-      this->Controls.erase(Server.Id);
-    Pool->setMaxOpen(MaxOpen);
+    Pool->share().setMaximum(this->Limits.MaxConnections);
   }
   this->Pools = std::move(Kept);
-  std::erase_if(this->Controls, [this](const auto &Entry) {
-    return this->Pools.count(Entry.first) == 0;
-  });
   if (Changed) {
     this->WatchWake.wake();
     this->noticePrimary();
@@ -138,6 +128,18 @@
     this->WatchWake.wake();
 }
 
+void Group::openFailed(const ServerId &Id, const OpenFailure &Failure) {
+  if (Failure.Code == AnswerCode::TooManyConnections)
+    return;
+  const ServerBelief *Server = this->Beliefs.find(Id);
+  const std::shared_ptr<ServerPool> Pool = this->pool(Id);
+  if (Server && Pool && steadyNow() - Server->LastAnswer < AliveFor) {
+    Pool->share().refused(Pool->open(), steadyNow());
+    return;
+  }
+  this->failed(Id, Failure.Detail);
+}
+
 void Group::lives(const ServerId &Id) {
   this->Beliefs.observeAnswer(Id, std::nullopt, steadyNow());
 }
@@ -149,6 +151,8 @@
 
 void Group::reported(const ServerId &Id, const ServerReport &Report) {
   this->Beliefs.observeStatus(Id, Report, steadyNow());
+  if (const std::shared_ptr<ServerPool> Pool = this->pool(Id))
+    Pool->share().observeCount(Report.Connections, steadyNow());
   this->noticePrimary();
 }
 
@@ -165,34 +169,27 @@
 }
 
 QCoro::Task<std::optional<ServerReport>> Group::controlStatus(ServerId Id) {
-  const ServerBelief *Server = this->Beliefs.find(Id);
-  if (!Server)
+  const std::shared_ptr<ServerPool> Pool = this->pool(Id);
+  if (!Pool)
     co_return std::nullopt;
-  const RegisteredServer Registration = Server->Registration;
   const TimePoint Deadline = steadyNow() + StatusLimit;
-  // The link is taken out of the table while it is in use, so that the two
-  // tasks of the group never share it.
-  std::unique_ptr<ServerLink> Link = std::move(this->Controls[Id]);
-  this->Controls.erase(Id);
-  if (!Link || !Link->isUsable()) {
-    OpenedLink Opened = co_await this->Connector.open(Registration, Deadline);
-    if (const auto *Failure = std::get_if<OpenFailure>(&Opened)) {
-      if (!Failure->Reached)
-        this->failed(Id, Failure->Detail);
-      co_return std::nullopt;
-    }
-    Link = std::move(std::get<std::unique_ptr<ServerLink>>(Opened));
+  TakenLink Taken = co_await Pool->take({}, Deadline);
+  if (const auto *Failure = std::get_if<OpenFailure>(&Taken)) {
+    this->openFailed(Id, *Failure);
+    co_return std::nullopt;
   }
-  const Result<StatusAnswer> R = co_await Link->status(Deadline);
+  auto Link = std::move(std::get<std::unique_ptr<PooledLink>>(Taken));
+  const Result<StatusAnswer> R = co_await Link->Link->status(Deadline);
+  Pool->giveBack(std::move(Link));
   if (!succeeded(R)) {
     this->failed(Id, errorOf(R));
     co_return std::nullopt;
   }
-  if (!this->Stopping && this->Beliefs.find(Id))
-    this->Controls[Id] = std::move(Link);
   const auto *Report = std::get_if<ServerReport>(&valueOf(R));
-  if (!Report)
+  if (!Report) {
+    this->lives(Id);
     co_return std::nullopt;
+  }
   this->reported(Id, *Report);
   co_return *Report;
 }
--- a/src/root/groups/Group.h
+++ b/src/root/groups/Group.h
@@ -31,10 +31,9 @@
   static constexpr Duration StatusLimit = milliseconds(300);
   /// Pause after all replicas failed to give a proof.
   static constexpr Duration ProofRetry = milliseconds(30);
-  /// Share of a server's connections that one entry VM may open. The sites
-  /// have six to eight entry VMs and an uneven balancer; a server refuses what
-  /// exceeds its limit, which is harmless.
-  static constexpr std::size_t ConnectionShare = 2;
+  /// A server that answered this recently lives, even if it refuses a
+  /// connection: it resets those beyond its limit.
+  static constexpr Duration AliveFor = milliseconds(250);
 
   /// All references outlive the group.
   Group(ServiceName Name, ServerConnector &Connector, const Whereabouts &Where);
@@ -78,6 +77,8 @@
   void committed(const ServerId &Id, const Answer &A, TimePoint SentAt);
   /// A server could not be reached, or a connection to it was lost.
   void failed(const ServerId &Id, const std::string &Why);
+  /// A connection to a server could not be opened.
+  void openFailed(const ServerId &Id, const OpenFailure &Failure);
   /// A server gave a sign of life.
   void lives(const ServerId &Id);
   /// A server refused a write because it does not lead.
@@ -108,7 +109,7 @@
   QCoro::Task<> samplePrimary();
   QCoro::Task<bool> proveOnce();
   QCoro::Task<bool> askReplica(ServerId Id, Term T);
-  /// Returns a status over the kept control connection of \p Id.
+  /// Returns a status over a connection of the pool of \p Id.
   QCoro::Task<std::optional<ServerReport>> controlStatus(ServerId Id);
   std::vector<ServerId> proofOrder(const BelievedPrimary &Leader) const;
   void noticePrimary();
@@ -120,7 +121,6 @@
   GroupBeliefs Beliefs;
   Freshness Fresh;
   std::map<ServerId, std::shared_ptr<ServerPool>> Pools;
-  std::map<ServerId, std::unique_ptr<ServerLink>> Controls;
   std::optional<BelievedPrimary> LastPrimary;
   LogPosition Acknowledged;
   std::multiset<TimePoint> PendingWrites;
--- a/src/root/groups/GroupWatch.cpp
+++ b/src/root/groups/GroupWatch.cpp
@@ -40,7 +40,8 @@
     co_await this->learnTerms();
     const TakeoverReason Reason = co_await this->assess();
     this->Trouble = Reason != TakeoverReason::None || this->Trouble;
-    if (Reason != TakeoverReason::None)
+    // While another entry VM may be at work there is nothing to do but wait.
+    if (Reason != TakeoverReason::None && this->Claim.mayClaim(bootNow()))
       co_await this->takeOver(Reason);
     co_await this->undoStranded();
   }
--- a/src/root/groups/ServerLink.h
+++ b/src/root/groups/ServerLink.h
@@ -29,15 +29,13 @@
   virtual ~ServerLink() = default;
 
   /// Runs a caller's statement.
-  /// \param Floor of a read, or nothing.
+  /// \param Floor of a read or of a transaction that begins, or nothing.
   /// \param PreparedName name on this connection, for Execute.
   virtual QCoro::Task<Result<Answer>> run(Statement S,
                                           std::optional<LogPosition> Floor,
                                           std::string PreparedName,
                                           TimePoint Deadline) = 0;
-  virtual QCoro::Task<Result<Answer>> begin(Access Mode,
-                                            std::optional<LogPosition> Floor,
-                                            TimePoint Deadline) = 0;
+  /// Rolls back what a caller left open.
   virtual QCoro::Task<Result<Answer>> rollback(TimePoint Deadline) = 0;
   virtual QCoro::Task<Result<Answer>> set(std::string Name, std::string Value,
                                           TimePoint Deadline) = 0;
--- a/src/root/groups/ServerPool.cpp
+++ b/src/root/groups/ServerPool.cpp
@@ -83,10 +83,12 @@
       ++this->InUse;
       co_return TakenLink(std::move(Link));
     }
-    if (this->InUse < this->MaxOpen)
+    if (this->Share.mayOpen(this->open(), steadyNow()))
       break;
-    const bool Woken = co_await this->GivenBack.wait(Deadline);
-    if (!Woken)
+    const TimePoint Again =
+        std::min(Deadline, steadyNow() + ConnectionShare::GrowthInterval);
+    const bool Woken = co_await this->GivenBack.wait(Again);
+    if (!Woken && steadyNow() >= Deadline)
       co_return TakenLink(OpenFailure{true, AnswerCode::TooManyConnections,
                                       "all connections are in use"});
   }
@@ -95,6 +97,8 @@
       this->Server, std::min(Deadline, steadyNow() + OpenLimit));
   if (auto *Failure = std::get_if<OpenFailure>(&Opened)) {
     --this->InUse;
+    if (Failure->Code == AnswerCode::TooManyConnections)
+      this->Share.refused(this->open(), steadyNow());
     this->GivenBack.notifyAll();
     co_return TakenLink(std::move(*Failure));
   }
@@ -113,9 +117,16 @@
 }
 
 void ServerPool::closeIdle(TimePoint Now) {
-  std::erase_if(this->Idle, [Now](const std::unique_ptr<PooledLink> &Link) {
-    return !Link->Link->isUsable() || Now - Link->IdleSince > IdleLimit;
-  });
+  // The most recently used one is the last.
+  const PooledLink *Newest = this->Idle.empty() ? nullptr
+                                                : this->Idle.back().get();
+  std::erase_if(this->Idle,
+                [Now, Newest](const std::unique_ptr<PooledLink> &Link) {
+                  const Duration Limit =
+                      Link.get() == Newest ? IdleLimit : SurplusIdleLimit;
+                  return !Link->Link->isUsable() ||
+                         Now - Link->IdleSince > Limit;
+                });
 }
 
 } // namespace amaranthspur
--- a/src/root/groups/ServerPool.h
+++ b/src/root/groups/ServerPool.h
@@ -1,12 +1,14 @@
 // Work connections of this entry VM to one backend server.
 //
 // Connections are opened when they are needed and kept while they are in use
-// now and then. Settings and prepared names stay on a connection after its use;
+// now and then. How many there may be is found by policy/ConnectionShare.h, since
+// all entry VMs share the server's limit. Settings and prepared names stay on a connection after its use;
 // whoever takes it next brings it to its own session (see prepareFor).
 #ifndef AMARANTHSPUR_ROOT_GROUPS_SERVERPOOL_H
 #define AMARANTHSPUR_ROOT_GROUPS_SERVERPOOL_H
 
 #include "core/Async.h"
+#include "policy/ConnectionShare.h"
 #include "root/groups/ServerLink.h"
 
 #include <functional>
@@ -53,12 +55,15 @@
 
 /// Connections to one server.
 ///
-/// Invariant: at most MaxOpen connections are open or being opened.
+/// Invariant: a connection is opened only while fewer are open or being opened
+/// than the share allows.
 class ServerPool {
 public:
-  /// An idle connection is closed after this time. Servers close theirs after
-  /// 60 s; a new one costs 12 ms of a slot.
+  /// The last idle connection is closed after this time. Servers close theirs
+  /// after 60 s; a new one costs 12 ms of a slot.
   static constexpr Duration IdleLimit = std::chrono::seconds(20);
+  /// The other idle ones are closed after this time, for other entry VMs.
+  static constexpr Duration SurplusIdleLimit = std::chrono::seconds(1);
   /// Time for opening a connection: 12 ms of a slot behind a full queue.
   static constexpr Duration OpenLimit = milliseconds(800);
 
@@ -66,11 +71,10 @@
   ServerPool(ServerConnector &Connector, RegisteredServer Server)
       : Connector(Connector), Server(std::move(Server)) {}
 
-  /// Sets how many connections may be open.
-  void setMaxOpen(std::size_t Count) { this->MaxOpen = Count; }
+  ConnectionShare &share() { return this->Share; }
 
   /// Takes an idle connection, preferably one with \p Values, or opens one;
-  /// waits for one while MaxOpen are in use.
+  /// waits for one while the share is in use.
   QCoro::Task<TakenLink> take(SessionValues Values, TimePoint Deadline);
 
   /// Gives a connection back; one that is of no use is dropped.
@@ -79,9 +83,6 @@
   /// Closes connections that were idle for too long.
   void closeIdle(TimePoint Now);
 
-  /// Closes all idle connections, as when their path is suspect.
-  void dropIdle() { this->Idle.clear(); }
-
   std::size_t open() const { return this->InUse + this->Idle.size(); }
   std::size_t inUse() const { return this->InUse; }
 
@@ -90,7 +91,7 @@
 
   ServerConnector &Connector;
   RegisteredServer Server;
-  std::size_t MaxOpen = 1;
+  ConnectionShare Share;
   std::size_t InUse = 0; ///< Taken, or being opened.
   std::vector<std::unique_ptr<PooledLink>> Idle;
   Signal GivenBack;
--- a/src/root/sessions/Session.cpp
+++ b/src/root/sessions/Session.cpp
@@ -40,7 +40,7 @@
   const bool Opened = co_await this->open();
   if (Opened)
     co_await this->serve();
-  co_await this->leaveTransaction();
+  co_await this->leaveTransaction(std::nullopt);
   co_await this->Caller->finish(steadyNow() + FinishLimit);
 }
 
@@ -90,7 +90,7 @@
     if (std::holds_alternative<NothingYet>(Message)) {
       // An idle transaction holds a connection that others need.
       if (this->Transaction && !this->Finishing) {
-        co_await this->leaveTransaction();
+        co_await this->leaveTransaction(std::nullopt);
         this->State = TransactionState::Failed;
       }
       continue;
@@ -113,7 +113,7 @@
 QCoro::Task<Answer> Session::handle(Statement S) {
   if (this->State == TransactionState::Failed) {
     if (S.Kind == StatementVerb::Commit || S.Kind == StatementVerb::Rollback)
-      co_await this->leaveTransaction();
+      co_await this->leaveTransaction(std::nullopt);
     co_return this->handleFailed(S);
   }
   switch (S.Kind) {
@@ -128,7 +128,7 @@
   case StatementVerb::Commit:
     co_return co_await this->handleCommit(std::move(S));
   case StatementVerb::Rollback:
-    co_return co_await this->handleRollback();
+    co_return co_await this->handleRollback(std::move(S));
   case StatementVerb::Read:
   case StatementVerb::Write:
   case StatementVerb::Execute:
@@ -164,7 +164,7 @@
   if (!this->TransactionGroup)
     return refuseNotRun("the service is not configured");
   this->TransactionRoute = Route->second;
-  this->TransactionMode = S.Mode;
+  this->TransactionBegin = S;
   this->TransactionArrived = steadyNow();
   this->TransactionArrivedBoot = bootNow();
   this->TransactionWrote = false;
@@ -212,6 +212,7 @@
   E.Arrived = steadyNow();
   E.ArrivedBoot = bootNow();
   E.Deadline = E.Arrived + E.Route.StatementTimeout - AnswerMargin;
+  E.OfferBy = E.Arrived + E.Route.LatencyTarget / OfferShare - AnswerMargin;
   E.Values = this->Values;
   E.CallerPresent = [this] { return this->Caller->isOpen(); };
   if (this->Floor && E.Route.Service == this->FloorService)
@@ -256,7 +257,7 @@
     co_return std::nullopt;
   E.ArrivedBoot = this->TransactionArrivedBoot;
   const ReadGuard Guard = guardOf(E);
-  auto Begun = co_await beginTransaction(this->TransactionMode, Guard, E);
+  auto Begun = co_await beginTransaction(this->TransactionBegin, Guard, E);
   if (auto *Refused = std::get_if<Answer>(&Begun))
     co_return *Refused;
   this->Transaction = std::move(std::get<OpenTransaction>(Begun));
@@ -363,21 +364,25 @@
   co_return A;
 }
 
-QCoro::Task<Answer> Session::handleRollback() {
-  co_await this->leaveTransaction();
+QCoro::Task<Answer> Session::handleRollback(Statement S) {
+  co_await this->leaveTransaction(std::move(S));
   this->endTransaction();
   co_return success(TransactionState::Idle);
 }
 
-QCoro::Task<> Session::leaveTransaction() {
+QCoro::Task<> Session::leaveTransaction(std::optional<Statement> Rollback) {
   if (!this->Transaction)
     co_return;
   BorrowedLink Link = std::move(this->Transaction->Link);
   this->Transaction.reset();
   if (!Link)
     co_return;
-  const Result<Answer> R =
-      co_await Link.wire().rollback(steadyNow() + RollbackLimit);
+  const TimePoint Deadline = steadyNow() + RollbackLimit;
+  Result<Answer> R = Error{};
+  if (Rollback)
+    R = co_await Link.wire().run(*Rollback, std::nullopt, "", Deadline);
+  else
+    R = co_await Link.wire().rollback(Deadline);
   const bool Clean = succeeded(R) && valueOf(R).succeeded() &&
                      valueOf(R).State == TransactionState::Idle;
   if (!Clean)
--- a/src/root/sessions/Session.h
+++ b/src/root/sessions/Session.h
@@ -72,10 +72,12 @@
   QCoro::Task<Answer> handleSingle(Statement S);
   QCoro::Task<Answer> handleInTransaction(Statement S);
   QCoro::Task<Answer> handleCommit(Statement S);
-  QCoro::Task<Answer> handleRollback();
+  QCoro::Task<Answer> handleRollback(Statement S);
 
   QCoro::Task<std::optional<Answer>> openTransaction(Errand &E);
-  QCoro::Task<> leaveTransaction();
+  /// Rolls the transaction back, if one has begun on a server.
+  /// \param Rollback the caller's statement, or nothing.
+  QCoro::Task<> leaveTransaction(std::optional<Statement> Rollback);
   std::optional<Answer> prepareErrand(const Statement &S, Errand &E);
   bool writes(const Statement &S) const;
   Answer failTransaction(Answer A);
@@ -94,7 +96,7 @@
   ServiceName FloorService;         ///< Whose log Floor is of.
 
   TransactionState State = TransactionState::Idle;
-  Access TransactionMode = Access::Write;
+  Statement TransactionBegin; ///< Sent before its first statement.
   TimePoint TransactionArrived;
   TimePoint TransactionArrivedBoot;
   std::shared_ptr<Group> TransactionGroup;
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -53,8 +53,7 @@
   if (const auto *Failure = std::get_if<OpenFailure>(&Taken)) {
     const bool Full = Failure->Code == AnswerCode::TooManyConnections;
     note(E, Id, Full ? "no-connection" : "unreachable");
-    if (!Full)
-      E.Servers->failed(Id, Failure->Detail);
+    E.Servers->openFailed(Id, *Failure);
     co_return BorrowedLink();
   }
   BorrowedLink Link(Id, Pool,
@@ -69,6 +68,12 @@
   co_return Link;
 }
 
+/// Returns until when a server may be looked for: a statement that was sent
+/// once has been offered and may use its whole time.
+TimePoint searchDeadline(const Errand &E) {
+  return E.Attempts == 0 ? std::min(E.OfferBy, E.Deadline) : E.Deadline;
+}
+
 std::string preparedName(const Errand &E) {
   return E.Prepared ? sharedName(*E.Prepared) : std::string();
 }
@@ -84,11 +89,12 @@
         !Beliefs.avoided(*Beliefs.find(Leader->Id), steadyNow());
     if (Usable)
       co_return Leader;
-    if (steadyNow() >= E.Deadline || !E.CallerPresent())
+    const TimePoint Until = searchDeadline(E);
+    if (steadyNow() >= Until || !E.CallerPresent())
       co_return std::nullopt;
     E.Servers->watchWake().wake();
     co_await E.Servers->primaryChanged().wait(
-        std::min(E.Deadline, steadyNow() + GroupBeliefs::AvoidAfterFailure / 4));
+        std::min(Until, steadyNow() + GroupBeliefs::AvoidAfterFailure / 4));
   }
 }
 
@@ -139,7 +145,7 @@
   ReadGuard Guard = guardOf(E);
   std::set<ServerId> Tried;
   unsigned Failed = 0;
-  while (E.Attempts < MaxReadSends && steadyNow() < E.Deadline &&
+  while (E.Attempts < MaxReadSends && steadyNow() < searchDeadline(E) &&
          E.CallerPresent()) {
     std::optional<BelievedPrimary> Leader = E.Servers->beliefs().primary();
     std::optional<ServerId> Id;
@@ -159,7 +165,8 @@
     }
     E.Floor = Guard.Floor;
     const TimePoint Limit = attemptDeadline(E);
-    BorrowedLink Link = co_await borrow(E, *Id, Limit);
+    BorrowedLink Link =
+        co_await borrow(E, *Id, std::min(Limit, searchDeadline(E)));
     if (!Link) {
       Tried.insert(*Id);
       if (Guard.AtPrimary)
@@ -225,8 +232,8 @@
         co_await awaitPrimary(E, false);
     if (!Leader)
       co_return refuseNotRun("no primary is known");
-    BorrowedLink Link = co_await borrow(E, Leader->Id, E.Deadline);
-    if (!E.CallerPresent() || steadyNow() >= E.Deadline)
+    BorrowedLink Link = co_await borrow(E, Leader->Id, searchDeadline(E));
+    if (!E.CallerPresent() || steadyNow() >= searchDeadline(E))
       co_return refuseNotRun("no connection in time");
     if (!Link) {
       co_await sleepFor(RefusedPause);
@@ -268,12 +275,12 @@
 }
 
 QCoro::Task<std::variant<OpenTransaction, Answer>>
-beginTransaction(Access Mode, ReadGuard Guard, Errand &E) {
+beginTransaction(Statement Begin, ReadGuard Guard, Errand &E) {
   std::set<ServerId> Tried;
-  while (steadyNow() < E.Deadline && E.CallerPresent()) {
+  while (steadyNow() < searchDeadline(E) && E.CallerPresent()) {
     std::optional<BelievedPrimary> Leader = E.Servers->beliefs().primary();
     std::optional<ServerId> Id;
-    if (Guard.AtPrimary || Mode == Access::Write) {
+    if (Guard.AtPrimary || Begin.Mode == Access::Write) {
       Leader = co_await awaitPrimary(E, Guard.AtPrimary);
       if (!Leader)
         break;
@@ -287,7 +294,8 @@
       continue;
     }
     E.Floor = Guard.Floor;
-    BorrowedLink Link = co_await borrow(E, *Id, attemptDeadline(E));
+    BorrowedLink Link = co_await borrow(
+        E, *Id, std::min(attemptDeadline(E), searchDeadline(E)));
     if (!Link) {
       Tried.insert(*Id);
       co_await sleepFor(RefusedPause);
@@ -296,7 +304,7 @@
     E.LastServer = *Id;
     const TimePoint SentAt = bootNow();
     const Result<Answer> R =
-        co_await Link.wire().begin(Mode, Guard.Floor, attemptDeadline(E));
+        co_await Link.wire().run(Begin, Guard.Floor, "", attemptDeadline(E));
     if (!succeeded(R)) {
       note(E, *Id, "lost");
       E.Servers->failed(*Id, errorOf(R));
--- a/src/root/sessions/StatementRunner.h
+++ b/src/root/sessions/StatementRunner.h
@@ -69,9 +69,10 @@
   SessionValues Values;
   std::optional<PreparedStatement> Prepared; ///< For Execute.
   std::optional<LogPosition> SessionFloor; ///< Of the session's own commits.
-  TimePoint Arrived;     ///< Steady clock.
+  TimePoint Arrived; ///< This and the next times but one: steady clock.
   TimePoint ArrivedBoot; ///< On the clock that counts suspension.
-  TimePoint Deadline;    ///< Steady clock.
+  TimePoint OfferBy;     ///< Refused if not sent to a server by then.
+  TimePoint Deadline;    ///< For the answer.
   std::function<bool()> CallerPresent; ///< Nothing is sent for one who left.
 
   // For the log line of the statement.
@@ -84,6 +85,9 @@
 /// Time kept from a route's limit so that the answer arrives within it: one
 /// crossing to the caller (up to 3 ms) and a late timer.
 inline constexpr Duration AnswerMargin = milliseconds(20);
+/// Part of the latency target within which a statement is sent to a server or
+/// refused: a caller that is refused early can try another entry VM in time.
+inline constexpr int OfferShare = 4;
 /// Taken off a staleness bound, for the time between our look at the clock
 /// and the arrival of the bytes that it stands for.
 inline constexpr Duration StalenessMargin = milliseconds(20);
@@ -114,9 +118,10 @@
 };
 
 /// Begins a transaction on a server that suits \p Guard.
+/// \param Begin the caller's statement.
 /// \returns the refusal if none could be begun.
 QCoro::Task<std::variant<OpenTransaction, Answer>>
-beginTransaction(Access Mode, ReadGuard Guard, Errand &E);
+beginTransaction(Statement Begin, ReadGuard Guard, Errand &E);
 
 } // namespace amaranthspur
 
