--- a/src/policy/GroupBeliefs.cpp
+++ b/src/policy/GroupBeliefs.cpp
@@ -172,7 +172,8 @@
   const bool Leads = Leader && Leader->Id == Server.id();
   if (Leads)
     Cost += static_cast<double>(PrimaryReadCost.count());
-  else if (Floor && Server.Position < *Floor)
+  else if (Floor && Server.Position != LogPosition() &&
+           Server.Position < *Floor)
     Cost += static_cast<double>(BelowFloorCost.count());
   return Cost;
 }
--- a/src/policy/GroupBeliefs.h
+++ b/src/policy/GroupBeliefs.h
@@ -93,8 +93,9 @@
   /// Traffic between regions is billed four times as high as within one and
   /// shares a link of 30 Mbit/s.
   static constexpr Duration OtherRegionCost = milliseconds(40);
-  /// Keeps the primary's slots for what only it can do.
-  static constexpr Duration PrimaryReadCost = milliseconds(15);
+  /// Keeps the primary's slots for what only it can do: a read goes there
+  /// when the replicas are one statement busier.
+  static constexpr Duration PrimaryReadCost = milliseconds(40);
   /// A replica whose last known position is below the floor will often refuse;
   /// a refusal costs a round trip. Replicas apply within 60 ms on average.
   static constexpr Duration BelowFloorCost = milliseconds(20);
--- /dev/null
+++ b/src/root/groups/testing/GroupWatchTest.cpp
@@ -0,0 +1,227 @@
+#include "root/groups/GroupWatch.h"
+
+#include "testing/TaskRunner.h"
+#include "testing/line-group/LineGroup.h"
+
+#include <catch2/catch.hpp>
+
+using namespace amaranthspur;
+using linegroup::LineGroup;
+
+namespace {
+
+/// The claim rows of the platform's store.
+class ClaimStore final : public Platform {
+public:
+  QCoro::Task<Result<TableRow>> readRow(std::string Key, TimePoint) override {
+    co_return this->Rows[Key];
+  }
+  QCoro::Task<Result<CasOutcome>>
+  compareAndSet(std::string Key, std::uint64_t Expected, std::string Value,
+                std::string Operation, TimePoint) override {
+    if (this->Down)
+      co_return Error{"no answer"};
+    TableRow &Row = this->Rows[Key];
+    if (Row.Version != Expected)
+      co_return CasOutcome{false, Row};
+    Row = {++this->Counter, std::move(Value), std::move(Operation)};
+    co_return CasOutcome{true, Row};
+  }
+  QCoro::Task<Result<Success>> putObject(std::string, std::string,
+                                         TimePoint) override {
+    co_return Error{"not used"};
+  }
+  QCoro::Task<Result<std::optional<std::string>>>
+  getObject(std::string, TimePoint) override {
+    co_return Error{"not used"};
+  }
+  QCoro::Task<Result<std::vector<PlatformVm>>> listVms(TimePoint) override {
+    co_return Error{"not used"};
+  }
+
+  bool Down = false;
+  std::uint64_t Counter = 0;
+  std::map<std::string, TableRow> Rows;
+};
+
+/// Carries out orders on the group and records them.
+class RecordedOrders final : public Promotions {
+public:
+  explicit RecordedOrders(LineGroup &Group) : Group(Group) {}
+
+  QCoro::Task<PromotionOutcome> promote(PromotionOrder Order,
+                                        TimePoint) override {
+    this->Orders.push_back(Order);
+    const PromotionOutcome Said = this->Says;
+    if (Said == PromotionOutcome::Accepted || this->TakesEffect)
+      this->Group.promote(Order.Target.str());
+    co_return Said;
+  }
+
+  LineGroup &Group;
+  PromotionOutcome Says = PromotionOutcome::Accepted;
+  bool TakesEffect = false; ///< Whatever is said.
+  std::vector<PromotionOrder> Orders;
+};
+
+/// One entry VM that watches a group.
+struct Fixture {
+  Fixture() {
+    testApplication();
+    this->refresh();
+    this->Servers->start();
+    this->Watch.start();
+  }
+  ~Fixture() {
+    runTask(this->Watch.stop());
+    runTask(this->Servers->stop());
+  }
+
+  void refresh() {
+    ServiceLimits Limits;
+    Limits.MaxConnections = 33;
+    Limits.SyncReplicas = 1;
+    this->Servers->configure(Limits, this->Group.registrations());
+  }
+
+  /// Lets time pass until an order was given or \p Limit is over.
+  void pass(Duration Limit) {
+    runTask([](Fixture &F, Duration Limit) -> QCoro::Task<> {
+      const TimePoint End = steadyNow() + Limit;
+      while (steadyNow() < End && F.Orders.Orders.empty())
+        co_await sleepFor(milliseconds(20));
+      // What follows an order.
+      co_await sleepFor(milliseconds(200));
+    }(*this, Limit));
+  }
+
+  LineGroup Group;
+  ClaimStore Store;
+  RecordedOrders Orders{this->Group};
+  Metrics Counters;
+  Random Rng{1};
+  Whereabouts Where{DataCentre("here"), {{DataCentre("here"), Region("r")}}};
+  std::shared_ptr<class Group> Servers = std::make_shared<class Group>(
+      ServiceName("ledger"), this->Group, this->Where);
+  GroupWatch Watch{
+      this->Servers,
+      {EntryVmId("vm"), this->Store, this->Orders, this->Counters, this->Rng}};
+};
+
+} // namespace
+
+// Guards against promotions that lose acknowledged commits or that nobody
+// needs, and against groups that stay without a primary.
+TEST_CASE("a watch replaces a primary only where it is safe") {
+  struct Row {
+    const char *Name;
+    std::function<void(Fixture &)> Trouble;
+    std::string Target; ///< Empty: no order is given.
+    Term AdoptedByOther = 1;
+  };
+  const auto Down = [](Fixture &F, const char *Id) {
+    F.Group[Id].Reachable = false;
+    F.Servers->failed(ServerId(Id), "test");
+  };
+  const Row Rows[] = {
+      {"nothing is wrong", [](Fixture &) {}, ""},
+      {"the primary is gone",
+       [&Down](Fixture &F) {
+         F.Group["c"].Log.Index = 9;
+         Down(F, "a");
+       },
+       "c", 2},
+      {"the primary and a replica are gone",
+       [&Down](Fixture &F) {
+         Down(F, "a");
+         Down(F, "b");
+       },
+       ""},
+      {"only this entry VM cannot reach the primary",
+       [&Down](Fixture &F) { Down(F, "b"); }, ""},
+      {"the primary leaves",
+       [](Fixture &F) {
+         F.Group["a"].Draining = true;
+         F.refresh();
+       },
+       "b", 2},
+      {"the store is down",
+       [&Down](Fixture &F) {
+         F.Store.Down = true;
+         Down(F, "a");
+       },
+       ""},
+      {"another entry VM holds the claim",
+       [&Down](Fixture &F) {
+         F.Store.Rows["takeover/ledger"] = {7, "other 2", "x"};
+         Down(F, "a");
+       },
+       ""},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    R.Trouble(F);
+    F.pass(std::chrono::seconds(2));
+    REQUIRE(F.Orders.Orders.empty() == R.Target.empty());
+    if (R.Target.empty()) {
+      CHECK(F.Group["c"].Adopted == 1);
+      continue;
+    }
+    CHECK(F.Orders.Orders.size() == 1);
+    CHECK(F.Orders.Orders[0].Target.str() == R.Target);
+    CHECK(F.Orders.Orders[0].Fence ==
+          F.Store.Rows["takeover/ledger"].Version - 1);
+    const std::string Other = R.Target == "c" ? "b" : "c";
+    CHECK(F.Group[Other].Adopted == R.AdoptedByOther);
+    CHECK(F.Servers->beliefs().primary()->Id.str() == R.Target);
+    CHECK(F.Store.Rows["takeover/ledger"].Value == "finished");
+  }
+}
+
+// Guards against a replica that stays paused after a takeover that was given
+// up, and against one that is resumed while the order may still take effect:
+// it could then acknowledge commits that the new primary lacks.
+TEST_CASE("what was adopted is undone only when no order can take effect") {
+  struct Row {
+    const char *Name;
+    PromotionOutcome Says;
+    bool TakesEffect;
+    bool Resumed;
+    bool Finished;
+  };
+  const Row Rows[] = {
+      {"refused", PromotionOutcome::Refused, false, true, true},
+      {"no answer, and no effect yet", PromotionOutcome::Unknown, false, false,
+       false},
+      {"no answer, but done", PromotionOutcome::Unknown, true, false, true},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    F.Orders.Says = R.Says;
+    F.Orders.TakesEffect = R.TakesEffect;
+    F.Group["a"].Draining = true;
+    F.refresh();
+    F.pass(std::chrono::seconds(2));
+    REQUIRE_FALSE(F.Orders.Orders.empty());
+    CHECK((F.Group["c"].Adopted == 1) == R.Resumed);
+    CHECK((F.Store.Rows["takeover/ledger"].Value == "finished") == R.Finished);
+  }
+}
+
+// Guards against fence tokens that go back when holders change.
+TEST_CASE("each claim has a higher fence") {
+  Fixture F;
+  F.Orders.Says = PromotionOutcome::Refused;
+  F.Group["a"].Draining = true;
+  F.refresh();
+  runTask([](Fixture &F) -> QCoro::Task<> {
+    const TimePoint End = steadyNow() + std::chrono::seconds(5);
+    while (steadyNow() < End && F.Orders.Orders.size() < 3)
+      co_await sleepFor(milliseconds(20));
+  }(F));
+  REQUIRE(F.Orders.Orders.size() >= 3);
+  for (std::size_t I = 1; I < F.Orders.Orders.size(); ++I)
+    CHECK(F.Orders.Orders[I - 1].Fence < F.Orders.Orders[I].Fence);
+}
--- a/src/root/sessions/Session.cpp
+++ b/src/root/sessions/Session.cpp
@@ -308,7 +308,9 @@
       }
     }
   }
-  if (A.Code == AnswerCode::ReadOnly)
+  // In a read-only transaction the refusal says nothing about the server.
+  if (A.Code == AnswerCode::ReadOnly &&
+      this->TransactionBegin.Mode == Access::Write)
     E.Servers->notPrimary(E.LastServer);
   if (!A.succeeded())
     A = this->failTransaction(A);
--- /dev/null
+++ b/src/root/sessions/testing/SessionTest.cpp
@@ -0,0 +1,313 @@
+#include "root/sessions/Session.h"
+
+#include "platform/LineCodec.h"
+#include "testing/TaskRunner.h"
+#include "testing/line-group/LineGroup.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+using namespace amaranthspur;
+using linegroup::LineGroup;
+using linegroup::LinkFault;
+
+namespace {
+
+/// A caller that sends what the test scripts and records the answers.
+class ScriptedCaller final : public CallerStream {
+public:
+  /// One step: a line to send, and what the test does before it.
+  struct Step {
+    std::string Line;
+    std::function<void()> Before = [] {};
+  };
+
+  ScriptedCaller(std::deque<Step> Steps, std::vector<std::string> &Answers)
+      : Steps(std::move(Steps)), Answers(Answers) {}
+
+  QCoro::Task<CallerMessage> receive(TimePoint) override {
+    if (this->Steps.empty())
+      co_return CallerMessage(CallerGone{});
+    const Step Next = this->Steps.front();
+    this->Steps.pop_front();
+    Next.Before();
+    if (Next.Line.empty())
+      co_return CallerMessage(NothingYet{});
+    Result<lines::CallerLine> Decoded = lines::decodeCallerLine(Next.Line);
+    if (!succeeded(Decoded))
+      co_return CallerMessage(
+          BadMessage{AnswerCode::Malformed, errorOf(Decoded)});
+    lines::CallerLine Message = valueOf(std::move(Decoded));
+    if (auto *Connect = std::get_if<lines::ConnectLine>(&Message))
+      co_return CallerMessage(SessionRequest{Connect->Database});
+    if (auto *S = std::get_if<Statement>(&Message))
+      co_return CallerMessage(*S);
+    co_return CallerMessage(CallerGone{});
+  }
+  void greet() override { this->Answers.emplace_back("ready"); }
+  void reject(AnswerCode Code, std::string) override {
+    this->Answers.emplace_back("rejected " + std::string(nameOf(Code)));
+  }
+  void send(const Answer &A) override {
+    const std::string State(nameOf(A.State));
+    this->Answers.emplace_back((A.Code ? std::string(nameOf(*A.Code)) : "ok") +
+                               " " + State);
+  }
+  QCoro::Task<bool> flushed(TimePoint) override { co_return true; }
+  void interrupt() override {}
+  QCoro::Task<> finish(TimePoint) override { co_return; }
+  void abort() override {}
+  bool isOpen() const override { return true; }
+
+private:
+  std::deque<Step> Steps;
+  std::vector<std::string> &Answers;
+};
+
+/// A platform that holds one configuration and one group.
+class FixedTables final : public TableFeed {
+public:
+  explicit FixedTables(const LineGroup &Group) : Group(Group) {}
+
+  QCoro::Task<Result<WatchedRows>> readTable(WatchedTable Table,
+                                             TimePoint) override {
+    WatchedRows Rows;
+    Rows.Version = 1;
+    if (Table == WatchedTable::Operator)
+      Rows.Rows.push_back({"config", Plan, 1, false});
+    else
+      for (const RegisteredServer &R : this->Group.registrations())
+        Rows.Rows.push_back({R.Id.str(), document(R), 1, false});
+    co_return Rows;
+  }
+  QCoro::Task<Result<WatchedRows>> awaitChanges(WatchedTable, std::uint64_t,
+                                                Duration) override {
+    co_await sleepFor(milliseconds(20));
+    WatchedRows Rows;
+    Rows.Version = 1;
+    co_return Rows;
+  }
+
+private:
+  static std::string document(const RegisteredServer &R) {
+    return R"({"service":"ledger","address":")" + R.At.str() +
+           R"(","zone":"here","version":"v1","slots":5,"state":"ready",)"
+           R"("cold-ms":0,"sequence":1,"db-role":")" +
+           std::string(nameOf(*R.Role)) + "\"}";
+  }
+
+  static constexpr const char *Plan =
+      R"({"version":3,"routes":[{"name":"r","host":"orders",)"
+      R"("route-type":"read_your_writes","timeout-ms":400,)"
+      R"("latency-goal-ms":400,"service":"ledger","max-staleness-ms":500}],)"
+      R"("services":[{"name":"ledger","max-conns":33,"sync-replicas":1}],)"
+      R"("limits":{"tx-idle-ms":100}})";
+  const LineGroup &Group;
+};
+
+class NoPromotions final : public Promotions {
+public:
+  QCoro::Task<PromotionOutcome> promote(PromotionOrder, TimePoint) override {
+    co_return PromotionOutcome::Refused;
+  }
+};
+
+class NoPlatform final : public Platform {
+public:
+  QCoro::Task<Result<TableRow>> readRow(std::string, TimePoint) override {
+    co_return Error{"not used"};
+  }
+  QCoro::Task<Result<CasOutcome>> compareAndSet(std::string, std::uint64_t,
+                                                std::string, std::string,
+                                                TimePoint) override {
+    co_return Error{"not used"};
+  }
+  QCoro::Task<Result<Success>> putObject(std::string, std::string,
+                                         TimePoint) override {
+    co_return Error{"not used"};
+  }
+  QCoro::Task<Result<std::optional<std::string>>>
+  getObject(std::string, TimePoint) override {
+    co_return Error{"not used"};
+  }
+  QCoro::Task<Result<std::vector<PlatformVm>>> listVms(TimePoint) override {
+    co_return Error{"not used"};
+  }
+};
+
+/// Everything around one session.
+struct Fixture {
+  Fixture() {
+    testApplication();
+    this->Directory.Changed = [this] { this->Groups.refresh(); };
+    runTask(this->Directory.start());
+    runTask(this->Groups.start());
+  }
+  ~Fixture() {
+    runTask(this->Directory.stop(steadyNow()));
+    runTask(this->Groups.stop(steadyNow() + std::chrono::seconds(5)));
+    // The followers of the tables end at their next wake-up.
+    runTask([]() -> QCoro::Task<> { co_await sleepFor(milliseconds(60)); }());
+  }
+
+  std::vector<std::string> serve(std::deque<ScriptedCaller::Step> Steps) {
+    std::vector<std::string> Answers;
+    Session Served(this->Around,
+                   std::make_unique<ScriptedCaller>(std::move(Steps), Answers));
+    runTask(Served.run());
+    return Answers;
+  }
+
+  LineGroup Group;
+  FixedTables Tables{this->Group};
+  NoPlatform Store;
+  NoPromotions Orders;
+  Metrics Counters;
+  Random Rng{1};
+  Whereabouts Where{DataCentre("here"), {{DataCentre("here"), Region("r")}}};
+  PlatformDirectory Directory{this->Tables};
+  GroupRegistry Groups{
+      this->Directory,
+      this->Group,
+      this->Where,
+      {EntryVmId("vm"), this->Store, this->Orders, this->Counters, this->Rng}};
+  SessionSurroundings Around{this->Directory, this->Groups, this->Counters};
+};
+
+using Steps = std::deque<ScriptedCaller::Step>;
+using Texts = std::vector<std::string>;
+
+} // namespace
+
+// Guards against a session that drifts from the protocol: states that are not
+// those of the caller's transaction, names that are not known, and databases
+// that are served though the configuration does not name them.
+TEST_CASE("a session answers each statement in its state") {
+  struct Row {
+    const char *Name;
+    std::vector<const char *> Lines;
+    Texts Answers;
+  };
+  const Row Rows[] = {
+      {"unknown database", {"CONNECT other x"}, {"rejected unknown-database"}},
+      {"statement before the start",
+       {"QUERY 1 READ a"},
+       {"rejected malformed"}},
+      {"single statements",
+       {"CONNECT orders x", "QUERY 1 WRITE a b", "QUERY 2 READ a", "BYE"},
+       {"ready", "ok idle", "ok idle"}},
+      {"a transaction",
+       {"CONNECT orders x", "QUERY 1 BEGIN", "QUERY 2 READ a",
+        "QUERY 3 WRITE a b", "QUERY 4 COMMIT", "QUERY 5 READ a"},
+       {"ready", "ok in-transaction", "ok in-transaction", "ok in-transaction",
+        "ok idle", "ok idle"}},
+      {"a transaction without statements",
+       {"CONNECT orders x", "QUERY 1 BEGIN", "QUERY 2 COMMIT"},
+       {"ready", "ok in-transaction", "ok idle"}},
+      {"rolled back",
+       {"CONNECT orders x", "QUERY 1 BEGIN", "QUERY 2 WRITE a b",
+        "QUERY 3 ROLLBACK", "QUERY 4 ROLLBACK"},
+       {"ready", "ok in-transaction", "ok in-transaction", "ok idle",
+        "ok idle"}},
+      {"prepared names",
+       {"CONNECT orders x", "QUERY 1 EXECUTE s a", "QUERY 2 PREPARE s READ q",
+        "QUERY 3 EXECUTE s a", "QUERY 4 DEALLOC s", "QUERY 5 EXECUTE s a",
+        "QUERY 6 DEALLOC s"},
+       {"ready", "unknown-statement idle", "ok idle", "ok idle", "ok idle",
+        "unknown-statement idle", "unknown-statement idle"}},
+      {"commit without a transaction",
+       {"CONNECT orders x", "QUERY 1 COMMIT"},
+       {"ready", "malformed idle"}},
+      {"begin twice",
+       {"CONNECT orders x", "QUERY 1 BEGIN", "QUERY 2 BEGIN"},
+       {"ready", "ok in-transaction", "malformed in-transaction"}},
+      {"garbage ends the session",
+       {"CONNECT orders x", "GET / HTTP/1.1", "QUERY 1 READ a"},
+       {"ready", "malformed idle"}},
+      {"write in a read-only transaction",
+       {"CONNECT orders x", "QUERY 0 WRITE a b", "QUERY 1 BEGIN READ",
+        "QUERY 2 READ a", "QUERY 3 WRITE a b", "QUERY 4 READ a",
+        "QUERY 5 ROLLBACK"},
+       {"ready", "ok idle", "ok in-transaction", "ok in-transaction",
+        "read-only failed", "malformed failed", "ok idle"}},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    Steps Script;
+    for (const char *Line : R.Lines)
+      Script.push_back({Line});
+    CHECK(F.serve(Script) == R.Answers);
+  }
+}
+
+// Guards against a caller whose mistake makes the entry VM lose its belief in
+// the primary, which every session of the group would feel.
+TEST_CASE("a write in a read-only transaction leaves the primary in place") {
+  Fixture F;
+  F.serve({{"CONNECT orders x"},
+           {"QUERY 1 BEGIN READ"},
+           {"QUERY 2 WRITE a b"},
+           {"QUERY 3 ROLLBACK"}});
+  const auto Leader = F.Groups.find(ServiceName("ledger"))->beliefs().primary();
+  REQUIRE(Leader);
+  CHECK(Leader->Id.str() == "a");
+}
+
+// Guards against a promise that nothing is kept when something may be, and
+// against an unknown outcome where nothing can be kept.
+TEST_CASE("a transaction that loses its server ends truly") {
+  Fixture F;
+  const auto Lose = [&F] { F.Group["a"].Fault = LinkFault::LoseAnswer; };
+  const auto Heal = [&F] { F.Group["a"].Fault = LinkFault::None; };
+  CHECK(F.serve({{"CONNECT orders x"},
+                 {"QUERY 1 BEGIN"},
+                 {"QUERY 2 WRITE a b"},
+                 {"QUERY 3 WRITE a c", Lose},
+                 {"QUERY 4 COMMIT", Heal}}) ==
+        Texts{"ready", "ok in-transaction", "ok in-transaction",
+              "aborted failed", "aborted idle"});
+  CHECK(F.serve({{"CONNECT orders x"},
+                 {"QUERY 1 BEGIN"},
+                 {"QUERY 2 WRITE a b"},
+                 {"QUERY 3 COMMIT", Lose}}) ==
+        Texts{"ready", "ok in-transaction", "ok in-transaction",
+              "outcome-unknown idle"});
+  Heal();
+  CHECK(
+      F.serve({{"CONNECT orders x"},
+               {"QUERY 1 BEGIN"},
+               {"QUERY 2 READ a"},
+               {"QUERY 3 COMMIT", Lose}}) ==
+      Texts{"ready", "ok in-transaction", "ok in-transaction", "aborted idle"});
+}
+
+// Guards against a connection that an idle transaction keeps from others.
+TEST_CASE("a transaction that rests too long is rolled back") {
+  Fixture F;
+  CHECK(F.serve({{"CONNECT orders x"},
+                 {"QUERY 1 BEGIN"},
+                 {"QUERY 2 WRITE a b"},
+                 {""}, // The limit passes.
+                 {"QUERY 3 WRITE a c"},
+                 {"QUERY 4 COMMIT"},
+                 {"QUERY 5 WRITE a d"}}) ==
+        Texts{"ready", "ok in-transaction", "ok in-transaction",
+              "malformed failed", "aborted idle", "ok idle"});
+}
+
+// Guards against settings that reach the server late or not at all.
+TEST_CASE("settings hold for the statements after them") {
+  Fixture F;
+  CHECK(F.serve({{"CONNECT orders x"},
+                 {"QUERY 1 SET zone a"},
+                 {"QUERY 2 BEGIN"},
+                 {"QUERY 3 WRITE a b"},
+                 {"QUERY 4 SET zone b"},
+                 {"QUERY 5 WRITE a c"},
+                 {"QUERY 6 COMMIT"}})
+            .size() == 7);
+  CHECK(F.Group["a"].Ran == Texts{"zone=a BEGIN", "zone=a WRITE a b",
+                                  "zone=b WRITE a c", "zone=b COMMIT"});
+}
--- /dev/null
+++ b/src/root/sessions/testing/StatementRunnerTest.cpp
@@ -0,0 +1,268 @@
+#include "root/sessions/StatementRunner.h"
+
+#include "core/BootClock.h"
+#include "platform/LineCodec.h"
+#include "testing/TaskRunner.h"
+#include "testing/line-group/LineGroup.h"
+
+#include <catch2/catch.hpp>
+
+using namespace amaranthspur;
+using linegroup::LineGroup;
+using linegroup::LinkFault;
+
+namespace {
+
+Statement statement(const std::string &Text) {
+  const Result<lines::CallerLine> Decoded =
+      lines::decodeCallerLine("QUERY id " + Text);
+  REQUIRE(succeeded(Decoded));
+  return std::get<Statement>(valueOf(Decoded));
+}
+
+/// A group of servers and the beliefs of one entry VM about it.
+struct Fixture {
+  Fixture() {
+    testApplication();
+    ServiceLimits Limits;
+    Limits.MaxConnections = 33;
+    Limits.SyncReplicas = 1;
+    this->Servers->configure(Limits, this->Group.registrations());
+    this->Servers->start();
+    // The watch learns the primary's term by its status.
+    ServerReport Report;
+    Report.Role = ServerRole::Primary;
+    Report.TermNumber = Report.AdoptedTerm = 1;
+    this->Servers->reported(ServerId("a"), Report);
+  }
+  ~Fixture() { runTask(this->Servers->stop()); }
+
+  Errand errand(ReadConsistency Consistency) {
+    Errand E;
+    E.Servers = this->Servers;
+    E.Route.Service = ServiceName("ledger");
+    E.Route.Consistency = Consistency;
+    E.Route.MaxStaleness = milliseconds(500);
+    E.Route.StatementTimeout = milliseconds(300);
+    E.Route.LatencyTarget = milliseconds(400);
+    E.Arrived = steadyNow();
+    E.ArrivedBoot = bootNow();
+    E.Deadline = E.Arrived + E.Route.StatementTimeout;
+    E.OfferBy = E.Arrived + E.Route.LatencyTarget / OfferShare;
+    E.CallerPresent = [this] { return this->Present; };
+    return E;
+  }
+
+  Answer run(const std::string &Text,
+             ReadConsistency Consistency = ReadConsistency::Primary) {
+    Errand E = this->errand(Consistency);
+    const Statement S = statement(Text);
+    Answer A;
+    if (S.Kind == StatementVerb::Write)
+      A = runTask(runWrite(S, E));
+    else
+      A = runTask(runRead(S, E));
+    this->Attempts = E.Attempts;
+    return A;
+  }
+
+  std::size_t ran(const std::string &Id) { return this->Group[Id].Ran.size(); }
+
+  LineGroup Group;
+  Whereabouts Where{DataCentre("here"), {{DataCentre("here"), Region("r")}}};
+  std::shared_ptr<class Group> Servers = std::make_shared<class Group>(
+      ServiceName("ledger"), this->Group, this->Where);
+  bool Present = true;
+  unsigned Attempts = 0;
+};
+
+} // namespace
+
+// Guards against an outcome that a caller reads as another: a refusal that says
+// "not run" of something that ran, or a write that is sent twice.
+TEST_CASE("a write ends in an outcome that is true") {
+  struct Row {
+    const char *Name;
+    LinkFault Fault;
+    bool Reachable;
+    std::optional<AnswerCode> Code;
+    std::size_t Ran;
+  };
+  const Row Rows[] = {
+      {"undisturbed", LinkFault::None, true, std::nullopt, 1},
+      {"the answer is lost", LinkFault::LoseAnswer, true,
+       AnswerCode::OutcomeUnknown, 1},
+      {"it ran and failed", LinkFault::Fail, true, AnswerCode::Failed, 1},
+      {"the server is full for long", LinkFault::Busy, true, AnswerCode::Busy,
+       0},
+      {"no connection", LinkFault::None, false, AnswerCode::Busy, 0},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    F.Group["a"].Fault = R.Fault;
+    F.Group["a"].Reachable = R.Reachable;
+    const Answer A = F.run("WRITE item data");
+    CHECK(A.Code == R.Code);
+    CHECK(F.ran("a") + F.ran("b") + F.ran("c") == R.Ran);
+  }
+}
+
+// Guards against a write that fails because the primary has changed.
+TEST_CASE("a write finds the new primary after a refusal") {
+  Fixture F;
+  REQUIRE(F.run("WRITE item one").succeeded());
+  F.Group["a"].Role = ServerRole::Replica;
+  F.Group.promote("b");
+  F.Servers->configure(F.Servers->limits(), F.Group.registrations());
+  CHECK(F.run("WRITE item two").succeeded());
+  CHECK(F.ran("b") == 1);
+}
+
+// Guards against a read from a primary that has been superseded: without the
+// proof an entry VM that is cut off with the old primary answers from its log.
+TEST_CASE("a read at the primary needs a proof that it still leads") {
+  struct Row {
+    const char *Name;
+    Term AdoptedByB;
+    Term AdoptedByC;
+    bool ReachableB;
+    bool ReachableC;
+    bool Served;
+  };
+  const Row Rows[] = {
+      {"both replicas follow", 1, 1, true, true, true},
+      {"one replica adopted a later term", 2, 1, true, true, true},
+      {"both adopted a later term", 2, 2, true, true, false},
+      {"no replica answers", 1, 1, false, false, false},
+      {"the one that answers adopted", 2, 1, true, false, false},
+      {"the one that answers follows", 1, 1, false, true, true},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    F.Group["b"].Adopted = R.AdoptedByB;
+    F.Group["c"].Adopted = R.AdoptedByC;
+    F.Group["b"].Reachable = R.ReachableB;
+    F.Group["c"].Reachable = R.ReachableC;
+    const Answer A = F.run("READ item");
+    CHECK(A.succeeded() == R.Served);
+  }
+}
+
+// Guards against stale reads at replicas and against reads that fail although
+// the primary could serve them.
+TEST_CASE("a bounded read goes where the log reaches its floor") {
+  for (const ReadConsistency Consistency :
+       {ReadConsistency::BoundedStaleness, ReadConsistency::ReadYourWrites}) {
+    CAPTURE(nameOf(Consistency));
+    Fixture F;
+    // Without a sample the read is proved at the primary.
+    CHECK(F.run("READ item", Consistency).succeeded());
+    CHECK(F.ran("a") == 1);
+    REQUIRE(F.run("WRITE item data").succeeded());
+    // The write is a sample; now replicas serve.
+    CHECK(F.run("READ item", Consistency).succeeded());
+    CHECK(F.ran("b") + F.ran("c") == 1);
+    // Replicas that do not apply refuse, and the primary serves.
+    F.Group["b"].Lags = F.Group["c"].Lags = true;
+    REQUIRE(F.run("WRITE item data").succeeded());
+    const std::size_t Before = F.ran("a");
+    Errand E = F.errand(Consistency);
+    E.Route.MaxStaleness = milliseconds(1);
+    E.SessionFloor = F.Group["a"].Log;
+    const Answer A = runTask(runRead(statement("READ item"), E));
+    CHECK(A.succeeded());
+    CHECK(F.ran("a") == Before + 1);
+  }
+}
+
+// Guards against reads that are given up while another server could serve, and
+// against answers that claim a read has not run when it may have.
+TEST_CASE("a read is tried elsewhere") {
+  struct Row {
+    const char *Name;
+    LinkFault Fault;
+    std::optional<AnswerCode> Code;
+  };
+  const Row Rows[] = {
+      {"lost answers", LinkFault::LoseAnswer, std::nullopt},
+      {"failures", LinkFault::Fail, std::nullopt},
+      {"full servers", LinkFault::Busy, std::nullopt},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    REQUIRE(F.run("WRITE item data").succeeded());
+    F.Group["b"].Fault = R.Fault;
+    F.Group["a"].Fault = R.Fault;
+    const Answer A = F.run("READ item", ReadConsistency::BoundedStaleness);
+    CHECK(A.Code == R.Code);
+    CHECK(F.ran("c") >= 1);
+  }
+  Fixture F;
+  REQUIRE(F.run("WRITE item data").succeeded());
+  for (const char *Id : {"a", "b", "c"})
+    F.Group[Id].Fault = LinkFault::LoseAnswer;
+  const Answer A = F.run("READ item", ReadConsistency::BoundedStaleness);
+  REQUIRE(A.Code);
+  CHECK_FALSE(isNotRun(*A.Code));
+}
+
+// Guards against work done for a caller that has left.
+TEST_CASE("nothing is sent for a caller that is gone") {
+  Fixture F;
+  F.Present = false;
+  CHECK_FALSE(F.run("WRITE item data").succeeded());
+  CHECK_FALSE(F.run("READ item").succeeded());
+  CHECK(F.ran("a") + F.ran("b") + F.ran("c") == 0);
+}
+
+// Guards against a transaction that begins on a server where its reads would be
+// stale or its writes refused.
+TEST_CASE("a transaction begins on a server that suits it") {
+  struct Row {
+    const char *Name;
+    const char *Begin;
+    ReadConsistency Consistency;
+    bool AtPrimary;
+    bool NeedsProof;
+  };
+  const Row Rows[] = {
+      {"plain", "BEGIN", ReadConsistency::BoundedStaleness, true, false},
+      {"plain on a primary route", "BEGIN", ReadConsistency::Primary, true,
+       true},
+      {"read-only", "BEGIN READ", ReadConsistency::BoundedStaleness, false,
+       false},
+      {"read-only on a primary route", "BEGIN READ", ReadConsistency::Primary,
+       true, true},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    REQUIRE(F.run("WRITE item data").succeeded());
+    Errand E = F.errand(R.Consistency);
+    const ReadGuard Guard = guardOf(E);
+    auto Begun = runTask(beginTransaction(statement(R.Begin), Guard, E));
+    auto *Open = std::get_if<OpenTransaction>(&Begun);
+    REQUIRE(Open);
+    CHECK((Open->Link.server().str() == "a") == R.AtPrimary);
+    CHECK(Open->NeedsProof == R.NeedsProof);
+  }
+}
+
+// Guards against a statement that runs under another session's settings.
+TEST_CASE("a connection is brought to the session that uses it") {
+  Fixture F;
+  const SessionValues First{{"zone", "a"}};
+  const SessionValues Second{{"unit", "kg"}};
+  for (const SessionValues &Values : {First, Second, First, SessionValues()}) {
+    Errand E = F.errand(ReadConsistency::Primary);
+    E.Values = Values;
+    REQUIRE(runTask(runWrite(statement("WRITE item data"), E)).succeeded());
+  }
+  const std::vector<std::string> Expected = {
+      "zone=a WRITE item data", "unit=kg WRITE item data",
+      "zone=a WRITE item data", "WRITE item data"};
+  CHECK(F.Group["a"].Ran == Expected);
+}
