--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -14,8 +14,8 @@
 /// Share of the remaining time that one attempt of a read gets, so that a
 /// silent connection leaves time for another server.
 constexpr double ReadAttemptShare = 0.6;
-/// Sends of one read at most.
-constexpr unsigned MaxReadSends = 6;
+/// Sends of one read at most that a server may have spent time on.
+constexpr unsigned MaxReadRuns = 4;
 /// Times that a read which ran and failed is run elsewhere.
 constexpr unsigned MaxFailedReads = 1;
 
@@ -152,7 +152,8 @@
   ReadGuard Guard = guardOf(E);
   std::set<ServerId> Tried;
   unsigned Failed = 0;
-  while (E.Attempts < MaxReadSends && steadyNow() < searchDeadline(E) &&
+  unsigned Runs = 0;
+  while (Runs < MaxReadRuns && steadyNow() < searchDeadline(E) &&
          E.CallerPresent()) {
     std::optional<BelievedPrimary> Leader = E.Servers->beliefs().primary();
     std::optional<ServerId> Id;
@@ -194,9 +195,11 @@
       E.Servers->failed(*Id, errorOf(R));
       Link.drop();
       Tried.insert(*Id);
+      ++Runs;
       continue;
     }
     Answer A = valueOf(std::move(R));
+    Runs += A.Code && isNotRun(*A.Code) ? 0 : 1;
     if (A.Code == AnswerCode::UnknownStatement)
       Link.drop();
     Link.giveBack();
@@ -226,10 +229,10 @@
     if (Guard.AtPrimary)
       co_await sleepFor(RefusedPause);
   }
-  if (E.Attempts > 0 && steadyNow() >= E.Deadline)
-    co_return failure(AnswerCode::Timeout, "read ran out of time");
-  if (E.Attempts == 0)
+  if (Runs == 0)
     co_return refuseNotRun("no server could be used");
+  if (steadyNow() >= E.Deadline)
+    co_return failure(AnswerCode::Timeout, "read ran out of time");
   co_return failure(AnswerCode::Failed, "no server gave a usable answer");
 }
 
--- a/src/root/sessions/testing/StatementRunnerTest.cpp
+++ b/src/root/sessions/testing/StatementRunnerTest.cpp
@@ -209,6 +209,21 @@
   CHECK_FALSE(isNotRun(*A.Code));
 }
 
+// Guards against a read that is given up early, and as if it had run, because
+// servers refused it several times: replicas that lag refuse within a
+// millisecond.
+TEST_CASE("refusals as not run do not use up a read") {
+  Fixture F;
+  REQUIRE(F.run("WRITE item data").succeeded());
+  for (const char *Id : {"a", "b", "c"})
+    F.Group[Id].Fault = LinkFault::Busy;
+  Errand E = F.errand(ReadConsistency::BoundedStaleness);
+  const Answer A = runTask(runRead(statement("READ item"), E));
+  CHECK(A.Code == AnswerCode::Busy);
+  CHECK(E.Attempts > 6);
+  CHECK(steadyNow() >= E.Deadline - milliseconds(50));
+}
+
 // Guards against work done for a caller that has left.
 TEST_CASE("nothing is sent for a caller that is gone") {
   Fixture F;
