--- a/src/root/directory/testing/PlatformDirectoryTest.cpp
+++ b/src/root/directory/testing/PlatformDirectoryTest.cpp
@@ -30,7 +30,6 @@
 /// The directory over HTTP before the stand-in for the platform.
 struct Fixture {
   Fixture() {
-    testApplication();
     this->Port = this->Server.listen(QHostAddress::LocalHost);
     this->Store.setForeign("op", "config", plan(3, "ab"));
     this->Store.setForeign("servers", "i-1", server("ready"));
@@ -65,6 +64,7 @@
     REQUIRE(Met);
   }
 
+  QCoreApplication &App = testApplication();
   fakeplatform::PlatformStore Store{1};
   fakeplatform::PlatformServer Server{this->Store};
   quint16 Port = 0;
--- /dev/null
+++ b/src/root/testing/LineDaemonTest.cpp
@@ -0,0 +1,201 @@
+// The daemon as a process, with the platform's line protocol on both sides.
+#include "core/Async.h"
+#include "platform/LineStream.h"
+#include "testing/Processes.h"
+#include "testing/TaskRunner.h"
+#include "testing/fake-platform/PlatformServer.h"
+#include "testing/line-group/LineServer.h"
+
+#include <catch2/catch.hpp>
+
+#include <QHostAddress>
+#include <QProcess>
+
+#include <csignal>
+
+using namespace amaranthspur;
+using linegroup::LineGroup;
+using linegroup::LineServer;
+
+namespace {
+
+constexpr const char *Plan =
+    R"({"version":3,"routes":[{"name":"r","host":"orders",)"
+    R"("route-type":"read_your_writes","timeout-ms":1000,)"
+    R"("latency-goal-ms":800,"service":"ledger","max-staleness-ms":2500}],)"
+    R"("services":[{"name":"ledger","max-conns":33,"sync-replicas":1}],)"
+    R"("limits":{"tx-idle-ms":3000}})";
+
+/// Platform, a group of servers and one daemon.
+struct Fixture {
+  Fixture() {
+    const quint16 Port = this->Server.listen(QHostAddress::LocalHost);
+    this->Store.setForeign("op", "config", Plan);
+    this->addServer(this->A, "a", "primary");
+    this->addServer(this->B, "b", "replica");
+    this->addServer(this->C, "c", "replica");
+    const auto At = [](std::uint16_t P) {
+      return "127.0.0.1:" + QString::number(P);
+    };
+    this->CallerPort = freePort("127.0.0.1");
+    this->ReadyPort = freePort("127.0.0.1");
+    const Result<std::string> Program = findProgram("amaranthspurd");
+    REQUIRE(succeeded(Program));
+    this->Daemon.setProcessChannelMode(QProcess::MergedChannels);
+    this->Daemon.start(QString::fromStdString(valueOf(Program)),
+                       {"--front-end",
+                        "lines",
+                        "--vm-id",
+                        "vm-1",
+                        "--data-centre",
+                        "here",
+                        "--regions",
+                        "here=r",
+                        "--caller-address",
+                        At(this->CallerPort),
+                        "--readiness-address",
+                        At(this->ReadyPort),
+                        "--admin-address",
+                        At(freePort("127.0.0.1")),
+                        "--platform-address",
+                        At(Port),
+                        "--promotion-address",
+                        At(Port),
+                        "--drain-notice-ms",
+                        "300",
+                        "--drain-timeout-ms",
+                        "3000"});
+    this->until("event=readiness-changed ready=yes");
+  }
+  ~Fixture() {
+    this->Daemon.kill();
+    this->Daemon.waitForFinished();
+  }
+
+  void addServer(const LineServer &At, const std::string &Id,
+                 const std::string &Role) {
+    this->Store.setForeign(
+        "servers", Id,
+        R"({"service":"ledger","address":"127.0.0.1:)" +
+            std::to_string(At.port()) +
+            R"(","zone":"here","version":"v1","slots":5,"state":"ready",)"
+            R"("cold-ms":0,"sequence":1,"db-role":")" +
+            Role + "\"}");
+  }
+
+  /// Lets the event loop run until \p Condition holds; fails after a while.
+  void wait(const std::function<bool()> &Condition) {
+    const bool Met = runTask(
+        [](const std::function<bool()> &Condition) -> QCoro::Task<bool> {
+          const TimePoint End = steadyNow() + std::chrono::seconds(10);
+          while (!Condition() && steadyNow() < End)
+            co_await sleepFor(milliseconds(10));
+          co_return Condition();
+        }(Condition));
+    INFO(this->Log.toStdString());
+    REQUIRE(Met);
+  }
+  void until(const char *Text) {
+    this->wait([this, Text] {
+      this->Log += this->Daemon.readAll();
+      return this->Log.contains(Text);
+    });
+  }
+
+  QCoreApplication &App = testApplication();
+  LineGroup Group;
+  LineServer A{this->Group, "a"};
+  LineServer B{this->Group, "b"};
+  LineServer C{this->Group, "c"};
+  fakeplatform::PlatformStore Store{1};
+  fakeplatform::PlatformServer Server{this->Store};
+  std::uint16_t CallerPort = 0;
+  std::uint16_t ReadyPort = 0;
+  QProcess Daemon;
+  QByteArray Log;
+};
+
+/// A caller on a connection of its own.
+class Caller {
+public:
+  explicit Caller(const Fixture &F)
+      : Stream(runTask(openSocket({"127.0.0.1", F.CallerPort},
+                                  steadyNow() + std::chrono::seconds(5)))) {}
+
+  /// Sends \p Line and returns the lines up to READY, or what came before the
+  /// end of the connection.
+  std::string ask(const std::string &Line) {
+    this->Stream.write(Line + "\r\n");
+    return runTask([](LineStream &Stream) -> QCoro::Task<std::string> {
+      std::string Said;
+      while (true) {
+        const std::optional<std::string> Next =
+            co_await Stream.nextLine(steadyNow() + std::chrono::seconds(5));
+        if (!Next)
+          co_return Said + "closed";
+        Said += *Next + "|";
+        if (Next->starts_with("READY"))
+          co_return Said;
+      }
+    }(this->Stream));
+  }
+
+private:
+  LineStream Stream;
+};
+
+} // namespace
+
+// Guards against a front end whose parts work and whose whole does not.
+TEST_CASE("a caller is served over the platform's line protocol") {
+  Fixture F;
+  Caller First(F);
+  CHECK(First.ask("CONNECT orders u1") == "READY I -|");
+  CHECK(First.ask("QUERY q1 WRITE item data") ==
+        "COMPLETE digest:WRITE item data|READY I 1.2|");
+  CHECK(First.ask("QUERY q2 READ item").starts_with("COMPLETE digest:READ"));
+  CHECK(First.ask("QUERY q3 BEGIN") == "COMPLETE -|READY T -|");
+  CHECK(First.ask("QUERY q4 WRITE item more").find("READY T") !=
+        std::string::npos);
+  CHECK(First.ask("QUERY q5 COMMIT") == "COMPLETE digest:COMMIT|READY I 1.3|");
+
+  // Garbage ends its own connection and no other.
+  Caller Second(F);
+  CHECK(Second.ask("GET / HTTP/1.1").find("closed") != std::string::npos);
+  Caller Third(F);
+  CHECK(Third.ask("CONNECT nowhere u1").starts_with("ERROR NODB"));
+  CHECK(First.ask("QUERY q6 READ item").starts_with("COMPLETE digest:READ"));
+  F.until("id=q6");
+  CHECK(F.Log.contains("event=statement-answered id=q1 database=orders"));
+}
+
+// Guards against a planned stop that cuts off a transaction, or that never
+// ends.
+TEST_CASE("a stop fails readiness, finishes transactions and ends") {
+  Fixture F;
+  Caller Busy(F);
+  Caller Idle(F);
+  REQUIRE(Busy.ask("CONNECT orders u1") == "READY I -|");
+  REQUIRE(Idle.ask("CONNECT orders u2") == "READY I -|");
+  REQUIRE(Busy.ask("QUERY q1 BEGIN") == "COMPLETE -|READY T -|");
+  ::kill(static_cast<pid_t>(F.Daemon.processId()), SIGTERM);
+  F.until("event=drain-started");
+  // Served on while the balancer has not noticed yet.
+  CHECK(Idle.ask("QUERY q2 READ item").starts_with("COMPLETE"));
+  runTask([]() -> QCoro::Task<> { co_await sleepFor(milliseconds(500)); }());
+  CHECK(Idle.ask("QUERY q3 READ item") == "closed");
+  CHECK(Busy.ask("QUERY q4 WRITE item data").starts_with("COMPLETE"));
+  CHECK(Busy.ask("QUERY q5 COMMIT").starts_with("COMPLETE digest:COMMIT"));
+  F.wait([&F] { return F.Daemon.state() == QProcess::NotRunning; });
+  CHECK(F.Daemon.exitStatus() == QProcess::NormalExit);
+  CHECK(F.Daemon.exitCode() == 0);
+}
+
+// Guards against a reload signal that ends the process.
+TEST_CASE("a reload signal is noted") {
+  Fixture F;
+  ::kill(static_cast<pid_t>(F.Daemon.processId()), SIGHUP);
+  F.until("event=reload");
+  Caller C(F);
+  CHECK(C.ask("CONNECT orders u1") == "READY I -|");
+}
--- /dev/null
+++ b/src/testing/line-group/LineServer.cpp
@@ -0,0 +1,142 @@
+#include "testing/line-group/LineServer.h"
+
+#include "core/Async.h"
+#include "platform/LineCodec.h"
+#include "platform/LineStream.h"
+
+#include <QHostAddress>
+
+namespace amaranthspur::linegroup {
+namespace {
+
+std::string_view takeWord(std::string_view &Rest) {
+  const std::size_t Blank = std::min(Rest.find(' '), Rest.size());
+  const std::string_view Word = Rest.substr(0, Blank);
+  Rest.remove_prefix(std::min(Blank + 1, Rest.size()));
+  return Word;
+}
+
+std::string positionText(LogPosition P) {
+  return std::to_string(P.TermNumber) + "." + std::to_string(P.Index);
+}
+
+std::string reportLines(const Result<StatusAnswer> &R) {
+  const auto *Report = std::get_if<ServerReport>(&valueOf(R));
+  if (!Report)
+    return lines::encodeAnswer(std::get<Answer>(valueOf(R)));
+  Answer A = success(TransactionState::Idle);
+  A.Position = Report->Received;
+  A.Rows.push_back(std::string(nameOf(Report->Role)) + " " +
+                   std::to_string(Report->TermNumber) + " " +
+                   positionText(Report->Received) + " " +
+                   std::to_string(Report->AdoptedTerm) + " 0 0 1");
+  return lines::encodeAnswer(A);
+}
+
+/// Takes `WAITFOR position` off the text of a statement.
+std::optional<LogPosition> takeFloor(std::string &Text) {
+  constexpr std::string_view Prefix = "WAITFOR ";
+  if (!Text.starts_with(Prefix))
+    return std::nullopt;
+  std::string_view Rest = std::string_view(Text).substr(Prefix.size());
+  const std::string Position(takeWord(Rest));
+  const std::size_t Dot = Position.find('.');
+  const LogPosition Floor{std::stoull(Position.substr(0, Dot)),
+                          std::stoull(Position.substr(Dot + 1))};
+  Text = std::string(Rest);
+  return Floor;
+}
+
+/// Carries out the proxy's own statements; nothing if it is a caller's.
+QCoro::Task<std::optional<std::string>> runOwn(ServerLink &Link,
+                                               std::string Text) {
+  std::string_view Rest = Text;
+  const std::string Word(takeWord(Rest));
+  if (Word == "STATUS")
+    co_return reportLines(co_await Link.status(NoDeadline));
+  if (Word == "RESUME")
+    co_return reportLines(co_await Link.resume(NoDeadline));
+  if (Word == "PAUSE")
+    co_return reportLines(
+        co_await Link.pause(std::stoull(std::string(Rest)), NoDeadline));
+  if (Word == "STEPDOWN")
+    co_return reportLines(
+        co_await Link.stepDown(std::stoull(std::string(Rest)), NoDeadline));
+  Result<Answer> R = Error{};
+  const std::string Name(takeWord(Rest));
+  if (Word == "RESET") {
+    R = co_await Link.reset(NoDeadline);
+  } else if (Word == "SET") {
+    R = co_await Link.set(Name, std::string(Rest), NoDeadline);
+  } else if (Word == "PREPARE") {
+    const std::string Mode(takeWord(Rest));
+    R = co_await Link.prepare(Name,
+                              Mode == "READ" ? Access::Read : Access::Write,
+                              std::string(Rest), NoDeadline);
+  } else {
+    co_return std::nullopt;
+  }
+  co_return lines::encodeAnswer(valueOf(R));
+}
+
+} // namespace
+
+LineServer::LineServer(LineGroup &Group, std::string Id)
+    : Group(Group), Id(std::move(Id)) {
+  QObject::connect(
+      &this->Listener, &QTcpServer::newConnection, &this->Listener, [this] {
+        while (QTcpSocket *S = this->Listener.nextPendingConnection())
+          this->serve(S);
+      });
+  this->Listener.listen(QHostAddress::LocalHost);
+}
+
+QCoro::Task<> LineServer::serve(QTcpSocket *Socket) {
+  LineStream Stream(Socket);
+  const std::optional<std::string> Start = co_await Stream.nextLine();
+  if (!Start)
+    co_return;
+  std::string_view Rest = *Start;
+  takeWord(Rest);
+  takeWord(Rest);
+  takeWord(Rest);
+  if (Rest != this->Id) {
+    Stream.write(lines::encodeRejection(AnswerCode::WrongServer, this->Id));
+    Stream.close();
+    co_await Stream.closed(steadyNow() + std::chrono::seconds(1));
+    co_return;
+  }
+  RegisteredServer Self;
+  Self.Id = ServerId(this->Id);
+  OpenedLink Opened = co_await this->Group.open(Self, NoDeadline);
+  auto *Link = std::get_if<std::unique_ptr<ServerLink>>(&Opened);
+  if (!Link)
+    co_return;
+  Stream.write(lines::encodeGreeting());
+  while (true) {
+    const std::optional<std::string> Line = co_await Stream.nextLine();
+    if (!Line)
+      co_return;
+    std::string_view Message = *Line;
+    takeWord(Message);
+    const std::string StatementId(takeWord(Message));
+    std::string Text(Message);
+    const std::optional<std::string> Own = co_await runOwn(**Link, Text);
+    if (Own) {
+      Stream.write(*Own);
+      continue;
+    }
+    const std::optional<LogPosition> Floor = takeFloor(Text);
+    const Result<lines::CallerLine> Decoded =
+        lines::decodeCallerLine("QUERY " + StatementId + " " + Text);
+    if (!succeeded(Decoded))
+      co_return;
+    const Statement S = std::get<Statement>(valueOf(Decoded));
+    Result<Answer> R = co_await (*Link)->run(S, Floor, S.Name, NoDeadline);
+    if (!succeeded(R))
+      co_return;
+    Stream.write(lines::encodeAnswer(valueOf(R)));
+  }
+}
+
+} // namespace amaranthspur::linegroup
