--- a/src/root/directory/PlatformDirectory.cpp
+++ b/src/root/directory/PlatformDirectory.cpp
@@ -20,8 +20,8 @@
 QCoro::Task<> PlatformDirectory::stop(TimePoint Deadline) {
   this->Stopping = true;
   this->LapseWake.wake();
-  // A long poll may outlast the deadline; it ends with the process.
-  co_await this->Tasks.empty(std::min(Deadline, steadyNow()));
+  // A long poll may outlast the limit; it then ends with the process.
+  co_await this->Tasks.empty(std::min(Deadline, steadyNow() + this->StopLimit));
 }
 
 QCoro::Task<> PlatformDirectory::follow(WatchedTable Table) {
--- a/src/root/directory/PlatformDirectory.h
+++ b/src/root/directory/PlatformDirectory.h
@@ -45,6 +45,10 @@
   /// \param Store outlives the directory.
   explicit PlatformDirectory(TableFeed &Store) : Store(Store) {}
 
+  /// Longest time that stop() waits for polls. The process ends behind it; what
+  /// destroys the directory earlier, as tests do, sets more than PollWait.
+  Duration StopLimit = milliseconds(50);
+
   /// Called after each change of plan or servers.
   std::function<void()> Changed = [] {};
 
--- a/src/root/directory/testing/PlatformDirectoryTest.cpp
+++ b/src/root/directory/testing/PlatformDirectoryTest.cpp
@@ -41,12 +41,12 @@
     this->until([this] { return this->Directory->servers().size() == 1; });
   }
   ~Fixture() {
-    runTask(this->Directory->stop(steadyNow()));
-    // Wakes the polls, so that the followers end before the directory does.
+    // Changes end the polls, and with them the followers.
     this->Store.setFaults({}, std::nullopt);
     this->Store.setForeign("op", "end", "");
     this->Store.setForeign("servers", "end", "");
-    runTask([]() -> QCoro::Task<> { co_await sleepFor(milliseconds(1500)); }());
+    this->Directory->StopLimit = std::chrono::seconds(20);
+    runTask(this->Directory->stop(steadyNow() + this->Directory->StopLimit));
   }
 
   std::uint64_t revision() const { return this->Directory->plan()->Revision; }
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -108,7 +108,7 @@
   this->Acknowledged = std::max(this->Acknowledged, *A.Position);
   const std::optional<BelievedPrimary> Leader = this->Beliefs.primary();
   // A replica had to hold the commit, so the primary led when it was sent.
-  if (this->Limits.SyncReplicas > 0 && Leader && Leader->Id == Id &&
+  if (this->commitsAreProofs() && Leader && Leader->Id == Id &&
       Leader->TermNumber != 0 && Leader->TermNumber == A.Position->TermNumber) {
     this->Fresh.observeProof(Leader->TermNumber, SentAt);
     this->Proved.notifyAll();
--- a/src/root/groups/Group.h
+++ b/src/root/groups/Group.h
@@ -67,6 +67,10 @@
   /// believed to have begun.
   QCoro::Task<bool> proved(Term T, TimePoint Since, TimePoint Deadline);
 
+  /// Returns whether an acknowledged commit says by itself that its primary had
+  /// not been superseded: a replica had to hold it.
+  bool commitsAreProofs() const { return this->Limits.SyncReplicas > 0; }
+
   /// Returns the lowest known position that covers every commit acknowledged
   /// before \p Since, and keeps samples coming.
   std::optional<LogPosition> floorAsOf(TimePoint Since);
--- a/src/root/groups/GroupWatch.cpp
+++ b/src/root/groups/GroupWatch.cpp
@@ -326,6 +326,24 @@
   co_return true;
 }
 
+QCoro::Task<std::optional<std::string>>
+GroupWatch::refuse(TakeoverPlan Plan, std::vector<LogPosition> Positions) {
+  const Reports Seen = co_await this->askAll();
+  const auto Target = Seen.find(Plan.Target);
+  if (Target == Seen.end())
+    co_return "the target does not answer";
+  if (Target->second.Role != ServerRole::Replica)
+    co_return "the target is not a replica";
+  // A server that restarts has forgotten what it adopted.
+  for (const ServerId &Id : Plan.Adopters) {
+    const auto Adopter = Seen.find(Id);
+    if (Adopter == Seen.end() || Adopter->second.AdoptedTerm < Plan.Next)
+      co_return "server " + Id.str() + " no longer holds the term";
+  }
+  co_return refuseTarget(Target->second, Positions,
+                         this->Watched->acknowledged());
+}
+
 QCoro::Task<std::optional<std::string>>
 GroupWatch::carryOut(TakeoverPlan Plan, std::optional<ServerId> Old) {
   const std::optional<HeldClaim> Held =
@@ -334,6 +352,9 @@
     co_return "another entry VM holds the claim, or the store does not answer";
   std::optional<std::string> Failure;
   std::vector<LogPosition> Positions;
+  // Without synchronous replicas the old primary acknowledges by itself.
+  if (Old && !this->Watched->commitsAreProofs())
+    co_await this->call(*Old, Plan.Next, false);
   for (const ServerId &Id : Plan.Adopters) {
     const bool Adopted = co_await this->adopt(Id, Plan.Next, Positions);
     if (!Adopted) {
@@ -341,17 +362,8 @@
       break;
     }
   }
-  if (!Failure) {
-    const std::optional<StatusAnswer> Said =
-        co_await this->call(Plan.Target, 0, false);
-    const auto *Report = Said ? std::get_if<ServerReport>(&*Said) : nullptr;
-    if (!Report)
-      Failure = "the target does not answer";
-    else if (Report->Role != ServerRole::Replica)
-      Failure = "the target is not a replica";
-    else
-      Failure = refuseTarget(*Report, Positions, this->Watched->acknowledged());
-  }
+  if (!Failure)
+    Failure = co_await this->refuse(Plan, std::move(Positions));
   if (!Failure) {
     const PromotionOutcome Outcome = co_await this->promote(Plan, *Held);
     if (Outcome == PromotionOutcome::Accepted ||
--- a/src/root/groups/GroupWatch.h
+++ b/src/root/groups/GroupWatch.h
@@ -95,6 +95,9 @@
   QCoro::Task<> takeOver(TakeoverReason Reason);
   QCoro::Task<std::optional<std::string>> carryOut(TakeoverPlan Plan,
                                                    std::optional<ServerId> Old);
+  /// Asks all servers again and returns why the target may not be promoted.
+  QCoro::Task<std::optional<std::string>>
+  refuse(TakeoverPlan Plan, std::vector<LogPosition> Positions);
   QCoro::Task<std::optional<HeldClaim>> claim(std::string Purpose);
   QCoro::Task<> release(HeldClaim Claim, std::string How);
   QCoro::Task<bool> adopt(ServerId Id, Term T,
--- a/src/root/groups/testing/GroupWatchTest.cpp
+++ b/src/root/groups/testing/GroupWatchTest.cpp
@@ -210,6 +210,17 @@
   }
 }
 
+// Guards against a promotion after a server forgot, by a restart, that it had
+// adopted the term: it could acknowledge commits of the old primary again.
+TEST_CASE("an adopter that forgot its promise stops the takeover") {
+  Fixture F;
+  F.Group["c"].ForgetsAdoption = true;
+  F.Group["a"].Draining = true;
+  F.refresh();
+  F.pass(std::chrono::seconds(1));
+  CHECK(F.Orders.Orders.empty());
+}
+
 // Guards against fence tokens that go back when holders change.
 TEST_CASE("each claim has a higher fence") {
   Fixture F;
--- a/src/root/sessions/Session.cpp
+++ b/src/root/sessions/Session.cpp
@@ -334,6 +334,7 @@
   E.LastServer = Link.server();
   ++E.Attempts;
   const bool Wrote = this->TransactionWrote;
+  const Term LeaderTerm = this->Transaction->LeaderTerm;
   const TimePoint SentAt = bootNow();
   const auto Pending = E.Servers->pendingWrites().insert(steadyNow());
   const Result<Answer> R =
@@ -344,6 +345,13 @@
   if (succeeded(R)) {
     A = valueOf(R);
     E.Servers->answered(Link.server(), A, SentAt);
+    const bool NeedsProof =
+        A.succeeded() && Wrote && !E.Servers->commitsAreProofs();
+    bool Kept = true;
+    if (NeedsProof)
+      Kept = co_await E.Servers->proved(LeaderTerm, bootNow(), E.Deadline);
+    if (!Kept)
+      A = failure(AnswerCode::OutcomeUnknown, "primary not proved");
     if (A.succeeded() && Wrote) {
       E.Servers->committed(Link.server(), A, SentAt);
       this->Floor = A.Position;
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -238,8 +238,9 @@
 
 QCoro::Task<Answer> runWrite(Statement S, Errand &E) {
   while (true) {
+    const bool NeedsProof = !E.Servers->commitsAreProofs();
     const std::optional<BelievedPrimary> Leader =
-        co_await awaitPrimary(E, false);
+        co_await awaitPrimary(E, NeedsProof);
     if (!Leader)
       co_return refuseNotRun("no primary is known");
     BorrowedLink Link = co_await borrow(E, Leader->Id, searchDeadline(E));
@@ -269,6 +270,12 @@
     if (A.succeeded()) {
       E.Servers->beliefs().observeLatency(Leader->Id, steadyNow() - Sent,
                                           steadyNow());
+      bool Kept = true;
+      if (NeedsProof)
+        Kept = co_await E.Servers->proved(Leader->TermNumber, bootNow(),
+                                          E.Deadline);
+      if (!Kept)
+        co_return failure(AnswerCode::OutcomeUnknown, "primary not proved");
       E.Servers->committed(Leader->Id, A, SentAt);
       co_return A;
     }
@@ -291,7 +298,8 @@
     std::optional<BelievedPrimary> Leader = E.Servers->beliefs().primary();
     std::optional<ServerId> Id;
     if (Guard.AtPrimary || Begin.Mode == Access::Write) {
-      Leader = co_await awaitPrimary(E, Guard.AtPrimary);
+      Leader = co_await awaitPrimary(E, Guard.AtPrimary ||
+                                            !E.Servers->commitsAreProofs());
       if (!Leader)
         break;
       Id = Leader->Id;
--- a/src/root/sessions/testing/SessionTest.cpp
+++ b/src/root/sessions/testing/SessionTest.cpp
@@ -145,10 +145,9 @@
     runTask(this->Groups.start());
   }
   ~Fixture() {
-    runTask(this->Directory.stop(steadyNow()));
+    this->Directory.StopLimit = std::chrono::seconds(20);
+    runTask(this->Directory.stop(steadyNow() + this->Directory.StopLimit));
     runTask(this->Groups.stop(steadyNow() + std::chrono::seconds(5)));
-    // The followers of the tables end at their next wake-up.
-    runTask([]() -> QCoro::Task<> { co_await sleepFor(milliseconds(60)); }());
   }
 
   std::vector<std::string> serve(std::deque<ScriptedCaller::Step> Steps) {
--- a/src/root/sessions/testing/StatementRunnerTest.cpp
+++ b/src/root/sessions/testing/StatementRunnerTest.cpp
@@ -108,6 +108,37 @@
   }
 }
 
+// Guards against a write acknowledged by a superseded primary: a service that
+// acknowledges a commit before a replica holds it needs the proof that other
+// services get from the replica.
+TEST_CASE("without synchronous replicas a write needs a proof") {
+  struct Row {
+    const char *Name;
+    unsigned SyncReplicas;
+    Term AdoptedByB;
+    Term AdoptedByC;
+    std::optional<AnswerCode> Code;
+  };
+  const Row Rows[] = {
+      {"both replicas follow", 0, 1, 1, std::nullopt},
+      {"one replica adopted a later term", 0, 2, 1, std::nullopt},
+      {"both adopted a later term", 0, 2, 2, AnswerCode::OutcomeUnknown},
+      {"with synchronous replicas", 1, 2, 1, std::nullopt},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    ServiceLimits Limits = F.Servers->limits();
+    Limits.SyncReplicas = R.SyncReplicas;
+    F.Servers->configure(Limits, F.Group.registrations());
+    F.Group.SyncReplicas = R.SyncReplicas;
+    F.Group["b"].Adopted = R.AdoptedByB;
+    F.Group["c"].Adopted = R.AdoptedByC;
+    CHECK(F.run("WRITE item data").Code == R.Code);
+    CHECK(F.ran("a") == 1);
+  }
+}
+
 // Guards against a write that fails because the primary has changed.
 TEST_CASE("a write finds the new primary after a refusal") {
   Fixture F;
--- a/src/testing/line-group/LineGroup.cpp
+++ b/src/testing/line-group/LineGroup.cpp
@@ -45,7 +45,10 @@
   QCoro::Task<Result<StatusAnswer>> pause(Term T, TimePoint) override {
     if (T > this->To.Adopted)
       this->To.Adopted = T;
-    co_return this->report();
+    const Result<StatusAnswer> Said = this->report();
+    if (this->To.ForgetsAdoption)
+      this->To.Adopted = this->To.TermNumber;
+    co_return Said;
   }
   QCoro::Task<Result<StatusAnswer>> resume(TimePoint) override {
     this->To.Adopted = this->To.TermNumber;
@@ -207,10 +210,10 @@
   ++Primary.Log.Index;
   Primary.Log.TermNumber = Primary.TermNumber;
   this->replicate(Id);
+  unsigned Holders = 0;
   for (const auto &[Other, S] : this->Servers)
-    if (Other != Id && S.Log == Primary.Log)
-      return true;
-  return false;
+    Holders += Other != Id && S.Log == Primary.Log ? 1 : 0;
+  return Holders >= this->SyncReplicas;
 }
 
 void LineGroup::replicate(const std::string &Id) {
--- a/src/testing/line-group/LineGroup.h
+++ b/src/testing/line-group/LineGroup.h
@@ -37,6 +37,7 @@
   bool Deaf = false;     ///< Receives nothing.
   bool Lags = false;     ///< Receives and does not apply.
   bool Draining = false;
+  bool ForgetsAdoption = false; ///< Restarts after each adoption.
   LinkFault Fault = LinkFault::None;
   std::vector<std::string> Ran; ///< Texts of statements that were run.
   unsigned Statuses = 0;
@@ -61,11 +62,14 @@
                                TimePoint Deadline) override;
 
   /// Carries out a commit on \p Id.
-  /// \returns whether a replica holds it.
+  /// \returns whether enough replicas hold it.
   bool commit(const std::string &Id);
   /// Lets every replica that receives catch up with \p Id.
   void replicate(const std::string &Id);
 
+  /// Replicas that have to hold a commit before it is acknowledged.
+  unsigned SyncReplicas = 1;
+
 private:
   std::map<std::string, Server> Servers;
 };
