--- a/src/core/Types.h
+++ b/src/core/Types.h
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -43,6 +44,14 @@
   auto operator<=>(const LogPosition &) const = default;
 };
 
+/// Returns `term.index`, or `-` for nothing, for messages and logs.
+inline std::string positionText(const std::optional<LogPosition> &Position) {
+  if (!Position)
+    return "-";
+  return std::to_string(Position->TermNumber) + "." +
+         std::to_string(Position->Index);
+}
+
 /// What a backend server is in its group at present.
 enum class ServerRole { Primary, Replica };
 
--- a/src/ctl/Commands.cpp
+++ b/src/ctl/Commands.cpp
@@ -351,7 +351,7 @@
       Vms = asked(valueOf(List));
     }
     const std::vector<VmAnswer> Answers =
-        co_await askAll(*this->Around.Status, Vms, this->Deadline);
+        co_await pollAll(*this->Around.Status, Vms, this->Deadline);
     co_return statusReport(Newest, Answers, Problem);
   }
 
--- a/src/ctl/StatusQuery.cpp
+++ b/src/ctl/StatusQuery.cpp
@@ -17,8 +17,8 @@
 QString text(const std::string &S) { return QString::fromStdString(S); }
 
 /// Asks one entry VM and counts down \p Open.
-QCoro::Task<> askOne(StatusSource &Source, VmAnswer &Into, TimePoint Deadline,
-                     unsigned &Open, WaitPoint &Done) {
+QCoro::Task<> pollOne(StatusSource &Source, VmAnswer &Into, TimePoint Deadline,
+                      unsigned &Open, WaitPoint &Done) {
   if (!Into.Vm.Admin) {
     Into.Problem = "its admin address is not known";
   } else {
@@ -76,13 +76,13 @@
 }
 
 QCoro::Task<std::vector<VmAnswer>>
-askAll(StatusSource &Source, std::vector<AskedVm> Vms, TimePoint Deadline) {
+pollAll(StatusSource &Source, std::vector<AskedVm> Vms, TimePoint Deadline) {
   std::vector<VmAnswer> Answers(Vms.size());
   unsigned Open = static_cast<unsigned>(Vms.size());
   WaitPoint Done;
   for (std::size_t I = 0; I < Vms.size(); ++I) {
     Answers[I].Vm = Vms[I];
-    askOne(Source, Answers[I], Deadline, Open, Done);
+    pollOne(Source, Answers[I], Deadline, Open, Done);
   }
   if (!Vms.empty())
     co_await Done.wait();
--- a/src/ctl/StatusQuery.h
+++ b/src/ctl/StatusQuery.h
@@ -47,7 +47,7 @@
 
 /// Asks all of \p Vms at the same time.
 QCoro::Task<std::vector<VmAnswer>>
-askAll(StatusSource &Source, std::vector<AskedVm> Vms, TimePoint Deadline);
+pollAll(StatusSource &Source, std::vector<AskedVm> Vms, TimePoint Deadline);
 
 /// Reports which entry VMs have confirmed the newest revision.
 /// \param Newest of the platform; nothing if the platform gave no answer. Then
--- a/src/platform/LineCodec.cpp
+++ b/src/platform/LineCodec.cpp
@@ -90,13 +90,6 @@
   return LogPosition{*TermNumber, *Index};
 }
 
-std::string positionText(std::optional<LogPosition> Position) {
-  if (!Position)
-    return "-";
-  return std::to_string(Position->TermNumber) + "." +
-         std::to_string(Position->Index);
-}
-
 std::optional<Access> accessOf(std::string_view Word) {
   if (Word == "READ")
     return Access::Read;
--- a/src/policy/GroupBeliefs.cpp
+++ b/src/policy/GroupBeliefs.cpp
@@ -5,7 +5,7 @@
 
 namespace amaranthspur {
 
-Distance Whereabouts::distanceTo(const DataCentre &There) const {
+Distance Locality::distanceTo(const DataCentre &There) const {
   if (There == this->Here)
     return Distance::SameDataCentre;
   const auto Own = this->Regions.find(this->Here);
--- a/src/policy/GroupBeliefs.h
+++ b/src/policy/GroupBeliefs.h
@@ -40,7 +40,7 @@
 };
 
 /// Where an entry VM is.
-struct Whereabouts {
+struct Locality {
   DataCentre Here;
   std::map<DataCentre, Region> Regions; ///< Of all data centres.
 
@@ -100,7 +100,7 @@
   /// a refusal costs a round trip. Replicas apply within 60 ms on average.
   static constexpr Duration BelowFloorCost = milliseconds(20);
 
-  explicit GroupBeliefs(const Whereabouts &Where) : Where(Where) {}
+  explicit GroupBeliefs(const Locality &Where) : Where(Where) {}
 
   /// Takes in the registered servers of the group. A server that was born
   /// again starts with no beliefs.
@@ -144,7 +144,7 @@
                   const std::optional<BelievedPrimary> &Leader,
                   std::optional<LogPosition> Floor, TimePoint Now) const;
 
-  const Whereabouts &Where;
+  const Locality &Where;
   std::map<ServerId, ServerBelief> Servers;
 };
 
--- a/src/root/LineDaemon.cpp
+++ b/src/root/LineDaemon.cpp
@@ -23,8 +23,8 @@
       Groups(this->Directory, this->Connector, this->Where,
              {this->Values.VmId, this->Store, this->Orders, this->Counters,
               this->Rng}),
-      Around{this->Directory, this->Groups, this->Counters},
-      Sessions(this->Around, this->Streams, this->Values.Callers,
+      Dependencies{this->Directory, this->Groups, this->Counters},
+      Sessions(this->Dependencies, this->Streams, this->Values.Callers,
                this->Values.MaxCallers, this->Values.DrainNotice),
       Admin({this->Values.Admin, this->Values.Readiness}, this->Counters),
       Root([this](std::string_view Name, const Error &Reason) {
--- a/src/root/LineDaemon.h
+++ b/src/root/LineDaemon.h
@@ -49,14 +49,14 @@
   std::uint64_t Incarnation;
   Metrics Counters;
   Random Rng;
-  Whereabouts Where;
+  Locality Where;
   HttpPlatform Store;
   HttpPromotions Orders;
   LineServerConnector Connector;
   LineCallerStreamFactory Streams;
   PlatformDirectory Directory;
   GroupRegistry Groups;
-  SessionSurroundings Around;
+  SessionDependencies Dependencies;
   SessionListener Sessions;
   AdminServer Admin;
   Supervisor Root;
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -8,7 +8,7 @@
 namespace amaranthspur {
 
 Group::Group(ServiceName Name, ServerConnector &Connector,
-             const Whereabouts &Where)
+             const Locality &Where)
     : Name(std::move(Name)), Connector(Connector), Where(Where),
       Beliefs(Where) {}
 
@@ -139,11 +139,11 @@
   this->failed(Id, Failure.Detail);
 }
 
-void Group::lives(const ServerId &Id) {
+void Group::markAlive(const ServerId &Id) {
   this->Beliefs.observeAnswer(Id, std::nullopt, steadyNow());
 }
 
-void Group::notPrimary(const ServerId &Id) {
+void Group::markNotPrimary(const ServerId &Id) {
   this->Beliefs.observeNotPrimary(Id);
   this->noticePrimary();
 }
@@ -186,7 +186,7 @@
   }
   const auto *Report = std::get_if<ServerReport>(&valueOf(R));
   if (!Report) {
-    this->lives(Id);
+    this->markAlive(Id);
     co_return std::nullopt;
   }
   this->reported(Id, *Report);
@@ -212,7 +212,7 @@
   return Order;
 }
 
-QCoro::Task<bool> Group::askReplica(ServerId Id, Term T) {
+QCoro::Task<bool> Group::proveByReplica(ServerId Id, Term T) {
   const TimePoint SentAt = bootNow();
   const std::optional<ServerReport> Report = co_await this->controlStatus(Id);
   if (!Report)
@@ -236,7 +236,7 @@
     co_return false;
   }
   for (const ServerId &Id : this->proofOrder(*Leader)) {
-    const bool Done = co_await this->askReplica(Id, Leader->TermNumber);
+    const bool Done = co_await this->proveByReplica(Id, Leader->TermNumber);
     if (Done)
       co_return true;
   }
--- a/src/root/groups/Group.h
+++ b/src/root/groups/Group.h
@@ -37,7 +37,7 @@
   static constexpr Duration AliveFor = milliseconds(250);
 
   /// All references outlive the group.
-  Group(ServiceName Name, ServerConnector &Connector, const Whereabouts &Where);
+  Group(ServiceName Name, ServerConnector &Connector, const Locality &Where);
   Group(const Group &) = delete;
   Group &operator=(const Group &) = delete;
   ~Group();
@@ -56,7 +56,7 @@
   GroupBeliefs &beliefs() { return this->Beliefs; }
   const Freshness &freshness() const { return this->Fresh; }
   ServerConnector &connector() { return this->Connector; }
-  const Whereabouts &where() const { return this->Where; }
+  const Locality &where() const { return this->Where; }
 
   /// Returns the pool of \p Id, or null if the server is gone.
   std::shared_ptr<ServerPool> pool(const ServerId &Id);
@@ -85,9 +85,9 @@
   /// A connection to a server could not be opened.
   void openFailed(const ServerId &Id, const OpenFailure &Failure);
   /// A server gave a sign of life.
-  void lives(const ServerId &Id);
+  void markAlive(const ServerId &Id);
   /// A server refused a write because it does not lead.
-  void notPrimary(const ServerId &Id);
+  void markNotPrimary(const ServerId &Id);
   /// A fresh report came.
   void reported(const ServerId &Id, const ServerReport &Report);
 
@@ -113,7 +113,7 @@
   QCoro::Task<> proveLeadership();
   QCoro::Task<> samplePrimary();
   QCoro::Task<bool> proveOnce();
-  QCoro::Task<bool> askReplica(ServerId Id, Term T);
+  QCoro::Task<bool> proveByReplica(ServerId Id, Term T);
   /// Returns a status over a connection of the pool of \p Id.
   QCoro::Task<std::optional<ServerReport>> controlStatus(ServerId Id);
   std::vector<ServerId> proofOrder(const BelievedPrimary &Leader) const;
@@ -121,7 +121,7 @@
 
   ServiceName Name;
   ServerConnector &Connector;
-  const Whereabouts &Where;
+  const Locality &Where;
   ServiceLimits Limits;
   GroupBeliefs Beliefs;
   Freshness Fresh;
--- a/src/root/groups/GroupRegistry.cpp
+++ b/src/root/groups/GroupRegistry.cpp
@@ -3,8 +3,8 @@
 namespace amaranthspur {
 
 GroupRegistry::GroupRegistry(const PlatformDirectory &Directory,
-                             ServerConnector &Connector,
-                             const Whereabouts &Where, WatchParts Parts)
+                             ServerConnector &Connector, const Locality &Where,
+                             WatchParts Parts)
     : Directory(Directory), Connector(Connector), Where(Where),
       Parts(std::move(Parts)) {}
 
--- a/src/root/groups/GroupRegistry.h
+++ b/src/root/groups/GroupRegistry.h
@@ -17,7 +17,7 @@
 public:
   /// All references outlive the registry.
   GroupRegistry(const PlatformDirectory &Directory, ServerConnector &Connector,
-                const Whereabouts &Where, WatchParts Parts);
+                const Locality &Where, WatchParts Parts);
 
   std::string_view name() const override { return "groups"; }
   QCoro::Task<Result<Success>> start() override;
@@ -43,7 +43,7 @@
 
   const PlatformDirectory &Directory;
   ServerConnector &Connector;
-  const Whereabouts &Where;
+  const Locality &Where;
   WatchParts Parts;
   std::map<ServiceName, Entry> Groups;
   TaskGroup Ending;
--- a/src/root/groups/GroupWatch.cpp
+++ b/src/root/groups/GroupWatch.cpp
@@ -62,7 +62,7 @@
     if (Beliefs.servers().empty())
       co_return TakeoverReason::None;
     this->Trouble = true;
-    co_await this->askAll();
+    co_await this->pollAll();
     if (Beliefs.primary() || this->Stopping) {
       this->MissingSince.reset();
       co_return TakeoverReason::None;
@@ -119,11 +119,11 @@
 QCoro::Task<bool> GroupWatch::isUnreachable(BelievedPrimary Leader) {
   // Two looks, so that a primary that other entry VMs reach shows by what its
   // replicas receive meanwhile.
-  const Reports First = co_await this->askAll();
+  const Reports First = co_await this->pollAll();
   if (First.count(Leader.Id) > 0 || this->Stopping)
     co_return false;
   co_await sleepFor(AdvanceInterval);
-  const Reports Second = co_await this->askAll();
+  const Reports Second = co_await this->pollAll();
   if (Second.count(Leader.Id) > 0 || this->Stopping)
     co_return false;
   const auto Before = this->longestReplica(First);
@@ -139,12 +139,12 @@
 }
 
 QCoro::Task<bool> GroupWatch::isIsolated(BelievedPrimary Leader) {
-  const Reports First = co_await this->askAll();
+  const Reports First = co_await this->pollAll();
   const auto Primary = First.find(Leader.Id);
   if (Primary == First.end() || Primary->second.Role != ServerRole::Primary)
     co_return false;
   co_await sleepFor(AdvanceInterval);
-  const Reports Second = co_await this->askAll();
+  const Reports Second = co_await this->pollAll();
   const auto Replica = this->longestReplica(Second);
   // Nothing that the primary held at the first look has reached a replica.
   co_return Replica != Second.end() && Second.count(Leader.Id) > 0 &&
@@ -164,7 +164,7 @@
   if (const auto *Failure = std::get_if<OpenFailure>(&Opened)) {
     // A server that accepts connections lives, however long its queue is.
     if (Failure->Reached)
-      this->Watched->lives(Id);
+      this->Watched->markAlive(Id);
     else
       this->Watched->failed(Id, Failure->Detail);
     co_return std::nullopt;
@@ -186,11 +186,12 @@
   if (const auto *Report = std::get_if<ServerReport>(&valueOf(R)))
     this->Watched->reported(Id, *Report);
   else
-    this->Watched->lives(Id);
+    this->Watched->markAlive(Id);
   co_return valueOf(std::move(R));
 }
 
-QCoro::Task<> GroupWatch::askOne(ServerId Id, Reports &Into, TaskGroup &Round) {
+QCoro::Task<> GroupWatch::pollOne(ServerId Id, Reports &Into,
+                                  TaskGroup &Round) {
   const TaskGroup::Guard Guard(Round);
   const std::optional<StatusAnswer> Said = co_await this->call(Id, 0, false);
   if (!Said)
@@ -199,14 +200,14 @@
     Into.insert_or_assign(Id, *Report);
 }
 
-QCoro::Task<GroupWatch::Reports> GroupWatch::askAll() {
+QCoro::Task<GroupWatch::Reports> GroupWatch::pollAll() {
   Reports Seen;
   TaskGroup Round;
   std::vector<ServerId> Ids;
   for (const auto &[Id, Server] : this->Watched->beliefs().servers())
     Ids.push_back(Id);
   for (const ServerId &Id : Ids)
-    this->askOne(Id, Seen, Round);
+    this->pollOne(Id, Seen, Round);
   // Every call has a deadline of its own.
   co_await Round.empty();
   co_return Seen;
@@ -236,7 +237,7 @@
   std::optional<ServerId> Old;
   if (Leader)
     Old = Leader->Id;
-  const Reports Seen = co_await this->askAll();
+  const Reports Seen = co_await this->pollAll();
   const auto Planned = planTakeover(this->serversFrom(Seen, Old));
   std::optional<std::string> Held;
   if (const auto *Hold = std::get_if<TakeoverHold>(&Planned)) {
@@ -249,7 +250,7 @@
          {"old", Old ? Old->str() : "none"},
          {"target", Plan.Target.str()},
          {"term", Plan.Next}});
-    Held = co_await this->carryOut(Plan, Old);
+    Held = co_await this->execute(Plan, Old);
   }
   if (!Held) {
     this->Parts.Counters.add(Counter::Promotions, this->Watched->name().str());
@@ -328,7 +329,7 @@
 
 QCoro::Task<std::optional<std::string>>
 GroupWatch::refuse(TakeoverPlan Plan, std::vector<LogPosition> Positions) {
-  const Reports Seen = co_await this->askAll();
+  const Reports Seen = co_await this->pollAll();
   const auto Target = Seen.find(Plan.Target);
   if (Target == Seen.end())
     co_return "the target does not answer";
@@ -345,7 +346,7 @@
 }
 
 QCoro::Task<std::optional<std::string>>
-GroupWatch::carryOut(TakeoverPlan Plan, std::optional<ServerId> Old) {
+GroupWatch::execute(TakeoverPlan Plan, std::optional<ServerId> Old) {
   const std::optional<HeldClaim> Held =
       co_await this->claim(std::to_string(Plan.Next));
   if (!Held)
@@ -449,7 +450,7 @@
   if (steadyNow() - *this->StrandedSince < StrandedLimit)
     co_return;
   // Reports may be old: ask again before anything is undone.
-  const Reports Seen = co_await this->askAll();
+  const Reports Seen = co_await this->pollAll();
   const std::optional<BelievedPrimary> Now = this->Watched->beliefs().primary();
   if (Now != Leader || Seen.count(Leader->Id) == 0)
     co_return;
--- a/src/root/groups/GroupWatch.h
+++ b/src/root/groups/GroupWatch.h
@@ -87,14 +87,14 @@
   QCoro::Task<> learnTerms();
   QCoro::Task<> undoStranded();
 
-  QCoro::Task<Reports> askAll();
-  QCoro::Task<> askOne(ServerId Id, Reports &Into, TaskGroup &Round);
+  QCoro::Task<Reports> pollAll();
+  QCoro::Task<> pollOne(ServerId Id, Reports &Into, TaskGroup &Round);
   QCoro::Task<std::optional<StatusAnswer>> call(ServerId Id, Term Adopt,
                                                 bool Resume);
 
   QCoro::Task<> takeOver(TakeoverReason Reason);
-  QCoro::Task<std::optional<std::string>> carryOut(TakeoverPlan Plan,
-                                                   std::optional<ServerId> Old);
+  QCoro::Task<std::optional<std::string>> execute(TakeoverPlan Plan,
+                                                  std::optional<ServerId> Old);
   /// Asks all servers again and returns why the target may not be promoted.
   QCoro::Task<std::optional<std::string>>
   refuse(TakeoverPlan Plan, std::vector<LogPosition> Positions);
--- a/src/root/groups/testing/GroupWatchTest.cpp
+++ b/src/root/groups/testing/GroupWatchTest.cpp
@@ -100,7 +100,7 @@
   RecordedOrders Orders{this->Group};
   Metrics Counters;
   Random Rng{1};
-  Whereabouts Where{DataCentre("here"), {{DataCentre("here"), Region("r")}}};
+  Locality Where{DataCentre("here"), {{DataCentre("here"), Region("r")}}};
   std::shared_ptr<class Group> Servers = std::make_shared<class Group>(
       ServiceName("ledger"), this->Group, this->Where);
   GroupWatch Watch{
--- a/src/root/sessions/Session.cpp
+++ b/src/root/sessions/Session.cpp
@@ -8,13 +8,6 @@
 namespace amaranthspur {
 namespace {
 
-std::string positionText(std::optional<LogPosition> Position) {
-  if (!Position)
-    return "-";
-  return std::to_string(Position->TermNumber) + "." +
-         std::to_string(Position->Index);
-}
-
 std::uint64_t wholeMilliseconds(Duration D) {
   return static_cast<std::uint64_t>(std::max<Duration::rep>(0, D.count()) /
                                     1000);
@@ -22,9 +15,9 @@
 
 } // namespace
 
-Session::Session(const SessionSurroundings &Around,
+Session::Session(const SessionDependencies &Dependencies,
                  std::unique_ptr<CallerStream> Caller)
-    : Around(Around), Caller(std::move(Caller)) {}
+    : Dependencies(Dependencies), Caller(std::move(Caller)) {}
 
 void Session::finish() {
   this->Finishing = true;
@@ -56,17 +49,20 @@
   }
   this->Database = Request->Database;
   const TimePoint Limit = steadyNow() + PlanLimit;
-  while (this->Around.Directory.plan()->Revision == 0 && steadyNow() < Limit)
+  while (this->Dependencies.Directory.plan()->Revision == 0 &&
+         steadyNow() < Limit)
     co_await sleepFor(milliseconds(50));
-  const std::shared_ptr<const AccessPlan> Plan = this->Around.Directory.plan();
+  const std::shared_ptr<const AccessPlan> Plan =
+      this->Dependencies.Directory.plan();
   if (Plan->Databases.count(this->Database) > 0) {
     this->Caller->greet();
-    this->Around.Counters.add(Counter::CallerConnections);
+    this->Dependencies.Counters.add(Counter::CallerConnections);
     co_return true;
   }
   const bool Unknown = Plan->Revision != 0;
-  this->Around.Counters.add(Counter::CallersRejected,
-                            Unknown ? "unknown database" : "no configuration");
+  this->Dependencies.Counters.add(Counter::CallersRejected,
+                                  Unknown ? "unknown database"
+                                          : "no configuration");
   log(LogLevel::Info, LogEvent::SessionRejected,
       {{"database", this->Database}, {"plan", Plan->Revision}});
   if (Unknown)
@@ -79,7 +75,7 @@
 TimePoint Session::nextDeadline() const {
   if (!this->Transaction)
     return NoDeadline;
-  return steadyNow() + this->Around.Directory.plan()->TransactionIdle;
+  return steadyNow() + this->Dependencies.Directory.plan()->TransactionIdle;
 }
 
 QCoro::Task<> Session::serve() {
@@ -156,11 +152,13 @@
 Answer Session::handleBegin(const Statement &S) {
   if (this->State != TransactionState::Idle)
     return failure(AnswerCode::Malformed, "a transaction is open", this->State);
-  const std::shared_ptr<const AccessPlan> Plan = this->Around.Directory.plan();
+  const std::shared_ptr<const AccessPlan> Plan =
+      this->Dependencies.Directory.plan();
   const auto Route = Plan->Databases.find(this->Database);
   if (Route == Plan->Databases.end())
     return failure(AnswerCode::UnknownDatabase, this->Database);
-  this->TransactionGroup = this->Around.Groups.find(Route->second.Service);
+  this->TransactionGroup =
+      this->Dependencies.Groups.find(Route->second.Service);
   if (!this->TransactionGroup)
     return refuseNotRun("the service is not configured");
   this->TransactionRoute = Route->second;
@@ -207,7 +205,8 @@
   return Found != this->Prepared.end() && Found->second.Mode == Access::Write;
 }
 
-std::optional<Answer> Session::prepareErrand(const Statement &S, Errand &E) {
+std::optional<Answer> Session::prepareContext(const Statement &S,
+                                              StatementContext &E) {
   E.Arrived = steadyNow();
   E.ArrivedBoot = bootNow();
   E.Deadline = E.Arrived + E.Route.StatementTimeout - AnswerMargin;
@@ -226,16 +225,17 @@
 }
 
 QCoro::Task<Answer> Session::handleSingle(Statement S) {
-  const std::shared_ptr<const AccessPlan> Plan = this->Around.Directory.plan();
+  const std::shared_ptr<const AccessPlan> Plan =
+      this->Dependencies.Directory.plan();
   const auto Route = Plan->Databases.find(this->Database);
-  Errand E;
+  StatementContext E;
   if (Route == Plan->Databases.end())
     co_return failure(AnswerCode::UnknownDatabase, this->Database);
   E.Route = Route->second;
-  E.Servers = this->Around.Groups.find(E.Route.Service);
+  E.Servers = this->Dependencies.Groups.find(E.Route.Service);
   if (!E.Servers)
     co_return refuseNotRun("the service is not configured");
-  if (std::optional<Answer> Refused = this->prepareErrand(S, E))
+  if (std::optional<Answer> Refused = this->prepareContext(S, E))
     co_return *Refused;
   const bool Writes = this->writes(S);
   Answer A;
@@ -251,7 +251,8 @@
   co_return A;
 }
 
-QCoro::Task<std::optional<Answer>> Session::openTransaction(Errand &E) {
+QCoro::Task<std::optional<Answer>>
+Session::openTransaction(StatementContext &E) {
   if (this->Transaction)
     co_return std::nullopt;
   E.ArrivedBoot = this->TransactionArrivedBoot;
@@ -264,10 +265,10 @@
 }
 
 QCoro::Task<Answer> Session::handleInTransaction(Statement S) {
-  Errand E;
+  StatementContext E;
   E.Route = this->TransactionRoute;
   E.Servers = this->TransactionGroup;
-  if (std::optional<Answer> Refused = this->prepareErrand(S, E))
+  if (std::optional<Answer> Refused = this->prepareContext(S, E))
     co_return this->failTransaction(*Refused);
   if (std::optional<Answer> Refused = co_await this->openTransaction(E)) {
     const Answer Failed = this->failTransaction(*Refused);
@@ -311,7 +312,7 @@
   // In a read-only transaction the refusal says nothing about the server.
   if (A.Code == AnswerCode::ReadOnly &&
       this->TransactionBegin.Mode == Access::Write)
-    E.Servers->notPrimary(E.LastServer);
+    E.Servers->markNotPrimary(E.LastServer);
   if (!A.succeeded())
     A = this->failTransaction(A);
   this->note(S, E, A, steadyNow() - E.Arrived);
@@ -321,10 +322,10 @@
 QCoro::Task<Answer> Session::handleCommit(Statement S) {
   if (this->State != TransactionState::InTransaction)
     co_return failure(AnswerCode::Malformed, "no transaction is open");
-  Errand E;
+  StatementContext E;
   E.Route = this->TransactionRoute;
   E.Servers = this->TransactionGroup;
-  this->prepareErrand(S, E);
+  this->prepareContext(S, E);
   if (std::optional<Answer> Refused = co_await this->openTransaction(E)) {
     this->endTransaction();
     this->note(S, E, *Refused, steadyNow() - E.Arrived);
@@ -358,7 +359,7 @@
       this->FloorService = E.Route.Service;
     }
     if (A.Code == AnswerCode::ReadOnly)
-      E.Servers->notPrimary(Link.server());
+      E.Servers->markNotPrimary(Link.server());
     if (A.State != TransactionState::Idle)
       Link.drop();
   } else {
@@ -412,21 +413,21 @@
   this->TransactionGroup.reset();
 }
 
-void Session::observeTime(const Errand &E, Duration Took) {
-  this->Around.Counters.observe(
+void Session::observeTime(const StatementContext &E, Duration Took) {
+  this->Dependencies.Counters.observe(
       Timing::StatementLatency,
       {E.Route.Service, CallerName(this->Database),
        ClassName(std::string(nameOf(E.Route.Consistency)))},
       Took);
 }
 
-void Session::note(const Statement &S, const Errand &E, const Answer &A,
-                   Duration Took) {
+void Session::note(const Statement &S, const StatementContext &E,
+                   const Answer &A, Duration Took) {
   this->observeTime(E, Took);
-  this->Around.Counters.add(Counter::Statements,
-                            E.LastServer.empty() ? "none" : E.LastServer.str());
+  this->Dependencies.Counters.add(
+      Counter::Statements, E.LastServer.empty() ? "none" : E.LastServer.str());
   if (A.Code)
-    this->Around.Counters.add(Counter::Refusals, nameOf(*A.Code));
+    this->Dependencies.Counters.add(Counter::Refusals, nameOf(*A.Code));
   const std::optional<BelievedPrimary> Leader = E.Servers->beliefs().primary();
   const std::optional<TimePoint> Known = E.Servers->freshness().newestUsable();
   const bool Good = A.succeeded();
@@ -437,7 +438,7 @@
        {"service", E.Route.Service.str()},
        {"kind", nameOf(S.Kind)},
        {"consistency", nameOf(E.Route.Consistency)},
-       {"plan", this->Around.Directory.plan()->Revision},
+       {"plan", this->Dependencies.Directory.plan()->Revision},
        {"primary", Leader ? Leader->Id.str() : "none"},
        {"term", Leader ? Leader->TermNumber : 0},
        {"known_age_ms", Known ? wholeMilliseconds(bootNow() - *Known) : 0},
--- a/src/root/sessions/Session.h
+++ b/src/root/sessions/Session.h
@@ -23,7 +23,7 @@
 namespace amaranthspur {
 
 /// What all sessions share. References outlive them.
-struct SessionSurroundings {
+struct SessionDependencies {
   const PlatformDirectory &Directory;
   const GroupRegistry &Groups;
   Metrics &Counters;
@@ -45,7 +45,7 @@
   /// Time for what was sent to leave before the connection is dropped.
   static constexpr Duration FinishLimit = std::chrono::seconds(1);
 
-  Session(const SessionSurroundings &Around,
+  Session(const SessionDependencies &Dependencies,
           std::unique_ptr<CallerStream> Caller);
 
   /// Serves the caller until it leaves or finish() takes effect.
@@ -72,20 +72,20 @@
   QCoro::Task<Answer> handleCommit(Statement S);
   QCoro::Task<Answer> handleRollback(Statement S);
 
-  QCoro::Task<std::optional<Answer>> openTransaction(Errand &E);
+  QCoro::Task<std::optional<Answer>> openTransaction(StatementContext &E);
   /// Rolls the transaction back, if one has begun on a server.
   /// \param Rollback the caller's statement, or nothing.
   QCoro::Task<> leaveTransaction(std::optional<Statement> Rollback);
-  std::optional<Answer> prepareErrand(const Statement &S, Errand &E);
+  std::optional<Answer> prepareContext(const Statement &S, StatementContext &E);
   bool writes(const Statement &S) const;
   Answer failTransaction(Answer A);
   void endTransaction();
   TimePoint nextDeadline() const;
-  void note(const Statement &S, const Errand &E, const Answer &A,
+  void note(const Statement &S, const StatementContext &E, const Answer &A,
             Duration Took);
-  void observeTime(const Errand &E, Duration Took);
+  void observeTime(const StatementContext &E, Duration Took);
 
-  const SessionSurroundings &Around;
+  const SessionDependencies &Dependencies;
   std::unique_ptr<CallerStream> Caller;
   std::string Database;
   SessionValues Values;
--- a/src/root/sessions/SessionListener.cpp
+++ b/src/root/sessions/SessionListener.cpp
@@ -12,10 +12,10 @@
 
 } // namespace
 
-SessionListener::SessionListener(const SessionSurroundings &Around,
+SessionListener::SessionListener(const SessionDependencies &Dependencies,
                                  CallerStreamFactory &Streams, Address Listen,
                                  std::size_t MaxSessions, Duration Notice)
-    : Around(Around), Streams(Streams), Listen(std::move(Listen)),
+    : Dependencies(Dependencies), Streams(Streams), Listen(std::move(Listen)),
       MaxSessions(MaxSessions), Notice(Notice) {}
 
 SessionListener::~SessionListener() = default;
@@ -59,7 +59,8 @@
       this->serve(Socket);
       continue;
     }
-    this->Around.Counters.add(Counter::CallersRejected, "connection limit");
+    this->Dependencies.Counters.add(Counter::CallersRejected,
+                                    "connection limit");
     Socket->abort();
     Socket->deleteLater();
   }
@@ -67,16 +68,16 @@
 
 QCoro::Task<> SessionListener::serve(QTcpSocket *Socket) {
   const TaskGroup::Guard Guard(this->Tasks);
-  Session Served(this->Around, this->Streams.make(Socket));
+  Session Served(this->Dependencies, this->Streams.make(Socket));
   this->Sessions.insert(&Served);
   if (this->Finishing)
     Served.finish();
-  this->Around.Counters.set(Gauge::OpenCallerConnections,
-                            static_cast<double>(this->Sessions.size()));
+  this->Dependencies.Counters.set(Gauge::OpenCallerConnections,
+                                  static_cast<double>(this->Sessions.size()));
   co_await Served.run();
   this->Sessions.erase(&Served);
-  this->Around.Counters.set(Gauge::OpenCallerConnections,
-                            static_cast<double>(this->Sessions.size()));
+  this->Dependencies.Counters.set(Gauge::OpenCallerConnections,
+                                  static_cast<double>(this->Sessions.size()));
 }
 
 } // namespace amaranthspur
--- a/src/root/sessions/SessionListener.h
+++ b/src/root/sessions/SessionListener.h
@@ -16,11 +16,11 @@
 /// Accepts callers and owns their sessions.
 class SessionListener final : public Child {
 public:
-  /// \param Around and \param Streams outlive the listener.
+  /// \param Dependencies and \param Streams outlive the listener.
   /// \param MaxSessions connections at most; more are closed at once.
   /// \param Notice time between a stop and the end of idle sessions, in which a
   /// balancer notices that this entry VM is not ready.
-  SessionListener(const SessionSurroundings &Around,
+  SessionListener(const SessionDependencies &Dependencies,
                   CallerStreamFactory &Streams, Address Listen,
                   std::size_t MaxSessions, Duration Notice);
   ~SessionListener() override;
@@ -38,7 +38,7 @@
   void acceptPending();
   QCoro::Task<> serve(QTcpSocket *Socket);
 
-  const SessionSurroundings &Around;
+  const SessionDependencies &Dependencies;
   CallerStreamFactory &Streams;
   Address Listen;
   std::size_t MaxSessions;
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -19,7 +19,7 @@
 /// Times that a read which ran and failed is run elsewhere.
 constexpr unsigned MaxFailedReads = 1;
 
-void note(Errand &E, const ServerId &Server, std::string_view What) {
+void note(StatementContext &E, const ServerId &Server, std::string_view What) {
   if (!E.Trail.empty())
     E.Trail += ',';
   E.Trail += Server.str();
@@ -43,7 +43,8 @@
 };
 
 /// Takes a connection to \p Id and brings it to the session.
-QCoro::Task<BorrowedLink> borrow(Errand &E, ServerId Id, TimePoint Deadline) {
+QCoro::Task<BorrowedLink> borrow(StatementContext &E, ServerId Id,
+                                 TimePoint Deadline) {
   const std::shared_ptr<ServerPool> Pool = E.Servers->pool(Id);
   if (!Pool) {
     note(E, Id, "gone");
@@ -70,16 +71,16 @@
 
 /// Returns until when a server may be looked for: a statement that was sent
 /// once has been offered and may use its whole time.
-TimePoint searchDeadline(const Errand &E) {
+TimePoint searchDeadline(const StatementContext &E) {
   return E.Attempts == 0 ? std::min(E.OfferBy, E.Deadline) : E.Deadline;
 }
 
-std::string preparedName(const Errand &E) {
+std::string preparedName(const StatementContext &E) {
   return E.Prepared ? sharedName(*E.Prepared) : std::string();
 }
 
 /// Waits until a primary with a known term is believed in and not avoided.
-QCoro::Task<std::optional<BelievedPrimary>> awaitPrimary(Errand &E,
+QCoro::Task<std::optional<BelievedPrimary>> awaitPrimary(StatementContext &E,
                                                          bool NeedTerm) {
   bool Waited = false;
   while (true) {
@@ -107,7 +108,8 @@
 
 /// Returns the server for the next attempt of a read, or nothing if all were
 /// tried.
-std::optional<ServerId> nextServer(const Errand &E, const ReadGuard &Guard,
+std::optional<ServerId> nextServer(const StatementContext &E,
+                                   const ReadGuard &Guard,
                                    const std::set<ServerId> &Tried) {
   for (const ServerId &Id :
        E.Servers->beliefs().readOrder(Guard.Floor, steadyNow()))
@@ -116,7 +118,7 @@
   return std::nullopt;
 }
 
-TimePoint attemptDeadline(const Errand &E) {
+TimePoint attemptDeadline(const StatementContext &E) {
   const Duration Left = E.Deadline - steadyNow();
   return steadyNow() +
          std::chrono::duration_cast<Duration>(Left * ReadAttemptShare);
@@ -131,7 +133,7 @@
                  State);
 }
 
-ReadGuard guardOf(const Errand &E) {
+ReadGuard guardOf(const StatementContext &E) {
   ReadGuard Guard;
   if (E.Route.Consistency == ReadConsistency::Primary) {
     Guard.AtPrimary = true;
@@ -148,7 +150,7 @@
   return Guard;
 }
 
-QCoro::Task<Answer> runRead(Statement S, Errand &E) {
+QCoro::Task<Answer> runRead(Statement S, StatementContext &E) {
   ReadGuard Guard = guardOf(E);
   std::set<ServerId> Tried;
   unsigned Failed = 0;
@@ -236,7 +238,7 @@
   co_return failure(AnswerCode::Failed, "no server gave a usable answer");
 }
 
-QCoro::Task<Answer> runWrite(Statement S, Errand &E) {
+QCoro::Task<Answer> runWrite(Statement S, StatementContext &E) {
   while (true) {
     const bool NeedsProof = !E.Servers->commitsAreProofs();
     const std::optional<BelievedPrimary> Leader =
@@ -283,7 +285,7 @@
     if (!isNotRun(*A.Code))
       co_return A;
     if (A.Code == AnswerCode::ReadOnly)
-      E.Servers->notPrimary(Leader->Id);
+      E.Servers->markNotPrimary(Leader->Id);
     if (A.Code == AnswerCode::UnknownStatement)
       Link.drop();
     Link.giveBack();
@@ -292,7 +294,7 @@
 }
 
 QCoro::Task<std::variant<OpenTransaction, Answer>>
-beginTransaction(Statement Begin, ReadGuard Guard, Errand &E) {
+beginTransaction(Statement Begin, ReadGuard Guard, StatementContext &E) {
   std::set<ServerId> Tried;
   while (steadyNow() < searchDeadline(E) && E.CallerPresent()) {
     std::optional<BelievedPrimary> Leader = E.Servers->beliefs().primary();
@@ -344,7 +346,7 @@
     Link.drop();
     Tried.insert(*Id);
     if (Code == AnswerCode::ReadOnly)
-      E.Servers->notPrimary(*Id);
+      E.Servers->markNotPrimary(*Id);
     if (Code == AnswerCode::Lagging && Leader && Leader->Id == *Id)
       Guard = ReadGuard{std::nullopt, true};
     co_await sleepFor(RefusedPause);
--- a/src/root/sessions/StatementRunner.h
+++ b/src/root/sessions/StatementRunner.h
@@ -63,7 +63,7 @@
 };
 
 /// One statement, or the start of one transaction, on its way.
-struct Errand {
+struct StatementContext {
   std::shared_ptr<Group> Servers;
   DatabaseRoute Route;
   SessionValues Values;
@@ -100,14 +100,14 @@
                     TransactionState State = TransactionState::Idle);
 
 /// Returns what a read on \p E may not miss.
-ReadGuard guardOf(const Errand &E);
+ReadGuard guardOf(const StatementContext &E);
 
 /// Runs a read on its own.
-QCoro::Task<Answer> runRead(Statement S, Errand &E);
+QCoro::Task<Answer> runRead(Statement S, StatementContext &E);
 
 /// Runs a write on its own; it is sent again only after a server has answered
 /// that it did not run.
-QCoro::Task<Answer> runWrite(Statement S, Errand &E);
+QCoro::Task<Answer> runWrite(Statement S, StatementContext &E);
 
 /// A transaction that has begun on a connection.
 struct OpenTransaction {
@@ -121,7 +121,7 @@
 /// \param Begin the caller's statement.
 /// \returns the refusal if none could be begun.
 QCoro::Task<std::variant<OpenTransaction, Answer>>
-beginTransaction(Statement Begin, ReadGuard Guard, Errand &E);
+beginTransaction(Statement Begin, ReadGuard Guard, StatementContext &E);
 
 } // namespace amaranthspur
 
--- a/src/root/sessions/testing/SessionTest.cpp
+++ b/src/root/sessions/testing/SessionTest.cpp
@@ -152,7 +152,7 @@
 
   std::vector<std::string> serve(std::deque<ScriptedCaller::Step> Steps) {
     std::vector<std::string> Answers;
-    Session Served(this->Around,
+    Session Served(this->Dependencies,
                    std::make_unique<ScriptedCaller>(std::move(Steps), Answers));
     runTask(Served.run());
     return Answers;
@@ -164,14 +164,15 @@
   NoPromotions Orders;
   Metrics Counters;
   Random Rng{1};
-  Whereabouts Where{DataCentre("here"), {{DataCentre("here"), Region("r")}}};
+  Locality Where{DataCentre("here"), {{DataCentre("here"), Region("r")}}};
   PlatformDirectory Directory{this->Tables};
   GroupRegistry Groups{
       this->Directory,
       this->Group,
       this->Where,
       {EntryVmId("vm"), this->Store, this->Orders, this->Counters, this->Rng}};
-  SessionSurroundings Around{this->Directory, this->Groups, this->Counters};
+  SessionDependencies Dependencies{this->Directory, this->Groups,
+                                   this->Counters};
 };
 
 using Steps = std::deque<ScriptedCaller::Step>;
--- a/src/root/sessions/testing/StatementRunnerTest.cpp
+++ b/src/root/sessions/testing/StatementRunnerTest.cpp
@@ -37,8 +37,8 @@
   }
   ~Fixture() { runTask(this->Servers->stop()); }
 
-  Errand errand(ReadConsistency Consistency) {
-    Errand E;
+  StatementContext context(ReadConsistency Consistency) {
+    StatementContext E;
     E.Servers = this->Servers;
     E.Route.Service = ServiceName("ledger");
     E.Route.Consistency = Consistency;
@@ -55,7 +55,7 @@
 
   Answer run(const std::string &Text,
              ReadConsistency Consistency = ReadConsistency::Primary) {
-    Errand E = this->errand(Consistency);
+    StatementContext E = this->context(Consistency);
     const Statement S = statement(Text);
     Answer A;
     if (S.Kind == StatementVerb::Write)
@@ -69,7 +69,7 @@
   std::size_t ran(const std::string &Id) { return this->Group[Id].Ran.size(); }
 
   LineGroup Group;
-  Whereabouts Where{DataCentre("here"), {{DataCentre("here"), Region("r")}}};
+  Locality Where{DataCentre("here"), {{DataCentre("here"), Region("r")}}};
   std::shared_ptr<class Group> Servers = std::make_shared<class Group>(
       ServiceName("ledger"), this->Group, this->Where);
   bool Present = true;
@@ -199,7 +199,7 @@
     F.Group["b"].Lags = F.Group["c"].Lags = true;
     REQUIRE(F.run("WRITE item data").succeeded());
     const std::size_t Before = F.ran("a");
-    Errand E = F.errand(Consistency);
+    StatementContext E = F.context(Consistency);
     E.Route.MaxStaleness = milliseconds(1);
     E.SessionFloor = F.Group["a"].Log;
     const Answer A = runTask(runRead(statement("READ item"), E));
@@ -248,7 +248,7 @@
   REQUIRE(F.run("WRITE item data").succeeded());
   for (const char *Id : {"a", "b", "c"})
     F.Group[Id].Fault = LinkFault::Busy;
-  Errand E = F.errand(ReadConsistency::BoundedStaleness);
+  StatementContext E = F.context(ReadConsistency::BoundedStaleness);
   const Answer A = runTask(runRead(statement("READ item"), E));
   CHECK(A.Code == AnswerCode::Busy);
   CHECK(E.Attempts > 6);
@@ -287,7 +287,7 @@
     CAPTURE(R.Name);
     Fixture F;
     REQUIRE(F.run("WRITE item data").succeeded());
-    Errand E = F.errand(R.Consistency);
+    StatementContext E = F.context(R.Consistency);
     const ReadGuard Guard = guardOf(E);
     auto Begun = runTask(beginTransaction(statement(R.Begin), Guard, E));
     auto *Open = std::get_if<OpenTransaction>(&Begun);
@@ -303,7 +303,7 @@
   const SessionValues First{{"zone", "a"}};
   const SessionValues Second{{"unit", "kg"}};
   for (const SessionValues &Values : {First, Second, First, SessionValues()}) {
-    Errand E = F.errand(ReadConsistency::Primary);
+    StatementContext E = F.context(ReadConsistency::Primary);
     E.Values = Values;
     REQUIRE(runTask(runWrite(statement("WRITE item data"), E)).succeeded());
   }
--- a/src/testing/line-group/LineServer.cpp
+++ b/src/testing/line-group/LineServer.cpp
@@ -16,10 +16,6 @@
   return Word;
 }
 
-std::string positionText(LogPosition P) {
-  return std::to_string(P.TermNumber) + "." + std::to_string(P.Index);
-}
-
 std::string reportLines(const Result<StatusAnswer> &R) {
   const auto *Report = std::get_if<ServerReport>(&valueOf(R));
   if (!Report)
