--- a/src/root/backends/ServerOwner.cpp
+++ b/src/root/backends/ServerOwner.cpp
@@ -67,17 +67,14 @@
   this->Stopping = true;
   this->StopRequested.notifyAll();
   this->LeaseChanged.notifyAll();
-  while (!(this->Held.empty() && this->RunningStreams.empty()) &&
-         steadyNow() < Deadline)
+  while (this->hasWork() && steadyNow() < Deadline)
     co_await this->ConnectionFreed.wait(Deadline);
-  for (auto &[Stream, Entry] : this->RunningStreams) {
-    Entry->Abandoned = true;
-    Entry->On->Wire->interrupt();
-  }
-  while (!this->Held.empty()) {
-    Conn C = std::move(this->Held.begin()->second);
-    this->Held.erase(this->Held.begin());
-    this->discard(std::move(C));
+  this->discardHeld();
+  // The next owner waits for them: the server closes the connections of an
+  // owner whose lease another one has taken.
+  while (!this->RunningStreams.empty()) {
+    co_await this->ConnectionFreed.wait();
+    this->discardHeld();
   }
   this->discardIdle();
   co_await this->Tasks.empty();
@@ -89,12 +86,22 @@
   this->LeaseUntil = {};
 }
 
+void ServerOwner::abandonRunning() {
+  for (auto &[Stream, Entry] : this->RunningStreams) {
+    Entry->Abandoned = true;
+    Entry->On->Wire->interrupt();
+  }
+}
+
+bool ServerOwner::hasWork() const {
+  return !this->Held.empty() || !this->RunningStreams.empty();
+}
+
 bool ServerOwner::holdsLease() const { return steadyNow() < this->LeaseUntil; }
 
 QCoro::Task<> ServerOwner::keepLease() {
   const TaskGroup::Guard Guard(this->Tasks);
-  while (!this->Stopping || !this->Held.empty() ||
-         !this->RunningStreams.empty()) {
+  while (!this->Stopping || this->hasWork()) {
     // The lease counts from before the request was sent: the server cannot have
     // granted it earlier than that.
     const TimePoint SentAt = steadyNow();
@@ -112,7 +119,7 @@
         succeeded(Lease) ? LeaseRenewal
                          : std::min(LeaseRenewal, Duration(milliseconds(50)));
     co_await this->StopRequested.wait(SentAt + Pause);
-    if (this->Stopping && !(this->Held.empty() && this->RunningStreams.empty()))
+    if (this->Stopping && this->hasWork())
       co_await sleepFor(milliseconds(50));
   }
 }
@@ -563,6 +570,14 @@
   }
 }
 
+void ServerOwner::discardHeld() {
+  while (!this->Held.empty()) {
+    Conn C = std::move(this->Held.begin()->second);
+    this->Held.erase(this->Held.begin());
+    this->discard(std::move(C));
+  }
+}
+
 void ServerOwner::onViewChanged() {
   const GroupView *View = this->Views.find(this->Setup.Service);
   if (!View || !View->Primary || *View->Primary == this->Setup.Server.Id)
--- a/src/root/backends/ServerOwner.h
+++ b/src/root/backends/ServerOwner.h
@@ -52,10 +52,14 @@
   /// Starts the lease and the warm-up of connections.
   void start();
 
-  /// Refuses new work, lets running work and open transactions end until
-  /// \p Deadline, gives back the lease and closes all connections.
+  /// Refuses new work and lets open transactions end until \p Deadline;
+  /// statements that still run end by their own deadlines. Gives back the lease
+  /// and closes all connections.
   QCoro::Task<> stop(TimePoint Deadline);
 
+  /// Ends the statements that run, with an unknown outcome.
+  void abandonRunning();
+
   QCoro::Task<StatementResult> execute(StatementOrder Order,
                                        AnswerSink &Sink) override;
   void closeStream(const StreamId &Stream) override;
@@ -142,6 +146,8 @@
   void giveBack(Conn C, const StatementOrder &Order, TransactionState State);
   void discard(Conn C);
   void discardIdle();
+  void discardHeld();
+  bool hasWork() const;
   void cancelOn(const ServerConnection &On);
 
   ServerOwnerSetup Setup;
--- a/src/root/backends/ServerRegistry.cpp
+++ b/src/root/backends/ServerRegistry.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 /// Open transactions have this long after their server has got another owner.
+/// Writes wait for that owner, and a handover may take 2,000 ms in all.
 constexpr Duration HandOverTime = milliseconds(1500);
 /// Longest time for reading a floor.
 constexpr Duration FloorTime = milliseconds(1000);
@@ -71,9 +72,12 @@
   for (const auto &[Id, Owner] : this->Owners)
     this->retireOwner(Owner, nullptr, Grace);
   this->Owners.clear();
+  co_await this->Tasks.empty(Deadline);
+  for (const std::shared_ptr<ServerOwner> &Owner : this->Retiring)
+    Owner->abandonRunning();
   co_await this->Tasks.empty(Deadline + HandOverTime);
   for (const auto &[Service, Watcher] : this->Watchers)
-    this->retireWatcher(Watcher);
+    this->retireWatcher(Service, Watcher);
   this->Watchers.clear();
   co_await this->Tasks.empty(steadyNow() + HandOverTime);
 }
@@ -115,7 +119,7 @@
       ++It;
       continue;
     }
-    this->retireWatcher(It->second);
+    this->retireWatcher(It->first, It->second);
     It = this->Watchers.erase(It);
   }
 }
@@ -210,15 +214,28 @@
                                           std::shared_ptr<GroupWatcher> Watcher,
                                           Duration Grace) {
   const TaskGroup::Guard Guard(this->Tasks);
+  this->Retiring.insert(Owner);
   co_await Owner->stop(steadyNow() + Grace);
+  this->Retiring.erase(Owner);
+  this->OwnerRetired.notifyAll();
   Watcher.reset(); // Kept until here: the owner refers to it.
 }
 
+bool ServerRegistry::isRetiringOwnerOf(const ServiceName &Service) const {
+  return std::any_of(this->Retiring.begin(), this->Retiring.end(),
+                     [&Service](const std::shared_ptr<ServerOwner> &Owner) {
+                       return Owner->service() == Service;
+                     });
+}
+
 QCoro::Task<>
-ServerRegistry::retireWatcher(std::shared_ptr<GroupWatcher> Watcher) {
+ServerRegistry::retireWatcher(ServiceName Service,
+                              std::shared_ptr<GroupWatcher> Watcher) {
   const TaskGroup::Guard Guard(this->Tasks);
   // An owner that is being retired still waits for its last confirmations.
   co_await sleepFor(this->Running ? HandOverTime : Duration::zero());
+  while (this->isRetiringOwnerOf(Service))
+    co_await this->OwnerRetired.wait();
   co_await Watcher->stop();
 }
 
--- a/src/root/backends/ServerRegistry.h
+++ b/src/root/backends/ServerRegistry.h
@@ -83,7 +83,9 @@
   QCoro::Task<> retireOwner(std::shared_ptr<ServerOwner> Owner,
                             std::shared_ptr<GroupWatcher> Watcher,
                             Duration Grace);
-  QCoro::Task<> retireWatcher(std::shared_ptr<GroupWatcher> Watcher);
+  bool isRetiringOwnerOf(const ServiceName &Service) const;
+  QCoro::Task<> retireWatcher(ServiceName Service,
+                              std::shared_ptr<GroupWatcher> Watcher);
   std::unique_ptr<BackendServer> connect(const ServerConfig &Server) const;
   void onFloorQuery(const EntryVmId &From, const peer::FloorQuery &Query);
   QCoro::Task<> answerFloor(EntryVmId From, std::uint64_t Correlation,
@@ -95,6 +97,8 @@
   std::unique_ptr<Ownership> Choice;
   std::map<ServiceName, std::shared_ptr<GroupWatcher>> Watchers;
   std::map<ServerId, std::shared_ptr<ServerOwner>> Owners;
+  std::set<std::shared_ptr<ServerOwner>> Retiring;
+  Signal OwnerRetired;
   std::map<std::uint64_t, FloorRequest *> FloorRequests;
   std::uint64_t NextCorrelation;
   TaskGroup Tasks;
