--- a/src/root/peers/PeerLink.cpp
+++ b/src/root/peers/PeerLink.cpp
@@ -1,5 +1,7 @@
 #include "root/peers/PeerLink.h"
 
+#include "root/peers/ZmqCall.h"
+
 #include <algorithm>
 
 namespace amaranthspur {
@@ -111,7 +113,7 @@
 
 void PeerLink::onWritable() {
   // The descriptor stays readable until the events have been read.
-  if (this->Socket && this->Socket->get(zmq::sockopt::events) != 0)
+  if (this->Socket && readyEvents(*this->Socket) != 0)
     this->flush();
 }
 
@@ -127,7 +129,7 @@
       continue;
     // The descriptor is edge-triggered: a send may have used up the edge, so
     // the events are read again before waiting for the next one.
-    if ((this->Socket->get(zmq::sockopt::events) & ZMQ_POLLOUT) == 0)
+    if ((readyEvents(*this->Socket) & ZMQ_POLLOUT) == 0)
       return;
   }
 }
@@ -135,8 +137,11 @@
 bool PeerLink::sendFirst(std::deque<Outgoing> &Queue) {
   const std::size_t Size = Queue.front().Bytes.size();
   try {
-    if (!this->Socket->send(zmq::buffer(Queue.front().Bytes),
-                            zmq::send_flags::dontwait))
+    const auto Sent = uninterrupted([this, &Queue] {
+      return this->Socket->send(zmq::buffer(Queue.front().Bytes),
+                                zmq::send_flags::dontwait);
+    });
+    if (!Sent)
       return false;
     ++this->Transport.Stats->MessagesSent;
     this->Transport.Stats->BytesSent += Size;
--- a/src/root/peers/ZmqPeerNetwork.cpp
+++ b/src/root/peers/ZmqPeerNetwork.cpp
@@ -1,6 +1,7 @@
 #include "root/peers/ZmqPeerNetwork.h"
 
 #include "root/peers/PeerCodec.h"
+#include "root/peers/ZmqCall.h"
 
 #include <QMetaObject>
 
@@ -68,7 +69,8 @@
           static_cast<std::int64_t>(MaxPeerMessageBytes));
     S.set(zmq::sockopt::curve_server, true);
     S.set(zmq::sockopt::curve_secretkey, this->Transport.Keys.SecretKey);
-    S.bind("tcp://" + this->Options.ListenAddress);
+    uninterrupted(
+        [this, &S] { S.bind("tcp://" + this->Options.ListenAddress); });
     this->Notifier.reset(
         new QSocketNotifier(S.get(zmq::sockopt::fd), QSocketNotifier::Read));
     this->Router = std::move(S);
@@ -207,8 +209,7 @@
   for (unsigned I = 0; I < ReceiveBatch; ++I) {
     if (this->receiveOne())
       continue;
-    if (!this->Router ||
-        (this->Router->get(zmq::sockopt::events) & ZMQ_POLLIN) == 0)
+    if (!this->Router || (readyEvents(*this->Router) & ZMQ_POLLIN) == 0)
       return;
   }
   // More may be waiting, and the descriptor need not become readable for it.
@@ -230,7 +231,10 @@
   unsigned Parts = 0;
   try {
     do {
-      if (!this->Router->recv(Part, zmq::recv_flags::dontwait))
+      const auto Received = uninterrupted([this, &Part] {
+        return this->Router->recv(Part, zmq::recv_flags::dontwait);
+      });
+      if (!Received)
         return false;
       ++Parts;
     } while (Part.more());
--- a/src/root/peers/testing/ZmqPeerNetworkTest.cpp
+++ b/src/root/peers/testing/ZmqPeerNetworkTest.cpp
@@ -9,7 +9,11 @@
 #include <QTcpServer>
 #include <QTimer>
 
+#include <atomic>
 #include <chrono>
+#include <csignal>
+#include <pthread.h>
+#include <thread>
 
 using namespace amaranthspur;
 
@@ -144,6 +148,40 @@
   CHECK(B.Network->stats().dropped(PeerDrop::Malformed) == 0);
 }
 
+// Guards against a process that ends, or loses a message, because a signal
+// arrives during a call of the message library.
+TEST_CASE("signals do not disturb messages") {
+  struct sigaction Ignore = {};
+  Ignore.sa_handler = [](int /*Number*/) {};
+  Ignore.sa_flags = SA_RESTART;
+  sigaction(SIGUSR1, &Ignore, nullptr);
+  Host A("a", "key", 7);
+  Host B("b", "key", 8);
+  std::uint64_t Received = 0;
+  B.Network->handle(peer::Envelope::kStatementRequest,
+                    [&](const EntryVmId &, peer::Envelope &) { ++Received; });
+  A.Network->addSeeds({{EntryVmId("b"), B.Address, DataCentre("a"), false}});
+  REQUIRE(runUntil([&] { return A.sees("b", MemberState::Live); }));
+  std::atomic<bool> Done = false;
+  std::thread Sender([&Done, Main = pthread_self()] {
+    while (!Done) {
+      pthread_kill(Main, SIGUSR1);
+      std::this_thread::sleep_for(std::chrono::microseconds(5));
+    }
+  });
+  constexpr std::uint64_t Rounds = 100;
+  constexpr std::uint64_t Messages = 100;
+  bool Complete = true;
+  for (std::uint64_t I = 1; I <= Rounds && Complete; ++I) {
+    for (std::uint64_t J = 0; J < Messages; ++J)
+      A.Network->send(EntryVmId("b"), statement(J, 100));
+    Complete = runUntil([&] { return Received == I * Messages; });
+  }
+  Done = true;
+  Sender.join();
+  CHECK(Received == Rounds * Messages);
+}
+
 // Guards against a VM of another deployment being let in.
 TEST_CASE("a peer with another deployment key is not heard") {
   Host A("a", "key one");
