--- a/src/ctl/Commands.cpp
+++ b/src/ctl/Commands.cpp
@@ -5,12 +5,14 @@
 #include "config/Plan.h"
 #include "config/Validation.h"
 #include "core/Async.h"
+#include "ctl/Explain.h"
 #include "ctl/Revisions.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
 
 #include <algorithm>
+#include <iterator>
 
 namespace amaranthspur::ctl {
 namespace {
@@ -111,6 +113,8 @@
       co_return co_await this->drain(true);
     case CommandKind::Undrain:
       co_return co_await this->drain(false);
+    case CommandKind::Explain:
+      co_return this->explainStatement();
     case CommandKind::Help:
       co_return plainReport(this->O.HelpText);
     case CommandKind::Version:
@@ -409,6 +413,19 @@
     co_return R;
   }
 
+  Report explainStatement() const {
+    std::vector<LogRecord> Records;
+    for (std::size_t I = 1; I < this->O.Arguments.size(); ++I) {
+      const Result<std::string> Text =
+          this->Around.ReadFile(this->O.Arguments[I]);
+      if (!succeeded(Text))
+        return failure(ExitStatus::Invalid, errorOf(Text));
+      std::vector<LogRecord> Read = parseLog(valueOf(Text));
+      std::move(Read.begin(), Read.end(), std::back_inserter(Records));
+    }
+    return explain(this->O.Arguments[0], Records);
+  }
+
   static std::string markServer(config::Questionnaire &Answers,
                                 const std::string &Id, bool Leaving) {
     for (config::ServiceAnswer &S : *Answers.mutable_services())
--- a/src/ctl/Options.cpp
+++ b/src/ctl/Options.cpp
@@ -14,7 +14,7 @@
 /// Arguments and needs of one command.
 struct CommandInfo {
   CommandKind Command;
-  std::string_view Arguments;
+  std::string_view Arguments; ///< The last one may repeat if "..." ends it.
   std::size_t Count;
   bool NeedsPlatform;
   std::string_view Summary;
@@ -38,6 +38,9 @@
      "accept a revision in which it gets no new work"},
     {CommandKind::Undrain, "backend-server|entry-vm ID", 2, true,
      "accept a revision in which it gets work again"},
+    {CommandKind::Explain, "ID FILE...", 2, false,
+     "tell from the logs of entry VMs why a statement ended as it did; - reads "
+     "standard input"},
     {CommandKind::Help, "", 0, false, "print this text"},
     {CommandKind::Version, "", 0, false, "print the version"},
 });
@@ -189,7 +192,9 @@
   Into.Command = *Command;
   Into.Arguments.assign(Words.begin() + 1, Words.end());
   const CommandInfo &Info = infoOf(*Command);
-  if (Into.Arguments.size() != Info.Count)
+  const bool More = Info.Arguments.ends_with("...");
+  if (Into.Arguments.size() < Info.Count ||
+      (!More && Into.Arguments.size() > Info.Count))
     return Read.problem("usage: amaranthspurctl " + Words[0] + " " +
                         std::string(Info.Arguments));
   if (Info.NeedsPlatform && !Into.Platform)
--- a/src/ctl/Options.h
+++ b/src/ctl/Options.h
@@ -25,6 +25,7 @@
   Status,
   Drain,
   Undrain,
+  Explain,
   Help,
   Version,
 };
@@ -75,6 +76,7 @@
            {ctl::CommandKind::Status, "status"},
            {ctl::CommandKind::Drain, "drain"},
            {ctl::CommandKind::Undrain, "undrain"},
+           {ctl::CommandKind::Explain, "explain"},
            {ctl::CommandKind::Help, "help"},
            {ctl::CommandKind::Version, "version"}});
 };
--- /dev/null
+++ b/src/ctl/testing/ExplainTest.cpp
@@ -0,0 +1,158 @@
+#include "ctl/Explain.h"
+
+#include <catch2/catch.hpp>
+
+#include <QJsonArray>
+
+using namespace amaranthspur;
+using namespace amaranthspur::ctl;
+
+namespace {
+
+/// Lines of two entry VMs; the clock of b is 40 s ahead of that of a.
+const std::string Log =
+    "  -9.3 a 2026-04-19T05:50:47.618Z level=INFO process=a "
+    "event=plan-accepted "
+    "revision=3 databases=19\n"
+    "  3.1 a 2026-04-19T05:51:00.108Z level=WARN process=a "
+    "event=server-unreachable service=s server=i-1 why=\"cannot connect to "
+    "10.1.64.10:8525\"\n"
+    "  3.7 b 2026-04-19T05:51:40.733Z level=INFO process=b "
+    "event=primary-changed service=s server=i-2 term=2\n"
+    "  3.6 b 2026-04-19T05:51:40.615Z level=INFO process=b "
+    "event=promotion-started service=s target=i-2 term=2\n"
+    "  3.6 b 2026-04-19T05:51:40.616Z level=INFO process=b "
+    "event=promotion-started service=other target=i-9 term=2\n"
+    "not a line of an entry VM\n"
+    "2026-04-19T05:51:00.900Z level=INFO process=a event=statement-answered "
+    "id=b1 session=7 transaction=2 database=d service=s kind=read "
+    "consistency=primary "
+    "plan=3 primary=i-1 term=1 known_age_ms=5 floor=- server=i-1 attempts=1 "
+    "trail=\"\" outcome=ok why=\"\" ms=2\n"
+    "2026-04-19T05:51:00.901Z level=INFO process=a event=statement-answered "
+    "id=x9 session=8 transaction=2 database=d service=s kind=write "
+    "consistency=primary "
+    "plan=3 primary=i-1 term=1 known_age_ms=5 floor=- server=i-1 attempts=1 "
+    "trail=\"\" outcome=ok why=\"\" ms=2\n"
+    "2026-04-19T05:51:00.950Z level=INFO process=a event=statement-refused "
+    "id=w1 session=7 transaction=2 database=d service=s kind=write "
+    "consistency=primary "
+    "plan=3 primary=i-1 term=1 known_age_ms=60 floor=- server=i-1 attempts=1 "
+    "trail=i-1:lost outcome=outcome-unknown why=\"connection to server lost\" "
+    "ms=84\n"
+    "2026-04-19T05:51:01.176Z level=INFO process=a event=statement-refused "
+    "id=q1 session=9 transaction=0 database=d service=s kind=execute "
+    "consistency=primary "
+    "plan=3 primary=i-1 term=1 known_age_ms=1320 floor=- server=\"\" "
+    "attempts=0 trail=\"\" outcome=busy why=\"not run; no primary is known; "
+    "retry-after-ms=250\" ms=980\n"
+    "2026-04-19T05:51:02.000Z level=INFO process=a event=statement-refused "
+    "id=r1 session=10 transaction=0 database=d service=s kind=read "
+    "consistency=read-your-writes plan=3 primary=i-1 term=1 known_age_ms=237 "
+    "floor=1.151 server=\"\" attempts=2 "
+    "trail=\"i-2:lagging,i-1:no-connection\" outcome=failed why=\"no server "
+    "gave a usable answer\" ms=630\n";
+
+} // namespace
+
+// Guards against an explanation that leaves out what decided the statement, or
+// takes in what belongs to other sessions and services.
+TEST_CASE("a failed statement is explained from the logs") {
+  struct Row {
+    const char *Id;
+    std::vector<std::string> Expected;
+    std::vector<std::string> Absent;
+  };
+  const Row Rows[] = {
+      {"q1",
+       {"execute on database d, service s",
+        "outcome busy after 980 ms, sent 0 times: not run; no primary is known",
+        "It has not run", "primary i-1 of term 1, last confirmed 1320 ms",
+        "configuration revision 3, in force since 2026-04-19T05:50:47.618Z",
+        "server-unreachable", "why=cannot connect to 10.1.64.10:8525",
+        "takeovers on other entry VMs"},
+       {"service=other", "servers tried", "earlier in its transaction"}},
+      {"w1",
+       {"outcome outcome-unknown", "may have run",
+        "i-1 ended the connection before its answer",
+        "earlier in its transaction", "b1 read at i-1: ok"},
+       {"x9"}},
+      {"r1",
+       {"a server had to hold position 1.151",
+        "i-2 had not reached the position",
+        "i-1 had no connection free for this entry VM"},
+       {"earlier in its transaction"}},
+      {"b1", {"It succeeded", "i-1 answered"}, {"w1"}},
+  };
+  const std::vector<LogRecord> Records = parseLog(Log);
+  CHECK(Records.size() == 10);
+  for (const Row &R : Rows) {
+    CAPTURE(R.Id);
+    const Report Out = explain(R.Id, Records);
+    CAPTURE(Out.Text);
+    CHECK(Out.Status == ExitStatus::Ok);
+    for (const std::string &Words : R.Expected) {
+      CAPTURE(Words);
+      CHECK(Out.Text.find(Words) != std::string::npos);
+    }
+    for (const std::string &Words : R.Absent) {
+      CAPTURE(Words);
+      CHECK(Out.Text.find(Words) == std::string::npos);
+    }
+    CHECK(Out.Json["statements"].toArray().size() == 1);
+  }
+}
+
+// Guards against an order by clocks that differ: the start of a takeover comes
+// before its end although its line is the later one in the file.
+TEST_CASE("takeovers elsewhere are ordered by cause") {
+  const Report Out = explain("q1", parseLog(Log));
+  const std::size_t Started = Out.Text.find("promotion-started");
+  const std::size_t Changed = Out.Text.find("primary-changed");
+  REQUIRE(Started != std::string::npos);
+  REQUIRE(Changed != std::string::npos);
+  CHECK(Started < Changed);
+}
+
+// Guards against a statement that is reported as unknown without a word on
+// lines that the logs have lost.
+TEST_CASE("a statement that no line names is reported") {
+  const Report Out = explain(
+      "none", parseLog(Log + "T level=WARN process=a event=lines-dropped "
+                             "count=3\n"));
+  CHECK(Out.Status == ExitStatus::Refused);
+  CHECK(Out.Text.find("no line names statement none") != std::string::npos);
+  CHECK(Out.Text.find("dropped lines among them: 1") != std::string::npos);
+}
+
+// Guards against values that are cut or joined at blanks, quotes and equals
+// signs.
+TEST_CASE("structured lines are read") {
+  struct Row {
+    const char *Line;
+    bool Read;
+    const char *Key;
+    const char *Value;
+  };
+  const Row Rows[] = {
+      {"T level=INFO process=a event=ready", true, "level", "INFO"},
+      {"T level=INFO process=a event=e why=\"a b=c\" n=1", true, "why",
+       "a b=c"},
+      {"T level=INFO process=a event=e why=\"a \\\"b\\\\\" n=1", true, "why",
+       "a \"b\\"},
+      {"T level=INFO process=a event=e why=\"\" n=1", true, "n", "1"},
+      {"T level=INFO process=a event=e why=\"cut", true, "why", "cut"},
+      {"T level=INFO process=a why=x", false, "", ""},
+      {"T level=INFO event=e", false, "", ""},
+      {"front-joburg-a-3 ready", false, "", ""},
+      {"", false, "", ""},
+      {" level=", false, "", ""},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Line);
+    const std::optional<LogRecord> Record = parseLogLine(R.Line);
+    REQUIRE(Record.has_value() == R.Read);
+    if (Record)
+      CHECK(Record->field(R.Key) == R.Value);
+  }
+}
--- a/src/platform/Documents.cpp
+++ b/src/platform/Documents.cpp
@@ -55,7 +55,8 @@
   Route.Consistency = *Consistency;
   Route.MaxStaleness = milliseconds64(O["max-staleness-ms"], 0);
   Route.StatementTimeout = milliseconds64(O["timeout-ms"], DefaultTimeoutMs);
-  Route.LatencyTarget = milliseconds64(O["latency-goal-ms"], DefaultTimeoutMs);
+  Route.LatencyObjective =
+      milliseconds64(O["latency-goal-ms"], DefaultTimeoutMs);
   Route.MaxAttempts = static_cast<unsigned>(
       std::max<qint64>(1, O["max-attempts"].toInteger(1)));
   return Route;
--- a/src/policy/AccessPlan.h
+++ b/src/policy/AccessPlan.h
@@ -37,8 +37,8 @@
   ReadConsistency Consistency = ReadConsistency::Primary;
   Duration MaxStaleness{}; ///< Of reads; not used with Primary.
   Duration StatementTimeout{};
-  Duration LatencyTarget{}; ///< Of a whole operation.
-  unsigned MaxAttempts = 1; ///< Sends of one statement to servers at most.
+  Duration LatencyObjective{}; ///< Of a whole operation.
+  unsigned MaxAttempts = 1;    ///< Sends of one statement to servers at most.
 };
 
 /// Limits of a service.
--- a/src/policy/GroupBeliefs.cpp
+++ b/src/policy/GroupBeliefs.cpp
@@ -16,8 +16,7 @@
   return Same ? Distance::SameRegion : Distance::OtherRegion;
 }
 
-bool GroupBeliefs::setServers(const std::vector<RegisteredServer> &Listed,
-                              TimePoint Now) {
+bool GroupBeliefs::setServers(const std::vector<RegisteredServer> &Listed) {
   std::map<ServerId, ServerBelief> Next;
   bool Changed = Listed.size() != this->Servers.size();
   for (const RegisteredServer &R : Listed) {
@@ -35,10 +34,6 @@
       Belief.Role = R.Role;
       Belief.TermNumber = 0;
     }
-    if (R.Draining && !Belief.DrainingSince)
-      Belief.DrainingSince = Now;
-    if (!R.Draining)
-      Belief.DrainingSince.reset();
     Belief.Registration = R;
     Next.emplace(R.Id, std::move(Belief));
   }
--- a/src/policy/GroupBeliefs.h
+++ b/src/policy/GroupBeliefs.h
@@ -57,7 +57,6 @@
   std::optional<TimePoint> FailingSince; ///< First failure since a success.
   TimePoint LastFailure{};
   TimePoint LastAnswer{};
-  std::optional<TimePoint> DrainingSince;
   Duration Latency{};    ///< Smoothed time of a statement.
   TimePoint LatencyAt{}; ///< Last observation of it.
   unsigned InFlight = 0; ///< Statements of this entry VM that run there.
@@ -105,7 +104,7 @@
   /// Takes in the registered servers of the group. A server that was born
   /// again starts with no beliefs.
   /// \returns whether the set, an address, a role or a state changed.
-  bool setServers(const std::vector<RegisteredServer> &Servers, TimePoint Now);
+  bool setServers(const std::vector<RegisteredServer> &Servers);
 
   void observeStatus(const ServerId &Id, const ServerReport &Report,
                      TimePoint Now);
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -33,7 +33,7 @@
                       const std::vector<RegisteredServer> &Servers) {
   this->Limits = NewLimits;
   const std::map<ServerId, ServerBelief> Before = this->Beliefs.servers();
-  const bool Changed = this->Beliefs.setServers(Servers, steadyNow());
+  const bool Changed = this->Beliefs.setServers(Servers);
   std::map<ServerId, std::shared_ptr<ServerPool>> Kept;
   for (const RegisteredServer &Server : Servers) {
     const auto Old = Before.find(Server.Id);
--- a/src/root/groups/GroupWatch.cpp
+++ b/src/root/groups/GroupWatch.cpp
@@ -266,12 +266,15 @@
   co_await sleepFor(GiveUpPause);
 }
 
+std::string GroupWatch::nextOperation() {
+  return this->Parts.Self.str() + "/" + std::to_string(this->Salt) + "/" +
+         std::to_string(++this->Operations);
+}
+
 QCoro::Task<std::optional<GroupWatch::HeldClaim>>
 GroupWatch::claim(std::string Purpose) {
   HeldClaim Held;
-  const std::string Operation = this->Parts.Self.str() + "/" +
-                                std::to_string(this->Salt) + "/" +
-                                std::to_string(++this->Operations);
+  const std::string Operation = this->nextOperation();
   // The version that is known may be one that others have finished since.
   for (int Attempt = 0; Attempt < 2 && this->Claim.mayClaim(bootNow());
        ++Attempt) {
@@ -293,9 +296,7 @@
 }
 
 QCoro::Task<> GroupWatch::release(HeldClaim Held, std::string How) {
-  const std::string Operation = this->Parts.Self.str() + "/" +
-                                std::to_string(this->Salt) + "/" +
-                                std::to_string(++this->Operations);
+  const std::string Operation = this->nextOperation();
   const Result<CasOutcome> R = co_await this->Parts.Store.compareAndSet(
       claimKey(this->Watched->name()), Held.Fence, std::string(FinishedMark),
       Operation, steadyNow() + ClaimLimit);
@@ -406,6 +407,7 @@
     log(LogLevel::Info, LogEvent::PromotionOrdered,
         {{"service", this->Watched->name().str()},
          {"target", Plan.Target.str()},
+         {"term", Plan.Next},
          {"fence", Held.Fence},
          {"outcome", nameOf(Outcome)}});
     if (Outcome == PromotionOutcome::NotDone)
--- a/src/root/groups/GroupWatch.h
+++ b/src/root/groups/GroupWatch.h
@@ -98,6 +98,8 @@
   /// Asks all servers again and returns why the target may not be promoted.
   QCoro::Task<std::optional<std::string>>
   refuse(TakeoverPlan Plan, std::vector<LogPosition> Positions);
+  /// Returns an identifier that no other write to the store has.
+  std::string nextOperation();
   QCoro::Task<std::optional<HeldClaim>> claim(std::string Purpose);
   QCoro::Task<> release(HeldClaim Claim, std::string How);
   QCoro::Task<bool> adopt(ServerId Id, Term T,
--- a/src/root/groups/ServerPool.h
+++ b/src/root/groups/ServerPool.h
@@ -84,7 +84,6 @@
   void closeIdle(TimePoint Now);
 
   std::size_t open() const { return this->InUse + this->Idle.size(); }
-  std::size_t inUse() const { return this->InUse; }
 
 private:
   std::unique_ptr<PooledLink> takeIdle(const SessionValues &Values);
--- a/src/root/sessions/Session.cpp
+++ b/src/root/sessions/Session.cpp
@@ -16,8 +16,8 @@
 } // namespace
 
 Session::Session(const SessionDependencies &Dependencies,
-                 std::unique_ptr<CallerStream> Caller)
-    : Dependencies(Dependencies), Caller(std::move(Caller)) {}
+                 std::unique_ptr<CallerStream> Caller, std::uint64_t Number)
+    : Dependencies(Dependencies), Caller(std::move(Caller)), Number(Number) {}
 
 void Session::finish() {
   this->Finishing = true;
@@ -155,14 +155,17 @@
   const std::shared_ptr<const AccessPlan> Plan =
       this->Dependencies.Directory.plan();
   const auto Route = Plan->Databases.find(this->Database);
+  const StatementContext E;
   if (Route == Plan->Databases.end())
-    return failure(AnswerCode::UnknownDatabase, this->Database);
+    return this->refuse(S, E,
+                        failure(AnswerCode::UnknownDatabase, this->Database));
   this->TransactionGroup =
       this->Dependencies.Groups.find(Route->second.Service);
   if (!this->TransactionGroup)
-    return refuseNotRun("the service is not configured");
+    return this->refuse(S, E, refuseNotRun("the service is not configured"));
   this->TransactionRoute = Route->second;
   this->TransactionBegin = S;
+  ++this->TransactionNumber;
   this->TransactionArrived = steadyNow();
   this->TransactionArrivedBoot = bootNow();
   this->TransactionWrote = false;
@@ -210,7 +213,7 @@
   E.Arrived = steadyNow();
   E.ArrivedBoot = bootNow();
   E.Deadline = E.Arrived + E.Route.StatementTimeout - AnswerMargin;
-  E.OfferBy = E.Arrived + E.Route.LatencyTarget / OfferShare - AnswerMargin;
+  E.OfferBy = E.Arrived + E.Route.LatencyObjective / OfferShare - AnswerMargin;
   E.Values = this->Values;
   E.CallerPresent = [this] { return this->Caller->isOpen(); };
   if (this->Floor && E.Route.Service == this->FloorService)
@@ -230,13 +233,14 @@
   const auto Route = Plan->Databases.find(this->Database);
   StatementContext E;
   if (Route == Plan->Databases.end())
-    co_return failure(AnswerCode::UnknownDatabase, this->Database);
+    co_return this->refuse(
+        S, E, failure(AnswerCode::UnknownDatabase, this->Database));
   E.Route = Route->second;
   E.Servers = this->Dependencies.Groups.find(E.Route.Service);
   if (!E.Servers)
-    co_return refuseNotRun("the service is not configured");
+    co_return this->refuse(S, E, refuseNotRun("the service is not configured"));
   if (std::optional<Answer> Refused = this->prepareContext(S, E))
-    co_return *Refused;
+    co_return this->refuse(S, E, *Refused);
   const bool Writes = this->writes(S);
   Answer A;
   if (Writes)
@@ -268,8 +272,9 @@
   StatementContext E;
   E.Route = this->TransactionRoute;
   E.Servers = this->TransactionGroup;
+  E.Transaction = this->TransactionNumber;
   if (std::optional<Answer> Refused = this->prepareContext(S, E))
-    co_return this->failTransaction(*Refused);
+    co_return this->refuse(S, E, this->failTransaction(*Refused));
   if (std::optional<Answer> Refused = co_await this->openTransaction(E)) {
     const Answer Failed = this->failTransaction(*Refused);
     this->note(S, E, Failed, steadyNow() - E.Arrived);
@@ -325,6 +330,7 @@
   StatementContext E;
   E.Route = this->TransactionRoute;
   E.Servers = this->TransactionGroup;
+  E.Transaction = this->TransactionNumber;
   this->prepareContext(S, E);
   if (std::optional<Answer> Refused = co_await this->openTransaction(E)) {
     this->endTransaction();
@@ -413,6 +419,12 @@
   this->TransactionGroup.reset();
 }
 
+Answer Session::refuse(const Statement &S, const StatementContext &E,
+                       Answer A) {
+  this->note(S, E, A, Duration::zero());
+  return A;
+}
+
 void Session::observeTime(const StatementContext &E, Duration Took) {
   this->Dependencies.Counters.observe(
       Timing::StatementLatency,
@@ -428,14 +440,20 @@
       Counter::Statements, E.LastServer.empty() ? "none" : E.LastServer.str());
   if (A.Code)
     this->Dependencies.Counters.add(Counter::Refusals, nameOf(*A.Code));
-  const std::optional<BelievedPrimary> Leader = E.Servers->beliefs().primary();
-  const std::optional<TimePoint> Known = E.Servers->freshness().newestUsable();
+  std::optional<BelievedPrimary> Leader;
+  std::optional<TimePoint> Known;
+  if (E.Servers) {
+    Leader = E.Servers->beliefs().primary();
+    Known = E.Servers->freshness().newestUsable();
+  }
   const bool Good = A.succeeded();
   log(LogLevel::Info,
       Good ? LogEvent::StatementAnswered : LogEvent::StatementRefused,
       {{"id", S.Id},
        {"database", this->Database},
        {"service", E.Route.Service.str()},
+       {"session", this->Number},
+       {"transaction", E.Transaction},
        {"kind", nameOf(S.Kind)},
        {"consistency", nameOf(E.Route.Consistency)},
        {"plan", this->Dependencies.Directory.plan()->Revision},
--- a/src/root/sessions/Session.h
+++ b/src/root/sessions/Session.h
@@ -45,8 +45,9 @@
   /// Time for what was sent to leave before the connection is dropped.
   static constexpr Duration FinishLimit = std::chrono::seconds(1);
 
+  /// \param Number identifies the session in the log of this process.
   Session(const SessionDependencies &Dependencies,
-          std::unique_ptr<CallerStream> Caller);
+          std::unique_ptr<CallerStream> Caller, std::uint64_t Number);
 
   /// Serves the caller until it leaves or finish() takes effect.
   QCoro::Task<> run();
@@ -81,6 +82,8 @@
   Answer failTransaction(Answer A);
   void endTransaction();
   TimePoint nextDeadline() const;
+  /// Logs \p A for a statement that is refused before it is routed.
+  Answer refuse(const Statement &S, const StatementContext &E, Answer A);
   void note(const Statement &S, const StatementContext &E, const Answer &A,
             Duration Took);
   void observeTime(const StatementContext &E, Duration Took);
@@ -101,6 +104,8 @@
   DatabaseRoute TransactionRoute;
   std::optional<OpenTransaction> Transaction; ///< After its first statement.
   bool TransactionWrote = false;
+  std::uint64_t TransactionNumber = 0; ///< Of the last one that began.
+  std::uint64_t Number;
   bool Finishing = false;
 };
 
--- a/src/root/sessions/SessionListener.cpp
+++ b/src/root/sessions/SessionListener.cpp
@@ -68,7 +68,8 @@
 
 QCoro::Task<> SessionListener::serve(QTcpSocket *Socket) {
   const TaskGroup::Guard Guard(this->Tasks);
-  Session Served(this->Dependencies, this->Streams.make(Socket));
+  Session Served(this->Dependencies, this->Streams.make(Socket),
+                 this->NextSession++);
   this->Sessions.insert(&Served);
   if (this->Finishing)
     Served.finish();
--- a/src/root/sessions/SessionListener.h
+++ b/src/root/sessions/SessionListener.h
@@ -45,6 +45,7 @@
   Duration Notice;
   std::unique_ptr<QTcpServer> Server;
   std::set<Session *> Sessions;
+  std::uint64_t NextSession = 1;
   TaskGroup Tasks;
   bool Accepting = false;
   bool Finishing = false;
--- a/src/root/sessions/StatementRunner.h
+++ b/src/root/sessions/StatementRunner.h
@@ -76,6 +76,7 @@
   std::function<bool()> CallerPresent; ///< Nothing is sent for one who left.
 
   // For the log line of the statement.
+  std::uint64_t Transaction = 0; ///< Its number in the session; 0: none.
   unsigned Attempts = 0;
   ServerId LastServer;
   std::optional<LogPosition> Floor;
@@ -85,8 +86,8 @@
 /// Time kept from a route's limit so that the answer arrives within it: one
 /// crossing to the caller (up to 3 ms) and a late timer.
 inline constexpr Duration AnswerMargin = milliseconds(20);
-/// Part of the latency target within which a statement is sent to a server or
-/// refused: a caller that is refused early can try another entry VM in time.
+/// Part of the latency objective within which a statement is sent to a server
+/// or refused: a caller that is refused early can try another entry VM in time.
 inline constexpr int OfferShare = 4;
 /// Taken off a staleness bound, for the time between our look at the clock
 /// and the arrival of the bytes that it stands for.
--- a/src/root/sessions/testing/SessionTest.cpp
+++ b/src/root/sessions/testing/SessionTest.cpp
@@ -153,7 +153,8 @@
   std::vector<std::string> serve(std::deque<ScriptedCaller::Step> Steps) {
     std::vector<std::string> Answers;
     Session Served(this->Dependencies,
-                   std::make_unique<ScriptedCaller>(std::move(Steps), Answers));
+                   std::make_unique<ScriptedCaller>(std::move(Steps), Answers),
+                   1);
     runTask(Served.run());
     return Answers;
   }
--- a/src/root/sessions/testing/StatementRunnerTest.cpp
+++ b/src/root/sessions/testing/StatementRunnerTest.cpp
@@ -44,11 +44,11 @@
     E.Route.Consistency = Consistency;
     E.Route.MaxStaleness = milliseconds(500);
     E.Route.StatementTimeout = milliseconds(300);
-    E.Route.LatencyTarget = milliseconds(400);
+    E.Route.LatencyObjective = milliseconds(400);
     E.Arrived = steadyNow();
     E.ArrivedBoot = bootNow();
     E.Deadline = E.Arrived + E.Route.StatementTimeout;
-    E.OfferBy = E.Arrived + E.Route.LatencyTarget / OfferShare;
+    E.OfferBy = E.Arrived + E.Route.LatencyObjective / OfferShare;
     E.CallerPresent = [this] { return this->Present; };
     return E;
   }
