--- a/src/ctl/Explain.cpp
+++ b/src/ctl/Explain.cpp
@@ -46,13 +46,14 @@
          ProcessEvents.end();
 }
 
-/// What an outcome says about the statement.
-struct OutcomeMeaning {
-  std::string_view Outcome;
+/// A word of the log in plain words.
+struct WordMeaning {
+  std::string_view Word;
   std::string_view Words;
 };
 
-constexpr auto Outcomes = std::to_array<OutcomeMeaning>({
+/// What an outcome says about the statement.
+constexpr auto Outcomes = std::to_array<WordMeaning>({
     {"ok", "It succeeded."},
     {"busy", "It has not run; the caller was told when to come back."},
     {"lagging", "It has not run: no server was known to hold the position "
@@ -71,7 +72,7 @@
 });
 
 /// What one word of the trail says about the server that was tried.
-constexpr auto TrailWords = std::to_array<OutcomeMeaning>({
+constexpr auto TrailWords = std::to_array<WordMeaning>({
     {"lagging", "had not reached the position that the statement needs"},
     {"busy", "had no slot free"},
     {"no-connection", "had no connection free for this entry VM"},
@@ -88,12 +89,11 @@
 });
 
 template <std::size_t N>
-std::string_view meaningOf(const std::array<OutcomeMeaning, N> &Table,
+std::string_view meaningOf(const std::array<WordMeaning, N> &Table,
                            std::string_view Word, std::string_view Else) {
   const auto Found =
-      std::find_if(Table.begin(), Table.end(), [Word](const OutcomeMeaning &M) {
-        return M.Outcome == Word;
-      });
+      std::find_if(Table.begin(), Table.end(),
+                   [Word](const WordMeaning &M) { return M.Word == Word; });
   return Found == Table.end() ? Else : Found->Words;
 }
 
--- a/src/platform/HttpPlatform.cpp
+++ b/src/platform/HttpPlatform.cpp
@@ -41,11 +41,11 @@
                Answer.Body.left(MaxQuoted).toStdString()};
 }
 
-WatchedRows watched(rows::Page Page) {
-  WatchedRows Out;
-  Out.Rows = std::move(Page.Rows);
-  Out.Version = Page.StoreVersion;
-  return Out;
+/// Returns the page of rows in \p Answer.
+Result<rows::Page> pageIn(const HttpResponse &Answer) {
+  if (Answer.Status != HttpOk)
+    return unexpected(Answer);
+  return rows::decodePage(Answer.Body);
 }
 
 /// Returns the row \p Key of \p Page; version 0 if it is not there.
@@ -71,9 +71,7 @@
       co_await this->call(std::move(Request), Deadline);
   if (!succeeded(R))
     co_return Error{errorOf(R)};
-  if (valueOf(R).Status != HttpOk)
-    co_return unexpected(valueOf(R));
-  const Result<rows::Page> Page = rows::decodePage(valueOf(R).Body);
+  const Result<rows::Page> Page = pageIn(valueOf(R));
   if (!succeeded(Page))
     co_return Error{errorOf(Page)};
   co_return rowIn(valueOf(Page), Key);
@@ -159,9 +157,7 @@
         co_await this->call(std::move(Request), Deadline);
     if (!succeeded(R))
       co_return Error{errorOf(R)};
-    if (valueOf(R).Status != HttpOk)
-      co_return unexpected(valueOf(R));
-    Result<rows::Page> Page = rows::decodePage(valueOf(R).Body);
+    Result<rows::Page> Page = pageIn(valueOf(R));
     if (!succeeded(Page))
       co_return Error{errorOf(Page)};
     rows::Page Read = valueOf(std::move(Page));
@@ -200,12 +196,11 @@
     Lost.HistoryLost = true;
     co_return Lost;
   }
-  if (valueOf(R).Status != HttpOk)
-    co_return unexpected(valueOf(R));
-  Result<rows::Page> Page = rows::decodePage(valueOf(R).Body);
+  Result<rows::Page> Page = pageIn(valueOf(R));
   if (!succeeded(Page))
     co_return Error{errorOf(Page)};
-  co_return watched(valueOf(std::move(Page)));
+  rows::Page Changes = valueOf(std::move(Page));
+  co_return WatchedRows{std::move(Changes.Rows), Changes.StoreVersion, false};
 }
 
 QCoro::Task<Result<std::vector<PlatformVm>>>
--- /dev/null
+++ b/src/platform/testing/MemoryPlatform.h
@@ -0,0 +1,52 @@
+// A Platform with rows in memory that can be down. It has no objects and no
+// list of VMs.
+#ifndef AMARANTHSPUR_PLATFORM_TESTING_MEMORYPLATFORM_H
+#define AMARANTHSPUR_PLATFORM_TESTING_MEMORYPLATFORM_H
+
+#include "platform/Platform.h"
+
+#include <map>
+#include <utility>
+
+namespace amaranthspur {
+
+class MemoryPlatform final : public Platform {
+public:
+  QCoro::Task<Result<TableRow>> readRow(std::string Key, TimePoint) override {
+    if (this->Down)
+      co_return Error{"no answer"};
+    co_return this->Rows[Key];
+  }
+
+  QCoro::Task<Result<CasOutcome>>
+  compareAndSet(std::string Key, std::uint64_t Expected, std::string Value,
+                std::string Operation, TimePoint) override {
+    if (this->Down)
+      co_return Error{"no answer"};
+    TableRow &Row = this->Rows[Key];
+    if (Row.Version != Expected)
+      co_return CasOutcome{Row.Operation == Operation, Row};
+    Row = {++this->Counter, std::move(Value), std::move(Operation)};
+    co_return CasOutcome{true, Row};
+  }
+
+  QCoro::Task<Result<Success>> putObject(std::string, std::string,
+                                         TimePoint) override {
+    co_return Error{"not used"};
+  }
+  QCoro::Task<Result<std::optional<std::string>>>
+  getObject(std::string, TimePoint) override {
+    co_return Error{"not used"};
+  }
+  QCoro::Task<Result<std::vector<PlatformVm>>> listVms(TimePoint) override {
+    co_return Error{"not used"};
+  }
+
+  bool Down = false;
+  std::uint64_t Counter = 0; ///< Of all rows, as in the real store.
+  std::map<std::string, TableRow> Rows;
+};
+
+} // namespace amaranthspur
+
+#endif // AMARANTHSPUR_PLATFORM_TESTING_MEMORYPLATFORM_H
--- a/src/policy/AccessPlan.h
+++ b/src/policy/AccessPlan.h
@@ -68,6 +68,12 @@
   std::uint64_t Version = 0;      ///< Of the registration.
 
   bool operator==(const RegisteredServer &) const = default;
+
+  /// Returns whether \p Other, of the same id, is this start of the server at
+  /// the same address: connections and beliefs stay valid.
+  bool isSameStart(const RegisteredServer &Other) const {
+    return this->BornMs == Other.BornMs && this->At == Other.At;
+  }
 };
 
 } // namespace amaranthspur
--- a/src/policy/GroupBeliefs.cpp
+++ b/src/policy/GroupBeliefs.cpp
@@ -23,8 +23,7 @@
     ServerBelief Belief;
     const auto Known = this->Servers.find(R.Id);
     const bool Same = Known != this->Servers.end() &&
-                      Known->second.Registration.BornMs == R.BornMs &&
-                      Known->second.Registration.At == R.At;
+                      Known->second.Registration.isSameStart(R);
     if (Same)
       Belief = Known->second;
     const bool RoleChanged = R.Role && R.Role != Belief.Registration.Role;
--- a/src/root/backends/testing/GroupWatcherTest.cpp
+++ b/src/root/backends/testing/GroupWatcherTest.cpp
@@ -1,4 +1,6 @@
 #include "root/backends/GroupWatcher.h"
+
+#include "platform/testing/MemoryPlatform.h"
 #include "root/backends/testing/WatcherFakes.h"
 
 #include <catch2/catch.hpp>
@@ -71,7 +73,7 @@
 
   SteadyClock Time;
   FakeGroup Group;
-  FakePlatform Store;
+  MemoryPlatform Store;
   ServiceConfig Service;
   std::vector<ViewTable> Views;
   std::vector<std::unique_ptr<Random>> Rngs;
--- a/src/root/backends/testing/WatcherFakes.h
+++ b/src/root/backends/testing/WatcherFakes.h
@@ -3,7 +3,6 @@
 #define AMARANTHSPUR_ROOT_BACKENDS_TESTING_WATCHERFAKES_H
 
 #include "core/Async.h"
-#include "platform/Platform.h"
 #include "policy/testing/GroupModel.h"
 #include "root/backends/BackendServer.h"
 
@@ -193,43 +192,6 @@
   bool Replaced = false; ///< The connection was replaced by a fresh one.
 };
 
-/// A table in memory that can be down.
-class FakePlatform final : public Platform {
-public:
-  QCoro::Task<Result<TableRow>> readRow(std::string Key, TimePoint) override {
-    if (this->Down)
-      co_return Error{"no answer"};
-    co_return this->Rows[Key];
-  }
-
-  QCoro::Task<Result<CasOutcome>>
-  compareAndSet(std::string Key, std::uint64_t Expected, std::string Value,
-                std::string Operation, TimePoint) override {
-    if (this->Down)
-      co_return Error{"no answer"};
-    TableRow &Row = this->Rows[Key];
-    if (Row.Version != Expected)
-      co_return CasOutcome{Row.Operation == Operation, Row};
-    Row = {Row.Version + 1, std::move(Value), std::move(Operation)};
-    co_return CasOutcome{true, Row};
-  }
-
-  QCoro::Task<Result<Success>> putObject(std::string, std::string,
-                                         TimePoint) override {
-    co_return Error{"not used"};
-  }
-  QCoro::Task<Result<std::optional<std::string>>>
-  getObject(std::string, TimePoint) override {
-    co_return Error{"not used"};
-  }
-  QCoro::Task<Result<std::vector<PlatformVm>>> listVms(TimePoint) override {
-    co_return Error{"not used"};
-  }
-
-  bool Down = false;
-  std::map<std::string, TableRow> Rows;
-};
-
 } // namespace amaranthspur::testing
 
 #endif // AMARANTHSPUR_ROOT_BACKENDS_TESTING_WATCHERFAKES_H
--- a/src/root/callers/CallerListener.cpp
+++ b/src/root/callers/CallerListener.cpp
@@ -1,14 +1,8 @@
 #include "root/callers/CallerListener.h"
 
-#include <QHostAddress>
+#include "wire/Listener.h"
 
 namespace amaranthspur {
-namespace {
-
-/// Connections that the system may queue; a crest brings hundreds at once.
-constexpr int ListenBacklog = 1024;
-
-} // namespace
 
 CallerListener::CallerListener(SessionContext &Context, Address Listen,
                                std::size_t MaxCallers,
@@ -19,16 +13,11 @@
 CallerListener::~CallerListener() = default;
 
 QCoro::Task<Result<Success>> CallerListener::start() {
-  this->Server = std::make_unique<QTcpServer>();
-  this->Server->setListenBacklogSize(ListenBacklog);
-  this->Server->setMaxPendingConnections(ListenBacklog);
-  QObject::connect(this->Server.get(), &QTcpServer::newConnection,
-                   this->Server.get(), [this] { this->acceptPending(); });
-  if (!this->Server->listen(
-          QHostAddress(QString::fromStdString(this->Listen.Host)),
-          this->Listen.Port))
-    co_return Error{"cannot listen on " + this->Listen.str() + ": " +
-                    this->Server->errorString().toStdString()};
+  Result<std::unique_ptr<QTcpServer>> Opened = listenAt(
+      this->Listen, [this](QTcpSocket *Socket) { this->accept(Socket); });
+  if (!succeeded(Opened))
+    co_return Error{errorOf(Opened)};
+  this->Server = valueOf(std::move(Opened));
   this->Accepting = true;
   co_return Success();
 }
@@ -47,13 +36,11 @@
   co_await this->Tasks.empty(steadyNow() + std::chrono::seconds(1));
 }
 
-void CallerListener::acceptPending() {
-  while (QTcpSocket *Socket = this->Server->nextPendingConnection()) {
-    if (this->Sessions.size() >= this->MaxCallers)
-      this->refuse(Socket);
-    else
-      this->serve(Socket);
-  }
+void CallerListener::accept(QTcpSocket *Socket) {
+  if (this->Sessions.size() >= this->MaxCallers)
+    this->refuse(Socket);
+  else
+    this->serve(Socket);
 }
 
 void CallerListener::refuse(QTcpSocket *Socket) {
--- a/src/root/callers/CallerListener.h
+++ b/src/root/callers/CallerListener.h
@@ -34,7 +34,7 @@
   bool accepting() const { return this->Accepting; }
 
 private:
-  void acceptPending();
+  void accept(QTcpSocket *Socket);
   QCoro::Task<> serve(QTcpSocket *Socket);
   void refuse(QTcpSocket *Socket);
   void cancel(const CancelKey &Key);
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -32,18 +32,12 @@
 void Group::configure(const ServiceLimits &NewLimits,
                       const std::vector<RegisteredServer> &Servers) {
   this->Limits = NewLimits;
-  const std::map<ServerId, ServerBelief> Before = this->Beliefs.servers();
   const bool Changed = this->Beliefs.setServers(Servers);
   std::map<ServerId, std::shared_ptr<ServerPool>> Kept;
   for (const RegisteredServer &Server : Servers) {
-    const auto Old = Before.find(Server.Id);
-    const bool Same = Old != Before.end() &&
-                      Old->second.Registration.BornMs == Server.BornMs &&
-                      Old->second.Registration.At == Server.At;
     std::shared_ptr<ServerPool> &Pool = Kept[Server.Id];
-    if (Same)
-      Pool = this->Pools[Server.Id];
-    if (!Pool)
+    Pool = this->pool(Server.Id);
+    if (!Pool || !Pool->server().isSameStart(Server))
       Pool = std::make_shared<ServerPool>(this->Connector, Server);
     Pool->share().setMaximum(this->Limits.MaxConnections);
   }
--- a/src/root/groups/ServerPool.h
+++ b/src/root/groups/ServerPool.h
@@ -71,6 +71,8 @@
   ServerPool(ServerConnector &Connector, RegisteredServer Server)
       : Connector(Connector), Server(std::move(Server)) {}
 
+  /// Returns the server as it was registered when the pool was made.
+  const RegisteredServer &server() const { return this->Server; }
   ConnectionShare &share() { return this->Share; }
 
   /// Takes an idle connection, preferably one with \p Values, or opens one;
--- a/src/root/groups/testing/GroupWatchTest.cpp
+++ b/src/root/groups/testing/GroupWatchTest.cpp
@@ -1,5 +1,6 @@
 #include "root/groups/GroupWatch.h"
 
+#include "platform/testing/MemoryPlatform.h"
 #include "testing/TaskRunner.h"
 #include "testing/line-group/LineGroup.h"
 
@@ -10,40 +11,6 @@
 
 namespace {
 
-/// The claim rows of the platform's store.
-class ClaimStore final : public Platform {
-public:
-  QCoro::Task<Result<TableRow>> readRow(std::string Key, TimePoint) override {
-    co_return this->Rows[Key];
-  }
-  QCoro::Task<Result<CasOutcome>>
-  compareAndSet(std::string Key, std::uint64_t Expected, std::string Value,
-                std::string Operation, TimePoint) override {
-    if (this->Down)
-      co_return Error{"no answer"};
-    TableRow &Row = this->Rows[Key];
-    if (Row.Version != Expected)
-      co_return CasOutcome{false, Row};
-    Row = {++this->Counter, std::move(Value), std::move(Operation)};
-    co_return CasOutcome{true, Row};
-  }
-  QCoro::Task<Result<Success>> putObject(std::string, std::string,
-                                         TimePoint) override {
-    co_return Error{"not used"};
-  }
-  QCoro::Task<Result<std::optional<std::string>>>
-  getObject(std::string, TimePoint) override {
-    co_return Error{"not used"};
-  }
-  QCoro::Task<Result<std::vector<PlatformVm>>> listVms(TimePoint) override {
-    co_return Error{"not used"};
-  }
-
-  bool Down = false;
-  std::uint64_t Counter = 0;
-  std::map<std::string, TableRow> Rows;
-};
-
 /// Carries out orders on the group and records them.
 class RecordedOrders final : public Promotions {
 public:
@@ -96,7 +63,7 @@
   }
 
   LineGroup Group;
-  ClaimStore Store;
+  MemoryPlatform Store;
   RecordedOrders Orders{this->Group};
   Metrics Counters;
   Random Rng{1};
--- a/src/root/sessions/Session.cpp
+++ b/src/root/sessions/Session.cpp
@@ -152,18 +152,11 @@
 Answer Session::handleBegin(const Statement &S) {
   if (this->State != TransactionState::Idle)
     return failure(AnswerCode::Malformed, "a transaction is open", this->State);
-  const std::shared_ptr<const AccessPlan> Plan =
-      this->Dependencies.Directory.plan();
-  const auto Route = Plan->Databases.find(this->Database);
-  const StatementContext E;
-  if (Route == Plan->Databases.end())
-    return this->refuse(S, E,
-                        failure(AnswerCode::UnknownDatabase, this->Database));
-  this->TransactionGroup =
-      this->Dependencies.Groups.find(Route->second.Service);
-  if (!this->TransactionGroup)
-    return this->refuse(S, E, refuseNotRun("the service is not configured"));
-  this->TransactionRoute = Route->second;
+  StatementContext E;
+  if (std::optional<Answer> Refused = this->findRoute(E))
+    return this->refuse(S, E, *Refused);
+  this->TransactionGroup = E.Servers;
+  this->TransactionRoute = E.Route;
   this->TransactionBegin = S;
   ++this->TransactionNumber;
   this->TransactionArrived = steadyNow();
@@ -208,6 +201,19 @@
   return Found != this->Prepared.end() && Found->second.Mode == Access::Write;
 }
 
+std::optional<Answer> Session::findRoute(StatementContext &E) const {
+  const std::shared_ptr<const AccessPlan> Plan =
+      this->Dependencies.Directory.plan();
+  const auto Route = Plan->Databases.find(this->Database);
+  if (Route == Plan->Databases.end())
+    return failure(AnswerCode::UnknownDatabase, this->Database);
+  E.Route = Route->second;
+  E.Servers = this->Dependencies.Groups.find(E.Route.Service);
+  if (!E.Servers)
+    return refuseNotRun("the service is not configured");
+  return std::nullopt;
+}
+
 std::optional<Answer> Session::prepareContext(const Statement &S,
                                               StatementContext &E) {
   E.Arrived = steadyNow();
@@ -228,17 +234,9 @@
 }
 
 QCoro::Task<Answer> Session::handleSingle(Statement S) {
-  const std::shared_ptr<const AccessPlan> Plan =
-      this->Dependencies.Directory.plan();
-  const auto Route = Plan->Databases.find(this->Database);
   StatementContext E;
-  if (Route == Plan->Databases.end())
-    co_return this->refuse(
-        S, E, failure(AnswerCode::UnknownDatabase, this->Database));
-  E.Route = Route->second;
-  E.Servers = this->Dependencies.Groups.find(E.Route.Service);
-  if (!E.Servers)
-    co_return this->refuse(S, E, refuseNotRun("the service is not configured"));
+  if (std::optional<Answer> Refused = this->findRoute(E))
+    co_return this->refuse(S, E, *Refused);
   if (std::optional<Answer> Refused = this->prepareContext(S, E))
     co_return this->refuse(S, E, *Refused);
   const bool Writes = this->writes(S);
--- a/src/root/sessions/Session.h
+++ b/src/root/sessions/Session.h
@@ -77,6 +77,8 @@
   /// Rolls the transaction back, if one has begun on a server.
   /// \param Rollback the caller's statement, or nothing.
   QCoro::Task<> leaveTransaction(std::optional<Statement> Rollback);
+  /// Fills in the route and its group; returns the refusal if there is none.
+  std::optional<Answer> findRoute(StatementContext &E) const;
   std::optional<Answer> prepareContext(const Statement &S, StatementContext &E);
   bool writes(const Statement &S) const;
   Answer failTransaction(Answer A);
--- a/src/root/sessions/SessionListener.cpp
+++ b/src/root/sessions/SessionListener.cpp
@@ -1,16 +1,10 @@
 #include "root/sessions/SessionListener.h"
 
-#include <QHostAddress>
+#include "wire/Listener.h"
 
 #include <utility>
 
 namespace amaranthspur {
-namespace {
-
-/// Connections that the system may queue; a crest brings hundreds at once.
-constexpr int ListenBacklog = 1024;
-
-} // namespace
 
 SessionListener::SessionListener(const SessionDependencies &Dependencies,
                                  CallerStreamFactory &Streams, Address Listen,
@@ -22,16 +16,11 @@
 
 QCoro::Task<Result<Success>> SessionListener::start() {
   this->Finishing = false;
-  this->Server = std::make_unique<QTcpServer>();
-  this->Server->setListenBacklogSize(ListenBacklog);
-  this->Server->setMaxPendingConnections(ListenBacklog);
-  QObject::connect(this->Server.get(), &QTcpServer::newConnection,
-                   this->Server.get(), [this] { this->acceptPending(); });
-  if (!this->Server->listen(
-          QHostAddress(QString::fromStdString(this->Listen.Host)),
-          this->Listen.Port))
-    co_return Error{"cannot listen on " + this->Listen.str() + ": " +
-                    this->Server->errorString().toStdString()};
+  Result<std::unique_ptr<QTcpServer>> Opened = listenAt(
+      this->Listen, [this](QTcpSocket *Socket) { this->accept(Socket); });
+  if (!succeeded(Opened))
+    co_return Error{errorOf(Opened)};
+  this->Server = valueOf(std::move(Opened));
   this->Accepting = true;
   const Result<Success> Started = Success();
   co_return Started;
@@ -53,17 +42,14 @@
   co_await this->Tasks.empty(steadyNow() + milliseconds(200));
 }
 
-void SessionListener::acceptPending() {
-  while (QTcpSocket *Socket = this->Server->nextPendingConnection()) {
-    if (this->Sessions.size() < this->MaxSessions) {
-      this->serve(Socket);
-      continue;
-    }
-    this->Dependencies.Counters.add(Counter::CallersRejected,
-                                    "connection limit");
-    Socket->abort();
-    Socket->deleteLater();
+void SessionListener::accept(QTcpSocket *Socket) {
+  if (this->Sessions.size() < this->MaxSessions) {
+    this->serve(Socket);
+    return;
   }
+  this->Dependencies.Counters.add(Counter::CallersRejected, "connection limit");
+  Socket->abort();
+  Socket->deleteLater();
 }
 
 QCoro::Task<> SessionListener::serve(QTcpSocket *Socket) {
--- a/src/root/sessions/SessionListener.h
+++ b/src/root/sessions/SessionListener.h
@@ -35,7 +35,7 @@
   bool accepting() const { return this->Accepting; }
 
 private:
-  void acceptPending();
+  void accept(QTcpSocket *Socket);
   QCoro::Task<> serve(QTcpSocket *Socket);
 
   const SessionDependencies &Dependencies;
--- a/src/root/sessions/testing/SessionTest.cpp
+++ b/src/root/sessions/testing/SessionTest.cpp
@@ -1,6 +1,7 @@
 #include "root/sessions/Session.h"
 
 #include "platform/LineCodec.h"
+#include "platform/testing/MemoryPlatform.h"
 #include "testing/TaskRunner.h"
 #include "testing/line-group/LineGroup.h"
 
@@ -113,33 +114,11 @@
   }
 };
 
-class NoPlatform final : public Platform {
-public:
-  QCoro::Task<Result<TableRow>> readRow(std::string, TimePoint) override {
-    co_return Error{"not used"};
-  }
-  QCoro::Task<Result<CasOutcome>> compareAndSet(std::string, std::uint64_t,
-                                                std::string, std::string,
-                                                TimePoint) override {
-    co_return Error{"not used"};
-  }
-  QCoro::Task<Result<Success>> putObject(std::string, std::string,
-                                         TimePoint) override {
-    co_return Error{"not used"};
-  }
-  QCoro::Task<Result<std::optional<std::string>>>
-  getObject(std::string, TimePoint) override {
-    co_return Error{"not used"};
-  }
-  QCoro::Task<Result<std::vector<PlatformVm>>> listVms(TimePoint) override {
-    co_return Error{"not used"};
-  }
-};
-
 /// Everything around one session.
 struct Fixture {
   Fixture() {
     testApplication();
+    this->Store.Down = true; // No takeover is part of these tests.
     this->Directory.Changed = [this] { this->Groups.refresh(); };
     runTask(this->Directory.start());
     runTask(this->Groups.start());
@@ -161,7 +140,7 @@
 
   LineGroup Group;
   FixedTables Tables{this->Group};
-  NoPlatform Store;
+  MemoryPlatform Store;
   NoPromotions Orders;
   Metrics Counters;
   Random Rng{1};
