--- a/src/platform/Documents.cpp
+++ b/src/platform/Documents.cpp
@@ -57,6 +57,9 @@
   Route.StatementTimeout = milliseconds64(O["timeout-ms"], DefaultTimeoutMs);
   Route.LatencyObjective =
       milliseconds64(O["latency-goal-ms"], DefaultTimeoutMs);
+  // The platform's "priority" is highest at 0.
+  Route.Urgency =
+      static_cast<unsigned>(std::max<qint64>(0, O["priority"].toInteger(0)));
   Route.MaxAttempts = static_cast<unsigned>(
       std::max<qint64>(1, O["max-attempts"].toInteger(1)));
   return Route;
--- a/src/platform/testing/DocumentsTest.cpp
+++ b/src/platform/testing/DocumentsTest.cpp
@@ -84,6 +84,8 @@
   CHECK(First.StatementTimeout == milliseconds(1000));
   CHECK(First.LatencyObjective == milliseconds(800));
   CHECK(First.MaxAttempts == 2);
+  CHECK(First.Urgency == 2);
+  CHECK(Plan.Databases.at("db2").Urgency == 0);
   CHECK(Plan.Databases.at("db2").Consistency == ReadConsistency::Primary);
   CHECK(Plan.Services.at(ServiceName("s")).MaxConnections == 33);
   CHECK(Plan.Services.at(ServiceName("s")).SyncReplicas == 1);
--- a/src/policy/AccessPlan.h
+++ b/src/policy/AccessPlan.h
@@ -39,6 +39,7 @@
   Duration StatementTimeout{};
   Duration LatencyObjective{}; ///< Of a whole operation.
   unsigned MaxAttempts = 1;    ///< Sends of one statement to servers at most.
+  unsigned Urgency = 0;        ///< 0 is the most urgent.
 };
 
 /// Limits of a service.
--- a/src/policy/ConnectionShare.h
+++ b/src/policy/ConnectionShare.h
@@ -2,9 +2,11 @@
 //
 // A server limits the connections of all entry VMs together, and no entry VM
 // knows the others. Each therefore raises its own share step by step while it
-// needs more and the server has room, and lowers it when the server refuses:
-// additive increase, multiplicative decrease, which tends to equal shares of
-// those who compete. A refusal is harmless, since nothing has run.
+// needs more and the server has room, and lowers it when the server refuses or
+// reports that it is crowded: additive increase, multiplicative decrease, which
+// tends to equal shares of those who compete. Without the report those that
+// came first would never be refused and keep all. A refusal is harmless, since
+// nothing has run.
 #ifndef AMARANTHSPUR_POLICY_CONNECTIONSHARE_H
 #define AMARANTHSPUR_POLICY_CONNECTIONSHARE_H
 
@@ -34,9 +36,24 @@
   /// Connections left to others when the server is nearly full: each of the 6
   /// to 7 entry VMs may open one before it sees the others'.
   static constexpr std::size_t Headroom = 6;
-  /// Connections stay scarce for this time after a refusal.
+  /// Connections stay scarce for this time after a refusal. The time doubles
+  /// with a refusal that comes soon after it has ended: at a server with fewer
+  /// connections than entry VMs scarcity is the normal state.
   static constexpr Duration ScarceFor = std::chrono::seconds(1);
-  /// Part of the open connections that is kept as the share after a refusal.
+  static constexpr Duration LongestScarcity = std::chrono::seconds(16);
+  /// The last idle connection is closed after this time. Servers close theirs
+  /// after 60 s; a new one costs 12 ms of a slot.
+  static constexpr Duration IdleLimit = std::chrono::seconds(20);
+  /// The other idle ones are closed after this time, for other entry VMs.
+  static constexpr Duration SurplusIdleLimit = std::chrono::seconds(1);
+  /// All idle ones are closed after this time while connections are scarce:
+  /// long enough for the next statement of a busy entry VM, so that it pays no
+  /// new connection, and short for one that sends a statement a second.
+  static constexpr Duration ScarceIdleLimit = milliseconds(100);
+  /// Shortest time between two decreases for a crowded server; the count of a
+  /// primary is seen about as often.
+  static constexpr Duration YieldInterval = milliseconds(500);
+  /// Part of the share that is kept at a decrease.
   static constexpr double Decrease = 0.75;
 
   /// Sets the server's limit for all entry VMs together.
@@ -52,20 +69,33 @@
   /// The server reported \p Count connections of all entry VMs.
   void observeCount(std::size_t Count, TimePoint Now);
 
-  /// Returns whether connections are so scarce that none is to be kept idle:
-  /// at a server whose limit is below the number of entry VMs, an idle
-  /// connection of one keeps another out.
-  bool scarce(TimePoint Now) const;
+  /// Returns whether the server is to be asked for its count: this entry VM has
+  /// more than the first share and may be keeping others out.
+  bool wantsCount(std::size_t Open, TimePoint Now) const;
+
+  /// Returns how long a connection may be idle before it is closed.
+  /// \param Newest whether it is the one that was used last.
+  Duration idleLimit(bool Newest, TimePoint Now) const;
 
   std::size_t limit() const { return this->Limit; }
 
 private:
+  /// Returns whether connections are so scarce that an idle one of this entry
+  /// VM is likely to keep another entry VM out: after a refusal, and while more
+  /// than three quarters of the server's connections are open.
+  bool scarce(TimePoint Now) const;
+  /// Returns whether more than three quarters of the connections are open.
+  bool isCrowded() const;
+  static std::size_t reduced(std::size_t Open);
+
   std::size_t Maximum = InitialShare;
   std::size_t Limit = InitialShare;
   std::optional<TimePoint> GrownAt;
   std::optional<TimePoint> RefusedAt;
+  Duration Scarcity = ScarceFor; ///< After RefusedAt.
   std::size_t Count = 0;
   std::optional<TimePoint> CountedAt;
+  std::optional<TimePoint> YieldedAt;
 };
 
 } // namespace amaranthspur
--- a/src/policy/GroupBeliefs.cpp
+++ b/src/policy/GroupBeliefs.cpp
@@ -68,8 +68,10 @@
   ServerBelief *Server = this->findMutable(Id);
   if (!Server)
     return;
-  if (Position)
+  if (Position) {
     Server->Position = std::max(Server->Position, *Position);
+    Server->PositionAt = Now;
+  }
   Server->FailingSince.reset();
   Server->LastAnswer = Now;
 }
@@ -168,7 +170,9 @@
     Cost += static_cast<double>(PrimaryReadCost.count());
   else if (Floor && Server.Position != LogPosition() &&
            Server.Position < *Floor)
-    Cost += static_cast<double>(BelowFloorCost.count());
+    Cost += static_cast<double>(Now - Server.PositionAt < PositionFresh
+                                    ? SurelyBelowFloorCost.count()
+                                    : BelowFloorCost.count());
   return Cost;
 }
 
--- a/src/policy/GroupBeliefs.h
+++ b/src/policy/GroupBeliefs.h
@@ -51,9 +51,10 @@
 struct ServerBelief {
   RegisteredServer Registration;
   std::optional<ServerRole> Role;
-  Term TermNumber = 0;  ///< Last known; 0: not known since it took its role.
-  Term AdoptedTerm = 0; ///< Last known.
-  LogPosition Position; ///< Highest position seen in one of its answers.
+  Term TermNumber = 0;    ///< Last known; 0: not known since it took its role.
+  Term AdoptedTerm = 0;   ///< Last known.
+  LogPosition Position;   ///< Highest position seen in one of its answers.
+  TimePoint PositionAt{}; ///< Time of the last answer with a position.
   std::optional<TimePoint> FailingSince; ///< First failure since a success.
   TimePoint LastFailure{};
   TimePoint LastAnswer{};
@@ -98,6 +99,12 @@
   /// A replica whose last known position is below the floor will often refuse;
   /// a refusal costs a round trip. Replicas apply within 60 ms on average.
   static constexpr Duration BelowFloorCost = milliseconds(20);
+  /// The same if that position is fresh: the replica would refuse, and comes
+  /// after a primary that has three statements of this entry VM in hand.
+  static constexpr Duration SurelyBelowFloorCost = milliseconds(150);
+  /// A position is fresh for this time; a replica that does not lag applies
+  /// what it lacks within 60 ms on average.
+  static constexpr Duration PositionFresh = milliseconds(100);
 
   explicit GroupBeliefs(const Locality &Where) : Where(Where) {}
 
--- a/src/policy/Statement.h
+++ b/src/policy/Statement.h
@@ -137,6 +137,13 @@
   }
 }
 
+/// Returns whether an error from a backend server means that the server could
+/// not have run the statement at all: it lags, has another role, is another
+/// server or lacks the prepared statement. A server that is merely busy could.
+constexpr bool isUnable(AnswerCode Code) {
+  return isNotRun(Code) && Code != AnswerCode::Busy;
+}
+
 } // namespace amaranthspur
 
 #endif // AMARANTHSPUR_POLICY_STATEMENT_H
--- a/src/policy/testing/ConnectionShareTest.cpp
+++ b/src/policy/testing/ConnectionShareTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <vector>
+
 using namespace amaranthspur;
 
 namespace {
@@ -62,3 +64,106 @@
   CHECK(Share.limit() == 1);
   CHECK(Share.mayOpen(0, at(20)));
 }
+
+// Guards against entry VMs that came first and keep all connections: they are
+// never refused one, so that only the server's count tells them.
+TEST_CASE("a share shrinks while the server is crowded") {
+  struct Row {
+    const char *Name;
+    std::size_t Count;
+    int SecondAtMs; ///< Of another report of the same count.
+    std::size_t Limit;
+  };
+  const Row Rows[] = {
+      {"room", 24, 600, 8},
+      {"crowded", 26, 100, 6},
+      {"crowded for long", 26, 600, 4},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    ConnectionShare Share;
+    Share.setMaximum(33);
+    for (std::size_t Open = ConnectionShare::InitialShare; Open < 8; ++Open)
+      REQUIRE(Share.mayOpen(Open, at(static_cast<int>(Open) * 100 - 2000)));
+    Share.observeCount(R.Count, at(0));
+    Share.observeCount(R.Count, at(R.SecondAtMs));
+    CHECK(Share.limit() == R.Limit);
+  }
+}
+
+// Guards against a crowd that is never noticed: an entry VM whose statements
+// bring all it needs to know would not ask for the server's count.
+TEST_CASE("a large share asks for the count") {
+  struct Row {
+    const char *Name;
+    std::size_t Open;
+    int CountedAtMs;
+    bool Wanted;
+  };
+  const Row Rows[] = {
+      {"the first share", ConnectionShare::InitialShare, 0, false},
+      {"more, counted lately", ConnectionShare::InitialShare + 1, 1500, false},
+      {"more, counted long ago", ConnectionShare::InitialShare + 1, 0, true},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    ConnectionShare Share;
+    Share.setMaximum(33);
+    Share.observeCount(5, at(R.CountedAtMs));
+    CHECK(Share.wantsCount(R.Open, at(2000)) == R.Wanted);
+  }
+}
+
+// Guards against idle connections that keep others out for good at a server
+// with fewer connections than entry VMs, and against closing those that the
+// next statement would use where there is room.
+TEST_CASE("idle connections are closed soon while they are scarce") {
+  using Share = ConnectionShare;
+  struct Row {
+    const char *Name;
+    std::vector<int> RefusedAtMs;
+    std::size_t Count; ///< Reported at the time asked for.
+    int AtMs;
+    Duration Newest;
+    Duration Other;
+  };
+  const Row Rows[] = {
+      {"room", {}, 10, 0, Share::IdleLimit, Share::SurplusIdleLimit},
+      {"crowded", {}, 25, 0, Share::ScarceIdleLimit, Share::ScarceIdleLimit},
+      {"refused", {0}, 10, 999, Share::ScarceIdleLimit, Share::ScarceIdleLimit},
+      {"refused long ago",
+       {0},
+       10,
+       1000,
+       Share::IdleLimit,
+       Share::SurplusIdleLimit},
+      {"refused again soon after",
+       {0, 1500},
+       10,
+       3400,
+       Share::ScarceIdleLimit,
+       Share::ScarceIdleLimit},
+      {"refused again meanwhile",
+       {0, 500},
+       10,
+       1600,
+       Share::IdleLimit,
+       Share::SurplusIdleLimit},
+      {"refused again much later",
+       {0, 2500},
+       10,
+       3600,
+       Share::IdleLimit,
+       Share::SurplusIdleLimit},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    ConnectionShare S;
+    S.setMaximum(33);
+    for (const int At : R.RefusedAtMs)
+      S.refused(3, at(At));
+    S.observeCount(R.Count, at(R.AtMs));
+    CHECK(S.idleLimit(true, at(R.AtMs)) == R.Newest);
+    CHECK(S.idleLimit(false, at(R.AtMs)) == R.Other);
+  }
+}
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -17,12 +17,14 @@
 void Group::start() {
   this->proveLeadership();
   this->samplePrimary();
+  this->closeIdle();
 }
 
 QCoro::Task<> Group::stop() {
   this->Stopping = true;
   this->ProveWake.wake();
   this->SampleWake.wake();
+  this->CloseWake.wake();
   this->WatchWake.wake();
   this->Proved.notifyAll();
   this->PrimaryChange.notifyAll();
@@ -156,9 +158,17 @@
   return false;
 }
 
-void Group::closeIdle() {
-  for (const auto &[Id, Pool] : this->Pools)
-    Pool->closeIdle(steadyNow());
+QCoro::Task<> Group::closeIdle() {
+  const TaskGroup::Guard Guard(this->Tasks);
+  while (!this->Stopping) {
+    TimePoint Next = steadyNow() + LongestCloseInterval;
+    for (const auto &[Id, Pool] : this->Pools) {
+      Pool->closeIdle(steadyNow());
+      Next = std::min(Next, Pool->nextClose(steadyNow()));
+    }
+    co_await this->CloseWake.wait(
+        std::max(Next, steadyNow() + ShortestCloseInterval));
+  }
 }
 
 QCoro::Task<std::optional<ServerReport>> Group::controlStatus(ServerId Id) {
@@ -166,7 +176,7 @@
   if (!Pool)
     co_return std::nullopt;
   const TimePoint Deadline = steadyNow() + StatusLimit;
-  TakenLink Taken = co_await Pool->take({}, Deadline);
+  TakenLink Taken = co_await Pool->take({}, ControlUrgency, Deadline);
   if (const auto *Failure = std::get_if<OpenFailure>(&Taken)) {
     this->openFailed(Id, *Failure);
     co_return std::nullopt;
@@ -254,6 +264,15 @@
   }
 }
 
+QCoro::Task<> Group::countConnections() {
+  std::vector<ServerId> Wanted;
+  for (const auto &[Id, Pool] : this->Pools)
+    if (Pool->share().wantsCount(Pool->open(), steadyNow()))
+      Wanted.push_back(Id);
+  for (const ServerId &Id : Wanted)
+    co_await this->controlStatus(Id);
+}
+
 QCoro::Task<> Group::samplePrimary() {
   const TaskGroup::Guard Guard(this->Tasks);
   while (!this->Stopping) {
@@ -276,6 +295,7 @@
       this->ProofWantedFor = std::max(this->ProofWantedFor, *Reported);
       this->ProveWake.wake();
     }
+    co_await this->countConnections();
     co_await this->SampleWake.wait(steadyNow() + SampleInterval / 2);
   }
 }
--- a/src/root/groups/Group.h
+++ b/src/root/groups/Group.h
@@ -1,9 +1,10 @@
 // One group of backend servers, as this entry VM uses it.
 //
-// Owns the beliefs about the group, a pool of connections per server and two
+// Owns the beliefs about the group, a pool of connections per server and three
 // tasks: one obtains proofs of leadership for the reads that wait for them, one
-// samples the end of the primary's log while the group is in use. The takeover
-// of the group is a child of its own (GroupWatch.h).
+// samples the end of the primary's log while the group is in use, and one
+// closes connections that were idle for too long. The takeover of the group is
+// a child of its own (GroupWatch.h).
 #ifndef AMARANTHSPUR_ROOT_GROUPS_GROUP_H
 #define AMARANTHSPUR_ROOT_GROUPS_GROUP_H
 
@@ -35,6 +36,14 @@
   /// A server that answered this recently lives, even if it refuses a
   /// connection: it resets those beyond its limit.
   static constexpr Duration AliveFor = milliseconds(250);
+  /// Shortest and longest time between two looks at idle connections: the limit
+  /// while connections are scarce, and the one for surplus connections.
+  static constexpr Duration ShortestCloseInterval =
+      ConnectionShare::ScarceIdleLimit;
+  static constexpr Duration LongestCloseInterval =
+      ConnectionShare::SurplusIdleLimit;
+  /// Urgency of this entry VM's own calls: all others wait for what they tell.
+  static constexpr unsigned ControlUrgency = 0;
 
   /// All references outlive the group.
   Group(ServiceName Name, ServerConnector &Connector, const Locality &Where);
@@ -106,12 +115,11 @@
   /// Notified when the believed primary changes.
   Signal &primaryChanged() { return this->PrimaryChange; }
 
-  /// Closes connections that were idle for too long.
-  void closeIdle();
-
 private:
   QCoro::Task<> proveLeadership();
   QCoro::Task<> samplePrimary();
+  QCoro::Task<> countConnections();
+  QCoro::Task<> closeIdle();
   QCoro::Task<bool> proveOnce();
   QCoro::Task<bool> proveByReplica(ServerId Id, Term T);
   /// Returns a status over a connection of the pool of \p Id.
@@ -133,6 +141,7 @@
   TimePoint LastUse{};        ///< Of floors; steady clock.
   WaitPoint ProveWake;
   WaitPoint SampleWake;
+  WaitPoint CloseWake;
   WaitPoint WatchWake;
   Signal Proved;
   Signal PrimaryChange;
--- a/src/root/groups/GroupWatch.cpp
+++ b/src/root/groups/GroupWatch.cpp
@@ -36,7 +36,6 @@
     co_await this->Watched->watchWake().wait(steadyNow() + Interval);
     if (this->Stopping)
       break;
-    this->Watched->closeIdle();
     co_await this->learnTerms();
     const TakeoverReason Reason = co_await this->assess();
     this->Trouble = Reason != TakeoverReason::None || this->Trouble;
--- a/src/root/groups/ServerPool.cpp
+++ b/src/root/groups/ServerPool.cpp
@@ -75,23 +75,42 @@
   return Link;
 }
 
-QCoro::Task<TakenLink> ServerPool::take(SessionValues Values,
-                                        TimePoint Deadline) {
+QCoro::Task<std::optional<std::unique_ptr<PooledLink>>>
+ServerPool::waitForTurn(SessionValues Values, Waiter Self, TimePoint Deadline) {
+  std::optional<std::unique_ptr<PooledLink>> Turn;
   while (true) {
-    if (std::unique_ptr<PooledLink> Link = this->takeIdle(Values)) {
-      ++this->InUse;
-      co_return TakenLink(std::move(Link));
+    if (*this->Waiting.begin() == Self) {
+      Turn = this->takeIdle(Values);
+      if (*Turn || this->Share.mayOpen(this->open(), steadyNow()))
+        co_return Turn;
+      Turn.reset();
     }
-    if (this->Share.mayOpen(this->open(), steadyNow()))
-      break;
     const TimePoint Again =
         std::min(Deadline, steadyNow() + ConnectionShare::GrowthInterval);
     const bool Woken = co_await this->GivenBack.wait(Again);
     if (!Woken && steadyNow() >= Deadline)
-      co_return TakenLink(OpenFailure{true, AnswerCode::TooManyConnections,
-                                      "all connections are in use"});
+      co_return Turn;
+  }
+}
+
+QCoro::Task<TakenLink> ServerPool::take(SessionValues Values, unsigned Urgency,
+                                        TimePoint Deadline) {
+  const Waiter Self{Urgency, ++this->LastWaiter};
+  this->Waiting.insert(Self);
+  std::optional<std::unique_ptr<PooledLink>> Turn =
+      co_await this->waitForTurn(std::move(Values), Self, Deadline);
+  this->Waiting.erase(Self);
+  if (!Turn) {
+    this->GivenBack.notifyAll();
+    co_return TakenLink(OpenFailure{true, AnswerCode::TooManyConnections,
+                                    "all connections are in use"});
   }
   ++this->InUse;
+  this->LastTake = steadyNow();
+  // Another connection may be idle or the share may allow one more.
+  this->GivenBack.notifyAll();
+  if (*Turn)
+    co_return TakenLink(std::move(*Turn));
   OpenedLink Opened = co_await this->Connector.open(
       this->Server, std::min(Deadline, steadyNow() + OpenLimit));
   if (auto *Failure = std::get_if<OpenFailure>(&Opened)) {
@@ -108,23 +127,33 @@
 
 void ServerPool::giveBack(std::unique_ptr<PooledLink> Link) {
   --this->InUse;
-  const bool Wanted = this->GivenBack.waiting() > 0;
-  if (Link->Link->isUsable() && (Wanted || !this->Share.scarce(steadyNow()))) {
+  // What is beyond the share goes to other entry VMs.
+  if (Link->Link->isUsable() && this->open() < this->Share.limit()) {
     Link->IdleSince = steadyNow();
     this->Idle.push_back(std::move(Link));
   }
   this->GivenBack.notifyAll();
 }
 
-void ServerPool::closeIdle(TimePoint Now) {
+Duration ServerPool::idleLimit(const PooledLink &Link, TimePoint Now) const {
   // The most recently used one is the last.
-  const PooledLink *Newest =
-      this->Idle.empty() ? nullptr : this->Idle.back().get();
-  std::erase_if(this->Idle, [Now,
-                             Newest](const std::unique_ptr<PooledLink> &Link) {
-    const Duration Limit = Link.get() == Newest ? IdleLimit : SurplusIdleLimit;
-    return !Link->Link->isUsable() || Now - Link->IdleSince > Limit;
-  });
+  return this->Share.idleLimit(&Link == this->Idle.back().get(), Now);
+}
+
+void ServerPool::closeIdle(TimePoint Now) {
+  std::vector<std::unique_ptr<PooledLink>> Kept;
+  for (std::unique_ptr<PooledLink> &Link : this->Idle)
+    if (Link->Link->isUsable() &&
+        Now - Link->IdleSince <= this->idleLimit(*Link, Now))
+      Kept.push_back(std::move(Link));
+  this->Idle = std::move(Kept);
+}
+
+TimePoint ServerPool::nextClose(TimePoint Now) const {
+  TimePoint Next = NoDeadline;
+  for (const std::unique_ptr<PooledLink> &Link : this->Idle)
+    Next = std::min(Next, Link->IdleSince + this->idleLimit(*Link, Now));
+  return Next;
 }
 
 } // namespace amaranthspur
--- a/src/root/groups/ServerPool.h
+++ b/src/root/groups/ServerPool.h
@@ -55,17 +55,16 @@
 
 /// Connections to one server.
 ///
-/// Invariant: a connection is opened only while fewer are open or being opened
-/// than the share allows.
+/// Invariants: a connection is opened only while fewer are open or being opened
+/// than the share allows; of the tasks that wait, the one with the most urgent
+/// work is served first, and of equals the one that came first.
 class ServerPool {
 public:
-  /// The last idle connection is closed after this time. Servers close theirs
-  /// after 60 s; a new one costs 12 ms of a slot.
-  static constexpr Duration IdleLimit = std::chrono::seconds(20);
-  /// The other idle ones are closed after this time, for other entry VMs.
-  static constexpr Duration SurplusIdleLimit = std::chrono::seconds(1);
   /// Time for opening a connection: 12 ms of a slot behind a full queue.
   static constexpr Duration OpenLimit = milliseconds(800);
+  /// Connections are handed out if one was taken within this time; statements
+  /// take 28 ms on average and seldom more than 100 ms.
+  static constexpr Duration MovingFor = milliseconds(150);
 
   /// \param Connector outlives the pool.
   ServerPool(ServerConnector &Connector, RegisteredServer Server)
@@ -77,7 +76,9 @@
 
   /// Takes an idle connection, preferably one with \p Values, or opens one;
   /// waits for one while the share is in use.
-  QCoro::Task<TakenLink> take(SessionValues Values, TimePoint Deadline);
+  /// \param Urgency of the work, 0 being the most urgent.
+  QCoro::Task<TakenLink> take(SessionValues Values, unsigned Urgency,
+                              TimePoint Deadline);
 
   /// Gives a connection back; one that is of no use is dropped.
   void giveBack(std::unique_ptr<PooledLink> Link);
@@ -85,9 +86,30 @@
   /// Closes connections that were idle for too long.
   void closeIdle(TimePoint Now);
 
+  /// Returns whether a connection was taken lately: who waits for one can hope.
+  bool isMoving(TimePoint Now) const {
+    return Now - this->LastTake < MovingFor;
+  }
+
+  /// Returns when the next idle connection is to be closed.
+  TimePoint nextClose(TimePoint Now) const;
+
   std::size_t open() const { return this->InUse + this->Idle.size(); }
 
 private:
+  /// A task that waits for a connection.
+  struct Waiter {
+    unsigned Urgency = 0;
+    std::uint64_t Number = 0; ///< Rises with each task.
+
+    auto operator<=>(const Waiter &) const = default;
+  };
+  using Waiters = std::set<Waiter>;
+
+  /// Waits for an idle connection (returned) or the right to open one (null).
+  QCoro::Task<std::optional<std::unique_ptr<PooledLink>>>
+  waitForTurn(SessionValues Values, Waiter Self, TimePoint Deadline);
+  Duration idleLimit(const PooledLink &Link, TimePoint Now) const;
   std::unique_ptr<PooledLink> takeIdle(const SessionValues &Values);
 
   ServerConnector &Connector;
@@ -95,6 +117,9 @@
   ConnectionShare Share;
   std::size_t InUse = 0; ///< Taken, or being opened.
   std::vector<std::unique_ptr<PooledLink>> Idle;
+  Waiters Waiting;
+  std::uint64_t LastWaiter = 0;
+  TimePoint LastTake{};
   Signal GivenBack;
 };
 
--- a/src/root/sessions/Session.cpp
+++ b/src/root/sessions/Session.cpp
@@ -220,6 +220,7 @@
   E.ArrivedBoot = bootNow();
   E.Deadline = E.Arrived + E.Route.StatementTimeout - AnswerMargin;
   E.OfferBy = E.Arrived + E.Route.LatencyObjective / OfferShare - AnswerMargin;
+  E.HoldBy = E.Arrived + E.Route.LatencyObjective / HoldShare - AnswerMargin;
   E.Values = this->Values;
   E.CallerPresent = [this] { return this->Caller->isOpen(); };
   if (this->Floor && E.Route.Service == this->FloorService)
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -42,15 +42,25 @@
   ServerId Id;
 };
 
-/// Takes a connection to \p Id and brings it to the session.
+/// Returns until when a server may be looked for: a statement that was offered
+/// once may use its whole time.
+TimePoint searchDeadline(const StatementContext &E) {
+  return E.Offered ? E.Deadline : std::min(E.OfferBy, E.Deadline);
+}
+
+/// Takes a connection to \p Id and brings it to the session, by \p Limit and
+/// while a server may be looked for.
 QCoro::Task<BorrowedLink> borrow(StatementContext &E, ServerId Id,
-                                 TimePoint Deadline) {
+                                 TimePoint Limit) {
   const std::shared_ptr<ServerPool> Pool = E.Servers->pool(Id);
   if (!Pool) {
     note(E, Id, "gone");
     co_return BorrowedLink();
   }
-  TakenLink Taken = co_await Pool->take(E.Values, Deadline);
+  if (Pool->isMoving(steadyNow()))
+    E.OfferBy = std::max(E.OfferBy, E.HoldBy);
+  const TimePoint Deadline = std::min(Limit, searchDeadline(E));
+  TakenLink Taken = co_await Pool->take(E.Values, E.Route.Urgency, Deadline);
   if (const auto *Failure = std::get_if<OpenFailure>(&Taken)) {
     const bool Full = Failure->Code == AnswerCode::TooManyConnections;
     note(E, Id, Full ? "no-connection" : "unreachable");
@@ -69,10 +79,10 @@
   co_return Link;
 }
 
-/// Returns until when a server may be looked for: a statement that was sent
-/// once has been offered and may use its whole time.
-TimePoint searchDeadline(const StatementContext &E) {
-  return E.Attempts == 0 ? std::min(E.OfferBy, E.Deadline) : E.Deadline;
+/// Takes in the answer to a statement that was sent. A replica that lags, or a
+/// server in another role, could not have run it: that was no offer.
+void noteOffer(StatementContext &E, const Answer &A) {
+  E.Offered = E.Offered || !A.Code || !isUnable(*A.Code);
 }
 
 std::string preparedName(const StatementContext &E) {
@@ -175,8 +185,7 @@
     }
     E.Floor = Guard.Floor;
     const TimePoint Limit = attemptDeadline(E);
-    BorrowedLink Link =
-        co_await borrow(E, *Id, std::min(Limit, searchDeadline(E)));
+    BorrowedLink Link = co_await borrow(E, *Id, Limit);
     if (!Link) {
       Tried.insert(*Id);
       if (Guard.AtPrimary)
@@ -194,6 +203,7 @@
         co_await Link.wire().run(S, Guard.Floor, preparedName(E), Limit);
     if (!succeeded(R)) {
       note(E, *Id, "lost");
+      E.Offered = true;
       E.Servers->failed(*Id, errorOf(R));
       Link.drop();
       Tried.insert(*Id);
@@ -201,6 +211,7 @@
       continue;
     }
     Answer A = valueOf(std::move(R));
+    noteOffer(E, A);
     Runs += A.Code && isNotRun(*A.Code) ? 0 : 1;
     if (A.Code == AnswerCode::UnknownStatement)
       Link.drop();
@@ -245,7 +256,7 @@
         co_await awaitPrimary(E, NeedsProof);
     if (!Leader)
       co_return refuseNotRun("no primary is known");
-    BorrowedLink Link = co_await borrow(E, Leader->Id, searchDeadline(E));
+    BorrowedLink Link = co_await borrow(E, Leader->Id, E.Deadline);
     if (!E.CallerPresent() || steadyNow() >= searchDeadline(E))
       co_return refuseNotRun("no connection in time");
     if (!Link) {
@@ -268,6 +279,7 @@
       co_return failure(AnswerCode::OutcomeUnknown, errorOf(R));
     }
     Answer A = valueOf(std::move(R));
+    noteOffer(E, A);
     E.Servers->answered(Leader->Id, A, SentAt);
     if (A.succeeded()) {
       E.Servers->beliefs().observeLatency(Leader->Id, steadyNow() - Sent,
@@ -314,8 +326,7 @@
       continue;
     }
     E.Floor = Guard.Floor;
-    BorrowedLink Link = co_await borrow(
-        E, *Id, std::min(attemptDeadline(E), searchDeadline(E)));
+    BorrowedLink Link = co_await borrow(E, *Id, attemptDeadline(E));
     if (!Link) {
       Tried.insert(*Id);
       co_await sleepFor(RefusedPause);
--- a/src/root/sessions/StatementRunner.h
+++ b/src/root/sessions/StatementRunner.h
@@ -71,13 +71,15 @@
   std::optional<LogPosition> SessionFloor;   ///< Of the session's own commits.
   TimePoint Arrived;     ///< This and the next times but one: steady clock.
   TimePoint ArrivedBoot; ///< On the clock that counts suspension.
-  TimePoint OfferBy;     ///< Refused if not sent to a server by then.
+  TimePoint OfferBy;     ///< Refused if not offered to a server by then.
+  TimePoint HoldBy;      ///< The same while connections are handed out.
   TimePoint Deadline;    ///< For the answer.
   std::function<bool()> CallerPresent; ///< Nothing is sent for one who left.
 
   // For the log line of the statement.
   std::uint64_t Transaction = 0; ///< Its number in the session; 0: none.
   unsigned Attempts = 0;
+  bool Offered = false; ///< Sent to a server that could have run it.
   ServerId LastServer;
   std::optional<LogPosition> Floor;
   std::string Trail; ///< What each failed attempt met.
@@ -87,8 +89,12 @@
 /// crossing to the caller (up to 3 ms) and a late timer.
 inline constexpr Duration AnswerMargin = milliseconds(20);
 /// Part of the latency objective within which a statement is sent to a server
-/// or refused: a caller that is refused early can try another entry VM in time.
+/// that can run it or refused: a caller that is refused early can try another
+/// entry VM in time.
 inline constexpr int OfferShare = 4;
+/// The same where statements wait for a connection of a server that is handing
+/// them out: it is then likely to be served within the objective.
+inline constexpr int HoldShare = 2;
 /// Taken off a staleness bound, for the time between our look at the clock
 /// and the arrival of the bytes that it stands for.
 inline constexpr Duration StalenessMargin = milliseconds(20);
--- a/src/root/sessions/testing/StatementRunnerTest.cpp
+++ b/src/root/sessions/testing/StatementRunnerTest.cpp
@@ -255,6 +255,40 @@
   CHECK(steadyNow() >= E.Deadline - milliseconds(50));
 }
 
+// Guards against a statement that is held until its deadline because a replica
+// that cannot serve it was asked once: a caller that is refused early can try
+// another entry VM in time.
+TEST_CASE("a replica that lags is no offer") {
+  struct Row {
+    const char *Name;
+    LinkFault Fault; ///< Of the primary.
+    bool Reachable;  ///< The primary.
+    bool Offered;
+  };
+  const Row Rows[] = {
+      {"the primary is full", LinkFault::Busy, true, true},
+      {"the primary is away", LinkFault::None, false, false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    REQUIRE(F.run("WRITE item data").succeeded());
+    F.Group["b"].Lags = F.Group["c"].Lags = true;
+    REQUIRE(F.run("WRITE item data").succeeded());
+    F.Group["a"].Fault = R.Fault;
+    F.Group["a"].Reachable = R.Reachable;
+    StatementContext E = F.context(ReadConsistency::ReadYourWrites);
+    E.SessionFloor = F.Group["a"].Log;
+    const Answer A = runTask(runRead(statement("READ item"), E));
+    CHECK(A.Code == AnswerCode::Busy);
+    CHECK(E.Attempts > 0);
+    CHECK(E.Offered == R.Offered);
+    const TimePoint Latest = R.Offered ? E.Deadline : E.OfferBy;
+    CHECK(steadyNow() >= Latest - milliseconds(50));
+    CHECK(steadyNow() < Latest + milliseconds(50));
+  }
+}
+
 // Guards against work done for a caller that has left.
 TEST_CASE("nothing is sent for a caller that is gone") {
   Fixture F;
