--- a/src/policy/ConnectionShare.cpp
+++ b/src/policy/ConnectionShare.cpp
@@ -39,7 +39,8 @@
 }
 
 bool ConnectionShare::scarce(TimePoint Now) const {
-  // Whoever keeps a connection is never refused one: the count tells it.
+  // An entry VM that keeps its connections is never refused one; only the count
+  // shows it that the server is crowded.
   const bool Counted = within(this->CountedAt, CountTrust, Now);
   return within(this->RefusedAt, this->Scarcity, Now) ||
          (Counted && this->isCrowded());
--- a/src/root/groups/ServerPool.h
+++ b/src/root/groups/ServerPool.h
@@ -86,7 +86,8 @@
   /// Closes connections that were idle for too long.
   void closeIdle(TimePoint Now);
 
-  /// Returns whether a connection was taken lately: who waits for one can hope.
+  /// Returns whether a connection was taken lately, so that a task that waits
+  /// for one is likely to get it.
   bool isMoving(TimePoint Now) const {
     return Now - this->LastTake < MovingFor;
   }
@@ -106,7 +107,8 @@
   };
   using Waiters = std::set<Waiter>;
 
-  /// Waits for an idle connection (returned) or the right to open one (null).
+  /// Waits until \p Self is first and a connection is idle (returned) or may be
+  /// opened (null); returns nothing if \p Deadline passes first.
   QCoro::Task<std::optional<std::unique_ptr<PooledLink>>>
   waitForTurn(SessionValues Values, Waiter Self, TimePoint Deadline);
   Duration idleLimit(const PooledLink &Link, TimePoint Now) const;
