--- a/src/policy/ConnectionShare.cpp
+++ b/src/policy/ConnectionShare.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 namespace amaranthspur {
-
 namespace {
 
 bool within(const std::optional<TimePoint> &At, Duration Span, TimePoint Now) {
--- a/src/root/groups/ServerPool.cpp
+++ b/src/root/groups/ServerPool.cpp
@@ -100,15 +100,13 @@
   std::optional<std::unique_ptr<PooledLink>> Turn =
       co_await this->waitForTurn(std::move(Values), Self, Deadline);
   this->Waiting.erase(Self);
-  if (!Turn) {
-    this->GivenBack.notifyAll();
+  // The next one is first now; a connection may be idle or may be opened.
+  this->GivenBack.notifyAll();
+  if (!Turn)
     co_return TakenLink(OpenFailure{true, AnswerCode::TooManyConnections,
                                     "all connections are in use"});
-  }
   ++this->InUse;
   this->LastTake = steadyNow();
-  // Another connection may be idle or the share may allow one more.
-  this->GivenBack.notifyAll();
   if (*Turn)
     co_return TakenLink(std::move(*Turn));
   OpenedLink Opened = co_await this->Connector.open(
