--- a/src/policy/ConnectionShare.cpp
+++ b/src/policy/ConnectionShare.cpp
@@ -11,6 +11,29 @@
 
 } // namespace
 
+void ConnectionShare::setMaximum(std::size_t Count) {
+  this->Maximum = Count;
+  this->applyEqualPart();
+}
+
+void ConnectionShare::setSharers(std::size_t Count) {
+  this->Sharers = Count;
+  this->applyEqualPart();
+}
+
+bool ConnectionShare::isOversubscribed() const {
+  return this->Sharers >= this->Maximum;
+}
+
+void ConnectionShare::applyEqualPart() {
+  const bool Adapted =
+      this->IncreasedAt || this->RefusedAt || this->DecreasedAt;
+  if (Adapted || this->Sharers == 0)
+    return;
+  this->Limit =
+      std::clamp<std::size_t>(this->Maximum / this->Sharers, 1, InitialShare);
+}
+
 bool ConnectionShare::mayOpen(std::size_t Open, TimePoint Now) {
   if (Open < this->Limit)
     return true;
@@ -42,7 +65,8 @@
   // An entry VM that opens no new connections is never refused one, so only the
   // count shows that the server is crowded.
   const bool Counted = within(this->CountedAt, CountMaxAge, Now);
-  return within(this->RefusedAt, this->ScarcePeriod, Now) ||
+  return this->isOversubscribed() ||
+         within(this->RefusedAt, this->ScarcePeriod, Now) ||
          (Counted && this->isCrowded());
 }
 
--- a/src/policy/ConnectionShare.h
+++ b/src/policy/ConnectionShare.h
@@ -63,7 +63,10 @@
   static constexpr double DecreaseFactor = 0.75;
 
   /// Sets the server's connection limit, which all entry VMs share.
-  void setMaximum(std::size_t Count) { this->Maximum = Count; }
+  void setMaximum(std::size_t Count);
+
+  /// Sets the number of entry VMs that share the limit; 0 if it is not known.
+  void setSharers(std::size_t Count);
 
   /// Returns whether another connection may be opened in addition to the
   /// \p Open existing ones. Raises the share if that is needed and allowed.
@@ -90,14 +93,22 @@
 private:
   /// Returns whether connections are so scarce that an idle connection of this
   /// entry VM is likely to prevent another entry VM from connecting. This is
-  /// the case after a refusal, and while the server is crowded.
+  /// the case after a refusal, while the server is crowded, and always if there
+  /// are more entry VMs than connections.
   bool scarce(TimePoint Now) const;
   /// Returns whether more than three quarters of the server's connections are
   /// open.
   bool isCrowded() const;
+  /// Returns whether there are at least as many entry VMs as connections, so
+  /// that not every entry VM can keep one.
+  bool isOversubscribed() const;
+  /// Lowers the share to an equal part of the limit, once, if it was not
+  /// adapted yet.
+  void applyEqualPart();
   static std::size_t decreased(std::size_t Open);
 
   std::size_t Maximum = InitialShare;
+  std::size_t Sharers = 0;
   std::size_t Limit = InitialShare;
   std::optional<TimePoint> IncreasedAt;
   std::optional<TimePoint> RefusedAt;
--- a/src/policy/Freshness.cpp
+++ b/src/policy/Freshness.cpp
@@ -8,10 +8,12 @@
   const bool Usable = this->provedSince(T, SentAt);
   if (!this->Reports.empty()) {
     Report &Last = this->Reports.back();
-    // Answers may arrive out of order. A report of an earlier request than the
-    // last one is dropped.
-    if (SentAt < Last.SentAt)
+    // Answers may arrive out of order.
+    if (SentAt < Last.SentAt) {
+      if (Usable)
+        this->insertOlder(T, Position, SentAt);
       return;
+    }
     const bool WithinSpacing =
         this->Reports.size() > 1 &&
         SentAt - this->Reports[this->Reports.size() - 2].SentAt < MinSpacing;
@@ -26,6 +28,19 @@
     this->Reports.pop_front();
 }
 
+void Freshness::insertOlder(Term T, LogPosition Position, TimePoint SentAt) {
+  const auto Next =
+      std::find_if(this->Reports.begin(), this->Reports.end(),
+                   [SentAt](const Report &R) { return R.SentAt >= SentAt; });
+  const auto IsNear = [SentAt](const Report &R) {
+    return R.Usable && std::chrono::abs(R.SentAt - SentAt) < MinSpacing;
+  };
+  const bool Known = IsNear(*Next) || (Next != this->Reports.begin() &&
+                                       IsNear(*std::prev(Next)));
+  if (!Known)
+    this->Reports.insert(Next, {T, Position, SentAt, true});
+}
+
 void Freshness::observeProof(Term T, TimePoint At) {
   if (T < this->ProvedTerm)
     return;
@@ -61,6 +76,17 @@
   return std::nullopt;
 }
 
+void Freshness::share(GroupEvidence &Into) const {
+  Into.ProvedTerm = this->ProvedTerm;
+  Into.ProvedAt = this->ProvedAt;
+  const auto Newest = std::find_if(this->Reports.rbegin(), this->Reports.rend(),
+                                   [](const Report &R) { return R.Usable; });
+  if (Newest == this->Reports.rend())
+    return;
+  Into.Position = Newest->Position;
+  Into.ReportedAt = Newest->SentAt;
+}
+
 std::optional<TimePoint> Freshness::newestReport() const {
   if (this->Reports.empty())
     return std::nullopt;
--- a/src/policy/Freshness.h
+++ b/src/policy/Freshness.h
@@ -17,6 +17,7 @@
 
 #include "core/Clock.h"
 #include "core/Types.h"
+#include "policy/GroupEvidence.h"
 
 #include <deque>
 #include <optional>
@@ -32,7 +33,8 @@
   static constexpr Duration MinSpacing = milliseconds(50);
 
   /// Records that the primary of \p T reported \p Position in the answer to a
-  /// request sent at \p SentAt.
+  /// request sent at \p SentAt. A report of an earlier request than the newest
+  /// one is kept only if it is usable at once: it then narrows the floor.
   void observeReport(Term T, LogPosition Position, TimePoint SentAt);
 
   /// Records that the primary of \p T had not been superseded at \p At.
@@ -50,10 +52,16 @@
   /// Returns the time of the newest usable report.
   std::optional<TimePoint> newestUsable() const;
 
+  /// Copies the newest usable report and the latest proof to \p Into.
+  void share(GroupEvidence &Into) const;
+
   /// Returns the time of the newest report, usable or not.
   std::optional<TimePoint> newestReport() const;
 
 private:
+  /// Inserts a usable report that is older than the newest one.
+  void insertOlder(Term T, LogPosition Position, TimePoint SentAt);
+
   struct Report {
     Term TermNumber = 0;
     LogPosition Position;
--- a/src/policy/GroupBeliefs.cpp
+++ b/src/policy/GroupBeliefs.cpp
@@ -62,6 +62,19 @@
   Server->LastAnswer = Now;
 }
 
+void GroupBeliefs::observeLeader(const ServerId &Id, Term T) {
+  ServerBelief *Server = this->findMutable(Id);
+  if (!Server || T <= Server->RefusedTerm)
+    return;
+  for (const auto &[Other, Known] : this->Servers) {
+    const bool IsRival = Other != Id && Known.Role == ServerRole::Primary;
+    if (Known.TermNumber > T || (IsRival && Known.TermNumber == T))
+      return;
+  }
+  Server->Role = ServerRole::Primary;
+  Server->TermNumber = T;
+}
+
 void GroupBeliefs::observeAnswer(const ServerId &Id,
                                  std::optional<LogPosition> Position,
                                  TimePoint Now) {
@@ -104,6 +117,7 @@
   if (!Server)
     return;
   Server->Role = ServerRole::Replica;
+  Server->RefusedTerm = std::max(Server->RefusedTerm, Server->TermNumber);
   Server->TermNumber = 0;
 }
 
--- a/src/policy/GroupBeliefs.h
+++ b/src/policy/GroupBeliefs.h
@@ -53,6 +53,7 @@
   std::optional<ServerRole> Role;
   Term TermNumber = 0;    ///< 0 if not known since the last role change.
   Term AdoptedTerm = 0;   ///< Last known.
+  Term RefusedTerm = 0;   ///< In which it last refused a write as a replica.
   LogPosition Position;   ///< Highest log position in any of its answers.
   TimePoint PositionAt{}; ///< Time of the last answer with a position.
   std::optional<TimePoint> FailingSince; ///< First failure after a success.
@@ -124,6 +125,10 @@
   /// Records a status report of \p Id.
   void observeStatus(const ServerId &Id, const ServerReport &Report,
                      TimePoint Now);
+  /// Records that another entry VM knows \p Id as the primary of \p T. Ignored
+  /// if a later term or another primary of this term is known here, or if the
+  /// server has refused a write in this term.
+  void observeLeader(const ServerId &Id, Term T);
   /// Records an answer of any kind. \p Position is the end of the server's log.
   void observeAnswer(const ServerId &Id, std::optional<LogPosition> Position,
                      TimePoint Now);
--- a/src/policy/testing/ConnectionShareTest.cpp
+++ b/src/policy/testing/ConnectionShareTest.cpp
@@ -58,6 +58,40 @@
   }
 }
 
+// Guards against the storm of connections when all entry VMs start before
+// servers with fewer connections than three for each of them: 295 entry VMs
+// before 125 connections had 107,137 connections reset within 44 s.
+TEST_CASE("the share starts from an equal part of the limit") {
+  using Share = ConnectionShare;
+  struct Row {
+    const char *Name;
+    std::size_t Maximum;
+    std::size_t Sharers;
+    std::size_t Limit;
+    Duration IdleTime; ///< Of the most recently used connection.
+  };
+  const Row Rows[] = {
+      {"number of entry VMs not known", 33, 0, 3, Share::IdleTimeout},
+      {"few entry VMs", 33, 7, 3, Share::IdleTimeout},
+      {"two connections for each", 16, 6, 2, Share::IdleTimeout},
+      {"one connection for each", 100, 80, 1, Share::IdleTimeout},
+      {"more entry VMs than connections", 125, 295, 1,
+       Share::ScarceIdleTimeout},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    ConnectionShare S;
+    S.setSharers(R.Sharers);
+    S.setMaximum(R.Maximum);
+    CHECK(S.limit() == R.Limit);
+    CHECK(S.idleTimeout(true, at(0)) == R.IdleTime);
+    // A share that has adapted to what the server reported is kept.
+    S.observeRefusal(8, at(0));
+    S.setSharers(R.Sharers + 1);
+    CHECK(S.limit() == 6);
+  }
+}
+
 // Guards against an entry VM that may open no connection at all after refusals.
 TEST_CASE("a share is at least one connection") {
   ConnectionShare Share;
--- a/src/policy/testing/FreshnessTest.cpp
+++ b/src/policy/testing/FreshnessTest.cpp
@@ -69,6 +69,12 @@
       {"term 0 is never proved", {proof(0, 100), provedIs(0, 50, false)}},
       {"answers out of order",
        {report(1, 7, 200), report(1, 5, 100), proof(1, 300), floorIs(7, 50)}},
+      {"an earlier report that is proved narrows the floor",
+       {report(1, 9, 400), proof(1, 250), floorIs(0, 50), report(1, 5, 100),
+        floorIs(5, 50), floorIs(0, 101)}},
+      {"an earlier report close to a usable one is not kept",
+       {report(1, 9, 400), proof(1, 250), report(1, 5, 100), report(1, 4, 80),
+        floorIs(5, 50)}},
   };
   for (const Script &S : Scripts) {
     CAPTURE(S.Name);
@@ -114,6 +120,11 @@
         ++T;
       if (Rng.below(3) == 0)
         Known.observeReport(T, {T, Index}, at(Ms));
+      // A relay's report arrives later than the own reports that follow it. It
+      // covers at least what was committed when it was requested.
+      if (Rng.below(3) == 0)
+        Known.observeReport(T, {T, Index},
+                            at(Ms - static_cast<int>(Rng.below(400))));
       if (Rng.below(3) == 0)
         Known.observeProof(T, at(Ms - static_cast<int>(Rng.below(30))));
       const int Since = Ms - static_cast<int>(Rng.below(1000));
--- a/src/root/LineDaemon.cpp
+++ b/src/root/LineDaemon.cpp
@@ -14,6 +14,19 @@
           .count());
 }
 
+RelayOptions LineDaemon::relayOptions(const Settings &Values) {
+  RelayOptions Options;
+  Options.Self = Values.VmId;
+  Options.Location = Values.Location;
+  if (!Values.RelayListener.Host.empty())
+    Options.ListenAddress = Values.RelayListener.str();
+  Options.CpuShare = Values.CpuShare;
+  Options.MaxContactAge = std::chrono::duration_cast<Duration>(
+      Values.ConfigurationBound * ContactAgePart);
+  Options.DataCentres = std::max<std::size_t>(1, Values.Regions.size());
+  return Options;
+}
+
 LineDaemon::LineDaemon(Settings Given)
     : Values(std::move(Given)), Incarnation(startTime()),
       RandomSource(this->Incarnation ^
@@ -22,10 +35,14 @@
       PlatformClient(this->Values.Platform,
                      this->RandomSource.below(1ULL << 62U)),
       Promoter(this->Values.Promotions), Connector(this->Values.VmId),
-      Directory(this->PlatformClient),
+      Feed(this->PlatformClient, this->Values.ConfigurationBound / PollDivisor),
+      DataCentreRelay(relayOptions(this->Values), this->PlatformClient,
+                      this->Feed, this->RandomSource, this->Counters),
+      Directory(this->Feed),
       Groups(this->Directory, this->Connector, this->OwnLocality,
              {this->Values.VmId, this->PlatformClient, this->Promoter,
-              this->Counters, this->RandomSource}),
+              this->Counters, this->RandomSource},
+             &this->DataCentreRelay),
       Dependencies{this->Directory, this->Groups, this->Counters},
       Sessions(this->Dependencies, this->StreamFactory, this->Values.Callers,
                this->Values.MaxCallers, this->Values.DrainNotice),
@@ -36,9 +53,11 @@
             {{"child", Name}, {"error", Reason.Message}});
       }) {
   this->Directory.Changed = [this] { this->Groups.refresh(); };
+  this->DataCentreRelay.setBoard(this->Groups);
   this->addStatus();
   for (Child *C : std::initializer_list<Child *>{
-           &this->Admin, &this->Directory, &this->Groups, &this->Sessions})
+           &this->Admin, &this->DataCentreRelay, &this->Directory,
+           &this->Groups, &this->Sessions})
     this->RootSupervisor.add(*C);
 }
 
@@ -60,6 +79,14 @@
     return QJsonValue(QJsonObject{
         {"revision", static_cast<qint64>(this->Directory.plan()->Revision)}});
   });
+  this->Admin.addStatus("relay", [this] {
+    return QJsonValue(QJsonObject{
+        {"role",
+         QString::fromUtf8(nameOf(this->DataCentreRelay.role()).data())},
+        {"vm", QString::fromStdString(this->DataCentreRelay.row().Vm.str())},
+        {"source", QString::fromUtf8(nameOf(this->Feed.source()).data())},
+        {"followers", static_cast<qint64>(this->DataCentreRelay.followers())}});
+  });
   this->Admin.addStatus("services", [this] {
     QJsonArray Out;
     for (const auto &[Service, Limits] : this->Directory.plan()->Services) {
@@ -103,6 +130,7 @@
   if (std::exchange(this->Draining, true))
     co_return;
   log(LogLevel::Info, LogEvent::DrainStarted);
+  this->DataCentreRelay.leave();
   co_await this->RootSupervisor.stop(steadyNow() + this->Values.DrainTimeout);
   log(LogLevel::Info, LogEvent::DrainFinished);
 }
--- a/src/root/LineDaemon.h
+++ b/src/root/LineDaemon.h
@@ -1,9 +1,9 @@
 // The root of the supervisor tree of the daemon's front end for the platform's
 // line protocol.
 //
-// The children start in this order: admin, directory, groups, sessions. They
-// stop in the reverse order, so that sessions finish while everything that they
-// need still runs.
+// The children start in this order: admin, relay, directory, groups, sessions.
+// They stop in the reverse order, so that sessions finish while everything that
+// they need still runs.
 #ifndef AMARANTHSPUR_ROOT_LINEDAEMON_H
 #define AMARANTHSPUR_ROOT_LINEDAEMON_H
 
@@ -16,6 +16,7 @@
 #include "root/Supervisor.h"
 #include "root/directory/PlatformDirectory.h"
 #include "root/groups/GroupRegistry.h"
+#include "root/relay/Relay.h"
 #include "root/sessions/SessionListener.h"
 #include "root/telemetry/AdminServer.h"
 
@@ -27,6 +28,13 @@
   /// Time between updates of the gauges and checks for a readiness change to
   /// log. The load balancer polls /ready once a second.
   static constexpr Duration ReadinessInterval = milliseconds(500);
+  /// A poll of the store ends after the configuration bound divided by this, so
+  /// that a lost connection is found in time for another read.
+  static constexpr int PollDivisor = 2;
+  /// Part of the configuration bound that a relay's last contact with the store
+  /// may be old. It is longer than a poll, and leaves a follower time to ask
+  /// the store itself.
+  static constexpr double ContactAgePart = 0.65;
 
   explicit LineDaemon(Settings Values);
 
@@ -42,6 +50,7 @@
   void reload();
 
 private:
+  static RelayOptions relayOptions(const Settings &Values);
   /// Returns the current time in microseconds since the epoch.
   static std::uint64_t startTime();
   bool isReady() const;
@@ -60,6 +69,8 @@
   HttpPromotionClient Promoter;
   LineServerConnector Connector;
   LineCallerStreamFactory StreamFactory;
+  RelayedFeed Feed;
+  Relay DataCentreRelay;
   PlatformDirectory Directory;
   GroupRegistry Groups;
   SessionDependencies Dependencies;
--- a/src/root/Settings.cpp
+++ b/src/root/Settings.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <map>
 
 namespace amaranthspur {
@@ -46,6 +47,16 @@
      "region of each data centre, as a comma-separated list of "
      "data-centre=region",
      SettingScope::Lines},
+    {"relay-address", "",
+     "host:port on which this entry VM serves others of its data centre; "
+     "default: each entry VM reads the platform's tables itself",
+     SettingScope::Lines},
+    {"cpu-share", "0.25",
+     "part of a core that this entry VM has; larger entry VMs become relays",
+     SettingScope::Lines},
+    {"configuration-bound-ms", "3000",
+     "time within which an accepted configuration must be in force",
+     SettingScope::Lines},
     {"bind-address", "", "source address of outgoing connections"},
     {"deployment-key", nullptr,
      "secret that all entry VMs of the deployment share; at least 8 bytes",
@@ -117,6 +128,19 @@
     return Number;
   }
 
+  double fraction(const std::string &Flag, double Highest) {
+    const std::string &Text = this->text(Flag);
+    double Number = 0;
+    const char *End = Text.data() + Text.size();
+    const auto [ParsedEnd, Status] = std::from_chars(Text.data(), End, Number);
+    // The negated comparison also refuses a value that is not a number.
+    if (Status != std::errc() || ParsedEnd != End ||
+        !(Number > 0 && Number <= Highest))
+      this->addError(Flag, "a number above 0, up to " +
+                               std::to_string(std::llround(Highest)));
+    return Number;
+  }
+
   template <typename E> E enumerator(const std::string &Flag) {
     if (const std::optional<E> Parsed = parseName<E>(this->text(Flag)))
       return *Parsed;
@@ -198,9 +222,18 @@
 
 /// Reads the settings of the front end for the line protocol.
 void parseLineValues(ValueParser &Parser, Settings &Out) {
+  constexpr double MaxCpuShare = 1024;
+  // A follower needs 0.9 s to find that its relay does not answer.
+  constexpr std::uint64_t MinConfigurationBoundMs = 2000;
+  constexpr std::uint64_t MaxBoundMs = 600ULL * 1000;
   Out.Readiness = Parser.address("readiness-address");
   Out.Promotions = Parser.address("promotion-address");
   Out.Regions = parseRegions(Parser);
+  if (!Parser.text("relay-address").empty())
+    Out.RelayListener = Parser.address("relay-address");
+  Out.CpuShare = Parser.fraction("cpu-share", MaxCpuShare);
+  Out.ConfigurationBound = milliseconds(Parser.number(
+      "configuration-bound-ms", MinConfigurationBoundMs, MaxBoundMs));
 }
 
 Settings parseValues(ValueParser &Parser) {
--- a/src/root/Settings.h
+++ b/src/root/Settings.h
@@ -47,6 +47,12 @@
   Address Readiness;  ///< Additional address that serves /ready; Lines only.
   Address Platform;   ///< Address of the platform's service.
   Address Promotions; ///< Address that accepts promotion requests; Lines only.
+  /// Address on which this entry VM serves others of its data centre as their
+  /// relay; no host: no relay is used. Lines only.
+  Address RelayListener;
+  double CpuShare = 0; ///< Part of a core that this entry VM has; Lines only.
+  /// Time within which a configuration must be in force; Lines only.
+  Duration ConfigurationBound{};
   std::string BindHost; ///< Source address of outgoing connections; empty: any.
   std::string DeploymentKey;
   PolicyVariant Variant = PolicyVariant::Amaranthspur;
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -8,8 +8,8 @@
 namespace amaranthspur {
 
 Group::Group(ServiceName Name, ServerConnector &Connector,
-             const Locality &Where)
-    : Name(std::move(Name)), Connector(Connector), Where(Where),
+             const Locality &Where, EvidenceSource *Source)
+    : Name(std::move(Name)), Connector(Connector), Where(Where), Source(Source),
       Beliefs(Where) {}
 
 Group::~Group() = default;
@@ -42,6 +42,7 @@
     if (!Pool || !Pool->server().isSameStart(Server))
       Pool = std::make_shared<ServerPool>(this->Connector, Server);
     Pool->share().setMaximum(this->Limits.MaxConnections);
+    Pool->share().setSharers(this->EntryVms);
   }
   this->Pools = std::move(Kept);
   if (Changed) {
@@ -85,14 +86,83 @@
 }
 
 std::optional<LogPosition> Group::floorAsOf(TimePoint Since) {
-  const bool WasUnused =
-      steadyNow() - this->LastFloorRequest > SamplingIdleLimit;
-  this->LastFloorRequest = steadyNow();
-  if (WasUnused)
-    this->SampleWake.wake();
+  this->requestFloors();
   return this->Fresh.floorAsOf(Since);
 }
 
+QCoro::Task<> Group::awaitFloor(TimePoint Since, TimePoint Deadline) {
+  const TimePoint Until = std::min(Deadline, steadyNow() + FloorWait);
+  while (!this->Stopping && this->isFollower() && !this->floorAsOf(Since) &&
+         steadyNow() < Until) {
+    this->refreshEvidence();
+    co_await this->ProofReceived.wait(Until);
+  }
+}
+
+void Group::addReaders(int By) {
+  const bool WereNone = this->Readers == 0;
+  this->Readers += By;
+  if (WereNone)
+    this->refreshEvidence();
+}
+
+void Group::requestFloors() {
+  const bool WasUnused = !this->wantsFloors();
+  this->LastFloorRequest = steadyNow();
+  if (!WasUnused)
+    return;
+  this->SampleWake.wake();
+  this->refreshEvidence();
+}
+
+void Group::refreshEvidence() {
+  if (this->Source)
+    this->Source->refreshSoon();
+}
+
+void Group::primaryWanted() {
+  this->MonitorWake.wake();
+  this->refreshEvidence();
+}
+
+GroupEvidence Group::evidence() const {
+  GroupEvidence Known;
+  Known.Service = this->Name;
+  if (const std::optional<BelievedPrimary> Leader = this->Beliefs.primary()) {
+    Known.Primary = Leader->Id;
+    Known.TermNumber = Leader->TermNumber;
+  }
+  this->Fresh.share(Known);
+  for (const auto &[Id, Count] : this->ConnectionCounts)
+    if (steadyNow() - Count.second < ConnectionShare::CountMaxAge)
+      Known.Servers.push_back({Id, Count.first});
+  return Known;
+}
+
+void Group::applyEvidence(const GroupEvidence &Known) {
+  if (!Known.Primary.empty() && Known.TermNumber != 0)
+    this->Beliefs.observeLeader(Known.Primary, Known.TermNumber);
+  if (Known.ProvedTerm != 0) {
+    this->Fresh.observeProof(Known.ProvedTerm, Known.ProvedAt);
+    if (Known.ReportedAt != TimePoint())
+      this->Fresh.observeReport(Known.Position.TermNumber, Known.Position,
+                                Known.ReportedAt);
+    this->ProofReceived.notifyAll();
+  }
+  for (const ServerConnectionCount &Count : Known.Servers)
+    if (const std::shared_ptr<ServerPool> Pool = this->pool(Count.Server))
+      Pool->share().observeCount(Count.Connections, steadyNow());
+  this->updatePrimary();
+}
+
+void Group::setEntryVms(std::size_t Count) {
+  if (this->EntryVms == Count)
+    return;
+  this->EntryVms = Count;
+  for (const auto &[Id, Pool] : this->Pools)
+    Pool->share().setSharers(Count);
+}
+
 void Group::observeAnswer(const ServerId &Id, const Answer &A,
                           TimePoint SentAt) {
   this->Beliefs.observeAnswer(Id, A.Position, steadyNow());
@@ -151,8 +221,10 @@
 
 void Group::observeReport(const ServerId &Id, const ServerReport &Report) {
   this->Beliefs.observeStatus(Id, Report, steadyNow());
-  if (const std::shared_ptr<ServerPool> Pool = this->pool(Id))
+  if (const std::shared_ptr<ServerPool> Pool = this->pool(Id)) {
     Pool->share().observeCount(Report.Connections, steadyNow());
+    this->ConnectionCounts[Id] = {Report.Connections, steadyNow()};
+  }
   this->updatePrimary();
 }
 
@@ -236,10 +308,31 @@
   co_return true;
 }
 
+QCoro::Task<bool> Group::proveByRelay(Term T) {
+  if (!this->isFollower() || steadyNow() < this->RelayProofsFrom)
+    co_return false;
+  const TimePoint SentAt = bootNow();
+  const bool Proved = co_await this->Source->prove(
+      this->Name, T, steadyNow() + RelayProofTimeout);
+  if (!Proved) {
+    this->RelayProofsFrom = steadyNow() + RelayProofPause;
+    co_return false;
+  }
+  // The relay requested the proof after this request, hence after SentAt.
+  this->Fresh.observeProof(T, SentAt);
+  this->ProofReceived.notifyAll();
+  co_return true;
+}
+
 QCoro::Task<bool> Group::proveOnce() {
   const std::optional<BelievedPrimary> Leader = this->Beliefs.primary();
   if (!Leader)
     co_return false;
+  if (Leader->TermNumber != 0) {
+    const bool ByRelay = co_await this->proveByRelay(Leader->TermNumber);
+    if (ByRelay)
+      co_return true;
+  }
   if (Leader->TermNumber == 0) {
     co_await this->controlStatus(Leader->Id);
     co_return false;
@@ -278,16 +371,26 @@
     co_await this->controlStatus(Id);
 }
 
+Duration Group::sampleInterval() const {
+  if (this->isFollower())
+    return MaxEvidenceAge;
+  return this->Source && this->Source->isRelay() ? RelaySampleInterval
+                                                 : SampleInterval;
+}
+
 QCoro::Task<> Group::samplePrimary() {
   const TaskGroup::Guard Guard(this->Tasks);
   while (!this->Stopping) {
-    if (steadyNow() - this->LastFloorRequest > SamplingIdleLimit) {
+    if (!this->wantsFloors()) {
       co_await this->SampleWake.wait();
       continue;
     }
     const std::optional<BelievedPrimary> Leader = this->Beliefs.primary();
-    const std::optional<TimePoint> Newest = this->Fresh.newestReport();
-    if (Leader && (!Newest || bootNow() - *Newest >= SampleInterval)) {
+    const std::optional<TimePoint> Newest = this->isFollower()
+                                                ? this->Fresh.newestUsable()
+                                                : this->Fresh.newestReport();
+    const Duration Interval = this->sampleInterval();
+    if (Leader && (!Newest || bootNow() - *Newest >= Interval)) {
       const TimePoint SentAt = bootNow();
       const std::optional<ServerReport> Report =
           co_await this->controlStatus(Leader->Id);
@@ -296,12 +399,12 @@
     }
     const std::optional<TimePoint> Usable = this->Fresh.newestUsable();
     const std::optional<TimePoint> Reported = this->Fresh.newestReport();
-    if (Reported && (!Usable || bootNow() - *Usable >= SampleInterval)) {
+    if (Reported && (!Usable || bootNow() - *Usable >= Interval)) {
       this->ProofWantedFor = std::max(this->ProofWantedFor, *Reported);
       this->ProveWake.wake();
     }
     co_await this->requestConnectionCounts();
-    co_await this->SampleWake.wait(steadyNow() + SampleInterval / 2);
+    co_await this->SampleWake.wait(steadyNow() + Interval / 2);
   }
 }
 
--- a/src/root/groups/Group.h
+++ b/src/root/groups/Group.h
@@ -13,6 +13,7 @@
 #include "policy/Freshness.h"
 #include "policy/GroupBeliefs.h"
 #include "root/groups/ServerPool.h"
+#include "root/relay/EvidenceBoard.h"
 
 #include <map>
 #include <memory>
@@ -27,6 +28,21 @@
   /// read with a staleness bound. It is less than half of the smallest bound in
   /// the deployments, 1,500 ms, so that one sample may be missed.
   static constexpr Duration SampleInterval = milliseconds(650);
+  /// The same for a relay, which samples for all entry VMs of its data centre.
+  /// With the interval of the followers' requests it stays below the smallest
+  /// bound.
+  static constexpr Duration RelaySampleInterval = milliseconds(550);
+  /// A follower samples the primary itself if the relay's evidence is older
+  /// than this.
+  static constexpr Duration MaxEvidenceAge = milliseconds(1250);
+  /// Time limit of a proof by the relay: a round trip within the data centre
+  /// and one to a replica. After a failure the group proves by itself for
+  /// RelayProofPause.
+  static constexpr Duration RelayProofTimeout = milliseconds(150);
+  static constexpr Duration RelayProofPause = std::chrono::seconds(1);
+  /// Longest wait of a read for the relay's first evidence. Without it the read
+  /// goes to the primary, as those of all entry VMs would after a restart.
+  static constexpr Duration FloorWait = milliseconds(120);
   /// Sampling stops when no read has asked for a floor for this long.
   static constexpr Duration SamplingIdleLimit = std::chrono::seconds(2);
   /// Timeout of one status call. A round trip between regions takes 16 ms, and
@@ -49,7 +65,9 @@
   static constexpr unsigned ControlUrgency = 0;
 
   /// All referenced objects must outlive the group.
-  Group(ServiceName Name, ServerConnector &Connector, const Locality &Where);
+  /// \param Source the relay; null if there is none.
+  Group(ServiceName Name, ServerConnector &Connector, const Locality &Where,
+        EvidenceSource *Source = nullptr);
   Group(const Group &) = delete;
   Group &operator=(const Group &) = delete;
   ~Group();
@@ -118,6 +136,38 @@
   /// acknowledgement. The monitor checks the age of the oldest.
   std::multiset<TimePoint> &pendingWrites() { return this->PendingWrites; }
 
+  /// Returns what this entry VM knows of the group, for other entry VMs.
+  GroupEvidence evidence() const;
+  /// Records evidence of the relay.
+  void applyEvidence(const GroupEvidence &Known);
+  /// Sets how many entry VMs share the servers' connections.
+  void setEntryVms(std::size_t Count);
+  /// Returns whether reads have recently asked for a floor.
+  bool wantsFloors() const {
+    return steadyNow() - this->LastFloorRequest <= SamplingIdleLimit;
+  }
+  /// Waits for the relay's evidence if there is a relay and no floor for
+  /// \p Since is known yet, for FloorWait at most.
+  QCoro::Task<> awaitFloor(TimePoint Since, TimePoint Deadline);
+  /// Returns whether to ask the relay for evidence: reads need it now, or the
+  /// first read of an open session is going to.
+  bool wantsEvidence() const {
+    return this->Readers > 0 || this->wantsFloors();
+  }
+  /// Adds \p By, which may be negative, to the open sessions that read with a
+  /// floor.
+  void addReaders(int By);
+  /// Keeps the primary sampled for SamplingIdleLimit.
+  void requestFloors();
+  /// Returns whether a relay observes the group for this entry VM.
+  bool isFollower() const {
+    return this->Source && this->Source->isAvailable();
+  }
+  /// Asks the relay, if there is one, for its present evidence.
+  void refreshEvidence();
+  /// Wakes the monitor, and asks the relay for news of the primary.
+  void primaryWanted();
+
   /// Returns whether any server has not failed since its last answer.
   bool anyServerReachable() const;
 
@@ -136,6 +186,9 @@
   QCoro::Task<> closeIdle();
   QCoro::Task<bool> proveOnce();
   QCoro::Task<bool> proveByReplica(ServerId Id, Term T);
+  QCoro::Task<bool> proveByRelay(Term T);
+  /// Returns the age from which a sample of the primary counts as outdated.
+  Duration sampleInterval() const;
   /// Requests the status of \p Id over a pooled connection and records it.
   QCoro::Task<std::optional<ServerReport>> controlStatus(ServerId Id);
   /// Returns the replicas in the order in which they are asked for a proof: the
@@ -148,6 +201,7 @@
   ServiceName Name;
   ServerConnector &Connector;
   const Locality &Where;
+  EvidenceSource *Source;
   ServiceLimits Limits;
   GroupBeliefs Beliefs;
   Freshness Fresh;
@@ -155,6 +209,10 @@
   std::optional<BelievedPrimary> LastPrimary;
   LogPosition Acknowledged;
   std::multiset<TimePoint> PendingWrites;
+  std::map<ServerId, std::pair<unsigned, TimePoint>> ConnectionCounts;
+  std::size_t EntryVms = 0;     ///< 0: not known.
+  int Readers = 0;              ///< Open sessions that read with a floor.
+  TimePoint RelayProofsFrom{};  ///< Steady clock.
   TimePoint ProofWantedFor{};   ///< Latest time to prove (boot clock).
   TimePoint LastFloorRequest{}; ///< Steady clock.
   WaitPoint ProveWake;
@@ -167,6 +225,21 @@
   bool Stopping = false;
 };
 
+/// Counts an open session as a reader of a group for the lifetime of the
+/// object.
+class ReaderCount {
+public:
+  explicit ReaderCount(std::shared_ptr<Group> Of) : Of(std::move(Of)) {
+    this->Of->addReaders(1);
+  }
+  ReaderCount(const ReaderCount &) = delete;
+  ReaderCount &operator=(const ReaderCount &) = delete;
+  ~ReaderCount() { this->Of->addReaders(-1); }
+
+private:
+  std::shared_ptr<Group> Of;
+};
+
 } // namespace amaranthspur
 
 #endif // AMARANTHSPUR_ROOT_GROUPS_GROUP_H
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -38,6 +38,12 @@
     co_await this->Monitored->monitorWake().wait(steadyNow() + Interval);
     if (this->Stopping)
       break;
+    this->updateSuspicion();
+    if (this->defersToRelay()) {
+      this->Degraded = true;
+      this->Monitored->refreshEvidence();
+      continue;
+    }
     co_await this->learnPrimaryTerm();
     const TakeoverReason Reason = co_await this->checkPrimary();
     this->Degraded = Reason != TakeoverReason::None || this->Degraded;
@@ -48,6 +54,46 @@
   }
 }
 
+bool GroupMonitor::hasSlowWrite() const {
+  const std::multiset<TimePoint> &Pending = this->Monitored->pendingWrites();
+  return !Pending.empty() &&
+         steadyNow() - *Pending.begin() > SlowWriteThreshold;
+}
+
+bool GroupMonitor::looksSuspicious() const {
+  const GroupBeliefs &Beliefs = this->Monitored->beliefs();
+  const std::optional<BelievedPrimary> Leader = Beliefs.primary();
+  if (!Leader)
+    return !Beliefs.servers().empty();
+  const ServerBelief *Server = Beliefs.find(Leader->Id);
+  return Leader->TermNumber == 0 || Server->FailingSince ||
+         Server->Registration.Draining || this->hasSlowWrite();
+}
+
+void GroupMonitor::updateSuspicion() {
+  if (!this->looksSuspicious()) {
+    this->SuspectSince.reset();
+    return;
+  }
+  if (this->SuspectSince)
+    return;
+  this->SuspectSince = steadyNow();
+  const auto Spread = static_cast<std::uint64_t>(FollowerSpread.count());
+  this->DeferralTime =
+      FollowerDelay + Duration(static_cast<Duration::rep>(
+                          this->Dependencies.Rng.below(Spread)));
+}
+
+bool GroupMonitor::defersToRelay() const {
+  return this->SuspectSince && this->Monitored->isFollower() &&
+         steadyNow() - *this->SuspectSince < this->DeferralTime;
+}
+
+void GroupMonitor::suspect() {
+  this->ReportedUntil = steadyNow() + ReportedSuspicion;
+  this->Monitored->monitorWake().wake();
+}
+
 QCoro::Task<> GroupMonitor::learnPrimaryTerm() {
   const std::optional<BelievedPrimary> Leader =
       this->Monitored->beliefs().primary();
@@ -84,15 +130,12 @@
   }
   if (Server->Registration.Draining && this->hasSuccessor(Leader->Id))
     co_return TakeoverReason::PrimaryLeaving;
-  const std::multiset<TimePoint> &Pending = this->Monitored->pendingWrites();
-  if (!Pending.empty()) {
-    const bool Slow = steadyNow() - *Pending.begin() > SlowWriteThreshold;
-    this->Degraded = Slow;
-    if (Slow) {
-      const bool Isolated = co_await this->isIsolated(*Leader);
-      if (Isolated)
-        co_return TakeoverReason::PrimaryIsolated;
-    }
+  const bool Slow = this->hasSlowWrite() || steadyNow() < this->ReportedUntil;
+  this->Degraded = Slow;
+  if (Slow) {
+    const bool Isolated = co_await this->isIsolated(*Leader);
+    if (Isolated)
+      co_return TakeoverReason::PrimaryIsolated;
   }
   co_return TakeoverReason::None;
 }
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -70,12 +70,28 @@
   /// promote.
   static constexpr Duration StrandedAdoptionTimeout = TakeoverClaim::Lease;
 
+  /// An entry VM that follows a relay leaves a takeover to the relays for this
+  /// time, and a random part of FollowerSpread. Otherwise all entry VMs would
+  /// ask the remaining servers for their status at once, which takes the slots
+  /// that statements need. The time covers a takeover by a relay: detection,
+  /// claim and promotion.
+  static constexpr Duration FollowerDelay = milliseconds(2500);
+  static constexpr Duration FollowerSpread = milliseconds(1500);
+  /// A suspicion that another entry VM has reported counts for this time.
+  static constexpr Duration ReportedSuspicion = std::chrono::seconds(1);
+
   GroupMonitor(std::shared_ptr<Group> Monitored,
                MonitorDependencies Dependencies);
 
   void start();
   QCoro::Task<> stop();
 
+  /// Returns whether the primary may need replacing, as far as is known without
+  /// asking the servers.
+  bool isSuspicious() const { return this->SuspectSince.has_value(); }
+  /// Records that another entry VM suspects the primary.
+  void suspect();
+
 private:
   /// Reports of servers, by id; a server that did not answer has no entry.
   using Reports = std::map<ServerId, ServerReport>;
@@ -86,6 +102,13 @@
   };
 
   QCoro::Task<> watch();
+  /// Returns whether the beliefs call for a check of the primary.
+  bool looksSuspicious() const;
+  /// Returns whether a write has waited longer than SlowWriteThreshold.
+  bool hasSlowWrite() const;
+  void updateSuspicion();
+  /// Returns whether the check of the primary is left to a relay for now.
+  bool defersToRelay() const;
   /// Returns why the group needs another primary now, or None.
   QCoro::Task<TakeoverReason> checkPrimary();
   /// Returns whether \p Leader has not answered in two polls and the replicas
@@ -143,7 +166,10 @@
   std::shared_ptr<Group> Monitored;
   MonitorDependencies Dependencies;
   TakeoverClaim Claim;
-  std::optional<TimePoint> MissingSince;  ///< No primary is known since then.
+  std::optional<TimePoint> MissingSince; ///< No primary is known since then.
+  std::optional<TimePoint> SuspectSince;
+  Duration DeferralTime{};   ///< Of the present suspicion.
+  TimePoint ReportedUntil{}; ///< End of the suspicion of other entry VMs.
   std::optional<TimePoint> StrandedSince; ///< First sight of such adoptions.
   std::uint64_t Operations = 0; ///< Number of identifiers made so far.
   std::uint64_t OperationNonce; ///< Distinguishes this monitor's identifiers.
--- a/src/root/groups/GroupRegistry.cpp
+++ b/src/root/groups/GroupRegistry.cpp
@@ -1,12 +1,15 @@
 #include "root/groups/GroupRegistry.h"
 
+#include "core/BootClock.h"
+
 namespace amaranthspur {
 
 GroupRegistry::GroupRegistry(const PlatformDirectory &Directory,
                              ServerConnector &Connector, const Locality &Where,
-                             MonitorDependencies Dependencies)
+                             MonitorDependencies Dependencies,
+                             EvidenceSource *Source)
     : Directory(Directory), Connector(Connector), Where(Where),
-      Dependencies(std::move(Dependencies)) {}
+      Dependencies(std::move(Dependencies)), Source(Source) {}
 
 QCoro::Task<Result<Success>> GroupRegistry::start() {
   this->Running = true;
@@ -47,8 +50,9 @@
 
 void GroupRegistry::addGroup(const ServiceName &Service) {
   Entry &E = this->Groups[Service];
-  E.ServerGroup =
-      std::make_shared<Group>(Service, this->Connector, this->Where);
+  E.ServerGroup = std::make_shared<Group>(Service, this->Connector, this->Where,
+                                          this->Source);
+  E.ServerGroup->setEntryVms(this->EntryVms);
   E.Monitor = std::make_shared<GroupMonitor>(E.ServerGroup, this->Dependencies);
   E.ServerGroup->start();
   E.Monitor->start();
@@ -72,4 +76,58 @@
   return false;
 }
 
+// --- EvidenceBoard -----------------------------------------------------------
+
+std::vector<ServiceName> GroupRegistry::wantedServices() const {
+  std::vector<ServiceName> Wanted;
+  for (const auto &[Service, E] : this->Groups)
+    if (E.ServerGroup->wantsEvidence())
+      Wanted.push_back(Service);
+  return Wanted;
+}
+
+std::vector<ServiceName> GroupRegistry::suspectServices() const {
+  std::vector<ServiceName> Suspects;
+  for (const auto &[Service, E] : this->Groups)
+    if (E.Monitor->isSuspicious())
+      Suspects.push_back(Service);
+  return Suspects;
+}
+
+std::optional<GroupEvidence>
+GroupRegistry::shareEvidence(const ServiceName &Service) {
+  const std::shared_ptr<Group> Wanted = this->find(Service);
+  if (!Wanted)
+    return std::nullopt;
+  Wanted->requestFloors();
+  return Wanted->evidence();
+}
+
+void GroupRegistry::suspect(const ServiceName &Service) {
+  const auto Found = this->Groups.find(Service);
+  if (Found != this->Groups.end())
+    Found->second.Monitor->suspect();
+}
+
+void GroupRegistry::applyEvidence(const GroupEvidence &Known) {
+  if (const std::shared_ptr<Group> Of = this->find(Known.Service))
+    Of->applyEvidence(Known);
+}
+
+void GroupRegistry::setEntryVms(std::size_t Count) {
+  this->EntryVms = Count;
+  for (const auto &[Service, E] : this->Groups)
+    E.ServerGroup->setEntryVms(Count);
+}
+
+QCoro::Task<bool> GroupRegistry::prove(ServiceName Service, Term T,
+                                       TimePoint Deadline) {
+  const std::shared_ptr<Group> Of = this->find(Service);
+  if (!Of)
+    co_return false;
+  const TimePoint Now = bootNow();
+  const bool Proved = co_await Of->awaitProof(T, Now, Deadline);
+  co_return Proved;
+}
+
 } // namespace amaranthspur
--- a/src/root/groups/GroupRegistry.h
+++ b/src/root/groups/GroupRegistry.h
@@ -13,11 +13,13 @@
 namespace amaranthspur {
 
 /// Creates, configures and stops the groups as the access plan changes.
-class GroupRegistry final : public Child {
+class GroupRegistry final : public Child, public EvidenceBoard {
 public:
   /// All referenced objects must outlive the registry.
+  /// \param Source the relay; null if there is none.
   GroupRegistry(const PlatformDirectory &Directory, ServerConnector &Connector,
-                const Locality &Where, MonitorDependencies Dependencies);
+                const Locality &Where, MonitorDependencies Dependencies,
+                EvidenceSource *Source = nullptr);
 
   std::string_view name() const override { return "groups"; }
   QCoro::Task<Result<Success>> start() override;
@@ -33,6 +35,17 @@
   /// Returns whether any server of any group is believed to be reachable.
   bool anyReachable() const;
 
+  // EvidenceBoard.
+  std::vector<ServiceName> wantedServices() const override;
+  std::vector<ServiceName> suspectServices() const override;
+  std::optional<GroupEvidence>
+  shareEvidence(const ServiceName &Service) override;
+  void suspect(const ServiceName &Service) override;
+  void applyEvidence(const GroupEvidence &Known) override;
+  void setEntryVms(std::size_t Count) override;
+  QCoro::Task<bool> prove(ServiceName Service, Term T,
+                          TimePoint Deadline) override;
+
 private:
   struct Entry {
     std::shared_ptr<Group> ServerGroup;
@@ -46,6 +59,8 @@
   ServerConnector &Connector;
   const Locality &Where;
   MonitorDependencies Dependencies;
+  EvidenceSource *Source;
+  std::size_t EntryVms = 0; ///< That share the servers; 0: not known.
   std::map<ServiceName, Entry> Groups;
   TaskGroup StoppingGroups;
   bool Running = false;
--- /dev/null
+++ b/src/root/relay/Relay.cpp
@@ -0,0 +1,481 @@
+#include "root/relay/Relay.h"
+
+#include "core/BootClock.h"
+#include "root/relay/RelayCodec.h"
+#include "root/telemetry/Log.h"
+
+#include <algorithm>
+
+namespace amaranthspur {
+namespace {
+
+constexpr std::array<WatchedTable, 2> Tables = {WatchedTable::Operator,
+                                                WatchedTable::Servers};
+/// One thread moves the bytes of all peers.
+constexpr int IoThreads = 1;
+
+std::string randomToken(Random &Rng) {
+  constexpr unsigned Words = 4;
+  std::string Token;
+  for (unsigned I = 0; I < Words; ++I)
+    Token += QString::number(Rng.below(1ULL << 32U), 16)
+                 .rightJustified(8, '0')
+                 .toStdString();
+  return Token;
+}
+
+std::string rowKey(const DataCentre &Location) {
+  return "relay/" + Location.str();
+}
+
+/// Returns the position that \p Asked holds of \p Table, or null if it does not
+/// name the table.
+const relay::TablePosition *positionOf(const relay::SyncRequest &Asked,
+                                       WatchedTable Table) {
+  for (const relay::TablePosition &Held : Asked.tables())
+    if (Held.table() == static_cast<std::uint32_t>(Table))
+      return &Held;
+  return nullptr;
+}
+
+} // namespace
+
+Relay::Relay(RelayOptions Given, Platform &Store, RelayedFeed &Feed,
+             Random &Rng, Metrics &Counters)
+    : Options(std::move(Given)), Store(Store), Feed(Feed), Rng(Rng),
+      Counters(Counters), Election(this->Options.Self, this->Options.CpuShare,
+                                   this->Options.MaxContactAge) {}
+
+Relay::~Relay() = default;
+
+// --- Child -------------------------------------------------------------------
+
+QCoro::Task<Result<Success>> Relay::start() {
+  this->Stopping = false;
+  if (this->Options.ListenAddress.empty()) {
+    this->Feed.setSource(FeedSource::Store, false);
+  } else {
+    this->Context = std::make_unique<zmq::context_t>(IoThreads);
+    this->run();
+  }
+  const Result<Success> Started = Success();
+  co_return Started;
+}
+
+QCoro::Task<> Relay::stop(TimePoint Deadline) {
+  this->Stopping = true;
+  this->Feed.setSource(FeedSource::Store, false);
+  this->Listener.close();
+  this->Listening = false;
+  if (this->Link)
+    this->Link->close();
+  this->Wake.wake();
+  co_await this->Tasks.waitUntilEmpty(Deadline);
+}
+
+QCoro::Task<> Relay::run() {
+  const TaskGroup::Guard Guard(this->Tasks);
+  this->Election.start(steadyNow(), this->Rng);
+  while (!this->Stopping) {
+    this->applyRole();
+    const std::optional<TimePoint> ClaimAt = this->Election.claimAt();
+    if (ClaimAt && steadyNow() >= *ClaimAt) {
+      if (this->Election.claimStep() == ClaimStep::Read)
+        co_await this->readRow();
+      else
+        co_await this->claim();
+      continue;
+    }
+    TimePoint Next = ClaimAt.value_or(NoDeadline);
+    if (this->role() == RelayRole::Follower) {
+      co_await this->synchronise();
+      const Duration Interval =
+          this->Election.awaitsFirstAnswer() ? MinSyncSpacing : SyncInterval;
+      Next = std::min(this->Election.claimAt().value_or(NoDeadline),
+                      this->LastSync + Interval);
+    } else if (this->role() == RelayRole::Relay) {
+      this->updateFollowers();
+      const bool Verify = this->Election.takeVerification(steadyNow());
+      if (Verify)
+        co_await this->readRow();
+      Next = steadyNow() + RelayInterval;
+    }
+    if (!this->Stopping && steadyNow() < Next)
+      co_await this->Wake.wait(Next);
+  }
+}
+
+// --- Election ----------------------------------------------------------------
+
+QCoro::Task<> Relay::claim() {
+  RelayRow Own;
+  Own.Vm = this->Options.Self;
+  Own.Address = this->Options.ListenAddress;
+  Own.Token = randomToken(this->Rng);
+  const std::string Operation = this->Options.Self.str() + "/" + Own.Token +
+                                "/" + std::to_string(++this->Operations);
+  const RelayRow Former = this->row();
+  const Result<CasOutcome> R = co_await this->Store.compareAndSet(
+      rowKey(this->Options.Location), Former.Version, encodeRelayRow(Own),
+      Operation, steadyNow() + ClaimTimeout);
+  if (this->Stopping)
+    co_return;
+  if (succeeded(R))
+    this->observeRow(valueOf(R).Current);
+  else
+    this->Election.observeStoreFailure(steadyNow(), this->Rng);
+  this->applyRole();
+  if (succeeded(R) && valueOf(R).Applied && !Former.Vm.empty() &&
+      Former.Vm != this->Options.Self)
+    this->announceReplacement(Former);
+}
+
+QCoro::Task<> Relay::announceReplacement(RelayRow Former) {
+  const TaskGroup::Guard Guard(this->Tasks);
+  relay::Request Message = this->makeRequest(Former);
+  *Message.mutable_replacement() = this->makeReplacement();
+  const auto To = std::make_shared<RelayLink>(*this->Context, Former.Address);
+  // A suspended relay reads the message when it wakes, if the connection was
+  // made before.
+  co_await To->request(std::move(Message), steadyNow() + ClaimTimeout);
+}
+
+QCoro::Task<> Relay::readRow() {
+  const Result<TableRow> R = co_await this->Store.readRow(
+      rowKey(this->Options.Location), steadyNow() + ClaimTimeout);
+  if (this->Stopping)
+    co_return;
+  if (succeeded(R))
+    this->observeRow(valueOf(R));
+  else
+    this->Election.observeStoreFailure(steadyNow(), this->Rng);
+}
+
+void Relay::observeRow(const TableRow &Seen) {
+  const Result<RelayRow> Decoded = decodeRelayRow(Seen.Value, Seen.Version);
+  RelayRow Malformed;
+  Malformed.Version = Seen.Version;
+  this->observeRow(succeeded(Decoded) ? valueOf(Decoded) : Malformed);
+}
+
+void Relay::observeRow(RelayRow Row) {
+  // An entry VM that has come back at another address claims the row again.
+  const bool Outdated = Row.Vm == this->Options.Self &&
+                        Row.Address != this->Options.ListenAddress;
+  if (Outdated)
+    Row.Vm = EntryVmId();
+  const bool Changed = Row != this->row();
+  this->Election.observeRow(Row, steadyNow());
+  if (Row.Vm.empty())
+    this->Election.observeRejection(steadyNow(), this->Rng);
+  if (Changed)
+    log(LogLevel::Info, LogEvent::RelayChanged,
+        {{"role", nameOf(this->role())},
+         {"relay", Row.Vm.empty() ? "none" : Row.Vm.str()},
+         {"address", Row.Address.empty() ? "none" : Row.Address},
+         {"row_version", Row.Version}});
+}
+
+void Relay::applyRole() {
+  if (this->isRelay() && !this->Listening) {
+    const Result<Success> Opened = this->Listener.listen(
+        *this->Context, this->Options.ListenAddress,
+        [this](const RelayListener::Peer &From, const relay::Request &Asked) {
+          this->onRequest(From, Asked);
+        });
+    this->Listening = succeeded(Opened);
+    if (!this->Listening)
+      log(LogLevel::Error, LogEvent::RelayRejected, {{"why", errorOf(Opened)}});
+  }
+  if (this->isRelay())
+    this->ServedRow = this->row();
+  const bool Follows =
+      this->role() == RelayRole::Follower && !this->row().Vm.empty();
+  if (this->Link && (!Follows || this->LinkedRow != this->row())) {
+    this->Link->close();
+    this->Link.reset();
+  }
+  if (Follows && !this->Link) {
+    this->LinkedRow = this->row();
+    this->Link =
+        std::make_shared<RelayLink>(*this->Context, this->row().Address);
+  }
+  this->updateSource();
+}
+
+void Relay::updateSource() {
+  const bool Answers = this->Election.isConnected();
+  if (this->isRelay())
+    this->Feed.setSource(FeedSource::Store, false);
+  else if (this->Election.mayFollow())
+    this->Feed.setSource(FeedSource::Relay, true);
+  else if (this->role() == RelayRole::Follower &&
+           this->Election.awaitsFirstAnswer())
+    // The first answer, or its absence, decides within SyncTimeout.
+    this->Feed.setSource(this->Feed.source(), Answers);
+  else if (this->role() == RelayRole::Follower)
+    this->Feed.setSource(FeedSource::Store, Answers);
+}
+
+// --- Follower ----------------------------------------------------------------
+
+relay::Request Relay::makeRequest(const RelayRow &To) const {
+  relay::Request Message;
+  Message.set_token(To.Token);
+  Message.set_sender(this->Options.Self.str());
+  return Message;
+}
+
+relay::Request Relay::makeSyncRequest() const {
+  relay::Request Message = this->makeRequest(this->row());
+  relay::SyncRequest *Sync = Message.mutable_sync();
+  for (const WatchedTable Table : Tables) {
+    relay::TablePosition *Held = Sync->add_tables();
+    Held->set_table(static_cast<std::uint32_t>(Table));
+    Held->set_known(this->Feed.cache(Table).isKnown());
+    Held->set_version(this->Feed.cache(Table).version());
+  }
+  if (!this->Board)
+    return Message;
+  for (const ServiceName &Service : this->Board->wantedServices())
+    Sync->add_services(Service.str());
+  for (const ServiceName &Service : this->Board->suspectServices())
+    Sync->add_suspects(Service.str());
+  return Message;
+}
+
+QCoro::Task<> Relay::synchronise() {
+  this->LastSync = steadyNow();
+  const std::shared_ptr<RelayLink> Used = this->Link;
+  if (!Used)
+    co_return;
+  const TimePoint SentAt = bootNow();
+  const std::optional<relay::Reply> Reply = co_await Used->request(
+      this->makeSyncRequest(), steadyNow() + SyncTimeout);
+  if (this->Stopping)
+    co_return;
+  const bool WasFollowing = this->Election.mayFollow();
+  if (!Reply) {
+    this->Election.observeUnanswered(steadyNow(), this->Rng);
+    this->Counters.add(Counter::RelayRequests, "unanswered");
+  } else if (!Reply->has_sync()) {
+    this->Counters.add(Counter::RelayRequests, "rejected");
+    const bool Replaced =
+        this->observeReplacement(Reply->not_relay().replacement());
+    if (!Replaced)
+      this->Election.observeRejection(steadyNow(), this->Rng);
+  } else {
+    this->Counters.add(Counter::RelayRequests, "answered");
+    this->applyReply(Reply->sync(), SentAt);
+  }
+  this->updateSource();
+  if (WasFollowing != this->Election.mayFollow())
+    log(LogLevel::Info,
+        WasFollowing ? LogEvent::RelayLost : LogEvent::RelayFollowed,
+        {{"relay", this->row().Vm.str()},
+         {"answers", this->Election.isConnected() ? "yes" : "no"}});
+}
+
+void Relay::applyReply(const relay::SyncReply &Reply, TimePoint SentAt) {
+  // A table that the reply does not name is not known to the relay.
+  unsigned Named = 0;
+  Duration OldestContact = Duration::zero();
+  for (const relay::TableChanges &Changes : Reply.tables()) {
+    const Result<WatchedTable> Table = watchedTableOf(Changes.table());
+    const Result<WatchedRows> Rows = watchedRowsOf(Changes);
+    if (!succeeded(Table) || !succeeded(Rows)) {
+      log(LogLevel::Warning, LogEvent::RelayRejected,
+          {{"why", succeeded(Table) ? errorOf(Rows) : errorOf(Table)}});
+      continue;
+    }
+    const Duration Age(std::max<std::int64_t>(0, Changes.contact_age_us()));
+    ++Named;
+    OldestContact = std::max(OldestContact, Age);
+    this->Feed.applyRelayed(valueOf(Table), valueOf(Rows), Changes.complete(),
+                            SentAt - Age);
+  }
+  if (Named < Tables.size())
+    this->Election.observeNotReady(steadyNow(), this->Rng);
+  else
+    this->Election.observeAnswer(OldestContact, Reply.leaving(), steadyNow(),
+                                 this->Rng);
+  if (!this->Board)
+    return;
+  for (const relay::Evidence &Message : Reply.evidence()) {
+    const Result<GroupEvidence> Known = evidenceOf(Message, SentAt);
+    if (succeeded(Known))
+      this->Board->applyEvidence(valueOf(Known));
+  }
+  this->Board->setEntryVms(Reply.entry_vms() * this->Options.DataCentres);
+}
+
+bool Relay::isAvailable() const {
+  return this->Election.isConnected() && !this->Election.hasUnanswered();
+}
+
+QCoro::Task<bool> Relay::prove(ServiceName Service, Term T,
+                               TimePoint Deadline) {
+  const std::shared_ptr<RelayLink> Used = this->Link;
+  if (!Used || !this->isAvailable())
+    co_return false;
+  relay::Request Message = this->makeRequest(this->row());
+  Message.mutable_proof()->set_service(Service.str());
+  Message.mutable_proof()->set_term(T);
+  Message.mutable_proof()->set_timeout_us((Deadline - steadyNow()).count());
+  const std::optional<relay::Reply> Reply =
+      co_await Used->request(std::move(Message), Deadline);
+  co_return Reply && Reply->has_proof() && Reply->proof().proved();
+}
+
+void Relay::refreshSoon() {
+  if (this->role() == RelayRole::Follower &&
+      steadyNow() - this->LastSync >= MinSyncSpacing)
+    this->Wake.wake();
+}
+
+// --- Relay -------------------------------------------------------------------
+
+void Relay::updateFollowers() {
+  std::erase_if(this->Followers, [](const auto &Entry) {
+    return steadyNow() - Entry.second > FollowerTimeout;
+  });
+  this->Counters.set(Gauge::RelayFollowers,
+                     static_cast<double>(this->Followers.size()));
+  if (this->Board)
+    this->Board->setEntryVms((this->Followers.size() + 1) *
+                             this->Options.DataCentres);
+}
+
+void Relay::onRequest(const RelayListener::Peer &From,
+                      const relay::Request &Asked) {
+  relay::Reply Answer;
+  Answer.set_correlation(Asked.correlation());
+  if (!this->isRelay() || Asked.token() != this->row().Token) {
+    *Answer.mutable_not_relay() = this->makeRejection(Asked.token());
+    this->Listener.reply(From, Answer);
+    return;
+  }
+  if (Asked.has_replacement()) {
+    this->observeReplacement(Asked.replacement());
+    return;
+  }
+  if (this->Followers.size() < MaxFollowers)
+    this->Followers[Asked.sender()] = steadyNow();
+  if (Asked.has_proof()) {
+    this->serveProof(From, Asked.correlation(), Asked.proof());
+    return;
+  }
+  *Answer.mutable_sync() = this->makeSyncReply(Asked.sync());
+  this->Listener.reply(From, Answer);
+}
+
+relay::Replacement Relay::makeReplacement() const {
+  relay::Replacement Message;
+  Message.set_row_version(this->row().Version);
+  Message.set_relay(this->row().Vm.str());
+  Message.set_address(this->row().Address);
+  Message.set_token(this->row().Token);
+  return Message;
+}
+
+relay::NotRelay Relay::makeRejection(const std::string &Token) const {
+  relay::NotRelay Message;
+  const bool Followed =
+      !this->ServedRow.Token.empty() && Token == this->ServedRow.Token;
+  if (Followed && this->row().Version > this->ServedRow.Version &&
+      !this->row().Vm.empty())
+    *Message.mutable_replacement() = this->makeReplacement();
+  return Message;
+}
+
+bool Relay::observeReplacement(const relay::Replacement &Message) {
+  RelayRow Row;
+  Row.Version = Message.row_version();
+  Row.Vm = EntryVmId(Message.relay());
+  Row.Address = Message.address();
+  Row.Token = Message.token();
+  // The row must be a valid one, as if it had been read from the store.
+  const Result<RelayRow> Valid =
+      decodeRelayRow(encodeRelayRow(Row), Row.Version);
+  if (!succeeded(Valid) || Row.Version <= this->row().Version)
+    return false;
+  this->observeRow(valueOf(Valid));
+  this->Wake.wake();
+  return true;
+}
+
+relay::SyncReply Relay::makeSyncReply(const relay::SyncRequest &Asked) {
+  const TimePoint ReceivedAt = bootNow();
+  relay::SyncReply Reply;
+  Reply.set_entry_vms(static_cast<std::uint32_t>(this->Followers.size() + 1));
+  Reply.set_leaving(this->Leaving);
+  for (const WatchedTable Table : Tables)
+    this->addChanges(Reply, Table, positionOf(Asked, Table), ReceivedAt);
+  if (!this->Board)
+    return Reply;
+  const int Services = std::min(Asked.services_size(), MaxServices);
+  for (int I = 0; I < Services; ++I) {
+    const std::optional<GroupEvidence> Known =
+        this->Board->shareEvidence(ServiceName(Asked.services(I)));
+    if (Known)
+      *Reply.add_evidence() = toMessage(*Known, ReceivedAt);
+  }
+  const int Suspects = std::min(Asked.suspects_size(), MaxServices);
+  for (int I = 0; I < Suspects; ++I) {
+    const ServiceName Service(Asked.suspects(I));
+    this->Board->suspect(Service);
+    const std::optional<GroupEvidence> Known =
+        this->Board->shareEvidence(Service);
+    if (Known)
+      *Reply.add_evidence() = toMessage(*Known, ReceivedAt);
+  }
+  return Reply;
+}
+
+void Relay::addChanges(relay::SyncReply &Reply, WatchedTable Table,
+                       const relay::TablePosition *Held, TimePoint ReceivedAt) {
+  const RowCache &Cache = this->Feed.cache(Table);
+  if (!Held || !Cache.isKnown())
+    return;
+  WatchedRows Rows;
+  Rows.HistoryLost = true;
+  if (Held->known())
+    Rows = Cache.changesAfter(Held->version());
+  const bool Complete = Rows.HistoryLost;
+  if (Complete)
+    Rows = Cache.all();
+  relay::TableChanges *Changes = Reply.add_tables();
+  Changes->set_table(static_cast<std::uint32_t>(Table));
+  Changes->set_complete(Complete);
+  Changes->set_version(Rows.Version);
+  Changes->set_contact_age_us(
+      (ReceivedAt - this->Feed.contactAt(Table)).count());
+  for (const WatchedRow &Row : Rows.Rows) {
+    if (Row.Value.size() <= CompressionThreshold) {
+      *Changes->add_rows() = toMessage(Row);
+      continue;
+    }
+    relay::Row &Encoded = this->EncodedRows[{Table, Row.Key}];
+    if (Encoded.version() != Row.Version)
+      Encoded = toMessage(Row);
+    *Changes->add_rows() = Encoded;
+  }
+}
+
+QCoro::Task<> Relay::serveProof(RelayListener::Peer From,
+                                std::uint64_t Correlation,
+                                relay::ProofRequest Asked) {
+  if (this->Tasks.size() > MaxProofs || !this->Board)
+    co_return;
+  const TaskGroup::Guard Guard(this->Tasks);
+  const Duration Limit = std::clamp(Duration(Asked.timeout_us()),
+                                    Duration::zero(), Duration(SyncTimeout));
+  const bool Proved = co_await this->Board->prove(
+      ServiceName(Asked.service()), Asked.term(), steadyNow() + Limit);
+  relay::Reply Answer;
+  Answer.set_correlation(Correlation);
+  Answer.mutable_proof()->set_proved(Proved);
+  this->Listener.reply(From, Answer);
+}
+
+} // namespace amaranthspur
--- /dev/null
+++ b/src/root/relay/Relay.h
@@ -0,0 +1,152 @@
+// The child that shares what entry VMs of one data centre read and observe.
+//
+// One entry VM of the data centre is the relay (policy/RelayElection.h). It
+// follows the platform's tables, samples the groups' primaries and answers the
+// others, the followers, over ZeroMQ. A follower asks at a fixed interval; the
+// reply holds the changed rows and the evidence about the groups that it reads
+// from. Without a usable relay every entry VM does all of this itself, so a
+// relay that stops, is suspended or is cut off costs calls and breaks nothing.
+//
+// One task runs the election and follows the relay; one task per proof serves
+// the followers. Requests must carry the token of the relay's row, which only
+// entry VMs of the deployment can read.
+#ifndef AMARANTHSPUR_ROOT_RELAY_RELAY_H
+#define AMARANTHSPUR_ROOT_RELAY_RELAY_H
+
+#include "core/Random.h"
+#include "policy/RelayElection.h"
+#include "root/Supervisor.h"
+#include "root/relay/EvidenceBoard.h"
+#include "root/relay/RelayLink.h"
+#include "root/relay/RelayListener.h"
+#include "root/relay/RelayedFeed.h"
+#include "root/telemetry/Metrics.h"
+
+#include <map>
+#include <memory>
+
+namespace amaranthspur {
+
+/// The settings of the relay.
+struct RelayOptions {
+  EntryVmId Self;
+  DataCentre Location;
+  std::string ListenAddress; ///< host:port for followers; empty: no relay.
+  double CpuShare = 0;       ///< Part of a core that this entry VM has.
+  Duration MaxContactAge{};  ///< See RelayElection.
+  std::size_t DataCentres = 1;
+};
+
+/// Runs the election, serves followers and follows the relay.
+class Relay final : public Child, public EvidenceSource {
+public:
+  /// Interval between two requests of a follower. It bounds the delay of a
+  /// configuration change, which must be in force within 3 s, and the age of
+  /// log positions, which reads use up to an age of 1.5 s.
+  static constexpr Duration SyncInterval = milliseconds(400);
+  /// Shortest time between two requests while news are awaited.
+  static constexpr Duration MinSyncSpacing = milliseconds(150);
+  /// Time limit of one request; a round trip takes 2 ms within a data centre.
+  static constexpr Duration SyncTimeout = milliseconds(500);
+  /// Time limit of a claim or of a read of the relay's row.
+  static constexpr Duration ClaimTimeout = milliseconds(1200);
+  /// A follower that has not asked for this long is not counted any more.
+  static constexpr Duration FollowerTimeout = std::chrono::seconds(3);
+  /// Interval at which a relay updates the number of followers.
+  static constexpr Duration RelayInterval = std::chrono::seconds(1);
+  /// Most services in one request, and most proofs served at once.
+  static constexpr int MaxServices = 512;
+  static constexpr std::size_t MaxProofs = 1000;
+  /// Most followers that are counted. More are served, but not counted.
+  static constexpr std::size_t MaxFollowers = 10000;
+
+  /// All referenced objects must outlive the relay.
+  Relay(RelayOptions Options, Platform &Store, RelayedFeed &Feed, Random &Rng,
+        Metrics &Counters);
+  ~Relay() override;
+
+  /// Sets the groups whose evidence is exchanged.
+  /// \pre start() has not been called.
+  void setBoard(EvidenceBoard &Groups) { this->Board = &Groups; }
+
+  std::string_view name() const override { return "relay"; }
+  QCoro::Task<Result<Success>> start() override;
+  QCoro::Task<> stop(TimePoint Deadline) override;
+
+  /// Tells followers that this entry VM is about to stop, so that another one
+  /// becomes the relay while this one still answers.
+  void leave() { this->Leaving = true; }
+
+  RelayRole role() const { return this->Election.role(); }
+  std::size_t followers() const { return this->Followers.size(); }
+  const RelayRow &row() const { return this->Election.row(); }
+
+  // EvidenceSource.
+  bool isAvailable() const override;
+  bool isRelay() const override { return this->role() == RelayRole::Relay; }
+  QCoro::Task<bool> prove(ServiceName Service, Term T,
+                          TimePoint Deadline) override;
+  void refreshSoon() override;
+
+private:
+  QCoro::Task<> run();
+  /// Claims the relay's row, or learns who holds it.
+  QCoro::Task<> claim();
+  /// Reads the relay's row again.
+  QCoro::Task<> readRow();
+  void observeRow(const TableRow &Seen);
+  void observeRow(RelayRow Row);
+  /// Tells the relay of \p Former that this entry VM has replaced it, since it
+  /// may be unable to read the row.
+  QCoro::Task<> announceReplacement(RelayRow Former);
+  /// Makes the listener and the link match the role.
+  void applyRole();
+  /// Sends one request to the relay and applies the reply.
+  QCoro::Task<> synchronise();
+  void applyReply(const relay::SyncReply &Reply, TimePoint SentAt);
+  /// Returns a request to the relay of \p To, without a body.
+  relay::Request makeRequest(const RelayRow &To) const;
+  relay::Request makeSyncRequest() const;
+  void updateSource();
+  void updateFollowers();
+
+  void onRequest(const RelayListener::Peer &From, const relay::Request &Asked);
+  /// Returns whether \p Message names another relay in a later row than the
+  /// known one, which it then replaces.
+  bool observeReplacement(const relay::Replacement &Message);
+  relay::Replacement makeReplacement() const;
+  relay::NotRelay makeRejection(const std::string &Token) const;
+  relay::SyncReply makeSyncReply(const relay::SyncRequest &Asked);
+  void addChanges(relay::SyncReply &Reply, WatchedTable Table,
+                  const relay::TablePosition *Held, TimePoint ReceivedAt);
+  QCoro::Task<> serveProof(RelayListener::Peer From, std::uint64_t Correlation,
+                           relay::ProofRequest Asked);
+
+  RelayOptions Options;
+  Platform &Store;
+  RelayedFeed &Feed;
+  Random &Rng;
+  Metrics &Counters;
+  EvidenceBoard *Board = nullptr;
+  RelayElection Election;
+  std::unique_ptr<zmq::context_t> Context; ///< Created at the start.
+  RelayListener Listener;
+  bool Listening = false;
+  std::shared_ptr<RelayLink> Link;
+  RelayRow LinkedRow; ///< The row that Link was opened for.
+  RelayRow ServedRow; ///< The last row that named this entry VM.
+  std::map<std::string, TimePoint> Followers; ///< Time of the last request.
+  /// Encoded rows with long values, by table and key: one compression serves
+  /// all followers.
+  std::map<std::pair<WatchedTable, std::string>, relay::Row> EncodedRows;
+  std::uint64_t Operations = 0;
+  TimePoint LastSync{};
+  WaitPoint Wake;
+  TaskGroup Tasks;
+  bool Leaving = false;
+  bool Stopping = false;
+};
+
+} // namespace amaranthspur
+
+#endif // AMARANTHSPUR_ROOT_RELAY_RELAY_H
--- /dev/null
+++ b/src/root/relay/RelayLink.h
@@ -0,0 +1,51 @@
+// The connection of an entry VM to the relay of its data centre.
+#ifndef AMARANTHSPUR_ROOT_RELAY_RELAYLINK_H
+#define AMARANTHSPUR_ROOT_RELAY_RELAYLINK_H
+
+#include "core/Async.h"
+#include "relay.pb.h"
+#include "root/relay/ZmqEndpoint.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace amaranthspur {
+
+/// Sends requests to one relay and matches the replies to them.
+///
+/// A malformed or unexpected reply is dropped; its request then ends at its
+/// deadline. A request is never sent twice. The link must outlive its requests.
+class RelayLink {
+public:
+  /// \param Context of the ZeroMQ socket; must outlive the link.
+  /// \param Address host:port of the relay.
+  RelayLink(zmq::context_t &Context, const std::string &Address);
+
+  /// Sends \p Message and waits for the reply.
+  /// \returns nothing if there is no reply by \p Deadline.
+  QCoro::Task<std::optional<relay::Reply>> request(relay::Request Message,
+                                                   TimePoint Deadline);
+
+  /// Ends all requests without a reply and refuses further ones.
+  void close();
+
+  /// Returns the number of requests that wait for a reply.
+  std::size_t waiting() const { return this->Pending.size(); }
+
+private:
+  struct PendingRequest {
+    WaitPoint Answered;
+    std::optional<relay::Reply> Reply;
+  };
+
+  void onMessage(const ZmqEndpoint::Parts &Message);
+
+  std::unique_ptr<ZmqEndpoint> Endpoint;
+  std::map<std::uint64_t, PendingRequest *> Pending; ///< By correlation.
+  std::uint64_t LastCorrelation = 0;
+};
+
+} // namespace amaranthspur
+
+#endif // AMARANTHSPUR_ROOT_RELAY_RELAYLINK_H
--- /dev/null
+++ b/src/root/relay/testing/RelayCodecTest.cpp
@@ -0,0 +1,235 @@
+#include "root/relay/RelayCodec.h"
+
+#include "core/Random.h"
+
+#include <catch2/catch.hpp>
+
+#include <QByteArray>
+
+#include <functional>
+#include <limits>
+#include <string>
+
+using namespace amaranthspur;
+
+namespace {
+
+TimePoint at(std::int64_t Ms) { return TimePoint(milliseconds(Ms)); }
+
+relay::Request validRequest() {
+  relay::Request R;
+  R.set_correlation(7);
+  R.set_token("token");
+  R.set_sender("vm-1");
+  relay::SyncRequest *Sync = R.mutable_sync();
+  Sync->add_tables()->set_version(12);
+  Sync->add_services("ledger");
+  return R;
+}
+
+relay::TableChanges validChanges() {
+  relay::TableChanges C;
+  C.set_version(9);
+  *C.add_rows() = toMessage(WatchedRow{"a", "value", 3, false});
+  *C.add_rows() = toMessage(WatchedRow{"b", std::string(9000, 'x'), 9, false});
+  return C;
+}
+
+} // namespace
+
+// Guards against a malformed request that is taken for a valid one.
+TEST_CASE("an invalid request is an error") {
+  struct Row {
+    const char *Name;
+    std::function<void(relay::Request &)> Change;
+    bool Valid;
+  };
+  const Row Rows[] = {
+      {"valid", [](relay::Request &) {}, true},
+      {"no sender", [](relay::Request &R) { R.clear_sender(); }, false},
+      {"a long sender",
+       [](relay::Request &R) { R.set_sender(std::string(300, 'a')); }, false},
+      {"no token", [](relay::Request &R) { R.clear_token(); }, false},
+      {"no body", [](relay::Request &R) { R.clear_body(); }, false},
+      {"a proof of no service",
+       [](relay::Request &R) { R.mutable_proof()->set_term(1); }, false},
+      {"a proof",
+       [](relay::Request &R) { R.mutable_proof()->set_service("s"); }, true},
+      {"too long",
+       [](relay::Request &R) {
+         R.mutable_sync()->add_services(std::string(MaxRelayRequestBytes, 'a'));
+       },
+       false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    relay::Request Message = validRequest();
+    R.Change(Message);
+    CHECK(succeeded(decodeRelayRequest(Message.SerializeAsString())) ==
+          R.Valid);
+  }
+}
+
+// Guards against a malformed message that ends the process or is read beyond
+// its end. Bytes are changed, removed and inserted at random.
+TEST_CASE("damaged messages are decoded or refused") {
+  relay::Reply Reply;
+  *Reply.mutable_sync()->add_tables() = validChanges();
+  const std::string Valid[] = {validRequest().SerializeAsString(),
+                               Reply.SerializeAsString()};
+  Random Rng(1);
+  unsigned Decoded = 0;
+  for (int Round = 0; Round < 20000; ++Round) {
+    std::string Bytes = Valid[Rng.below(2)];
+    const std::uint64_t Edits = 1 + Rng.below(4);
+    for (std::uint64_t I = 0; I < Edits && !Bytes.empty(); ++I) {
+      const auto Place = static_cast<std::size_t>(Rng.below(Bytes.size()));
+      const auto Byte = static_cast<char>(Rng.below(256));
+      switch (Rng.below(3)) {
+      case 0:
+        Bytes[Place] = Byte;
+        break;
+      case 1:
+        Bytes.erase(Place, 1 + Rng.below(8));
+        break;
+      default:
+        Bytes.insert(Place, 1, Byte);
+      }
+    }
+    Decoded += succeeded(decodeRelayRequest(Bytes)) ? 1 : 0;
+    const Result<relay::Reply> R = decodeRelayReply(Bytes);
+    if (!succeeded(R))
+      continue;
+    for (const relay::TableChanges &Changes : valueOf(R).sync().tables())
+      Decoded += succeeded(watchedRowsOf(Changes)) ? 1 : 0;
+  }
+  CHECK(Decoded > 0);
+}
+
+// Guards against rows that use memory without limit or that cannot be ordered.
+TEST_CASE("rows out of bounds are errors") {
+  struct Row {
+    const char *Name;
+    std::function<void(relay::TableChanges &)> Change;
+    bool Valid;
+  };
+  const Row Rows[] = {
+      {"valid", [](relay::TableChanges &) {}, true},
+      {"no key", [](relay::TableChanges &C) { C.mutable_rows(0)->clear_key(); },
+       false},
+      {"a row newer than the table",
+       [](relay::TableChanges &C) { C.mutable_rows(0)->set_version(10); },
+       false},
+      {"compressed, but empty",
+       [](relay::TableChanges &C) { C.mutable_rows(1)->set_value(""); }, false},
+      {"compressed, but cut off",
+       [](relay::TableChanges &C) {
+         relay::Row *Long = C.mutable_rows(1);
+         Long->set_value(Long->value().substr(0, Long->value().size() / 2));
+       },
+       false},
+      {"claims to expand to 2 GB",
+       [](relay::TableChanges &C) {
+         relay::Row *Long = C.mutable_rows(1);
+         Long->set_value("\x7f\xff\xff\xff" + Long->value().substr(4));
+       },
+       false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    relay::TableChanges Changes = validChanges();
+    R.Change(Changes);
+    const Result<WatchedRows> Decoded = watchedRowsOf(Changes);
+    REQUIRE(succeeded(Decoded) == R.Valid);
+    if (R.Valid)
+      CHECK(valueOf(Decoded).Rows[1].Value == std::string(9000, 'x'));
+  }
+}
+
+// Guards against evidence that appears more recent to a follower than it is: a
+// read could then miss a commit. The clocks of the two entry VMs differ, either
+// may be suspended at any point, and messages take any time.
+TEST_CASE("decoded evidence is never newer than the observation") {
+  for (std::uint64_t Seed = 1; Seed <= 2000; ++Seed) {
+    CAPTURE(Seed);
+    Random Rng(Seed);
+    const auto Delay = [&Rng] {
+      return static_cast<std::int64_t>(
+          Rng.below(Rng.below(2) == 0 ? 20 : 9000));
+    };
+    const std::int64_t RelayOffset = Delay() - Delay();
+    // Times of one true clock, in milliseconds.
+    const std::int64_t Sent = 100000;
+    const std::int64_t Handled = Sent + Delay();
+    const std::int64_t Reported = Handled + Delay() - Delay();
+    const std::int64_t Proved = Reported + Delay();
+    GroupEvidence Known;
+    Known.Service = ServiceName("s");
+    Known.TermNumber = 3;
+    Known.Position = {3, 8};
+    Known.ReportedAt = at(Reported + RelayOffset);
+    Known.ProvedTerm = 3;
+    Known.ProvedAt = at(Proved + RelayOffset);
+    const Result<GroupEvidence> Decoded =
+        evidenceOf(toMessage(Known, at(Handled + RelayOffset)), at(Sent));
+    REQUIRE(succeeded(Decoded));
+    CHECK(valueOf(Decoded).ReportedAt <= at(Reported));
+    CHECK(valueOf(Decoded).ProvedAt <= at(Proved));
+    CHECK(valueOf(Decoded).ProvedAt - valueOf(Decoded).ReportedAt ==
+          milliseconds(Proved - Reported));
+    CHECK(valueOf(Decoded).Position == Known.Position);
+  }
+}
+
+// Guards against evidence with absurd ages, which would overflow.
+TEST_CASE("evidence out of bounds is an error") {
+  struct Row {
+    const char *Name;
+    std::int64_t PositionAgeUs;
+    std::int64_t ProofAgeUs;
+    const char *Service;
+    bool Valid;
+  };
+  constexpr std::int64_t Most = std::numeric_limits<std::int64_t>::max();
+  const Row Rows[] = {
+      {"valid", 1000, 1000, "s", true},
+      {"after the request", -1000, -2000, "s", true},
+      {"a huge age", Most, 0, "s", false},
+      {"a huge negative age", 0, -Most, "s", false},
+      {"no service", 0, 0, "", false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    relay::Evidence Message;
+    Message.set_service(R.Service);
+    Message.mutable_position()->set_index(1);
+    Message.set_position_age_us(R.PositionAgeUs);
+    Message.set_proved_term(1);
+    Message.set_proof_age_us(R.ProofAgeUs);
+    CHECK(succeeded(evidenceOf(Message, at(100000))) == R.Valid);
+  }
+}
+
+// Guards against a row of another writer that is taken for a relay's.
+TEST_CASE("a malformed row names no relay") {
+  const RelayRow Valid{5, EntryVmId("vm-1"), "127.0.0.1:7440", "secret"};
+  const Result<RelayRow> Decoded = decodeRelayRow(encodeRelayRow(Valid), 5);
+  REQUIRE(succeeded(Decoded));
+  CHECK(valueOf(Decoded) == Valid);
+  const std::string Deep(100000, '[');
+  const std::string Rows[] = {
+      "",
+      "null",
+      "[]",
+      "{",
+      Deep,
+      R"({"vm":"a","address":"127.0.0.1:7440"})",
+      R"({"vm":"a","address":"127.0.0.1:70000","token":"t"})",
+      R"({"vm":"a","address":"127.0.0.1:0","token":"t"})",
+      R"({"vm":"a","address":"host:1","token":"t"})",
+      R"({"vm":1,"address":"127.0.0.1:7440","token":"t"})"};
+  for (const std::string &Text : Rows) {
+    CAPTURE(Text.substr(0, 80));
+    CHECK_FALSE(succeeded(decodeRelayRow(Text, 5)));
+  }
+}
--- /dev/null
+++ b/src/root/relay/testing/RelayTest.cpp
@@ -0,0 +1,263 @@
+#include "root/relay/Relay.h"
+
+#include "platform/HttpPlatform.h"
+#include "root/relay/RelayCodec.h"
+#include "testing/Processes.h"
+#include "testing/TaskRunner.h"
+#include "testing/fake-platform/PlatformServer.h"
+
+#include <catch2/catch.hpp>
+
+#include <QHostAddress>
+
+#include <map>
+#include <memory>
+#include <vector>
+
+using namespace amaranthspur;
+
+namespace {
+
+/// Evidence that a test sets and reads.
+class FakeBoard final : public EvidenceBoard {
+public:
+  std::vector<ServiceName> wantedServices() const override {
+    return {ServiceName("s")};
+  }
+  std::vector<ServiceName> suspectServices() const override {
+    return this->Suspects;
+  }
+  std::optional<GroupEvidence> shareEvidence(const ServiceName &) override {
+    return this->Own;
+  }
+  void suspect(const ServiceName &Service) override {
+    this->Reported.push_back(Service);
+  }
+  void applyEvidence(const GroupEvidence &Known) override {
+    this->Applied = Known;
+  }
+  void setEntryVms(std::size_t Count) override { this->EntryVms = Count; }
+  QCoro::Task<bool> prove(ServiceName, Term T, TimePoint) override {
+    co_return T == this->Own.TermNumber;
+  }
+
+  GroupEvidence Own;
+  std::optional<GroupEvidence> Applied;
+  std::vector<ServiceName> Suspects;
+  std::vector<ServiceName> Reported;
+  std::size_t EntryVms = 0;
+};
+
+/// One entry VM: a feed and a relay that use the fake platform.
+struct EntryVm {
+  EntryVm(const std::string &Name, quint16 StorePort)
+      : Rng(std::hash<std::string>{}(Name)),
+        Store({"127.0.0.1", StorePort}, this->Rng.below(1U << 30U)),
+        Feed(this->Store, milliseconds(500)),
+        Node(options(Name), this->Store, this->Feed, this->Rng,
+             this->Counters) {
+    this->Board.Own.Service = ServiceName("s");
+    this->Board.Own.Primary = ServerId("of-" + Name);
+    this->Board.Own.TermNumber = 4;
+    this->Node.setBoard(this->Board);
+    runTask(this->Node.start());
+  }
+  ~EntryVm() {
+    runTask(this->Node.stop(steadyNow() + std::chrono::seconds(5)));
+  }
+
+  static RelayOptions options(const std::string &Name) {
+    RelayOptions Options;
+    Options.Self = EntryVmId(Name);
+    Options.Location = DataCentre("here");
+    Options.ListenAddress =
+        "127.0.0.1:" + std::to_string(freePort("127.0.0.1"));
+    Options.CpuShare = 1;
+    Options.MaxContactAge = std::chrono::seconds(2);
+    Options.DataCentres = 2;
+    return Options;
+  }
+
+  Random Rng;
+  Metrics Counters;
+  HttpPlatform Store;
+  RelayedFeed Feed;
+  FakeBoard Board;
+  Relay Node;
+};
+
+struct Fixture {
+  Fixture() {
+    this->Port = this->Server.listen(QHostAddress::LocalHost);
+    this->Store.setExternalRow("op", "config", std::string(5000, 'c'));
+    this->Store.setExternalRow("servers", "i-1", "one");
+    for (const char *Name : {"a", "b", "c"})
+      this->Vms[Name] = std::make_unique<EntryVm>(Name, this->Port);
+    // The feeds of all entry VMs follow both tables, as the directory does.
+    for (const auto &[Name, Vm] : this->Vms)
+      for (const WatchedTable Table :
+           {WatchedTable::Operator, WatchedTable::Servers})
+        this->follow(Vm->Feed, Table);
+  }
+  ~Fixture() {
+    this->Ending = true;
+    runTask(this->Tasks.waitUntilEmpty(steadyNow() + std::chrono::seconds(5)));
+  }
+
+  QCoro::Task<> follow(RelayedFeed &Feed, WatchedTable Table) {
+    const TaskGroup::Guard Guard(this->Tasks);
+    std::uint64_t Version = 0;
+    bool Known = false;
+    while (!this->Ending) {
+      Result<WatchedRows> R = Error{};
+      if (Known)
+        R = co_await Feed.awaitChanges(Table, Version, milliseconds(300));
+      else
+        R = co_await Feed.readTable(Table, steadyNow() + milliseconds(500));
+      Known = succeeded(R) && !valueOf(R).HistoryLost;
+      if (Known)
+        Version = valueOf(R).Version;
+      else
+        co_await sleepFor(milliseconds(50));
+    }
+  }
+
+  void waitUntil(const std::function<bool()> &Condition) {
+    const bool Met = runTask(
+        [](const std::function<bool()> &Condition) -> QCoro::Task<bool> {
+          const TimePoint End = steadyNow() + std::chrono::seconds(15);
+          while (!Condition() && steadyNow() < End)
+            co_await sleepFor(milliseconds(10));
+          co_return Condition();
+        }(Condition));
+    REQUIRE(Met);
+  }
+
+  EntryVm *relay() {
+    for (const auto &[Name, Vm] : this->Vms)
+      if (Vm->Node.isRelay())
+        return Vm.get();
+    return nullptr;
+  }
+  bool allFollow() {
+    EntryVm *Current = this->relay();
+    return Current && std::all_of(this->Vms.begin(), this->Vms.end(),
+                                  [Current](const auto &Entry) {
+                                    return Entry.second.get() == Current ||
+                                           Entry.second->Feed.source() ==
+                                               FeedSource::Relay;
+                                  });
+  }
+  bool allHave(const std::string &Key, const std::string &Value) {
+    return std::all_of(
+        this->Vms.begin(), this->Vms.end(), [&](const auto &Entry) {
+          const WatchedRows Rows =
+              Entry.second->Feed.cache(WatchedTable::Servers).all();
+          return std::any_of(Rows.Rows.begin(), Rows.Rows.end(),
+                             [&](const WatchedRow &Row) {
+                               return Row.Key == Key && Row.Value == Value;
+                             });
+        });
+  }
+
+  QCoreApplication &App = testApplication();
+  fakeplatform::PlatformStore Store{1};
+  fakeplatform::PlatformServer Server{this->Store};
+  quint16 Port = 0;
+  std::map<std::string, std::unique_ptr<EntryVm>> Vms;
+  TaskGroup Tasks;
+  bool Ending = false;
+};
+
+} // namespace
+
+// Guards against rows or evidence that do not reach the followers, and against
+// a follower that goes on with the rows of a relay which is gone.
+TEST_CASE("followers get rows and evidence from the relay") {
+  Fixture F;
+  F.waitUntil([&F] { return F.allFollow(); });
+  F.waitUntil([&F] { return F.allHave("i-1", "one"); });
+  EntryVm *First = F.relay();
+  for (const auto &[Name, Vm] : F.Vms) {
+    if (Vm.get() == First)
+      continue;
+    F.waitUntil([&Vm = Vm] { return Vm->Board.Applied.has_value(); });
+    CHECK(Vm->Board.Applied->Primary == First->Board.Own.Primary);
+    CHECK(Vm->Node.isAvailable());
+    F.waitUntil([&Vm = Vm] { return Vm->Board.EntryVms == 6; });
+    const bool Proved = runTask(Vm->Node.prove(
+        ServiceName("s"), 4, steadyNow() + std::chrono::seconds(1)));
+    CHECK(Proved);
+    const bool Wrong = runTask(Vm->Node.prove(
+        ServiceName("s"), 5, steadyNow() + std::chrono::seconds(1)));
+    CHECK_FALSE(Wrong);
+    Vm->Board.Suspects = {ServiceName("s")};
+  }
+  F.waitUntil([First] { return !First->Board.Reported.empty(); });
+  F.Store.setExternalRow("servers", "i-1", "two");
+  F.waitUntil([&F] { return F.allHave("i-1", "two"); });
+
+  // The relay announces that it stops; another one takes its place before.
+  First->Node.leave();
+  F.waitUntil([&F, First] { return F.relay() != First && F.allFollow(); });
+  F.Store.setExternalRow("servers", "i-2", "three");
+  F.waitUntil([&F] { return F.allHave("i-2", "three"); });
+}
+
+// Guards against a follower that stays without changes when its relay is lost
+// or does not reach the store.
+TEST_CASE("entry VMs read the store themselves without a usable relay") {
+  Fixture F;
+  F.waitUntil([&F] { return F.allFollow(); });
+  const EntryVm *First = F.relay();
+  // The relay's process ends without notice.
+  runTask(F.relay()->Node.stop(steadyNow() + milliseconds(100)));
+  F.Store.setExternalRow("servers", "i-3", "four");
+  F.waitUntil([&F] { return F.allHave("i-3", "four"); });
+  F.waitUntil([&F, First] {
+    return std::any_of(F.Vms.begin(), F.Vms.end(), [First](const auto &Entry) {
+      return Entry.second.get() != First && Entry.second->Node.isRelay();
+    });
+  });
+}
+
+// Guards against a request without the token of the relay's row that is
+// answered, and against a malformed one that disturbs other entry VMs.
+TEST_CASE("a relay answers only entry VMs that know its token") {
+  Fixture F;
+  F.waitUntil([&F] { return F.allFollow(); });
+  const RelayRow Row = F.relay()->Node.row();
+  struct Case {
+    const char *Name;
+    std::string Token;
+    bool Answered;
+  };
+  const Case Cases[] = {{"its token", Row.Token, true},
+                        {"another token", "guess", false},
+                        {"a longer token", Row.Token + "0", false}};
+  zmq::context_t Context(1);
+  RelayLink Link(Context, Row.Address);
+  for (const Case &C : Cases) {
+    CAPTURE(C.Name);
+    relay::Request Message;
+    Message.set_token(C.Token);
+    Message.set_sender("vm-x");
+    Message.mutable_sync();
+    const std::optional<relay::Reply> Reply =
+        runTask(Link.request(Message, steadyNow() + std::chrono::seconds(2)));
+    REQUIRE(Reply);
+    CHECK(Reply->has_sync() == C.Answered);
+    CHECK(Reply->not_relay().replacement().token().empty());
+  }
+
+  zmq::socket_t Hostile(Context, zmq::socket_type::dealer);
+  Hostile.set(zmq::sockopt::linger, 0);
+  Hostile.connect("tcp://" + Row.Address);
+  for (const std::string &Bytes :
+       {std::string(), std::string("\xff\xff\xff"), std::string(200000, '\0'),
+        std::string(100000, '[')})
+    Hostile.send(zmq::buffer(Bytes), zmq::send_flags::none);
+  F.Store.setExternalRow("servers", "i-4", "five");
+  F.waitUntil([&F] { return F.allHave("i-4", "five"); });
+  CHECK(F.allFollow());
+}
--- a/src/root/sessions/Session.cpp
+++ b/src/root/sessions/Session.cpp
@@ -58,6 +58,7 @@
   if (Plan->Databases.count(this->Database) > 0) {
     this->Caller->greet();
     this->Dependencies.Counters.add(Counter::CallerConnections);
+    this->countReader(Plan->Databases.at(this->Database));
     co_return true;
   }
   const bool Unknown = Plan->Revision != 0;
@@ -73,6 +74,13 @@
   co_return false;
 }
 
+void Session::countReader(const DatabaseRoute &Route) {
+  const std::shared_ptr<Group> Of =
+      this->Dependencies.Groups.find(Route.Service);
+  if (Of && Route.Consistency != ReadConsistency::Primary)
+    this->Reader = std::make_unique<ReaderCount>(Of);
+}
+
 TimePoint Session::nextDeadline() const {
   if (!this->Transaction)
     return NoDeadline;
@@ -265,7 +273,9 @@
   if (this->Transaction)
     co_return std::nullopt;
   E.ArrivedBoot = this->TransactionArrivedBoot;
-  const ReadConstraint Constraint = readConstraintFor(E);
+  ReadConstraint Constraint = readConstraintFor(E);
+  if (this->TransactionBegin.Mode == Access::Read)
+    Constraint = co_await awaitReadConstraint(E);
   auto Begun = co_await beginTransaction(this->TransactionBegin, Constraint, E);
   if (auto *Refused = std::get_if<Answer>(&Begun))
     co_return *Refused;
--- a/src/root/sessions/Session.h
+++ b/src/root/sessions/Session.h
@@ -62,6 +62,9 @@
 private:
   /// Receives the session request; returns whether the session was accepted.
   QCoro::Task<bool> open();
+  /// Counts the session as a reader of the group that \p Route leads to, if
+  /// its reads need a floor.
+  void countReader(const DatabaseRoute &Route);
   /// Receives and answers statements until the session ends.
   QCoro::Task<> serve();
   QCoro::Task<Answer> handle(Statement S);
@@ -108,6 +111,7 @@
   const SessionDependencies &Dependencies;
   std::unique_ptr<CallerStream> Caller;
   std::string Database;
+  std::unique_ptr<ReaderCount> Reader;
   SessionSettingValues Values;
   std::map<std::string, PreparedStatement> Prepared;
   std::optional<LogPosition> Floor; ///< Position of the session's last commit.
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -119,7 +119,7 @@
     // every other entry VM would refuse too. The statement therefore waits and
     // is served late, after the takeover.
     Waited = true;
-    E.ServerGroup->monitorWake().wake();
+    E.ServerGroup->primaryWanted();
     co_await E.ServerGroup->primaryChanged().wait(std::min(
         E.Deadline, steadyNow() + GroupBeliefs::AvoidAfterFailure / 4));
   }
@@ -169,8 +169,16 @@
   return Constraint;
 }
 
+QCoro::Task<ReadConstraint> awaitReadConstraint(StatementContext &E) {
+  if (E.Route.Consistency != ReadConsistency::Primary)
+    co_await E.ServerGroup->awaitFloor(E.ArrivedBoot - E.Route.MaxStaleness +
+                                           StalenessMargin,
+                                       dispatchDeadline(E));
+  co_return readConstraintFor(E);
+}
+
 QCoro::Task<Answer> runRead(Statement S, StatementContext &E) {
-  ReadConstraint Constraint = readConstraintFor(E);
+  ReadConstraint Constraint = co_await awaitReadConstraint(E);
   std::set<ServerId> Tried;
   unsigned Failed = 0;
   unsigned Runs = 0;
--- a/src/root/sessions/StatementRunner.h
+++ b/src/root/sessions/StatementRunner.h
@@ -113,6 +113,10 @@
 /// the known floor.
 ReadConstraint readConstraintFor(const StatementContext &E);
 
+/// Does the same after a short wait for the relay's evidence, if the read needs
+/// a floor and none is known yet.
+QCoro::Task<ReadConstraint> awaitReadConstraint(StatementContext &E);
+
 /// Runs a read outside a transaction.
 QCoro::Task<Answer> runRead(Statement S, StatementContext &E);
 
--- a/src/root/telemetry/Metrics.h
+++ b/src/root/telemetry/Metrics.h
@@ -40,6 +40,7 @@
   PathsReplaced,
   EventLoopPauses,
   ConfigurationsAccepted,
+  RelayRequests,
 };
 
 /// The name, label and help text of a counter.
@@ -83,6 +84,8 @@
     {Counter::ConfigurationsAccepted,
      "amaranthspur_configurations_accepted_total", "",
      "Configuration revisions taken into force."},
+    {Counter::RelayRequests, "amaranthspur_relay_requests_total", "result",
+     "Requests to the relay of the data centre, by result."},
 });
 } // namespace detail
 
@@ -107,6 +110,7 @@
   ReplicaAgeSeconds,
   ConfigurationRevision,
   LiveMembers,
+  RelayFollowers,
 };
 
 /// The name, label and help text of a gauge.
@@ -137,6 +141,8 @@
      "Configuration revision in force."},
     {Gauge::LiveMembers, "amaranthspur_live_members", "",
      "Entry VMs believed to be live, this one included."},
+    {Gauge::RelayFollowers, "amaranthspur_relay_followers", "",
+     "Entry VMs that follow this relay; 0 on an entry VM that is not one."},
 });
 } // namespace detail
 
