--- a/src/platform/Documents.cpp
+++ b/src/platform/Documents.cpp
@@ -20,6 +20,11 @@
         {ReadConsistency::ReadYourWrites, "read_your_writes"},
     });
 
+/// Bounds of the numbers in a registration. Up to MaxExactInteger (2^53) a JSON
+/// number is exact.
+constexpr double MaxSlots = 1e6;
+constexpr double MaxExactInteger = 9007199254740992.0;
+
 /// Defaults for limits that are missing in the configuration. Most sites
 /// configure a statement timeout of 1,000 ms and end idle transactions after
 /// 3,000 ms.
@@ -41,6 +46,13 @@
   return Value.isDouble() && Value.toDouble() == std::floor(Value.toDouble());
 }
 
+/// Returns whether \p Value is a number from \p Lowest to \p Highest. Another
+/// writer may have left any number.
+bool isWithin(const QJsonValue &Value, double Lowest, double Highest) {
+  return Value.isDouble() && Value.toDouble() >= Lowest &&
+         Value.toDouble() <= Highest;
+}
+
 std::string stringValue(const QJsonValue &Value) {
   return Value.toString().toStdString();
 }
@@ -123,11 +135,14 @@
   Result<Address> At = parseAddress(stringValue(O["address"]));
   if (!succeeded(At))
     return Malformed("an invalid address");
-  if (!O["version"].isString() || !O["slots"].isDouble() ||
-      !O["sequence"].isDouble() || !O["cold-ms"].isDouble())
-    return Malformed("missing fields or fields of the wrong type");
-  if (O.contains("born") && !isInteger(O["born"]))
-    return Malformed("a start time that is not an integer");
+  if (!O["version"].isString() || !isInteger(O["slots"]) ||
+      !isWithin(O["slots"], 1, MaxSlots) ||
+      !isWithin(O["sequence"], 0, MaxExactInteger) ||
+      !isWithin(O["cold-ms"], 0, MaxExactInteger))
+    return Malformed("missing fields, or fields of the wrong type or range");
+  if (O.contains("born") &&
+      (!isInteger(O["born"]) || !isWithin(O["born"], 0, MaxExactInteger)))
+    return Malformed("a start time that is not a valid integer");
   RegisteredServer Server;
   Server.Id = ServerId(Row.Key);
   Server.Service = ServiceName(stringValue(O["service"]));
--- a/src/root/Main.cpp
+++ b/src/root/Main.cpp
@@ -6,6 +6,7 @@
 #include "root/Daemon.h"
 #include "root/LineDaemon.h"
 #include "root/Settings.h"
+#include "root/relay/RelayCodec.h"
 #include "root/telemetry/Log.h"
 
 #include <QCoreApplication>
@@ -80,6 +81,7 @@
   QCoreApplication Application(Count, Arguments);
   const Settings &Values = valueOf(Parsed).Values;
   startLog(Values.MaxLogLevel, Values.VmId.str());
+  silenceProtobufLog();
   log(LogLevel::Info, LogEvent::Starting,
       {{"front_end", nameOf(Values.Front)},
        {"data_centre", Values.Location.str()},
--- a/src/root/directory/testing/PlatformDirectoryTest.cpp
+++ b/src/root/directory/testing/PlatformDirectoryTest.cpp
@@ -122,6 +122,55 @@
   }
 }
 
+// Guards against one odd row of another writer that ends the process, hides the
+// other rows or stops the following of the table.
+TEST_CASE("a malformed row names no server and affects no other row") {
+  const std::string Good = server("ready");
+  const auto With = [&Good](const std::string &From, const std::string &To) {
+    std::string Changed = Good;
+    const std::size_t At = Changed.find(From);
+    REQUIRE(At != std::string::npos);
+    return Changed.replace(At, From.size(), To);
+  };
+  struct Row {
+    const char *Name;
+    std::string Key;
+    std::string Value;
+  };
+  const Row Rows[] = {
+      {"very deeply nested", "odd", std::string(40000, '[')},
+      {"a deeply nested field", "odd",
+       With("{", "{\"new\":" + std::string(20000, '{') + ",")},
+      {"a port out of range", "odd", With(":7", ":70007")},
+      {"a number too large", "odd", With("\"slots\":5", "\"slots\":1e999")},
+      {"a start time too large", "odd", With("{", "{\"born\":1e200,")},
+      {"bytes that are no text", "odd", "\xff\xfe\x01"},
+      {"a key of 200 bytes", std::string(200, 'k'), "null"},
+      {"a known server becomes unreadable", "i-2", "\x01"},
+  };
+  Fixture F;
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    F.Store.setExternalRow("servers", "i-2", server("ready"));
+    F.waitUntil([&F] { return F.Directory->servers().size() == 2; });
+    F.Store.setExternalRow("servers", R.Key, R.Value);
+    F.Store.setExternalRow("servers", "i-3", server("ready"));
+    F.waitUntil(
+        [&F] { return F.Directory->servers().count(ServerId("i-3")) == 1; });
+    CHECK(F.Directory->servers().count(ServerId(R.Key)) == 0);
+    CHECK(F.Directory->servers().count(ServerId("i-1")) == 1);
+    // A whole read has the row among the others.
+    F.Store.discardHistory();
+    F.Store.setExternalRow("servers", "i-3", server("draining"));
+    F.waitUntil(
+        [&F] { return F.Directory->servers().at(ServerId("i-3")).Draining; });
+    CHECK(F.Directory->servers().count(ServerId(R.Key)) == 0);
+    F.Store.removeExternalRow("servers", "i-3");
+    F.waitUntil(
+        [&F] { return F.Directory->servers().count(ServerId("i-3")) == 0; });
+  }
+}
+
 // Guards against new work for servers that are no longer registered, and
 // against removing servers that lost their registration in a store outage.
 TEST_CASE("servers are added, kept for a while and removed") {
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -189,6 +189,50 @@
   CHECK(F.Orders.Orders.empty());
 }
 
+// Guards against two entry VMs that both replace a primary, also while a claim
+// passes from one to the other: the platform would get two orders.
+TEST_CASE("several entry VMs give one order") {
+  struct Row {
+    const char *Name;
+    PromotionOutcome Answer;
+    bool TakesEffect;
+  };
+  const Row Rows[] = {
+      {"the order is accepted", PromotionOutcome::Accepted, true},
+      {"the answer is lost", PromotionOutcome::Unknown, true},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    F.Orders.Answer = R.Answer;
+    F.Orders.TakesEffect = R.TakesEffect;
+    std::vector<std::shared_ptr<class Group>> Groups;
+    std::vector<std::unique_ptr<GroupMonitor>> Monitors;
+    for (int I = 0; I < 4; ++I) {
+      Groups.push_back(std::make_shared<class Group>(ServiceName("ledger"),
+                                                     F.Group, F.Where));
+      Groups.back()->configure(F.Servers->limits(), F.Group.registrations());
+      Groups.back()->start();
+      Monitors.push_back(std::make_unique<GroupMonitor>(
+          Groups.back(),
+          MonitorDependencies{EntryVmId("vm" + std::to_string(I)), F.Store,
+                              F.Orders, F.Counters, F.Rng}));
+      Monitors.back()->start();
+    }
+    F.Group["a"].Reachable = false;
+    F.Servers->observeFailure(ServerId("a"), "test");
+    for (const auto &Of : Groups)
+      Of->observeFailure(ServerId("a"), "test");
+    F.pass(std::chrono::seconds(3));
+    runTask([]() -> QCoro::Task<> { co_await sleepFor(milliseconds(1500)); }());
+    CHECK(F.Orders.Orders.size() == 1);
+    for (std::size_t I = 0; I < Monitors.size(); ++I) {
+      runTask(Monitors[I]->stop());
+      runTask(Groups[I]->stop());
+    }
+  }
+}
+
 // Guards against fence tokens that do not increase from one claim to the next.
 TEST_CASE("each claim has a higher fence") {
   Fixture F;
--- a/src/root/relay/RelayCodec.cpp
+++ b/src/root/relay/RelayCodec.cpp
@@ -2,6 +2,8 @@
 
 #include "wire/ByteStream.h"
 
+#include <google/protobuf/stubs/logging.h>
+
 #include <QByteArray>
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -52,6 +54,8 @@
 
 } // namespace
 
+void silenceProtobufLog() { google::protobuf::SetLogHandler(nullptr); }
+
 Result<relay::Request> decodeRelayRequest(std::string_view Bytes) {
   relay::Request Message;
   const bool Parsed =
--- a/src/root/relay/RelayCodec.h
+++ b/src/root/relay/RelayCodec.h
@@ -26,6 +26,11 @@
 /// and small entry VMs have links of 10 Mbit/s.
 inline constexpr std::size_t CompressionThreshold = 2048;
 
+/// Stops the protobuf library from writing a line to standard error for each
+/// malformed message. Whoever can connect could otherwise fill the log. Called
+/// once at the start.
+void silenceProtobufLog();
+
 /// Decodes a request; returns an error if it is malformed or incomplete.
 Result<relay::Request> decodeRelayRequest(std::string_view Bytes);
 /// Decodes a reply; returns an error if it is malformed or has no body.
--- a/src/root/relay/RelayedFeed.cpp
+++ b/src/root/relay/RelayedFeed.cpp
@@ -75,8 +75,10 @@
     while (!S.Cache.isKnown() && this->Source == FeedSource::Relay &&
            steadyNow() < End)
       co_await this->Changed.wait(End);
-    if (S.Cache.isKnown())
+    if (S.Cache.isKnown()) {
+      S.WasRead = true;
       co_return S.Cache.all();
+    }
     const Result<WatchedRows> NoAnswer =
         Error{"the relay has not sent the table"};
     co_return NoAnswer;
@@ -85,8 +87,16 @@
   Result<WatchedRows> R =
       co_await this->Store.readTable(Table, steadyNow() + Limit);
   this->recordStoreResult(succeeded(R));
-  if (!succeeded(R))
-    co_return R;
+  if (!succeeded(R)) {
+    // Outdated rows are better than none, but only at the start: later the
+    // reader has its own, and needs to know that the store does not answer.
+    const bool IsStart = !S.WasRead && S.Cache.isKnown();
+    if (!IsStart)
+      co_return R;
+    S.WasRead = true;
+    co_return S.Cache.all();
+  }
+  S.WasRead = true;
   S.Cache.apply(valueOf(R), true);
   S.ContactAt = std::max(S.ContactAt, SentAt);
   this->Changed.notifyAll();
--- a/src/root/relay/RelayedFeed.h
+++ b/src/root/relay/RelayedFeed.h
@@ -5,7 +5,8 @@
 // others when it is the relay. A version never decreases, whichever source the
 // rows come from. While a relay answers but has lost contact with the store,
 // this entry VM tries the store itself, at intervals that grow while the store
-// does not answer either.
+// does not answer either. An entry VM that starts in such a data centre begins
+// with the rows that the relay has, so that it serves what it can.
 #ifndef AMARANTHSPUR_ROOT_RELAY_RELAYEDFEED_H
 #define AMARANTHSPUR_ROOT_RELAY_RELAYEDFEED_H
 
@@ -73,6 +74,7 @@
   struct TableState {
     RowCache Cache;
     TimePoint ContactAt{}; ///< Boot clock.
+    bool WasRead = false;  ///< A read of the table has returned rows.
   };
 
   TableState &state(WatchedTable Table);
--- a/src/root/relay/testing/RelayTest.cpp
+++ b/src/root/relay/testing/RelayTest.cpp
@@ -221,6 +221,27 @@
   });
 }
 
+// Guards against an entry VM that starts in a data centre which is cut off from
+// the store and serves nothing, although the relay there has the rows.
+TEST_CASE("an entry VM that starts without the store uses the relay's rows") {
+  Fixture F;
+  F.waitUntil([&F] { return F.allFollow() && F.allHave("i-1", "one"); });
+  fakeplatform::Faults Down;
+  Down.Outage = true;
+  const RelayRow Row = F.relay()->Node.row();
+  // The new entry VM has read the relay's row before the outage.
+  F.Vms["d"] = std::make_unique<EntryVm>("d", F.Port);
+  F.waitUntil([&F, &Row] { return F.Vms["d"]->Node.row() == Row; });
+  F.Store.setFaults(Down, std::nullopt);
+  for (const WatchedTable Table :
+       {WatchedTable::Operator, WatchedTable::Servers})
+    F.follow(F.Vms["d"]->Feed, Table);
+  F.waitUntil([&F] { return F.allHave("i-1", "one"); });
+  F.Store.setFaults({}, std::nullopt);
+  F.Store.setExternalRow("servers", "i-5", "six");
+  F.waitUntil([&F] { return F.allHave("i-5", "six"); });
+}
+
 // Guards against a request without the token of the relay's row that is
 // answered, and against a malformed one that disturbs other entry VMs.
 TEST_CASE("a relay answers only entry VMs that know its token") {
--- a/src/root/sessions/testing/StatementRunnerTest.cpp
+++ b/src/root/sessions/testing/StatementRunnerTest.cpp
@@ -325,6 +325,61 @@
   }
 }
 
+// Guards against running work that is given up or run again because the server
+// was only silent: its registration expires while the store is slow, or another
+// connection to it fails.
+TEST_CASE("a running statement survives the silence of its server") {
+  struct Row {
+    const char *Name;
+    std::function<void(Fixture &)> Silence;
+  };
+  const Row Rows[] = {
+      {"the registration is gone",
+       [](Fixture &F) {
+         std::vector<RegisteredServer> Rest = F.Group.registrations();
+         std::erase_if(Rest, [](const RegisteredServer &S) {
+           return S.Id == ServerId("a");
+         });
+         F.Servers->configure(F.Servers->limits(), Rest);
+       }},
+      {"a connection fails",
+       [](Fixture &F) {
+         F.Servers->observeFailure(ServerId("a"), "no answer");
+       }},
+      {"another primary is named",
+       [](Fixture &F) {
+         GroupEvidence Known;
+         Known.Primary = ServerId("b");
+         Known.TermNumber = 2;
+         F.Servers->applyEvidence(Known);
+       }},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    F.Group["a"].RunDelay = milliseconds(120);
+    const Answer A =
+        runTask([](Fixture &F, const Row &R) -> QCoro::Task<Answer> {
+          StatementContext E = F.context(ReadConsistency::Primary);
+          Answer Given;
+          TaskGroup Running;
+          const auto Run = [](StatementContext &E, Answer &Into,
+                              TaskGroup &Tasks) -> QCoro::Task<> {
+            const TaskGroup::Guard Guard(Tasks);
+            Into = co_await runWrite(statement("WRITE item data"), E);
+          };
+          Run(E, Given, Running);
+          co_await sleepFor(milliseconds(40));
+          R.Silence(F);
+          co_await Running.waitUntilEmpty();
+          co_return Given;
+        }(F, R));
+    CHECK(A.succeeded());
+    CHECK(F.ran("a") == 1);
+    CHECK(F.ran("b") + F.ran("c") == 0);
+  }
+}
+
 // Guards against statements that are sent for a caller that has disconnected.
 TEST_CASE("nothing is sent for a disconnected caller") {
   Fixture F;
--- a/src/testing/line-group/LineGroup.cpp
+++ b/src/testing/line-group/LineGroup.cpp
@@ -17,6 +17,8 @@
   QCoro::Task<Result<Answer>> run(Statement S, std::optional<LogPosition> Floor,
                                   std::string PreparedName,
                                   TimePoint Deadline) override {
+    if (this->To.RunDelay > Duration::zero())
+      co_await sleepFor(this->To.RunDelay);
     co_return this->execute(S, Floor, PreparedName, Deadline);
   }
   QCoro::Task<Result<Answer>> rollback(TimePoint) override {
--- a/src/testing/line-group/LineGroup.h
+++ b/src/testing/line-group/LineGroup.h
@@ -42,6 +42,7 @@
   bool LosesAdoptedTerm = false; ///< Loses the adopted term after each PAUSE,
                                  ///< as a server that restarts does.
   Duration SetDelay{};           ///< Delay before a SET is acknowledged.
+  Duration RunDelay{};           ///< Time that a read or a write takes.
   LinkFault Fault = LinkFault::None;
   std::vector<std::string>
       ExecutedStatements; ///< Texts of the statements that were run.
