--- a/src/policy/ConnectionShare.cpp
+++ b/src/policy/ConnectionShare.cpp
@@ -21,8 +21,8 @@
   this->applyEqualPart();
 }
 
-bool ConnectionShare::isOversubscribed() const {
-  return this->Sharers >= this->Maximum;
+bool ConnectionShare::isOversubscribed(TimePoint Now) const {
+  return this->Sharers >= this->Maximum && !within(this->KeptAt, KeepTime, Now);
 }
 
 void ConnectionShare::applyEqualPart() {
@@ -65,7 +65,7 @@
   // An entry VM that opens no new connections is never refused one, so only the
   // count shows that the server is crowded.
   const bool Counted = within(this->CountedAt, CountMaxAge, Now);
-  return this->isOversubscribed() ||
+  return this->isOversubscribed(Now) ||
          within(this->RefusedAt, this->ScarcePeriod, Now) ||
          (Counted && this->isCrowded());
 }
--- a/src/policy/ConnectionShare.h
+++ b/src/policy/ConnectionShare.h
@@ -59,6 +59,8 @@
   /// Shortest time between two decreases because of a crowded server. The count
   /// of a primary is received about as often.
   static constexpr Duration DecreaseInterval = milliseconds(500);
+  /// See keepIdle().
+  static constexpr Duration KeepTime = std::chrono::seconds(2);
   /// A decrease multiplies the share by this factor.
   static constexpr double DecreaseFactor = 0.75;
 
@@ -68,6 +70,11 @@
   /// Sets the number of entry VMs that share the limit; 0 if it is not known.
   void setSharers(std::size_t Count);
 
+  /// Records that this entry VM runs the statements of others, so that it keeps
+  /// idle connections for KeepTime even if there are more entry VMs than
+  /// connections.
+  void keepIdle(TimePoint Now) { this->KeptAt = Now; }
+
   /// Returns whether another connection may be opened in addition to the
   /// \p Open existing ones. Raises the share if that is needed and allowed.
   bool mayOpen(std::size_t Open, TimePoint Now);
@@ -101,7 +108,7 @@
   bool isCrowded() const;
   /// Returns whether there are at least as many entry VMs as connections, so
   /// that not every entry VM can keep one.
-  bool isOversubscribed() const;
+  bool isOversubscribed(TimePoint Now) const;
   /// Lowers the share to an equal part of the limit, once, if it was not
   /// adapted yet.
   void applyEqualPart();
@@ -116,6 +123,7 @@
   std::size_t Count = 0;
   std::optional<TimePoint> CountedAt;
   std::optional<TimePoint> DecreasedAt;
+  std::optional<TimePoint> KeptAt;
 };
 
 } // namespace amaranthspur
--- a/src/root/LineDaemon.cpp
+++ b/src/root/LineDaemon.cpp
@@ -43,7 +43,9 @@
              {this->Values.VmId, this->PlatformClient, this->Promoter,
               this->Counters, this->RandomSource},
              &this->DataCentreRelay),
-      Dependencies{this->Directory, this->Groups, this->Counters},
+      Reads(this->Groups),
+      Dependencies{this->Directory, this->Groups, this->Counters,
+                   &this->DataCentreRelay.forwarding()},
       Sessions(this->Dependencies, this->StreamFactory, this->Values.Callers,
                this->Values.MaxCallers, this->Values.DrainNotice),
       Admin({this->Values.Admin, this->Values.Readiness}, this->Counters),
@@ -54,6 +56,7 @@
       }) {
   this->Directory.Changed = [this] { this->Groups.refresh(); };
   this->DataCentreRelay.setBoard(this->Groups);
+  this->DataCentreRelay.setReadRunner(this->Reads);
   this->addStatus();
   for (Child *C : std::initializer_list<Child *>{
            &this->Admin, &this->DataCentreRelay, &this->Directory,
--- a/src/root/LineDaemon.h
+++ b/src/root/LineDaemon.h
@@ -17,6 +17,7 @@
 #include "root/directory/PlatformDirectory.h"
 #include "root/groups/GroupRegistry.h"
 #include "root/relay/Relay.h"
+#include "root/sessions/LocalReads.h"
 #include "root/sessions/SessionListener.h"
 #include "root/telemetry/AdminServer.h"
 
@@ -73,6 +74,7 @@
   Relay DataCentreRelay;
   PlatformDirectory Directory;
   GroupRegistry Groups;
+  LocalReads Reads;
   SessionDependencies Dependencies;
   SessionListener Sessions;
   AdminServer Admin;
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -106,6 +106,11 @@
     this->refreshEvidence();
 }
 
+void Group::keepConnections() {
+  for (const auto &[Id, Pool] : this->Pools)
+    Pool->share().keepIdle(steadyNow());
+}
+
 void Group::requestFloors() {
   const bool WasUnused = !this->wantsFloors();
   this->LastFloorRequest = steadyNow();
--- a/src/root/groups/Group.h
+++ b/src/root/groups/Group.h
@@ -10,6 +10,7 @@
 #define AMARANTHSPUR_ROOT_GROUPS_GROUP_H
 
 #include "core/Async.h"
+#include "policy/ForwarderChoice.h"
 #include "policy/Freshness.h"
 #include "policy/GroupBeliefs.h"
 #include "root/groups/ServerPool.h"
@@ -157,6 +158,14 @@
   /// Adds \p By, which may be negative, to the open sessions that read with a
   /// floor.
   void addReaders(int By);
+  /// Returns whether the entry VMs have less than one connection each to a
+  /// server of the group.
+  bool isOversubscribed() const {
+    return isForwardingUseful(this->EntryVms, this->Limits.MaxConnections);
+  }
+  /// Keeps idle connections for some time although there are more entry VMs
+  /// than connections, because this one runs the reads of others.
+  void keepConnections();
   /// Keeps the primary sampled for SamplingIdleLimit.
   void requestFloors();
   /// Returns whether a relay observes the group for this entry VM.
--- /dev/null
+++ b/src/root/relay/ReadForwarder.h
@@ -0,0 +1,63 @@
+// Forwards reads to the forwarders of the data centre.
+#ifndef AMARANTHSPUR_ROOT_RELAY_READFORWARDER_H
+#define AMARANTHSPUR_ROOT_RELAY_READFORWARDER_H
+
+#include "policy/ForwarderChoice.h"
+#include "root/relay/RelayLink.h"
+#include "root/sessions/ForwardedRead.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace amaranthspur {
+
+/// The links of one entry VM to the forwarders of its data centre.
+///
+/// A read is sent to one forwarder once. If that does not answer, or refuses,
+/// it is avoided for a while and the read is run here.
+class ReadForwarder final : public ReadForwarding {
+public:
+  /// A forwarder is given up for a read after this time without a reply to any
+  /// request. A read takes 47 ms on average, and 250 ms in a full queue.
+  static constexpr Duration Patience = milliseconds(400);
+  /// Time for which a forwarder is avoided that gave no answer, or refused.
+  static constexpr Duration AvoidTime = std::chrono::seconds(2);
+  /// Forwarders that are considered for a service, in the order of preference.
+  static constexpr std::size_t MaxCandidates = 2;
+
+  /// \param Self name of this entry VM.
+  explicit ReadForwarder(EntryVmId Self) : Self(std::move(Self)) {}
+
+  /// Sets the forwarders of the data centre. Links to others are closed.
+  /// \param Context of the ZeroMQ sockets; must outlive the links.
+  /// \param Token shared by the entry VMs of the data centre.
+  void setForwarders(zmq::context_t &Context,
+                     std::vector<ForwarderVm> Forwarders,
+                     const std::string &Token);
+  /// Closes all links; reads are run here from now on.
+  void close();
+
+  bool isForwarded(const ServiceName &Service) const override;
+  QCoro::Task<std::optional<ForwardedAnswer>>
+  forward(ForwardedRead Read) override;
+
+private:
+  struct Target {
+    ForwarderVm Who;
+    std::shared_ptr<RelayLink> Link;
+    TimePoint AvoidedUntil{};
+  };
+
+  /// Returns the forwarder of \p Service, or null if its reads are run here.
+  const Target *targetOf(const ServiceName &Service) const;
+
+  EntryVmId Self;
+  std::string Token;
+  std::vector<ForwarderVm> Forwarders;
+  std::map<EntryVmId, Target> Targets; ///< Without this entry VM.
+};
+
+} // namespace amaranthspur
+
+#endif // AMARANTHSPUR_ROOT_RELAY_READFORWARDER_H
--- a/src/root/relay/Relay.cpp
+++ b/src/root/relay/Relay.cpp
@@ -1,8 +1,10 @@
 #include "root/relay/Relay.h"
 
 #include "core/BootClock.h"
+#include "root/relay/ReadCodec.h"
 #include "root/relay/RelayCodec.h"
 #include "root/telemetry/Log.h"
+#include "wire/ByteStream.h"
 
 #include <algorithm>
 
@@ -44,7 +46,8 @@
              Random &Rng, Metrics &Counters)
     : Options(std::move(Given)), Store(Store), Feed(Feed), Rng(Rng),
       Counters(Counters), Election(this->Options.Self, this->Options.CpuShare,
-                                   this->Options.MaxContactAge) {}
+                                   this->Options.MaxContactAge),
+      OwnReads(this->Options.Self) {}
 
 Relay::~Relay() = default;
 
@@ -56,6 +59,7 @@
     this->Feed.setSource(FeedSource::Store, false);
   } else {
     this->Context = std::make_unique<zmq::context_t>(IoThreads);
+    this->listen();
     this->run();
   }
   const Result<Success> Started = Success();
@@ -67,6 +71,7 @@
   this->Feed.setSource(FeedSource::Store, false);
   this->Listener.close();
   this->Listening = false;
+  this->OwnReads.close();
   if (this->Link)
     this->Link->close();
   this->Wake.wake();
@@ -176,17 +181,20 @@
          {"row_version", Row.Version}});
 }
 
+void Relay::listen() {
+  const Result<Success> Opened = this->Listener.listen(
+      *this->Context, this->Options.ListenAddress,
+      [this](const RelayListener::Peer &From, const relay::Request &Asked) {
+        this->onRequest(From, Asked);
+      });
+  this->Listening = succeeded(Opened);
+  if (!this->Listening)
+    log(LogLevel::Error, LogEvent::RelayRejected, {{"why", errorOf(Opened)}});
+}
+
 void Relay::applyRole() {
-  if (this->isRelay() && !this->Listening) {
-    const Result<Success> Opened = this->Listener.listen(
-        *this->Context, this->Options.ListenAddress,
-        [this](const RelayListener::Peer &From, const relay::Request &Asked) {
-          this->onRequest(From, Asked);
-        });
-    this->Listening = succeeded(Opened);
-    if (!this->Listening)
-      log(LogLevel::Error, LogEvent::RelayRejected, {{"why", errorOf(Opened)}});
-  }
+  if (this->isRelay() && !this->Listening)
+    this->listen();
   if (this->isRelay())
     this->ServedRow = this->row();
   const bool Follows =
@@ -235,6 +243,10 @@
     Held->set_known(this->Feed.cache(Table).isKnown());
     Held->set_version(this->Feed.cache(Table).version());
   }
+  if (this->Listening && !this->Leaving)
+    Sync->set_address(this->Options.ListenAddress);
+  Sync->set_cpu_percent(
+      static_cast<std::uint32_t>(this->Options.CpuShare * 100));
   if (!this->Board)
     return Message;
   for (const ServiceName &Service : this->Board->wantedServices())
@@ -299,6 +311,12 @@
   else
     this->Election.observeAnswer(OldestContact, Reply.leaving(), steadyNow(),
                                  this->Rng);
+  std::vector<ForwarderVm> Known;
+  for (const relay::Forwarder &F : Reply.forwarders())
+    if (succeeded(parseAddress(F.address())))
+      Known.push_back({EntryVmId(F.vm()), F.address(), 0});
+  this->OwnReads.setForwarders(*this->Context, std::move(Known),
+                               this->row().Token);
   if (!this->Board)
     return;
   for (const relay::Evidence &Message : Reply.evidence()) {
@@ -337,8 +355,9 @@
 
 void Relay::updateFollowers() {
   std::erase_if(this->Followers, [](const auto &Entry) {
-    return steadyNow() - Entry.second > FollowerTimeout;
+    return steadyNow() - Entry.second.LastRequest > FollowerTimeout;
   });
+  this->updateForwarders();
   this->Counters.set(Gauge::RelayFollowers,
                      static_cast<double>(this->Followers.size()));
   if (this->Board)
@@ -346,11 +365,30 @@
                              this->Options.DataCentres);
 }
 
+void Relay::updateForwarders() {
+  std::vector<ForwarderVm> Candidates;
+  for (const auto &[Name, F] : this->Followers)
+    if (!F.Self.Address.empty() &&
+        steadyNow() - F.LastRequest <= ForwarderTimeout)
+      Candidates.push_back(F.Self);
+  this->Forwarders = chooseForwarders(std::move(Candidates));
+  this->OwnReads.setForwarders(*this->Context, this->Forwarders,
+                               this->row().Token);
+}
+
 void Relay::onRequest(const RelayListener::Peer &From,
                       const relay::Request &Asked) {
   relay::Reply Answer;
   Answer.set_correlation(Asked.correlation());
-  if (!this->isRelay() || Asked.token() != this->row().Token) {
+  const bool KnowsToken = Asked.token() == this->row().Token;
+  if (KnowsToken && Asked.has_read() && this->Reads && !this->Leaving) {
+    Result<ForwardedRead> Read = forwardedReadOf(Asked.read());
+    if (succeeded(Read) && this->Tasks.size() < MaxServed) {
+      this->serveRead(From, Asked.correlation(), valueOf(std::move(Read)));
+      return;
+    }
+  }
+  if (!this->isRelay() || !KnowsToken || Asked.has_read()) {
     *Answer.mutable_not_relay() = this->makeRejection(Asked.token());
     this->Listener.reply(From, Answer);
     return;
@@ -359,8 +397,16 @@
     this->observeReplacement(Asked.replacement());
     return;
   }
-  if (this->Followers.size() < MaxFollowers)
-    this->Followers[Asked.sender()] = steadyNow();
+  if (this->Followers.size() < MaxFollowers) {
+    FollowerState &F = this->Followers[Asked.sender()];
+    F.LastRequest = steadyNow();
+    if (Asked.has_sync()) {
+      const bool IsValid = succeeded(parseAddress(Asked.sync().address()));
+      F.Self = {EntryVmId(Asked.sender()),
+                IsValid ? Asked.sync().address() : std::string(),
+                Asked.sync().cpu_percent()};
+    }
+  }
   if (Asked.has_proof()) {
     this->serveProof(From, Asked.correlation(), Asked.proof());
     return;
@@ -409,6 +455,11 @@
   relay::SyncReply Reply;
   Reply.set_entry_vms(static_cast<std::uint32_t>(this->Followers.size() + 1));
   Reply.set_leaving(this->Leaving);
+  for (const ForwarderVm &F : this->Forwarders) {
+    relay::Forwarder *Named = Reply.add_forwarders();
+    Named->set_vm(F.Vm.str());
+    Named->set_address(F.Address);
+  }
   for (const WatchedTable Table : Tables)
     this->addChanges(Reply, Table, positionOf(Asked, Table), ReceivedAt);
   if (!this->Board)
@@ -465,7 +516,7 @@
 QCoro::Task<> Relay::serveProof(RelayListener::Peer From,
                                 std::uint64_t Correlation,
                                 relay::ProofRequest Asked) {
-  if (this->Tasks.size() > MaxProofs || !this->Board)
+  if (this->Tasks.size() > MaxServed || !this->Board)
     co_return;
   const TaskGroup::Guard Guard(this->Tasks);
   const Duration Limit = std::clamp(Duration(Asked.timeout_us()),
@@ -478,4 +529,18 @@
   this->Listener.reply(From, Answer);
 }
 
+QCoro::Task<> Relay::serveRead(RelayListener::Peer From,
+                               std::uint64_t Correlation, ForwardedRead Asked) {
+  const TaskGroup::Guard Guard(this->Tasks);
+  const std::optional<ForwardedAnswer> Given =
+      co_await this->Reads->run(std::move(Asked));
+  relay::Reply Answer;
+  Answer.set_correlation(Correlation);
+  if (Given)
+    *Answer.mutable_read() = toMessage(*Given);
+  else
+    Answer.mutable_not_relay();
+  this->Listener.reply(From, Answer);
+}
+
 } // namespace amaranthspur
--- a/src/root/relay/Relay.h
+++ b/src/root/relay/Relay.h
@@ -17,6 +17,7 @@
 #include "policy/RelayElection.h"
 #include "root/Supervisor.h"
 #include "root/relay/EvidenceBoard.h"
+#include "root/relay/ReadForwarder.h"
 #include "root/relay/RelayLink.h"
 #include "root/relay/RelayListener.h"
 #include "root/relay/RelayedFeed.h"
@@ -54,9 +55,12 @@
   static constexpr Duration FollowerTimeout = std::chrono::seconds(3);
   /// Interval at which a relay updates the number of followers.
   static constexpr Duration RelayInterval = std::chrono::seconds(1);
-  /// Most services in one request, and most proofs served at once.
+  /// Most services in one request, and most proofs and reads served at once.
   static constexpr int MaxServices = 512;
-  static constexpr std::size_t MaxProofs = 1000;
+  static constexpr std::size_t MaxServed = 1000;
+  /// A follower that has not asked for this long is not a forwarder. It asks
+  /// every SyncInterval.
+  static constexpr Duration ForwarderTimeout = milliseconds(1200);
   /// Most followers that are counted. More are served, but not counted.
   static constexpr std::size_t MaxFollowers = 10000;
 
@@ -68,6 +72,11 @@
   /// Sets the groups whose evidence is exchanged.
   /// \pre start() has not been called.
   void setBoard(EvidenceBoard &Groups) { this->Board = &Groups; }
+  /// Sets what runs the reads that other entry VMs forward to this one.
+  /// \pre start() has not been called.
+  void setReadRunner(ForwardedReadRunner &Reads) { this->Reads = &Reads; }
+  /// Returns the forwarding of this entry VM's own reads.
+  ReadForwarding &forwarding() { return this->OwnReads; }
 
   std::string_view name() const override { return "relay"; }
   QCoro::Task<Result<Success>> start() override;
@@ -109,6 +118,9 @@
   relay::Request makeSyncRequest() const;
   void updateSource();
   void updateFollowers();
+  /// Chooses the forwarders among the followers.
+  void updateForwarders();
+  void listen();
 
   void onRequest(const RelayListener::Peer &From, const relay::Request &Asked);
   /// Returns whether \p Message names another relay in a later row than the
@@ -122,6 +134,15 @@
   QCoro::Task<> serveProof(RelayListener::Peer From, std::uint64_t Correlation,
                            relay::ProofRequest Asked);
 
+  /// An entry VM that has asked this relay.
+  struct FollowerState {
+    TimePoint LastRequest;
+    ForwarderVm Self; ///< Without an address if it cannot be a forwarder.
+  };
+
+  QCoro::Task<> serveRead(RelayListener::Peer From, std::uint64_t Correlation,
+                          ForwardedRead Asked);
+
   RelayOptions Options;
   Platform &Store;
   RelayedFeed &Feed;
@@ -135,7 +156,10 @@
   std::shared_ptr<RelayLink> Link;
   RelayRow LinkedRow; ///< The row that Link was opened for.
   RelayRow ServedRow; ///< The last row that named this entry VM.
-  std::map<std::string, TimePoint> Followers; ///< Time of the last request.
+  std::map<std::string, FollowerState> Followers; ///< By name.
+  std::vector<ForwarderVm> Forwarders; ///< Of the data centre, as the relay.
+  ReadForwarder OwnReads;
+  ForwardedReadRunner *Reads = nullptr;
   /// Encoded rows with long values, by table and key: one compression serves
   /// all followers.
   std::map<std::pair<WatchedTable, std::string>, relay::Row> EncodedRows;
--- a/src/root/relay/RelayLink.cpp
+++ b/src/root/relay/RelayLink.cpp
@@ -48,28 +48,50 @@
 QCoro::Task<std::optional<relay::Reply>>
 RelayLink::request(relay::Request Message, TimePoint Deadline) {
   PendingRequest Self;
-  const std::uint64_t Correlation = ++this->LastCorrelation;
-  Message.set_correlation(Correlation);
-  const bool Sent =
-      this->Endpoint && this->Endpoint->send({Message.SerializeAsString()});
+  const bool Sent = this->send(Message, Self);
   if (!Sent) {
     // The caller waits as for any other unanswered request, so that it does not
     // try again in a tight loop.
     co_await sleepFor(std::max(Deadline - steadyNow(), Duration::zero()));
     co_return std::nullopt;
   }
-  this->Pending.emplace(Correlation, &Self);
   co_await Self.Answered.wait(Deadline);
-  this->Pending.erase(Correlation);
+  this->Pending.erase(Message.correlation());
   co_return std::move(Self.Reply);
 }
 
+QCoro::Task<std::optional<relay::Reply>>
+RelayLink::requestPatiently(relay::Request Message, TimePoint Deadline,
+                            Duration Patience) {
+  PendingRequest Self;
+  const TimePoint SentAt = steadyNow();
+  const bool Sent = this->send(Message, Self);
+  if (!Sent)
+    co_return std::nullopt;
+  const auto PatienceEnd = [this, SentAt, Deadline, Patience] {
+    return std::min(Deadline, std::max(SentAt, this->LastReplyAt) + Patience);
+  };
+  while (!Self.Reply && this->Endpoint && steadyNow() < PatienceEnd())
+    co_await Self.Answered.wait(PatienceEnd());
+  this->Pending.erase(Message.correlation());
+  co_return std::move(Self.Reply);
+}
+
+bool RelayLink::send(relay::Request &Message, PendingRequest &Self) {
+  Message.set_correlation(++this->LastCorrelation);
+  if (!this->Endpoint || !this->Endpoint->send({Message.SerializeAsString()}))
+    return false;
+  this->Pending.emplace(Message.correlation(), &Self);
+  return true;
+}
+
 void RelayLink::onMessage(const ZmqEndpoint::Parts &Message) {
   if (Message.size() != 1)
     return;
   Result<relay::Reply> Decoded = decodeRelayReply(Message.front());
   if (!succeeded(Decoded))
     return;
+  this->LastReplyAt = steadyNow();
   const auto Found = this->Pending.find(valueOf(Decoded).correlation());
   if (Found == this->Pending.end())
     return;
--- a/src/root/relay/RelayLink.h
+++ b/src/root/relay/RelayLink.h
@@ -27,6 +27,12 @@
   QCoro::Task<std::optional<relay::Reply>> request(relay::Request Message,
                                                    TimePoint Deadline);
 
+  /// Does the same, but gives up at once if the message cannot be sent, and
+  /// after \p Patience without a reply to any request of the link.
+  QCoro::Task<std::optional<relay::Reply>>
+  requestPatiently(relay::Request Message, TimePoint Deadline,
+                   Duration Patience);
+
   /// Ends all requests without a reply and refuses further ones.
   void close();
 
@@ -39,11 +45,14 @@
     std::optional<relay::Reply> Reply;
   };
 
+  /// Sends \p Message for \p Self; returns whether it was queued.
+  bool send(relay::Request &Message, PendingRequest &Self);
   void onMessage(const ZmqEndpoint::Parts &Message);
 
   std::unique_ptr<ZmqEndpoint> Endpoint;
   std::map<std::uint64_t, PendingRequest *> Pending; ///< By correlation.
   std::uint64_t LastCorrelation = 0;
+  TimePoint LastReplyAt{};
 };
 
 } // namespace amaranthspur
--- a/src/root/relay/testing/RelayCodecTest.cpp
+++ b/src/root/relay/testing/RelayCodecTest.cpp
@@ -1,6 +1,7 @@
 #include "root/relay/RelayCodec.h"
 
 #include "core/Random.h"
+#include "root/relay/ReadCodec.h"
 
 #include <catch2/catch.hpp>
 
@@ -146,6 +147,89 @@
   }
 }
 
+// Guards against a forwarded read that holds a second statement or is not a
+// read: a forwarder would run what no caller has sent.
+TEST_CASE("only one read is forwarded at a time") {
+  ForwardedRead Valid;
+  Valid.Service = ServiceName("s");
+  Valid.Read.Id = "q1";
+  Valid.Read.Kind = StatementVerb::Execute;
+  Valid.Read.Name = "s1";
+  Valid.Read.Body = "item";
+  Valid.Read.Text = "EXECUTE s1 item";
+  Valid.Prepared = PreparedStatement{Access::Read, "q2c"};
+  Valid.Values = {{"unit", "kg \xff"}};
+  Valid.Floor = {2, 7};
+  Valid.Urgency = 3;
+  Valid.Remaining = milliseconds(900);
+  struct Row {
+    const char *Name;
+    std::function<void(relay::ReadRequest &)> Change;
+    bool Valid;
+  };
+  using Message = relay::ReadRequest;
+  const Row Rows[] = {
+      {"valid", [](Message &) {}, true},
+      {"a write",
+       [](Message &M) {
+         M.set_kind(static_cast<unsigned>(StatementVerb::Write));
+       },
+       false},
+      {"a commit",
+       [](Message &M) {
+         M.set_kind(static_cast<unsigned>(StatementVerb::Commit));
+       },
+       false},
+      {"an unknown kind", [](Message &M) { M.set_kind(77); }, false},
+      {"a prepared write", [](Message &M) { M.set_prepared_write(true); },
+       false},
+      {"nothing prepared", [](Message &M) { M.clear_prepared_shape(); }, false},
+      {"two lines of text",
+       [](Message &M) { M.set_text("READ a\r\nQUERY x WRITE a b"); }, false},
+      {"two lines of arguments", [](Message &M) { M.set_body("a\nb"); }, false},
+      {"an id of two words", [](Message &M) { M.set_id("q1 COMMIT"); }, false},
+      {"no id", [](Message &M) { M.clear_id(); }, false},
+      {"a setting of two lines",
+       [](Message &M) { M.mutable_settings(0)->set_value("a\r\nb"); }, false},
+      {"no floor", [](Message &M) { M.clear_floor(); }, false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    relay::ReadRequest Request = toMessage(Valid);
+    R.Change(Request);
+    const Result<ForwardedRead> Decoded = forwardedReadOf(Request);
+    REQUIRE(succeeded(Decoded) == R.Valid);
+    if (!R.Valid)
+      continue;
+    CHECK(valueOf(Decoded).Read.Text == Valid.Read.Text);
+    CHECK(valueOf(Decoded).Values == Valid.Values);
+    CHECK(valueOf(Decoded).Prepared == Valid.Prepared);
+    CHECK(valueOf(Decoded).Floor == Valid.Floor);
+    CHECK(valueOf(Decoded).Remaining == Valid.Remaining);
+  }
+}
+
+// Guards against an answer that is taken for another kind of answer.
+TEST_CASE("the answer to a forwarded read is kept") {
+  for (const auto &[Code, Name] : EnumNames<AnswerCode>::Entries) {
+    CAPTURE(Name);
+    ForwardedAnswer Given;
+    Given.Given = failure(Code, "not run; retry-after-ms=250");
+    Given.Trail = "i-1:busy";
+    const Result<ForwardedAnswer> Decoded = forwardedAnswerOf(toMessage(Given));
+    REQUIRE(succeeded(Decoded));
+    CHECK(valueOf(Decoded).Given.Code == Code);
+    CHECK(valueOf(Decoded).Given.Detail == Given.Given.Detail);
+    CHECK(valueOf(Decoded).Trail == Given.Trail);
+  }
+  relay::ReadReply Unknown;
+  Unknown.set_code(200);
+  CHECK_FALSE(succeeded(forwardedAnswerOf(Unknown)));
+  relay::ReadReply TwoLines;
+  TwoLines.add_rows("a\r\nCOMPLETE x");
+  CHECK_FALSE(succeeded(forwardedAnswerOf(TwoLines)));
+}
+
 // Guards against evidence that appears more recent to a follower than it is: a
 // read could then miss a commit. The clocks of the two entry VMs differ, either
 // may be suspended at any point, and messages take any time.
--- a/src/root/relay/testing/RelayTest.cpp
+++ b/src/root/relay/testing/RelayTest.cpp
@@ -48,6 +48,29 @@
   std::size_t EntryVms = 0;
 };
 
+/// Answers forwarded reads, unless it is told to be silent.
+class FakeReads final : public ForwardedReadRunner {
+public:
+  QCoro::Task<std::optional<ForwardedAnswer>> run(ForwardedRead Read) override {
+    ++this->Asked;
+    if (this->Silent)
+      co_await sleepFor(std::chrono::seconds(2));
+    if (!this->KnowsService)
+      co_return std::nullopt;
+    ForwardedAnswer Given;
+    Given.Given.Rows = {"row of " + Read.Read.Text};
+    Given.Given.Detail = "digest";
+    Given.Given.Position = Read.Floor;
+    Given.LastServer = ServerId("i-1");
+    Given.Attempts = 2;
+    co_return std::optional<ForwardedAnswer>(Given);
+  }
+
+  unsigned Asked = 0;
+  bool Silent = false;
+  bool KnowsService = true;
+};
+
 /// One entry VM: a feed and a relay that use the fake platform.
 struct EntryVm {
   EntryVm(const std::string &Name, quint16 StorePort)
@@ -60,6 +83,7 @@
     this->Board.Own.Primary = ServerId("of-" + Name);
     this->Board.Own.TermNumber = 4;
     this->Node.setBoard(this->Board);
+    this->Node.setReadRunner(this->Reads);
     runTask(this->Node.start());
   }
   ~EntryVm() {
@@ -83,6 +107,7 @@
   HttpPlatform Store;
   RelayedFeed Feed;
   FakeBoard Board;
+  FakeReads Reads;
   Relay Node;
 };
 
@@ -242,6 +267,65 @@
   F.waitUntil([&F] { return F.allHave("i-5", "six"); });
 }
 
+// Guards against a read that is lost or answered wrongly on its way to a
+// forwarder, and against one that waits for a forwarder which cannot help.
+TEST_CASE("reads are forwarded while a forwarder answers") {
+  Fixture F;
+  F.waitUntil([&F] { return F.allFollow(); });
+  EntryVm *Caller = F.relay();
+  const ServiceName Service("s");
+  ForwardedRead Read;
+  Read.Service = Service;
+  Read.Read.Id = "q1";
+  Read.Read.Text = "READ item";
+  Read.Floor = {3, 9};
+  Read.Values = {{"unit", "kg"}};
+  Read.Remaining = std::chrono::seconds(3);
+  F.waitUntil([Caller, &Service] {
+    return Caller->Node.forwarding().isForwarded(Service);
+  });
+  const auto Forward = [Caller, &Read] {
+    const TimePoint Start = steadyNow();
+    auto Given = runTask(Caller->Node.forwarding().forward(Read));
+    CHECK(steadyNow() - Start < std::chrono::seconds(1));
+    return Given;
+  };
+  const std::optional<ForwardedAnswer> Given = Forward();
+  REQUIRE(Given);
+  CHECK(Given->Given.Rows == std::vector<std::string>{"row of READ item"});
+  CHECK(Given->Given.Position == Read.Floor);
+  CHECK(Given->Attempts == 2);
+  CHECK(Given->Forwarder != Caller->Node.row().Vm);
+
+  struct Row {
+    const char *Name;
+    std::function<void(EntryVm &)> Fault;
+  };
+  const Row Rows[] = {
+      {"it is suspended", [](EntryVm &Vm) { Vm.Reads.Silent = true; }},
+      {"it does not know the service",
+       [](EntryVm &Vm) { Vm.Reads.KnowsService = false; }},
+      {"it is about to stop", [](EntryVm &Vm) { Vm.Node.leave(); }},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    F.waitUntil([Caller, &Service] {
+      return Caller->Node.forwarding().isForwarded(Service);
+    });
+    for (const auto &[Name, Vm] : F.Vms)
+      if (Vm.get() != Caller)
+        R.Fault(*Vm);
+    CHECK_FALSE(Forward());
+    CHECK_FALSE(Forward());
+    // Both forwarders are avoided now; the reads run here.
+    CHECK_FALSE(Caller->Node.forwarding().isForwarded(Service));
+    for (const auto &[Name, Vm] : F.Vms) {
+      Vm->Reads.Silent = false;
+      Vm->Reads.KnowsService = true;
+    }
+  }
+}
+
 // Guards against a request without the token of the relay's row that is
 // answered, and against a malformed one that disturbs other entry VMs.
 TEST_CASE("a relay answers only entry VMs that know its token") {
--- a/src/root/sessions/Session.cpp
+++ b/src/root/sessions/Session.cpp
@@ -237,6 +237,7 @@
                        AnswerMargin;
   E.Values = this->Values;
   E.CallerPresent = [this] { return this->Caller->isOpen(); };
+  E.Forwarding = this->Dependencies.Forwarding;
   if (this->Floor && E.Route.Service == this->FloorService)
     E.SessionFloor = this->Floor;
   if (S.Kind != StatementVerb::Execute)
@@ -483,6 +484,7 @@
        {"known_age_ms", Known ? wholeMilliseconds(bootNow() - *Known) : 0},
        {"floor", positionText(E.Floor)},
        {"server", E.LastServer.str()},
+       {"forwarder", E.Forwarder.empty() ? "-" : E.Forwarder.str()},
        {"attempts", E.Attempts},
        {"trail", E.Trail},
        {"position", positionText(A.Position)},
--- a/src/root/sessions/Session.h
+++ b/src/root/sessions/Session.h
@@ -27,6 +27,7 @@
   const PlatformDirectory &Directory;
   const GroupRegistry &Groups;
   Metrics &Counters;
+  ReadForwarding *Forwarding = nullptr; ///< Null: reads are run here.
 };
 
 /// One caller's session.
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -22,6 +22,9 @@
 constexpr unsigned MaxReadExecutions = 4;
 /// Highest number of times that a read which ran and failed is run again.
 constexpr unsigned MaxReadFailures = 1;
+/// Reads with a longer text are run here. Texts of reads are short, and a
+/// request to a forwarder has a limit (root/relay/RelayCodec.h).
+constexpr std::size_t MaxForwardedTextBytes = 64UL * 1024;
 
 /// Appends a failed attempt to \p E.Trail.
 void recordFailedAttempt(StatementContext &E, const ServerId &Server,
@@ -192,6 +195,44 @@
   return Constraint;
 }
 
+namespace {
+
+/// Lets a forwarder of the data centre run the read, if there is one.
+/// \returns nothing if the read has to be run here.
+QCoro::Task<std::optional<Answer>> forwardRead(Statement S, StatementContext &E,
+                                               LogPosition Floor) {
+  if (!E.Forwarding->isForwarded(E.Route.Service) ||
+      S.Text.size() > MaxForwardedTextBytes)
+    co_return std::nullopt;
+  const TimePoint Now = steadyNow();
+  ForwardedRead Read;
+  Read.Service = E.Route.Service;
+  Read.Read = std::move(S);
+  Read.Floor = Floor;
+  Read.Values = E.Values;
+  Read.Prepared = E.Prepared;
+  Read.Urgency = E.Route.Urgency;
+  Read.Remaining = E.Deadline - Now;
+  Read.DispatchIn = E.DispatchBy - Now;
+  Read.QueuedDispatchIn = E.QueuedDispatchBy - Now;
+  const std::optional<ForwardedAnswer> Given =
+      co_await E.Forwarding->forward(std::move(Read));
+  if (!Given) {
+    recordFailedAttempt(E, ServerId("forwarder"), "lost");
+    co_return std::nullopt;
+  }
+  E.Floor = Floor;
+  E.LastServer = Given->LastServer;
+  E.Forwarder = Given->Forwarder;
+  E.Attempts += Given->Attempts;
+  E.Dispatched = E.Dispatched || Given->Dispatched;
+  E.Trail += E.Trail.empty() || Given->Trail.empty() ? "" : ",";
+  E.Trail += Given->Trail;
+  co_return Given->Given;
+}
+
+} // namespace
+
 QCoro::Task<ReadConstraint> awaitReadConstraint(StatementContext &E) {
   if (E.Route.Consistency != ReadConsistency::Primary)
     co_await E.ServerGroup->awaitFloor(E.ArrivedBoot - E.Route.MaxStaleness +
@@ -201,7 +242,19 @@
 }
 
 QCoro::Task<Answer> runRead(Statement S, StatementContext &E) {
-  ReadConstraint Constraint = co_await awaitReadConstraint(E);
+  const ReadConstraint Constraint = co_await awaitReadConstraint(E);
+  if (!Constraint.AtPrimary && E.Forwarding &&
+      E.ServerGroup->isOversubscribed()) {
+    std::optional<Answer> Forwarded =
+        co_await forwardRead(S, E, *Constraint.Floor);
+    if (Forwarded)
+      co_return std::move(*Forwarded);
+  }
+  co_return co_await runReadHere(std::move(S), E, Constraint);
+}
+
+QCoro::Task<Answer> runReadHere(Statement S, StatementContext &E,
+                                ReadConstraint Constraint) {
   std::set<ServerId> Tried;
   LinkLease Kept; // To a busy server.
   Duration Pause = RetryPause;
--- a/src/root/sessions/StatementRunner.h
+++ b/src/root/sessions/StatementRunner.h
@@ -7,6 +7,7 @@
 #include "policy/AccessPlan.h"
 #include "policy/Statement.h"
 #include "root/groups/Group.h"
+#include "root/sessions/ForwardedRead.h"
 
 #include <functional>
 #include <map>
@@ -76,13 +77,15 @@
   TimePoint DispatchBy; ///< The statement is refused if not dispatched by then.
   TimePoint QueuedDispatchBy; ///< Replaces DispatchBy while the pool is active.
   TimePoint Deadline;         ///< Of the answer.
-  std::function<bool()> CallerPresent; ///< Whether the caller is connected.
+  std::function<bool()> CallerPresent;  ///< Whether the caller is connected.
+  ReadForwarding *Forwarding = nullptr; ///< Null: reads are run here.
 
   // What has happened to the statement, also for its log line.
   std::uint64_t Transaction = 0; ///< Number in the session; 0 outside one.
   unsigned Attempts = 0;
   bool Dispatched = false; ///< Sent to a server that could have run it.
   ServerId LastServer;
+  EntryVmId Forwarder; ///< That ran the read; empty: run here.
   std::optional<LogPosition> Floor;
   std::string Trail; ///< The server and the result of each failed attempt.
 };
@@ -120,6 +123,11 @@
 /// Runs a read outside a transaction.
 QCoro::Task<Answer> runRead(Statement S, StatementContext &E);
 
+/// Runs a read here, whatever E.Forwarding says.
+/// \param Constraint which servers may run it.
+QCoro::Task<Answer> runReadHere(Statement S, StatementContext &E,
+                                ReadConstraint Constraint);
+
 /// Runs a write outside a transaction. It is sent again only after a server has
 /// answered that it did not run the write.
 QCoro::Task<Answer> runWrite(Statement S, StatementContext &E);
