--- a/src/root/relay/RelayCodec.h
+++ b/src/root/relay/RelayCodec.h
@@ -19,7 +19,7 @@
 /// Longest reply, in bytes: two whole tables.
 inline constexpr int MaxRelayReplyBytes = 64 * 1024 * 1024;
 /// Longest row value after decompression, in bytes.
-inline constexpr std::size_t MaxRelayedRowBytes = 8 * 1024 * 1024;
+inline constexpr std::size_t MaxRelayedRowBytes = 8UL * 1024 * 1024;
 /// Longest key, name or identifier in a message, in bytes.
 inline constexpr std::size_t MaxRelayNameBytes = 256;
 /// Values longer than this are compressed. The configuration has some 300 KB,
