--- a/src/policy/GroupBeliefs.cpp
+++ b/src/policy/GroupBeliefs.cpp
@@ -94,7 +94,6 @@
   ServerBelief *Server = this->findMutable(Id);
   if (!Server)
     return;
-  Server->BusyAt.reset();
   if (Server->LatencyAt == TimePoint())
     Server->Latency = PriorLatency;
   const double Next =
@@ -104,15 +103,6 @@
   Server->LatencyAt = Now;
 }
 
-void GroupBeliefs::observeBusy(const ServerId &Id, TimePoint Now) {
-  if (ServerBelief *Server = this->findMutable(Id))
-    Server->BusyAt = Now;
-}
-
-bool GroupBeliefs::isBusy(const ServerBelief &Server, TimePoint Now) const {
-  return Server.BusyAt && Now - *Server.BusyAt < BusyMemory;
-}
-
 void GroupBeliefs::observeFailure(const ServerId &Id, TimePoint Now) {
   ServerBelief *Server = this->findMutable(Id);
   if (!Server)
@@ -190,8 +180,6 @@
     Cost += static_cast<double>(OtherRegionCost.count());
     break;
   }
-  if (this->isBusy(Server, Now))
-    Cost += static_cast<double>(BusyCost.count());
   const bool Leads = Leader && Leader->Id == Server.id();
   if (Leads)
     Cost += static_cast<double>(PrimaryReadCost.count());
--- a/src/policy/GroupBeliefs.h
+++ b/src/policy/GroupBeliefs.h
@@ -59,7 +59,6 @@
   std::optional<TimePoint> FailingSince; ///< First failure after a success.
   TimePoint LastFailure{};
   TimePoint LastAnswer{};
-  std::optional<TimePoint> BusyAt; ///< Last refusal since a statement ran.
   Duration Latency{};    ///< Moving average of the time of a statement.
   TimePoint LatencyAt{}; ///< Time of the last latency observation.
   unsigned InFlight = 0; ///< Statements of this entry VM running on it.
@@ -111,12 +110,6 @@
   /// certainly refuse. It is ranked after a primary with three statements of
   /// this entry VM in flight.
   static constexpr Duration KnownBelowFloorCost = milliseconds(150);
-  /// Cost of a read on a server that refused a statement as busy within
-  /// BusyMemory. It is below PrimaryReadCost, so that a crest at the replicas
-  /// does not move to the primary. A server with a full queue of 40 frees 5
-  /// slots in about 28 ms.
-  static constexpr Duration BusyCost = milliseconds(35);
-  static constexpr Duration BusyMemory = milliseconds(150);
   /// Age up to which a known position counts as recent. A replica that does not
   /// lag applies the missing entries within 60 ms on average.
   static constexpr Duration RecentPositionAge = milliseconds(100);
@@ -141,8 +134,6 @@
                      TimePoint Now);
   /// Records that a statement that was not refused took \p Took.
   void observeLatency(const ServerId &Id, Duration Took, TimePoint Now);
-  /// Records that the server refused a statement because its queue is full.
-  void observeBusy(const ServerId &Id, TimePoint Now);
   /// Records that the server could not be reached or a connection to it failed.
   void observeFailure(const ServerId &Id, TimePoint Now);
   /// Records that the server refused a write because it is not the primary.
@@ -163,9 +154,6 @@
   /// Returns whether \p Server failed recently and should not be tried now.
   bool isAvoided(const ServerBelief &Server, TimePoint Now) const;
 
-  /// Returns whether \p Server refused a statement as busy within BusyMemory.
-  bool isBusy(const ServerBelief &Server, TimePoint Now) const;
-
   const ServerBelief *find(const ServerId &Id) const;
   const std::map<ServerId, ServerBelief> &servers() const {
     return this->Servers;
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -11,9 +11,6 @@
 /// Pause before another attempt after a server has refused. A running statement
 /// frees its slot after 28 ms on average.
 constexpr Duration RetryPause = milliseconds(15);
-/// The pause after a busy server doubles up to this. A full queue of 40
-/// statements takes 220 ms at 5 slots.
-constexpr Duration MaxRetryPause = milliseconds(60);
 /// Share of the remaining time that one attempt of a read gets, so that a
 /// connection without an answer leaves time for another server.
 constexpr double ReadAttemptShare = 0.6;
@@ -143,26 +140,6 @@
   return std::nullopt;
 }
 
-/// Returns whether \p Id is known to refuse statements at the moment.
-bool isBusy(const StatementContext &E, const ServerId &Id) {
-  const GroupBeliefs &Beliefs = E.ServerGroup->beliefs();
-  const ServerBelief *Server = Beliefs.find(Id);
-  return Server && Beliefs.isBusy(*Server, steadyNow());
-}
-
-/// Leases a connection to \p Id, or takes \p Kept, the connection on which a
-/// busy server has refused the statement. Opening another one would take 12 ms
-/// of a slot of the busy server.
-QCoro::Task<LinkLease> leaseOrKeep(StatementContext &E, ServerId Id,
-                                   LinkLease &Kept, TimePoint Limit) {
-  LinkLease Link = std::move(Kept);
-  if (Link && Link.server() == Id && Link.link().isUsable())
-    co_return Link;
-  Link.release();
-  Link = co_await leaseLink(E, Id, Limit);
-  co_return Link;
-}
-
 TimePoint attemptDeadline(const StatementContext &E) {
   const Duration Left = E.Deadline - steadyNow();
   return steadyNow() +
@@ -256,8 +233,6 @@
 QCoro::Task<Answer> runReadHere(Statement S, StatementContext &E,
                                 ReadConstraint Constraint) {
   std::set<ServerId> Tried;
-  LinkLease Kept; // To a busy server.
-  Duration Pause = RetryPause;
   unsigned Failed = 0;
   unsigned Runs = 0;
   while (Runs < MaxReadExecutions && steadyNow() < dispatchDeadline(E) &&
@@ -278,11 +253,9 @@
       co_await sleepFor(RetryPause);
       continue;
     }
-    if (Kept && !Constraint.AtPrimary && isBusy(E, *Id))
-      Id = Kept.server();
     E.Floor = Constraint.Floor;
     const TimePoint Limit = attemptDeadline(E);
-    LinkLease Link = co_await leaseOrKeep(E, *Id, Kept, Limit);
+    LinkLease Link = co_await leaseLink(E, *Id, Limit);
     if (!Link) {
       Tried.insert(*Id);
       if (Constraint.AtPrimary)
@@ -312,16 +285,8 @@
     Runs += A.Code && isNotRun(*A.Code) ? 0 : 1;
     if (A.Code == AnswerCode::UnknownStatement)
       Link.drop();
-    E.ServerGroup->observeAnswer(*Id, A, SentAt);
-    if (A.Code == AnswerCode::Busy) {
-      recordFailedAttempt(E, *Id, nameOf(*A.Code));
-      E.ServerGroup->beliefs().observeBusy(*Id, steadyNow());
-      Kept = std::move(Link);
-      co_await sleepFor(
-          std::exchange(Pause, std::min(Pause * 2, MaxRetryPause)));
-      continue;
-    }
     Link.release();
+    E.ServerGroup->observeAnswer(*Id, A, SentAt);
     if (A.succeeded()) {
       E.ServerGroup->beliefs().observeLatency(*Id, steadyNow() - Sent,
                                               steadyNow());
@@ -357,15 +322,13 @@
 }
 
 QCoro::Task<Answer> runWrite(Statement S, StatementContext &E) {
-  LinkLease Kept; // To a busy primary.
-  Duration Pause = RetryPause;
   while (true) {
     const bool NeedsProof = !E.ServerGroup->commitsAreProofs();
     const std::optional<BelievedPrimary> Leader =
         co_await awaitPrimary(E, NeedsProof);
     if (!Leader)
       co_return refuseNotRun("no primary is known");
-    LinkLease Link = co_await leaseOrKeep(E, Leader->Id, Kept, E.Deadline);
+    LinkLease Link = co_await leaseLink(E, Leader->Id, E.Deadline);
     const bool OutOfTime =
         steadyNow() >= (Link ? E.Deadline : dispatchDeadline(E));
     if (!E.CallerPresent() || OutOfTime)
@@ -413,10 +376,8 @@
       E.ServerGroup->markNotPrimary(Leader->Id);
     if (A.Code == AnswerCode::UnknownStatement)
       Link.drop();
-    if (A.Code == AnswerCode::Busy)
-      Kept = std::move(Link);
     Link.release();
-    co_await sleepFor(std::exchange(Pause, std::min(Pause * 2, MaxRetryPause)));
+    co_await sleepFor(RetryPause);
   }
 }
 
