--- a/src/root/testing/SettingsTest.cpp
+++ b/src/root/testing/SettingsTest.cpp
@@ -71,6 +71,45 @@
   }
 }
 
+// Guards against a line front end that starts with a relay setting which its
+// polls and timeouts cannot keep to, or that needs one to start at all.
+TEST_CASE("the settings of the relay are checked") {
+  struct Row {
+    const char *Flag;
+    const char *Value;
+    const char *Expected; ///< Empty if the value is valid.
+  };
+  const Row Rows[] = {
+      {"--relay-address", "10.1.0.8:7440", ""},
+      {"--relay-address", "", ""},
+      {"--relay-address", "10.1.0.8", "numeric host:port"},
+      {"--relay-address", "10.1.0.8:70000", "1 to 65535"},
+      {"--cpu-share", "0.12", ""},
+      {"--cpu-share", "0", "a number above 0"},
+      {"--cpu-share", "-1", "a number above 0"},
+      {"--cpu-share", "nan", "a number above 0"},
+      {"--cpu-share", "half", "a number above 0"},
+      {"--cpu-share", "1e999", "a number above 0"},
+      {"--configuration-bound-ms", "2000", ""},
+      {"--configuration-bound-ms", "1999", "2000 to 600000"},
+      {"--configuration-bound-ms", "3s", "2000 to 600000"},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Flag, R.Value);
+    Values Flags = validValues();
+    Flags["--front-end"] = "lines";
+    Flags["--readiness-address"] = "127.0.1.1:9001";
+    Flags["--promotion-address"] = "127.0.9.1:8001";
+    Flags["--regions"] = "joburg-a=gauteng";
+    Flags[R.Flag] = R.Value;
+    const auto Parsed = read(Flags);
+    const std::string Expected = R.Expected;
+    REQUIRE(succeeded(Parsed) == Expected.empty());
+    if (!Expected.empty())
+      CHECK(errorOf(Parsed).find(Expected) != std::string::npos);
+  }
+}
+
 // Guards against an error that hides further ones.
 TEST_CASE("all invalid settings are reported together") {
   Values Flags = validValues();
