--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -195,7 +195,11 @@
   const std::optional<ForwardedAnswer> Given =
       co_await E.Forwarding->forward(std::move(Read));
   if (!Given) {
+    // As with a lost connection to a server, the read may have run, and it has
+    // the time up to its deadline.
     recordFailedAttempt(E, ServerId("forwarder"), "lost");
+    E.MayHaveRun = true;
+    E.Dispatched = true;
     co_return std::nullopt;
   }
   E.Floor = Floor;
@@ -234,7 +238,7 @@
                                 ReadConstraint Constraint) {
   std::set<ServerId> Tried;
   unsigned Failed = 0;
-  unsigned Runs = 0;
+  unsigned Runs = E.MayHaveRun ? 1 : 0;
   while (Runs < MaxReadExecutions && steadyNow() < dispatchDeadline(E) &&
          E.CallerPresent()) {
     std::optional<BelievedPrimary> Leader = E.ServerGroup->beliefs().primary();
--- a/src/root/sessions/StatementRunner.h
+++ b/src/root/sessions/StatementRunner.h
@@ -83,6 +83,7 @@
   // What has happened to the statement, also for its log line.
   std::uint64_t Transaction = 0; ///< Number in the session; 0 outside one.
   unsigned Attempts = 0;
+  bool MayHaveRun = false; ///< A forwarder was asked and gave no answer.
   bool Dispatched = false; ///< Sent to a server that could have run it.
   ServerId LastServer;
   EntryVmId Forwarder; ///< That ran the read; empty: run here.
--- a/src/root/sessions/testing/StatementRunnerTest.cpp
+++ b/src/root/sessions/testing/StatementRunnerTest.cpp
@@ -325,6 +325,47 @@
   }
 }
 
+// Guards against a read that is refused as not run although a forwarder may
+// have run it, and against one that is not run here because waiting for the
+// forwarder took longer than the time to dispatch it.
+TEST_CASE("a read without an answer of its forwarder is run here") {
+  class SilentForwarding final : public ReadForwarding {
+  public:
+    bool isForwarded(const ServiceName &) const override { return true; }
+    QCoro::Task<std::optional<ForwardedAnswer>>
+    forward(ForwardedRead) override {
+      co_await sleepFor(milliseconds(150));
+      co_return std::nullopt;
+    }
+  };
+  struct Row {
+    const char *Name;
+    LinkFault Fault; ///< Of all servers.
+    std::optional<AnswerCode> Code;
+  };
+  const Row Rows[] = {
+      {"the servers answer", LinkFault::None, std::nullopt},
+      {"no server accepts it", LinkFault::Busy, AnswerCode::Timeout},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    F.Servers->setEntryVms(100);
+    GroupEvidence Known;
+    Known.ProvedTerm = 1;
+    Known.ProvedAt = Known.ReportedAt = bootNow();
+    Known.Position = {1, 1};
+    F.Servers->applyEvidence(Known);
+    for (auto &[Id, Server] : F.Group.servers())
+      Server.Fault = R.Fault;
+    SilentForwarding Forwarding;
+    StatementContext E = F.context(ReadConsistency::BoundedStaleness);
+    E.Forwarding = &Forwarding;
+    const Answer A = runTask(runRead(statement("READ item"), E));
+    CHECK(A.Code == R.Code);
+  }
+}
+
 // Guards against running work that is given up or run again because the server
 // was only silent: its registration expires while the store is slow, or another
 // connection to it fails.
