--- a/src/root/relay/Relay.cpp
+++ b/src/root/relay/Relay.cpp
@@ -311,11 +311,11 @@
   else
     this->Election.observeAnswer(OldestContact, Reply.leaving(), steadyNow(),
                                  this->Rng);
-  std::vector<ForwarderVm> Known;
+  std::vector<ForwarderVm> Listed;
   for (const relay::Forwarder &F : Reply.forwarders())
     if (succeeded(parseAddress(F.address())))
-      Known.push_back({EntryVmId(F.vm()), F.address(), 0});
-  this->OwnReads.setForwarders(*this->Context, std::move(Known),
+      Listed.push_back({EntryVmId(F.vm()), F.address(), 0});
+  this->OwnReads.setForwarders(*this->Context, std::move(Listed),
                                this->row().Token);
   if (!this->Board)
     return;
@@ -465,24 +465,25 @@
   if (!this->Board)
     return Reply;
   const int Services = std::min(Asked.services_size(), MaxServices);
-  for (int I = 0; I < Services; ++I) {
-    const std::optional<GroupEvidence> Known =
-        this->Board->shareEvidence(ServiceName(Asked.services(I)));
-    if (Known)
-      *Reply.add_evidence() = toMessage(*Known, ReceivedAt);
-  }
+  for (int I = 0; I < Services; ++I)
+    this->addEvidence(Reply, ServiceName(Asked.services(I)), ReceivedAt);
   const int Suspects = std::min(Asked.suspects_size(), MaxServices);
   for (int I = 0; I < Suspects; ++I) {
     const ServiceName Service(Asked.suspects(I));
     this->Board->suspect(Service);
-    const std::optional<GroupEvidence> Known =
-        this->Board->shareEvidence(Service);
-    if (Known)
-      *Reply.add_evidence() = toMessage(*Known, ReceivedAt);
+    this->addEvidence(Reply, Service, ReceivedAt);
   }
   return Reply;
 }
 
+void Relay::addEvidence(relay::SyncReply &Reply, const ServiceName &Service,
+                        TimePoint ReceivedAt) {
+  const std::optional<GroupEvidence> Known =
+      this->Board->shareEvidence(Service);
+  if (Known)
+    *Reply.add_evidence() = toMessage(*Known, ReceivedAt);
+}
+
 void Relay::addChanges(relay::SyncReply &Reply, WatchedTable Table,
                        const relay::TablePosition *Held, TimePoint ReceivedAt) {
   const RowCache &Cache = this->Feed.cache(Table);
--- a/src/root/relay/Relay.h
+++ b/src/root/relay/Relay.h
@@ -7,9 +7,9 @@
 // from. Without a usable relay every entry VM does all of this itself, so a
 // relay that stops, is suspended or is cut off costs calls and breaks nothing.
 //
-// One task runs the election and follows the relay; one task per proof serves
-// the followers. Requests must carry the token of the relay's row, which only
-// entry VMs of the deployment can read.
+// One task runs the election and follows the relay; one task per proof and per
+// forwarded read serves other entry VMs. Requests must carry the token of the
+// relay's row, which only entry VMs of the deployment can read.
 #ifndef AMARANTHSPUR_ROOT_RELAY_RELAY_H
 #define AMARANTHSPUR_ROOT_RELAY_RELAY_H
 
@@ -129,6 +129,8 @@
   relay::Replacement makeReplacement() const;
   relay::NotRelay makeRejection(const std::string &Token) const;
   relay::SyncReply makeSyncReply(const relay::SyncRequest &Asked);
+  void addEvidence(relay::SyncReply &Reply, const ServiceName &Service,
+                   TimePoint ReceivedAt);
   void addChanges(relay::SyncReply &Reply, WatchedTable Table,
                   const relay::TablePosition *Held, TimePoint ReceivedAt);
   QCoro::Task<> serveProof(RelayListener::Peer From, std::uint64_t Correlation,
--- a/src/root/relay/RelayLink.h
+++ b/src/root/relay/RelayLink.h
@@ -36,9 +36,6 @@
   /// Ends all requests without a reply and refuses further ones.
   void close();
 
-  /// Returns the number of requests that wait for a reply.
-  std::size_t waiting() const { return this->Pending.size(); }
-
 private:
   struct PendingRequest {
     WaitPoint Answered;
