--- a/src/ctl/Explain.cpp
+++ b/src/ctl/Explain.cpp
@@ -5,12 +5,13 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <optional>
 
 namespace amaranthspur::ctl {
 namespace {
 
-/// Maximum number of changes or takeovers that one section prints. Of the
-/// changes on the entry VM of the statement the newest are printed, because
+/// Maximum number of changes or lines of takeovers that one section prints. Of
+/// the changes on the entry VM of the statement the newest are printed, because
 /// they determined its state when the statement ran.
 constexpr std::size_t MaxChanges = 12;
 
@@ -20,18 +21,28 @@
   return R.Event == "statement-answered" || R.Event == "statement-refused";
 }
 
-/// Events of a takeover of a service, in the order in which they occur. Several
-/// entry VMs log events of the same takeover.
-constexpr auto TakeoverEvents = std::to_array<std::string_view>(
-    {"promotion-started", "promotion-refused", "promotion-ordered",
-     "promotion-finished", "adoption-undone", "primary-changed"});
-
-/// Returns the index of the event of \p R in TakeoverEvents, or the size of
-/// that array for other events.
-std::size_t takeoverRank(const LogRecord &R) {
-  return static_cast<std::size_t>(
-      std::find(TakeoverEvents.begin(), TakeoverEvents.end(), R.Event) -
-      TakeoverEvents.begin());
+/// An event of a takeover, with its stage. Several entry VMs log events of the
+/// same takeover. Within a stage the lines of an entry VM keep their order.
+struct TakeoverEvent {
+  std::string_view Name;
+  std::size_t Stage;
+};
+
+constexpr auto TakeoverEvents =
+    std::to_array<TakeoverEvent>({{"promotion-started", 0},
+                                  {"promotion-refused", 1},
+                                  {"takeover-step", 2},
+                                  {"promotion-ordered", 2},
+                                  {"promotion-finished", 3},
+                                  {"adoption-undone", 4},
+                                  {"primary-changed", 5}});
+
+/// Returns the stage of the event of \p R, or nothing for other events.
+std::optional<std::size_t> takeoverStage(const LogRecord &R) {
+  for (const TakeoverEvent &E : TakeoverEvents)
+    if (E.Name == R.Event)
+      return E.Stage;
+  return std::nullopt;
 }
 
 /// Events that affect all services of a process.
@@ -260,16 +271,15 @@
     std::vector<const LogRecord *> Found;
     const std::uint64_t AssumedTerm = termOf(this->Subject);
     for (const LogRecord &R : this->Records)
-      if (R.Process != this->Subject.Process &&
-          takeoverRank(R) < TakeoverEvents.size() &&
+      if (R.Process != this->Subject.Process && takeoverStage(R) &&
           R.field("service") == this->field("service") &&
           termOf(R) >= std::max<std::uint64_t>(AssumedTerm, 2) &&
           termOf(R) <= AssumedTerm + 1)
         Found.push_back(&R);
     std::stable_sort(Found.begin(), Found.end(),
                      [](const LogRecord *A, const LogRecord *B) {
-                       return std::pair(termOf(*A), takeoverRank(*A)) <
-                              std::pair(termOf(*B), takeoverRank(*B));
+                       return std::pair(termOf(*A), takeoverStage(*A)) <
+                              std::pair(termOf(*B), takeoverStage(*B));
                      });
     if (Found.size() > MaxChanges)
       Found.resize(MaxChanges);
