Return the lead if no server holds an entry of the old primary's term

Callers would have lost acknowledged commits when two primaries are replaced one after the other. The explorer of takeovers found this order with one entry VM, in 26 events: a commit of a (primary) is acknowledged with b; a steps down and leaves, and b is promoted; b steps down before the other servers have received the commit; no log reaches its end, so c, which lacks the commit, is promoted.

Cause: if no log reached the end of a stepped-down primary, the longest other log was enough, on the ground that an acknowledged commit is held by a replica. That holds for commits of the primary's own term only. Commits that it inherited may have been acknowledged with a server that has left.

Change: in that case the target must hold an entry of the old primary's term, and so all entries before it. Otherwise the old primary gets the lead back. If the old primary does not answer, nothing can be compared; the header lists this and the other gaps that the explorer has shown.

Measured: the exhaustive search of this case (1 commit, 1 join, 1 server that leaves, 30 events) finds LOST before the change and nothing after it.

--- a/src/policy/TakeoverProcedure.cpp
+++ b/src/policy/TakeoverProcedure.cpp
@@ -289,6 +289,13 @@
     this->Current = Phase::Freeze;
     return;
   }
+  // Commits of terms before the old primary's were acknowledged with servers
+  // that may have left. Only a log with an entry of its term holds all of them.
+  if (this->OldEnd && this->Required < *this->OldEnd &&
+      this->Required.TermNumber < this->OldTerm) {
+    this->fail("no other server holds an entry of the old primary's term");
+    return;
+  }
   const std::optional<ServerId> Found =
       chooseTarget(this->Servers, this->Required, this->Preferred);
   if (this->others().size() < 2)
--- a/src/policy/TakeoverProcedure.h
+++ b/src/policy/TakeoverProcedure.h
@@ -25,14 +25,26 @@
 //     read of the registrations after the last adoption, has adopted the next
 //     term and still holds it in a later poll, and the target's log reaches as
 //     far as each log that was reported since the claim. An acknowledged commit
-//     is held by a replica. Those commits that were acknowledged before the
-//     adoptions are in a reported log; later ones cannot be acknowledged by a
-//     server that has adopted the term.
+//     of the old primary's term is held by a replica. Those commits that were
+//     acknowledged before the adoptions are in a reported log; later ones
+//     cannot be acknowledged by a server that has adopted the term. Commits of
+//     earlier terms may have been acknowledged with a server that has left
+//     since. They are in each log that has an entry of the old primary's term.
+//     So if the old primary has stepped down and no log has one, the old
+//     primary gets the lead back.
 //
-// The second way leaves a gap that the platform gives no means to close: an old
-// primary that this entry VM cannot reach acknowledges commits with a server
-// that joins, restarts or is resumed after the poll and before the promotion
-// takes effect.
+// Gaps remain that the platform gives no means to close:
+//  - An old primary that this entry VM cannot reach acknowledges commits with a
+//    server that joins, restarts or is resumed after the read of the
+//    registrations, or after its poll, and before the promotion takes effect.
+//  - An old primary that restarts after its step-down does so with a server
+//    that joins or restarts then, or that did not answer the adoption.
+//  - An old primary that does not answer is the only server left with a commit
+//    of an earlier term.
+//  - An order takes effect after another entry VM has claimed the takeover.
+//  - An old primary that could not be reached replicates an entry to a server
+//    after the promotion. By its term, that log then looks longer than the log
+//    of a later primary that has no entry of its own term yet.
 //
 // An order is given only after the claim row, with the target in it, has been
 // confirmed. A takeover that follows an unfinished one prefers its target.
