--- a/src/policy/TakeoverProcedure.h
+++ b/src/policy/TakeoverProcedure.h
@@ -11,39 +11,49 @@
 // in one of two ways.
 //
 //  1. The old primary has stepped down, no server reports a later term, and the
-//     target's log reaches the end of the old primary's log. A commit is in the
-//     primary's log before it is acknowledged, and a server that has stepped
-//     down acknowledges none. So it does not matter which servers have joined,
-//     left, restarted or been resumed: none of them can add a commit. The other
-//     servers adopt the next term as well where they answer. If no other server
-//     can be promoted, the old primary leads again, after a poll has shown that
-//     its log is still complete.
+//     target's log reaches the end of the old primary's log and of each log
+//     that was reported since the claim. A commit is in the primary's log
+//     before it is acknowledged, and a server that has stepped down
+//     acknowledges none. So it does not matter which servers have joined, left,
+//     restarted or been resumed: none of them can add a commit. The other
+//     servers adopt the next term as well where they answer. This covers an old
+//     primary that restarts and leads its term again: what it acknowledges with
+//     a server before the adoption is in the log that the server reports. If no
+//     other server can be promoted, the old primary leads again, after a poll
+//     has shown that its log is still complete.
 //  2. The old primary does not answer, or it has stepped down and no log
 //     reaches the end of its log. Every other server that is registered, by a
 //     read of the registrations after the last adoption, has adopted the next
 //     term and still holds it in a later poll, and the target's log reaches the
-//     end that is required. That is the end of each log that was reported
-//     since the claim or in an earlier attempt, and the end of the old
-//     primary's log that was reported after the last server had left the group
-//     or restarted. A commit is held by a replica when it is acknowledged. If
-//     that replica has left or restarted since, the commit lies below the
-//     required end; otherwise it is in a reported log. After the adoptions, the
-//     old primary has no replica with which it could acknowledge.
+//     required end: that of each log that was reported since the claim or in an
+//     earlier attempt, and that of the old primary's log as it was reported
+//     after the last server had left the group or restarted. A commit is held
+//     by a replica when it is acknowledged. If that replica has left or
+//     restarted since, the commit lies below the required end; otherwise it is
+//     in a reported log. After the adoptions the old primary has no replica
+//     with which it could acknowledge. Commits of terms before the old
+//     primary's are in each log that has an entry of its term. If it has
+//     stepped down and no log has one, it leads again.
 //
 // Gaps that the platform gives no means to close:
 //  - In the second way, an old primary that this entry VM cannot reach
 //    acknowledges commits with a server that joins, restarts or is resumed
-//    after the poll and before the promotion takes effect. While it awaits the
-//    effect, the caller makes each server that it comes to know adopt the term
-//    or step down, which leaves the time of one call.
+//    after the read of the registrations, or after its poll, and before the
+//    promotion takes effect. While it awaits the effect, the caller makes each
+//    server that it comes to know adopt the term or step down, which leaves the
+//    time of one call.
 //  - In the second way, a replica leaves with its log, or loses it, and the old
-//    primary falls silent before it has reported the end of its log again.
-//  - The old primary has stepped down, restarts, and leads its term again
-//    before the promotion takes effect, with a replica that did not adopt the
-//    term. Whether a step-down outlasts a restart is not known.
+//    primary falls silent before it has reported the end of its log again; or
+//    the old primary is the only server left with a commit of an earlier term.
+//  - An old primary that restarts after its step-down does so with a server
+//    that joins or restarts then, or that did not answer the adoption. Whether
+//    a step-down outlasts a restart is not known.
 //  - The target restarts and loses its log between the order and its effect.
-//  - An order takes effect after the lease of its claim. The platform does not
-//    check the fence.
+//  - An order takes effect after another entry VM has claimed the takeover. The
+//    platform does not check the fence.
+//  - An old primary that could not be reached replicates an entry to a server
+//    after the promotion. By its term, that log then looks longer than the log
+//    of a later primary that has no entry of its own term yet.
 //
 // An order is given only within the promotion window of the claim, and after
 // the claim row has been confirmed with the target in it. A takeover that
