Let the line protocol's test server end its connections' tasks

The sanitized line-daemon-test failed at exit: all assertions passed, then LeakSanitizer reported buffers of sockets. Callers of the proxy saw nothing; the fault was in the test's own server.

LineServer::serve() was suspended in a read when the fixture was destroyed, and nothing resumed it, so the task's socket was never freed. The destructor now aborts the connections and runs the event loop until their tasks have ended.

--- a/src/testing/line-group/LineServer.cpp
+++ b/src/testing/line-group/LineServer.cpp
@@ -1,8 +1,7 @@
 #include "testing/line-group/LineServer.h"
 
-#include "core/Async.h"
 #include "platform/LineCodec.h"
-#include "platform/LineStream.h"
+#include "testing/TaskRunner.h"
 
 #include <QHostAddress>
 
@@ -91,8 +90,22 @@
   this->Listener.listen(QHostAddress::LocalHost);
 }
 
+LineServer::~LineServer() {
+  this->Listener.close();
+  for (LineStream *Stream : this->Streams)
+    Stream->abort();
+  runTask(this->Tasks.waitUntilEmpty());
+}
+
 QCoro::Task<> LineServer::serve(QTcpSocket *Socket) {
+  const TaskGroup::Guard Guard(this->Tasks);
   LineStream Stream(Socket);
+  this->Streams.insert(&Stream);
+  co_await this->serveStream(Stream);
+  this->Streams.erase(&Stream);
+}
+
+QCoro::Task<> LineServer::serveStream(LineStream &Stream) {
   const std::optional<std::string> Start = co_await Stream.nextLine();
   if (!Start)
     co_return;
