Send no SIGCONT to a test process that is exiting

Callers of the proxy are not affected; only the test tools send these signals.

ChildProcess::terminate() sent SIGTERM and then SIGCONT. SIGCONT discards a pending SIGSTOP. If it arrives while LeakSanitizer, at the exit of the process, suspends the process with SIGSTOP, the sanitizer's tracer waits for the stop without a limit and the process spins. The daemon leaves with _Exit and has no leak check; fake-platform and fake-backend have one.

A failed check of an exit status shows the name of the program.

--- a/src/testing/Processes.cpp
+++ b/src/testing/Processes.cpp
@@ -186,7 +186,7 @@
 
 ChildProcess::ChildProcess(ChildProcess &&Other) noexcept
     : Pid(std::exchange(Other.Pid, 0)), Output(std::exchange(Other.Output, -1)),
-      Status(Other.Status) {}
+      Status(Other.Status), Suspended(Other.Suspended) {}
 
 ChildProcess &ChildProcess::operator=(ChildProcess &&Other) noexcept {
   if (this == &Other)
@@ -196,6 +196,7 @@
   this->Pid = std::exchange(Other.Pid, 0);
   this->Output = std::exchange(Other.Output, -1);
   this->Status = Other.Status;
+  this->Suspended = Other.Suspended;
   return *this;
 }
 
@@ -241,9 +242,13 @@
 int ChildProcess::terminate(Duration Grace) {
   if (this->reap(false))
     return this->Status;
+  // A suspended process does not handle SIGTERM until it is resumed. SIGCONT is
+  // sent neither after SIGTERM nor to a running process: it discards a pending
+  // SIGSTOP, also the one with which LeakSanitizer's tracer suspends the
+  // process at its exit. The tracer then waits for it without a limit.
+  if (this->Suspended)
+    this->resume();
   ::kill(this->Pid, SIGTERM);
-  // A suspended process does not handle SIGTERM until it is resumed.
-  ::kill(this->Pid, SIGCONT);
   if (!succeeded(this->waitForEnd(Grace)))
     this->kill();
   return this->Status;
@@ -257,13 +262,17 @@
 }
 
 void ChildProcess::pause() {
-  if (this->running())
-    ::kill(this->Pid, SIGSTOP);
+  if (!this->running())
+    return;
+  ::kill(this->Pid, SIGSTOP);
+  this->Suspended = true;
 }
 
 void ChildProcess::resume() {
-  if (this->running())
-    ::kill(this->Pid, SIGCONT);
+  if (!this->running())
+    return;
+  ::kill(this->Pid, SIGCONT);
+  this->Suspended = false;
 }
 
 } // namespace amaranthspur
--- a/src/testing/Processes.h
+++ b/src/testing/Processes.h
@@ -63,6 +63,7 @@
   bool running();
 
   /// Sends SIGTERM, and SIGKILL if the process is still running after \p Grace.
+  /// A process that pause() has suspended is resumed first.
   /// \returns the exit code, or the negated number of the signal that ended it.
   int terminate(Duration Grace = std::chrono::seconds(5));
 
@@ -89,6 +90,7 @@
   pid_t Pid = 0;   ///< 0 once the process has been reaped.
   int Output = -1; ///< Read end of the pipe from its standard output.
   int Status = 0;
+  bool Suspended = false; ///< By pause().
 };
 
 } // namespace amaranthspur
--- a/src/testing/testing/TestGroup.h
+++ b/src/testing/testing/TestGroup.h
@@ -32,16 +32,20 @@
 /// A process of this project that must exit with status 0 when it is
 /// terminated. The test fails if the process crashed or leaked memory.
 struct CheckedProcess {
+  std::string Name; ///< Of the program; shown when the check fails.
   ChildProcess Process;
 
-  explicit CheckedProcess(ChildProcess Started) : Process(std::move(Started)) {}
+  CheckedProcess(std::string Name, ChildProcess Started)
+      : Name(std::move(Name)), Process(std::move(Started)) {}
   CheckedProcess(CheckedProcess &&) = default;
   CheckedProcess &operator=(CheckedProcess &&) = delete;
   CheckedProcess(const CheckedProcess &) = delete;
   CheckedProcess &operator=(const CheckedProcess &) = delete;
   ~CheckedProcess() {
-    if (this->Process.id() != 0)
-      CHECK(this->Process.terminate(TestTimeout) == 0);
+    if (this->Process.id() == 0)
+      return;
+    CAPTURE(this->Name);
+    CHECK(this->Process.terminate(TestTimeout) == 0);
   }
 
   ChildProcess *operator->() { return &this->Process; }
@@ -56,7 +60,7 @@
   auto Started = ChildProcess::start(valueOf(Program), Arguments);
   INFO((succeeded(Started) ? Name : errorOf(Started)));
   REQUIRE(succeeded(Started));
-  return CheckedProcess(valueOf(std::move(Started)));
+  return {Name, valueOf(std::move(Started))};
 }
 
 /// A running fake-backend.
