--- a/src/policy/TakeoverProcedure.h
+++ b/src/policy/TakeoverProcedure.h
@@ -223,8 +223,7 @@
   /// Returns whether the old primary has stepped down, or does not answer.
   bool mayOrder() const;
   /// Returns the first server that reports to be the primary of a term later
-  /// than the old primary's, or of the last known term if there is no old
-  /// primary; or null.
+  /// than the old primary's, or null.
   const TakeoverServer *successor() const;
   /// Returns whether a server other than the old primary reports a later term.
   bool isSuperseded() const;
