Give up a takeover without the flag for a returned lead

Where another server leads, the procedure set the flag that says that the old primary is to lead again, only so that fail() would not return the lead. It calls giveUp() now, with which fail() ends as well.

--- a/src/policy/TakeoverProcedure.cpp
+++ b/src/policy/TakeoverProcedure.cpp
@@ -43,11 +43,6 @@
                      });
 }
 
-void TakeoverProcedure::yieldTo(const TakeoverServer &Leader) {
-  this->Returning = true;
-  this->fail("server " + Leader.Id.str() + " leads");
-}
-
 std::vector<ServerId> TakeoverProcedure::others() const {
   std::vector<ServerId> Ids;
   for (const TakeoverServer &S : this->Servers)
@@ -71,14 +66,19 @@
 }
 
 void TakeoverProcedure::fail(std::string Why) {
-  this->Reason = std::move(Why);
   // The log of the old primary holds every commit that it has acknowledged, so
   // it may lead again whatever the other servers hold.
   if (this->OldEnd && !this->Returning && !this->isSuperseded()) {
+    this->Reason = std::move(Why);
     this->Returning = true;
     this->Current = Phase::CheckOld;
     return;
   }
+  this->giveUp(std::move(Why));
+}
+
+void TakeoverProcedure::giveUp(std::string Why) {
+  this->Reason = std::move(Why);
   this->Ended = TakeoverEnd::GivenUp;
   this->Current = Phase::Resume;
 }
@@ -259,7 +259,7 @@
 
 void TakeoverProcedure::secure() {
   if (const TakeoverServer *Leader = this->successor()) {
-    this->yieldTo(*Leader);
+    this->giveUp("server " + Leader->Id.str() + " leads");
     return;
   }
   // An old primary that has restarted may have added entries since. They are in
@@ -317,7 +317,7 @@
 
 void TakeoverProcedure::verify() {
   if (const TakeoverServer *Leader = this->successor()) {
-    this->yieldTo(*Leader);
+    this->giveUp("server " + Leader->Id.str() + " leads");
     return;
   }
   for (const TakeoverServer &S : this->Servers)
--- a/src/policy/TakeoverProcedure.h
+++ b/src/policy/TakeoverProcedure.h
@@ -214,6 +214,8 @@
   void promote(const ServerId &Id);
   /// Gives up, or returns the lead to the old primary if that has stepped down.
   void fail(std::string Why);
+  /// Gives up, and leaves the lead where it is.
+  void giveUp(std::string Why);
   void end(TakeoverEnd How, std::string Why);
   /// Returns the ids of the servers other than the old primary.
   std::vector<ServerId> others() const;
@@ -227,8 +229,6 @@
   const TakeoverServer *successor() const;
   /// Returns whether a server other than the old primary reports a later term.
   bool isSuperseded() const;
-  /// Ends the takeover because \p Leader leads.
-  void yieldTo(const TakeoverServer &Leader);
 
   std::vector<TakeoverServer> Servers; ///< With their latest reports.
   std::optional<ServerId> Preferred;
