--- a/src/platform/PromotionClient.h
+++ b/src/platform/PromotionClient.h
@@ -4,13 +4,12 @@
 #define AMARANTHSPUR_PLATFORM_PROMOTIONCLIENT_H
 
 #include "core/Clock.h"
-#include "core/Names.h"
 #include "core/Types.h"
 #include "platform/HttpClient.h"
+#include "policy/Takeover.h"
 
 #include <QCoroTask>
 
-#include <array>
 #include <cstdint>
 
 namespace amaranthspur {
@@ -24,23 +23,6 @@
                               ///< on any group.
 };
 
-/// The result of a promotion request.
-enum class PromotionOutcome {
-  Accepted, ///< The target will soon be the primary of the next term.
-  Refused,  ///< No effect; for example, the target is not running.
-  NotDone,  ///< Refused temporarily, without effect; may be retried.
-  Unknown,  ///< No response; it may have had or may still have an effect.
-};
-
-template <> struct EnumNames<PromotionOutcome> {
-  static constexpr auto Entries =
-      std::to_array<std::pair<PromotionOutcome, std::string_view>>(
-          {{PromotionOutcome::Accepted, "accepted"},
-           {PromotionOutcome::Refused, "refused"},
-           {PromotionOutcome::NotDone, "not-done"},
-           {PromotionOutcome::Unknown, "unknown"}});
-};
-
 /// Interface of a client for promotions.
 class PromotionClient {
 public:
--- a/src/policy/Takeover.h
+++ b/src/policy/Takeover.h
@@ -43,6 +43,23 @@
            {TakeoverReason::PrimaryMissing, "primary-missing"}});
 };
 
+/// The result of a promotion request.
+enum class PromotionOutcome {
+  Accepted, ///< The target will soon be the primary of the next term.
+  Refused,  ///< No effect; for example, the target is not running.
+  NotDone,  ///< Refused temporarily, without effect; may be retried.
+  Unknown,  ///< No response; it may have had or may still have an effect.
+};
+
+template <> struct EnumNames<PromotionOutcome> {
+  static constexpr auto Entries =
+      std::to_array<std::pair<PromotionOutcome, std::string_view>>(
+          {{PromotionOutcome::Accepted, "accepted"},
+           {PromotionOutcome::Refused, "refused"},
+           {PromotionOutcome::NotDone, "not-done"},
+           {PromotionOutcome::Unknown, "unknown"}});
+};
+
 /// One server of a group, as input to planTakeover().
 struct TakeoverServer {
   ServerId Id;
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -147,8 +147,8 @@
   return false;
 }
 
-GroupMonitor::Reports::const_iterator
-GroupMonitor::replicaWithLongestLog(const Reports &Seen) const {
+ServerReports::const_iterator
+GroupMonitor::replicaWithLongestLog(const ServerReports &Seen) const {
   const std::optional<BelievedPrimary> Leader =
       this->Monitored->beliefs().primary();
   auto Longest = Seen.end();
@@ -164,11 +164,11 @@
 QCoro::Task<bool> GroupMonitor::isUnreachable(BelievedPrimary Leader) {
   // Two polls are made: if other entry VMs still reach the primary, its
   // replicas receive their writes between the polls.
-  const Reports First = co_await this->pollAll();
+  const ServerReports First = co_await this->pollAll();
   if (First.count(Leader.Id) > 0 || this->Stopping)
     co_return false;
   co_await sleepFor(AdvanceInterval);
-  const Reports Second = co_await this->pollAll();
+  const ServerReports Second = co_await this->pollAll();
   if (Second.count(Leader.Id) > 0 || this->Stopping)
     co_return false;
   const auto Before = this->replicaWithLongestLog(First);
@@ -185,12 +185,12 @@
 }
 
 QCoro::Task<bool> GroupMonitor::isIsolated(BelievedPrimary Leader) {
-  const Reports First = co_await this->pollAll();
+  const ServerReports First = co_await this->pollAll();
   const auto Primary = First.find(Leader.Id);
   if (Primary == First.end() || Primary->second.Role != ServerRole::Primary)
     co_return false;
   co_await sleepFor(AdvanceInterval);
-  const Reports Second = co_await this->pollAll();
+  const ServerReports Second = co_await this->pollAll();
   const auto Replica = this->replicaWithLongestLog(Second);
   // The primary is isolated if no replica has received all that the primary's
   // log held at the first poll.
@@ -237,7 +237,7 @@
   co_return valueOf(std::move(R));
 }
 
-QCoro::Task<> GroupMonitor::pollOne(ServerId Id, Reports &Into,
+QCoro::Task<> GroupMonitor::pollOne(ServerId Id, ServerReports &Into,
                                     TaskGroup &Round) {
   const TaskGroup::Guard Guard(Round);
   const std::optional<StatusAnswer> Reply = co_await this->call(Id, 0, false);
@@ -247,8 +247,8 @@
     Into.insert_or_assign(Id, *Report);
 }
 
-QCoro::Task<GroupMonitor::Reports> GroupMonitor::pollAll() {
-  Reports Seen;
+QCoro::Task<ServerReports> GroupMonitor::pollAll() {
+  ServerReports Seen;
   TaskGroup Round;
   std::vector<ServerId> Ids;
   for (const auto &[Id, Server] : this->Monitored->beliefs().servers())
@@ -261,7 +261,7 @@
 }
 
 std::vector<TakeoverServer>
-GroupMonitor::serversFrom(const Reports &Seen,
+GroupMonitor::serversFrom(const ServerReports &Seen,
                           const std::optional<ServerId> &Old) const {
   std::vector<TakeoverServer> Servers;
   for (const auto &[Id, Server] : this->Monitored->beliefs().servers()) {
@@ -285,7 +285,7 @@
   std::optional<ServerId> Old;
   if (Leader)
     Old = Leader->Id;
-  const Reports Seen = co_await this->pollAll();
+  const ServerReports Seen = co_await this->pollAll();
   const auto Planned = planTakeover(this->serversFrom(Seen, Old));
   std::optional<std::string> Refusal;
   if (const auto *Hold = std::get_if<TakeoverRefusal>(&Planned)) {
@@ -368,35 +368,17 @@
        {"fence", Held.Fence}});
 }
 
-QCoro::Task<bool> GroupMonitor::adopt(ServerId Id, Term T,
-                                      std::vector<LogPosition> &Positions) {
-  const std::optional<StatusAnswer> Reply = co_await this->call(Id, T, false);
-  if (!Reply)
-    co_return false;
-  const auto *Report = std::get_if<ServerReport>(&*Reply);
-  if (!Report || Report->AdoptedTerm < T)
-    co_return false;
-  Positions.push_back(Report->Received);
-  co_return true;
-}
-
-QCoro::Task<std::optional<std::string>>
-GroupMonitor::recheckTarget(TakeoverPlan Plan,
-                            std::vector<LogPosition> Positions) {
-  const Reports Seen = co_await this->pollAll();
-  const auto Target = Seen.find(Plan.Target);
-  if (Target == Seen.end())
-    co_return "the target does not answer";
-  if (Target->second.Role != ServerRole::Replica)
-    co_return "the target is not a replica";
-  // A server that has restarted no longer knows the term that it adopted.
-  for (const ServerId &Id : Plan.Adopters) {
-    const auto Adopter = Seen.find(Id);
-    if (Adopter == Seen.end() || Adopter->second.AdoptedTerm < Plan.NextTerm)
-      co_return "server " + Id.str() + " no longer holds the adopted term";
+QCoro::Task<ServerReports> GroupMonitor::adopt(std::vector<ServerId> Servers,
+                                               Term T) {
+  ServerReports Answers;
+  for (const ServerId &Id : Servers) {
+    const std::optional<StatusAnswer> Reply = co_await this->call(Id, T, false);
+    if (!Reply)
+      continue;
+    if (const auto *Report = std::get_if<ServerReport>(&*Reply))
+      Answers.insert_or_assign(Id, *Report);
   }
-  co_return reasonAgainstTarget(Target->second, Positions,
-                                this->Monitored->acknowledged());
+  co_return Answers;
 }
 
 QCoro::Task<std::optional<std::string>>
@@ -405,46 +387,47 @@
       co_await this->claim(std::to_string(Plan.NextTerm));
   if (!Held)
     co_return "another entry VM holds the claim, or the store does not answer";
-  std::optional<std::string> Failure;
-  std::vector<LogPosition> Positions;
-  // Without synchronous replicas the old primary can still acknowledge commits
-  // on its own, so it must step down first.
-  if (Old && !this->Monitored->commitsAreProofs())
-    co_await this->call(*Old, Plan.NextTerm, false);
-  for (const ServerId &Id : Plan.Adopters) {
-    const bool Adopted = co_await this->adopt(Id, Plan.NextTerm, Positions);
-    if (!Adopted) {
-      Failure = "server " + Id.str() + " did not adopt the term";
+  TakeoverProcedure Procedure(Plan, std::move(Old),
+                              this->Monitored->commitsAreProofs(), Held->Begun);
+  while (true) {
+    const TakeoverAction Action = Procedure.next(bootNow());
+    switch (Action.Step) {
+    case TakeoverStep::StepDown:
+    case TakeoverStep::Adopt: {
+      const ServerReports Answers =
+          co_await this->adopt(Action.Servers, Plan.NextTerm);
+      Procedure.recordAnswers(Answers);
       break;
     }
-  }
-  if (!Failure)
-    Failure = co_await this->recheckTarget(Plan, std::move(Positions));
-  if (!Failure) {
-    const PromotionOutcome Outcome = co_await this->promote(Plan, *Held);
-    if (Outcome == PromotionOutcome::Accepted ||
-        Outcome == PromotionOutcome::Unknown) {
+    case TakeoverStep::Poll: {
+      const ServerReports Answers = co_await this->pollAll();
+      Procedure.recordPoll(Answers, this->Monitored->acknowledged());
+      break;
+    }
+    case TakeoverStep::Order: {
+      const PromotionOutcome Outcome = co_await this->promote(Plan, *Held);
+      Procedure.recordOrder(Outcome);
+      break;
+    }
+    case TakeoverStep::AwaitEffect: {
       const bool Leads = co_await this->awaitEffect(Plan.Target);
-      // The promotion order may still take effect. The adopted terms therefore
-      // stay, and the claim is held until its lease expires.
-      if (!Leads)
-        co_return "the promotion has not taken effect";
-    } else {
-      Failure = "promotion outcome: " + std::string(nameOf(Outcome));
+      Procedure.recordEffect(Leads);
+      break;
+    }
+    case TakeoverStep::Resume:
+      co_await this->resumeAll(Action.Servers);
+      Procedure.recordResumed();
+      break;
+    case TakeoverStep::End:
+      if (Action.End != TakeoverEnd::Open)
+        co_await this->release(*Held, Action.End == TakeoverEnd::Promoted
+                                          ? "promoted"
+                                          : "given up");
+      if (Action.End == TakeoverEnd::Promoted)
+        co_return std::nullopt;
+      co_return Action.Why;
     }
   }
-  if (Failure) {
-    co_await this->resumeAll(Plan.Adopters);
-    co_await this->release(*Held, "given up");
-    co_return Failure;
-  }
-  // The old primary stops being primary by itself, but only one second after it
-  // reaches the new one. Until then it would accept writes that no replica
-  // acknowledges.
-  if (Old)
-    co_await this->call(*Old, Plan.NextTerm, false);
-  co_await this->release(*Held, "promoted");
-  co_return std::nullopt;
 }
 
 QCoro::Task<PromotionOutcome> GroupMonitor::promote(TakeoverPlan Plan,
@@ -454,20 +437,16 @@
   Order.Target = Plan.Target;
   Order.Holder = this->Dependencies.Self;
   Order.FencingToken = Held.Fence;
-  PromotionOutcome Outcome = PromotionOutcome::NotDone;
-  while (Outcome == PromotionOutcome::NotDone &&
-         TakeoverClaim::mayPromote(Held.Begun, bootNow())) {
-    Outcome = co_await this->Dependencies.Orders.promote(
-        Order, steadyNow() + OrderTimeout);
-    log(LogLevel::Info, LogEvent::PromotionOrdered,
-        {{"service", this->Monitored->name().str()},
-         {"target", Plan.Target.str()},
-         {"term", Plan.NextTerm},
-         {"fence", Held.Fence},
-         {"outcome", nameOf(Outcome)}});
-    if (Outcome == PromotionOutcome::NotDone)
-      co_await sleepFor(OrderRetryDelay);
-  }
+  const PromotionOutcome Outcome = co_await this->Dependencies.Orders.promote(
+      Order, steadyNow() + OrderTimeout);
+  log(LogLevel::Info, LogEvent::PromotionOrdered,
+      {{"service", this->Monitored->name().str()},
+       {"target", Plan.Target.str()},
+       {"term", Plan.NextTerm},
+       {"fence", Held.Fence},
+       {"outcome", nameOf(Outcome)}});
+  if (Outcome == PromotionOutcome::NotDone)
+    co_await sleepFor(OrderRetryDelay);
   co_return Outcome;
 }
 
@@ -508,7 +487,7 @@
     co_return;
   // The known terms may be outdated, so the servers are polled again before
   // anything is undone.
-  const Reports Seen = co_await this->pollAll();
+  const ServerReports Seen = co_await this->pollAll();
   const std::optional<BelievedPrimary> Now =
       this->Monitored->beliefs().primary();
   if (Now != Leader || Seen.count(Leader->Id) == 0)
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -12,7 +12,7 @@
 #include "core/Random.h"
 #include "platform/Platform.h"
 #include "platform/PromotionClient.h"
-#include "policy/Takeover.h"
+#include "policy/TakeoverProcedure.h"
 #include "root/groups/Group.h"
 #include "root/telemetry/Metrics.h"
 
@@ -93,8 +93,6 @@
   void suspect();
 
 private:
-  /// Reports of servers, by id; a server that did not answer has no entry.
-  using Reports = std::map<ServerId, ServerReport>;
   /// A claim on the takeover, held by this entry VM.
   struct HeldClaim {
     std::uint64_t Fence = 0;
@@ -124,8 +122,8 @@
   QCoro::Task<> undoStrandedAdoptions();
 
   /// Requests the status of all servers at the same time.
-  QCoro::Task<Reports> pollAll();
-  QCoro::Task<> pollOne(ServerId Id, Reports &Into, TaskGroup &Round);
+  QCoro::Task<ServerReports> pollAll();
+  QCoro::Task<> pollOne(ServerId Id, ServerReports &Into, TaskGroup &Round);
   /// Opens a connection to \p Id, makes one call and records the result.
   /// \param Adopt term that the server is to adopt; 0 requests the status only.
   /// \param Resume whether to let a paused replica receive again instead.
@@ -137,11 +135,6 @@
   /// \returns why it was abandoned, or nothing if the target now leads.
   QCoro::Task<std::optional<std::string>> execute(TakeoverPlan Plan,
                                                   std::optional<ServerId> Old);
-  /// Polls all servers again and returns why the target may not be promoted, or
-  /// nothing if it may.
-  /// \param Positions ends of the adopters' logs when they adopted the term.
-  QCoro::Task<std::optional<std::string>>
-  recheckTarget(TakeoverPlan Plan, std::vector<LogPosition> Positions);
   /// Returns an identifier that is unique among all writes to the store.
   std::string nextOperation();
   /// Claims the group's takeover; returns nothing if another entry VM holds the
@@ -149,19 +142,21 @@
   QCoro::Task<std::optional<HeldClaim>> claim(std::string Purpose);
   /// Marks the claim row as finished. If that fails, the claim expires.
   QCoro::Task<> release(HeldClaim Claim, std::string How);
-  /// Makes \p Id adopt \p T and appends the end of its log to \p Positions.
-  QCoro::Task<bool> adopt(ServerId Id, Term T,
-                          std::vector<LogPosition> &Positions);
-  /// Orders the promotion, repeatedly while the platform reports that it was
-  /// not done and the claim still allows it.
+  /// Makes each of \p Servers adopt \p T, one after the other.
+  /// \returns the reports of those that answered.
+  QCoro::Task<ServerReports> adopt(std::vector<ServerId> Servers, Term T);
+  /// Orders the promotion once, and waits for OrderRetryDelay if the platform
+  /// has refused it for the moment.
   QCoro::Task<PromotionOutcome> promote(TakeoverPlan Plan, HeldClaim Held);
   /// Waits until \p Target leads a known term; false after EffectTimeout.
   QCoro::Task<bool> awaitEffect(ServerId Target);
   QCoro::Task<> resumeAll(std::vector<ServerId> Servers);
   /// Returns the replica whose log reaches furthest, or the end of \p Seen.
-  Reports::const_iterator replicaWithLongestLog(const Reports &Seen) const;
+  ServerReports::const_iterator
+  replicaWithLongestLog(const ServerReports &Seen) const;
   std::vector<TakeoverServer>
-  serversFrom(const Reports &Seen, const std::optional<ServerId> &Old) const;
+  serversFrom(const ServerReports &Seen,
+              const std::optional<ServerId> &Old) const;
 
   std::shared_ptr<Group> Monitored;
   MonitorDependencies Dependencies;
