--- a/src/root/directory/PlatformDirectory.cpp
+++ b/src/root/directory/PlatformDirectory.cpp
@@ -145,6 +145,7 @@
          {"address", Server.At.str()},
          {"state", Server.Draining ? "draining" : "ready"},
          {"role", nameOf(*Server.Role)},
+         {"started_at_ms", Server.StartedAtMs},
          {"row_version", Row.Version}});
   this->Servers.insert_or_assign(Id, Server);
 }
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -225,6 +225,17 @@
 }
 
 void Group::observeReport(const ServerId &Id, const ServerReport &Report) {
+  const ServerBelief *Known = this->Beliefs.find(Id);
+  if (Known &&
+      (Known->Role != Report.Role || Known->TermNumber != Report.TermNumber ||
+       Known->AdoptedTerm != Report.AdoptedTerm))
+    log(LogLevel::Info, LogEvent::ServerStateChanged,
+        {{"service", this->Name.str()},
+         {"server", Id.str()},
+         {"role", nameOf(Report.Role)},
+         {"term", Report.TermNumber},
+         {"adopted", Report.AdoptedTerm},
+         {"position", positionText(Report.Received)}});
   this->Beliefs.observeStatus(Id, Report, steadyNow());
   if (const std::shared_ptr<ServerPool> Pool = this->pool(Id)) {
     Pool->share().observeCount(Report.Connections, steadyNow());
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -297,7 +297,9 @@
          {"reason", nameOf(Reason)},
          {"old", Old ? Old->str() : "none"},
          {"target", Plan.Target.str()},
-         {"term", Plan.NextTerm}});
+         {"term", Plan.NextTerm},
+         {"acknowledged", positionText(this->Monitored->acknowledged())},
+         {"servers", this->describe(Seen)}});
     Refusal = co_await this->execute(Plan, Old);
   }
   if (!Refusal) {
@@ -311,7 +313,8 @@
   log(LogLevel::Warning, LogEvent::PromotionRefused,
       {{"service", this->Monitored->name().str()},
        {"reason", nameOf(Reason)},
-       {"why", *Refusal}});
+       {"why", *Refusal},
+       {"servers", this->describe(Seen)}});
   co_await sleepFor(FailedTakeoverPause);
 }
 
@@ -342,6 +345,11 @@
     if (!valueOf(R).Applied)
       continue;
     Held.Fence = Row.Version;
+    log(LogLevel::Info, LogEvent::TakeoverClaimed,
+        {{"service", this->Monitored->name().str()},
+         {"purpose", Purpose},
+         {"fence", Held.Fence},
+         {"took_ms", (bootNow() - Held.Begun) / milliseconds(1)}});
     co_return Held;
   }
   co_return std::nullopt;
@@ -396,11 +404,14 @@
     case TakeoverStep::Adopt: {
       const ServerReports Answers =
           co_await this->adopt(Action.Servers, Plan.NextTerm);
+      this->logStep(Action.Step, *Held, Action.Servers,
+                    this->describe(Answers));
       Procedure.recordAnswers(Answers);
       break;
     }
     case TakeoverStep::Poll: {
       const ServerReports Answers = co_await this->pollAll();
+      this->logStep(Action.Step, *Held, {}, this->describe(Answers));
       Procedure.recordPoll(Answers, this->Monitored->acknowledged());
       break;
     }
@@ -411,11 +422,13 @@
     }
     case TakeoverStep::AwaitEffect: {
       const bool Leads = co_await this->awaitEffect(Plan.Target);
+      this->logStep(Action.Step, *Held, {Plan.Target}, Leads ? "leads" : "no");
       Procedure.recordEffect(Leads);
       break;
     }
     case TakeoverStep::Resume:
       co_await this->resumeAll(Action.Servers);
+      this->logStep(Action.Step, *Held, Action.Servers, "sent");
       Procedure.recordResumed();
       break;
     case TakeoverStep::End:
@@ -450,6 +463,40 @@
   co_return Outcome;
 }
 
+std::string GroupMonitor::describe(const ServerReports &Seen) const {
+  std::string Text;
+  for (const auto &[Id, Server] : this->Monitored->beliefs().servers()) {
+    Text += (Text.empty() ? "" : " ") + Id.str() + "@" +
+            std::to_string(Server.Registration.Version) + ":";
+    const auto Found = Seen.find(Id);
+    if (Found == Seen.end()) {
+      Text += "none";
+      continue;
+    }
+    const ServerReport &Report = Found->second;
+    Text += std::string(nameOf(Report.Role)) + "," +
+            std::to_string(Report.TermNumber) + "," +
+            positionText(Report.Received) + "," +
+            std::to_string(Report.AdoptedTerm);
+  }
+  return Text;
+}
+
+void GroupMonitor::logStep(TakeoverStep Step, const HeldClaim &Held,
+                           const std::vector<ServerId> &Asked,
+                           const std::string &Result) {
+  std::string Servers;
+  for (const ServerId &Id : Asked)
+    Servers += (Servers.empty() ? "" : " ") + Id.str();
+  log(LogLevel::Info, LogEvent::TakeoverStepDone,
+      {{"service", this->Monitored->name().str()},
+       {"fence", Held.Fence},
+       {"step", nameOf(Step)},
+       {"asked", Servers.empty() ? "all" : Servers},
+       {"since_claim_ms", (bootNow() - Held.Begun) / milliseconds(1)},
+       {"servers", Result}});
+}
+
 QCoro::Task<bool> GroupMonitor::awaitEffect(ServerId Target) {
   const TimePoint Deadline = steadyNow() + EffectTimeout;
   while (steadyNow() < Deadline && !this->Stopping) {
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -150,6 +150,13 @@
   QCoro::Task<PromotionOutcome> promote(TakeoverPlan Plan, HeldClaim Held);
   /// Waits until \p Target leads a known term; false after EffectTimeout.
   QCoro::Task<bool> awaitEffect(ServerId Target);
+  /// Returns, for the log, the version of each server's registration and its
+  /// report in \p Seen.
+  std::string describe(const ServerReports &Seen) const;
+  /// Logs a step of a takeover.
+  /// \param Asked the servers that the step concerns; empty: all.
+  void logStep(TakeoverStep Step, const HeldClaim &Held,
+               const std::vector<ServerId> &Asked, const std::string &Result);
   QCoro::Task<> resumeAll(std::vector<ServerId> Servers);
   /// Returns the replica whose log reaches furthest, or the end of \p Seen.
   ServerReports::const_iterator
--- a/src/root/telemetry/Log.h
+++ b/src/root/telemetry/Log.h
@@ -71,6 +71,7 @@
   RelayRejected,
   Reload,
   ServerReachable,
+  ServerStateChanged,
   ServerUnreachable,
   ServersChanged,
   SessionEnded,
@@ -81,6 +82,8 @@
   StatementRefused,
   Stopped,
   Stopping,
+  TakeoverClaimed,
+  TakeoverStepDone,
 };
 
 template <> struct EnumNames<LogEvent> {
@@ -123,6 +126,7 @@
            {LogEvent::RelayRejected, "relay-rejected"},
            {LogEvent::Reload, "reload"},
            {LogEvent::ServerReachable, "server-reachable"},
+           {LogEvent::ServerStateChanged, "server-state-changed"},
            {LogEvent::ServerUnreachable, "server-unreachable"},
            {LogEvent::ServersChanged, "servers-changed"},
            {LogEvent::SessionEnded, "session-ended"},
@@ -132,7 +136,9 @@
            {LogEvent::StatementAnswered, "statement-answered"},
            {LogEvent::StatementRefused, "statement-refused"},
            {LogEvent::Stopped, "stopped"},
-           {LogEvent::Stopping, "stopping"}});
+           {LogEvent::Stopping, "stopping"},
+           {LogEvent::TakeoverClaimed, "takeover-claimed"},
+           {LogEvent::TakeoverStepDone, "takeover-step"}});
 };
 
 /// One `key=value` pair of a line.
