--- a/src/policy/GroupBeliefs.cpp
+++ b/src/policy/GroupBeliefs.cpp
@@ -55,6 +55,9 @@
   ServerBelief *Server = this->findMutable(Id);
   if (!Server)
     return;
+  // Evidence of other entry VMs may still name a primary that has stepped down.
+  if (Server->Role == ServerRole::Primary && Report.Role == ServerRole::Replica)
+    Server->RefusedTerm = std::max(Server->RefusedTerm, Server->TermNumber);
   Server->Role = Report.Role;
   Server->TermNumber = Report.TermNumber;
   Server->AdoptedTerm = Report.AdoptedTerm;
--- a/src/policy/GroupBeliefs.h
+++ b/src/policy/GroupBeliefs.h
@@ -53,7 +53,8 @@
   std::optional<ServerRole> Role;
   Term TermNumber = 0;    ///< 0 if not known since the last role change.
   Term AdoptedTerm = 0;   ///< Last known.
-  Term RefusedTerm = 0;   ///< In which it last refused a write as a replica.
+  Term RefusedTerm = 0;   ///< In which it last refused a write as a replica,
+                          ///< or stepped down.
   LogPosition Position;   ///< Highest log position in any of its answers.
   TimePoint PositionAt{}; ///< Time of the last answer with a position.
   std::optional<TimePoint> FailingSince; ///< First failure after a success.
--- a/src/policy/Takeover.h
+++ b/src/policy/Takeover.h
@@ -1,25 +1,17 @@
 // The decisions of a takeover: why a group needs another primary, which server
-// becomes the primary, and when it may be promoted.
-//
-// The caller maintains these invariants with the functions below:
-//  - All servers of the group except the old primary and the target have
-//    adopted the next term, and there is at least one such server.
-//  - The target's log reaches at least as far as the log of each of these
-//    servers did at its adoption.
-// Every commit that is acknowledged before the promotion takes effect is then
-// in the target's log. If it was acknowledged before the adoptions, the target
-// or an adopter holds it; after the adoptions, only the target can still
-// receive and acknowledge commits of the old primary. This requires that a
-// commit is acknowledged only after one replica holds it.
+// becomes the primary, and until when the holder of the claim may act. The
+// order of the steps and the argument for their safety are in
+// policy/TakeoverProcedure.h.
 #ifndef AMARANTHSPUR_POLICY_TAKEOVER_H
 #define AMARANTHSPUR_POLICY_TAKEOVER_H
 
 #include "policy/GroupBeliefs.h"
 
 #include <array>
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
-#include <variant>
 #include <vector>
 
 namespace amaranthspur {
@@ -60,39 +52,35 @@
            {PromotionOutcome::Unknown, "unknown"}});
 };
 
-/// One server of a group, as input to planTakeover().
+/// The reports of servers by id; a server that did not answer has no entry.
+using ServerReports = std::map<ServerId, ServerReport>;
+
+/// One server of a group, as input to a takeover.
 struct TakeoverServer {
   ServerId Id;
   bool Draining = false;
   bool OldPrimary = false;
+  std::int64_t StartedAtMs = 0; ///< Differs after a restart.
   Distance DistanceFromHere = Distance::SameDataCentre; ///< From this entry VM.
   std::optional<ServerReport> Report; ///< Nothing if it did not answer.
 };
 
-/// The steps of a takeover.
-struct TakeoverPlan {
-  ServerId Target;                ///< The server to promote in NextTerm.
-  std::vector<ServerId> Adopters; ///< Have to adopt NextTerm beforehand.
-  Term NextTerm = 0;              ///< The next term, above all reported ones.
-};
-
-/// The reason why a takeover is not possible now.
-struct TakeoverRefusal {
-  std::string Reason;
-};
+/// Returns the term of the next primary: one above all terms in the reports.
+Term nextTerm(const std::vector<TakeoverServer> &Servers);
 
-/// Plans a takeover from reports that have just been requested.
-std::variant<TakeoverPlan, TakeoverRefusal>
-planTakeover(const std::vector<TakeoverServer> &Servers);
-
-/// Returns the reason why \p Target must not be promoted, or nothing if it may
-/// be promoted.
-/// \param Adopted log ends of the adopters at their adoptions.
-/// \param Acknowledged highest position of a commit known to be acknowledged.
+/// Returns why no takeover is possible by the reports in \p Servers, or nothing
+/// if one is.
 std::optional<std::string>
-reasonAgainstTarget(const ServerReport &Target,
-                    const std::vector<LogPosition> &Adopted,
-                    LogPosition Acknowledged);
+reasonAgainstTakeover(const std::vector<TakeoverServer> &Servers);
+
+/// Returns the best target among the servers whose log reaches \p End, or
+/// nothing if there is none. The old primary is not a candidate.
+/// \param Preferred target of an earlier order that may still take effect. It
+/// is chosen if its log reaches \p End, because an order for another server
+/// could supersede it after it has acknowledged commits.
+std::optional<ServerId> chooseTarget(const std::vector<TakeoverServer> &Servers,
+                                     LogPosition End,
+                                     const std::optional<ServerId> &Preferred);
 
 /// The claim on a group's takeover, as observed by one entry VM.
 ///
@@ -108,6 +96,9 @@
   static constexpr Duration Lease = std::chrono::seconds(4);
   /// Time after the start of a claim within which its holder may promote.
   static constexpr Duration PromotionWindow = milliseconds(1500);
+  /// Time after the start of a claim within which its holder may undo what it
+  /// has done. Leaves time for calls that are under way when the lease ends.
+  static constexpr Duration UndoWindow = milliseconds(3000);
 
   /// Records that the row was read with \p Version; 0 if it does not exist.
   /// \param Finished whether the holder has marked the takeover as finished.
@@ -124,6 +115,11 @@
   static bool mayPromote(TimePoint Begun, TimePoint Now) {
     return Now - Begun < PromotionWindow;
   }
+  /// Returns whether the holder of a claim started at \p Begun may still undo
+  /// adoptions. Later they may belong to the takeover of another entry VM.
+  static bool mayUndo(TimePoint Begun, TimePoint Now) {
+    return Now - Begun < UndoWindow;
+  }
 
 private:
   std::uint64_t Version = 0;
--- a/src/root/LineDaemon.h
+++ b/src/root/LineDaemon.h
@@ -15,6 +15,7 @@
 #include "root/Settings.h"
 #include "root/Supervisor.h"
 #include "root/directory/PlatformDirectory.h"
+#include "root/directory/StoredRegistrations.h"
 #include "root/groups/GroupRegistry.h"
 #include "root/relay/Relay.h"
 #include "root/sessions/LocalReads.h"
@@ -73,6 +74,7 @@
   RelayedFeed Feed;
   Relay DataCentreRelay;
   PlatformDirectory Directory;
+  StoredRegistrations Registrations;
   GroupRegistry Groups;
   LocalReads Reads;
   SessionDependencies Dependencies;
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -4,6 +4,7 @@
 #include "root/telemetry/Log.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace amaranthspur {
 namespace {
@@ -15,6 +16,26 @@
   return "takeover/" + Service.str();
 }
 
+/// Returns the target in the value of a claim row (entry VM, term, target), or
+/// nothing if no order was given under that claim.
+std::optional<ServerId> confirmedTarget(const std::string &Value) {
+  std::istringstream Words(Value);
+  std::string Holder;
+  std::string TermText;
+  std::string Target;
+  if (Words >> Holder >> TermText >> Target)
+    return ServerId(Target);
+  return std::nullopt;
+}
+
+/// Returns the call that a step makes to its servers.
+ServerRequest requestFor(TakeoverStep Step) {
+  if (Step == TakeoverStep::StepDown)
+    return ServerRequest::StepDown;
+  return Step == TakeoverStep::Adopt ? ServerRequest::Adopt
+                                     : ServerRequest::Status;
+}
+
 } // namespace
 
 GroupMonitor::GroupMonitor(std::shared_ptr<Group> Monitored,
@@ -98,7 +119,7 @@
   const std::optional<BelievedPrimary> Leader =
       this->Monitored->beliefs().primary();
   if (Leader && Leader->TermNumber == 0)
-    co_await this->call(Leader->Id, 0, false);
+    co_await this->call(Leader->Id, ServerRequest::Status, 0);
 }
 
 QCoro::Task<TakeoverReason> GroupMonitor::checkPrimary() {
@@ -198,13 +219,19 @@
       Replica->second.Received < Primary->second.Received;
 }
 
+const RegisteredServer *GroupMonitor::registration(const ServerId &Id) const {
+  if (const ServerBelief *Server = this->Monitored->beliefs().find(Id))
+    return &Server->Registration;
+  const auto Listed = this->Found.find(Id);
+  return Listed == this->Found.end() ? nullptr : &Listed->second;
+}
+
 QCoro::Task<std::optional<StatusAnswer>>
-GroupMonitor::call(ServerId Id, Term Adopt, bool Resume) {
-  const ServerBelief *Server = this->Monitored->beliefs().find(Id);
-  if (!Server)
+GroupMonitor::call(ServerId Id, ServerRequest Kind, Term T) {
+  const RegisteredServer *Known = this->registration(Id);
+  if (!Known)
     co_return std::nullopt;
-  const RegisteredServer Registration = Server->Registration;
-  const bool Leads = Server->Role == ServerRole::Primary;
+  const RegisteredServer Registration = *Known;
   const TimePoint Deadline = steadyNow() + CallTimeout;
   OpenedLink Opened =
       co_await this->Monitored->connector().open(Registration, Deadline);
@@ -218,14 +245,20 @@
   }
   const auto &Link = std::get<std::unique_ptr<ServerLink>>(Opened);
   Result<StatusAnswer> R = Error{};
-  if (Resume)
-    R = co_await Link->resume(Deadline);
-  else if (Adopt == 0)
+  switch (Kind) {
+  case ServerRequest::Status:
     R = co_await Link->status(Deadline);
-  else if (Leads)
-    R = co_await Link->stepDown(Adopt, Deadline);
-  else
-    R = co_await Link->pause(Adopt, Deadline);
+    break;
+  case ServerRequest::StepDown:
+    R = co_await Link->stepDown(T, Deadline);
+    break;
+  case ServerRequest::Adopt:
+    R = co_await Link->pause(T, Deadline);
+    break;
+  case ServerRequest::Resume:
+    R = co_await Link->resume(Deadline);
+    break;
+  }
   if (!succeeded(R)) {
     this->Monitored->observeFailure(Id, errorOf(R));
     co_return std::nullopt;
@@ -237,29 +270,35 @@
   co_return valueOf(std::move(R));
 }
 
-QCoro::Task<> GroupMonitor::pollOne(ServerId Id, ServerReports &Into,
-                                    TaskGroup &Round) {
+QCoro::Task<> GroupMonitor::requestOne(ServerId Id, ServerRequest Kind, Term T,
+                                       ServerReports &Into, TaskGroup &Round) {
   const TaskGroup::Guard Guard(Round);
-  const std::optional<StatusAnswer> Reply = co_await this->call(Id, 0, false);
+  const std::optional<StatusAnswer> Reply = co_await this->call(Id, Kind, T);
   if (!Reply)
     co_return;
   if (const auto *Report = std::get_if<ServerReport>(&*Reply))
     Into.insert_or_assign(Id, *Report);
 }
 
-QCoro::Task<ServerReports> GroupMonitor::pollAll() {
+QCoro::Task<ServerReports>
+GroupMonitor::requestAll(std::vector<ServerId> Servers, ServerRequest Kind,
+                         Term T) {
   ServerReports Seen;
   TaskGroup Round;
-  std::vector<ServerId> Ids;
-  for (const auto &[Id, Server] : this->Monitored->beliefs().servers())
-    Ids.push_back(Id);
-  for (const ServerId &Id : Ids)
-    this->pollOne(Id, Seen, Round);
+  for (const ServerId &Id : Servers)
+    this->requestOne(Id, Kind, T, Seen, Round);
   // This wait is bounded, because every call has its own deadline.
   co_await Round.waitUntilEmpty();
   co_return Seen;
 }
 
+QCoro::Task<ServerReports> GroupMonitor::pollAll() {
+  std::vector<ServerId> Ids;
+  for (const auto &[Id, Server] : this->Monitored->beliefs().servers())
+    Ids.push_back(Id);
+  co_return co_await this->requestAll(std::move(Ids), ServerRequest::Status, 0);
+}
+
 std::vector<TakeoverServer>
 GroupMonitor::serversFrom(const ServerReports &Seen,
                           const std::optional<ServerId> &Old) const {
@@ -269,6 +308,7 @@
     S.Id = Id;
     S.Draining = Server.Registration.Draining;
     S.OldPrimary = Old == Id;
+    S.StartedAtMs = Server.Registration.StartedAtMs;
     S.DistanceFromHere =
         this->Monitored->where().distanceTo(Server.Registration.Location);
     const auto Report = Seen.find(Id);
@@ -286,21 +326,17 @@
   if (Leader)
     Old = Leader->Id;
   const ServerReports Seen = co_await this->pollAll();
-  const auto Planned = planTakeover(this->serversFrom(Seen, Old));
-  std::optional<std::string> Refusal;
-  if (const auto *Hold = std::get_if<TakeoverRefusal>(&Planned)) {
-    Refusal = Hold->Reason;
-  } else {
-    const TakeoverPlan &Plan = std::get<TakeoverPlan>(Planned);
+  const std::vector<TakeoverServer> Servers = this->serversFrom(Seen, Old);
+  std::optional<std::string> Refusal = reasonAgainstTakeover(Servers);
+  if (!Refusal) {
     log(LogLevel::Info, LogEvent::PromotionStarted,
         {{"service", this->Monitored->name().str()},
          {"reason", nameOf(Reason)},
          {"old", Old ? Old->str() : "none"},
-         {"target", Plan.Target.str()},
-         {"term", Plan.NextTerm},
+         {"term", nextTerm(Servers)},
          {"acknowledged", positionText(this->Monitored->acknowledged())},
          {"servers", this->describe(Seen)}});
-    Refusal = co_await this->execute(Plan, Old);
+    Refusal = co_await this->execute(Servers);
   }
   if (!Refusal) {
     this->Dependencies.Counters.add(Counter::Promotions,
@@ -342,8 +378,12 @@
       co_return std::nullopt;
     const TableRow &Row = valueOf(R).Current;
     this->Claim.observe(Row.Version, Row.Value == FinishedValue, bootNow());
-    if (!valueOf(R).Applied)
+    if (!valueOf(R).Applied) {
+      this->ClaimValue = Row.Value;
       continue;
+    }
+    Held.Preferred = confirmedTarget(this->ClaimValue);
+    this->ClaimValue = Row.Value;
     Held.Fence = Row.Version;
     log(LogLevel::Info, LogEvent::TakeoverClaimed,
         {{"service", this->Monitored->name().str()},
@@ -370,94 +410,126 @@
   }
   const TableRow &Row = valueOf(R).Current;
   this->Claim.observe(Row.Version, Row.Value == FinishedValue, bootNow());
+  this->ClaimValue = Row.Value;
+  if (!valueOf(R).Applied)
+    How += ", but another entry VM has claimed the takeover";
   log(LogLevel::Info, LogEvent::PromotionFinished,
       {{"service", this->Monitored->name().str()},
        {"how", How},
        {"fence", Held.Fence}});
 }
 
-QCoro::Task<ServerReports> GroupMonitor::adopt(std::vector<ServerId> Servers,
-                                               Term T) {
-  ServerReports Answers;
-  for (const ServerId &Id : Servers) {
-    const std::optional<StatusAnswer> Reply = co_await this->call(Id, T, false);
-    if (!Reply)
-      continue;
-    if (const auto *Report = std::get_if<ServerReport>(&*Reply))
-      Answers.insert_or_assign(Id, *Report);
+QCoro::Task<ClaimCheck> GroupMonitor::confirm(HeldClaim &Held,
+                                              std::string Purpose) {
+  const Result<CasOutcome> R = co_await this->Dependencies.Store.compareAndSet(
+      claimKey(this->Monitored->name()), Held.Fence,
+      this->Dependencies.Self.str() + " " + Purpose, this->nextOperation(),
+      steadyNow() + ConfirmTimeout);
+  if (!succeeded(R))
+    co_return ClaimCheck::Unknown;
+  const TableRow &Row = valueOf(R).Current;
+  this->Claim.observe(Row.Version, Row.Value == FinishedValue, bootNow());
+  this->ClaimValue = Row.Value;
+  if (!valueOf(R).Applied)
+    co_return ClaimCheck::Lost;
+  Held.Fence = Row.Version;
+  co_return ClaimCheck::Held;
+}
+
+QCoro::Task<std::optional<std::vector<TakeoverServer>>>
+GroupMonitor::readServers() {
+  Result<std::vector<RegisteredServer>> R =
+      co_await this->Dependencies.Registrations.read(this->Monitored->name(),
+                                                     steadyNow() + CallTimeout);
+  if (!succeeded(R))
+    co_return std::nullopt;
+  std::vector<TakeoverServer> Servers;
+  this->Found.clear();
+  for (RegisteredServer &Server : valueOf(R)) {
+    TakeoverServer S;
+    S.Id = Server.Id;
+    S.Draining = Server.Draining;
+    S.StartedAtMs = Server.StartedAtMs;
+    S.DistanceFromHere = this->Monitored->where().distanceTo(Server.Location);
+    Servers.push_back(std::move(S));
+    const ServerId Id = Server.Id;
+    this->Found.insert_or_assign(Id, std::move(Server));
   }
-  co_return Answers;
+  co_return Servers;
 }
 
 QCoro::Task<std::optional<std::string>>
-GroupMonitor::execute(TakeoverPlan Plan, std::optional<ServerId> Old) {
-  const std::optional<HeldClaim> Held =
-      co_await this->claim(std::to_string(Plan.NextTerm));
+GroupMonitor::execute(std::vector<TakeoverServer> Servers) {
+  std::optional<HeldClaim> Held =
+      co_await this->claim(std::to_string(nextTerm(Servers)));
   if (!Held)
     co_return "another entry VM holds the claim, or the store does not answer";
-  TakeoverProcedure Procedure(Plan, std::move(Old),
-                              this->Monitored->commitsAreProofs(), Held->Begun);
+  TakeoverProcedure Procedure(std::move(Servers), Held->Preferred, Held->Begun);
   while (true) {
     const TakeoverAction Action = Procedure.next(bootNow());
+    std::string Outcome;
     switch (Action.Step) {
+    case TakeoverStep::Poll:
     case TakeoverStep::StepDown:
     case TakeoverStep::Adopt: {
-      const ServerReports Answers =
-          co_await this->adopt(Action.Servers, Plan.NextTerm);
-      this->logStep(Action.Step, *Held, Action.Servers,
-                    this->describe(Answers));
-      Procedure.recordAnswers(Answers);
+      const ServerReports Answers = co_await this->requestAll(
+          Action.Servers, requestFor(Action.Step), Procedure.term());
+      Outcome = this->describe(Answers);
+      Procedure.recordAnswers(Answers, this->Monitored->acknowledged(),
+                              bootNow());
       break;
     }
-    case TakeoverStep::Poll: {
-      const ServerReports Answers = co_await this->pollAll();
-      this->logStep(Action.Step, *Held, {}, this->describe(Answers));
-      Procedure.recordPoll(Answers, this->Monitored->acknowledged());
+    case TakeoverStep::ReadServers: {
+      const auto Listed = co_await this->readServers();
+      Outcome = Listed ? std::to_string(Listed->size()) : "no answer";
+      Procedure.recordServers(Listed);
+      break;
+    }
+    case TakeoverStep::Confirm: {
+      const ClaimCheck Check = co_await this->confirm(
+          *Held, std::to_string(Procedure.term()) + " " + Action.Target.str());
+      Outcome = nameOf(Check);
+      Procedure.recordClaim(Check);
       break;
     }
     case TakeoverStep::Order: {
-      const PromotionOutcome Outcome = co_await this->promote(Plan, *Held);
-      Procedure.recordOrder(Outcome);
+      const PromotionOutcome Answer =
+          co_await this->promote(Action.Target, *Held);
+      Outcome = nameOf(Answer);
+      Procedure.recordOrder(Answer);
       break;
     }
     case TakeoverStep::AwaitEffect: {
-      const bool Leads = co_await this->awaitEffect(Plan.Target);
-      this->logStep(Action.Step, *Held, {Plan.Target}, Leads ? "leads" : "no");
+      const bool Leads =
+          co_await this->awaitEffect(Action.Target, Procedure.term());
+      Outcome = Leads ? "leads" : "not yet";
       Procedure.recordEffect(Leads);
       break;
     }
     case TakeoverStep::Resume:
-      co_await this->resumeAll(Action.Servers);
-      this->logStep(Action.Step, *Held, Action.Servers, "sent");
+      co_await this->requestAll(Action.Servers, ServerRequest::Resume, 0);
       Procedure.recordResumed();
       break;
     case TakeoverStep::End:
       if (Action.End != TakeoverEnd::Open)
-        co_await this->release(*Held, Action.End == TakeoverEnd::Promoted
-                                          ? "promoted"
-                                          : "given up");
+        co_await this->release(*Held, std::string(nameOf(Action.End)));
       if (Action.End == TakeoverEnd::Promoted)
         co_return std::nullopt;
       co_return Action.Why;
     }
+    this->logStep(Action, *Held, Procedure.term(), Outcome);
   }
 }
 
-QCoro::Task<PromotionOutcome> GroupMonitor::promote(TakeoverPlan Plan,
+QCoro::Task<PromotionOutcome> GroupMonitor::promote(ServerId Target,
                                                     HeldClaim Held) {
   PromotionRequest Order;
   Order.Service = this->Monitored->name();
-  Order.Target = Plan.Target;
+  Order.Target = std::move(Target);
   Order.Holder = this->Dependencies.Self;
   Order.FencingToken = Held.Fence;
   const PromotionOutcome Outcome = co_await this->Dependencies.Orders.promote(
       Order, steadyNow() + OrderTimeout);
-  log(LogLevel::Info, LogEvent::PromotionOrdered,
-      {{"service", this->Monitored->name().str()},
-       {"target", Plan.Target.str()},
-       {"term", Plan.NextTerm},
-       {"fence", Held.Fence},
-       {"outcome", nameOf(Outcome)}});
   if (Outcome == PromotionOutcome::NotDone)
     co_await sleepFor(OrderRetryDelay);
   co_return Outcome;
@@ -465,16 +537,11 @@
 
 std::string GroupMonitor::describe(const ServerReports &Seen) const {
   std::string Text;
-  for (const auto &[Id, Server] : this->Monitored->beliefs().servers()) {
+  for (const auto &[Id, Report] : Seen) {
+    const RegisteredServer *Known = this->registration(Id);
     Text += (Text.empty() ? "" : " ") + Id.str() + "@" +
-            std::to_string(Server.Registration.Version) + ":";
-    const auto Found = Seen.find(Id);
-    if (Found == Seen.end()) {
-      Text += "none";
-      continue;
-    }
-    const ServerReport &Report = Found->second;
-    Text += std::string(nameOf(Report.Role)) + "," +
+            std::to_string(Known ? Known->Version : 0) + ":" +
+            std::string(nameOf(Report.Role)) + "," +
             std::to_string(Report.TermNumber) + "," +
             positionText(Report.Received) + "," +
             std::to_string(Report.AdoptedTerm);
@@ -482,39 +549,38 @@
   return Text;
 }
 
-void GroupMonitor::logStep(TakeoverStep Step, const HeldClaim &Held,
-                           const std::vector<ServerId> &Asked,
-                           const std::string &Result) {
-  std::string Servers;
-  for (const ServerId &Id : Asked)
-    Servers += (Servers.empty() ? "" : " ") + Id.str();
-  log(LogLevel::Info, LogEvent::TakeoverStepDone,
+void GroupMonitor::logStep(const TakeoverAction &Action, const HeldClaim &Held,
+                           Term T, const std::string &Outcome) {
+  std::string Asked;
+  for (const ServerId &Id : Action.Servers)
+    Asked += (Asked.empty() ? "" : " ") + Id.str();
+  const bool IsOrder = Action.Step == TakeoverStep::Order;
+  log(LogLevel::Info,
+      IsOrder ? LogEvent::PromotionOrdered : LogEvent::TakeoverStepDone,
       {{"service", this->Monitored->name().str()},
+       {"step", nameOf(Action.Step)},
+       {"target", Action.Target.empty() ? "-" : Action.Target.str()},
+       {"term", T},
        {"fence", Held.Fence},
-       {"step", nameOf(Step)},
-       {"asked", Servers.empty() ? "all" : Servers},
        {"since_claim_ms", (bootNow() - Held.Begun) / milliseconds(1)},
-       {"servers", Result}});
+       {"asked", Asked.empty() ? "-" : Asked},
+       {"outcome", Outcome}});
 }
 
-QCoro::Task<bool> GroupMonitor::awaitEffect(ServerId Target) {
+QCoro::Task<bool> GroupMonitor::awaitEffect(ServerId Target, Term T) {
   const TimePoint Deadline = steadyNow() + EffectTimeout;
   while (steadyNow() < Deadline && !this->Stopping) {
     co_await sleepFor(milliseconds(50));
-    co_await this->call(Target, 0, false);
-    const std::optional<BelievedPrimary> Leader =
-        this->Monitored->beliefs().primary();
-    if (Leader && Leader->Id == Target && Leader->TermNumber != 0)
+    const std::optional<StatusAnswer> Reply =
+        co_await this->call(Target, ServerRequest::Status, 0);
+    const auto *Report = Reply ? std::get_if<ServerReport>(&*Reply) : nullptr;
+    if (Report && Report->Role == ServerRole::Primary &&
+        Report->TermNumber >= T)
       co_return true;
   }
   co_return false;
 }
 
-QCoro::Task<> GroupMonitor::resumeAll(std::vector<ServerId> Servers) {
-  for (const ServerId &Id : Servers)
-    co_await this->call(Id, 0, true);
-}
-
 QCoro::Task<> GroupMonitor::undoStrandedAdoptions() {
   const std::optional<BelievedPrimary> Leader =
       this->Monitored->beliefs().primary();
@@ -553,7 +619,9 @@
       {{"service", this->Monitored->name().str()},
        {"servers", Stranded.size()},
        {"term", Leader->TermNumber}});
-  co_await this->resumeAll(Stranded);
+  // After a suspension the adoptions may belong to another takeover.
+  if (TakeoverClaim::mayUndo(Held->Begun, bootNow()))
+    co_await this->requestAll(Stranded, ServerRequest::Resume, 0);
   co_await this->release(*Held, "undone");
 }
 
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -24,10 +24,26 @@
 
 namespace amaranthspur {
 
+/// Reads the registrations of a group's servers from where they are kept, so
+/// that they are not older than the call.
+class ServerRegistrations {
+public:
+  virtual ~ServerRegistrations() = default;
+
+  /// Returns the servers of \p Service that are registered, or an error if they
+  /// could not be read by \p Deadline.
+  virtual QCoro::Task<Result<std::vector<RegisteredServer>>>
+  read(ServiceName Service, TimePoint Deadline) = 0;
+};
+
+/// The kinds of calls that a monitor makes to a server.
+enum class ServerRequest { Status, StepDown, Adopt, Resume };
+
 /// The objects that a monitor uses. All must outlive it.
 struct MonitorDependencies {
   EntryVmId Self;
   Platform &Store;
+  ServerRegistrations &Registrations;
   PromotionClient &Orders;
   Metrics &Counters;
   Random &Rng;
@@ -55,6 +71,8 @@
   /// Timeout of a call to the platform's store for the claim. The store answers
   /// in 4 ms, and in 240 ms when it runs 60 times slower.
   static constexpr Duration ClaimTimeout = milliseconds(1200);
+  /// Timeout of the confirmation of a claim before an order.
+  static constexpr Duration ConfirmTimeout = milliseconds(400);
   /// Timeout of one promotion request, within the claim's promotion window.
   static constexpr Duration OrderTimeout = milliseconds(700);
   /// Pause before an order is repeated that the platform refused for the
@@ -96,7 +114,8 @@
   /// A claim on the takeover, held by this entry VM.
   struct HeldClaim {
     std::uint64_t Fence = 0;
-    TimePoint Begun; ///< Boot clock (core/BootClock.h).
+    TimePoint Begun;                   ///< Boot clock (core/BootClock.h).
+    std::optional<ServerId> Preferred; ///< Target of an unfinished takeover.
   };
 
   QCoro::Task<> watch();
@@ -123,18 +142,27 @@
 
   /// Requests the status of all servers at the same time.
   QCoro::Task<ServerReports> pollAll();
-  QCoro::Task<> pollOne(ServerId Id, ServerReports &Into, TaskGroup &Round);
+  /// Requests the status of \p Servers at the same time, or makes them step
+  /// down, adopt \p T or resume.
+  /// \returns the reports of those that answered.
+  QCoro::Task<ServerReports> requestAll(std::vector<ServerId> Servers,
+                                        ServerRequest Kind, Term T);
+  QCoro::Task<> requestOne(ServerId Id, ServerRequest Kind, Term T,
+                           ServerReports &Into, TaskGroup &Round);
   /// Opens a connection to \p Id, makes one call and records the result.
-  /// \param Adopt term that the server is to adopt; 0 requests the status only.
-  /// \param Resume whether to let a paused replica receive again instead.
-  QCoro::Task<std::optional<StatusAnswer>> call(ServerId Id, Term Adopt,
-                                                bool Resume);
+  /// \param T the term for StepDown and Adopt.
+  QCoro::Task<std::optional<StatusAnswer>> call(ServerId Id, ServerRequest Kind,
+                                                Term T);
+  /// Returns the registration of \p Id, also if it was only seen by a read of
+  /// the registrations during a takeover; null if there is none.
+  const RegisteredServer *registration(const ServerId &Id) const;
 
   QCoro::Task<> takeOver(TakeoverReason Reason);
-  /// Carries out \p Plan.
+  /// Claims and carries out a takeover.
+  /// \param Servers the servers with their reports, as planned from.
   /// \returns why it was abandoned, or nothing if the target now leads.
-  QCoro::Task<std::optional<std::string>> execute(TakeoverPlan Plan,
-                                                  std::optional<ServerId> Old);
+  QCoro::Task<std::optional<std::string>>
+  execute(std::vector<TakeoverServer> Servers);
   /// Returns an identifier that is unique among all writes to the store.
   std::string nextOperation();
   /// Claims the group's takeover; returns nothing if another entry VM holds the
@@ -142,22 +170,21 @@
   QCoro::Task<std::optional<HeldClaim>> claim(std::string Purpose);
   /// Marks the claim row as finished. If that fails, the claim expires.
   QCoro::Task<> release(HeldClaim Claim, std::string How);
-  /// Makes each of \p Servers adopt \p T, one after the other.
-  /// \returns the reports of those that answered.
-  QCoro::Task<ServerReports> adopt(std::vector<ServerId> Servers, Term T);
+  /// Writes the target to the claim row, if the claim is still held.
+  QCoro::Task<ClaimCheck> confirm(HeldClaim &Held, std::string Purpose);
+  /// Reads the group's registrations; nothing if the store does not answer.
+  QCoro::Task<std::optional<std::vector<TakeoverServer>>> readServers();
   /// Orders the promotion once, and waits for OrderRetryDelay if the platform
   /// has refused it for the moment.
-  QCoro::Task<PromotionOutcome> promote(TakeoverPlan Plan, HeldClaim Held);
-  /// Waits until \p Target leads a known term; false after EffectTimeout.
-  QCoro::Task<bool> awaitEffect(ServerId Target);
+  QCoro::Task<PromotionOutcome> promote(ServerId Target, HeldClaim Held);
+  /// Waits until \p Target leads \p T or a later term; false after
+  /// EffectTimeout.
+  QCoro::Task<bool> awaitEffect(ServerId Target, Term T);
   /// Returns, for the log, the version of each server's registration and its
   /// report in \p Seen.
   std::string describe(const ServerReports &Seen) const;
-  /// Logs a step of a takeover.
-  /// \param Asked the servers that the step concerns; empty: all.
-  void logStep(TakeoverStep Step, const HeldClaim &Held,
-               const std::vector<ServerId> &Asked, const std::string &Result);
-  QCoro::Task<> resumeAll(std::vector<ServerId> Servers);
+  void logStep(const TakeoverAction &Action, const HeldClaim &Held, Term T,
+               const std::string &Outcome);
   /// Returns the replica whose log reaches furthest, or the end of \p Seen.
   ServerReports::const_iterator
   replicaWithLongestLog(const ServerReports &Seen) const;
@@ -168,6 +195,10 @@
   std::shared_ptr<Group> Monitored;
   MonitorDependencies Dependencies;
   TakeoverClaim Claim;
+  /// The value of the claim row as it was read last.
+  std::string ClaimValue;
+  /// Servers that the last takeover found by reading the registrations.
+  std::map<ServerId, RegisteredServer> Found;
   std::optional<TimePoint> MissingSince; ///< No primary is known since then.
   std::optional<TimePoint> SuspectSince;
   Duration DeferralTime{};   ///< Of the present suspicion.
--- a/src/root/groups/testing/GroupEvidenceTest.cpp
+++ b/src/root/groups/testing/GroupEvidenceTest.cpp
@@ -2,8 +2,8 @@
 
 #include "core/BootClock.h"
 #include "platform/testing/MemoryPlatform.h"
+#include "root/groups/testing/GroupRegistrations.h"
 #include "testing/TaskRunner.h"
-#include "testing/line-group/LineGroup.h"
 
 #include <catch2/catch.hpp>
 
@@ -85,14 +85,15 @@
   FakeSource Source;
   MemoryPlatform Store;
   NoOrders Orders;
+  GroupRegistrations Registrations{this->Group};
   Metrics Counters;
   Random Rng{1};
   Locality Where{DataCentre("here"), {{DataCentre("here"), Region("r")}}};
   std::shared_ptr<class Group> Servers = std::make_shared<class Group>(
       ServiceName("ledger"), this->Group, this->Where, &this->Source);
-  GroupMonitor Monitor{
-      this->Servers,
-      {EntryVmId("vm"), this->Store, this->Orders, this->Counters, this->Rng}};
+  GroupMonitor Monitor{this->Servers,
+                       {EntryVmId("vm"), this->Store, this->Registrations,
+                        this->Orders, this->Counters, this->Rng}};
 };
 
 QCoro::Task<bool> prove(std::shared_ptr<class Group> Of) {
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -1,12 +1,13 @@
 #include "root/groups/GroupMonitor.h"
 
 #include "platform/testing/MemoryPlatform.h"
+#include "root/groups/testing/GroupRegistrations.h"
 #include "testing/TaskRunner.h"
-#include "testing/line-group/LineGroup.h"
 
 #include <catch2/catch.hpp>
 
 using namespace amaranthspur;
+using linegroup::FakeServer;
 using linegroup::LineGroup;
 
 namespace {
@@ -19,6 +20,7 @@
   QCoro::Task<PromotionOutcome> promote(PromotionRequest Order,
                                         TimePoint) override {
     this->Orders.push_back(Order);
+    this->BeforeEffect(Order);
     const PromotionOutcome Outcome = this->Answer;
     if (Outcome == PromotionOutcome::Accepted || this->TakesEffect)
       this->Group.promote(Order.Target.str());
@@ -29,6 +31,9 @@
   PromotionOutcome Answer = PromotionOutcome::Accepted;
   bool TakesEffect = false; ///< The order is carried out whatever the answer.
   std::vector<PromotionRequest> Orders;
+  /// Called with each order before it takes effect.
+  std::function<void(const PromotionRequest &)> BeforeEffect =
+      [](const PromotionRequest &) {};
 };
 
 /// One entry VM that monitors a group.
@@ -65,14 +70,15 @@
   LineGroup Group;
   MemoryPlatform Store;
   RecordedOrders Orders{this->Group};
+  GroupRegistrations Registrations{this->Group};
   Metrics Counters;
   Random Rng{1};
   Locality Where{DataCentre("here"), {{DataCentre("here"), Region("r")}}};
   std::shared_ptr<class Group> Servers = std::make_shared<class Group>(
       ServiceName("ledger"), this->Group, this->Where);
-  GroupMonitor Monitor{
-      this->Servers,
-      {EntryVmId("vm"), this->Store, this->Orders, this->Counters, this->Rng}};
+  GroupMonitor Monitor{this->Servers,
+                       {EntryVmId("vm"), this->Store, this->Registrations,
+                        this->Orders, this->Counters, this->Rng}};
 };
 
 } // namespace
@@ -179,16 +185,67 @@
 }
 
 // Guards against a promotion after an adopter has lost its adopted term by a
-// restart: it could acknowledge commits of the old primary again.
-TEST_CASE("an adopter that lost its term stops the takeover") {
+// restart, while the old primary may still acknowledge commits: the adopter
+// could receive them again.
+TEST_CASE("an adopter that lost its term stops the takeover of a primary that "
+          "does not answer") {
   Fixture F;
   F.Group["c"].LosesAdoptedTerm = true;
-  F.Group["a"].Draining = true;
-  F.refresh();
-  F.pass(std::chrono::seconds(1));
+  F.Group["a"].Reachable = false;
+  F.Servers->observeFailure(ServerId("a"), "test");
+  F.pass(std::chrono::seconds(3));
   CHECK(F.Orders.Orders.empty());
 }
 
+// Guards against acknowledged commits that the promoted server lacks: between
+// the order and its effect the old primary acknowledged them with a server that
+// the takeover had not stopped (issue 28).
+TEST_CASE("no commit is acknowledged without the target before a promotion "
+          "takes effect") {
+  struct Row {
+    const char *Name;
+    std::function<void(LineGroup &)> Event;
+  };
+  const Row Rows[] = {
+      {"nothing else happens", [](LineGroup &) {}},
+      {"a replica joins",
+       [](LineGroup &G) {
+         FakeServer &Joined = G.servers()["d"];
+         Joined.Id = ServerId("d");
+         Joined.Log = Joined.Applied = G["a"].Log;
+       }},
+      {"an adopter restarts",
+       [](LineGroup &G) { G["c"].Adopted = G["c"].TermNumber; }},
+      {"an entry VM whose claim has expired resumes all replicas",
+       [](LineGroup &G) {
+         for (auto &[Id, S] : G.servers())
+           S.Adopted = S.TermNumber;
+       }},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    unsigned Lost = 0;
+    F.Orders.BeforeEffect = [&F, &R, &Lost](const PromotionRequest &Order) {
+      R.Event(F.Group);
+      // The target receives nothing, as a server behind a slow link.
+      FakeServer &Target = F.Group[Order.Target.str()];
+      Target.ReplicationStopped = true;
+      if (F.Group.commit("a") && Target.Log < F.Group["a"].Log)
+        ++Lost;
+      Target.ReplicationStopped = false;
+    };
+    F.Group["a"].Draining = true;
+    F.refresh();
+    F.pass(std::chrono::seconds(2));
+    REQUIRE(F.Orders.Orders.size() == 1);
+    CHECK(Lost == 0);
+    REQUIRE(F.Servers->beliefs().primary());
+    CHECK(F.Servers->beliefs().primary()->Id.str() ==
+          F.Orders.Orders[0].Target.str());
+  }
+}
+
 // Guards against two entry VMs that both replace a primary, also while a claim
 // passes from one to the other: the platform would get two orders.
 TEST_CASE("several entry VMs give one order") {
@@ -216,7 +273,7 @@
       Monitors.push_back(std::make_unique<GroupMonitor>(
           Groups.back(),
           MonitorDependencies{EntryVmId("vm" + std::to_string(I)), F.Store,
-                              F.Orders, F.Counters, F.Rng}));
+                              F.Registrations, F.Orders, F.Counters, F.Rng}));
       Monitors.back()->start();
     }
     F.Group["a"].Reachable = false;
--- a/src/root/sessions/testing/SessionTest.cpp
+++ b/src/root/sessions/testing/SessionTest.cpp
@@ -2,8 +2,8 @@
 
 #include "platform/LineCodec.h"
 #include "platform/testing/MemoryPlatform.h"
+#include "root/groups/testing/GroupRegistrations.h"
 #include "testing/TaskRunner.h"
-#include "testing/line-group/LineGroup.h"
 
 #include <catch2/catch.hpp>
 
@@ -143,15 +143,16 @@
   FixedTables Tables{this->Group};
   MemoryPlatform Store;
   NoPromotions Orders;
+  GroupRegistrations Registrations{this->Group};
   Metrics Counters;
   Random Rng{1};
   Locality Where{DataCentre("here"), {{DataCentre("here"), Region("r")}}};
   PlatformDirectory Directory{this->Tables};
-  GroupRegistry Groups{
-      this->Directory,
-      this->Group,
-      this->Where,
-      {EntryVmId("vm"), this->Store, this->Orders, this->Counters, this->Rng}};
+  GroupRegistry Groups{this->Directory,
+                       this->Group,
+                       this->Where,
+                       {EntryVmId("vm"), this->Store, this->Registrations,
+                        this->Orders, this->Counters, this->Rng}};
   SessionDependencies Dependencies{this->Directory, this->Groups,
                                    this->Counters};
 };
--- a/src/testing/line-group/LineGroup.cpp
+++ b/src/testing/line-group/LineGroup.cpp
@@ -219,6 +219,8 @@
 
 bool LineGroup::commit(const std::string &Id) {
   FakeServer &Primary = this->Servers.at(Id);
+  if (Primary.Role != ServerRole::Primary)
+    return false;
   ++Primary.Log.Index;
   Primary.Log.TermNumber = Primary.TermNumber;
   this->replicate(Id);
--- a/src/testing/line-group/LineGroup.h
+++ b/src/testing/line-group/LineGroup.h
@@ -67,7 +67,7 @@
   QCoro::Task<OpenedLink> open(RegisteredServer Server,
                                TimePoint Deadline) override;
 
-  /// Commits on server \p Id.
+  /// Commits on server \p Id, if it is a primary.
   /// \returns whether at least SyncReplicas replicas hold the commit.
   bool commit(const std::string &Id);
   /// Copies the log of \p Id to every replica that receives replication.
