--- a/src/policy/TakeoverProcedure.h
+++ b/src/policy/TakeoverProcedure.h
@@ -31,8 +31,11 @@
 // that joins, restarts or is resumed after the poll and before the promotion
 // takes effect.
 //
-// An order is given only after the claim row, with the target in it, has been
-// confirmed. A takeover that follows an unfinished one prefers its target.
+// An order is given only within the promotion window of the claim, and after
+// the claim row has been confirmed with the target in it. A takeover that
+// follows an unfinished one prefers its target. In the first way the row is
+// confirmed before the old primary steps down, so that a holder that is
+// suspended or ends while the store answers leaves a primary that still leads.
 #ifndef AMARANTHSPUR_POLICY_TAKEOVERPROCEDURE_H
 #define AMARANTHSPUR_POLICY_TAKEOVERPROCEDURE_H
 
@@ -111,13 +114,15 @@
 class TakeoverProcedure {
 public:
   /// Time from the claim in which the old primary must answer and step down.
-  static constexpr Duration StepDownLimit = milliseconds(700);
+  /// Leaves the rest of the promotion window for the adoptions and the order.
+  static constexpr Duration StepDownLimit = milliseconds(900);
 
   /// \param Servers the known servers, with the reports of the plan. Of these
   /// only the old primary's is used: whether it answered.
+  /// \param KnownTerm the term of the last known primary; 0 if unknown.
   /// \param Preferred the target of an earlier takeover that was not finished.
   /// \param Begun when the claim was begun.
-  TakeoverProcedure(std::vector<TakeoverServer> Servers,
+  TakeoverProcedure(std::vector<TakeoverServer> Servers, Term KnownTerm,
                     std::optional<ServerId> Preferred, TimePoint Begun);
 
   /// Returns the step to carry out now.
@@ -138,6 +143,9 @@
   /// Records that Resume has been carried out.
   void recordResumed();
 
+  /// Returns whether the old primary has been ordered to lead again.
+  bool isReturning() const { return this->Returning; }
+
   /// Returns the term that the servers adopt; 0 before the first poll.
   Term term() const { return this->NextTerm; }
 
@@ -159,11 +167,12 @@
   };
 
   void survey(TimePoint Now);
-  void recordStepDown(TimePoint Now);
+  void recordStepDown();
   /// Chooses a target that reaches the end of the old primary's log.
   void secure();
   void freeze();
   void verify();
+  /// Makes \p Id the target, and confirms the claim unless the row names it.
   void promote(const ServerId &Id);
   /// Gives up, or returns the lead to the old primary if that has stepped down.
   void fail(std::string Why);
@@ -173,6 +182,8 @@
   /// Returns those of others() that have not adopted the term.
   std::vector<ServerId> unadopted() const;
   const TakeoverServer *old() const;
+  /// Returns whether the old primary has stepped down, or does not answer.
+  bool mayOrder() const;
   /// Returns the first server that reports to be the primary of a term later
   /// than the old primary's, or null.
   const TakeoverServer *successor() const;
@@ -187,6 +198,7 @@
   std::optional<LogPosition> OldEnd; ///< Set once it has stepped down.
   LogPosition Required; ///< Highest end of a log reported since the claim.
   ServerId Target;
+  ServerId Confirmed;     ///< The target in the claim row.
   bool Returning = false; ///< The old primary is to lead again.
   TakeoverEnd Ended = TakeoverEnd::GivenUp;
   std::string Reason;
--- /dev/null
+++ b/src/policy/testing/TakeoverProcedureTest.cpp
@@ -0,0 +1,299 @@
+#include "policy/TakeoverProcedure.h"
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+
+using namespace amaranthspur;
+
+namespace {
+
+constexpr TimePoint Begun{std::chrono::seconds(100)};
+
+/// The servers, the store and the platform as one takeover sees them. Server
+/// `p` is the old primary of term 3; `a` and `b` are replicas.
+struct Surroundings {
+  struct State {
+    ServerRole Role = ServerRole::Replica;
+    Term TermNumber = 3;
+    Term Adopted = 0;
+    std::uint64_t Index = 9;
+    std::int64_t StartedAtMs = 1;
+    bool Silent = false;
+    bool RefusesTerm = false; ///< It neither steps down nor adopts a term.
+  };
+
+  Surroundings() { this->Servers["p"].Role = ServerRole::Primary; }
+
+  std::optional<ServerReport> answer(const ServerId &Id, TakeoverStep Step,
+                                     Term T) {
+    State &S = this->Servers.at(Id.str());
+    if (S.Silent)
+      return std::nullopt;
+    if (Step == TakeoverStep::StepDown && !S.RefusesTerm)
+      S.Role = ServerRole::Replica;
+    if (Step == TakeoverStep::Adopt && !S.RefusesTerm &&
+        S.Role == ServerRole::Replica)
+      S.Adopted = T;
+    return ServerReport{S.Role, S.TermNumber, {3, S.Index}, S.Adopted, {}, 0,
+                        0};
+  }
+
+  std::vector<TakeoverServer> registered() const {
+    std::vector<TakeoverServer> List;
+    for (const auto &[Id, S] : this->Servers) {
+      TakeoverServer Server;
+      Server.Id = ServerId(Id);
+      Server.StartedAtMs = S.StartedAtMs;
+      List.push_back(Server);
+    }
+    return List;
+  }
+
+  std::map<std::string, State> Servers{{"p", {}}, {"a", {}}, {"b", {}}};
+  bool StoreAnswers = true;
+  ClaimCheck Claim = ClaimCheck::Held;
+  std::vector<PromotionOutcome> Orders; ///< Answers, in order; then Accepted.
+  bool TakesEffect = true;
+  TimePoint Now = Begun;
+};
+
+/// Called before each step, with the number of earlier steps of this kind.
+using Event = std::function<void(Surroundings &, TakeoverStep, unsigned)>;
+
+struct Outcome {
+  std::string Steps; ///< Names of the steps, with the targets of orders.
+  TakeoverEnd End = TakeoverEnd::GivenUp;
+  std::string Why;
+};
+
+Outcome runTakeover(Surroundings &S, const Event &Before) {
+  std::vector<TakeoverServer> Planned = S.registered();
+  for (TakeoverServer &Server : Planned) {
+    Server.OldPrimary = Server.Id.str() == "p";
+    Server.Report = S.answer(Server.Id, TakeoverStep::Poll, 0);
+  }
+  TakeoverProcedure Procedure(Planned, 3, std::nullopt, Begun);
+  Outcome Seen;
+  std::map<TakeoverStep, unsigned> Counts;
+  std::size_t OrderCount = 0;
+  while (true) {
+    const TakeoverAction Action = Procedure.next(S.Now);
+    Before(S, Action.Step, Counts[Action.Step]++);
+    Seen.Steps += (Seen.Steps.empty() ? "" : " ");
+    Seen.Steps += nameOf(Action.Step);
+    switch (Action.Step) {
+    case TakeoverStep::Poll:
+    case TakeoverStep::StepDown:
+    case TakeoverStep::Adopt: {
+      ServerReports Answers;
+      for (const ServerId &Id : Action.Servers)
+        if (const auto Report = S.answer(Id, Action.Step, Procedure.term()))
+          Answers.emplace(Id, *Report);
+      Procedure.recordAnswers(Answers, {}, S.Now);
+      break;
+    }
+    case TakeoverStep::ReadServers:
+      Procedure.recordServers(S.StoreAnswers ? std::optional(S.registered())
+                                             : std::nullopt);
+      break;
+    case TakeoverStep::Confirm:
+      Procedure.recordClaim(S.Claim);
+      break;
+    case TakeoverStep::Order:
+      Seen.Steps += "=" + Action.Target.str();
+      Procedure.recordOrder(OrderCount < S.Orders.size()
+                                ? S.Orders[OrderCount]
+                                : PromotionOutcome::Accepted);
+      ++OrderCount;
+      break;
+    case TakeoverStep::AwaitEffect:
+      Procedure.recordEffect(S.TakesEffect);
+      break;
+    case TakeoverStep::Resume:
+      Procedure.recordResumed();
+      break;
+    case TakeoverStep::End:
+      Seen.End = Action.End;
+      Seen.Why = Action.Why;
+      return Seen;
+    }
+    S.Now += milliseconds(20);
+  }
+}
+
+/// Does nothing before any step but the first of \p Step.
+Event once(TakeoverStep Step, std::function<void(Surroundings &)> Change) {
+  return [Step, Change](Surroundings &S, TakeoverStep Now, unsigned Earlier) {
+    if (Now == Step && Earlier == 0)
+      Change(S);
+  };
+}
+
+} // namespace
+
+// Guards against an order for a server that may lack acknowledged commits,
+// against a group that stays without a primary, and against orders and undone
+// adoptions of a holder that has lost its claim.
+TEST_CASE("the steps of a takeover") {
+  struct Row {
+    const char *Name;
+    std::function<void(Surroundings &)> Prepare;
+    Event Before;
+    std::string Steps;
+    TakeoverEnd End;
+  };
+  const auto Nothing = [](Surroundings &) {};
+  const Event Never = [](Surroundings &, TakeoverStep, unsigned) {};
+  const auto SilentPrimary = [](Surroundings &S) {
+    S.Servers["p"].Silent = true;
+  };
+  const std::string SteppedDown = "poll confirm step-down adopt ";
+  const std::string Frozen = "poll adopt read-servers poll ";
+  const Row Rows[] = {
+      {"the old primary answers", Nothing, Never,
+       SteppedDown + "order=a await-effect end", TakeoverEnd::Promoted},
+      {"another server reaches the end of the old primary's log",
+       [](Surroundings &S) { S.Servers["a"].Index = 8; }, Never,
+       SteppedDown + "order=b await-effect end", TakeoverEnd::Promoted},
+      {"the likely target restarts with an empty log", Nothing,
+       once(TakeoverStep::Adopt,
+            [](Surroundings &S) { S.Servers["a"].Index = 0; }),
+       SteppedDown + "confirm order=b await-effect end", TakeoverEnd::Promoted},
+      {"a replica is silent, another one has the whole log",
+       [](Surroundings &S) { S.Servers["a"].Silent = true; }, Never,
+       SteppedDown + "order=b await-effect end", TakeoverEnd::Promoted},
+      {"no replica has the whole log, and all answer",
+       [](Surroundings &S) { S.Servers["p"].Index = 12; }, Never,
+       SteppedDown + "read-servers poll order=a await-effect end",
+       TakeoverEnd::Promoted},
+      {"no replica has the whole log, and one is silent",
+       [](Surroundings &S) {
+         S.Servers["p"].Index = 12;
+         S.Servers["b"].Silent = true;
+       },
+       Never, SteppedDown + "adopt confirm order=p await-effect end",
+       TakeoverEnd::GivenUp},
+      {"the old primary does not step down",
+       [](Surroundings &S) { S.Servers["p"].RefusesTerm = true; },
+       [](Surroundings &S, TakeoverStep Step, unsigned) {
+         if (Step == TakeoverStep::StepDown)
+           S.Now += milliseconds(300);
+       },
+       "poll confirm step-down step-down step-down resume end",
+       TakeoverEnd::GivenUp},
+      {"the claim takes too long to step down after it", Nothing,
+       once(TakeoverStep::Confirm,
+            [](Surroundings &S) { S.Now += TakeoverProcedure::StepDownLimit; }),
+       "poll confirm resume end", TakeoverEnd::GivenUp},
+      {"the claim is lost before the step-down",
+       [](Surroundings &S) { S.Claim = ClaimCheck::Lost; }, Never,
+       "poll confirm end", TakeoverEnd::Open},
+      {"the platform refuses the target",
+       [](Surroundings &S) { S.Orders = {PromotionOutcome::Refused}; }, Never,
+       SteppedDown + "order=a confirm order=p await-effect end",
+       TakeoverEnd::GivenUp},
+      {"the platform refuses every order",
+       [](Surroundings &S) {
+         S.Orders = {PromotionOutcome::Refused, PromotionOutcome::Refused};
+       },
+       Never, SteppedDown + "order=a confirm order=p resume end",
+       TakeoverEnd::GivenUp},
+      {"the platform is busy for a moment",
+       [](Surroundings &S) { S.Orders = {PromotionOutcome::NotDone}; }, Never,
+       SteppedDown + "order=a order=a await-effect end", TakeoverEnd::Promoted},
+      {"no order may be given after the promotion window", Nothing,
+       once(TakeoverStep::Adopt,
+            [](Surroundings &S) { S.Now += TakeoverClaim::PromotionWindow; }),
+       SteppedDown + "resume end", TakeoverEnd::GivenUp},
+      {"nothing may be undone late in the lease", Nothing,
+       once(TakeoverStep::Adopt,
+            [](Surroundings &S) { S.Now += TakeoverClaim::UndoWindow; }),
+       SteppedDown + "end", TakeoverEnd::Open},
+      {"the order has no effect yet",
+       [](Surroundings &S) { S.TakesEffect = false; }, Never,
+       SteppedDown + "order=a await-effect end", TakeoverEnd::Open},
+      {"another server leads by now", Nothing,
+       once(TakeoverStep::Poll,
+            [](Surroundings &S) {
+              S.Servers["b"].Role = ServerRole::Primary;
+              S.Servers["b"].TermNumber = 4;
+            }),
+       "poll end", TakeoverEnd::GivenUp},
+      {"the old primary has lost the lead by now", Nothing,
+       once(TakeoverStep::Poll,
+            [](Surroundings &S) { S.Servers["p"].Role = ServerRole::Replica; }),
+       "poll end", TakeoverEnd::GivenUp},
+      {"the old primary is silent", SilentPrimary, Never,
+       Frozen + "confirm order=a await-effect step-down end",
+       TakeoverEnd::Promoted},
+      {"the old primary is silent; the longest log wins",
+       [](Surroundings &S) {
+         S.Servers["p"].Silent = true;
+         S.Servers["b"].Index = 10;
+       },
+       Never, Frozen + "confirm order=b await-effect step-down end",
+       TakeoverEnd::Promoted},
+      {"the old primary answers again", SilentPrimary,
+       once(TakeoverStep::Poll,
+            [](Surroundings &S) { S.Servers["p"].Silent = false; }),
+       "poll end", TakeoverEnd::GivenUp},
+      {"the old primary is silent and a replica falls silent", SilentPrimary,
+       once(TakeoverStep::Adopt,
+            [](Surroundings &S) { S.Servers["b"].Silent = true; }),
+       "poll adopt resume end", TakeoverEnd::GivenUp},
+      {"a replica has joined with a longer log", SilentPrimary,
+       once(TakeoverStep::ReadServers,
+            [](Surroundings &S) { S.Servers["c"].Index = 11; }),
+       "poll adopt read-servers adopt read-servers poll confirm order=c "
+       "await-effect step-down end",
+       TakeoverEnd::Promoted},
+      {"a replica has restarted by its registration", SilentPrimary,
+       once(TakeoverStep::ReadServers,
+            [](Surroundings &S) {
+              S.Servers["b"] = {};
+              S.Servers["b"].StartedAtMs = 2;
+            }),
+       "poll adopt read-servers adopt read-servers poll confirm order=a "
+       "await-effect step-down end",
+       TakeoverEnd::Promoted},
+      {"a replica has lost the term that it adopted", SilentPrimary,
+       [](Surroundings &S, TakeoverStep Step, unsigned Earlier) {
+         if (Step == TakeoverStep::Poll && Earlier == 1)
+           S.Servers["b"].Adopted = 0;
+       },
+       "poll adopt read-servers poll adopt read-servers poll confirm order=a "
+       "await-effect step-down end",
+       TakeoverEnd::Promoted},
+      {"the server with the longest log has lost it", SilentPrimary,
+       [](Surroundings &S, TakeoverStep Step, unsigned Earlier) {
+         if (Step == TakeoverStep::Adopt && Earlier == 0)
+           S.Servers["b"].Index = 10;
+         if (Step == TakeoverStep::Poll && Earlier == 1)
+           S.Servers["b"].Index = 0;
+       },
+       Frozen + "resume end", TakeoverEnd::GivenUp},
+      {"the registrations cannot be read",
+       [](Surroundings &S) {
+         S.Servers["p"].Silent = true;
+         S.StoreAnswers = false;
+       },
+       Never, "poll adopt read-servers resume end", TakeoverEnd::GivenUp},
+      {"only one server is left",
+       [](Surroundings &S) {
+         S.Servers["p"].Silent = true;
+         S.Servers.erase("b");
+       },
+       Never, "poll end", TakeoverEnd::GivenUp},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Surroundings S;
+    R.Prepare(S);
+    const Outcome Seen = runTakeover(S, R.Before);
+    CAPTURE(Seen.Why);
+    CHECK(Seen.Steps == R.Steps);
+    CHECK(nameOf(Seen.End) == nameOf(R.End));
+    CHECK((Seen.End == TakeoverEnd::Promoted) == Seen.Why.empty());
+  }
+}
--- a/src/policy/testing/TakeoverTest.cpp
+++ b/src/policy/testing/TakeoverTest.cpp
@@ -251,7 +251,7 @@
       Servers.push_back(S);
     }
     const TimePoint Now{std::chrono::seconds(100)};
-    TakeoverProcedure Procedure(Servers, std::nullopt, Now);
+    TakeoverProcedure Procedure(Servers, 3, std::nullopt, Now);
     while (true) {
       const TakeoverAction Action = Procedure.next(Now);
       Group.runTraffic();
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <utility>
 
 namespace amaranthspur {
 namespace {
@@ -232,6 +233,8 @@
   if (!Known)
     co_return std::nullopt;
   const RegisteredServer Registration = *Known;
+  const ServerBelief *Belief = this->Monitored->beliefs().find(Id);
+  const bool Leads = Belief && Belief->Role == ServerRole::Primary;
   const TimePoint Deadline = steadyNow() + CallTimeout;
   OpenedLink Opened =
       co_await this->Monitored->connector().open(Registration, Deadline);
@@ -253,7 +256,11 @@
     R = co_await Link->stepDown(T, Deadline);
     break;
   case ServerRequest::Adopt:
-    R = co_await Link->pause(T, Deadline);
+    // A server that was superseded and has not noticed steps down first.
+    if (Leads)
+      R = co_await Link->stepDown(T, Deadline);
+    if (!Leads || succeeded(R))
+      R = co_await Link->pause(T, Deadline);
     break;
   case ServerRequest::Resume:
     R = co_await Link->resume(Deadline);
@@ -336,7 +343,7 @@
          {"term", nextTerm(Servers)},
          {"acknowledged", positionText(this->Monitored->acknowledged())},
          {"servers", this->describe(Seen)}});
-    Refusal = co_await this->execute(Servers);
+    Refusal = co_await this->execute(Servers, Leader ? Leader->TermNumber : 0);
   }
   if (!Refusal) {
     this->Dependencies.Counters.add(Counter::Promotions,
@@ -395,45 +402,49 @@
   co_return std::nullopt;
 }
 
-QCoro::Task<> GroupMonitor::release(HeldClaim Held, std::string How) {
-  const std::string Operation = this->nextOperation();
-  const Result<CasOutcome> R = co_await this->Dependencies.Store.compareAndSet(
-      claimKey(this->Monitored->name()), Held.Fence, std::string(FinishedValue),
-      Operation, steadyNow() + ClaimTimeout);
-  if (!succeeded(R)) {
-    log(LogLevel::Warning, LogEvent::PromotionFinished,
-        {{"service", this->Monitored->name().str()},
-         {"how", How},
-         {"claim", "expires"},
-         {"why", errorOf(R)}});
-    co_return;
+QCoro::Task<ClaimCheck>
+GroupMonitor::advance(HeldClaim &Held, std::string Value, Duration Timeout) {
+  const TimePoint Deadline = steadyNow() + Timeout;
+  // An earlier write of this holder may have been applied without an answer.
+  // The second attempt then uses the version that it has given the row.
+  for (int Attempt = 0; Attempt < 2; ++Attempt) {
+    const std::string Operation = this->nextOperation();
+    const Result<CasOutcome> R =
+        co_await this->Dependencies.Store.compareAndSet(
+            claimKey(this->Monitored->name()), Held.Fence, Value, Operation,
+            Deadline);
+    if (!succeeded(R)) {
+      Held.Unanswered = Operation;
+      co_return ClaimCheck::Unknown;
+    }
+    const TableRow &Row = valueOf(R).Current;
+    this->Claim.observe(Row.Version, Row.Value == FinishedValue, bootNow());
+    this->ClaimValue = Row.Value;
+    const bool IsOwn = valueOf(R).Applied || Row.Operation == Held.Unanswered;
+    if (!IsOwn)
+      co_return ClaimCheck::Lost;
+    Held.Fence = Row.Version;
+    if (valueOf(R).Applied)
+      co_return ClaimCheck::Held;
   }
-  const TableRow &Row = valueOf(R).Current;
-  this->Claim.observe(Row.Version, Row.Value == FinishedValue, bootNow());
-  this->ClaimValue = Row.Value;
-  if (!valueOf(R).Applied)
-    How += ", but another entry VM has claimed the takeover";
-  log(LogLevel::Info, LogEvent::PromotionFinished,
+  co_return ClaimCheck::Lost;
+}
+
+QCoro::Task<> GroupMonitor::release(HeldClaim Held, std::string How) {
+  const ClaimCheck Check =
+      co_await this->advance(Held, std::string(FinishedValue), ClaimTimeout);
+  log(Check == ClaimCheck::Held ? LogLevel::Info : LogLevel::Warning,
+      LogEvent::PromotionFinished,
       {{"service", this->Monitored->name().str()},
        {"how", How},
-       {"fence", Held.Fence}});
+       {"fence", Held.Fence},
+       {"claim", Check == ClaimCheck::Held ? "finished" : nameOf(Check)}});
 }
 
 QCoro::Task<ClaimCheck> GroupMonitor::confirm(HeldClaim &Held,
                                               std::string Purpose) {
-  const Result<CasOutcome> R = co_await this->Dependencies.Store.compareAndSet(
-      claimKey(this->Monitored->name()), Held.Fence,
-      this->Dependencies.Self.str() + " " + Purpose, this->nextOperation(),
-      steadyNow() + ConfirmTimeout);
-  if (!succeeded(R))
-    co_return ClaimCheck::Unknown;
-  const TableRow &Row = valueOf(R).Current;
-  this->Claim.observe(Row.Version, Row.Value == FinishedValue, bootNow());
-  this->ClaimValue = Row.Value;
-  if (!valueOf(R).Applied)
-    co_return ClaimCheck::Lost;
-  Held.Fence = Row.Version;
-  co_return ClaimCheck::Held;
+  co_return co_await this->advance(
+      Held, this->Dependencies.Self.str() + " " + Purpose, ConfirmTimeout);
 }
 
 QCoro::Task<std::optional<std::vector<TakeoverServer>>>
@@ -459,14 +470,18 @@
 }
 
 QCoro::Task<std::optional<std::string>>
-GroupMonitor::execute(std::vector<TakeoverServer> Servers) {
+GroupMonitor::execute(std::vector<TakeoverServer> Servers, Term KnownTerm) {
   std::optional<HeldClaim> Held =
       co_await this->claim(std::to_string(nextTerm(Servers)));
   if (!Held)
     co_return "another entry VM holds the claim, or the store does not answer";
-  TakeoverProcedure Procedure(std::move(Servers), Held->Preferred, Held->Begun);
+  TakeoverProcedure Procedure(std::move(Servers), KnownTerm, Held->Preferred,
+                              Held->Begun);
+  TakeoverStep Previous = TakeoverStep::End;
   while (true) {
     const TakeoverAction Action = Procedure.next(bootNow());
+    if (Action.Step == std::exchange(Previous, Action.Step))
+      co_await sleepFor(StepRetryDelay);
     std::string Outcome;
     switch (Action.Step) {
     case TakeoverStep::Poll:
@@ -515,6 +530,8 @@
         co_await this->release(*Held, std::string(nameOf(Action.End)));
       if (Action.End == TakeoverEnd::Promoted)
         co_return std::nullopt;
+      if (Procedure.isReturning())
+        co_await sleepFor(ReturnedLeadPause);
       co_return Action.Why;
     }
     this->logStep(Action, *Held, Procedure.term(), Outcome);
@@ -530,8 +547,6 @@
   Order.FencingToken = Held.Fence;
   const PromotionOutcome Outcome = co_await this->Dependencies.Orders.promote(
       Order, steadyNow() + OrderTimeout);
-  if (Outcome == PromotionOutcome::NotDone)
-    co_await sleepFor(OrderRetryDelay);
   co_return Outcome;
 }
 
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -75,9 +75,12 @@
   static constexpr Duration ConfirmTimeout = milliseconds(400);
   /// Timeout of one promotion request, within the claim's promotion window.
   static constexpr Duration OrderTimeout = milliseconds(700);
-  /// Pause before an order is repeated that the platform refused for the
-  /// moment.
-  static constexpr Duration OrderRetryDelay = milliseconds(50);
+  /// Pause before a step of a takeover is repeated, for example an order that
+  /// the platform refused for the moment.
+  static constexpr Duration StepRetryDelay = milliseconds(50);
+  /// Pause after a takeover in which the old primary was made to lead again.
+  /// Each such attempt interrupts its writes.
+  static constexpr Duration ReturnedLeadPause = std::chrono::seconds(1);
   /// Time for an accepted promotion to take effect. The deployments' platforms
   /// take 1 s at most.
   static constexpr Duration EffectTimeout = milliseconds(2500);
@@ -116,6 +119,7 @@
     std::uint64_t Fence = 0;
     TimePoint Begun;                   ///< Boot clock (core/BootClock.h).
     std::optional<ServerId> Preferred; ///< Target of an unfinished takeover.
+    std::string Unanswered; ///< Last change of the row without an answer.
   };
 
   QCoro::Task<> watch();
@@ -160,22 +164,25 @@
   QCoro::Task<> takeOver(TakeoverReason Reason);
   /// Claims and carries out a takeover.
   /// \param Servers the servers with their reports, as planned from.
+  /// \param KnownTerm the term of the believed primary; 0 if there is none.
   /// \returns why it was abandoned, or nothing if the target now leads.
   QCoro::Task<std::optional<std::string>>
-  execute(std::vector<TakeoverServer> Servers);
+  execute(std::vector<TakeoverServer> Servers, Term KnownTerm);
   /// Returns an identifier that is unique among all writes to the store.
   std::string nextOperation();
   /// Claims the group's takeover; returns nothing if another entry VM holds the
   /// claim or the store does not answer.
   QCoro::Task<std::optional<HeldClaim>> claim(std::string Purpose);
+  /// Writes \p Value to the claim row, if the claim is still held.
+  QCoro::Task<ClaimCheck> advance(HeldClaim &Held, std::string Value,
+                                  Duration Timeout);
   /// Marks the claim row as finished. If that fails, the claim expires.
   QCoro::Task<> release(HeldClaim Claim, std::string How);
   /// Writes the target to the claim row, if the claim is still held.
   QCoro::Task<ClaimCheck> confirm(HeldClaim &Held, std::string Purpose);
   /// Reads the group's registrations; nothing if the store does not answer.
   QCoro::Task<std::optional<std::vector<TakeoverServer>>> readServers();
-  /// Orders the promotion once, and waits for OrderRetryDelay if the platform
-  /// has refused it for the moment.
+  /// Orders the promotion once.
   QCoro::Task<PromotionOutcome> promote(ServerId Target, HeldClaim Held);
   /// Waits until \p Target leads \p T or a later term; false after
   /// EffectTimeout.
