--- a/src/policy/Takeover.h
+++ b/src/policy/Takeover.h
@@ -96,6 +96,9 @@
   static constexpr Duration Lease = std::chrono::seconds(4);
   /// Time after the start of a claim within which its holder may promote.
   static constexpr Duration PromotionWindow = milliseconds(1500);
+  /// The same for an order that returns the lead to the old primary. With the
+  /// call (0.7 s) and the effect (1 s) it ends within the lease.
+  static constexpr Duration ReturnWindow = milliseconds(2000);
   /// Time after the start of a claim within which its holder may undo what it
   /// has done. Leaves time for calls that are under way when the lease ends.
   static constexpr Duration UndoWindow = milliseconds(3000);
@@ -115,6 +118,11 @@
   static bool mayPromote(TimePoint Begun, TimePoint Now) {
     return Now - Begun < PromotionWindow;
   }
+  /// Returns whether the holder of a claim started at \p Begun may still order
+  /// that the old primary leads again.
+  static bool mayReturn(TimePoint Begun, TimePoint Now) {
+    return Now - Begun < ReturnWindow;
+  }
   /// Returns whether the holder of a claim started at \p Begun may still undo
   /// adoptions. Later they may belong to the takeover of another entry VM.
   static bool mayUndo(TimePoint Begun, TimePoint Now) {
--- a/src/policy/TakeoverProcedure.h
+++ b/src/policy/TakeoverProcedure.h
@@ -10,26 +10,40 @@
 // of an earlier term that has been or will be acknowledged. It is established
 // in one of two ways.
 //
-//  1. The old primary has stepped down, and the target's log reaches the end
-//     of the old primary's log. A commit is in the primary's log before it is
-//     acknowledged, and a server that has stepped down acknowledges none. So it
-//     does not matter which servers have joined, left, restarted or been
-//     resumed: none of them can add a commit. The other servers adopt the next
-//     term as well where they answer. This covers an old primary that restarts
-//     and leads its term again before the promotion takes effect.
+//  1. The old primary has stepped down, no server reports a later term, and the
+//     target's log reaches the end of the old primary's log. A commit is in the
+//     primary's log before it is acknowledged, and a server that has stepped
+//     down acknowledges none. So it does not matter which servers have joined,
+//     left, restarted or been resumed: none of them can add a commit. The other
+//     servers adopt the next term as well where they answer. If no other server
+//     can be promoted, the old primary leads again, after a poll has shown that
+//     its log is still complete.
 //  2. The old primary does not answer, or it has stepped down and no log
 //     reaches the end of its log. Every other server that is registered, by a
 //     read of the registrations after the last adoption, has adopted the next
-//     term and still holds it in a later poll, and the target's log reaches as
-//     far as each log that was reported since the claim. An acknowledged commit
-//     is held by a replica. Those commits that were acknowledged before the
-//     adoptions are in a reported log; later ones cannot be acknowledged by a
-//     server that has adopted the term.
+//     term and still holds it in a later poll, and the target's log reaches the
+//     end that is required. That is the end of each log that was reported
+//     since the claim or in an earlier attempt, and the end of the old
+//     primary's log that was reported after the last server had left the group
+//     or restarted. A commit is held by a replica when it is acknowledged. If
+//     that replica has left or restarted since, the commit lies below the
+//     required end; otherwise it is in a reported log. After the adoptions, the
+//     old primary has no replica with which it could acknowledge.
 //
-// The second way leaves a gap that the platform gives no means to close: an old
-// primary that this entry VM cannot reach acknowledges commits with a server
-// that joins, restarts or is resumed after the poll and before the promotion
-// takes effect.
+// Gaps that the platform gives no means to close:
+//  - In the second way, an old primary that this entry VM cannot reach
+//    acknowledges commits with a server that joins, restarts or is resumed
+//    after the poll and before the promotion takes effect. While it awaits the
+//    effect, the caller makes each server that it comes to know adopt the term
+//    or step down, which leaves the time of one call.
+//  - In the second way, a replica leaves with its log, or loses it, and the old
+//    primary falls silent before it has reported the end of its log again.
+//  - The old primary has stepped down, restarts, and leads its term again
+//    before the promotion takes effect, with a replica that did not adopt the
+//    term. Whether a step-down outlasts a restart is not known.
+//  - The target restarts and loses its log between the order and its effect.
+//  - An order takes effect after the lease of its claim. The platform does not
+//    check the fence.
 //
 // An order is given only within the promotion window of the claim, and after
 // the claim row has been confirmed with the target in it. A takeover that
@@ -115,15 +129,18 @@
 public:
   /// Time from the claim in which the old primary must answer and step down.
   /// Leaves the rest of the promotion window for the adoptions and the order.
-  static constexpr Duration StepDownLimit = milliseconds(900);
+  static constexpr Duration StepDownLimit = milliseconds(800);
 
   /// \param Servers the known servers, with the reports of the plan. Of these
   /// only the old primary's is used: whether it answered.
   /// \param KnownTerm the term of the last known primary; 0 if unknown.
+  /// \param RequiredEnd the end of a log that the target has to reach in any
+  /// case; zero if there is none.
   /// \param Preferred the target of an earlier takeover that was not finished.
   /// \param Begun when the claim was begun.
   TakeoverProcedure(std::vector<TakeoverServer> Servers, Term KnownTerm,
-                    std::optional<ServerId> Preferred, TimePoint Begun);
+                    LogPosition RequiredEnd, std::optional<ServerId> Preferred,
+                    TimePoint Begun);
 
   /// Returns the step to carry out now.
   TakeoverAction next(TimePoint Now);
@@ -144,7 +161,13 @@
   void recordResumed();
 
   /// Returns whether the old primary has been ordered to lead again.
-  bool isReturning() const { return this->Returning; }
+  bool hasReturnedLead() const { return this->ReturnOrdered; }
+
+  /// Returns the highest end of a log that the target has to reach.
+  LogPosition requiredEnd() const { return this->Required; }
+
+  /// Returns the term of the old primary, as far as it is known.
+  Term oldTerm() const { return this->OldTerm; }
 
   /// Returns the term that the servers adopt; 0 before the first poll.
   Term term() const { return this->NextTerm; }
@@ -158,8 +181,9 @@
     Freeze,   ///< All other servers must adopt the term.
     Register, ///< The registrations are to be read.
     Verify,   ///< All adoptions must still hold.
+    CheckOld, ///< The old primary is to lead again, if its log is complete.
     Confirm,
-    Order, ///< The last phase that the promotion window limits.
+    Order, ///< The last phase that a window limits.
     AwaitEffect,
     StepDownLast, ///< The target leads; the old primary may not know it yet.
     Resume,
@@ -172,6 +196,7 @@
   void secure();
   void freeze();
   void verify();
+  void checkOld(const ServerReports &Answers);
   /// Makes \p Id the target, and confirms the claim unless the row names it.
   void promote(const ServerId &Id);
   /// Gives up, or returns the lead to the old primary if that has stepped down.
@@ -187,6 +212,10 @@
   /// Returns the first server that reports to be the primary of a term later
   /// than the old primary's, or null.
   const TakeoverServer *successor() const;
+  /// Returns whether a server other than the old primary reports a later term.
+  bool isSuperseded() const;
+  /// Ends the takeover because \p Leader leads.
+  void yieldTo(const TakeoverServer &Leader);
 
   std::vector<TakeoverServer> Servers; ///< With their latest reports.
   std::optional<ServerId> Preferred;
@@ -196,10 +225,11 @@
   Term NextTerm = 0;
   Term OldTerm = 0;                  ///< Of the old primary in the first poll.
   std::optional<LogPosition> OldEnd; ///< Set once it has stepped down.
-  LogPosition Required; ///< Highest end of a log reported since the claim.
+  LogPosition Required; ///< Highest end that the target has to reach.
   ServerId Target;
   ServerId Confirmed;     ///< The target in the claim row.
   bool Returning = false; ///< The old primary is to lead again.
+  bool ReturnOrdered = false;
   TakeoverEnd Ended = TakeoverEnd::GivenUp;
   std::string Reason;
 };
--- a/src/policy/testing/TakeoverProcedureTest.cpp
+++ b/src/policy/testing/TakeoverProcedureTest.cpp
@@ -51,6 +51,8 @@
   }
 
   std::map<std::string, State> Servers{{"p", {}}, {"a", {}}, {"b", {}}};
+  Term KnownTerm = 3;
+  LogPosition RequiredEnd;
   bool StoreAnswers = true;
   ClaimCheck Claim = ClaimCheck::Held;
   std::vector<PromotionOutcome> Orders; ///< Answers, in order; then Accepted.
@@ -73,7 +75,8 @@
     Server.OldPrimary = Server.Id.str() == "p";
     Server.Report = S.answer(Server.Id, TakeoverStep::Poll, 0);
   }
-  TakeoverProcedure Procedure(Planned, 3, std::nullopt, Begun);
+  TakeoverProcedure Procedure(Planned, S.KnownTerm, S.RequiredEnd, std::nullopt,
+                              Begun);
   Outcome Seen;
   std::map<TakeoverStep, unsigned> Counts;
   std::size_t OrderCount = 0;
@@ -172,7 +175,7 @@
          S.Servers["p"].Index = 12;
          S.Servers["b"].Silent = true;
        },
-       Never, SteppedDown + "adopt confirm order=p await-effect end",
+       Never, SteppedDown + "adopt poll confirm order=p await-effect end",
        TakeoverEnd::GivenUp},
       {"the old primary does not step down",
        [](Surroundings &S) { S.Servers["p"].RefusesTerm = true; },
@@ -191,21 +194,66 @@
        "poll confirm end", TakeoverEnd::Open},
       {"the platform refuses the target",
        [](Surroundings &S) { S.Orders = {PromotionOutcome::Refused}; }, Never,
-       SteppedDown + "order=a confirm order=p await-effect end",
+       SteppedDown + "order=a poll confirm order=p await-effect end",
        TakeoverEnd::GivenUp},
       {"the platform refuses every order",
        [](Surroundings &S) {
          S.Orders = {PromotionOutcome::Refused, PromotionOutcome::Refused};
        },
-       Never, SteppedDown + "order=a confirm order=p resume end",
+       Never, SteppedDown + "order=a poll confirm order=p resume end",
        TakeoverEnd::GivenUp},
       {"the platform is busy for a moment",
        [](Surroundings &S) { S.Orders = {PromotionOutcome::NotDone}; }, Never,
        SteppedDown + "order=a order=a await-effect end", TakeoverEnd::Promoted},
-      {"no order may be given after the promotion window", Nothing,
+      {"after the promotion window only the old primary may be ordered",
+       Nothing,
        once(TakeoverStep::Adopt,
             [](Surroundings &S) { S.Now += TakeoverClaim::PromotionWindow; }),
+       SteppedDown + "poll confirm order=p await-effect end",
+       TakeoverEnd::GivenUp},
+      {"no order may be given after the window for returning the lead", Nothing,
+       once(TakeoverStep::Adopt,
+            [](Surroundings &S) { S.Now += TakeoverClaim::ReturnWindow; }),
        SteppedDown + "resume end", TakeoverEnd::GivenUp},
+      {"the old primary has lost its log when it is to lead again",
+       [](Surroundings &S) { S.Orders = {PromotionOutcome::Refused}; },
+       [](Surroundings &S, TakeoverStep Step, unsigned Earlier) {
+         if (Step == TakeoverStep::Poll && Earlier == 1)
+           S.Servers["p"].Index = 0;
+       },
+       SteppedDown + "order=a poll resume end", TakeoverEnd::GivenUp},
+      {"the old primary leads again by itself",
+       [](Surroundings &S) { S.Orders = {PromotionOutcome::Refused}; },
+       [](Surroundings &S, TakeoverStep Step, unsigned Earlier) {
+         if (Step == TakeoverStep::Poll && Earlier == 1)
+           S.Servers["p"].Role = ServerRole::Primary;
+       },
+       SteppedDown + "order=a poll resume end", TakeoverEnd::GivenUp},
+      {"a replica reports a later term",
+       [](Surroundings &S) { S.Servers["b"].TermNumber = 4; }, Never,
+       SteppedDown + "read-servers poll order=a await-effect end",
+       TakeoverEnd::Promoted},
+      {"a replica reports a later term, and another one falls silent",
+       [](Surroundings &S) { S.Servers["b"].TermNumber = 4; },
+       once(TakeoverStep::Adopt,
+            [](Surroundings &S) { S.Servers["a"].Silent = true; }),
+       SteppedDown + "adopt resume end", TakeoverEnd::GivenUp},
+      {"a later term than the old primary's was known before",
+       [](Surroundings &S) { S.KnownTerm = 4; }, Never, "poll end",
+       TakeoverEnd::GivenUp},
+      {"no replica has received the log since a server left",
+       [](Surroundings &S) {
+         S.RequiredEnd = {3, 10};
+         S.Servers["p"].Index = 12;
+       },
+       Never, "poll end", TakeoverEnd::GivenUp},
+      {"the old primary is silent, and no replica has received its log since a "
+       "server left",
+       [](Surroundings &S) {
+         S.Servers["p"].Silent = true;
+         S.RequiredEnd = {3, 10};
+       },
+       Never, Frozen + "resume end", TakeoverEnd::GivenUp},
       {"nothing may be undone late in the lease", Nothing,
        once(TakeoverStep::Adopt,
             [](Surroundings &S) { S.Now += TakeoverClaim::UndoWindow; }),
--- a/src/policy/testing/TakeoverTest.cpp
+++ b/src/policy/testing/TakeoverTest.cpp
@@ -167,6 +167,7 @@
   }
   // The holder stops promoting well before others may claim.
   CHECK(TakeoverClaim::PromotionWindow * 2 < TakeoverClaim::Lease);
+  CHECK(TakeoverClaim::ReturnWindow * 2 <= TakeoverClaim::Lease);
   CHECK(TakeoverClaim::UndoWindow < TakeoverClaim::Lease);
 }
 
@@ -251,7 +252,7 @@
       Servers.push_back(S);
     }
     const TimePoint Now{std::chrono::seconds(100)};
-    TakeoverProcedure Procedure(Servers, 3, std::nullopt, Now);
+    TakeoverProcedure Procedure(Servers, 3, {}, std::nullopt, Now);
     while (true) {
       const TakeoverAction Action = Procedure.next(Now);
       Group.runTraffic();
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -36,14 +36,19 @@
   this->Limits = NewLimits;
   const bool Changed = this->Beliefs.setServers(Servers);
   std::map<ServerId, std::shared_ptr<ServerPool>> Kept;
+  std::size_t Remaining = 0;
   for (const RegisteredServer &Server : Servers) {
     std::shared_ptr<ServerPool> &Pool = Kept[Server.Id];
     Pool = this->pool(Server.Id);
     if (!Pool || !Pool->server().isSameStart(Server))
       Pool = std::make_shared<ServerPool>(this->Connector, Server);
+    else
+      ++Remaining;
     Pool->share().setMaximum(this->Limits.MaxConnections);
     Pool->share().setSharers(this->EntryVms);
   }
+  // The log of a server that has left or restarted is gone.
+  this->EndWanted = this->EndWanted || Remaining < this->Pools.size();
   this->Pools = std::move(Kept);
   if (Changed) {
     this->MonitorWake.wake();
@@ -236,6 +241,11 @@
          {"term", Report.TermNumber},
          {"adopted", Report.AdoptedTerm},
          {"position", positionText(Report.Received)}});
+  if (this->EndWanted && Report.Role == ServerRole::Primary) {
+    this->EndAfterLoss = Report.Received;
+    this->EndTerm = Report.TermNumber;
+    this->EndWanted = false;
+  }
   this->Beliefs.observeStatus(Id, Report, steadyNow());
   if (const std::shared_ptr<ServerPool> Pool = this->pool(Id)) {
     Pool->share().observeCount(Report.Connections, steadyNow());
--- a/src/root/groups/Group.h
+++ b/src/root/groups/Group.h
@@ -133,6 +133,14 @@
   /// this entry VM.
   LogPosition acknowledged() const { return this->Acknowledged; }
 
+  /// Returns the end of the log that the primary of \p T reported after a
+  /// server had left the group or restarted for the last time; zero if there is
+  /// no such report. A server that holds it holds every commit that only the
+  /// lost server had received.
+  LogPosition endAfterLoss(Term T) const {
+    return this->EndTerm == T ? this->EndAfterLoss : LogPosition();
+  }
+
   /// Returns the start times (steady clock) of the writes that wait for their
   /// acknowledgement. The monitor checks the age of the oldest.
   std::multiset<TimePoint> &pendingWrites() { return this->PendingWrites; }
@@ -217,6 +225,9 @@
   std::map<ServerId, std::shared_ptr<ServerPool>> Pools;
   std::optional<BelievedPrimary> LastPrimary;
   LogPosition Acknowledged;
+  LogPosition EndAfterLoss;
+  Term EndTerm = 0;      ///< In which EndAfterLoss was reported.
+  bool EndWanted = true; ///< No primary has reported since the last loss.
   std::multiset<TimePoint> PendingWrites;
   std::map<ServerId, std::pair<unsigned, TimePoint>> ConnectionCounts;
   std::size_t EntryVms = 0;     ///< 0: not known.
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -228,7 +228,7 @@
 }
 
 QCoro::Task<std::optional<StatusAnswer>>
-GroupMonitor::call(ServerId Id, ServerRequest Kind, Term T) {
+GroupMonitor::call(ServerId Id, ServerRequest Kind, Term T, TimePoint SendBy) {
   const RegisteredServer *Known = this->registration(Id);
   if (!Known)
     co_return std::nullopt;
@@ -246,6 +246,8 @@
       this->Monitored->observeFailure(Id, Failure->Detail);
     co_return std::nullopt;
   }
+  if (bootNow() >= SendBy)
+    co_return std::nullopt;
   const auto &Link = std::get<std::unique_ptr<ServerLink>>(Opened);
   Result<StatusAnswer> R = Error{};
   switch (Kind) {
@@ -278,9 +280,11 @@
 }
 
 QCoro::Task<> GroupMonitor::requestOne(ServerId Id, ServerRequest Kind, Term T,
-                                       ServerReports &Into, TaskGroup &Round) {
+                                       TimePoint SendBy, ServerReports &Into,
+                                       TaskGroup &Round) {
   const TaskGroup::Guard Guard(Round);
-  const std::optional<StatusAnswer> Reply = co_await this->call(Id, Kind, T);
+  const std::optional<StatusAnswer> Reply =
+      co_await this->call(Id, Kind, T, SendBy);
   if (!Reply)
     co_return;
   if (const auto *Report = std::get_if<ServerReport>(&*Reply))
@@ -289,11 +293,11 @@
 
 QCoro::Task<ServerReports>
 GroupMonitor::requestAll(std::vector<ServerId> Servers, ServerRequest Kind,
-                         Term T) {
+                         Term T, TimePoint SendBy) {
   ServerReports Seen;
   TaskGroup Round;
   for (const ServerId &Id : Servers)
-    this->requestOne(Id, Kind, T, Seen, Round);
+    this->requestOne(Id, Kind, T, SendBy, Seen, Round);
   // This wait is bounded, because every call has its own deadline.
   co_await Round.waitUntilEmpty();
   co_return Seen;
@@ -420,7 +424,8 @@
     const TableRow &Row = valueOf(R).Current;
     this->Claim.observe(Row.Version, Row.Value == FinishedValue, bootNow());
     this->ClaimValue = Row.Value;
-    const bool IsOwn = valueOf(R).Applied || Row.Operation == Held.Unanswered;
+    const bool IsOwn = valueOf(R).Applied || (!Held.Unanswered.empty() &&
+                                              Row.Operation == Held.Unanswered);
     if (!IsOwn)
       co_return ClaimCheck::Lost;
     Held.Fence = Row.Version;
@@ -475,9 +480,16 @@
       co_await this->claim(std::to_string(nextTerm(Servers)));
   if (!Held)
     co_return "another entry VM holds the claim, or the store does not answer";
-  TakeoverProcedure Procedure(std::move(Servers), KnownTerm, Held->Preferred,
-                              Held->Begun);
+  LogPosition RequiredEnd;
+  if (KnownTerm != 0) {
+    RequiredEnd = this->Monitored->endAfterLoss(KnownTerm);
+    if (this->LongestSeen.first == KnownTerm)
+      RequiredEnd = std::max(RequiredEnd, this->LongestSeen.second);
+  }
+  TakeoverProcedure Procedure(std::move(Servers), KnownTerm, RequiredEnd,
+                              Held->Preferred, Held->Begun);
   TakeoverStep Previous = TakeoverStep::End;
+  this->Secured.clear();
   while (true) {
     const TakeoverAction Action = Procedure.next(bootNow());
     if (Action.Step == std::exchange(Previous, Action.Step))
@@ -490,6 +502,10 @@
       const ServerReports Answers = co_await this->requestAll(
           Action.Servers, requestFor(Action.Step), Procedure.term());
       Outcome = this->describe(Answers);
+      // A server that has stepped down holds no term, but acknowledges nothing.
+      this->recordSecured(Answers, Action.Step == TakeoverStep::StepDown
+                                       ? 0
+                                       : Procedure.term());
       Procedure.recordAnswers(Answers, this->Monitored->acknowledged(),
                               bootNow());
       break;
@@ -515,14 +531,15 @@
       break;
     }
     case TakeoverStep::AwaitEffect: {
-      const bool Leads =
-          co_await this->awaitEffect(Action.Target, Procedure.term());
+      const bool Leads = co_await this->awaitEffect(
+          Action.Target, Procedure.oldTerm() + 1, Procedure.term());
       Outcome = Leads ? "leads" : "not yet";
       Procedure.recordEffect(Leads);
       break;
     }
     case TakeoverStep::Resume:
-      co_await this->requestAll(Action.Servers, ServerRequest::Resume, 0);
+      co_await this->requestAll(Action.Servers, ServerRequest::Resume, 0,
+                                Held->Begun + TakeoverClaim::UndoWindow);
       Procedure.recordResumed();
       break;
     case TakeoverStep::End:
@@ -530,7 +547,8 @@
         co_await this->release(*Held, std::string(nameOf(Action.End)));
       if (Action.End == TakeoverEnd::Promoted)
         co_return std::nullopt;
-      if (Procedure.isReturning())
+      this->LongestSeen = {KnownTerm, Procedure.requiredEnd()};
+      if (Procedure.hasReturnedLead())
         co_await sleepFor(ReturnedLeadPause);
       co_return Action.Why;
     }
@@ -582,18 +600,56 @@
        {"outcome", Outcome}});
 }
 
-QCoro::Task<bool> GroupMonitor::awaitEffect(ServerId Target, Term T) {
+QCoro::Task<> GroupMonitor::secureNewServers(ServerId Target, Term T,
+                                             const bool &Done,
+                                             TaskGroup &Running) {
+  const TaskGroup::Guard Guard(Running);
+  while (!Done) {
+    std::vector<ServerId> Unsecured;
+    for (const auto &[Id, Server] : this->Monitored->beliefs().servers())
+      if (Id != Target && !this->isSecured(Id))
+        Unsecured.push_back(Id);
+    const ServerReports Answers = co_await this->requestAll(
+        std::move(Unsecured), ServerRequest::Adopt, T);
+    this->recordSecured(Answers, T);
+    if (!Done)
+      co_await sleepFor(EffectPollInterval);
+  }
+}
+
+bool GroupMonitor::isSecured(const ServerId &Id) const {
+  const auto Found = this->Secured.find(Id);
+  const RegisteredServer *Known = this->registration(Id);
+  return Found != this->Secured.end() && Known &&
+         Known->StartedAtMs == Found->second;
+}
+
+void GroupMonitor::recordSecured(const ServerReports &Answers, Term T) {
+  for (const auto &[Id, Report] : Answers) {
+    const RegisteredServer *Known = this->registration(Id);
+    if (Known && Report.Role == ServerRole::Replica && Report.AdoptedTerm >= T)
+      this->Secured[Id] = Known->StartedAtMs;
+  }
+}
+
+QCoro::Task<bool> GroupMonitor::awaitEffect(ServerId Target, Term Leading,
+                                            Term Adopted) {
   const TimePoint Deadline = steadyNow() + EffectTimeout;
-  while (steadyNow() < Deadline && !this->Stopping) {
-    co_await sleepFor(milliseconds(50));
+  bool Leads = false;
+  bool Done = false;
+  TaskGroup Running;
+  this->secureNewServers(Target, Adopted, Done, Running);
+  while (!Leads && steadyNow() < Deadline && !this->Stopping) {
+    co_await sleepFor(EffectPollInterval);
     const std::optional<StatusAnswer> Reply =
         co_await this->call(Target, ServerRequest::Status, 0);
     const auto *Report = Reply ? std::get_if<ServerReport>(&*Reply) : nullptr;
-    if (Report && Report->Role == ServerRole::Primary &&
-        Report->TermNumber >= T)
-      co_return true;
+    Leads = Report && Report->Role == ServerRole::Primary &&
+            Report->TermNumber >= Leading;
   }
-  co_return false;
+  Done = true;
+  co_await Running.waitUntilEmpty();
+  co_return Leads;
 }
 
 QCoro::Task<> GroupMonitor::undoStrandedAdoptions() {
@@ -636,7 +692,8 @@
        {"term", Leader->TermNumber}});
   // After a suspension the adoptions may belong to another takeover.
   if (TakeoverClaim::mayUndo(Held->Begun, bootNow()))
-    co_await this->requestAll(Stranded, ServerRequest::Resume, 0);
+    co_await this->requestAll(Stranded, ServerRequest::Resume, 0,
+                              Held->Begun + TakeoverClaim::UndoWindow);
   co_await this->release(*Held, "undone");
 }
 
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -84,6 +84,9 @@
   /// Time for an accepted promotion to take effect. The deployments' platforms
   /// take 1 s at most.
   static constexpr Duration EffectTimeout = milliseconds(2500);
+  /// Pause between two polls of the target, and between two rounds of calls to
+  /// the other servers.
+  static constexpr Duration EffectPollInterval = milliseconds(50);
   /// Pause after an abandoned takeover.
   static constexpr Duration FailedTakeoverPause = milliseconds(300);
   /// If a replica has adopted a term that has no primary, the adoption is
@@ -150,13 +153,17 @@
   /// down, adopt \p T or resume.
   /// \returns the reports of those that answered.
   QCoro::Task<ServerReports> requestAll(std::vector<ServerId> Servers,
-                                        ServerRequest Kind, Term T);
+                                        ServerRequest Kind, Term T,
+                                        TimePoint SendBy = NoDeadline);
   QCoro::Task<> requestOne(ServerId Id, ServerRequest Kind, Term T,
-                           ServerReports &Into, TaskGroup &Round);
+                           TimePoint SendBy, ServerReports &Into,
+                           TaskGroup &Round);
   /// Opens a connection to \p Id, makes one call and records the result.
   /// \param T the term for StepDown and Adopt.
-  QCoro::Task<std::optional<StatusAnswer>> call(ServerId Id, ServerRequest Kind,
-                                                Term T);
+  /// \param SendBy boot clock; the call is not sent later, for example after a
+  /// suspension while the connection was opened.
+  QCoro::Task<std::optional<StatusAnswer>>
+  call(ServerId Id, ServerRequest Kind, Term T, TimePoint SendBy = NoDeadline);
   /// Returns the registration of \p Id, also if it was only seen by a read of
   /// the registrations during a takeover; null if there is none.
   const RegisteredServer *registration(const ServerId &Id) const;
@@ -184,14 +191,25 @@
   QCoro::Task<std::optional<std::vector<TakeoverServer>>> readServers();
   /// Orders the promotion once.
   QCoro::Task<PromotionOutcome> promote(ServerId Target, HeldClaim Held);
-  /// Waits until \p Target leads \p T or a later term; false after
-  /// EffectTimeout.
-  QCoro::Task<bool> awaitEffect(ServerId Target, Term T);
+  /// Waits until \p Target leads the term \p Leading or a later one; false
+  /// after EffectTimeout.
+  /// \param Adopted the term that the other servers adopt meanwhile.
+  QCoro::Task<bool> awaitEffect(ServerId Target, Term Leading, Term Adopted);
+  /// Makes the servers other than \p Target that come to be known adopt \p T,
+  /// or step down, until \p Done. A primary that comes back and a replica that
+  /// joins could otherwise commit before the promotion takes effect. A server
+  /// is asked only until it has adopted the term: after the effect it would
+  /// stop receiving from the new primary.
+  QCoro::Task<> secureNewServers(ServerId Target, Term T, const bool &Done,
+                                 TaskGroup &Running);
   /// Returns, for the log, the version of each server's registration and its
   /// report in \p Seen.
   std::string describe(const ServerReports &Seen) const;
   void logStep(const TakeoverAction &Action, const HeldClaim &Held, Term T,
                const std::string &Outcome);
+  bool isSecured(const ServerId &Id) const;
+  /// Records the servers of \p Answers that hold \p T.
+  void recordSecured(const ServerReports &Answers, Term T);
   /// Returns the replica whose log reaches furthest, or the end of \p Seen.
   ServerReports::const_iterator
   replicaWithLongestLog(const ServerReports &Seen) const;
@@ -206,6 +224,11 @@
   std::string ClaimValue;
   /// Servers that the last takeover found by reading the registrations.
   std::map<ServerId, RegisteredServer> Found;
+  /// The servers that the present takeover has stopped, with their starts.
+  std::map<ServerId, std::int64_t> Secured;
+  /// The highest end of a log that a failed takeover has seen, and the term of
+  /// the primary that it was to replace.
+  std::pair<Term, LogPosition> LongestSeen;
   std::optional<TimePoint> MissingSince; ///< No primary is known since then.
   std::optional<TimePoint> SuspectSince;
   Duration DeferralTime{};   ///< Of the present suspicion.
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -23,13 +23,20 @@
     this->BeforeEffect(Order);
     const PromotionOutcome Outcome = this->Answer;
     if (Outcome == PromotionOutcome::Accepted || this->TakesEffect)
-      this->Group.promote(Order.Target.str());
+      this->takeEffect(Order.Target.str());
     co_return Outcome;
   }
 
+  QCoro::Task<> takeEffect(std::string Target) {
+    if (this->EffectDelay > Duration::zero())
+      co_await sleepFor(this->EffectDelay);
+    this->Group.promote(Target);
+  }
+
   LineGroup &Group;
   PromotionOutcome Answer = PromotionOutcome::Accepted;
   bool TakesEffect = false; ///< The order is carried out whatever the answer.
+  Duration EffectDelay{};   ///< Time from an order to its effect.
   std::vector<PromotionRequest> Orders;
   /// Called with each order before it takes effect.
   std::function<void(const PromotionRequest &)> BeforeEffect =
@@ -246,6 +253,31 @@
   }
 }
 
+// Guards against an old primary that was silent, comes back between the order
+// and its effect, and acknowledges commits with a replica that joins.
+TEST_CASE("an old primary that comes back before a promotion takes effect is "
+          "stopped") {
+  Fixture F;
+  F.Orders.EffectDelay = milliseconds(600);
+  F.Group["a"].Reachable = false;
+  F.Servers->observeFailure(ServerId("a"), "test");
+  F.Orders.BeforeEffect = [&F](const PromotionRequest &) {
+    F.Group["a"].Reachable = true;
+    FakeServer &Joined = F.Group.servers()["d"];
+    Joined.Id = ServerId("d");
+    Joined.Log = Joined.Applied = F.Group["a"].Log;
+    F.refresh();
+  };
+  F.pass(std::chrono::seconds(3));
+  REQUIRE(F.Orders.Orders.size() == 1);
+  // pass() returns 200 ms after the order, before its effect.
+  CHECK_FALSE(F.Group.commit("a"));
+  CHECK(F.Group["a"].Role == ServerRole::Replica);
+  CHECK(F.Group["d"].Adopted == 2);
+  runTask([]() -> QCoro::Task<> { co_await sleepFor(milliseconds(600)); }());
+  CHECK(F.Servers->beliefs().primary()->Id == F.Orders.Orders[0].Target);
+}
+
 // Guards against two entry VMs that both replace a primary, also while a claim
 // passes from one to the other: the platform would get two orders.
 TEST_CASE("several entry VMs give one order") {
