--- /dev/null
+++ b/src/policy/ClaimRow.h
@@ -0,0 +1,95 @@
+// The row of the store that holds the claim on a group's takeover: its key, and
+// the forms of its value.
+//
+//   <vm> <term> [target]  claimed; with a target before an order is given
+//   <vm> undo             claimed to undo adoptions
+//   finished              released; nothing is known of the last term
+//   finished <term>       released; see below
+//
+// `finished T` states that no promotion to a term later than T has taken effect
+// and that none will before the row is claimed again. An entry VM that reads it
+// therefore knows that the primary of T has not been superseded
+// (policy/LeadershipProof.h). The statement holds because orders are given by
+// the holder of the claim only, and each holder writes it only in these cases:
+//
+//  - It has given an order, its target leads, and T is the highest term that it
+//    knows. The claim before was released, not expired.
+//  - It has given no order, and the row before was `finished T`. A row that
+//    does not exist stands for the term in which servers start.
+//
+// Otherwise it writes `finished`. In particular, an order that was given under
+// a claim that expired may still take effect. As everywhere in the takeover, an
+// order is taken to have its effect within TakeoverClaim::Lease or never.
+#ifndef AMARANTHSPUR_POLICY_CLAIMROW_H
+#define AMARANTHSPUR_POLICY_CLAIMROW_H
+
+#include "core/Enums.h"
+#include "core/Names.h"
+#include "core/Types.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace amaranthspur {
+
+/// The state of a claim row.
+enum class ClaimState {
+  Missing,  ///< The row was never written.
+  Held,     ///< A takeover is under way, or its holder's claim has expired.
+  Finished, ///< The last takeover has been finished.
+  Unknown,  ///< The value has no known form. It is respected as a claim.
+};
+
+template <> struct EnumNames<ClaimState> {
+  static constexpr auto Entries =
+      std::to_array<std::pair<ClaimState, std::string_view>>(
+          {{ClaimState::Missing, "missing"},
+           {ClaimState::Held, "held"},
+           {ClaimState::Finished, "finished"},
+           {ClaimState::Unknown, "unknown"}});
+};
+
+/// The term of the first primary of a group.
+inline constexpr Term FirstTerm = 1;
+
+/// The content of a claim row.
+struct ClaimRow {
+  ClaimState State = ClaimState::Missing;
+  std::optional<ServerId> Target; ///< Of an order under a claim that is held.
+  Term LastTerm = 0; ///< T of `finished T`, or FirstTerm if the row is missing;
+                     ///< 0 if not known.
+
+  bool operator==(const ClaimRow &) const = default;
+};
+
+/// What the holder of a claim knows when it finishes the takeover.
+struct ClaimOutcome {
+  ClaimRow Before;       ///< The row that the claim has replaced.
+  bool Ordered = false;  ///< An order was given under the claim.
+  bool Promoted = false; ///< The target of the only order leads.
+  Term Highest = 0;      ///< Highest term of a primary that the holder knows.
+};
+
+/// Returns the key of the claim row of \p Service.
+std::string claimKey(const ServiceName &Service);
+
+/// Returns the content of a row with \p Version, which is 0 if the row does not
+/// exist, and \p Value.
+ClaimRow parseClaimRow(std::uint64_t Version, const std::string &Value);
+
+/// Returns the value with which \p Holder claims a takeover to term \p T.
+/// \param Target the server whose promotion is about to be ordered; empty if
+/// there is none yet.
+std::string takeoverClaimValue(const EntryVmId &Holder, Term T,
+                               const ServerId &Target = ServerId());
+
+/// Returns the value with which \p Holder claims the undoing of adoptions.
+std::string undoClaimValue(const EntryVmId &Holder);
+
+/// Returns the value with which a claim is released.
+std::string finishedClaimValue(const ClaimOutcome &Outcome);
+
+} // namespace amaranthspur
+
+#endif // AMARANTHSPUR_POLICY_CLAIMROW_H
--- /dev/null
+++ b/src/policy/testing/ClaimRowTest.cpp
@@ -0,0 +1,97 @@
+#include "policy/ClaimRow.h"
+
+#include <catch2/catch.hpp>
+
+using namespace amaranthspur;
+
+namespace {
+
+ClaimRow row(ClaimState State, Term LastTerm = 0,
+             std::optional<ServerId> Target = std::nullopt) {
+  return {State, std::move(Target), LastTerm};
+}
+
+} // namespace
+
+// Guards against a value that is misread: as the proof of a term, as a finished
+// takeover while one is under way, or without the target of its order.
+TEST_CASE("a claim row is read by the form of its value") {
+  using S = ClaimState;
+  struct Row {
+    std::uint64_t Version;
+    const char *Value;
+    ClaimRow Expected;
+  };
+  const Row Rows[] = {
+      {0, "", row(S::Missing, FirstTerm)},
+      {4, "vm-1 3", row(S::Held)},
+      {4, "vm-1 3 i-7", row(S::Held, 0, ServerId("i-7"))},
+      {4, "vm-1 undo", row(S::Held)},
+      {4, "finished", row(S::Finished)},
+      {4, "finished 3", row(S::Finished, 3)},
+      {4, "finished 18446744073709551615", row(S::Finished, ~Term(0))},
+      {4, "", row(S::Unknown)},
+      {4, "vm-1", row(S::Unknown)},
+      {4, "vm-1 x", row(S::Unknown)},
+      {4, "vm-1 3 i-7 more", row(S::Unknown)},
+      {4, "finished 0", row(S::Unknown)},
+      {4, "finished x", row(S::Unknown)},
+      {4, "finished -1", row(S::Unknown)},
+      {4, "finished 3x", row(S::Unknown)},
+      {4, "finished 18446744073709551616", row(S::Unknown)},
+      {4, "finished 3 4", row(S::Unknown)},
+      {4, "Finished 3", row(S::Held)},
+      {4, "finishedly", row(S::Unknown)},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Version, R.Value);
+    CHECK(parseClaimRow(R.Version, R.Value) == R.Expected);
+  }
+}
+
+// Guards against a claim whose holder or target another entry VM cannot read.
+TEST_CASE("the value of a claim is read as it was written") {
+  const EntryVmId Self("vm-1");
+  CHECK(takeoverClaimValue(Self, 3) == "vm-1 3");
+  CHECK(takeoverClaimValue(Self, 3, ServerId("i-7")) == "vm-1 3 i-7");
+  CHECK(undoClaimValue(Self) == "vm-1 undo");
+}
+
+// Guards against a term in a finished row although a promotion to a later term
+// has taken effect or may still do so: reads at a superseded primary would be
+// answered.
+TEST_CASE("a claim is finished with a term only if the last term is known") {
+  const ClaimRow None = row(ClaimState::Missing, FirstTerm);
+  const ClaimRow Known = row(ClaimState::Finished, 3);
+  const ClaimRow Bare = row(ClaimState::Finished);
+  const ClaimRow Expired = row(ClaimState::Held, 0, ServerId("i-7"));
+  const ClaimRow Odd = row(ClaimState::Unknown);
+  struct Row {
+    const char *Name;
+    ClaimRow Before;
+    bool Ordered;
+    bool Promoted;
+    Term Highest;
+    const char *Expected;
+  };
+  const Row Rows[] = {
+      {"promoted first", None, true, true, 2, "finished 2"},
+      {"promoted", Known, true, true, 4, "finished 4"},
+      {"promoted after an unknown end", Bare, true, true, 4, "finished 4"},
+      {"promoted after an expired claim", Expired, true, true, 4, "finished"},
+      {"promoted after an unknown value", Odd, true, true, 4, "finished"},
+      {"given up first", None, false, false, 1, "finished 1"},
+      {"given up", Known, false, false, 3, "finished 3"},
+      {"given up without any report", Known, false, false, 0, "finished 3"},
+      {"given up, and a later term leads", Known, false, false, 4, "finished"},
+      {"given up after an order", Known, true, false, 3, "finished"},
+      {"given up after an unknown end", Bare, false, false, 3, "finished"},
+      {"given up after an expired claim", Expired, false, false, 3, "finished"},
+      {"given up after an unknown value", Odd, false, false, 3, "finished"},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    CHECK(finishedClaimValue({R.Before, R.Ordered, R.Promoted, R.Highest}) ==
+          R.Expected);
+  }
+}
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -8,9 +8,9 @@
 namespace amaranthspur {
 
 Group::Group(ServiceName Name, ServerConnector &Connector,
-             const Locality &Where, EvidenceSource *Source)
+             const Locality &Where, EvidenceSource *Source, ClaimReader *Claims)
     : Name(std::move(Name)), Connector(Connector), Where(Where), Source(Source),
-      Beliefs(Where) {}
+      Claims(Claims), Beliefs(Where) {}
 
 Group::~Group() = default;
 
@@ -23,6 +23,7 @@
 QCoro::Task<> Group::stop() {
   this->Stopping = true;
   this->ProveWake.wake();
+  this->ProofChange.wake();
   this->SampleWake.wake();
   this->CloseWake.wake();
   this->MonitorWake.wake();
@@ -67,6 +68,7 @@
        {"term", Leader ? Leader->TermNumber : 0}});
   this->PrimaryChange.notifyAll();
   this->ProofReceived.notifyAll();
+  this->ProofChange.wake();
   this->MonitorWake.wake();
 }
 
@@ -290,38 +292,95 @@
   co_return *Report;
 }
 
-std::vector<ServerId> Group::proofOrder(const BelievedPrimary &Leader) const {
-  std::vector<std::pair<int, ServerId>> Ranked;
-  for (const auto &[Id, Server] : this->Beliefs.servers()) {
-    if (Id == Leader.Id)
-      continue;
-    int Rank =
-        static_cast<int>(this->Where.distanceTo(Server.Registration.Location));
-    if (Server.FailingSince || Server.AdoptedTerm > Leader.TermNumber)
-      Rank += 10;
-    Ranked.emplace_back(Rank, Id);
-  }
-  std::sort(Ranked.begin(), Ranked.end());
-  std::vector<ServerId> Order;
-  Order.reserve(Ranked.size());
-  for (const auto &[Rank, Id] : Ranked)
-    Order.push_back(Id);
-  return Order;
+std::vector<ServerId> Group::othersThan(const ServerId &Leader) const {
+  std::vector<ServerId> Ids;
+  for (const auto &[Id, Server] : this->Beliefs.servers())
+    if (Id != Leader)
+      Ids.push_back(Id);
+  return Ids;
 }
 
-QCoro::Task<bool> Group::proveByReplica(ServerId Id, Term T) {
-  const TimePoint SentAt = bootNow();
+QCoro::Task<> Group::askForProof(ServerId Id,
+                                 std::shared_ptr<LeadershipProof> Proof) {
+  const TaskGroup::Guard Guard(this->Tasks);
+  // One request at a time: a server that is slow would get more and more.
+  if (!this->AskedForProof.insert(Id).second) {
+    Proof->recordSilence(Id);
+    co_return;
+  }
   const std::optional<ServerReport> Report = co_await this->controlStatus(Id);
-  if (!Report)
-    co_return false;
-  const Term Newest = std::max(Report->TermNumber, Report->AdoptedTerm);
-  if (Newest > T)
+  this->AskedForProof.erase(Id);
+  if (Report)
+    Proof->recordReport(Id, *Report);
+  else
+    Proof->recordSilence(Id);
+  if (Report &&
+      std::max(Report->TermNumber, Report->AdoptedTerm) > Proof->term())
     this->MonitorWake.wake();
-  if (Report->Role != ServerRole::Replica || Newest > T)
-    co_return false;
-  this->Fresh.observeProof(T, SentAt);
-  this->ProofReceived.notifyAll();
-  co_return true;
+  this->ProofChange.wake();
+}
+
+QCoro::Task<> Group::readClaim(std::shared_ptr<LeadershipProof> Proof) {
+  const TaskGroup::Guard Guard(this->Tasks);
+  this->ReadingClaim = true;
+  if (steadyNow() < this->ClaimReadFrom)
+    co_await sleepFor(this->ClaimReadFrom - steadyNow());
+  const Result<ClaimRow> Row =
+      co_await this->Claims->read(this->Name, steadyNow() + ClaimReadTimeout);
+  if (succeeded(Row))
+    Proof->recordClaim(valueOf(Row));
+  const bool Proved = Proof->state({}) == ProofState::Proved;
+  this->ClaimReadFrom =
+      steadyNow() + (Proved ? ClaimReadInterval : ClaimRetryInterval);
+  this->ReadingClaim = false;
+  this->ProofChange.wake();
+}
+
+QCoro::Task<bool> Group::proveDirectly(BelievedPrimary Leader) {
+  const TimePoint Begun = steadyNow();
+  const auto Proof =
+      std::make_shared<LeadershipProof>(Leader.TermNumber, bootNow());
+  for (const ServerId &Id : this->othersThan(Leader.Id)) {
+    const ServerBelief &Server = *this->Beliefs.find(Id);
+    // A server that fails is asked from time to time, but not waited for.
+    if (Server.FailingSince)
+      Proof->recordSilence(Id);
+    if (!this->Beliefs.isAvoided(Server, steadyNow()))
+      this->askForProof(Id, Proof);
+  }
+  // A read of the claim row that is still under way was begun too early.
+  bool MayReadClaim = this->Claims && !this->ReadingClaim;
+  const TimePoint ReadClaimAt = Begun + ClaimReadDelay;
+  const TimePoint Until = ReadClaimAt + ClaimRetryInterval + ClaimReadTimeout;
+  while (!this->Stopping && this->Beliefs.primary() == Leader &&
+         steadyNow() < Until) {
+    switch (Proof->state(this->othersThan(Leader.Id))) {
+    case ProofState::Proved:
+      this->Fresh.observeProof(Leader.TermNumber, Proof->since());
+      this->ProofReceived.notifyAll();
+      co_return true;
+    case ProofState::Superseded:
+      co_return false;
+    case ProofState::NeedsClaim:
+      if (!MayReadClaim && !this->ReadingClaim)
+        co_return false;
+      if (MayReadClaim) {
+        MayReadClaim = false;
+        this->readClaim(Proof);
+      }
+      break;
+    case ProofState::Open:
+      if (MayReadClaim && steadyNow() >= ReadClaimAt) {
+        MayReadClaim = false;
+        this->readClaim(Proof);
+      }
+      break;
+    }
+    // The limit is for a server that has registered since the others were
+    // asked; every call that was made ends earlier.
+    co_await this->ProofChange.wait(MayReadClaim ? ReadClaimAt : Until);
+  }
+  co_return false;
 }
 
 QCoro::Task<bool> Group::proveByRelay(Term T) {
@@ -353,12 +412,8 @@
     co_await this->controlStatus(Leader->Id);
     co_return false;
   }
-  for (const ServerId &Id : this->proofOrder(*Leader)) {
-    const bool Done = co_await this->proveByReplica(Id, Leader->TermNumber);
-    if (Done)
-      co_return true;
-  }
-  co_return false;
+  const bool Proved = co_await this->proveDirectly(*Leader);
+  co_return Proved;
 }
 
 QCoro::Task<> Group::proveLeadership() {
--- a/src/root/groups/Group.h
+++ b/src/root/groups/Group.h
@@ -13,6 +13,8 @@
 #include "policy/ForwarderChoice.h"
 #include "policy/Freshness.h"
 #include "policy/GroupBeliefs.h"
+#include "policy/LeadershipProof.h"
+#include "root/groups/ClaimReader.h"
 #include "root/groups/ServerPool.h"
 #include "root/relay/EvidenceBoard.h"
 
@@ -49,8 +51,20 @@
   /// Timeout of one status call. A round trip between regions takes 16 ms, and
   /// the call may have to wait for a server slot behind long statements.
   static constexpr Duration StatusTimeout = milliseconds(300);
-  /// Delay before the next attempt when no replica has given a proof.
+  /// Delay before the next attempt to prove that the primary leads.
   static constexpr Duration ProofRetryDelay = milliseconds(30);
+  /// The claim row is read as a proof if servers have not answered within this
+  /// time. A round trip between regions takes 16 ms, and a new connection
+  /// takes two more.
+  static constexpr Duration ClaimReadDelay = milliseconds(60);
+  /// Timeout of a read of the claim row. The store answers in 4 ms, and in
+  /// 240 ms when it runs 60 times slower.
+  static constexpr Duration ClaimReadTimeout = milliseconds(250);
+  /// Least time between two reads of the claim row, after one that has proved
+  /// that the primary leads, and after one that has not. All entry VMs together
+  /// may make 2,000 reads per second.
+  static constexpr Duration ClaimReadInterval = milliseconds(25);
+  static constexpr Duration ClaimRetryInterval = milliseconds(100);
   /// A server that answered within this time counts as alive even if a
   /// connection to it fails: a server resets connections beyond its limit.
   static constexpr Duration AliveAfterAnswer = milliseconds(250);
@@ -67,8 +81,10 @@
 
   /// All referenced objects must outlive the group.
   /// \param Source the relay; null if there is none.
+  /// \param Claims reads the claim row as a proof of leadership; null if only
+  /// the servers' reports are used.
   Group(ServiceName Name, ServerConnector &Connector, const Locality &Where,
-        EvidenceSource *Source = nullptr);
+        EvidenceSource *Source = nullptr, ClaimReader *Claims = nullptr);
   Group(const Group &) = delete;
   Group &operator=(const Group &) = delete;
   ~Group();
@@ -194,15 +210,21 @@
   QCoro::Task<> requestConnectionCounts();
   QCoro::Task<> closeIdle();
   QCoro::Task<bool> proveOnce();
-  QCoro::Task<bool> proveByReplica(ServerId Id, Term T);
+  /// Asks all servers but \p Leader for their status at the same time and, if
+  /// that is not enough, reads the claim row.
+  QCoro::Task<bool> proveDirectly(BelievedPrimary Leader);
+  /// Requests the status of \p Id and records it in \p Proof.
+  QCoro::Task<> askForProof(ServerId Id,
+                            std::shared_ptr<LeadershipProof> Proof);
+  /// Reads the claim row and records it in \p Proof.
+  QCoro::Task<> readClaim(std::shared_ptr<LeadershipProof> Proof);
   QCoro::Task<bool> proveByRelay(Term T);
   /// Returns the age from which a sample of the primary counts as outdated.
   Duration sampleInterval() const;
   /// Requests the status of \p Id over a pooled connection and records it.
   QCoro::Task<std::optional<ServerReport>> controlStatus(ServerId Id);
-  /// Returns the replicas in the order in which they are asked for a proof: the
-  /// nearest first, and last those that fail or have adopted a later term.
-  std::vector<ServerId> proofOrder(const BelievedPrimary &Leader) const;
+  /// Returns the registered servers without \p Leader.
+  std::vector<ServerId> othersThan(const ServerId &Leader) const;
   /// Logs a change of the believed primary and wakes the tasks that wait for
   /// it.
   void updatePrimary();
@@ -211,6 +233,7 @@
   ServerConnector &Connector;
   const Locality &Where;
   EvidenceSource *Source;
+  ClaimReader *Claims;
   ServiceLimits Limits;
   GroupBeliefs Beliefs;
   Freshness Fresh;
@@ -219,12 +242,17 @@
   LogPosition Acknowledged;
   std::multiset<TimePoint> PendingWrites;
   std::map<ServerId, std::pair<unsigned, TimePoint>> ConnectionCounts;
-  std::size_t EntryVms = 0;     ///< 0: not known.
-  int Readers = 0;              ///< Open sessions that read with a floor.
-  TimePoint RelayProofsFrom{};  ///< Steady clock.
-  TimePoint ProofWantedFor{};   ///< Latest time to prove (boot clock).
+  std::size_t EntryVms = 0;    ///< 0: not known.
+  int Readers = 0;             ///< Open sessions that read with a floor.
+  TimePoint RelayProofsFrom{}; ///< Steady clock.
+  TimePoint ProofWantedFor{};  ///< Latest time to prove (boot clock).
+  TimePoint ClaimReadFrom{};   ///< Earliest next read (steady clock).
+  /// Servers with a status request for a proof under way.
+  std::set<ServerId> AskedForProof;
+  bool ReadingClaim = false;
   TimePoint LastFloorRequest{}; ///< Steady clock.
   WaitPoint ProveWake;
+  WaitPoint ProofChange; ///< Woken when evidence for a proof has arrived.
   WaitPoint SampleWake;
   WaitPoint CloseWake;
   WaitPoint MonitorWake;
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -4,30 +4,10 @@
 #include "root/telemetry/Log.h"
 
 #include <algorithm>
-#include <sstream>
 
 namespace amaranthspur {
 namespace {
 
-/// Value of a claim row whose takeover has ended.
-constexpr std::string_view FinishedValue = "finished";
-
-std::string claimKey(const ServiceName &Service) {
-  return "takeover/" + Service.str();
-}
-
-/// Returns the target in the value of a claim row (entry VM, term, target), or
-/// nothing if no order was given under that claim.
-std::optional<ServerId> confirmedTarget(const std::string &Value) {
-  std::istringstream Words(Value);
-  std::string Holder;
-  std::string TermText;
-  std::string Target;
-  if (Words >> Holder >> TermText >> Target)
-    return ServerId(Target);
-  return std::nullopt;
-}
-
 /// Returns the call that a step makes to its servers.
 ServerRequest requestFor(TakeoverStep Step) {
   if (Step == TakeoverStep::StepDown)
@@ -361,7 +341,7 @@
 }
 
 QCoro::Task<std::optional<GroupMonitor::HeldClaim>>
-GroupMonitor::claim(std::string Purpose) {
+GroupMonitor::claim(std::string Value) {
   HeldClaim Held;
   const std::string Operation = this->nextOperation();
   // The known version may be outdated: another entry VM may have finished that
@@ -371,23 +351,19 @@
     Held.Begun = bootNow();
     const Result<CasOutcome> R =
         co_await this->Dependencies.Store.compareAndSet(
-            claimKey(this->Monitored->name()), this->Claim.version(),
-            this->Dependencies.Self.str() + " " + Purpose, Operation,
-            steadyNow() + ClaimTimeout);
+            claimKey(this->Monitored->name()), this->Claim.version(), Value,
+            Operation, steadyNow() + ClaimTimeout);
     if (!succeeded(R))
       co_return std::nullopt;
     const TableRow &Row = valueOf(R).Current;
-    this->Claim.observe(Row.Version, Row.Value == FinishedValue, bootNow());
-    if (!valueOf(R).Applied) {
-      this->ClaimValue = Row.Value;
+    Held.Before = this->LastClaim;
+    this->observeClaim(Row);
+    if (!valueOf(R).Applied)
       continue;
-    }
-    Held.Preferred = confirmedTarget(this->ClaimValue);
-    this->ClaimValue = Row.Value;
     Held.Fence = Row.Version;
     log(LogLevel::Info, LogEvent::TakeoverClaimed,
         {{"service", this->Monitored->name().str()},
-         {"purpose", Purpose},
+         {"row", Value},
          {"fence", Held.Fence},
          {"took_ms", (bootNow() - Held.Begun) / milliseconds(1)}});
     co_return Held;
@@ -395,11 +371,21 @@
   co_return std::nullopt;
 }
 
-QCoro::Task<> GroupMonitor::release(HeldClaim Held, std::string How) {
+void GroupMonitor::observeClaim(const TableRow &Row) {
+  this->LastClaim = parseClaimRow(Row.Version, Row.Value);
+  this->Claim.observe(Row.Version,
+                      this->LastClaim.State == ClaimState::Finished, bootNow());
+}
+
+QCoro::Task<> GroupMonitor::release(HeldClaim Held, std::string How,
+                                    bool Promoted) {
+  ClaimOutcome Outcome{Held.Before, Held.Ordered, Promoted};
+  for (const auto &[Id, Server] : this->Monitored->beliefs().servers())
+    Outcome.Highest = std::max(Outcome.Highest, Server.TermNumber);
   const std::string Operation = this->nextOperation();
   const Result<CasOutcome> R = co_await this->Dependencies.Store.compareAndSet(
-      claimKey(this->Monitored->name()), Held.Fence, std::string(FinishedValue),
-      Operation, steadyNow() + ClaimTimeout);
+      claimKey(this->Monitored->name()), Held.Fence,
+      finishedClaimValue(Outcome), Operation, steadyNow() + ClaimTimeout);
   if (!succeeded(R)) {
     log(LogLevel::Warning, LogEvent::PromotionFinished,
         {{"service", this->Monitored->name().str()},
@@ -409,27 +395,25 @@
     co_return;
   }
   const TableRow &Row = valueOf(R).Current;
-  this->Claim.observe(Row.Version, Row.Value == FinishedValue, bootNow());
-  this->ClaimValue = Row.Value;
+  this->observeClaim(Row);
   if (!valueOf(R).Applied)
     How += ", but another entry VM has claimed the takeover";
   log(LogLevel::Info, LogEvent::PromotionFinished,
       {{"service", this->Monitored->name().str()},
        {"how", How},
+       {"row", Row.Value},
        {"fence", Held.Fence}});
 }
 
 QCoro::Task<ClaimCheck> GroupMonitor::confirm(HeldClaim &Held,
-                                              std::string Purpose) {
+                                              std::string Value) {
   const Result<CasOutcome> R = co_await this->Dependencies.Store.compareAndSet(
-      claimKey(this->Monitored->name()), Held.Fence,
-      this->Dependencies.Self.str() + " " + Purpose, this->nextOperation(),
-      steadyNow() + ConfirmTimeout);
+      claimKey(this->Monitored->name()), Held.Fence, Value,
+      this->nextOperation(), steadyNow() + ConfirmTimeout);
   if (!succeeded(R))
     co_return ClaimCheck::Unknown;
   const TableRow &Row = valueOf(R).Current;
-  this->Claim.observe(Row.Version, Row.Value == FinishedValue, bootNow());
-  this->ClaimValue = Row.Value;
+  this->observeClaim(Row);
   if (!valueOf(R).Applied)
     co_return ClaimCheck::Lost;
   Held.Fence = Row.Version;
@@ -460,11 +444,12 @@
 
 QCoro::Task<std::optional<std::string>>
 GroupMonitor::execute(std::vector<TakeoverServer> Servers) {
-  std::optional<HeldClaim> Held =
-      co_await this->claim(std::to_string(nextTerm(Servers)));
+  std::optional<HeldClaim> Held = co_await this->claim(
+      takeoverClaimValue(this->Dependencies.Self, nextTerm(Servers)));
   if (!Held)
     co_return "another entry VM holds the claim, or the store does not answer";
-  TakeoverProcedure Procedure(std::move(Servers), Held->Preferred, Held->Begun);
+  TakeoverProcedure Procedure(std::move(Servers), Held->Before.Target,
+                              Held->Begun);
   while (true) {
     const TakeoverAction Action = Procedure.next(bootNow());
     std::string Outcome;
@@ -487,12 +472,14 @@
     }
     case TakeoverStep::Confirm: {
       const ClaimCheck Check = co_await this->confirm(
-          *Held, std::to_string(Procedure.term()) + " " + Action.Target.str());
+          *Held, takeoverClaimValue(this->Dependencies.Self, Procedure.term(),
+                                    Action.Target));
       Outcome = nameOf(Check);
       Procedure.recordClaim(Check);
       break;
     }
     case TakeoverStep::Order: {
+      Held->Ordered = true;
       const PromotionOutcome Answer =
           co_await this->promote(Action.Target, *Held);
       Outcome = nameOf(Answer);
@@ -512,7 +499,8 @@
       break;
     case TakeoverStep::End:
       if (Action.End != TakeoverEnd::Open)
-        co_await this->release(*Held, std::string(nameOf(Action.End)));
+        co_await this->release(*Held, std::string(nameOf(Action.End)),
+                               Action.End == TakeoverEnd::Promoted);
       if (Action.End == TakeoverEnd::Promoted)
         co_return std::nullopt;
       co_return Action.Why;
@@ -612,7 +600,8 @@
   });
   if (Stranded.empty())
     co_return;
-  const std::optional<HeldClaim> Held = co_await this->claim("undo");
+  const std::optional<HeldClaim> Held =
+      co_await this->claim(undoClaimValue(this->Dependencies.Self));
   if (!Held)
     co_return;
   log(LogLevel::Warning, LogEvent::AdoptionUndone,
@@ -622,7 +611,7 @@
   // After a suspension the adoptions may belong to another takeover.
   if (TakeoverClaim::mayUndo(Held->Begun, bootNow()))
     co_await this->requestAll(Stranded, ServerRequest::Resume, 0);
-  co_await this->release(*Held, "undone");
+  co_await this->release(*Held, "undone", false);
 }
 
 } // namespace amaranthspur
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -12,6 +12,7 @@
 #include "core/Random.h"
 #include "platform/Platform.h"
 #include "platform/PromotionClient.h"
+#include "policy/ClaimRow.h"
 #include "policy/TakeoverProcedure.h"
 #include "root/groups/Group.h"
 #include "root/telemetry/Metrics.h"
@@ -114,8 +115,9 @@
   /// A claim on the takeover, held by this entry VM.
   struct HeldClaim {
     std::uint64_t Fence = 0;
-    TimePoint Begun;                   ///< Boot clock (core/BootClock.h).
-    std::optional<ServerId> Preferred; ///< Target of an unfinished takeover.
+    TimePoint Begun;      ///< Boot clock (core/BootClock.h).
+    ClaimRow Before;      ///< The row that the claim has replaced.
+    bool Ordered = false; ///< An order was given under the claim.
   };
 
   QCoro::Task<> watch();
@@ -167,11 +169,14 @@
   std::string nextOperation();
   /// Claims the group's takeover; returns nothing if another entry VM holds the
   /// claim or the store does not answer.
-  QCoro::Task<std::optional<HeldClaim>> claim(std::string Purpose);
+  QCoro::Task<std::optional<HeldClaim>> claim(std::string Value);
   /// Marks the claim row as finished. If that fails, the claim expires.
-  QCoro::Task<> release(HeldClaim Claim, std::string How);
+  /// \param Promoted whether the target of the claim's order leads.
+  QCoro::Task<> release(HeldClaim Claim, std::string How, bool Promoted);
+  /// Records \p Row as the claim row.
+  void observeClaim(const TableRow &Row);
   /// Writes the target to the claim row, if the claim is still held.
-  QCoro::Task<ClaimCheck> confirm(HeldClaim &Held, std::string Purpose);
+  QCoro::Task<ClaimCheck> confirm(HeldClaim &Held, std::string Value);
   /// Reads the group's registrations; nothing if the store does not answer.
   QCoro::Task<std::optional<std::vector<TakeoverServer>>> readServers();
   /// Orders the promotion once, and waits for OrderRetryDelay if the platform
@@ -195,8 +200,8 @@
   std::shared_ptr<Group> Monitored;
   MonitorDependencies Dependencies;
   TakeoverClaim Claim;
-  /// The value of the claim row as it was read last.
-  std::string ClaimValue;
+  /// The claim row as it was read last.
+  ClaimRow LastClaim = parseClaimRow(0, {});
   /// Servers that the last takeover found by reading the registrations.
   std::map<ServerId, RegisteredServer> Found;
   std::optional<TimePoint> MissingSince; ///< No primary is known since then.
--- a/src/root/groups/GroupRegistry.cpp
+++ b/src/root/groups/GroupRegistry.cpp
@@ -9,7 +9,8 @@
                              MonitorDependencies Dependencies,
                              EvidenceSource *Source)
     : Directory(Directory), Connector(Connector), Where(Where),
-      Dependencies(std::move(Dependencies)), Source(Source) {}
+      Dependencies(std::move(Dependencies)), Claims(this->Dependencies.Store),
+      Source(Source) {}
 
 QCoro::Task<Result<Success>> GroupRegistry::start() {
   this->Running = true;
@@ -51,7 +52,7 @@
 void GroupRegistry::addGroup(const ServiceName &Service) {
   Entry &E = this->Groups[Service];
   E.ServerGroup = std::make_shared<Group>(Service, this->Connector, this->Where,
-                                          this->Source);
+                                          this->Source, &this->Claims);
   E.ServerGroup->setEntryVms(this->EntryVms);
   E.Monitor = std::make_shared<GroupMonitor>(E.ServerGroup, this->Dependencies);
   E.ServerGroup->start();
--- a/src/root/groups/GroupRegistry.h
+++ b/src/root/groups/GroupRegistry.h
@@ -59,6 +59,7 @@
   ServerConnector &Connector;
   const Locality &Where;
   MonitorDependencies Dependencies;
+  StoredClaims Claims;
   EvidenceSource *Source;
   std::size_t EntryVms = 0; ///< That share the servers; 0: not known.
   std::map<ServiceName, Entry> Groups;
--- a/src/root/sessions/testing/StatementRunnerTest.cpp
+++ b/src/root/sessions/testing/StatementRunnerTest.cpp
@@ -2,6 +2,7 @@
 
 #include "core/BootClock.h"
 #include "platform/LineCodec.h"
+#include "platform/testing/MemoryPlatform.h"
 #include "testing/TaskRunner.h"
 #include "testing/line-group/LineGroup.h"
 
@@ -73,8 +74,10 @@
 
   LineGroup Group;
   Locality Where{DataCentre("here"), {{DataCentre("here"), Region("r")}}};
+  MemoryPlatform Store;
+  StoredClaims Claims{this->Store};
   std::shared_ptr<class Group> Servers = std::make_shared<class Group>(
-      ServiceName("ledger"), this->Group, this->Where);
+      ServiceName("ledger"), this->Group, this->Where, nullptr, &this->Claims);
   bool Present = true;
   unsigned Attempts = 0;
 };
@@ -122,13 +125,18 @@
     unsigned SyncReplicas;
     Term AdoptedByB;
     Term AdoptedByC;
+    const char *Claim; ///< The value of the claim row.
     std::optional<AnswerCode> Code;
   };
   const Row Rows[] = {
-      {"both replicas follow", 0, 1, 1, std::nullopt},
-      {"one replica adopted a later term", 0, 2, 1, std::nullopt},
-      {"both adopted a later term", 0, 2, 2, AnswerCode::OutcomeUnknown},
-      {"with synchronous replicas", 1, 2, 1, std::nullopt},
+      {"both replicas follow", 0, 1, 1, "vm 2", std::nullopt},
+      {"one replica adopted a later term", 0, 2, 1, "vm 2",
+       AnswerCode::OutcomeUnknown},
+      {"one replica adopted a later term in a takeover that was given up", 0, 2,
+       1, "finished 1", std::nullopt},
+      {"both adopted a later term", 0, 2, 2, "vm 2",
+       AnswerCode::OutcomeUnknown},
+      {"with synchronous replicas", 1, 2, 1, "vm 2", std::nullopt},
   };
   for (const Row &R : Rows) {
     CAPTURE(R.Name);
@@ -139,6 +147,7 @@
     F.Group.SyncReplicas = R.SyncReplicas;
     F.Group["b"].Adopted = R.AdoptedByB;
     F.Group["c"].Adopted = R.AdoptedByC;
+    F.Store.Rows["takeover/ledger"] = {1, R.Claim, "x"};
     CHECK(F.run("WRITE item data").Code == R.Code);
     CHECK(F.ran("a") == 1);
   }
@@ -165,15 +174,25 @@
     Term AdoptedByC;
     bool ReachableB;
     bool ReachableC;
+    const char *Claim; ///< The value of the claim row.
     bool Served;
   };
   const Row Rows[] = {
-      {"both replicas follow", 1, 1, true, true, true},
-      {"one replica adopted a later term", 2, 1, true, true, true},
-      {"both adopted a later term", 2, 2, true, true, false},
-      {"no replica is reachable", 1, 1, false, false, false},
-      {"the reachable replica adopted a later term", 2, 1, true, false, false},
-      {"the reachable replica follows", 1, 1, false, true, true},
+      {"both replicas follow", 1, 1, true, true, "vm 2", true},
+      {"one replica adopted a later term", 2, 1, true, true, "vm 2", false},
+      {"one replica adopted a later term in a takeover that was given up", 2, 1,
+       true, true, "finished 1", true},
+      {"both adopted a later term", 2, 2, true, true, "vm 2", false},
+      {"no replica is reachable", 1, 1, false, false, "vm 2", false},
+      {"no replica is reachable, and the last term is not known", 1, 1, false,
+       false, "finished", false},
+      {"no replica is reachable, and no takeover is under way", 1, 1, false,
+       false, "finished 1", true},
+      {"the reachable replica adopted a later term", 2, 1, true, false, "vm 2",
+       false},
+      {"the reachable replica follows", 1, 1, false, true, "vm 2", false},
+      {"the reachable replica follows, and no takeover is under way", 1, 1,
+       false, true, "finished 1", true},
   };
   for (const Row &R : Rows) {
     CAPTURE(R.Name);
@@ -182,6 +201,7 @@
     F.Group["c"].Adopted = R.AdoptedByC;
     F.Group["b"].Reachable = R.ReachableB;
     F.Group["c"].Reachable = R.ReachableC;
+    F.Store.Rows["takeover/ledger"] = {1, R.Claim, "x"};
     const Answer A = F.run("READ item");
     CHECK(A.succeeded() == R.Served);
   }
