--- a/src/policy/Takeover.cpp
+++ b/src/policy/Takeover.cpp
@@ -58,10 +58,12 @@
   return Best ? std::optional<ServerId>(Best->Id) : std::nullopt;
 }
 
-void TakeoverClaim::observe(std::uint64_t Seen, bool IsFinished,
-                            TimePoint Now) {
-  if (Seen != this->Version)
+void TakeoverClaim::observe(std::uint64_t Seen, bool IsFinished, TimePoint Now,
+                            std::uint64_t ClaimedAs) {
+  const std::uint64_t SeenStart = ClaimedAs == 0 ? Seen : ClaimedAs;
+  if (SeenStart != this->Start)
     this->SeenSince = Now;
+  this->Start = SeenStart;
   this->Version = Seen;
   this->Finished = IsFinished;
 }
--- a/src/policy/Takeover.h
+++ b/src/policy/Takeover.h
@@ -105,7 +105,10 @@
 
   /// Records that the row was read with \p Version; 0 if it does not exist.
   /// \param Finished whether the holder has marked the takeover as finished.
-  void observe(std::uint64_t Version, bool Finished, TimePoint Now);
+  /// \param ClaimedAs the version with which the present claim began, if its
+  /// holder has changed the row since; the lease is counted from that version.
+  void observe(std::uint64_t Version, bool Finished, TimePoint Now,
+               std::uint64_t ClaimedAs = 0);
 
   /// Returns whether this entry VM may claim the takeover.
   bool mayClaim(TimePoint Now) const;
@@ -132,7 +135,8 @@
 private:
   std::uint64_t Version = 0;
   bool Finished = true;
-  TimePoint SeenSince{}; ///< When Version was first read.
+  std::uint64_t Start = 0; ///< Version with which the claim began.
+  TimePoint SeenSince{};   ///< When a version of the claim was first read.
 };
 
 } // namespace amaranthspur
--- a/src/policy/testing/TakeoverTest.cpp
+++ b/src/policy/testing/TakeoverTest.cpp
@@ -139,6 +139,7 @@
     std::uint64_t Version;
     bool Finished;
     int AtMs;
+    std::uint64_t ClaimedAs = 0;
   };
   struct Row {
     const char *Name;
@@ -155,6 +156,15 @@
        4000,
        true},
       {"claimed again", {{5, false, 0}, {6, false, 3000}}, 4000, false},
+      {"confirmed by its holder",
+       {{5, false, 0}, {6, false, 300, 5}},
+       4000,
+       true},
+      {"confirmed, and not seen before", {{6, false, 300, 5}}, 4000, false},
+      {"confirmed after another claim",
+       {{4, false, 0}, {6, false, 300, 5}},
+       4000,
+       false},
       {"finished", {{5, false, 0}, {6, true, 100}}, 101, true},
   };
   for (const Row &R : Rows) {
@@ -162,7 +172,8 @@
     TakeoverClaim Claim;
     const TimePoint Start{std::chrono::seconds(100)};
     for (const Observation &S : R.History)
-      Claim.observe(S.Version, S.Finished, Start + milliseconds(S.AtMs));
+      Claim.observe(S.Version, S.Finished, Start + milliseconds(S.AtMs),
+                    S.ClaimedAs);
     CHECK(Claim.mayClaim(Start + milliseconds(R.AtMs)) == R.MayClaim);
   }
   // The holder stops promoting well before others may claim.
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -4,31 +4,11 @@
 #include "root/telemetry/Log.h"
 
 #include <algorithm>
-#include <sstream>
 #include <utility>
 
 namespace amaranthspur {
 namespace {
 
-/// Value of a claim row whose takeover has ended.
-constexpr std::string_view FinishedValue = "finished";
-
-std::string claimKey(const ServiceName &Service) {
-  return "takeover/" + Service.str();
-}
-
-/// Returns the target in the value of a claim row (entry VM, term, target), or
-/// nothing if no order was given under that claim.
-std::optional<ServerId> confirmedTarget(const std::string &Value) {
-  std::istringstream Words(Value);
-  std::string Holder;
-  std::string TermText;
-  std::string Target;
-  if (Words >> Holder >> TermText >> Target)
-    return ServerId(Target);
-  return std::nullopt;
-}
-
 /// Returns the call that a step makes to its servers.
 ServerRequest requestFor(TakeoverStep Step) {
   if (Step == TakeoverStep::StepDown)
@@ -372,7 +352,7 @@
 }
 
 QCoro::Task<std::optional<GroupMonitor::HeldClaim>>
-GroupMonitor::claim(std::string Purpose) {
+GroupMonitor::claim(std::string Value) {
   HeldClaim Held;
   const std::string Operation = this->nextOperation();
   // The known version may be outdated: another entry VM may have finished that
@@ -382,23 +362,19 @@
     Held.Begun = bootNow();
     const Result<CasOutcome> R =
         co_await this->Dependencies.Store.compareAndSet(
-            claimKey(this->Monitored->name()), this->Claim.version(),
-            this->Dependencies.Self.str() + " " + Purpose, Operation,
-            steadyNow() + ClaimTimeout);
+            claimKey(this->Monitored->name()), this->Claim.version(), Value,
+            Operation, steadyNow() + ClaimTimeout);
     if (!succeeded(R))
       co_return std::nullopt;
     const TableRow &Row = valueOf(R).Current;
-    this->Claim.observe(Row.Version, Row.Value == FinishedValue, bootNow());
-    if (!valueOf(R).Applied) {
-      this->ClaimValue = Row.Value;
+    Held.Before = this->LastClaim;
+    this->observeClaim(Row);
+    if (!valueOf(R).Applied)
       continue;
-    }
-    Held.Preferred = confirmedTarget(this->ClaimValue);
-    this->ClaimValue = Row.Value;
-    Held.Fence = Row.Version;
+    Held.Fence = Held.ClaimedAs = Row.Version;
     log(LogLevel::Info, LogEvent::TakeoverClaimed,
         {{"service", this->Monitored->name().str()},
-         {"purpose", Purpose},
+         {"row", Value},
          {"fence", Held.Fence},
          {"took_ms", (bootNow() - Held.Begun) / milliseconds(1)}});
     co_return Held;
@@ -406,6 +382,13 @@
   co_return std::nullopt;
 }
 
+void GroupMonitor::observeClaim(const TableRow &Row) {
+  this->LastClaim = parseClaimRow(Row.Version, Row.Value);
+  this->Claim.observe(Row.Version,
+                      this->LastClaim.State == ClaimState::Finished, bootNow(),
+                      this->LastClaim.ClaimedAs);
+}
+
 QCoro::Task<ClaimCheck>
 GroupMonitor::advance(HeldClaim &Held, std::string Value, Duration Timeout) {
   const TimePoint Deadline = steadyNow() + Timeout;
@@ -422,8 +405,7 @@
       co_return ClaimCheck::Unknown;
     }
     const TableRow &Row = valueOf(R).Current;
-    this->Claim.observe(Row.Version, Row.Value == FinishedValue, bootNow());
-    this->ClaimValue = Row.Value;
+    this->observeClaim(Row);
     const bool IsOwn = valueOf(R).Applied || (!Held.Unanswered.empty() &&
                                               Row.Operation == Held.Unanswered);
     if (!IsOwn)
@@ -436,22 +418,23 @@
 }
 
 QCoro::Task<> GroupMonitor::release(HeldClaim Held, std::string How) {
-  const ClaimCheck Check =
-      co_await this->advance(Held, std::string(FinishedValue), ClaimTimeout);
+  // The target may be missing among the known servers: it may have registered
+  // or restarted since.
+  ClaimOutcome Outcome{Held.Before, Held.Ordered, Held.LedTerm != 0,
+                       Held.LedTerm};
+  for (const auto &[Id, Server] : this->Monitored->beliefs().servers())
+    Outcome.Highest = std::max(Outcome.Highest, Server.TermNumber);
+  const std::string Value = finishedClaimValue(Outcome);
+  const ClaimCheck Check = co_await this->advance(Held, Value, ClaimTimeout);
   log(Check == ClaimCheck::Held ? LogLevel::Info : LogLevel::Warning,
       LogEvent::PromotionFinished,
       {{"service", this->Monitored->name().str()},
        {"how", How},
        {"fence", Held.Fence},
+       {"row", Value},
        {"claim", Check == ClaimCheck::Held ? "finished" : nameOf(Check)}});
 }
 
-QCoro::Task<ClaimCheck> GroupMonitor::confirm(HeldClaim &Held,
-                                              std::string Purpose) {
-  co_return co_await this->advance(
-      Held, this->Dependencies.Self.str() + " " + Purpose, ConfirmTimeout);
-}
-
 QCoro::Task<std::optional<std::vector<TakeoverServer>>>
 GroupMonitor::readServers() {
   Result<std::vector<RegisteredServer>> R =
@@ -476,8 +459,8 @@
 
 QCoro::Task<std::optional<std::string>>
 GroupMonitor::execute(std::vector<TakeoverServer> Servers, Term KnownTerm) {
-  std::optional<HeldClaim> Held =
-      co_await this->claim(std::to_string(nextTerm(Servers)));
+  std::optional<HeldClaim> Held = co_await this->claim(
+      takeoverClaimValue(this->Dependencies.Self, nextTerm(Servers)));
   if (!Held)
     co_return "another entry VM holds the claim, or the store does not answer";
   LogPosition RequiredEnd;
@@ -486,8 +469,9 @@
     if (this->LongestSeen.first == KnownTerm)
       RequiredEnd = std::max(RequiredEnd, this->LongestSeen.second);
   }
-  TakeoverProcedure Procedure(std::move(Servers), KnownTerm, RequiredEnd,
-                              Held->Preferred, Held->Begun);
+  TakeoverProcedure Procedure(std::move(Servers),
+                              std::max(KnownTerm, Held->Before.LastTerm),
+                              RequiredEnd, Held->Before.Target, Held->Begun);
   TakeoverStep Previous = TakeoverStep::End;
   this->Secured.clear();
   while (true) {
@@ -517,13 +501,17 @@
       break;
     }
     case TakeoverStep::Confirm: {
-      const ClaimCheck Check = co_await this->confirm(
-          *Held, std::to_string(Procedure.term()) + " " + Action.Target.str());
+      const ClaimCheck Check = co_await this->advance(
+          *Held,
+          confirmedClaimValue(this->Dependencies.Self, Procedure.term(),
+                              Action.Target, Held->ClaimedAs),
+          ConfirmTimeout);
       Outcome = nameOf(Check);
       Procedure.recordClaim(Check);
       break;
     }
     case TakeoverStep::Order: {
+      Held->Ordered = true;
       const PromotionOutcome Answer =
           co_await this->promote(Action.Target, *Held);
       Outcome = nameOf(Answer);
@@ -531,10 +519,11 @@
       break;
     }
     case TakeoverStep::AwaitEffect: {
-      const bool Leads = co_await this->awaitEffect(
+      const std::optional<Term> Led = co_await this->awaitEffect(
           Action.Target, Procedure.oldTerm() + 1, Procedure.term());
-      Outcome = Leads ? "leads" : "not yet";
-      Procedure.recordEffect(Leads);
+      Held->LedTerm = Led.value_or(0);
+      Outcome = Led ? "leads" : "not yet";
+      Procedure.recordEffect(Led.has_value());
       break;
     }
     case TakeoverStep::Resume:
@@ -632,24 +621,25 @@
   }
 }
 
-QCoro::Task<bool> GroupMonitor::awaitEffect(ServerId Target, Term Leading,
-                                            Term Adopted) {
+QCoro::Task<std::optional<Term>>
+GroupMonitor::awaitEffect(ServerId Target, Term Leading, Term Adopted) {
   const TimePoint Deadline = steadyNow() + EffectTimeout;
-  bool Leads = false;
+  std::optional<Term> Led;
   bool Done = false;
   TaskGroup Running;
   this->secureNewServers(Target, Adopted, Done, Running);
-  while (!Leads && steadyNow() < Deadline && !this->Stopping) {
+  while (!Led && steadyNow() < Deadline && !this->Stopping) {
     co_await sleepFor(EffectPollInterval);
     const std::optional<StatusAnswer> Reply =
         co_await this->call(Target, ServerRequest::Status, 0);
     const auto *Report = Reply ? std::get_if<ServerReport>(&*Reply) : nullptr;
-    Leads = Report && Report->Role == ServerRole::Primary &&
-            Report->TermNumber >= Leading;
+    if (Report && Report->Role == ServerRole::Primary &&
+        Report->TermNumber >= Leading)
+      Led = Report->TermNumber;
   }
   Done = true;
   co_await Running.waitUntilEmpty();
-  co_return Leads;
+  co_return Led;
 }
 
 QCoro::Task<> GroupMonitor::undoStrandedAdoptions() {
@@ -683,7 +673,8 @@
   });
   if (Stranded.empty())
     co_return;
-  const std::optional<HeldClaim> Held = co_await this->claim("undo");
+  const std::optional<HeldClaim> Held =
+      co_await this->claim(undoClaimValue(this->Dependencies.Self));
   if (!Held)
     co_return;
   log(LogLevel::Warning, LogEvent::AdoptionUndone,
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -12,6 +12,7 @@
 #include "core/Random.h"
 #include "platform/Platform.h"
 #include "platform/PromotionClient.h"
+#include "policy/ClaimRow.h"
 #include "policy/TakeoverProcedure.h"
 #include "root/groups/Group.h"
 #include "root/telemetry/Metrics.h"
@@ -119,9 +120,12 @@
 private:
   /// A claim on the takeover, held by this entry VM.
   struct HeldClaim {
-    std::uint64_t Fence = 0;
-    TimePoint Begun;                   ///< Boot clock (core/BootClock.h).
-    std::optional<ServerId> Preferred; ///< Target of an unfinished takeover.
+    std::uint64_t Fence = 0;     ///< Version of the row.
+    std::uint64_t ClaimedAs = 0; ///< Version with which the claim began.
+    TimePoint Begun;             ///< Boot clock (core/BootClock.h).
+    ClaimRow Before;             ///< The row that the claim has replaced.
+    bool Ordered = false;        ///< An order was given under the claim.
+    Term LedTerm = 0;       ///< Of the server that leads by the last order.
     std::string Unanswered; ///< Last change of the row without an answer.
   };
 
@@ -179,22 +183,23 @@
   std::string nextOperation();
   /// Claims the group's takeover; returns nothing if another entry VM holds the
   /// claim or the store does not answer.
-  QCoro::Task<std::optional<HeldClaim>> claim(std::string Purpose);
+  QCoro::Task<std::optional<HeldClaim>> claim(std::string Value);
   /// Writes \p Value to the claim row, if the claim is still held.
   QCoro::Task<ClaimCheck> advance(HeldClaim &Held, std::string Value,
                                   Duration Timeout);
   /// Marks the claim row as finished. If that fails, the claim expires.
   QCoro::Task<> release(HeldClaim Claim, std::string How);
-  /// Writes the target to the claim row, if the claim is still held.
-  QCoro::Task<ClaimCheck> confirm(HeldClaim &Held, std::string Purpose);
+  /// Records \p Row as the claim row.
+  void observeClaim(const TableRow &Row);
   /// Reads the group's registrations; nothing if the store does not answer.
   QCoro::Task<std::optional<std::vector<TakeoverServer>>> readServers();
   /// Orders the promotion once.
   QCoro::Task<PromotionOutcome> promote(ServerId Target, HeldClaim Held);
-  /// Waits until \p Target leads the term \p Leading or a later one; false
-  /// after EffectTimeout.
+  /// Waits until \p Target leads the term \p Leading or a later one.
   /// \param Adopted the term that the other servers adopt meanwhile.
-  QCoro::Task<bool> awaitEffect(ServerId Target, Term Leading, Term Adopted);
+  /// \returns the term that it leads, or nothing after EffectTimeout.
+  QCoro::Task<std::optional<Term>> awaitEffect(ServerId Target, Term Leading,
+                                               Term Adopted);
   /// Makes the servers other than \p Target that come to be known adopt \p T,
   /// or step down, until \p Done. A primary that comes back and a replica that
   /// joins could otherwise commit before the promotion takes effect. A server
@@ -220,8 +225,8 @@
   std::shared_ptr<Group> Monitored;
   MonitorDependencies Dependencies;
   TakeoverClaim Claim;
-  /// The value of the claim row as it was read last.
-  std::string ClaimValue;
+  /// The claim row as it was read last.
+  ClaimRow LastClaim = parseClaimRow(0, {});
   /// Servers that the last takeover found by reading the registrations.
   std::map<ServerId, RegisteredServer> Found;
   /// The servers that the present takeover has stopped, with their starts.
