--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -379,7 +379,9 @@
 
 QCoro::Task<> GroupMonitor::release(HeldClaim Held, std::string How,
                                     bool Promoted) {
-  ClaimOutcome Outcome{Held.Before, Held.Ordered, Promoted};
+  // The target may be missing among the known servers: it may have registered
+  // or restarted since.
+  ClaimOutcome Outcome{Held.Before, Held.Ordered, Promoted, Held.LedTerm};
   for (const auto &[Id, Server] : this->Monitored->beliefs().servers())
     Outcome.Highest = std::max(Outcome.Highest, Server.TermNumber);
   const std::string Operation = this->nextOperation();
@@ -487,10 +489,11 @@
       break;
     }
     case TakeoverStep::AwaitEffect: {
-      const bool Leads =
+      const std::optional<Term> Leads =
           co_await this->awaitEffect(Action.Target, Procedure.term());
+      Held->LedTerm = Leads.value_or(0);
       Outcome = Leads ? "leads" : "not yet";
-      Procedure.recordEffect(Leads);
+      Procedure.recordEffect(Leads.has_value());
       break;
     }
     case TakeoverStep::Resume:
@@ -555,7 +558,8 @@
        {"outcome", Outcome}});
 }
 
-QCoro::Task<bool> GroupMonitor::awaitEffect(ServerId Target, Term T) {
+QCoro::Task<std::optional<Term>> GroupMonitor::awaitEffect(ServerId Target,
+                                                           Term T) {
   const TimePoint Deadline = steadyNow() + EffectTimeout;
   while (steadyNow() < Deadline && !this->Stopping) {
     co_await sleepFor(milliseconds(50));
@@ -564,9 +568,9 @@
     const auto *Report = Reply ? std::get_if<ServerReport>(&*Reply) : nullptr;
     if (Report && Report->Role == ServerRole::Primary &&
         Report->TermNumber >= T)
-      co_return true;
+      co_return Report->TermNumber;
   }
-  co_return false;
+  co_return std::nullopt;
 }
 
 QCoro::Task<> GroupMonitor::undoStrandedAdoptions() {
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -118,6 +118,7 @@
     TimePoint Begun;      ///< Boot clock (core/BootClock.h).
     ClaimRow Before;      ///< The row that the claim has replaced.
     bool Ordered = false; ///< An order was given under the claim.
+    Term LedTerm = 0;     ///< Of the target, once it leads.
   };
 
   QCoro::Task<> watch();
@@ -182,9 +183,9 @@
   /// Orders the promotion once, and waits for OrderRetryDelay if the platform
   /// has refused it for the moment.
   QCoro::Task<PromotionOutcome> promote(ServerId Target, HeldClaim Held);
-  /// Waits until \p Target leads \p T or a later term; false after
-  /// EffectTimeout.
-  QCoro::Task<bool> awaitEffect(ServerId Target, Term T);
+  /// Waits until \p Target leads \p T or a later term.
+  /// \returns the term that it leads, or nothing after EffectTimeout.
+  QCoro::Task<std::optional<Term>> awaitEffect(ServerId Target, Term T);
   /// Returns, for the log, the version of each server's registration and its
   /// report in \p Seen.
   std::string describe(const ServerReports &Seen) const;
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -152,6 +152,23 @@
   }
 }
 
+// Guards against a finished claim with the term of the old primary: it would
+// prove that a superseded primary leads.
+TEST_CASE("a claim is finished with the term of a target that was not known "
+          "before") {
+  Fixture F;
+  FakeServer &Joined = F.Group.servers()["d"];
+  Joined.Id = ServerId("d");
+  Joined.Log = Joined.Applied = {1, 9};
+  F.Group["a"].Reachable = false;
+  F.Servers->observeFailure(ServerId("a"), "test");
+  F.pass(std::chrono::seconds(3));
+  REQUIRE(F.Orders.Orders.size() == 1);
+  REQUIRE(F.Orders.Orders[0].Target == ServerId("d"));
+  REQUIRE_FALSE(F.Servers->beliefs().find(ServerId("d")));
+  CHECK(F.Store.Rows["takeover/ledger"].Value == "finished 2");
+}
+
 // Guards against a replica that stays paused after an abandoned takeover, and
 // against one that is resumed while the order may still take effect: it could
 // then acknowledge commits that the new primary lacks.
