--- a/src/root/Daemon.cpp
+++ b/src/root/Daemon.cpp
@@ -96,7 +96,7 @@
                },
                {}},
       Callers(this->Sessions, this->Values.Callers, this->Values.MaxCallers,
-              this->Incarnation, this->Values.DrainNotice),
+              this->Incarnation, this->Values.Stop.Notice),
       Admin({this->Values.Admin}, this->Counters),
       RootSupervisor([this](std::string_view Name, const Error &Reason) {
         this->Counters.add(Counter::ChildRestarts, Name);
@@ -260,7 +260,7 @@
     co_return;
   log(LogLevel::Info, LogEvent::DrainStarted);
   this->Peers.leave();
-  co_await this->RootSupervisor.stop(steadyNow() + this->Values.DrainTimeout);
+  co_await this->RootSupervisor.stop(steadyNow() + this->Values.Stop.End);
   log(LogLevel::Info, LogEvent::DrainFinished);
 }
 
--- a/src/root/LineDaemon.cpp
+++ b/src/root/LineDaemon.cpp
@@ -47,7 +47,7 @@
       Dependencies{this->Directory, this->Groups, this->Counters,
                    &this->DataCentreRelay.forwarding()},
       Sessions(this->Dependencies, this->StreamFactory, this->Values.Callers,
-               this->Values.MaxCallers, this->Values.DrainNotice),
+               this->Values.MaxCallers, this->Values.Stop),
       Admin({this->Values.Admin, this->Values.Readiness}, this->Counters),
       RootSupervisor([this](std::string_view Name, const Error &Reason) {
         this->Counters.add(Counter::ChildRestarts, Name);
@@ -134,7 +134,7 @@
     co_return;
   log(LogLevel::Info, LogEvent::DrainStarted);
   this->DataCentreRelay.leave();
-  co_await this->RootSupervisor.stop(steadyNow() + this->Values.DrainTimeout);
+  co_await this->RootSupervisor.stop(steadyNow() + this->Values.Stop.End);
   log(LogLevel::Info, LogEvent::DrainFinished);
 }
 
--- a/src/root/Settings.cpp
+++ b/src/root/Settings.cpp
@@ -67,6 +67,11 @@
      "entry VMs to contact at start, as a comma-separated list of "
      "id=host:port@data-centre",
      SettingScope::PostgreSql},
+    {"grace-seconds", "",
+     "time between SIGTERM and SIGKILL; replaces drain-timeout-ms, and open "
+     "transactions have the first half of it; default: drain-timeout-ms is "
+     "used, of which they have half",
+     SettingScope::Lines},
     {"drain-timeout-ms", "10000", "time limit for open requests after SIGTERM"},
     {"drain-notice-ms", "1000",
      "time between the failure of /ready and the closing of idle callers"},
@@ -236,8 +241,25 @@
       "configuration-bound-ms", MinConfigurationBoundMs, MaxBoundMs));
 }
 
-Settings parseValues(ValueParser &Parser) {
+/// Reads the limits of a planned stop.
+StopLimits parseStopLimits(ValueParser &Parser, FrontEnd Front) {
   constexpr std::uint64_t MaxDrainTimeMs = 3600ULL * 1000;
+  constexpr double MaxGraceSeconds = 3600;
+  StopLimits Limits;
+  Limits.End =
+      milliseconds(Parser.number("drain-timeout-ms", 0, MaxDrainTimeMs));
+  Limits.Notice =
+      milliseconds(Parser.number("drain-notice-ms", 0, MaxDrainTimeMs));
+  Limits.Transactions = Limits.End / 2;
+  if (Front == FrontEnd::PostgreSql || Parser.text("grace-seconds").empty())
+    return Limits;
+  const std::chrono::duration<double> Grace(
+      Parser.fraction("grace-seconds", MaxGraceSeconds));
+  return stopLimitsFor(std::chrono::duration_cast<Duration>(Grace),
+                       Limits.Notice);
+}
+
+Settings parseValues(ValueParser &Parser) {
   Settings Out;
   Out.Front = Parser.enumerator<FrontEnd>("front-end");
   Out.VmId = EntryVmId(Parser.name("vm-id"));
@@ -254,10 +276,7 @@
     parsePostgreSqlValues(Parser, Out);
   else
     parseLineValues(Parser, Out);
-  Out.DrainTimeout =
-      milliseconds(Parser.number("drain-timeout-ms", 0, MaxDrainTimeMs));
-  Out.DrainNotice =
-      milliseconds(Parser.number("drain-notice-ms", 0, MaxDrainTimeMs));
+  Out.Stop = parseStopLimits(Parser, Out.Front);
   Out.MaxCallers = Parser.number("max-callers", 1, 1000000);
   Out.MaxLogLevel = Parser.enumerator<LogLevel>("log-level");
   return Out;
--- a/src/root/Settings.h
+++ b/src/root/Settings.h
@@ -7,6 +7,7 @@
 #include "core/Enums.h"
 #include "core/Result.h"
 #include "policy/Member.h"
+#include "policy/StopSchedule.h"
 #include "root/telemetry/Log.h"
 #include "wire/Connection.h"
 
@@ -57,8 +58,8 @@
   std::string DeploymentKey;
   PolicyVariant Variant = PolicyVariant::Amaranthspur;
   std::vector<Member> SeedPeers;
-  Duration DrainTimeout{};
-  Duration DrainNotice{};
+  /// The parts of a planned stop.
+  StopLimits Stop;
   std::size_t MaxCallers = 0; ///< Maximum number of caller connections.
   /// Most verbose level of log lines that are written.
   LogLevel MaxLogLevel = LogLevel::Info;
--- a/src/root/sessions/Session.cpp
+++ b/src/root/sessions/Session.cpp
@@ -19,9 +19,17 @@
                  std::unique_ptr<CallerStream> Caller, std::uint64_t Number)
     : Dependencies(Dependencies), Caller(std::move(Caller)), Number(Number) {}
 
+void Session::followStop(const StopSchedule &Schedule) {
+  if (!this->Stop)
+    this->Stop = Schedule;
+}
+
 void Session::finish() {
   this->Finishing = true;
-  this->Caller->interrupt();
+  // An interruption while a statement is handled would end the last read before
+  // it has looked for bytes.
+  if (this->Receiving)
+    this->Caller->interrupt();
 }
 
 void Session::abort() {
@@ -38,8 +46,11 @@
 }
 
 QCoro::Task<bool> Session::open() {
-  const CallerMessage First =
-      co_await this->Caller->receive(steadyNow() + GreetingTimeout);
+  CallerMessage First = co_await this->receive();
+  const bool Interrupted =
+      std::holds_alternative<NoMessage>(First) && this->Finishing;
+  if (Interrupted)
+    First = co_await this->receive();
   const auto *Request = std::get_if<SessionRequest>(&First);
   if (!Request) {
     if (std::holds_alternative<MalformedMessage>(First) ||
@@ -51,8 +62,13 @@
   this->Database = Request->Database;
   const TimePoint Limit = steadyNow() + PlanTimeout;
   while (this->Dependencies.Directory.plan()->Revision == 0 &&
-         steadyNow() < Limit)
+         steadyNow() < Limit && !this->Finishing)
     co_await sleepFor(milliseconds(50));
+  if (this->Finishing) {
+    this->Dependencies.Counters.add(Counter::CallersRejected, "stopping");
+    this->Caller->reject(AnswerCode::Busy, "this entry VM is stopping");
+    co_return false;
+  }
   const std::shared_ptr<const AccessPlan> Plan =
       this->Dependencies.Directory.plan();
   if (Plan->Databases.count(this->Database) > 0) {
@@ -82,24 +98,58 @@
 }
 
 TimePoint Session::nextDeadline() const {
+  const TimePoint Now = steadyNow();
+  if (this->Database.empty())
+    return Now + (this->Finishing ? LastGreetingTimeout : GreetingTimeout);
+  if (this->Finishing && this->State == TransactionState::Idle)
+    return Now + LastReadTimeout;
   if (!this->Transaction)
     return NoDeadline;
-  return steadyNow() + this->Dependencies.Directory.plan()->TransactionIdle;
+  const TimePoint IdleLimit =
+      Now + this->Dependencies.Directory.plan()->TransactionIdle;
+  return this->Stop ? std::min(IdleLimit, this->Stop->transactionsEnd())
+                    : IdleLimit;
+}
+
+QCoro::Task<CallerMessage> Session::receive() {
+  this->Receiving = true;
+  CallerMessage Message = co_await this->Caller->receive(this->nextDeadline());
+  this->Receiving = false;
+  co_return Message;
+}
+
+QCoro::Task<> Session::endLateTransaction() {
+  if (!this->Transaction)
+    co_return;
+  if (this->Stop && steadyNow() >= this->Stop->transactionsEnd()) {
+    // The next statement is answered by abortForStop().
+    co_await this->abandonTransaction(std::nullopt);
+  } else if (!this->Finishing) {
+    // An idle transaction is rolled back, because it holds a connection that
+    // other sessions need.
+    co_await this->abandonTransaction(std::nullopt);
+    this->State = TransactionState::Failed;
+  }
+}
+
+StopAction Session::stopAction(const Statement &S) const {
+  return this->Stop ? this->Stop->decide(S.Kind, this->State, steadyNow())
+                    : StopAction::Serve;
+}
+
+TimePoint Session::stopLimited(TimePoint Limit) const {
+  return this->Stop ? std::min(Limit, this->Stop->statementsEnd()) : Limit;
 }
 
 QCoro::Task<> Session::serve() {
   while (this->Caller->isOpen()) {
-    if (this->Finishing && this->State == TransactionState::Idle)
-      co_return;
-    CallerMessage Message =
-        co_await this->Caller->receive(this->nextDeadline());
+    const bool LastRead =
+        this->Finishing && this->State == TransactionState::Idle;
+    CallerMessage Message = co_await this->receive();
     if (std::holds_alternative<NoMessage>(Message)) {
-      // An idle transaction is rolled back, because it holds a connection that
-      // other sessions need.
-      if (this->Transaction && !this->Finishing) {
-        co_await this->abandonTransaction(std::nullopt);
-        this->State = TransactionState::Failed;
-      }
+      if (LastRead)
+        co_return;
+      co_await this->endLateTransaction();
       continue;
     }
     if (const auto *Bad = std::get_if<MalformedMessage>(&Message)) {
@@ -119,6 +169,11 @@
 }
 
 QCoro::Task<Answer> Session::handle(Statement S) {
+  const StopAction Action = this->stopAction(S);
+  if (Action == StopAction::Refuse)
+    co_return this->refuseForStop(S);
+  if (Action == StopAction::AbortTransaction)
+    co_return co_await this->abortForStop(std::move(S));
   if (this->State == TransactionState::Failed) {
     if (S.Kind == StatementVerb::Commit || S.Kind == StatementVerb::Rollback)
       co_await this->abandonTransaction(std::nullopt);
@@ -147,6 +202,29 @@
   co_return co_await this->handleAutocommit(std::move(S));
 }
 
+Answer Session::refuseForStop(const Statement &S) {
+  StatementContext E;
+  std::optional<Answer> NoRoute = this->findRoute(E);
+  return this->refuse(
+      S, E, NoRoute ? *NoRoute : refuseNotRun("this entry VM is stopping"));
+}
+
+QCoro::Task<Answer> Session::abortForStop(Statement S) {
+  StatementContext E;
+  E.Route = this->TransactionRoute;
+  E.ServerGroup = this->TransactionGroup;
+  E.Transaction = this->TransactionNumber;
+  co_await this->abandonTransaction(std::nullopt);
+  // No COMMIT was sent, so nothing of the transaction is kept.
+  Answer A =
+      failure(AnswerCode::Aborted, "this entry VM is stopping; rolled back");
+  if (S.Kind == StatementVerb::Commit)
+    this->endTransaction();
+  else
+    A = this->failTransaction(A);
+  co_return this->refuse(S, E, A);
+}
+
 Answer Session::handleInFailedTransaction(const Statement &S) {
   if (S.Kind == StatementVerb::Rollback) {
     this->endTransaction();
@@ -183,7 +261,8 @@
   if (this->Transaction) {
     const std::optional<Error> SetupError = co_await applySessionState(
         *this->Transaction->Link, Next, std::nullopt,
-        steadyNow() + this->TransactionRoute.StatementTimeout);
+        this->stopLimited(steadyNow() +
+                          this->TransactionRoute.StatementTimeout));
     if (SetupError) {
       this->Transaction->Link.drop();
       co_return this->failTransaction(
@@ -229,7 +308,8 @@
                                               StatementContext &E) {
   E.Arrived = steadyNow();
   E.ArrivedBoot = bootNow();
-  E.Deadline = E.Arrived + E.Route.StatementTimeout - AnswerMargin;
+  E.Deadline =
+      this->stopLimited(E.Arrived + E.Route.StatementTimeout - AnswerMargin);
   E.DispatchBy =
       E.Arrived + E.Route.LatencyObjective / DispatchDivisor - AnswerMargin;
   E.QueuedDispatchBy = E.Arrived +
@@ -415,7 +495,7 @@
   this->Transaction.reset();
   if (!Link)
     co_return;
-  const TimePoint Deadline = steadyNow() + RollbackTimeout;
+  const TimePoint Deadline = this->stopLimited(steadyNow() + RollbackTimeout);
   Result<Answer> R = Error{};
   if (Rollback)
     R = co_await Link.link().run(*Rollback, std::nullopt, "", Deadline);
--- a/src/root/sessions/Session.h
+++ b/src/root/sessions/Session.h
@@ -9,6 +9,7 @@
 #ifndef AMARANTHSPUR_ROOT_SESSIONS_SESSION_H
 #define AMARANTHSPUR_ROOT_SESSIONS_SESSION_H
 
+#include "policy/StopSchedule.h"
 #include "root/directory/PlatformDirectory.h"
 #include "root/groups/GroupRegistry.h"
 #include "root/sessions/CallerStream.h"
@@ -45,6 +46,13 @@
   static constexpr Duration SendTimeout = std::chrono::seconds(10);
   /// Time to write pending output before the connection is dropped.
   static constexpr Duration FinishTimeout = std::chrono::seconds(1);
+  /// Time in which a session that ends reads once more. A message that has
+  /// arrived by then is answered. Without this, the kernel would also discard
+  /// the answer to the message before it.
+  static constexpr Duration LastReadTimeout = milliseconds(5);
+  /// Time in which a new session that ends waits for the session request. It
+  /// allows for the network latency to the caller.
+  static constexpr Duration LastGreetingTimeout = milliseconds(100);
 
   /// \param Number identifies the session in this process's log.
   Session(const SessionDependencies &Dependencies,
@@ -53,6 +61,9 @@
   /// Serves the caller until it disconnects or finish() takes effect.
   QCoro::Task<> run();
 
+  /// Follows \p Schedule from now on. It replaces no earlier schedule, because
+  /// a transaction that was rolled back must not go on.
+  void followStop(const StopSchedule &Schedule);
   /// Ends the session when it is next idle outside a transaction.
   void finish();
   /// Ends the session now.
@@ -69,6 +80,20 @@
   /// Receives and answers statements until the session ends.
   QCoro::Task<> serve();
   QCoro::Task<Answer> handle(Statement S);
+  /// Receives the next message. finish() interrupts the wait.
+  QCoro::Task<CallerMessage> receive();
+  /// Ends the transaction's part at the server if it was idle for too long or
+  /// its time in a planned stop is over.
+  QCoro::Task<> endLateTransaction();
+  /// Returns what a planned stop, if there is one, allows for \p S.
+  StopAction stopAction(const Statement &S) const;
+  /// Refuses a statement because of a planned stop.
+  Answer refuseForStop(const Statement &S);
+  /// Rolls the transaction back because of a planned stop, and answers \p S.
+  QCoro::Task<Answer> abortForStop(Statement S);
+  /// Returns \p Limit, or the time by which a planned stop requires statements
+  /// to have ended if that is sooner.
+  TimePoint stopLimited(TimePoint Limit) const;
   /// Answers a statement after the transaction has failed.
   Answer handleInFailedTransaction(const Statement &S);
   Answer handleBegin(const Statement &S);
@@ -99,7 +124,7 @@
   /// Marks the transaction as failed; returns \p A with that state.
   Answer failTransaction(Answer A);
   void endTransaction();
-  /// Returns when an idle transaction is rolled back, or NoDeadline.
+  /// Returns until when to wait for a message, or NoDeadline.
   TimePoint nextDeadline() const;
   /// Logs and returns \p A, the refusal of a statement that is not sent to any
   /// server.
@@ -128,7 +153,9 @@
   bool TransactionWrote = false;
   std::uint64_t TransactionNumber = 0; ///< Of the current or last transaction.
   std::uint64_t Number;                ///< Of this session.
+  std::optional<StopSchedule> Stop;    ///< Set while the process stops.
   bool Finishing = false;
+  bool Receiving = false; ///< The session waits for a message.
 };
 
 } // namespace amaranthspur
--- a/src/root/sessions/SessionListener.cpp
+++ b/src/root/sessions/SessionListener.cpp
@@ -8,14 +8,16 @@
 
 SessionListener::SessionListener(const SessionDependencies &Dependencies,
                                  CallerStreamFactory &Streams, Address Listen,
-                                 std::size_t MaxSessions, Duration Notice)
+                                 std::size_t MaxSessions,
+                                 const StopLimits &Limits)
     : Dependencies(Dependencies), Streams(Streams), Listen(std::move(Listen)),
-      MaxSessions(MaxSessions), Notice(Notice) {}
+      MaxSessions(MaxSessions), Limits(Limits) {}
 
 SessionListener::~SessionListener() = default;
 
 QCoro::Task<Result<Success>> SessionListener::start() {
   this->Finishing = false;
+  this->Schedule.reset();
   Result<std::unique_ptr<QTcpServer>> Opened = listenAt(
       this->Listen, [this](QTcpSocket *Socket) { this->accept(Socket); });
   if (!succeeded(Opened))
@@ -27,8 +29,12 @@
 }
 
 QCoro::Task<> SessionListener::stop(TimePoint Deadline) {
+  const TimePoint Start = steadyNow();
+  this->Schedule.emplace(this->Limits, Start, Deadline);
+  for (Session *S : this->Sessions)
+    S->followStop(*this->Schedule);
   if (std::exchange(this->Accepting, false))
-    co_await sleepFor(std::min(this->Notice, Deadline - steadyNow()));
+    co_await sleepFor(this->Schedule->noticeEnd() - Start);
   this->Finishing = true;
   if (this->Server)
     this->Server->close();
@@ -57,6 +63,8 @@
   Session Served(this->Dependencies, this->Streams.make(Socket),
                  this->NextSession++);
   this->Sessions.insert(&Served);
+  if (this->Schedule)
+    Served.followStop(*this->Schedule);
   if (this->Finishing)
     Served.finish();
   this->Dependencies.Counters.set(Gauge::OpenCallerConnections,
--- a/src/root/sessions/SessionListener.h
+++ b/src/root/sessions/SessionListener.h
@@ -21,17 +21,18 @@
   /// \param Streams must outlive the listener.
   /// \param MaxSessions highest number of sessions. Further connections are
   /// closed at once.
-  /// \param Notice time between the start of a stop and the end of idle
-  /// sessions, in which a load balancer sees that this entry VM is not ready.
+  /// \param Limits of a planned stop. In the notice a load balancer sees that
+  /// this entry VM is not ready.
   SessionListener(const SessionDependencies &Dependencies,
                   CallerStreamFactory &Streams, Address Listen,
-                  std::size_t MaxSessions, Duration Notice);
+                  std::size_t MaxSessions, const StopLimits &Limits);
   ~SessionListener() override;
 
   std::string_view name() const override { return "sessions"; }
   QCoro::Task<Result<Success>> start() override;
-  /// Keeps serving for the notice period, then ends idle sessions. Sessions in
-  /// a transaction may continue until \p Deadline.
+  /// Keeps serving for the notice period, then ends idle sessions. The others
+  /// follow a StopSchedule that ends at \p Deadline. What is left then is cut
+  /// off.
   QCoro::Task<> stop(TimePoint Deadline) override;
 
   /// Returns the number of sessions.
@@ -47,7 +48,8 @@
   CallerStreamFactory &Streams;
   Address Listen;
   std::size_t MaxSessions;
-  Duration Notice;
+  StopLimits Limits;
+  std::optional<StopSchedule> Schedule; ///< Set while the listener stops.
   std::unique_ptr<QTcpServer> Server;
   std::set<Session *> Sessions;
   std::uint64_t NextSession = 1;
--- a/src/root/sessions/testing/SessionTest.cpp
+++ b/src/root/sessions/testing/SessionTest.cpp
@@ -10,6 +10,7 @@
 #include <deque>
 
 using namespace amaranthspur;
+using linegroup::FakeServer;
 using linegroup::LineGroup;
 using linegroup::LinkFault;
 
@@ -135,10 +136,23 @@
     Session Served(this->Dependencies,
                    std::make_unique<ScriptedCaller>(std::move(Steps), Answers),
                    1);
+    this->Serving = &Served;
     runTask(Served.run());
+    this->Serving = nullptr;
     return Answers;
   }
 
+  /// Makes the session follow a stop whose time for transactions is over.
+  void stopLate() {
+    const StopLimits Limits =
+        stopLimitsFor(std::chrono::seconds(6), std::chrono::seconds(2));
+    this->Serving->followStop(StopSchedule(
+        Limits, steadyNow() - Limits.Transactions, TimePoint::max()));
+    this->Serving->finish();
+  }
+
+  Session *Serving = nullptr; ///< Set during serve().
+
   LineGroup Group;
   FixedTables Tables{this->Group};
   MemoryPlatform Store;
@@ -279,6 +293,90 @@
               "malformed failed", "aborted idle", "ok idle"});
 }
 
+// Guards against a stop after which a transaction whose caller was told that
+// nothing is kept goes on or commits, and against a caller without an answer.
+TEST_CASE("a stop refuses statements without running them") {
+  struct Row {
+    const char *Name;
+    std::vector<const char *> Before;
+    std::vector<const char *> Late; ///< After the transactions' time.
+    Texts Answers;                  ///< To the late statements.
+  };
+  const std::vector<const char *> Open = {"QUERY 1 BEGIN", "QUERY 2 WRITE a b"};
+  const std::vector<const char *> NotBegun = {"QUERY 1 BEGIN"};
+  const Row Rows[] = {
+      {"a statement",
+       Open,
+       {"QUERY 3 WRITE a late", "QUERY 4 WRITE a late", "QUERY 5 COMMIT"},
+       {"aborted failed", "malformed failed", "aborted idle"}},
+      {"a statement, then ROLLBACK",
+       Open,
+       {"QUERY 3 WRITE a late", "QUERY 4 ROLLBACK"},
+       {"aborted failed", "ok idle"}},
+      {"COMMIT", Open, {"QUERY 3 COMMIT"}, {"aborted idle"}},
+      {"ROLLBACK", Open, {"QUERY 3 ROLLBACK"}, {"ok idle"}},
+      {"SET", Open, {"QUERY 3 SET zone b"}, {"aborted failed"}},
+      {"PREPARE", Open, {"QUERY 3 PREPARE s READ q"}, {"aborted failed"}},
+      {"BEGIN in a transaction", Open, {"QUERY 3 BEGIN"}, {"aborted failed"}},
+      {"a wait for a statement ends, then COMMIT",
+       Open,
+       {"", "QUERY 3 COMMIT"},
+       {"aborted idle"}},
+      {"a wait for a statement ends, then a statement",
+       Open,
+       {"", "QUERY 3 WRITE a late", "QUERY 4 COMMIT"},
+       {"aborted failed", "aborted idle"}},
+      {"a statement before the transaction has begun at a server",
+       NotBegun,
+       {"QUERY 3 WRITE a late", "QUERY 4 COMMIT"},
+       {"aborted failed", "aborted idle"}},
+      {"COMMIT before the transaction has begun at a server",
+       NotBegun,
+       {"QUERY 3 COMMIT"},
+       {"aborted idle"}},
+      {"a failed transaction",
+       {"QUERY 1 BEGIN READ", "QUERY 2 WRITE a b"},
+       {"QUERY 3 READ a", "QUERY 4 ROLLBACK"},
+       {"malformed failed", "ok idle"}},
+      {"single statements that had arrived",
+       {},
+       {"QUERY 3 WRITE a late", "QUERY 4 READ a", "QUERY 5 SET zone b",
+        "QUERY 6 BEGIN"},
+       {"busy idle", "busy idle", "ok idle", "busy idle"}},
+      {"no statement has arrived", {}, {"", "", "QUERY 3 SET zone b"}, {}},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    FakeServer &Primary = F.Group["a"];
+    const LogPosition Log = Primary.Log;
+    Steps Script = {{"CONNECT orders x"}};
+    for (const char *Line : R.Before)
+      Script.push_back({Line});
+    for (const char *Line : R.Late)
+      Script.push_back({Line});
+    Script[1 + R.Before.size()].Before = [&F] { F.stopLate(); };
+    Texts Answers = F.serve(Script);
+    Answers.erase(Answers.begin(),
+                  Answers.begin() + 1 +
+                      static_cast<std::ptrdiff_t>(R.Before.size()));
+    CHECK(Answers == R.Answers);
+    CHECK(Primary.Log == Log);
+    for (const std::string &Executed : Primary.ExecutedStatements)
+      CHECK(Executed.find("late") == std::string::npos);
+  }
+}
+
+// Guards against a new caller that a stopping entry VM leaves without an
+// answer, or accepts and disconnects.
+TEST_CASE("a stop refuses a session request that has arrived") {
+  Fixture F;
+  CHECK(F.serve({{"CONNECT orders x", [&F] { F.stopLate(); }}}) ==
+        Texts{"rejected busy"});
+  CHECK(F.serve({{"", [&F] { F.stopLate(); }}, {"CONNECT orders x"}}) ==
+        Texts{"rejected busy"});
+}
+
 // Guards against settings that reach the server late or not at all.
 TEST_CASE("a setting applies to the statements that follow it") {
   Fixture F;
--- a/src/root/testing/LineDaemonTest.cpp
+++ b/src/root/testing/LineDaemonTest.cpp
@@ -12,6 +12,7 @@
 #include <QHostAddress>
 #include <QProcess>
 
+#include <algorithm>
 #include <csignal>
 
 using namespace amaranthspur;
@@ -124,11 +125,15 @@
       : Stream(runTask(openSocket({"127.0.0.1", F.CallerPort},
                                   steadyNow() + std::chrono::seconds(5)))) {}
 
-  /// Sends \p Line and returns the lines of the answer up to READY, each
-  /// followed by "|". If the connection is closed before READY, "closed" is
-  /// appended.
+  /// Sends \p Line and returns the answer, as answer() does.
   std::string request(const std::string &Line) {
     this->Stream.write(Line + "\r\n");
+    return this->answer();
+  }
+
+  /// Returns the lines of the next answer up to READY, each followed by "|". If
+  /// the connection is closed before READY, "closed" is appended.
+  std::string answer() {
     return runTask([](LineStream &Stream) -> QCoro::Task<std::string> {
       std::string Answer;
       while (true) {
@@ -200,6 +205,78 @@
   CHECK(F.Daemon.exitCode() == 0);
 }
 
+// Guards against a stop that ends a connection whose request it has read or
+// passed on to a server, and against a promise that nothing is kept for a
+// transaction whose COMMIT was sent.
+TEST_CASE("a stopping daemon answers every statement that it has read") {
+  struct Row {
+    const char *Name;
+    int SentMs; ///< Time from the start of the stop to the statement.
+    int RunMs;  ///< Time that the server takes for a read, write or COMMIT.
+    const char *Statement;
+    const char *Answer; ///< Its beginning.
+    const char *State;  ///< That the answer ends with.
+    bool Executed;      ///< Whether the server runs this text.
+  };
+  // The stop lasts 3 s; open transactions have the first half of it.
+  const Row Rows[] = {
+      {"a statement runs when the transactions' time ends", 1200, 700,
+       "WRITE item2 data", "COMPLETE", "READY T 1.1|", true},
+      {"a COMMIT runs when the transactions' time ends", 1200, 700, "COMMIT",
+       "COMPLETE", "READY I 1.2|", true},
+      {"a statement shortly before the end", 2700, 700, "WRITE item2 data",
+       "ERROR ABORTED", "READY E -|", false},
+      {"a COMMIT shortly before the end", 2700, 700, "COMMIT", "ERROR ABORTED",
+       "READY I -|", false},
+      {"a ROLLBACK shortly before the end", 2700, 700, "ROLLBACK", "COMPLETE -",
+       "READY I -|", true}, // By the proxy, at the end of their time.
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    Caller C(F);
+    REQUIRE(C.request("CONNECT orders u1") == "READY I -|");
+    REQUIRE(C.request("QUERY q1 BEGIN") == "COMPLETE -|READY T -|");
+    REQUIRE(C.request("QUERY q2 WRITE item data").starts_with("COMPLETE"));
+    for (auto &[Id, S] : F.Group.servers())
+      S.RunDelay = milliseconds(R.RunMs);
+    ::kill(static_cast<pid_t>(F.Daemon.processId()), SIGTERM);
+    F.waitForOutput("event=drain-started");
+    runTask([](Duration Wait) -> QCoro::Task<> {
+      co_await sleepFor(Wait);
+    }(milliseconds(R.SentMs)));
+    const std::string Answer =
+        C.request("QUERY q3 " + std::string(R.Statement));
+    CHECK(Answer.starts_with(R.Answer));
+    CHECK(Answer.ends_with(R.State));
+    const std::vector<std::string> &Executed = F.Group["a"].ExecutedStatements;
+    CHECK((std::find(Executed.begin(), Executed.end(), R.Statement) !=
+           Executed.end()) == R.Executed);
+    F.waitUntil([&F] { return F.Daemon.state() == QProcess::NotRunning; });
+    CHECK(F.Daemon.exitStatus() == QProcess::NormalExit);
+    CHECK(F.Daemon.exitCode() == 0);
+  }
+}
+
+// Guards against a stop that closes a session between two requests although the
+// second one has arrived.
+TEST_CASE("a stopping daemon answers requests that were sent together") {
+  Fixture F;
+  Caller C(F);
+  REQUIRE(C.request("CONNECT orders u1") == "READY I -|");
+  for (auto &[Id, S] : F.Group.servers())
+    S.RunDelay = milliseconds(500);
+  ::kill(static_cast<pid_t>(F.Daemon.processId()), SIGTERM);
+  F.waitForOutput("event=drain-started");
+  // The first read ends after the drain notice of 300 ms.
+  CHECK(C.request("QUERY q1 READ item\r\nQUERY q2 READ other")
+            .starts_with("COMPLETE digest:READ item|"));
+  CHECK(C.answer().starts_with("COMPLETE digest:READ other|"));
+  CHECK(C.answer() == "closed");
+  F.waitUntil([&F] { return F.Daemon.state() == QProcess::NotRunning; });
+  CHECK(F.Daemon.exitCode() == 0);
+}
+
 // Guards against a reload signal that terminates the process.
 TEST_CASE("a reload signal is logged and changes nothing") {
   Fixture F;
--- a/src/root/testing/SettingsTest.cpp
+++ b/src/root/testing/SettingsTest.cpp
@@ -72,8 +72,9 @@
 }
 
 // Guards against a line front end that starts with a relay setting which its
-// polls and timeouts cannot keep to, or that needs one to start at all.
-TEST_CASE("the settings of the relay are checked") {
+// polls and timeouts cannot keep to, or that needs one to start at all, and
+// against one with an unusable grace time.
+TEST_CASE("the settings of the line front end are checked") {
   struct Row {
     const char *Flag;
     const char *Value;
@@ -93,6 +94,10 @@
       {"--configuration-bound-ms", "2000", ""},
       {"--configuration-bound-ms", "1999", "2000 to 600000"},
       {"--configuration-bound-ms", "3s", "2000 to 600000"},
+      {"--grace-seconds", "6", ""},
+      {"--grace-seconds", "0", "a number above 0"},
+      {"--grace-seconds", "3601", "up to 3600"},
+      {"--grace-seconds", "6s", "a number above 0"},
   };
   for (const Row &R : Rows) {
     CAPTURE(R.Flag, R.Value);
@@ -110,6 +115,54 @@
   }
 }
 
+// Guards against a stop that ends after the process is killed, and against a
+// flag that no longer has an effect.
+TEST_CASE("the limits of a stop follow from the settings") {
+  struct Row {
+    const char *Name;
+    Values Flags;
+    int NoticeMs;
+    int TransactionsMs;
+    int EndMs;
+  };
+  const Row Rows[] = {
+      {"defaults", {}, 1000, 5000, 10000},
+      {"both drain flags",
+       {{"--drain-notice-ms", "2200"}, {"--drain-timeout-ms", "5200"}},
+       2200,
+       2600,
+       5200},
+      {"the grace time replaces the timeout",
+       {{"--grace-seconds", "6"},
+        {"--drain-notice-ms", "2200"},
+        {"--drain-timeout-ms", "9000"}},
+       2200,
+       3000,
+       5200},
+      {"a grace time with a fraction",
+       {{"--grace-seconds", "1.5"}},
+       1000,
+       750,
+       1250},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Values Flags = validValues();
+    Flags["--front-end"] = "lines";
+    Flags["--readiness-address"] = "127.0.1.1:9001";
+    Flags["--promotion-address"] = "127.0.9.1:8001";
+    Flags["--regions"] = "joburg-a=gauteng";
+    for (const auto &[Flag, Value] : R.Flags)
+      Flags[Flag] = Value;
+    const auto Parsed = read(Flags);
+    REQUIRE(succeeded(Parsed));
+    const StopLimits &Stop = valueOf(Parsed).Values.Stop;
+    CHECK(Stop.Notice == milliseconds(R.NoticeMs));
+    CHECK(Stop.Transactions == milliseconds(R.TransactionsMs));
+    CHECK(Stop.End == milliseconds(R.EndMs));
+  }
+}
+
 // Guards against an error that hides further ones.
 TEST_CASE("all invalid settings are reported together") {
   Values Flags = validValues();
