--- a/src/root/testing/LineDaemonTest.cpp
+++ b/src/root/testing/LineDaemonTest.cpp
@@ -21,18 +21,21 @@
 
 namespace {
 
-constexpr const char *Plan =
-    R"({"version":3,"routes":[{"name":"r","host":"orders",)"
-    R"("route-type":"read_your_writes","timeout-ms":1000,)"
-    R"("latency-goal-ms":800,"service":"ledger","max-staleness-ms":2500}],)"
-    R"("services":[{"name":"ledger","max-conns":33,"sync-replicas":1}],)"
-    R"("limits":{"tx-idle-ms":3000}})";
+/// Returns a configuration whose only route has the timeout \p TimeoutMs.
+std::string planWith(int TimeoutMs) {
+  return R"({"version":3,"routes":[{"name":"r","host":"orders",)"
+         R"("route-type":"read_your_writes","timeout-ms":)" +
+         std::to_string(TimeoutMs) +
+         R"(,"latency-goal-ms":800,"service":"ledger","max-staleness-ms":2500}],)"
+         R"("services":[{"name":"ledger","max-conns":33,"sync-replicas":1}],)"
+         R"("limits":{"tx-idle-ms":3000}})";
+}
 
 /// A fake platform, a group of three servers and one daemon process.
 struct Fixture {
-  Fixture() {
+  explicit Fixture(int TimeoutMs = 1000) {
     const quint16 Port = this->Server.listen(QHostAddress::LocalHost);
-    this->Store.setExternalRow("op", "config", Plan);
+    this->Store.setExternalRow("op", "config", planWith(TimeoutMs));
     this->addServer(this->A, "a", "primary");
     this->addServer(this->B, "b", "replica");
     this->addServer(this->C, "c", "replica");
@@ -258,6 +261,49 @@
   }
 }
 
+// Guards against a stop that cuts a statement because the time limit of its
+// route is later than the end of the stop.
+TEST_CASE("a statement that would outlast a stop is answered before its end") {
+  struct Row {
+    const char *Name;
+    std::vector<const char *> Before;
+    const char *Statement;
+    const char *Answer; ///< Its beginning.
+    const char *State;  ///< That the answer ends with.
+  };
+  const Row Rows[] = {
+      {"in a transaction",
+       {"QUERY 1 BEGIN", "QUERY 2 WRITE item data"},
+       "WRITE item2 data",
+       "ERROR ABORTED",
+       "READY E -|"},
+      {"a COMMIT",
+       {"QUERY 1 BEGIN", "QUERY 2 WRITE item data"},
+       "COMMIT",
+       "ERROR INDOUBT",
+       "READY I -|"},
+      {"a single write", {}, "WRITE item2 data", "ERROR INDOUBT", "READY I -|"},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F(8000);
+    Caller C(F);
+    REQUIRE(C.request("CONNECT orders u1") == "READY I -|");
+    for (const char *Line : R.Before)
+      REQUIRE(C.request(Line).starts_with("COMPLETE"));
+    for (auto &[Id, S] : F.Group.servers())
+      S.RunDelay = std::chrono::seconds(6);
+    ::kill(static_cast<pid_t>(F.Daemon.processId()), SIGTERM);
+    F.waitForOutput("event=drain-started");
+    const std::string Answer =
+        C.request("QUERY q3 " + std::string(R.Statement));
+    CHECK(Answer.starts_with(R.Answer));
+    CHECK(Answer.ends_with(R.State));
+    F.waitUntil([&F] { return F.Daemon.state() == QProcess::NotRunning; });
+    CHECK(F.Daemon.exitCode() == 0);
+  }
+}
+
 // Guards against a stop that closes a session between two requests although the
 // second one has arrived.
 TEST_CASE("a stopping daemon answers requests that were sent together") {
