--- a/src/root/directory/StoredRegistrations.cpp
+++ b/src/root/directory/StoredRegistrations.cpp
@@ -1,6 +1,7 @@
 #include "root/directory/StoredRegistrations.h"
 
 #include "platform/Documents.h"
+#include "policy/Registrations.h"
 
 namespace amaranthspur {
 
@@ -14,9 +15,13 @@
   for (const WatchedRow &Row : valueOf(R).Rows) {
     // A row that cannot be decoded names no server; PlatformDirectory logs it.
     Result<RegisteredServer> Decoded = decodeServer(Row);
-    if (succeeded(Decoded) && valueOf(Decoded).Service == Service)
+    if (succeeded(Decoded))
       Servers.push_back(valueOf(std::move(Decoded)));
   }
+  Servers = withoutReplaced(Servers);
+  std::erase_if(Servers, [&Service](const RegisteredServer &Server) {
+    return Server.Service != Service;
+  });
   co_return Servers;
 }
 
--- a/src/root/groups/GroupRegistry.cpp
+++ b/src/root/groups/GroupRegistry.cpp
@@ -1,6 +1,7 @@
 #include "root/groups/GroupRegistry.h"
 
 #include "core/BootClock.h"
+#include "policy/Registrations.h"
 
 namespace amaranthspur {
 
@@ -32,8 +33,11 @@
     return;
   const std::shared_ptr<const AccessPlan> Plan = this->Directory.plan();
   std::map<ServiceName, std::vector<RegisteredServer>> Servers;
+  std::vector<RegisteredServer> Registered;
   for (const auto &[Id, Server] : this->Directory.servers())
-    Servers[Server.Service].push_back(Server);
+    Registered.push_back(Server);
+  for (RegisteredServer &Server : withoutReplaced(Registered))
+    Servers[Server.Service].push_back(std::move(Server));
   for (auto It = this->Groups.begin(); It != this->Groups.end();) {
     if (Plan->Services.count(It->first) > 0) {
       ++It;
