--- a/src/policy/TakeoverProcedure.cpp
+++ b/src/policy/TakeoverProcedure.cpp
@@ -398,6 +398,10 @@
     this->end(TakeoverEnd::Promoted, "");
 }
 
+void TakeoverProcedure::recordLostTarget() {
+  this->fail("another server has the target's address");
+}
+
 void TakeoverProcedure::recordResumed() {
   this->end(TakeoverEnd::GivenUp, this->Reason);
 }
--- a/src/policy/TakeoverProcedure.h
+++ b/src/policy/TakeoverProcedure.h
@@ -167,6 +167,9 @@
   void recordOrder(PromotionOutcome Outcome);
   /// Records whether the target leads, after AwaitEffect.
   void recordEffect(bool Leads);
+  /// Records that the target has been replaced by another server at its address
+  /// before it led. Its order cannot take effect any more.
+  void recordLostTarget();
   /// Records that Resume has been carried out.
   void recordResumed();
 
--- a/src/policy/testing/TakeoverProcedureTest.cpp
+++ b/src/policy/testing/TakeoverProcedureTest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <functional>
+#include <utility>
 
 using namespace amaranthspur;
 
@@ -57,6 +58,7 @@
   ClaimCheck Claim = ClaimCheck::Held;
   std::vector<PromotionOutcome> Orders; ///< Answers, in order; then Accepted.
   bool TakesEffect = true;
+  bool LosesTarget = false; ///< The first target is replaced before it leads.
   TimePoint Now = Begun;
 };
 
@@ -111,7 +113,10 @@
       ++OrderCount;
       break;
     case TakeoverStep::AwaitEffect:
-      Procedure.recordEffect(S.TakesEffect);
+      if (std::exchange(S.LosesTarget, false))
+        Procedure.recordLostTarget();
+      else
+        Procedure.recordEffect(S.TakesEffect);
       break;
     case TakeoverStep::Resume:
       Procedure.recordResumed();
@@ -261,6 +266,11 @@
       {"the order has no effect yet",
        [](Surroundings &S) { S.TakesEffect = false; }, Never,
        SteppedDown + "order=a await-effect end", TakeoverEnd::Open},
+      {"the target is replaced before it leads",
+       [](Surroundings &S) { S.LosesTarget = true; }, Never,
+       SteppedDown +
+           "order=a await-effect poll confirm order=p await-effect end",
+       TakeoverEnd::GivenUp},
       {"another server leads by now", Nothing,
        once(TakeoverStep::Poll,
             [](Surroundings &S) {
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -4,6 +4,7 @@
 #include "root/telemetry/Log.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace amaranthspur {
@@ -519,11 +520,17 @@
       break;
     }
     case TakeoverStep::AwaitEffect: {
+      const bool WasKnown = this->Monitored->beliefs().find(Action.Target);
       const std::optional<Term> Led = co_await this->awaitEffect(
           Action.Target, Procedure.oldTerm() + 1, Procedure.term());
       Held->LedTerm = Led.value_or(0);
-      Outcome = Led ? "leads" : "not yet";
-      Procedure.recordEffect(Led.has_value());
+      const bool Lost =
+          !Led && WasKnown && !this->Monitored->beliefs().find(Action.Target);
+      Outcome = Led ? "leads" : Lost ? "target replaced" : "not yet";
+      if (Lost)
+        Procedure.recordLostTarget();
+      else
+        Procedure.recordEffect(Led.has_value());
       break;
     }
     case TakeoverStep::Resume:
@@ -594,12 +601,18 @@
                                              TaskGroup &Running) {
   const TaskGroup::Guard Guard(Running);
   while (!Done) {
-    std::vector<ServerId> Unsecured;
+    // The relay passes rows on with a delay, so the store is read directly.
+    co_await this->readServers();
+    std::set<ServerId> Unsecured;
     for (const auto &[Id, Server] : this->Monitored->beliefs().servers())
-      if (Id != Target && !this->isSecured(Id))
-        Unsecured.push_back(Id);
+      Unsecured.insert(Id);
+    for (const auto &[Id, Server] : this->Found)
+      Unsecured.insert(Id);
+    std::erase_if(Unsecured, [this, &Target](const ServerId &Id) {
+      return Id == Target || this->isSecured(Id);
+    });
     const ServerReports Answers = co_await this->requestAll(
-        std::move(Unsecured), ServerRequest::Adopt, T);
+        {Unsecured.begin(), Unsecured.end()}, ServerRequest::Adopt, T);
     this->recordSecured(Answers, T);
     if (!Done)
       co_await sleepFor(EffectPollInterval);
@@ -624,12 +637,15 @@
 QCoro::Task<std::optional<Term>>
 GroupMonitor::awaitEffect(ServerId Target, Term Leading, Term Adopted) {
   const TimePoint Deadline = steadyNow() + EffectTimeout;
+  const bool WasKnown = this->Monitored->beliefs().find(Target);
   std::optional<Term> Led;
   bool Done = false;
   TaskGroup Running;
   this->secureNewServers(Target, Adopted, Done, Running);
   while (!Led && steadyNow() < Deadline && !this->Stopping) {
     co_await sleepFor(EffectPollInterval);
+    if (WasKnown && !this->Monitored->beliefs().find(Target))
+      break;
     const std::optional<StatusAnswer> Reply =
         co_await this->call(Target, ServerRequest::Status, 0);
     const auto *Report = Reply ? std::get_if<ServerReport>(&*Reply) : nullptr;
