--- a/src/policy/testing/TakeoverProcedureTest.cpp
+++ b/src/policy/testing/TakeoverProcedureTest.cpp
@@ -131,7 +131,8 @@
 }
 
 /// Does nothing before any step but the first of \p Step.
-Event once(TakeoverStep Step, std::function<void(Surroundings &)> Change) {
+Event once(TakeoverStep Step,
+           const std::function<void(Surroundings &)> &Change) {
   return [Step, Change](Surroundings &S, TakeoverStep Now, unsigned Earlier) {
     if (Now == Step && Earlier == 0)
       Change(S);
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -597,10 +597,10 @@
 }
 
 QCoro::Task<> GroupMonitor::secureNewServers(ServerId Target, Term T,
-                                             const bool &Done,
+                                             std::shared_ptr<const bool> Done,
                                              TaskGroup &Running) {
   const TaskGroup::Guard Guard(Running);
-  while (!Done) {
+  while (!*Done) {
     // The relay passes rows on with a delay, so the store is read directly.
     co_await this->readServers();
     std::set<ServerId> Unsecured;
@@ -614,7 +614,7 @@
     const ServerReports Answers = co_await this->requestAll(
         {Unsecured.begin(), Unsecured.end()}, ServerRequest::Adopt, T);
     this->recordSecured(Answers, T);
-    if (!Done)
+    if (!*Done)
       co_await sleepFor(EffectPollInterval);
   }
 }
@@ -639,7 +639,7 @@
   const TimePoint Deadline = steadyNow() + EffectTimeout;
   const bool WasKnown = this->Monitored->beliefs().find(Target);
   std::optional<Term> Led;
-  bool Done = false;
+  const auto Done = std::make_shared<bool>(false);
   TaskGroup Running;
   this->secureNewServers(Target, Adopted, Done, Running);
   while (!Led && steadyNow() < Deadline && !this->Stopping) {
@@ -653,7 +653,7 @@
         Report->TermNumber >= Leading)
       Led = Report->TermNumber;
   }
-  Done = true;
+  *Done = true;
   co_await Running.waitUntilEmpty();
   co_return Led;
 }
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -201,11 +201,12 @@
   QCoro::Task<std::optional<Term>> awaitEffect(ServerId Target, Term Leading,
                                                Term Adopted);
   /// Makes the servers other than \p Target that come to be known adopt \p T,
-  /// or step down, until \p Done. A primary that comes back and a replica that
-  /// joins could otherwise commit before the promotion takes effect. A server
-  /// is asked only until it has adopted the term: after the effect it would
-  /// stop receiving from the new primary.
-  QCoro::Task<> secureNewServers(ServerId Target, Term T, const bool &Done,
+  /// or step down, until \p Done is set. A primary that comes back and a
+  /// replica that joins could otherwise commit before the promotion takes
+  /// effect. A server is asked only until it has adopted the term: after the
+  /// effect it would stop receiving from the new primary.
+  QCoro::Task<> secureNewServers(ServerId Target, Term T,
+                                 std::shared_ptr<const bool> Done,
                                  TaskGroup &Running);
   /// Returns, for the log, the version of each server's registration and its
   /// report in \p Seen.
