--- a/src/policy/LeadershipProof.h
+++ b/src/policy/LeadershipProof.h
@@ -22,8 +22,8 @@
 // A third one, an acknowledged commit with synchronous replication, is recorded
 // by the group (Group::observeCommit): no superseded primary acknowledges one
 // (policy/TakeoverProcedure.h, with the same gap for a primary that the holder
-// of the claim could not reach). A report of a later term shows that the primary
-// has been superseded, and no proof is given.
+// of the claim could not reach). A report of a later term shows that the
+// primary has been superseded, and no proof is given.
 //
 // The first proof relies on a list of servers that has the promoted server. It
 // can be wrong if all other servers receive nothing, and this entry VM has not
