--- a/src/platform/HttpClient.cpp
+++ b/src/platform/HttpClient.cpp
@@ -1,7 +1,9 @@
 #include "platform/HttpClient.h"
 
 #include "core/Async.h"
+#include "core/BootClock.h"
 
+#include <QIODevice>
 #include <QNetworkAccessManager>
 #include <QNetworkProxy>
 #include <QNetworkReply>
@@ -25,6 +27,40 @@
 /// 60 Mbit/s link between the regions.
 constexpr Duration TransferExtension = std::chrono::seconds(8);
 
+/// A request body that can be read only until a time of the boot clock.
+///
+/// A connection reads it when it has been established. If the process is
+/// suspended before that, the time is checked after it wakes.
+class TimedBody final : public QIODevice {
+public:
+  TimedBody(QByteArray Content, TimePoint SendBy)
+      : Content(std::move(Content)), SendBy(SendBy) {
+    this->open(QIODevice::ReadOnly | QIODevice::Unbuffered);
+  }
+
+  bool isSequential() const override { return true; }
+  qint64 bytesAvailable() const override {
+    return this->Content.size() - this->Taken + QIODevice::bytesAvailable();
+  }
+
+protected:
+  qint64 readData(char *To, qint64 MaxSize) override {
+    if (bootNow() >= this->SendBy)
+      return -1;
+    const qint64 Size =
+        std::min<qint64>(MaxSize, this->Content.size() - this->Taken);
+    std::copy_n(this->Content.constData() + this->Taken, Size, To);
+    this->Taken += Size;
+    return Size;
+  }
+  qint64 writeData(const char *, qint64) override { return -1; }
+
+private:
+  QByteArray Content;
+  TimePoint SendBy;
+  qint64 Taken = 0; ///< Number of bytes that have been read.
+};
+
 } // namespace
 
 HttpClient::HttpClient(const Address &Server) {
@@ -49,13 +85,22 @@
                        QNetworkRequest::ManualRedirectPolicy);
   for (const auto &[Name, Value] : Sent.Headers)
     Request.setRawHeader(Name, Value);
+  TimedBody Body(Sent.Body, Sent.SendBy);
+  const bool IsTimed = Sent.SendBy != TimePoint::max();
+  if (IsTimed) {
+    // Without these two, the body would be read before the connection is
+    // opened.
+    Request.setHeader(QNetworkRequest::ContentLengthHeader, Sent.Body.size());
+    Request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
+  }
   if (Sent.FreshConnection)
     this->renewConnections();
   // The reply belongs to the manager, so the manager must be destroyed after
   // it.
   const std::shared_ptr<QNetworkAccessManager> Manager = this->Http;
   const std::unique_ptr<QNetworkReply> Reply(
-      Manager->sendCustomRequest(Request, Sent.Verb, Sent.Body));
+      IsTimed ? Manager->sendCustomRequest(Request, Sent.Verb, &Body)
+              : Manager->sendCustomRequest(Request, Sent.Verb, Sent.Body));
   WaitPoint Finished;
   bool TooLarge = false;
   std::optional<TimePoint> ProgressAt;
--- a/src/platform/HttpClient.h
+++ b/src/platform/HttpClient.h
@@ -26,6 +26,9 @@
   QByteArray ContentType = "application/octet-stream";
   std::vector<std::pair<QByteArray, QByteArray>> Headers = {};
   bool FreshConnection = false; ///< Requires a connection not used before.
+  /// Boot clock (core/BootClock.h). The body is not sent later, so that the
+  /// server does not get a complete request. Applies to a request with a body.
+  TimePoint SendBy = TimePoint::max();
 };
 
 /// A complete response, whatever its status.
--- a/src/platform/PromotionClient.cpp
+++ b/src/platform/PromotionClient.cpp
@@ -27,6 +27,7 @@
   // On an existing connection whose path is stalled, the request could be
   // delayed and arrive after a later one.
   Request.FreshConnection = true;
+  Request.SendBy = Order.SendBy;
   const Result<HttpResponse> R =
       co_await this->Http.send(std::move(Request), Deadline);
   if (!succeeded(R))
--- a/src/platform/PromotionClient.h
+++ b/src/platform/PromotionClient.h
@@ -21,6 +21,9 @@
   EntryVmId Holder; ///< The entry VM that holds the group's failover lease.
   std::uint64_t FencingToken; ///< Increases with each lease acquired
                               ///< on any group.
+  /// Boot clock (core/BootClock.h). The order is not sent later, also if the
+  /// entry VM was suspended after promote() was called.
+  TimePoint SendBy = TimePoint::max();
 };
 
 /// Interface of a client for promotions.
--- a/src/platform/testing/HttpClientTest.cpp
+++ b/src/platform/testing/HttpClientTest.cpp
@@ -1,6 +1,7 @@
 #include "platform/HttpClient.h"
 
 #include "core/Async.h"
+#include "core/BootClock.h"
 #include "testing/TaskRunner.h"
 
 #include <catch2/catch.hpp>
@@ -27,7 +28,7 @@
           while (QTcpSocket *Socket = this->Listener.nextPendingConnection()) {
             ++this->Connections;
             QObject::connect(Socket, &QTcpSocket::readyRead, Socket,
-                             [Socket] { answer(*Socket); });
+                             [this, Socket] { this->answer(*Socket); });
           }
         });
   }
@@ -35,11 +36,13 @@
   Address address() const { return {"127.0.0.1", this->Listener.serverPort()}; }
 
   int Connections = 0;
+  QByteArray Received; ///< All bytes, of all connections.
 
 private:
-  static void answer(QTcpSocket &Socket) {
-    const QList<QByteArray> Parts =
-        Socket.readAll().split(' ').value(1).split('/');
+  void answer(QTcpSocket &Socket) {
+    const QByteArray Bytes = Socket.readAll();
+    this->Received += Bytes;
+    const QList<QByteArray> Parts = Bytes.split(' ').value(1).split('/');
     const QByteArray &Verb = Parts.value(1);
     const int Number = Parts.value(2).toInt();
     if (Verb == "after")
@@ -149,3 +152,34 @@
   CHECK(Send("/after/0"));
   CHECK(Server.Connections == 2);
 }
+
+// Guards against an order that a suspended process sends when it wakes: the
+// time is checked when the order is given, and the connection is opened after
+// that (review case 2).
+TEST_CASE("a request is not completed after its time") {
+  testApplication();
+  struct Row {
+    const char *Name;
+    Duration SendIn;
+    bool Sent;
+  };
+  const Row Rows[] = {
+      {"in time", std::chrono::seconds(5), true},
+      {"the time passes before the connection is open", Duration::zero(),
+       false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    SlowServer Server;
+    HttpClient Client(Server.address());
+    HttpRequest Request{"POST", "/after/1", "{\"id\":\"order\"}"};
+    Request.FreshConnection = true;
+    Request.SendBy = bootNow() + R.SendIn;
+    const Result<HttpResponse> Answer = runTask(
+        Client.send(std::move(Request), steadyNow() + milliseconds(500)));
+    CAPTURE(Server.Received.toStdString());
+    CHECK(Server.Received.contains("order") == R.Sent);
+    CHECK((!R.Sent || succeeded(Answer)));
+    CHECK((!R.Sent || Server.Received.contains("Content-Length: 14")));
+  }
+}
--- a/src/platform/testing/MemoryPlatform.h
+++ b/src/platform/testing/MemoryPlatform.h
@@ -3,8 +3,10 @@
 #ifndef AMARANTHSPUR_PLATFORM_TESTING_MEMORYPLATFORM_H
 #define AMARANTHSPUR_PLATFORM_TESTING_MEMORYPLATFORM_H
 
+#include "core/Async.h"
 #include "platform/Platform.h"
 
+#include <functional>
 #include <map>
 #include <utility>
 
@@ -28,7 +30,11 @@
     if (Row.Version != Expected)
       co_return CasOutcome{Row.Operation == Operation, Row};
     Row = {++this->Counter, std::move(Value), std::move(Operation)};
-    co_return CasOutcome{true, Row};
+    const CasOutcome Outcome{true, Row};
+    const Duration Delay = this->AnswerDelay(Outcome.Current);
+    if (Delay > Duration::zero())
+      co_await sleepFor(Delay);
+    co_return Outcome;
   }
 
   QCoro::Task<Result<Success>> putObject(std::string, std::string,
@@ -43,7 +49,12 @@
     co_return Error{"not used"};
   }
 
-  bool Down = false;         ///< Whether every call on rows fails.
+  bool Down = false; ///< Whether every call on rows fails.
+  /// Returns the time until the writer of a row gets its answer, whatever its
+  /// deadline, as if the writer was suspended.
+  std::function<Duration(const TableRow &)> AnswerDelay = [](const TableRow &) {
+    return Duration::zero();
+  };
   std::uint64_t Counter = 0; ///< Last version; shared by all rows, as in the
                              ///< platform's store.
   std::map<std::string, TableRow> Rows;
--- a/src/policy/TakeoverProcedure.cpp
+++ b/src/policy/TakeoverProcedure.cpp
@@ -88,6 +88,11 @@
   this->Current = this->Confirmed == Id ? Phase::Order : Phase::Confirm;
 }
 
+TimePoint TakeoverProcedure::orderBy() const {
+  return this->Begun + (this->Returning ? TakeoverClaim::ReturnWindow
+                                        : TakeoverClaim::PromotionWindow);
+}
+
 TakeoverAction TakeoverProcedure::next(TimePoint Now) {
   if (this->Current <= Phase::Order && !this->Returning &&
       !TakeoverClaim::mayPromote(this->Begun, Now))
@@ -110,6 +115,10 @@
       Action.Servers.push_back(S.Id);
     break;
   case Phase::StepDown:
+    Action.Step = TakeoverStep::StepDown;
+    Action.Servers = {this->old()->Id};
+    Action.SendBy = this->orderBy();
+    break;
   case Phase::StepDownLast:
     Action.Step = TakeoverStep::StepDown;
     Action.Servers = {this->old()->Id};
@@ -125,10 +134,12 @@
   case Phase::Secure:
     Action.Step = TakeoverStep::Adopt;
     Action.Servers = this->others();
+    Action.SendBy = this->orderBy();
     break;
   case Phase::Freeze:
     Action.Step = TakeoverStep::Adopt;
     Action.Servers = this->unadopted();
+    Action.SendBy = this->orderBy();
     break;
   case Phase::Register:
     Action.Step = TakeoverStep::ReadServers;
@@ -138,13 +149,16 @@
     break;
   case Phase::Order:
     Action.Step = TakeoverStep::Order;
+    Action.SendBy = this->orderBy();
     break;
   case Phase::AwaitEffect:
     Action.Step = TakeoverStep::AwaitEffect;
+    Action.SendBy = this->Begun + TakeoverClaim::Lease;
     break;
   case Phase::Resume:
     Action.Step = TakeoverStep::Resume;
     Action.Servers = this->others();
+    Action.SendBy = this->Begun + TakeoverClaim::UndoWindow;
     break;
   case Phase::End:
     Action.End = this->Ended;
@@ -152,6 +166,7 @@
     break;
   }
   Action.Target = this->Target;
+  Action.TermNumber = this->NextTerm;
   return Action;
 }
 
--- a/src/policy/TakeoverProcedure.h
+++ b/src/policy/TakeoverProcedure.h
@@ -60,6 +60,13 @@
 // follows an unfinished one prefers its target. In the first way the row is
 // confirmed before the old primary steps down, so that a holder that is
 // suspended or ends while the store answers leaves a primary that still leads.
+//
+// A holder may be suspended at any moment and wake after another entry VM has
+// claimed the takeover. Each step that changes a server therefore has a time by
+// which its calls must have been sent. It is checked when the connection is
+// open, so a late holder changes no server: the next holder's adoptions stay,
+// and no primary of a later term steps down. What remains is a suspension
+// between that check and the sending.
 #ifndef AMARANTHSPUR_POLICY_TAKEOVERPROCEDURE_H
 #define AMARANTHSPUR_POLICY_TAKEOVERPROCEDURE_H
 
@@ -129,7 +136,12 @@
 struct TakeoverAction {
   TakeoverStep Step = TakeoverStep::End;
   std::vector<ServerId> Servers; ///< For Poll, StepDown, Adopt and Resume.
+  Term TermNumber = 0;           ///< For StepDown and Adopt.
   ServerId Target;               ///< For Confirm, Order and AwaitEffect.
+  /// The calls of the step, or its order, must not be sent later. A holder that
+  /// was suspended after next() would otherwise send them when it wakes, while
+  /// another entry VM takes over.
+  TimePoint SendBy = TimePoint::max();
   TakeoverEnd End = TakeoverEnd::GivenUp;
   std::string Why; ///< Why the takeover was not completed; for End.
 };
@@ -224,6 +236,8 @@
   const TakeoverServer *old() const;
   /// Returns whether the old primary has stepped down, or does not answer.
   bool mayOrder() const;
+  /// Returns until when the order of this takeover may be given.
+  TimePoint orderBy() const;
   /// Returns the first server that reports to be the primary of a term later
   /// than the old primary's, or null.
   const TakeoverServer *successor() const;
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -484,13 +484,14 @@
     case TakeoverStep::Poll:
     case TakeoverStep::StepDown:
     case TakeoverStep::Adopt: {
-      const ServerReports Answers = co_await this->requestAll(
-          Action.Servers, requestFor(Action.Step), Procedure.term());
+      const ServerReports Answers =
+          co_await this->requestAll(Action.Servers, requestFor(Action.Step),
+                                    Action.TermNumber, Action.SendBy);
       Outcome = this->describe(Answers);
       // A server that has stepped down holds no term, but acknowledges nothing.
       this->recordSecured(Answers, Action.Step == TakeoverStep::StepDown
                                        ? 0
-                                       : Procedure.term());
+                                       : Action.TermNumber);
       Procedure.recordAnswers(Answers, this->Monitored->acknowledged(),
                               bootNow());
       break;
@@ -514,15 +515,16 @@
     case TakeoverStep::Order: {
       Held->Ordered = true;
       const PromotionOutcome Answer =
-          co_await this->promote(Action.Target, *Held);
+          co_await this->promote(Action.Target, *Held, Action.SendBy);
       Outcome = nameOf(Answer);
       Procedure.recordOrder(Answer);
       break;
     }
     case TakeoverStep::AwaitEffect: {
       const bool WasKnown = this->Monitored->beliefs().find(Action.Target);
-      const std::optional<Term> Led = co_await this->awaitEffect(
-          Action.Target, Procedure.oldTerm() + 1, Procedure.term());
+      const std::optional<Term> Led =
+          co_await this->awaitEffect(Action.Target, Procedure.oldTerm() + 1,
+                                     Action.TermNumber, Action.SendBy);
       Held->LedTerm = Led.value_or(0);
       const bool Lost =
           !Led && WasKnown && !this->Monitored->beliefs().find(Action.Target);
@@ -535,7 +537,7 @@
     }
     case TakeoverStep::Resume:
       co_await this->requestAll(Action.Servers, ServerRequest::Resume, 0,
-                                Held->Begun + TakeoverClaim::UndoWindow);
+                                Action.SendBy);
       Procedure.recordResumed();
       break;
     case TakeoverStep::End:
@@ -552,13 +554,14 @@
   }
 }
 
-QCoro::Task<PromotionOutcome> GroupMonitor::promote(ServerId Target,
-                                                    HeldClaim Held) {
+QCoro::Task<PromotionOutcome>
+GroupMonitor::promote(ServerId Target, HeldClaim Held, TimePoint SendBy) {
   PromotionRequest Order;
   Order.Service = this->Monitored->name();
   Order.Target = std::move(Target);
   Order.Holder = this->Dependencies.Self;
   Order.FencingToken = Held.Fence;
+  Order.SendBy = SendBy;
   const PromotionOutcome Outcome = co_await this->Dependencies.Orders.promote(
       Order, steadyNow() + OrderTimeout);
   co_return Outcome;
@@ -597,6 +600,7 @@
 }
 
 QCoro::Task<> GroupMonitor::secureNewServers(ServerId Target, Term T,
+                                             TimePoint SendBy,
                                              std::shared_ptr<const bool> Done,
                                              TaskGroup &Running) {
   const TaskGroup::Guard Guard(Running);
@@ -612,7 +616,7 @@
       return Id == Target || this->isSecured(Id);
     });
     const ServerReports Answers = co_await this->requestAll(
-        {Unsecured.begin(), Unsecured.end()}, ServerRequest::Adopt, T);
+        {Unsecured.begin(), Unsecured.end()}, ServerRequest::Adopt, T, SendBy);
     this->recordSecured(Answers, T);
     if (!*Done)
       co_await sleepFor(EffectPollInterval);
@@ -634,14 +638,16 @@
   }
 }
 
-QCoro::Task<std::optional<Term>>
-GroupMonitor::awaitEffect(ServerId Target, Term Leading, Term Adopted) {
+QCoro::Task<std::optional<Term>> GroupMonitor::awaitEffect(ServerId Target,
+                                                           Term Leading,
+                                                           Term Adopted,
+                                                           TimePoint SendBy) {
   const TimePoint Deadline = steadyNow() + EffectTimeout;
   const bool WasKnown = this->Monitored->beliefs().find(Target);
   std::optional<Term> Led;
   const auto Done = std::make_shared<bool>(false);
   TaskGroup Running;
-  this->secureNewServers(Target, Adopted, Done, Running);
+  this->secureNewServers(Target, Adopted, SendBy, Done, Running);
   while (!Led && steadyNow() < Deadline && !this->Stopping) {
     co_await sleepFor(EffectPollInterval);
     if (WasKnown && !this->Monitored->beliefs().find(Target))
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -194,18 +194,21 @@
   /// Reads the group's registrations; nothing if the store does not answer.
   QCoro::Task<std::optional<std::vector<TakeoverServer>>> readServers();
   /// Orders the promotion once.
-  QCoro::Task<PromotionOutcome> promote(ServerId Target, HeldClaim Held);
+  /// \param SendBy boot clock; the order is not sent later.
+  QCoro::Task<PromotionOutcome> promote(ServerId Target, HeldClaim Held,
+                                        TimePoint SendBy);
   /// Waits until \p Target leads the term \p Leading or a later one.
   /// \param Adopted the term that the other servers adopt meanwhile.
+  /// \param SendBy boot clock; they are not made to adopt it later.
   /// \returns the term that it leads, or nothing after EffectTimeout.
   QCoro::Task<std::optional<Term>> awaitEffect(ServerId Target, Term Leading,
-                                               Term Adopted);
+                                               Term Adopted, TimePoint SendBy);
   /// Makes the servers other than \p Target that come to be known adopt \p T,
   /// or step down, until \p Done is set. A primary that comes back and a
   /// replica that joins could otherwise commit before the promotion takes
   /// effect. A server is asked only until it has adopted the term: after the
   /// effect it would stop receiving from the new primary.
-  QCoro::Task<> secureNewServers(ServerId Target, Term T,
+  QCoro::Task<> secureNewServers(ServerId Target, Term T, TimePoint SendBy,
                                  std::shared_ptr<const bool> Done,
                                  TaskGroup &Running);
   /// Returns, for the log, the version of each server's registration and its
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -270,6 +270,86 @@
   }
 }
 
+// Guards against a holder that was suspended and, when it wakes, goes on with a
+// takeover that another entry VM has taken over: it resumed replicas that the
+// next holder had paused, with which the old primary then acknowledged commits
+// (review case 2).
+TEST_CASE("a holder that wakes after its claim has expired changes no server") {
+  constexpr Duration Suspension = TakeoverClaim::UndoWindow + milliseconds(100);
+  struct Row {
+    const char *Name;
+    PromotionOutcome Answer; ///< To the orders of the first holder.
+    Term AdoptedByC; ///< When the holder wakes; 1 if it has been released.
+    /// Returns whether the holder is suspended now: while a connection to a
+    /// server is opened, or while the store answers.
+    std::function<bool(Fixture &, const FakeServer *)> Suspends;
+  };
+  const auto RowHas = [](Fixture &F, const char *Value) {
+    return F.Store.Rows["takeover/ledger"].Value == Value;
+  };
+  const Row Rows[] = {
+      {"while the store grants the claim", PromotionOutcome::Accepted, 3,
+       [&](Fixture &F, const FakeServer *To) {
+         return !To && RowHas(F, "vm 2");
+       }},
+      {"while the store confirms the claim", PromotionOutcome::Accepted, 3,
+       [&](Fixture &F, const FakeServer *To) {
+         return !To && RowHas(F, "vm 2 b 1");
+       }},
+      {"before the old primary steps down", PromotionOutcome::Accepted, 3,
+       [&](Fixture &F, const FakeServer *To) {
+         return To && To->Id == ServerId("a") && RowHas(F, "vm 2 b 1");
+       }},
+      {"before a replica adopts the term", PromotionOutcome::Accepted, 1,
+       [&](Fixture &F, const FakeServer *To) {
+         return To && To->Id == ServerId("c") &&
+                F.Group["a"].Role == ServerRole::Replica;
+       }},
+      {"before a replica is resumed", PromotionOutcome::Refused, 3,
+       [&](Fixture &F, const FakeServer *To) {
+         return To && To->Id == ServerId("c") && F.Orders.Orders.size() == 2;
+       }},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    F.Orders.Answer = R.Answer;
+    bool Suspended = false;
+    std::map<std::string, std::pair<ServerRole, Term>> Expected;
+    const auto SuspendOnce = [&](const FakeServer *To) {
+      if (Suspended || !R.Suspends(F, To))
+        return Duration::zero();
+      Suspended = true;
+      // Meanwhile the next holder claims and pauses the replicas.
+      F.Store.Rows["takeover/ledger"] = {99, "other 3 b 98", "x"};
+      F.Group["b"].Adopted = 3;
+      F.Group["c"].Adopted = R.AdoptedByC;
+      for (const auto &[Id, S] : F.Group.servers())
+        Expected[Id] = {S.Role, S.Adopted};
+      return Suspension;
+    };
+    F.Group.OpenDelay = [&](const FakeServer &To) { return SuspendOnce(&To); };
+    F.Store.AnswerDelay = [&](const TableRow &) {
+      return SuspendOnce(nullptr);
+    };
+    F.Group["a"].Draining = true;
+    F.refresh();
+    runTask([](Duration Time) -> QCoro::Task<> {
+      co_await sleepFor(Time);
+    }(Suspension + std::chrono::seconds(1)));
+    REQUIRE(Suspended);
+    const std::size_t OrdersBefore =
+        R.Answer == PromotionOutcome::Refused ? 2 : 0;
+    CHECK(F.Orders.Orders.size() == OrdersBefore);
+    for (const auto &[Id, State] : Expected) {
+      CAPTURE(Id);
+      CHECK(F.Group[Id].Role == State.first);
+      CHECK(F.Group[Id].Adopted == State.second);
+    }
+    CHECK(F.Store.Rows["takeover/ledger"].Version == 99);
+  }
+}
+
 // Guards against an old primary that was silent, comes back between the order
 // and its effect, and acknowledges commits with a replica that joins.
 TEST_CASE("an old primary that comes back before a promotion takes effect is "
--- a/src/testing/line-group/LineGroup.cpp
+++ b/src/testing/line-group/LineGroup.cpp
@@ -250,6 +250,9 @@
   if (!S.Reachable)
     co_return OpenedLink(OpenFailure{false, std::nullopt, "cannot connect"});
   ++S.OpenedConnections;
+  const Duration Delay = this->OpenDelay(S);
+  if (Delay > Duration::zero())
+    co_await sleepFor(Delay);
   std::unique_ptr<ServerLink> Opened = std::make_unique<GroupLink>(*this, S);
   co_return OpenedLink(std::move(Opened));
 }
--- a/src/testing/line-group/LineGroup.h
+++ b/src/testing/line-group/LineGroup.h
@@ -11,6 +11,7 @@
 #include "policy/Statement.h"
 #include "root/groups/ServerLink.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -75,6 +76,10 @@
 
   /// Number of replicas that must hold a commit before it is acknowledged.
   unsigned SyncReplicas = 1;
+  /// Returns the time that it takes to open a connection to a server, whatever
+  /// the deadline, as if the opener was suspended.
+  std::function<Duration(const FakeServer &)> OpenDelay =
+      [](const FakeServer &) { return Duration::zero(); };
 
 private:
   std::map<std::string, FakeServer> Servers;
