--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -31,6 +31,7 @@
     if (this->EffectDelay > Duration::zero())
       co_await sleepFor(this->EffectDelay);
     this->Group.promote(Target);
+    this->AfterEffect(Target);
   }
 
   LineGroup &Group;
@@ -41,6 +42,9 @@
   /// Called with each order before it takes effect.
   std::function<void(const PromotionRequest &)> BeforeEffect =
       [](const PromotionRequest &) {};
+  /// Called with the target when it leads.
+  std::function<void(const std::string &)> AfterEffect =
+      [](const std::string &) {};
 };
 
 /// One entry VM that monitors a group.
@@ -270,6 +274,54 @@
   }
 }
 
+// Guards against commits that the old primary acknowledges after a promotion
+// has taken effect: the promotion ends the pauses, so a replica that has not
+// heard of it yet receives from the old primary again (review case 2).
+TEST_CASE("the old primary acknowledges no commit after a promotion has taken "
+          "effect") {
+  struct Row {
+    const char *Name;
+    std::function<void(Fixture &)> InjectFault;
+  };
+  const Row Rows[] = {
+      {"it is leaving",
+       [](Fixture &F) {
+         F.Group["a"].Draining = true;
+         F.refresh();
+       }},
+      {"it is isolated",
+       [](Fixture &F) {
+         F.Group["b"].ReplicationStopped = true;
+         F.Group["c"].ReplicationStopped = true;
+         F.Group.commit("a");
+         F.Servers->pendingWrites().insert(steadyNow() -
+                                           GroupMonitor::SlowWriteThreshold);
+       }},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    unsigned Effects = 0;
+    bool Acknowledged = false;
+    F.Orders.AfterEffect = [&](const std::string &Target) {
+      ++Effects;
+      if (Target == "a")
+        return;
+      // A replica that has heard nothing of the promotion, whose pause it has
+      // ended.
+      FakeServer &Late = F.Group[Target == "b" ? "c" : "b"];
+      Late.TermNumber = Late.Adopted = 1;
+      Late.ReplicationStopped = false;
+      Acknowledged = Acknowledged || F.Group.commit("a");
+    };
+    R.InjectFault(F);
+    F.pass(std::chrono::seconds(3));
+    REQUIRE(Effects > 0);
+    CHECK_FALSE(Acknowledged);
+    F.Servers->pendingWrites().clear();
+  }
+}
+
 // Guards against a holder that was suspended and, when it wakes, goes on with a
 // takeover that another entry VM has taken over: it resumed replicas that the
 // next holder had paused, with which the old primary then acknowledged commits
