--- a/src/policy/Takeover.cpp
+++ b/src/policy/Takeover.cpp
@@ -58,6 +58,23 @@
   return Best ? std::optional<ServerId>(Best->Id) : std::nullopt;
 }
 
+bool isStranded(const ServerReport &Report, Term Leading) {
+  return Report.Role == ServerRole::Replica && Report.AdoptedTerm >= Leading &&
+         Report.AdoptedTerm > Report.TermNumber;
+}
+
+std::vector<ServerId> strandedServers(const ServerReports &Reports) {
+  Term Leading = 0;
+  for (const auto &[Id, Report] : Reports)
+    if (Report.Role == ServerRole::Primary)
+      Leading = std::max(Leading, Report.TermNumber);
+  std::vector<ServerId> Stranded;
+  for (const auto &[Id, Report] : Reports)
+    if (Leading != 0 && isStranded(Report, Leading))
+      Stranded.push_back(Id);
+  return Stranded;
+}
+
 void TakeoverClaim::observe(std::uint64_t Seen, bool IsFinished, TimePoint Now,
                             std::uint64_t ClaimedAs) {
   const std::uint64_t SeenStart = ClaimedAs == 0 ? Seen : ClaimedAs;
--- a/src/policy/Takeover.h
+++ b/src/policy/Takeover.h
@@ -82,6 +82,16 @@
                                      LogPosition End,
                                      const std::optional<ServerId> &Preferred);
 
+/// Returns whether a server that reports \p Report receives nothing from the
+/// primary of \p Leading because it has adopted that term or a later one
+/// without following its primary. A takeover that has ended without undoing its
+/// adoptions leaves such servers.
+bool isStranded(const ServerReport &Report, Term Leading);
+
+/// Returns the servers of \p Reports that are stranded under the primary of the
+/// latest term among them; none if no server reports to be a primary.
+std::vector<ServerId> strandedServers(const ServerReports &Reports);
+
 /// The claim on a group's takeover, as observed by one entry VM.
 ///
 /// The claim is a row whose version is incremented by compare-and-set. The
--- a/src/policy/TakeoverProcedure.cpp
+++ b/src/policy/TakeoverProcedure.cpp
@@ -54,7 +54,8 @@
 std::vector<ServerId> TakeoverProcedure::unadopted() const {
   std::vector<ServerId> Ids;
   for (const TakeoverServer &S : this->Servers)
-    if (!S.OldPrimary && (!S.Report || S.Report->AdoptedTerm < this->NextTerm))
+    if (!S.OldPrimary && (!S.Report || S.Report->Role != ServerRole::Replica ||
+                          S.Report->AdoptedTerm < this->NextTerm))
       Ids.push_back(S.Id);
   return Ids;
 }
@@ -105,9 +106,14 @@
   if (this->Current == Phase::Resume &&
       !TakeoverClaim::mayUndo(this->Begun, Now))
     this->end(TakeoverEnd::Open, this->Reason + "; too late to undo it");
+  if (this->Current == Phase::Release &&
+      !TakeoverClaim::mayUndo(this->Begun, Now))
+    this->finish();
   if (this->Current == Phase::Freeze && this->unadopted().empty())
     this->Current = Phase::Register;
   TakeoverAction Action;
+  Action.TermNumber = this->NextTerm;
+  Action.Target = this->Target;
   switch (this->Current) {
   case Phase::Survey:
     Action.Step = TakeoverStep::Poll;
@@ -122,6 +128,9 @@
   case Phase::StepDownLast:
     Action.Step = TakeoverStep::StepDown;
     Action.Servers = {this->old()->Id};
+    // No time limit is needed: a primary of the led term or a later one ignores
+    // the call.
+    Action.TermNumber = this->LedTerm;
     break;
   case Phase::Verify:
     Action.Step = TakeoverStep::Poll;
@@ -155,6 +164,7 @@
     Action.Step = TakeoverStep::AwaitEffect;
     Action.SendBy = this->Begun + TakeoverClaim::Lease;
     break;
+  case Phase::Release:
   case Phase::Resume:
     Action.Step = TakeoverStep::Resume;
     Action.Servers = this->others();
@@ -165,8 +175,6 @@
     Action.Why = this->Reason;
     break;
   }
-  Action.Target = this->Target;
-  Action.TermNumber = this->NextTerm;
   return Action;
 }
 
@@ -213,6 +221,7 @@
   case Phase::Confirm:
   case Phase::Order:
   case Phase::AwaitEffect:
+  case Phase::Release:
   case Phase::Resume:
   case Phase::End:
     break;
@@ -397,12 +406,22 @@
   }
 }
 
-void TakeoverProcedure::recordEffect(bool Leads) {
+void TakeoverProcedure::recordEffect(std::optional<Term> Leading) {
   // An order without an effect yet may still take effect. The adopted terms
   // therefore stay, and the claim is held until its lease expires.
-  if (!Leads)
+  if (!Leading) {
     this->end(TakeoverEnd::Open, "the promotion has not taken effect");
-  else if (this->Returning)
+    return;
+  }
+  this->LedTerm = *Leading;
+  if (this->NextTerm > this->LedTerm)
+    this->Current = Phase::Release;
+  else
+    this->finish();
+}
+
+void TakeoverProcedure::finish() {
+  if (this->Returning)
     this->end(TakeoverEnd::GivenUp, this->Reason);
   // The old primary stops being primary by itself, but only one second after it
   // reaches the new one. Until then it would accept writes that no replica
@@ -418,7 +437,10 @@
 }
 
 void TakeoverProcedure::recordResumed() {
-  this->end(TakeoverEnd::GivenUp, this->Reason);
+  if (this->Current == Phase::Release)
+    this->finish();
+  else
+    this->end(TakeoverEnd::GivenUp, this->Reason);
 }
 
 } // namespace amaranthspur
--- a/src/policy/TakeoverProcedure.h
+++ b/src/policy/TakeoverProcedure.h
@@ -61,6 +61,14 @@
 // confirmed before the old primary steps down, so that a holder that is
 // suspended or ends while the store answers leaves a primary that still leads.
 //
+// A server that holds a term receives only from primaries of later terms, until
+// a promotion to that term or a resume. The platform counts the terms that were
+// led, so after a takeover that adopted a term and ended before its order, the
+// servers hold a later term than the next target leads. The holder then resumes
+// them as soon as the target leads. They do not hold the led term instead: an
+// order of the earlier holder that takes effect late would end their pauses,
+// and its target would acknowledge commits that the next target lacks.
+//
 // A holder may be suspended at any moment and wake after another entry VM has
 // claimed the takeover. Each step that changes a server therefore has a time by
 // which its calls must have been sent. It is checked when the connection is
@@ -83,7 +91,7 @@
   Confirm,     ///< Write the target to the claim row.
   Order,       ///< Order the promotion of the target.
   AwaitEffect, ///< Wait until the target leads.
-  Resume,      ///< Undo the adoptions of the servers.
+  Resume,      ///< Let the servers receive again, whatever term they hold.
   End,         ///< Nothing; the takeover has ended.
 };
 
@@ -177,8 +185,9 @@
   void recordClaim(ClaimCheck Result);
   /// Records the answer to Order.
   void recordOrder(PromotionOutcome Outcome);
-  /// Records whether the target leads, after AwaitEffect.
-  void recordEffect(bool Leads);
+  /// Records the term that the target leads, after AwaitEffect; nothing if it
+  /// does not lead yet.
+  void recordEffect(std::optional<Term> Leading);
   /// Records that the target has been replaced by another server at its address
   /// before it led. Its order cannot take effect any more.
   void recordLostTarget();
@@ -210,6 +219,7 @@
     Confirm,
     Order, ///< The last phase that a window limits.
     AwaitEffect,
+    Release,      ///< The target leads; servers hold a later term than it does.
     StepDownLast, ///< The target leads; the old primary may not know it yet.
     Resume,
     End,
@@ -228,6 +238,8 @@
   void fail(std::string Why);
   /// Gives up, and leaves the lead where it is.
   void giveUp(std::string Why);
+  /// Ends the takeover after the target leads and no server is kept from it.
+  void finish();
   void end(TakeoverEnd How, std::string Why);
   /// Returns the ids of the servers other than the old primary.
   std::vector<ServerId> others() const;
@@ -251,6 +263,7 @@
   Phase Current = Phase::Survey;
   Term NextTerm = 0;
   Term OldTerm = 0;                  ///< Of the old primary in the first poll.
+  Term LedTerm = 0;                  ///< Of the target, once it leads.
   std::optional<LogPosition> OldEnd; ///< Set once it has stepped down.
   LogPosition Required; ///< Highest end that the target has to reach.
   ServerId Target;
--- a/src/policy/testing/TakeoverExplorer.cpp
+++ b/src/policy/testing/TakeoverExplorer.cpp
@@ -200,6 +200,8 @@
   void ask(std::size_t V, std::size_t S);
   /// Lets the logic of \p V decide its next step.
   void decide(std::size_t V);
+  /// Looks for servers that the takeover of \p V has kept from the new primary.
+  void checkStranded(std::size_t V);
   void restart(std::size_t S);
   /// Acknowledges all commits of \p Primary, whose log \p Replica has now.
   void acknowledge(std::size_t Primary, std::size_t Replica);
@@ -496,7 +498,7 @@
   if (How == Kind::LoseCall || !this->reaches(V, S))
     return;
   Server &X = this->Servers[S];
-  const Term T = M.Logic ? M.Logic->term() : 0;
+  const Term T = M.Action.TermNumber;
   if (M.Action.Step == TakeoverStep::StepDown) {
     if (X.Primary && X.TermNumber < T)
       X.Primary = false;
@@ -554,7 +556,11 @@
     return;
   }
   const TakeoverStep Step = M.Action.Step;
+  if (this->Now >= M.Action.SendBy)
+    How = Kind::LoseCall;
   if (Step == TakeoverStep::End) {
+    if (!M.Undoing && M.Action.End == TakeoverEnd::Promoted)
+      this->checkStranded(V);
     if (How != Kind::LoseCall &&
         (M.Undoing || M.Action.End != TakeoverEnd::Open))
       this->compareAndSet(M.Fence,
@@ -623,15 +629,15 @@
     break;
   case TakeoverStep::AwaitEffect: {
     const std::size_t Target = indexOf(M.Action.Target);
-    const bool Leads = How == Kind::Step && this->reaches(V, Target) &&
-                       this->Servers[Target].Primary &&
-                       this->Servers[Target].TermNumber >= Logic->term();
-    Logic->recordEffect(Leads);
-    M.Outcome.Promoted = Leads;
-    if (Leads)
-      M.Outcome.Highest =
-          std::max(M.Outcome.Highest, this->Servers[Target].TermNumber);
-    mix(M.Inputs, Leads);
+    const Server &X = this->Servers[Target];
+    std::optional<Term> Leading;
+    if (How == Kind::Step && this->reaches(V, Target) && X.Primary &&
+        X.TermNumber > Logic->oldTerm())
+      Leading = X.TermNumber;
+    Logic->recordEffect(Leading);
+    M.Outcome.Promoted = Leading.has_value();
+    M.Outcome.Highest = std::max(M.Outcome.Highest, Leading.value_or(0));
+    mix(M.Inputs, Leading.value_or(0));
     break;
   }
   case TakeoverStep::Resume:
@@ -693,6 +699,20 @@
   }
 }
 
+void Model::checkStranded(std::size_t V) {
+  // A server whose call was lost, or that could not be reached, is resumed
+  // later, under another claim.
+  const bool Undone = this->Used.count(Kind::LoseCall) == 0 &&
+                      this->Used.count(Kind::Cut) == 0 &&
+                      this->Used.count(Kind::Crash) == 0 &&
+                      TakeoverClaim::mayUndo(this->Vms[V].Begun, this->Now);
+  for (std::size_t S = 0; Undone && S < this->Servers.size(); ++S)
+    if (!this->Servers[S].Gone && !this->Servers[S].Primary &&
+        this->Servers[S].Held > this->LeaderTerm)
+      this->Violation = "STRANDED: server " + idOf(S).str() + " holds term " +
+                        std::to_string(this->Servers[S].Held);
+}
+
 void Model::restart(std::size_t S) {
   Server &X = this->Servers[S];
   X.Held = 0;
@@ -715,8 +735,11 @@
   this->Led[O.Target] = this->LeaderTerm;
   ++this->Takeovers;
   this->Effects[this->LeaderTerm] = O;
+  // The platform counts the terms that were led; a pause under a later term
+  // stays.
   for (Server &S : this->Servers)
-    S.Held = 0;
+    if (S.Held <= this->LeaderTerm)
+      S.Held = 0;
   const std::uint32_t Held = commitsIn(X.Log);
   const std::uint32_t Lost = this->Acknowledged & ~this->Removed & ~Held;
   this->Removed |= ((1U << this->Commits) - 1) & ~Held & this->Acknowledged;
--- a/src/policy/testing/TakeoverExplorer.h
+++ b/src/policy/testing/TakeoverExplorer.h
@@ -12,6 +12,8 @@
 //  - ONE: no superseded primary acknowledges a commit after a promotion, unless
 //    the entry VM that ordered the promotion could not reach it.
 //  - CLAIM: orders under one version of the claim row are of one entry VM.
+//  - STRANDED: when a takeover has ended with a promotion, no server that its
+//    holder reaches is kept from the new primary by a term that it holds.
 //  - STALE: no server is proved to lead whose log lacked an acknowledged commit
 //    when the proof began.
 #ifndef AMARANTHSPUR_POLICY_TESTING_TAKEOVEREXPLORER_H
@@ -40,9 +42,10 @@
   recordServers(const std::optional<std::vector<TakeoverServer>> &Listed) = 0;
   virtual void recordClaim(ClaimCheck Result) = 0;
   virtual void recordOrder(PromotionOutcome Outcome) = 0;
-  virtual void recordEffect(bool Leads) = 0;
+  virtual void recordEffect(std::optional<Term> Leading) = 0;
   virtual void recordResumed() = 0;
-  virtual Term term() const = 0;
+  /// Returns the term of the old primary, as far as it is known.
+  virtual Term oldTerm() const = 0;
 };
 
 using TakeoverFactory = std::function<std::unique_ptr<TakeoverLogic>(
--- a/src/policy/testing/TakeoverExplorerTest.cpp
+++ b/src/policy/testing/TakeoverExplorerTest.cpp
@@ -43,11 +43,11 @@
   void recordOrder(PromotionOutcome Outcome) override {
     this->Procedure.recordOrder(Outcome);
   }
-  void recordEffect(bool Leads) override {
-    this->Procedure.recordEffect(Leads);
+  void recordEffect(std::optional<Term> Leading) override {
+    this->Procedure.recordEffect(Leading);
   }
   void recordResumed() override { this->Procedure.recordResumed(); }
-  Term term() const override { return this->Procedure.term(); }
+  Term oldTerm() const override { return this->Procedure.oldTerm(); }
 
 protected:
   TimePoint Begun;
@@ -101,6 +101,21 @@
   }
 };
 
+/// Ends a takeover when its target leads, whatever terms the servers hold.
+class LeavesStranded final : public PresentLogic {
+public:
+  using PresentLogic::PresentLogic;
+  std::unique_ptr<TakeoverLogic> clone() const override {
+    return std::make_unique<LeavesStranded>(*this);
+  }
+  void recordEffect(std::optional<Term> Leading) override {
+    PresentLogic::recordEffect(Leading);
+    if (Leading &&
+        this->Procedure.next(this->Begun).Step == TakeoverStep::Resume)
+      this->Procedure.recordResumed();
+  }
+};
+
 /// The procedure before the old primary had to step down: the target is chosen
 /// by the plan, the other servers adopt the next term, and the order follows.
 class NoStepDown final : public TakeoverLogic {
@@ -128,6 +143,7 @@
       this->Current = TakeoverStep::Resume;
     TakeoverAction Action;
     Action.Step = this->Current;
+    Action.TermNumber = this->NextTerm;
     Action.End = this->Ended;
     Action.Target = this->Target.value_or(ServerId());
     if (this->Current == TakeoverStep::Adopt ||
@@ -169,12 +185,12 @@
     else if (Outcome != PromotionOutcome::NotDone)
       this->Current = TakeoverStep::AwaitEffect;
   }
-  void recordEffect(bool Leads) override {
-    this->Ended = Leads ? TakeoverEnd::Promoted : TakeoverEnd::Open;
+  void recordEffect(std::optional<Term> Leading) override {
+    this->Ended = Leading ? TakeoverEnd::Promoted : TakeoverEnd::Open;
     this->Current = TakeoverStep::End;
   }
   void recordResumed() override { this->Current = TakeoverStep::End; }
-  Term term() const override { return this->NextTerm; }
+  Term oldTerm() const override { return this->NextTerm - 1; }
 
 private:
   TimePoint Begun;
@@ -300,6 +316,7 @@
       {Kind::Commit, 1}, {Kind::Join, 1}, {Kind::Leave, 1}};
   const std::map<Kind, unsigned> Faults = {
       {Kind::Commit, 1}, {Kind::Crash, 1}, {Kind::Cut, 1}, {Kind::Deafen, 1}};
+  const std::map<Kind, unsigned> Deaths = {{Kind::Die, 1}, {Kind::Wait, 1}};
   const std::map<Kind, unsigned> Losses = {
       {Kind::Commit, 1}, {Kind::Wait, 1}, {Kind::LoseAnswer, 1}};
   const TakeoverFactory Present = make<PresentLogic>;
@@ -321,6 +338,9 @@
        {{Kind::Commit, 1}},
        14,
        "LOST"},
+      {"a later term stays adopted", make<LeavesStranded>, 2, false, Deaths, 26,
+       "STRANDED"},
+      {"a holder ends after the adoptions", Present, 2, false, Deaths, 28, ""},
       {"a server joins", Present, 1, false, Joins, 20, ""},
       {"a holder wakes", Present, 2, true, Wakes, 22, ""},
       {"a server restarts", Present, 1, false, Restarts, 24, ""},
--- a/src/policy/testing/TakeoverProcedureTest.cpp
+++ b/src/policy/testing/TakeoverProcedureTest.cpp
@@ -31,7 +31,7 @@
     State &S = this->Servers.at(Id.str());
     if (S.Silent)
       return std::nullopt;
-    if (Step == TakeoverStep::StepDown && !S.RefusesTerm)
+    if (Step == TakeoverStep::StepDown && !S.RefusesTerm && T > S.TermNumber)
       S.Role = ServerRole::Replica;
     if (Step == TakeoverStep::Adopt && !S.RefusesTerm &&
         S.Role == ServerRole::Replica)
@@ -57,7 +57,7 @@
   bool StoreAnswers = true;
   ClaimCheck Claim = ClaimCheck::Held;
   std::vector<PromotionOutcome> Orders; ///< Answers, in order; then Accepted.
-  bool TakesEffect = true;
+  std::optional<Term> Led = 4; ///< By the target; nothing: no effect yet.
   bool LosesTarget = false; ///< The first target is replaced before it leads.
   TimePoint Now = Begun;
 };
@@ -93,7 +93,7 @@
     case TakeoverStep::Adopt: {
       ServerReports Answers;
       for (const ServerId &Id : Action.Servers)
-        if (const auto Report = S.answer(Id, Action.Step, Procedure.term()))
+        if (const auto Report = S.answer(Id, Action.Step, Action.TermNumber))
           Answers.emplace(Id, *Report);
       Procedure.recordAnswers(Answers, {}, S.Now);
       break;
@@ -116,7 +116,7 @@
       if (std::exchange(S.LosesTarget, false))
         Procedure.recordLostTarget();
       else
-        Procedure.recordEffect(S.TakesEffect);
+        Procedure.recordEffect(S.Led);
       break;
     case TakeoverStep::Resume:
       Procedure.recordResumed();
@@ -157,6 +157,9 @@
   const auto SilentPrimary = [](Surroundings &S) {
     S.Servers["p"].Silent = true;
   };
+  const auto LeftTerm = [](Surroundings &S) {
+    S.Servers["a"].Adopted = S.Servers["b"].Adopted = 4;
+  };
   const std::string SteppedDown = "poll confirm step-down adopt ";
   const std::string Frozen = "poll adopt read-servers poll ";
   const Row Rows[] = {
@@ -236,8 +239,11 @@
        },
        SteppedDown + "order=a poll resume end", TakeoverEnd::GivenUp},
       {"a replica reports a later term",
-       [](Surroundings &S) { S.Servers["b"].TermNumber = 4; }, Never,
-       SteppedDown + "read-servers poll order=a await-effect end",
+       [](Surroundings &S) {
+         S.Servers["b"].TermNumber = 4;
+         S.Led = 5;
+       },
+       Never, SteppedDown + "read-servers poll order=a await-effect end",
        TakeoverEnd::Promoted},
       {"a replica reports a later term, and another one falls silent",
        [](Surroundings &S) { S.Servers["b"].TermNumber = 4; },
@@ -264,9 +270,37 @@
        once(TakeoverStep::Adopt,
             [](Surroundings &S) { S.Now += TakeoverClaim::UndoWindow; }),
        SteppedDown + "end", TakeoverEnd::Open},
-      {"the order has no effect yet",
-       [](Surroundings &S) { S.TakesEffect = false; }, Never,
-       SteppedDown + "order=a await-effect end", TakeoverEnd::Open},
+      {"the order has no effect yet", [](Surroundings &S) { S.Led.reset(); },
+       Never, SteppedDown + "order=a await-effect end", TakeoverEnd::Open},
+      {"an earlier takeover has left a term that the target does not lead",
+       LeftTerm, Never, SteppedDown + "order=a await-effect resume end",
+       TakeoverEnd::Promoted},
+      {"the same, and the lead is returned",
+       [&LeftTerm](Surroundings &S) {
+         LeftTerm(S);
+         S.Orders = {PromotionOutcome::Refused};
+       },
+       Never,
+       SteppedDown + "order=a poll confirm order=p await-effect resume end",
+       TakeoverEnd::GivenUp},
+      {"the same, and the old primary is silent",
+       [&LeftTerm](Surroundings &S) {
+         LeftTerm(S);
+         S.Servers["p"].Silent = true;
+       },
+       Never, Frozen + "confirm order=a await-effect resume step-down end",
+       TakeoverEnd::Promoted},
+      {"the same, and the effect is too late to undo anything", LeftTerm,
+       once(TakeoverStep::AwaitEffect,
+            [](Surroundings &S) { S.Now += TakeoverClaim::UndoWindow; }),
+       SteppedDown + "order=a await-effect end", TakeoverEnd::Promoted},
+      {"a server that leads reports the term as held", SilentPrimary,
+       once(TakeoverStep::Adopt,
+            [](Surroundings &S) {
+              S.Servers["b"].Role = ServerRole::Primary;
+              S.Servers["b"].Adopted = 4;
+            }),
+       "poll adopt resume end", TakeoverEnd::GivenUp},
       {"the target is replaced before it leads",
        [](Surroundings &S) { S.LosesTarget = true; }, Never,
        SteppedDown +
@@ -356,3 +390,21 @@
     CHECK((Seen.End == TakeoverEnd::Promoted) == Seen.Why.empty());
   }
 }
+
+// Guards against a late call that makes a primary of a later term step down:
+// the servers may hold a later term than the target of the takeover leads.
+TEST_CASE("the last step-down of a takeover spares a primary of a later term") {
+  Surroundings S;
+  S.Servers["p"].Silent = true;
+  S.Servers["a"].Adopted = S.Servers["b"].Adopted = 6;
+  const Outcome Seen =
+      runTakeover(S, once(TakeoverStep::StepDown, [](Surroundings &Now) {
+                    // The next takeover has returned the lead.
+                    Now.Servers["p"].Silent = false;
+                    Now.Servers["p"].TermNumber = 5;
+                  }));
+  CHECK(Seen.Steps ==
+        "poll adopt read-servers poll confirm order=a await-effect "
+        "resume step-down end");
+  CHECK(S.Servers["p"].Role == ServerRole::Primary);
+}
--- a/src/policy/testing/TakeoverTest.cpp
+++ b/src/policy/testing/TakeoverTest.cpp
@@ -290,3 +290,41 @@
   // Enough runs of the model have to reach a promotion.
   CHECK(Promotions > 500);
 }
+
+// Guards against a replica that stays without its primary, and against one that
+// is resumed while it follows the primary or takes part in a takeover.
+TEST_CASE(
+    "servers that hold a term without following its primary are stranded") {
+  struct Row {
+    const char *Name;
+    ServerRole OtherRole; ///< Of server `a`, which reports term 5.
+    ServerRole Role;
+    Term TermNumber;
+    Term Adopted;
+    bool Stranded;
+  };
+  using enum ServerRole;
+  const Row Rows[] = {
+      {"follows", Primary, Replica, 5, 0, false},
+      {"follows, and reports its own term as held", Primary, Replica, 5, 5,
+       false},
+      {"has heard nothing yet", Primary, Replica, 4, 0, false},
+      {"holds a later term", Primary, Replica, 5, 7, true},
+      {"holds the term that is led", Primary, Replica, 4, 5, true},
+      {"holds an earlier term", Primary, Replica, 3, 4, false},
+      {"leads itself", Primary, Primary, 4, 7, false},
+      {"no server leads", Replica, Replica, 5, 7, false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    ServerReports Reports;
+    Reports[ServerId("a")].Role = R.OtherRole;
+    Reports[ServerId("a")].TermNumber = 5;
+    Reports[ServerId("b")].Role = R.Role;
+    Reports[ServerId("b")].TermNumber = R.TermNumber;
+    Reports[ServerId("b")].AdoptedTerm = R.Adopted;
+    CHECK(strandedServers(Reports) ==
+          (R.Stranded ? std::vector<ServerId>{ServerId("b")}
+                      : std::vector<ServerId>{}));
+  }
+}
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -194,6 +194,10 @@
     co_return false;
   co_await sleepFor(AdvanceInterval);
   const ServerReports Second = co_await this->pollAll();
+  // Another takeover would not help replicas that are kept from the primary by
+  // a term that they hold, and would make the primary step down for nothing.
+  if (!strandedServers(Second).empty())
+    co_return false;
   const auto Replica = this->replicaWithLongestLog(Second);
   // The primary is isolated if no replica has received all that the primary's
   // log held at the first poll.
@@ -532,12 +536,12 @@
       if (Lost)
         Procedure.recordLostTarget();
       else
-        Procedure.recordEffect(Led.has_value());
+        Procedure.recordEffect(Led);
       break;
     }
     case TakeoverStep::Resume:
-      co_await this->requestAll(Action.Servers, ServerRequest::Resume, 0,
-                                Action.SendBy);
+      co_await this->requestAll(this->withSecured(Action),
+                                ServerRequest::Resume, 0, Action.SendBy);
       Procedure.recordResumed();
       break;
     case TakeoverStep::End:
@@ -623,6 +627,15 @@
   }
 }
 
+std::vector<ServerId>
+GroupMonitor::withSecured(const TakeoverAction &Action) const {
+  std::set<ServerId> Ids(Action.Servers.begin(), Action.Servers.end());
+  for (const auto &[Id, StartedAtMs] : this->Secured)
+    Ids.insert(Id);
+  Ids.erase(Action.Target);
+  return {Ids.begin(), Ids.end()};
+}
+
 bool GroupMonitor::isSecured(const ServerId &Id) const {
   const auto Found = this->Secured.find(Id);
   const RegisteredServer *Known = this->registration(Id);
@@ -664,45 +677,48 @@
   co_return Led;
 }
 
-QCoro::Task<> GroupMonitor::undoStrandedAdoptions() {
+bool GroupMonitor::hasStrandedServer() const {
   const std::optional<BelievedPrimary> Leader =
       this->Monitored->beliefs().primary();
-  std::vector<ServerId> Stranded;
-  if (Leader && Leader->TermNumber != 0)
-    for (const auto &[Id, Server] : this->Monitored->beliefs().servers())
-      if (Id != Leader->Id && Server.AdoptedTerm > Leader->TermNumber)
-        Stranded.push_back(Id);
-  if (Stranded.empty()) {
+  if (!Leader || Leader->TermNumber == 0)
+    return false;
+  for (const auto &[Id, Server] : this->Monitored->beliefs().servers()) {
+    ServerReport Believed;
+    Believed.Role = Server.Role.value_or(ServerRole::Replica);
+    Believed.TermNumber = Server.TermNumber;
+    Believed.AdoptedTerm = Server.AdoptedTerm;
+    if (isStranded(Believed, Leader->TermNumber))
+      return true;
+  }
+  return false;
+}
+
+QCoro::Task<> GroupMonitor::undoStrandedAdoptions() {
+  if (!this->hasStrandedServer()) {
     this->StrandedSince.reset();
     co_return;
   }
   this->Degraded = true;
   if (!this->StrandedSince)
     this->StrandedSince = steadyNow();
-  if (steadyNow() - *this->StrandedSince < StrandedAdoptionTimeout)
+  if (steadyNow() - *this->StrandedSince < StrandedAdoptionTimeout ||
+      !this->Claim.mayClaim(bootNow()))
     co_return;
-  // The known terms may be outdated, so the servers are polled again before
-  // anything is undone.
+  // The known terms may be outdated, and a claim costs two calls to the store.
   const ServerReports Seen = co_await this->pollAll();
-  const std::optional<BelievedPrimary> Now =
-      this->Monitored->beliefs().primary();
-  if (Now != Leader || Seen.count(Leader->Id) == 0)
-    co_return;
-  std::erase_if(Stranded, [&Seen, &Leader](const ServerId &Id) {
-    const auto Report = Seen.find(Id);
-    return Report == Seen.end() ||
-           Report->second.AdoptedTerm <= Leader->TermNumber;
-  });
-  if (Stranded.empty())
+  if (strandedServers(Seen).empty())
     co_return;
   const std::optional<HeldClaim> Held =
       co_await this->claim(undoClaimValue(this->Dependencies.Self));
   if (!Held)
     co_return;
+  // Only what is found under the claim is undone: a takeover may have ended
+  // between the poll and the claim.
+  const std::vector<ServerId> Stranded =
+      strandedServers(co_await this->pollAll());
   log(LogLevel::Warning, LogEvent::AdoptionUndone,
       {{"service", this->Monitored->name().str()},
-       {"servers", Stranded.size()},
-       {"term", Leader->TermNumber}});
+       {"servers", Stranded.size()}});
   // After a suspension the adoptions may belong to another takeover.
   if (TakeoverClaim::mayUndo(Held->Begun, bootNow()))
     co_await this->requestAll(Stranded, ServerRequest::Resume, 0,
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -90,10 +90,11 @@
   static constexpr Duration EffectPollInterval = milliseconds(50);
   /// Pause after an abandoned takeover.
   static constexpr Duration FailedTakeoverPause = milliseconds(300);
-  /// If a replica has adopted a term that has no primary, the adoption is
-  /// undone after this time. The entry VM that held the claim can no longer
-  /// promote.
-  static constexpr Duration StrandedAdoptionTimeout = TakeoverClaim::Lease;
+  /// If a replica receives nothing from the primary because of a term that it
+  /// holds, it is resumed after this time, under a claim. A takeover that goes
+  /// on has the claim and ends sooner.
+  static constexpr Duration StrandedAdoptionTimeout =
+      TakeoverClaim::PromotionWindow;
 
   /// An entry VM that follows a relay leaves a takeover to the relays for this
   /// time, and a random part of FollowerSpread. Otherwise all entry VMs would
@@ -148,7 +149,9 @@
   bool hasSuccessor(const ServerId &Leaving) const;
   /// Asks the believed primary for its term if that is unknown.
   QCoro::Task<> learnPrimaryTerm();
-  /// Resumes replicas that have adopted a term that has no primary.
+  /// Returns whether a server is stranded (isStranded()), as far as is known.
+  bool hasStrandedServer() const;
+  /// Resumes the stranded servers.
   QCoro::Task<> undoStrandedAdoptions();
 
   /// Requests the status of all servers at the same time.
@@ -216,6 +219,9 @@
   std::string describe(const ServerReports &Seen) const;
   void logStep(const TakeoverAction &Action, const HeldClaim &Held, Term T,
                const std::string &Outcome);
+  /// Returns the servers of \p Action and all that the takeover has stopped,
+  /// without the target.
+  std::vector<ServerId> withSecured(const TakeoverAction &Action) const;
   bool isSecured(const ServerId &Id) const;
   /// Records the servers of \p Answers that hold \p T.
   void recordSecured(const ServerReports &Answers, Term T);
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -402,6 +402,69 @@
   }
 }
 
+// Guards against a service without writes after a promotion: a takeover that
+// ended before its order has left the replicas with a later term than the next
+// target leads, so they receive nothing from it.
+TEST_CASE(
+    "replicas receive from the new primary after an unfinished takeover") {
+  struct Row {
+    const char *Name;
+    std::function<void(Fixture &)> InjectFault;
+    bool OldAnswers;
+  };
+  const Row Rows[] = {
+      {"the old primary is leaving",
+       [](Fixture &F) {
+         F.Group["a"].Draining = true;
+         F.refresh();
+       },
+       true},
+      {"the old primary is silent",
+       [](Fixture &F) {
+         F.Group["a"].Reachable = false;
+         F.Servers->observeFailure(ServerId("a"), "test");
+       },
+       false},
+      {"no server leads",
+       [](Fixture &F) {
+         F.Group["a"].Role = ServerRole::Replica;
+         F.refresh();
+       },
+       true},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    for (const char *Id : {"b", "c"})
+      F.Group[Id].Adopted = 4;
+    R.InjectFault(F);
+    F.pass(std::chrono::seconds(3));
+    REQUIRE(F.Orders.Orders.size() == 1);
+    const std::string Target = F.Orders.Orders[0].Target.str();
+    CHECK(F.Group[Target].TermNumber == 2);
+    CHECK(F.Group.commit(Target));
+  }
+}
+
+// Guards against a healthy primary that is made to step down again and again
+// because its replicas hold a later term and receive nothing from it.
+TEST_CASE(
+    "replicas that hold a later term are resumed, and their primary stays") {
+  Fixture F;
+  for (const char *Id : {"b", "c"})
+    F.Group[Id].Adopted = 4;
+  REQUIRE_FALSE(F.Group.commit("a"));
+  const auto Waiting = F.Servers->pendingWrites().insert(
+      steadyNow() - GroupMonitor::SlowWriteThreshold);
+  F.Servers->monitorWake().wake();
+  F.pass(std::chrono::seconds(3));
+  CHECK(F.Orders.Orders.empty());
+  CHECK(F.Group["a"].Role == ServerRole::Primary);
+  CHECK(F.Group.commit("a"));
+  CHECK(F.Store.Rows["takeover/ledger"].Value == "finished 1");
+  F.Servers->pendingWrites().erase(Waiting);
+}
+
 // Guards against an old primary that was silent, comes back between the order
 // and its effect, and acknowledges commits with a replica that joins.
 TEST_CASE("an old primary that comes back before a promotion takes effect is "
--- a/src/testing/line-group/LineGroup.cpp
+++ b/src/testing/line-group/LineGroup.cpp
@@ -59,6 +59,7 @@
   }
   QCoro::Task<Result<StatusAnswer>> resume(TimePoint) override {
     this->To.Adopted = this->To.TermNumber;
+    this->Group.replicateAll();
     co_return this->report();
   }
   QCoro::Task<Result<StatusAnswer>> stepDown(Term T, TimePoint) override {
@@ -206,9 +207,10 @@
 }
 
 void LineGroup::promote(const std::string &Id) {
+  // The platform counts the terms that were led, not those that were adopted.
   Term Next = 0;
   for (const auto &[Other, S] : this->Servers)
-    Next = std::max({Next, S.TermNumber + 1, S.Adopted});
+    Next = std::max(Next, S.TermNumber + 1);
   FakeServer &Target = this->Servers.at(Id);
   Target.Role = ServerRole::Primary;
   Target.TermNumber = Target.Adopted = Next;
@@ -245,6 +247,12 @@
   }
 }
 
+void LineGroup::replicateAll() {
+  for (const auto &[Id, S] : this->Servers)
+    if (S.Role == ServerRole::Primary)
+      this->replicate(Id);
+}
+
 QCoro::Task<OpenedLink> LineGroup::open(RegisteredServer To, TimePoint) {
   FakeServer &S = this->Servers.at(To.Id.str());
   if (!S.Reachable)
--- a/src/testing/line-group/LineGroup.h
+++ b/src/testing/line-group/LineGroup.h
@@ -62,7 +62,8 @@
   /// Returns the registrations of all servers.
   std::vector<RegisteredServer> registrations() const;
 
-  /// Makes \p Id the primary of the next term.
+  /// Makes \p Id the primary of the next term. Servers that have adopted a
+  /// later term do not follow it.
   void promote(const std::string &Id);
 
   QCoro::Task<OpenedLink> open(RegisteredServer Server,
@@ -73,6 +74,8 @@
   bool commit(const std::string &Id);
   /// Copies the log of \p Id to every replica that receives replication.
   void replicate(const std::string &Id);
+  /// Does so for each primary.
+  void replicateAll();
 
   /// Number of replicas that must hold a commit before it is acknowledged.
   unsigned SyncReplicas = 1;
