--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -212,6 +212,27 @@
   return Listed == this->Found.end() ? nullptr : &Listed->second;
 }
 
+QCoro::Task<Result<StatusAnswer>>
+GroupMonitor::adopt(ServerLink &Link, std::optional<ServerRole> Role, Term T,
+                    TimePoint Deadline) {
+  Result<StatusAnswer> R = Error{};
+  // A primary steps down first. The known role may be outdated; the second
+  // attempt goes by the reported one.
+  bool Leads = Role != ServerRole::Replica;
+  for (int Attempt = 0; Attempt < 2; ++Attempt) {
+    if (Leads)
+      R = co_await Link.stepDown(T, Deadline);
+    if (!Leads || succeeded(R))
+      R = co_await Link.pause(T, Deadline);
+    const auto *Report =
+        succeeded(R) ? std::get_if<ServerReport>(&valueOf(R)) : nullptr;
+    Leads = Report && Report->Role == ServerRole::Primary;
+    if (!Leads)
+      break;
+  }
+  co_return R;
+}
+
 QCoro::Task<std::optional<StatusAnswer>>
 GroupMonitor::call(ServerId Id, ServerRequest Kind, Term T, TimePoint SendBy) {
   const RegisteredServer *Known = this->registration(Id);
@@ -219,7 +240,9 @@
     co_return std::nullopt;
   const RegisteredServer Registration = *Known;
   const ServerBelief *Belief = this->Monitored->beliefs().find(Id);
-  const bool Leads = Belief && Belief->Role == ServerRole::Primary;
+  // Nothing but its registration is known of a server that has just come back.
+  const std::optional<ServerRole> Role =
+      Belief ? Belief->Role : Registration.Role;
   const TimePoint Deadline = steadyNow() + CallTimeout;
   OpenedLink Opened =
       co_await this->Monitored->connector().open(Registration, Deadline);
@@ -243,11 +266,7 @@
     R = co_await Link->stepDown(T, Deadline);
     break;
   case ServerRequest::Adopt:
-    // A server that was superseded and has not noticed steps down first.
-    if (Leads)
-      R = co_await Link->stepDown(T, Deadline);
-    if (!Leads || succeeded(R))
-      R = co_await Link->pause(T, Deadline);
+    R = co_await this->adopt(*Link, Role, T, Deadline);
     break;
   case ServerRequest::Resume:
     R = co_await Link->resume(Deadline);
@@ -527,8 +546,7 @@
     case TakeoverStep::AwaitEffect: {
       const bool WasKnown = this->Monitored->beliefs().find(Action.Target);
       const std::optional<Term> Led =
-          co_await this->awaitEffect(Action.Target, Procedure.oldTerm() + 1,
-                                     Action.TermNumber, Action.SendBy);
+          co_await this->awaitEffect(Action, Procedure.oldTerm() + 1);
       Held->LedTerm = Led.value_or(0);
       const bool Lost =
           !Led && WasKnown && !this->Monitored->beliefs().find(Action.Target);
@@ -603,12 +621,20 @@
        {"outcome", Outcome}});
 }
 
-QCoro::Task<> GroupMonitor::secureNewServers(ServerId Target, Term T,
-                                             TimePoint SendBy,
-                                             std::shared_ptr<const bool> Done,
-                                             TaskGroup &Running) {
-  const TaskGroup::Guard Guard(Running);
-  while (!*Done) {
+QCoro::Task<> GroupMonitor::secureServer(ServerId Id, EffectWait &Wait) {
+  const TaskGroup::Guard Guard(Wait.Running);
+  Wait.Asked.insert(Id);
+  const std::optional<StatusAnswer> Reply =
+      co_await this->call(Id, ServerRequest::Adopt, Wait.Adopted, Wait.SendBy);
+  const auto *Report = Reply ? std::get_if<ServerReport>(&*Reply) : nullptr;
+  if (Report)
+    this->recordSecured({{Id, *Report}}, Wait.Adopted);
+  Wait.Asked.erase(Id);
+}
+
+QCoro::Task<> GroupMonitor::secureNewServers(EffectWait &Wait) {
+  const TaskGroup::Guard Guard(Wait.Running);
+  while (!Wait.Done) {
     // The relay passes rows on with a delay, so the store is read directly.
     co_await this->readServers();
     std::set<ServerId> Unsecured;
@@ -616,13 +642,11 @@
       Unsecured.insert(Id);
     for (const auto &[Id, Server] : this->Found)
       Unsecured.insert(Id);
-    std::erase_if(Unsecured, [this, &Target](const ServerId &Id) {
-      return Id == Target || this->isSecured(Id);
-    });
-    const ServerReports Answers = co_await this->requestAll(
-        {Unsecured.begin(), Unsecured.end()}, ServerRequest::Adopt, T, SendBy);
-    this->recordSecured(Answers, T);
-    if (!*Done)
+    for (const ServerId &Id : Unsecured)
+      if (!Wait.Done && Id != Wait.Target && Wait.Asked.count(Id) == 0 &&
+          !this->isSecured(Id))
+        this->secureServer(Id, Wait);
+    if (!Wait.Done)
       co_await sleepFor(EffectPollInterval);
   }
 }
@@ -651,29 +675,26 @@
   }
 }
 
-QCoro::Task<std::optional<Term>> GroupMonitor::awaitEffect(ServerId Target,
-                                                           Term Leading,
-                                                           Term Adopted,
-                                                           TimePoint SendBy) {
+QCoro::Task<std::optional<Term>>
+GroupMonitor::awaitEffect(const TakeoverAction &Order, Term Leading) {
   const TimePoint Deadline = steadyNow() + EffectTimeout;
-  const bool WasKnown = this->Monitored->beliefs().find(Target);
+  const bool WasKnown = this->Monitored->beliefs().find(Order.Target);
   std::optional<Term> Led;
-  const auto Done = std::make_shared<bool>(false);
-  TaskGroup Running;
-  this->secureNewServers(Target, Adopted, SendBy, Done, Running);
+  EffectWait Wait{Order.Target, Order.TermNumber, Order.SendBy, {}, {}, false};
+  this->secureNewServers(Wait);
   while (!Led && steadyNow() < Deadline && !this->Stopping) {
     co_await sleepFor(EffectPollInterval);
-    if (WasKnown && !this->Monitored->beliefs().find(Target))
+    if (WasKnown && !this->Monitored->beliefs().find(Order.Target))
       break;
     const std::optional<StatusAnswer> Reply =
-        co_await this->call(Target, ServerRequest::Status, 0);
+        co_await this->call(Order.Target, ServerRequest::Status, 0);
     const auto *Report = Reply ? std::get_if<ServerReport>(&*Reply) : nullptr;
     if (Report && Report->Role == ServerRole::Primary &&
         Report->TermNumber >= Leading)
       Led = Report->TermNumber;
   }
-  *Done = true;
-  co_await Running.waitUntilEmpty();
+  Wait.Done = true;
+  co_await Wait.Running.waitUntilEmpty();
   co_return Led;
 }
 
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -20,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -130,6 +131,16 @@
     std::string Unanswered; ///< Last change of the row without an answer.
   };
 
+  /// What the tasks share that await the effect of an order.
+  struct EffectWait {
+    ServerId Target;
+    Term Adopted = 0;         ///< The term that the other servers adopt.
+    TimePoint SendBy;         ///< Boot clock; no server is asked later.
+    std::set<ServerId> Asked; ///< Servers that have not answered yet.
+    TaskGroup Running;
+    bool Done = false;
+  };
+
   QCoro::Task<> watch();
   /// Returns whether the beliefs call for a check of the primary.
   bool looksSuspicious() const;
@@ -171,6 +182,11 @@
   /// suspension while the connection was opened.
   QCoro::Task<std::optional<StatusAnswer>>
   call(ServerId Id, ServerRequest Kind, Term T, TimePoint SendBy = NoDeadline);
+  /// Makes the server of \p Link adopt \p T, after a step-down if it leads.
+  /// \param Role its role as far as is known.
+  QCoro::Task<Result<StatusAnswer>> adopt(ServerLink &Link,
+                                          std::optional<ServerRole> Role,
+                                          Term T, TimePoint Deadline);
   /// Returns the registration of \p Id, also if it was only seen by a read of
   /// the registrations during a takeover; null if there is none.
   const RegisteredServer *registration(const ServerId &Id) const;
@@ -200,20 +216,19 @@
   /// \param SendBy boot clock; the order is not sent later.
   QCoro::Task<PromotionOutcome> promote(ServerId Target, HeldClaim Held,
                                         TimePoint SendBy);
-  /// Waits until \p Target leads the term \p Leading or a later one.
-  /// \param Adopted the term that the other servers adopt meanwhile.
-  /// \param SendBy boot clock; they are not made to adopt it later.
-  /// \returns the term that it leads, or nothing after EffectTimeout.
-  QCoro::Task<std::optional<Term>> awaitEffect(ServerId Target, Term Leading,
-                                               Term Adopted, TimePoint SendBy);
-  /// Makes the servers other than \p Target that come to be known adopt \p T,
-  /// or step down, until \p Done is set. A primary that comes back and a
+  /// Waits until the target of \p Order leads the term \p Leading or a later
+  /// one. \returns the term that it leads, or nothing after EffectTimeout.
+  QCoro::Task<std::optional<Term>> awaitEffect(const TakeoverAction &Order,
+                                               Term Leading);
+  /// Makes the servers other than the target that come to be known adopt the
+  /// term, or step down, until \p Wait is done. A primary that comes back and a
   /// replica that joins could otherwise commit before the promotion takes
   /// effect. A server is asked only until it has adopted the term: after the
   /// effect it would stop receiving from the new primary.
-  QCoro::Task<> secureNewServers(ServerId Target, Term T, TimePoint SendBy,
-                                 std::shared_ptr<const bool> Done,
-                                 TaskGroup &Running);
+  QCoro::Task<> secureNewServers(EffectWait &Wait);
+  /// Asks one server. Each server has a call of its own, so that a silent one
+  /// does not delay the others.
+  QCoro::Task<> secureServer(ServerId Id, EffectWait &Wait);
   /// Returns, for the log, the version of each server's registration and its
   /// report in \p Seen.
   std::string describe(const ServerReports &Seen) const;
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -490,6 +490,37 @@
   CHECK(F.Servers->beliefs().primary()->Id == F.Orders.Orders[0].Target);
 }
 
+// Guards against a primary that restarts under another id after the order and
+// acknowledges commits with a replica that joins, while the holder waits for
+// the answer of the id that is gone.
+TEST_CASE("a silent server does not delay the step-down of one that comes "
+          "back") {
+  Fixture F;
+  F.Orders.EffectDelay = milliseconds(600);
+  F.Group["a"].Reachable = false;
+  F.Servers->observeFailure(ServerId("a"), "test");
+  F.Orders.BeforeEffect = [&F](const PromotionRequest &) {
+    // Connections to the former id are neither accepted nor refused.
+    F.Group["a"].Reachable = true;
+    F.Group.OpenDelay = [](const FakeServer &To) {
+      return To.Id == ServerId("a") ? GroupMonitor::CallTimeout
+                                    : Duration::zero();
+    };
+    [](Fixture &F) -> QCoro::Task<> {
+      co_await sleepFor(milliseconds(50));
+      FakeServer Restarted = F.Group["a"];
+      Restarted.Id = ServerId("e");
+      Restarted.Role = ServerRole::Primary;
+      F.Group.servers()["e"] = Restarted;
+    }(F);
+  };
+  F.pass(std::chrono::seconds(3));
+  REQUIRE(F.Orders.Orders.size() == 1);
+  // pass() returns 200 ms after the order.
+  CHECK(F.Group["e"].Role == ServerRole::Replica);
+  runTask([]() -> QCoro::Task<> { co_await sleepFor(milliseconds(800)); }());
+}
+
 // Guards against two entry VMs that both replace a primary, also while a claim
 // passes from one to the other: the platform would get two orders.
 TEST_CASE("several entry VMs give one order") {
