--- a/src/policy/Takeover.cpp
+++ b/src/policy/Takeover.cpp
@@ -63,14 +63,14 @@
          Report.AdoptedTerm > Report.TermNumber;
 }
 
-std::vector<ServerId> strandedServers(const ServerReports &Reports) {
-  Term Leading = 0;
-  for (const auto &[Id, Report] : Reports)
-    if (Report.Role == ServerRole::Primary)
-      Leading = std::max(Leading, Report.TermNumber);
+std::vector<ServerId> strandedServers(const ServerReports &Reports,
+                                      const ServerId &Leader) {
   std::vector<ServerId> Stranded;
+  const auto Found = Reports.find(Leader);
+  if (Found == Reports.end() || Found->second.Role != ServerRole::Primary)
+    return Stranded;
   for (const auto &[Id, Report] : Reports)
-    if (Leading != 0 && isStranded(Report, Leading))
+    if (isStranded(Report, Found->second.TermNumber))
       Stranded.push_back(Id);
   return Stranded;
 }
--- a/src/policy/Takeover.h
+++ b/src/policy/Takeover.h
@@ -88,9 +88,10 @@
 /// adoptions leaves such servers.
 bool isStranded(const ServerReport &Report, Term Leading);
 
-/// Returns the servers of \p Reports that are stranded under the primary of the
-/// latest term among them; none if no server reports to be a primary.
-std::vector<ServerId> strandedServers(const ServerReports &Reports);
+/// Returns the servers of \p Reports that are stranded under \p Leader; none
+/// unless that server reports to be a primary.
+std::vector<ServerId> strandedServers(const ServerReports &Reports,
+                                      const ServerId &Leader);
 
 /// The claim on a group's takeover, as observed by one entry VM.
 ///
--- a/src/policy/testing/TakeoverExplorer.cpp
+++ b/src/policy/testing/TakeoverExplorer.cpp
@@ -888,7 +888,7 @@
                8 * (this->LastRelease > V.Given.LastRead) +
                16 * (this->OldRestarted > V.Given.SteppedDownAt));
     mix(H, V.Proof.Inputs + 4UL * (V.Proof.Logic != nullptr) +
-               8 * (V.Proof.Missing != 0) + 16 * V.Proof.TermNumber);
+               8UL * (V.Proof.Missing != 0) + 16 * V.Proof.TermNumber);
     if (V.Now == Doing::Nothing)
       continue;
     mix(H, V.Inputs);
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -196,7 +196,7 @@
   const ServerReports Second = co_await this->pollAll();
   // Another takeover would not help replicas that are kept from the primary by
   // a term that they hold, and would make the primary step down for nothing.
-  if (!strandedServers(Second).empty())
+  if (!strandedServers(Second, Leader.Id).empty())
     co_return false;
   const auto Replica = this->replicaWithLongestLog(Second);
   // The primary is isolated if no replica has received all that the primary's
@@ -656,7 +656,6 @@
   std::set<ServerId> Ids(Action.Servers.begin(), Action.Servers.end());
   for (const auto &[Id, StartedAtMs] : this->Secured)
     Ids.insert(Id);
-  Ids.erase(Action.Target);
   return {Ids.begin(), Ids.end()};
 }
 
@@ -714,6 +713,14 @@
   return false;
 }
 
+QCoro::Task<std::vector<ServerId>> GroupMonitor::pollStranded() {
+  const ServerReports Seen = co_await this->pollAll();
+  const std::optional<BelievedPrimary> Leader =
+      this->Monitored->beliefs().primary();
+  co_return Leader ? strandedServers(Seen, Leader->Id)
+                   : std::vector<ServerId>();
+}
+
 QCoro::Task<> GroupMonitor::undoStrandedAdoptions() {
   if (!this->hasStrandedServer()) {
     this->StrandedSince.reset();
@@ -726,8 +733,8 @@
       !this->Claim.mayClaim(bootNow()))
     co_return;
   // The known terms may be outdated, and a claim costs two calls to the store.
-  const ServerReports Seen = co_await this->pollAll();
-  if (strandedServers(Seen).empty())
+  const std::vector<ServerId> Suspected = co_await this->pollStranded();
+  if (Suspected.empty())
     co_return;
   const std::optional<HeldClaim> Held =
       co_await this->claim(undoClaimValue(this->Dependencies.Self));
@@ -735,8 +742,7 @@
     co_return;
   // Only what is found under the claim is undone: a takeover may have ended
   // between the poll and the claim.
-  const std::vector<ServerId> Stranded =
-      strandedServers(co_await this->pollAll());
+  const std::vector<ServerId> Stranded = co_await this->pollStranded();
   log(LogLevel::Warning, LogEvent::AdoptionUndone,
       {{"service", this->Monitored->name().str()},
        {"servers", Stranded.size()}});
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -162,6 +162,9 @@
   QCoro::Task<> learnPrimaryTerm();
   /// Returns whether a server is stranded (isStranded()), as far as is known.
   bool hasStrandedServer() const;
+  /// Polls all servers and returns those that are stranded under the believed
+  /// primary, if that leads.
+  QCoro::Task<std::vector<ServerId>> pollStranded();
   /// Resumes the stranded servers.
   QCoro::Task<> undoStrandedAdoptions();
 
@@ -216,8 +219,10 @@
   /// \param SendBy boot clock; the order is not sent later.
   QCoro::Task<PromotionOutcome> promote(ServerId Target, HeldClaim Held,
                                         TimePoint SendBy);
-  /// Waits until the target of \p Order leads the term \p Leading or a later
-  /// one. \returns the term that it leads, or nothing after EffectTimeout.
+  /// Waits until the target of an order leads.
+  /// \param Order the order, with the term that the other servers adopt.
+  /// \param Leading the lowest term that the target may lead.
+  /// \returns the term that it leads, or nothing after EffectTimeout.
   QCoro::Task<std::optional<Term>> awaitEffect(const TakeoverAction &Order,
                                                Term Leading);
   /// Makes the servers other than the target that come to be known adopt the
@@ -234,8 +239,7 @@
   std::string describe(const ServerReports &Seen) const;
   void logStep(const TakeoverAction &Action, const HeldClaim &Held, Term T,
                const std::string &Outcome);
-  /// Returns the servers of \p Action and all that the takeover has stopped,
-  /// without the target.
+  /// Returns the servers of \p Action and all that the takeover has stopped.
   std::vector<ServerId> withSecured(const TakeoverAction &Action) const;
   bool isSecured(const ServerId &Id) const;
   /// Records the servers of \p Answers that hold \p T.
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -186,27 +186,36 @@
 TEST_CASE("an adoption is undone only when no order can take effect") {
   struct Row {
     const char *Name;
+    bool Silent; ///< The old primary; otherwise it is leaving.
     PromotionOutcome Answer;
     bool TakesEffect;
     bool Resumed;
     const char *Claim; ///< The value of the claim row.
   };
   const Row Rows[] = {
-      {"refused", PromotionOutcome::Refused, false, true, "finished"},
-      {"no answer, and no effect yet", PromotionOutcome::Unknown, false, false,
-       "vm 2 b 1"},
-      {"no answer, but carried out", PromotionOutcome::Unknown, true, false,
-       "finished 2"},
+      {"refused", false, PromotionOutcome::Refused, false, true, "finished"},
+      {"refused, and the old primary is silent", true,
+       PromotionOutcome::Refused, false, true, "finished"},
+      {"no answer, and no effect yet", false, PromotionOutcome::Unknown, false,
+       false, "vm 2 b 1"},
+      {"no answer, but carried out", false, PromotionOutcome::Unknown, true,
+       false, "finished 2"},
   };
   for (const Row &R : Rows) {
     CAPTURE(R.Name);
     Fixture F;
     F.Orders.Answer = R.Answer;
     F.Orders.TakesEffect = R.TakesEffect;
-    F.Group["a"].Draining = true;
-    F.refresh();
+    if (R.Silent) {
+      F.Group["a"].Reachable = false;
+      F.Servers->observeFailure(ServerId("a"), "test");
+    } else {
+      F.Group["a"].Draining = true;
+      F.refresh();
+    }
     F.pass(std::chrono::seconds(2));
     REQUIRE_FALSE(F.Orders.Orders.empty());
+    CHECK((F.Group["b"].Adopted == 1) == R.Resumed);
     CHECK((F.Group["c"].Adopted == 1) == R.Resumed);
     CHECK(F.Store.Rows["takeover/ledger"].Value == R.Claim);
   }
