Reset connections to servers when a call on them is given up

After a statement, COMMIT, STEPDOWN, PAUSE or RESUME had been given up, the server could still execute it, seconds later: the connection was closed, so the kernel delivered the bytes that it had accepted when the path worked again.

openSocket() sets SO_LINGER with zero time as soon as a connection is made. Every connection that the process opens is therefore reset when it is closed, also when the process is killed. It also sets TCP_USER_TIMEOUT, 2 s or the time left to the deadline of the call, so that the kernel discards unacknowledged bytes of a suspended process. LineServerLink ends the connection as soon as a call gets no answer in time. Accepted connections keep the orderly close.

--- a/src/platform/LineServerLink.cpp
+++ b/src/platform/LineServerLink.cpp
@@ -78,7 +78,7 @@
     return this->Stream->isOpen() && !this->Outstanding;
   }
   void abort() override {
-    this->Aborted = true;
+    this->AbortedAs = this->Stream->endIfGivenUp();
     this->Stream->abort();
   }
 
@@ -92,6 +92,7 @@
     // is not used again: a late answer would be taken for the answer to a later
     // message.
     this->Outstanding = true;
+    this->Stream->limitUnacknowledged(Deadline - steadyNow());
     const TimePoint WrittenAt = steadyNow();
     this->Stream->write(Message);
     lines::AnswerReader Reader;
@@ -101,6 +102,9 @@
       if (!Line) {
         const bool InTime = !this->Stream->isOpen();
         this->reportAbandoned(Kind, T, Message.size(), WrittenAt);
+        // Resets the connection, so that the server does not execute the
+        // message after the failure has been reported.
+        this->Stream->abort();
         co_return Error{InTime ? "connection to server lost"
                                : "no answer in time"};
       }
@@ -136,13 +140,12 @@
                        TimePoint WrittenAt) const {
     if (!this->Observer || Kind == CallKind::Read)
       return;
-    const bool IsLost = !this->Stream->isOpen() && !this->Aborted;
     const std::size_t Queued = std::min(Size, this->Stream->queuedBytes());
     this->Observer->recordAbandoned(
         {{Kind, this->Service, this->Target, T, 0},
          Size - Queued,
          steadyNow() - WrittenAt,
-         IsLost ? ConnectionEnd::Lost : ConnectionEnd::Closed});
+         this->AbortedAs.value_or(this->Stream->endIfGivenUp())});
   }
 
   std::unique_ptr<LineStream> Stream;
@@ -150,7 +153,7 @@
   std::string Target;
   AbandonedCallObserver *Observer;
   bool Outstanding = false;
-  bool Aborted = false;
+  std::optional<ConnectionEnd> AbortedAs; ///< Set by abort().
 };
 
 /// Waits for the server's greeting.
--- a/src/platform/testing/AbandonedCallTest.cpp
+++ b/src/platform/testing/AbandonedCallTest.cpp
@@ -90,9 +90,10 @@
 
 } // namespace
 
-// Guards against a call that is given up without a trace, so that nobody can
-// tell whether it may still be executed.
-TEST_CASE("a call that is given up is reported with what was written") {
+// Guards against a call that is executed after its sender has given it up, when
+// the path on which its bytes were held up works again, and against one that
+// leaves no trace.
+TEST_CASE("a call that is given up is reset and reported") {
   testApplication();
   struct Row {
     const char *Name;
@@ -128,5 +129,10 @@
     CHECK(Call.Written > 0);
     CHECK(Call.SinceWritten > Duration::zero());
     CHECK(Call.SinceWritten < std::chrono::seconds(1));
+    if (R.Kind != CallKind::Statement)
+      continue;
+    CHECK(Call.End == ConnectionEnd::Reset);
+    CHECK_FALSE(Listener.read().empty());
+    CHECK(Listener.status() == ECONNRESET);
   }
 }
--- a/src/wire/ByteStream.cpp
+++ b/src/wire/ByteStream.cpp
@@ -2,6 +2,7 @@
 
 #include <QHostAddress>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -10,6 +11,24 @@
 #include <sys/socket.h>
 
 namespace amaranthspur {
+namespace {
+
+/// Sets the option TCP_USER_TIMEOUT. Returns whether that succeeded.
+bool setUserTimeout(int Descriptor, Duration Limit) {
+  const auto Value = static_cast<int>(Limit / milliseconds(1));
+  return setsockopt(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &Value,
+                    sizeof(Value)) == 0;
+}
+
+/// Makes the kernel reset the connection when the descriptor is closed. Returns
+/// whether that succeeded.
+bool resetOnClose(int Descriptor) {
+  const linger Value{1, 0};
+  return setsockopt(Descriptor, SOL_SOCKET, SO_LINGER, &Value, sizeof(Value)) ==
+         0;
+}
+
+} // namespace
 
 Result<Address> parseAddress(std::string_view Text) {
   const std::size_t Colon = Text.rfind(':');
@@ -67,7 +86,12 @@
   while (InTime && Socket->state() == QAbstractSocket::ConnectingState)
     InTime = co_await Done.wait(Deadline);
   Socket->disconnect();
-  if (Socket->state() != QAbstractSocket::ConnectedState) {
+  const auto Descriptor = static_cast<int>(Socket->socketDescriptor());
+  const bool IsUsable =
+      Socket->state() == QAbstractSocket::ConnectedState &&
+      resetOnClose(Descriptor) &&
+      setUserTimeout(Descriptor, ByteStream::MaxUnacknowledged);
+  if (!IsUsable) {
     Socket->abort();
     Socket->deleteLater();
     Socket = nullptr;
@@ -91,8 +115,14 @@
   Set(IPPROTO_TCP, TCP_KEEPIDLE, Seconds(Limits.KeepAliveIdle));
   Set(IPPROTO_TCP, TCP_KEEPINTVL, Seconds(Limits.KeepAliveInterval));
   Set(IPPROTO_TCP, TCP_KEEPCNT, Limits.KeepAliveProbes);
-  Set(IPPROTO_TCP, TCP_USER_TIMEOUT,
-      static_cast<int>(Limits.UserTimeout / milliseconds(1)));
+  [[maybe_unused]] const bool IsLimited =
+      setUserTimeout(Descriptor, Limits.UserTimeout);
+}
+
+void ByteStream::limitUnacknowledged(Duration Limit) {
+  [[maybe_unused]] const bool IsLimited = setUserTimeout(
+      static_cast<int>(this->Socket->socketDescriptor()),
+      std::clamp<Duration>(Limit, milliseconds(1), MaxUnacknowledged));
 }
 
 bool ByteStream::readAvailable() {
@@ -123,6 +153,11 @@
     this->Socket->write(Bytes.data(), static_cast<qint64>(Bytes.size()));
 }
 
+void ByteStream::flush() {
+  if (!this->Ended)
+    this->Socket->flush();
+}
+
 QCoro::Task<bool> ByteStream::waitWritable(TimePoint Deadline) {
   while (!this->Ended && this->queuedBytes() > WriteBufferBytes) {
     const bool InTime = co_await this->Writable.wait(Deadline);
@@ -136,6 +171,18 @@
   return static_cast<std::size_t>(this->Socket->bytesToWrite());
 }
 
+ConnectionEnd ByteStream::endIfGivenUp() const {
+  if (this->Ended)
+    return ConnectionEnd::Lost;
+  linger Value{};
+  socklen_t Size = sizeof(Value);
+  const int Status =
+      getsockopt(static_cast<int>(this->Socket->socketDescriptor()), SOL_SOCKET,
+                 SO_LINGER, &Value, &Size);
+  const bool IsReset = Status == 0 && Value.l_onoff != 0 && Value.l_linger == 0;
+  return IsReset ? ConnectionEnd::Reset : ConnectionEnd::Closed;
+}
+
 void ByteStream::close() { this->Socket->disconnectFromHost(); }
 
 QCoro::Task<bool> ByteStream::waitClosed(TimePoint Deadline) {
--- a/src/wire/ByteStream.h
+++ b/src/wire/ByteStream.h
@@ -10,6 +10,7 @@
 #ifndef AMARANTHSPUR_WIRE_BYTESTREAM_H
 #define AMARANTHSPUR_WIRE_BYTESTREAM_H
 
+#include "core/AbandonedCall.h"
 #include "core/Address.h"
 #include "core/Async.h"
 #include "core/Names.h"
@@ -54,6 +55,13 @@
 };
 
 /// Connects to \p To.
+///
+/// The connection is reset when it is closed, by whatever means, also if the
+/// process is killed. Without that, the kernel delivers the bytes that it has
+/// accepted when a path that is cut works again, so a call that was given up
+/// would be executed later. Bytes that are not acknowledged within
+/// ByteStream::MaxUnacknowledged are discarded as well, since a suspended
+/// process cannot close anything.
 /// \param BindHost numeric local address to connect from. If it is empty, the
 /// operating system chooses one.
 /// \returns the connected socket, or null if connecting failed or \p Deadline
@@ -88,9 +96,19 @@
   /// respond.
   void setTcpTimeouts(const TcpTimeouts &Limits);
 
+  /// Limits the time for which sent bytes may stay unacknowledged. After it the
+  /// kernel discards them and ends the connection, also if the process is
+  /// suspended.
+  /// \param Limit is rounded down to milliseconds, and up to one; at most
+  /// MaxUnacknowledged applies.
+  void limitUnacknowledged(Duration Limit);
+
   /// Queues \p Bytes for sending.
   void write(std::string_view Bytes);
 
+  /// Passes the queued bytes to the kernel as far as it accepts them now.
+  void flush();
+
   /// Waits until at most WriteBufferBytes are queued.
   /// \returns false if the connection was closed or \p Deadline passed first.
   QCoro::Task<bool> waitWritable(TimePoint Deadline = NoDeadline);
@@ -98,7 +116,9 @@
   /// Returns the number of queued bytes that were not yet passed to the kernel.
   std::size_t queuedBytes() const;
 
-  /// Closes the connection after the queued bytes have been sent.
+  /// Closes the connection after the queued bytes have been passed to the
+  /// kernel. On a connection made by openSocket() the kernel discards those
+  /// that are not delivered yet.
   void close();
 
   /// Waits until the connection is closed.
@@ -108,11 +128,18 @@
   /// Closes the connection at once and discards the queued bytes.
   void abort();
 
+  /// Returns how the connection ends if it is given up now.
+  ConnectionEnd endIfGivenUp() const;
+
   /// Returns whether the connection is still open.
   bool isOpen() const { return !this->Ended; }
 
   /// Size limit of the receive buffer.
   static constexpr qint64 ReadBufferBytes = 64 << 10;
+  /// Longest time for which bytes sent on a connection made by openSocket() may
+  /// stay unacknowledged. It is below the lease of a takeover (4 s), so that an
+  /// order of a suspended process is discarded before the next holder acts.
+  static constexpr Duration MaxUnacknowledged = std::chrono::seconds(2);
   /// Length of the send queue up to which waitWritable() does not wait.
   static constexpr std::size_t WriteBufferBytes = 256U << 10U;
 
