Count only requests since the last unanswered one for the HTTP limit

With the new HTTP client, six requests on dead connections, such as long polls, would have held up a claim until their deadlines. The former client dropped its connections after a request without an answer, and with them the count. HttpClient does the same again.

--- a/src/platform/HttpClient.cpp
+++ b/src/platform/HttpClient.cpp
@@ -46,6 +46,8 @@
 void HttpClient::dropConnections() {
   this->Idle.clear();
   ++this->Generation;
+  this->InUse = 0;
+  this->Released.notifyAll();
 }
 
 QCoro::Task<std::unique_ptr<HttpStream>> HttpClient::open(TimePoint Deadline) {
@@ -137,7 +139,6 @@
   if (!InTime)
     co_return Error{NoAnswer};
   const Use Counted(*this);
-  const std::uint64_t Begun = this->Generation;
   std::unique_ptr<HttpStream> Stream;
   if (!Request.FreshConnection)
     Stream = this->takeIdle();
@@ -163,7 +164,7 @@
   // request opens a new one.
   if (!succeeded(R))
     this->dropConnections();
-  else if (Begun == this->Generation && Stream->isReusable())
+  else if (Counted.isCurrent() && Stream->isReusable())
     this->Idle.push_back({std::move(Stream), steadyNow()});
   co_return R;
 }
--- a/src/platform/HttpClient.h
+++ b/src/platform/HttpClient.h
@@ -56,7 +56,8 @@
 public:
   /// Most requests that use a connection at a time; others wait until their
   /// deadline. A long poll uses one for its whole wait. A request that requires
-  /// a new connection does not wait.
+  /// a new connection does not wait. Requests begun before the last one that
+  /// got no answer are not counted.
   static constexpr std::size_t MaxConnections = 6;
 
   /// \param Observer is told of requests without an answer, except reads. May
@@ -88,16 +89,27 @@
   /// Counts a request that uses a connection for as long as it exists.
   class Use {
   public:
-    explicit Use(HttpClient &Client) : Client(Client) { ++this->Client.InUse; }
+    explicit Use(HttpClient &Client)
+        : Client(Client), Generation(Client.Generation) {
+      ++this->Client.InUse;
+    }
     Use(const Use &) = delete;
     Use &operator=(const Use &) = delete;
     ~Use() {
+      if (!this->isCurrent())
+        return;
       --this->Client.InUse;
       this->Client.Released.notifyAll();
     }
 
+    /// Returns whether the connections have not been dropped since.
+    bool isCurrent() const {
+      return this->Generation == this->Client.Generation;
+    }
+
   private:
     HttpClient &Client;
+    std::uint64_t Generation;
   };
 
   /// Opens a connection. Returns null if that failed.
@@ -105,7 +117,8 @@
   /// Returns an idle connection, or null if there is none that can be used.
   std::unique_ptr<HttpStream> takeIdle();
   /// Drops the idle connections. Requests that are in progress keep theirs,
-  /// which are not used again.
+  /// which are not used again. They do not count for the limit any more:
+  /// otherwise those on dead connections would hold up all others.
   void dropConnections();
   /// Writes \p Request and reads the response on \p Stream.
   QCoro::Task<Result<HttpResponse>>
@@ -124,7 +137,7 @@
   /// Incremented by dropConnections(). A connection is used again only if it is
   /// unchanged since its request began.
   std::uint64_t Generation = 0;
-  std::size_t InUse = 0;
+  std::size_t InUse = 0; ///< Requests of this generation.
   TaskCondition Released;
 };
 
--- a/src/platform/testing/AbandonedCallTest.cpp
+++ b/src/platform/testing/AbandonedCallTest.cpp
@@ -91,7 +91,7 @@
 
 /// Returns a call that is sent over a new connection and given up after
 /// CallTime.
-auto onLink(LinkCall Call) {
+auto onLink(const LinkCall &Call) {
   return [Call](HeldListener &Listener, AbandonedCallObserver &Observer) {
     const auto Link = openLink(Listener, Observer);
     CHECK_FALSE(runTask(Call(*Link, steadyNow() + CallTime)));
--- a/src/platform/testing/HttpExchangeTest.cpp
+++ b/src/platform/testing/HttpExchangeTest.cpp
@@ -187,17 +187,19 @@
   }
 }
 
-// Guards against more parallel connections than the limit, and against a
-// request with a time limit of its own that waits behind long polls.
+// Guards against more parallel connections than the limit, and against requests
+// that wait behind long polls on dead connections.
 TEST_CASE("the number of parallel connections is limited") {
   struct Row {
     const char *Name;
     bool Fresh;
-    bool Arrives;
+    std::size_t Arrive; ///< Of two more requests, one after the other.
   };
   const Row Rows[] = {
-      {"another request waits", false, false},
-      {"a request that requires a new connection does not", true, true},
+      {"other requests wait", false, 0},
+      {"one requires a new connection, and the next follows one without an "
+       "answer",
+       true, 2},
   };
   for (const Row &R : Rows) {
     CAPTURE(R.Name);
@@ -209,16 +211,19 @@
       [](HttpClient &Client, TaskGroup &Polls) -> QCoro::Task<> {
         const TaskGroup::Guard Guard(Polls);
         HttpRequest Poll{"GET", "/poll"};
-        co_await Client.send(std::move(Poll), steadyNow() + milliseconds(300));
+        co_await Client.send(std::move(Poll), steadyNow() + milliseconds(400));
       }(Client, Polls);
-    HttpRequest Other{"GET", "/other"};
-    Other.FreshConnection = R.Fresh;
-    CHECK_FALSE(succeeded(runTask(
-        Client.send(std::move(Other), steadyNow() + milliseconds(150)))));
+    for (const bool Fresh : {R.Fresh, false}) {
+      HttpRequest Other{"GET", "/other"};
+      Other.FreshConnection = Fresh;
+      const Result<HttpResponse> Unanswered = runTask(
+          Client.send(std::move(Other), steadyNow() + milliseconds(100)));
+      CHECK_FALSE(succeeded(Unanswered));
+    }
     std::size_t Opened = 0;
     while (Listener.acceptNext())
       ++Opened;
-    CHECK(Opened == HttpClient::MaxConnections + (R.Arrives ? 1 : 0));
+    CHECK(Opened == HttpClient::MaxConnections + R.Arrive);
     runTask([](TaskGroup &Polls) -> QCoro::Task<> {
       co_await Polls.waitUntilEmpty();
     }(Polls));
--- a/src/testing/HeldListener.h
+++ b/src/testing/HeldListener.h
@@ -26,10 +26,11 @@
     At.sin_family = AF_INET;
     At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t Size = sizeof(At);
-    ::bind(this->Listener, reinterpret_cast<sockaddr *>(&At), Size);
-    ::listen(this->Listener, 8);
-    ::getsockname(this->Listener, reinterpret_cast<sockaddr *>(&At), &Size);
-    this->Port = ntohs(At.sin_port);
+    auto *Name = reinterpret_cast<sockaddr *>(&At);
+    const bool IsOpen = ::bind(this->Listener, Name, Size) == 0 &&
+                        ::listen(this->Listener, 8) == 0 &&
+                        ::getsockname(this->Listener, Name, &Size) == 0;
+    this->Port = IsOpen ? ntohs(At.sin_port) : 0;
   }
   HeldListener(const HeldListener &) = delete;
   HeldListener &operator=(const HeldListener &) = delete;
