--- a/src/bench/ChildProcess.cpp
+++ b/src/bench/ChildProcess.cpp
@@ -93,6 +93,8 @@
 
 void ChildProcess::resume() { this->signal(SIGCONT); }
 
+void ChildProcess::hangUp() { this->signal(SIGHUP); }
+
 QCoro::Task<std::optional<int>> ChildProcess::waitForExit(TimePoint Deadline) {
   std::optional<int> Status;
   while (this->Process.state() != QProcess::NotRunning) {
--- a/src/bench/ChildProcess.h
+++ b/src/bench/ChildProcess.h
@@ -50,6 +50,8 @@
   void pause();
   /// Sends SIGCONT.
   void resume();
+  /// Sends SIGHUP.
+  void hangUp();
 
   /// Waits until the process exits by itself.
   /// \returns its exit status, -1 if a signal ended it, or nothing if \p
--- a/src/bench/Main.cpp
+++ b/src/bench/Main.cpp
@@ -1,6 +1,7 @@
 // amaranthspur-bench starts deployments of local processes and runs load
 // scenarios on them.
 #include "bench/Scenario.h"
+#include "bench/soak/Soak.h"
 
 #include <QCoreApplication>
 #include <QJsonDocument>
@@ -37,8 +38,9 @@
                            "Load and experiments on amaranthspur.\n"
                            "  amaranthspur-bench list\n"
                            "  amaranthspur-bench run SCENARIO [options]\n"
-                           "  amaranthspur-bench demo");
-  Options.add_options()("command", "list, run or demo",
+                           "  amaranthspur-bench demo\n"
+                           "  amaranthspur-bench soak [options]");
+  Options.add_options()("command", "list, run, demo or soak",
                         cxxopts::value<std::string>()->default_value(""))(
       "scenario", "name of a scenario",
       cxxopts::value<std::string>()->default_value(""))(
@@ -53,6 +55,10 @@
       "plot", "SVG file for a plot of the run over time",
       cxxopts::value<std::string>()->default_value(""))(
       "log-directory", "existing directory for the processes' logs",
+      cxxopts::value<std::string>()->default_value(""))(
+      "daemon", "soak: path of the daemon, also of an earlier version",
+      cxxopts::value<std::string>()->default_value(""))(
+      "deploy", "soak: deploy file with the daemon's arguments",
       cxxopts::value<std::string>()->default_value(""))("help",
                                                         "show this text");
   Options.positional_help("COMMAND [SCENARIO]");
@@ -86,6 +92,17 @@
   return Read;
 }
 
+soak::SoakSettings parseSoakSettings(const cxxopts::ParseResult &Parsed) {
+  soak::SoakSettings Read;
+  Read.Seed = Parsed["seed"].as<std::uint64_t>();
+  if (Parsed.count("seconds") > 0)
+    Read.Seconds = Parsed["seconds"].as<unsigned>();
+  Read.Daemon = Parsed["daemon"].as<std::string>();
+  Read.DeployFile = Parsed["deploy"].as<std::string>();
+  Read.LogDirectory = Parsed["log-directory"].as<std::string>();
+  return Read;
+}
+
 unsigned timeShareOf(const Scenario &Row, PolicyVariant Variant) {
   return Variant == PolicyVariant::Amaranthspur ? Row.MainVariantShare : 1;
 }
@@ -193,6 +210,8 @@
     Settings.LogDirectory = Parsed["log-directory"].as<std::string>();
     return runOnEventLoop(runDemoCommand(Settings));
   }
+  if (Command == "soak")
+    return runOnEventLoop(soak::runSoak(parseSoakSettings(Parsed)));
   if (Command != "run") {
     std::cerr << Options.help();
     return EXIT_FAILURE;
--- /dev/null
+++ b/src/bench/soak/Faults.h
@@ -0,0 +1,77 @@
+// The faults and the planned work of a soak, drawn from its seed.
+#ifndef AMARANTHSPUR_BENCH_SOAK_FAULTS_H
+#define AMARANTHSPUR_BENCH_SOAK_FAULTS_H
+
+#include "bench/soak/Site.h"
+#include "core/Random.h"
+
+#include <vector>
+
+namespace amaranthspur::bench::soak {
+
+/// A call of an entry VM at which a cut can begin.
+enum class CutTrigger { Now, Claim, StepDown, Pause, Order, Commit };
+
+/// Disrupts a site from outside.
+class FaultPlan {
+public:
+  FaultPlan(Site &Target, Random &Generator);
+
+  /// Injects faults until \p EndMs of the record's clock.
+  QCoro::Task<> run(double EndMs);
+  /// Ends all machines at once and starts them again.
+  QCoro::Task<> losePower();
+
+private:
+  void inject(FaultKind Kind);
+  void kill();
+  void terminate();
+  void freeze();
+  void hangUp();
+  void cut();
+  void configure();
+  void storeFault();
+  void crashServer(bool KeepLog);
+  void deafenReplica();
+  void release();
+  QCoro::Task<> beginCut(EntryVm &Vm, CutTrigger Trigger);
+  QCoro::Task<> endStoreFault(Duration Length);
+  QCoro::Task<> returnServer(ServerGroup &Group, DatabaseServer &Server,
+                             bool KeepLog);
+  QCoro::Task<> endDeafness(ServerGroup &Group, DatabaseServer &Server);
+  QCoro::Task<> releaseServer(ServerGroup &Group, DatabaseServer &Server);
+  QCoro::Task<> releaseSeries(ServerGroup &Group);
+  void armCut(EntryVm &Vm, CutTrigger Trigger, Duration Length);
+  std::vector<Path *> drawPaths(EntryVm &Vm, CutTrigger Trigger);
+  EntryVm *drawVm();
+  ServerGroup &drawGroup();
+  Duration draw(unsigned FromMs, unsigned ToMs);
+
+  Site &Target;
+  Random &Generator;
+  /// Groups in which a server is down, restarts or is deaf. A second such fault
+  /// could end all copies of a commit, which nothing can prevent.
+  std::vector<bool> Impaired;
+  bool ProbedRoute = true;
+  double EndMs = 0;
+};
+
+} // namespace amaranthspur::bench::soak
+
+namespace amaranthspur {
+
+template <> struct EnumNames<bench::soak::CutTrigger> {
+  using Kind = bench::soak::CutTrigger;
+  static constexpr auto Entries =
+      std::to_array<std::pair<Kind, std::string_view>>(
+          {{Kind::Now, "now"},
+           {Kind::Claim, "claim"},
+           {Kind::StepDown, "step-down"},
+           {Kind::Pause, "pause"},
+           {Kind::Order, "order"},
+           {Kind::Commit, "commit"}});
+};
+
+} // namespace amaranthspur
+
+#endif // AMARANTHSPUR_BENCH_SOAK_FAULTS_H
--- /dev/null
+++ b/src/bench/soak/Judge.cpp
@@ -0,0 +1,343 @@
+#include "bench/soak/Judge.h"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace amaranthspur::bench::soak {
+namespace {
+
+/// A process is in touch once nothing has disrupted it for this long
+/// (stable-window-ms of the users' pages).
+constexpr double StableWindowMs = 4000;
+/// Shortest time between the orders of two holders. The pages in force do not
+/// give lease-ms; this is the lease of a claim.
+constexpr double AssumedLeaseMs = 4000;
+/// A statement that ends unanswered sooner after it was sent, and that no
+/// server has run, may not have been read (loss-slack-ms).
+constexpr double LossSlackMs = 200;
+/// From a SIGTERM to the SIGKILL (grace-s).
+constexpr double GraceMs = 6000;
+/// Planned work lasts until this long after the grace time.
+constexpr double AfterGraceMs = 1000;
+/// Statements that are sent at most this long after a SIGTERM may still be
+/// at work in the last sixth of the grace time.
+constexpr double LateWorkMs = 3000;
+/// Bound of a change of the configuration (config-apply-ms).
+constexpr double ConfigurationMs = 3000;
+/// A server that drains may be used for this long (drain-ms).
+constexpr double DrainMs = 7000;
+/// A VM that was held up in this time before a commit is not charged with it
+/// (thaw-slack-ms).
+constexpr double ThawSlackMs = 300;
+
+bool isPlanned(FaultKind Kind) {
+  return Kind == FaultKind::HangUp || Kind == FaultKind::Configuration ||
+         Kind == FaultKind::Release || Kind == FaultKind::Terminate ||
+         Kind == FaultKind::Start;
+}
+
+std::string ms(double Time) {
+  return std::to_string(static_cast<long long>(Time)) + " ms";
+}
+
+/// Looks up the parts of a history and collects violations.
+class Judgement {
+public:
+  explicit Judgement(const History &Seen) : Seen(Seen) {
+    for (const Statement &S : Seen.Statements)
+      this->ById[S.Id] = &S;
+    for (const StatementRun &R : Seen.Runs)
+      this->RunIds.insert(R.Id);
+  }
+
+  std::vector<Violation> run() {
+    this->checkPromotedLogs();
+    this->checkUnanswered();
+    this->checkOrders();
+    this->checkReads();
+    this->checkKeptWrites();
+    this->checkConnections();
+    this->checkDraining();
+    this->checkRoutes();
+    return std::move(this->Found);
+  }
+
+private:
+  void add(Rule Broken, std::string Text) {
+    this->Found.push_back({Broken, std::move(Text)});
+  }
+
+  const Statement *find(const std::string &Id) const {
+    const auto At = this->ById.find(Id);
+    return At == this->ById.end() ? nullptr : At->second;
+  }
+
+  const Statement *acknowledged(const Commit &C) const {
+    const Statement *S = this->find(C.Id);
+    return S != nullptr && S->End == Outcome::Success ? S : nullptr;
+  }
+
+  /// Returns whether \p Subject was disrupted between \p From and \p To. A stop
+  /// or a start counts for rules that ask whether a process is in touch.
+  bool disrupted(const std::string &Subject, double From, double To,
+                 bool StopCounts) const {
+    return std::ranges::any_of(
+        this->Seen.Disruptions, [&](const Disruption &D) {
+          const bool Stop =
+              D.Kind == FaultKind::Terminate || D.Kind == FaultKind::Start;
+          const bool Counts = !isPlanned(D.Kind) || (StopCounts && Stop);
+          return Counts && D.Subject == Subject && D.From <= To && D.To >= From;
+        });
+  }
+
+  /// Returns whether \p Vm and the store were calm in the stable window before
+  /// \p At.
+  bool inTouch(const std::string &Vm, double At) const {
+    return !this->disrupted(Vm, At - StableWindowMs, At, true) &&
+           !this->disrupted("store", At - StableWindowMs, At, true);
+  }
+
+  static std::string describe(const Commit &C, const Statement &S) {
+    return C.Id + ", committed as " + std::to_string(C.Term) + "." +
+           std::to_string(C.Number) + " at " + C.Server + " at " + ms(C.At) +
+           ", acknowledged at " + ms(S.EndedAt) + " through " + S.Vm;
+  }
+
+  void checkPromotedLogs() {
+    for (const Effect &E : this->Seen.Effects) {
+      std::set<unsigned> Held;
+      if (E.Log.Entries)
+        Held.insert(E.Log.Entries->begin(),
+                    E.Log.Entries->begin() +
+                        static_cast<std::ptrdiff_t>(E.Log.Count));
+      for (unsigned I = 0; I < this->Seen.Commits.size(); ++I) {
+        const Commit &C = this->Seen.Commits[I];
+        if (C.Group != E.Group || C.Term >= E.Term)
+          continue;
+        const Statement *S = this->acknowledged(C);
+        if (C.At < E.At && !Held.contains(I))
+          this->RolledBack.insert(I);
+        if (S == nullptr)
+          continue;
+        const std::string What = describe(C, *S);
+        if (C.At < E.At && !Held.contains(I))
+          this->add(Rule::Lost, What + ", is not in the log of " + E.Server +
+                                    ", promoted at " + ms(E.At));
+        if (C.At >= E.At &&
+            !this->disrupted(S->Vm, S->SentAt - ThawSlackMs, C.At, false))
+          this->add(Rule::One, What + ", after the promotion of " + E.Server +
+                                   " at " + ms(E.At));
+      }
+    }
+  }
+
+  /// Returns whether \p S ended around a stop or a reload of its VM, and the
+  /// pages do not excuse the missing answer.
+  bool cutByPlannedWork(const Statement &S, bool Ran) const {
+    for (const Disruption &D : this->Seen.Disruptions) {
+      if (D.Subject != S.Vm || S.EndedAt < D.From)
+        continue;
+      if (D.Kind == FaultKind::HangUp && S.SentAt <= D.From + ConfigurationMs)
+        return true;
+      const bool AtWork = Ran && S.SentAt <= D.From + LateWorkMs &&
+                          S.EndedAt >= D.From + GraceMs * 5 / 6;
+      if (D.Kind == FaultKind::Terminate && !AtWork &&
+          S.EndedAt <= D.From + GraceMs + AfterGraceMs)
+        return true;
+    }
+    return false;
+  }
+
+  void checkUnanswered() {
+    for (const Statement &S : this->Seen.Statements) {
+      if (S.End != Outcome::Closed)
+        continue;
+      const bool Ran = this->RunIds.contains(S.Id);
+      if (!Ran && S.EndedAt - S.SentAt <= LossSlackMs)
+        continue;
+      if (this->disrupted(S.Vm, S.SentAt - StableWindowMs, S.EndedAt, false))
+        continue;
+      if (this->cutByPlannedWork(S, Ran))
+        this->add(Rule::Lost,
+                  S.Id + ", sent to " + S.Vm + " at " + ms(S.SentAt) +
+                      (Ran ? " and run by a server" : "") + ", ends at " +
+                      ms(S.EndedAt) + " without an answer");
+    }
+  }
+
+  void checkOrders() {
+    std::map<unsigned, std::vector<const Order *>> ByGroup;
+    for (const Order &O : this->Seen.Orders) {
+      auto &Earlier = ByGroup[O.Group];
+      for (const Order *Before : Earlier)
+        this->checkOrderPair(*Before, O);
+      Earlier.push_back(&O);
+    }
+  }
+
+  void checkOrderPair(const Order &A, const Order &B) {
+    const std::string What =
+        "orders of group " + std::to_string(A.Group) + ": " + A.Holder +
+        " fence " + std::to_string(A.Fence) + " promotes " + A.Target + " at " +
+        ms(A.At) + "; " + B.Holder + " fence " + std::to_string(B.Fence) +
+        " promotes " + B.Target + " at " + ms(B.At);
+    if (B.Fence < A.Fence)
+      return this->add(Rule::One, "lower fence in " + What);
+    if (A.Holder == B.Holder)
+      return;
+    if (B.Fence == A.Fence)
+      return this->add(Rule::One, "same fence in " + What);
+    if (B.At - A.At < AssumedLeaseMs && this->inTouch(A.Holder, A.At) &&
+        this->inTouch(B.Holder, B.At))
+      this->add(Rule::One, "two holders within the lease in " + What);
+  }
+
+  void checkReads() {
+    std::map<unsigned, std::vector<unsigned>> ByGroup;
+    for (unsigned I = 0; I < this->Seen.Commits.size(); ++I)
+      if (!this->RolledBack.contains(I) &&
+          this->acknowledged(this->Seen.Commits[I]) != nullptr)
+        ByGroup[this->Seen.Commits[I].Group].push_back(I);
+    for (const StatementRun &R : this->Seen.Runs) {
+      const Statement *S = this->find(R.Id);
+      if (S == nullptr || S->Kind != StatementKind::Read ||
+          S->End != Outcome::Success || !R.View.Entries)
+        continue;
+      const std::unordered_set<unsigned> Held(
+          R.View.Entries->begin(),
+          R.View.Entries->begin() + static_cast<std::ptrdiff_t>(R.View.Count));
+      for (const unsigned I : ByGroup[S->Group])
+        if (!Held.contains(I) && this->mustSee(*S, I)) {
+          const Commit &C = this->Seen.Commits[I];
+          this->add(Rule::Stale,
+                    "read " + S->Id + " on " + std::string(nameOf(S->Route)) +
+                        ", sent at " + ms(S->OperationAt) + " through " +
+                        S->Vm + ", ran at " + R.Server + ", whose log lacked " +
+                        describe(C, *this->acknowledged(C)));
+          break;
+        }
+    }
+  }
+
+  bool mustSee(const Statement &Read, unsigned Index) const {
+    const Statement *S = this->acknowledged(this->Seen.Commits[Index]);
+    const bool Own =
+        Read.Route == RouteType::ReadYourWrites && S->Session == Read.Session;
+    const double Allowed =
+        Read.Route == RouteType::Primary || Own ? 0 : MaxStalenessMs;
+    return S->EndedAt < Read.OperationAt - Allowed;
+  }
+
+  void checkKeptWrites() {
+    std::unordered_map<std::string, unsigned> Times;
+    for (const LogView &Log : this->Seen.FinalLogs)
+      for (std::size_t I = 0; I < Log.Count; ++I) {
+        const Commit &C = this->Seen.Commits[(*Log.Entries)[I]];
+        if (++Times[C.Id] == 2)
+          this->add(Rule::Twice, C.Id + " is committed again as " +
+                                     std::to_string(C.Term) + "." +
+                                     std::to_string(C.Number) + " at " +
+                                     C.Server + " at " + ms(C.At));
+        const Statement *S = this->find(C.Id);
+        if (S != nullptr && S->End == Outcome::Promise)
+          this->add(Rule::Refused,
+                    C.Id + ", committed at " + C.Server + " at " + ms(C.At) +
+                        ", was answered with " + S->Code + " at " +
+                        ms(S->EndedAt) + " through " + S->Vm);
+      }
+  }
+
+  void checkConnections() {
+    std::map<unsigned, const StatementRun *> FirstRun; // By transaction.
+    std::map<unsigned, unsigned> Open; // Connection -> its transaction.
+    for (const StatementRun &R : this->Seen.Runs) {
+      const Statement *S = this->find(R.Id);
+      if (S == nullptr)
+        continue;
+      const std::string What = R.Id + " of session " +
+                               std::to_string(S->Session) + " ran at " +
+                               R.Server + " at " + ms(R.At);
+      if (R.SessionValue != S->SessionValue)
+        this->add(Rule::Pinned, What + " with the value \"" + R.SessionValue +
+                                    "\" instead of \"" + S->SessionValue +
+                                    "\"");
+      if (R.InTransaction != (S->Transaction != 0))
+        this->add(Rule::Pinned,
+                  What + (R.InTransaction ? " inside a transaction"
+                                          : " outside its transaction"));
+      if (S->Transaction == 0)
+        continue;
+      const auto [At, New] = FirstRun.emplace(S->Transaction, &R);
+      if (!New && At->second->Connection != R.Connection)
+        this->add(Rule::Pinned,
+                  What + " on another connection than " + At->second->Id);
+      if (New && Open.contains(R.Connection) &&
+          Open[R.Connection] == S->Transaction)
+        this->add(Rule::Pinned, What + " inside another transaction");
+      Open[R.Connection] = S->Transaction;
+    }
+  }
+
+  void checkDraining() {
+    for (const DrainReport &D : this->Seen.DrainReports)
+      for (const StatementRun &R : this->Seen.Runs) {
+        const Statement *S = this->find(R.Id);
+        if (R.Server != D.Server || R.At <= D.At + DrainMs || S == nullptr ||
+            !S->First || !this->inTouch(S->Vm, R.At) ||
+            this->disrupted("store", D.At - StableWindowMs, R.At, true))
+          continue;
+        this->add(Rule::Drain, R.Id + ", sent at " + ms(S->SentAt) +
+                                   " through " + S->Vm + ", reached " +
+                                   R.Server + " at " + ms(R.At) +
+                                   ", draining since " + ms(D.At));
+      }
+  }
+
+  void checkRoutes() {
+    for (const RouteProbe &P : this->Seen.RouteProbes) {
+      const RouteChange *Last = nullptr;
+      for (const RouteChange &C : this->Seen.RouteChanges)
+        if (C.At <= P.SentAt)
+          Last = &C;
+      if (Last == nullptr || Last->Present == P.Accepted ||
+          P.SentAt - Last->At <= ConfigurationMs)
+        continue;
+      if (!this->inTouch(P.Vm, P.SentAt) ||
+          this->disrupted("store", Last->At - StableWindowMs, P.SentAt, true))
+        continue;
+      this->add(Rule::Config,
+                "a connection sent to " + P.Vm + " at " + ms(P.SentAt) +
+                    (P.Accepted ? " was accepted" : " was refused") +
+                    " against the version of " + ms(Last->At));
+    }
+  }
+
+  const History &Seen;
+  std::unordered_map<std::string, const Statement *> ById;
+  std::unordered_set<std::string> RunIds;
+  std::unordered_set<unsigned> RolledBack;
+  std::vector<Violation> Found;
+};
+
+} // namespace
+
+std::vector<Violation> judge(const History &Seen) {
+  return Judgement(Seen).run();
+}
+
+double longestWriteGap(const History &Seen, unsigned Group) {
+  std::vector<double> Times;
+  for (const Statement &S : Seen.Statements)
+    if (S.Group == Group && S.End == Outcome::Success &&
+        (S.Kind == StatementKind::Write || S.Kind == StatementKind::Commit))
+      Times.push_back(S.EndedAt);
+  std::ranges::sort(Times);
+  double Longest = 0;
+  for (std::size_t I = 1; I < Times.size(); ++I)
+    Longest = std::max(Longest, Times[I] - Times[I - 1]);
+  return Longest;
+}
+
+} // namespace amaranthspur::bench::soak
--- /dev/null
+++ b/src/bench/soak/Links.h
@@ -0,0 +1,150 @@
+// Proxied links between entry VMs and what they call.
+//
+// A cut link holds bytes back until it heals. If the sender closes its
+// connection meanwhile, they are still delivered at the heal, as the kernel
+// does; if the sender resets it, they are lost. A new connection during a cut
+// of the link's own listener does not complete until the heal.
+#ifndef AMARANTHSPUR_BENCH_SOAK_LINKS_H
+#define AMARANTHSPUR_BENCH_SOAK_LINKS_H
+
+#include "core/Address.h"
+#include "core/Async.h"
+#include "core/Result.h"
+
+#include <QSocketNotifier>
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranthspur::bench::soak {
+
+class LinkConnection;
+class LinkListener;
+
+/// The upstream keeps connections however long their path is cut.
+inline constexpr Duration NeverDropped = Duration::max();
+
+/// The path of one entry VM to one thing that it calls. All its connections are
+/// cut and healed together.
+class Path {
+public:
+  /// Called with the bytes that the entry VM sends, before they are forwarded;
+  /// it may cut the path, which then holds these bytes back.
+  std::function<void(std::string_view)> OnForward;
+
+  /// Holds back bytes from the entry VM, to it, or both.
+  void cut(bool Forward, bool Backward);
+  void heal();
+  bool isCut() const { return this->HoldForward || this->HoldBackward; }
+
+private:
+  friend class LinkConnection;
+  friend class LinkListener;
+  void wakeAll();
+
+  bool HoldForward = false;
+  bool HoldBackward = false;
+  TimePoint CutAt{};
+  std::set<LinkConnection *> Connections;
+  LinkListener *Listener = nullptr; ///< Only if it serves this path alone.
+};
+
+/// Forwards the bytes of one connection, in one task.
+class LinkConnection {
+public:
+  /// Takes ownership of \p Client, a connected descriptor.
+  LinkConnection(int Client, Address Upstream);
+  LinkConnection(const LinkConnection &) = delete;
+  LinkConnection &operator=(const LinkConnection &) = delete;
+  ~LinkConnection();
+
+  /// Forwards until both directions have ended.
+  /// \param FindPath returns the path of the connection from the first bytes of
+  /// its client, or null if there is none.
+  /// \param DropAfter time for which the upstream keeps the connection while
+  /// the path is cut.
+  QCoro::Task<> run(std::function<Path *(std::string_view)> FindPath,
+                    Duration DropAfter);
+
+  /// Resets both connections.
+  void reset();
+
+private:
+  friend class Path;
+
+  /// One direction.
+  struct Half {
+    int *From = nullptr;
+    int *To = nullptr;
+    std::string Held;
+    bool Ended = false;  ///< The sender closed its side.
+    bool Reset = false;  ///< The sender reset the connection.
+    bool Closed = false; ///< The end was passed on.
+  };
+
+  bool openUpstream();
+  void read(Half &H, bool Forward);
+  void deliver(Half &H, bool Hold);
+  void dropUpstream();
+  void watch();
+
+  Address Upstream;
+  int Client = -1;
+  int Server = -1;
+  Half Forward;
+  Half Backward;
+  Path *Owner = nullptr;
+  std::unique_ptr<QSocketNotifier> ClientReadable;
+  std::unique_ptr<QSocketNotifier> ServerReadable;
+  WaitPoint Changed;
+  bool Ended = false;
+  bool Dropped = false; ///< The upstream gave the connection up.
+};
+
+/// Accepts connections for one upstream.
+class LinkListener {
+public:
+  /// \param Host loopback address to listen on.
+  /// \param Sole the path of all connections; null if FindPath tells it.
+  /// \param FindPath see LinkConnection::run(); not used with \p Sole.
+  /// \param DropAfter see LinkConnection::run().
+  LinkListener(TaskGroup &Tasks, const std::string &Host, Address Upstream,
+               Path *Sole, std::function<Path *(std::string_view)> FindPath,
+               Duration DropAfter);
+  LinkListener(const LinkListener &) = delete;
+  LinkListener &operator=(const LinkListener &) = delete;
+  ~LinkListener();
+
+  /// Returns whether listening has succeeded.
+  bool valid() const { return this->Descriptor >= 0; }
+  Address address() const { return this->Own; }
+
+  /// Makes new connections hang, or accepts them again.
+  void setHanging(bool Hanging);
+  /// Stops listening and resets all connections.
+  void stop();
+
+private:
+  void accept();
+  QCoro::Task<> serve(int Client);
+
+  TaskGroup &Tasks;
+  Address Own;
+  Address Upstream;
+  Path *Sole;
+  std::function<Path *(std::string_view)> FindPath;
+  Duration DropAfter;
+  int Descriptor = -1;
+  std::unique_ptr<QSocketNotifier> Acceptable;
+  std::vector<int> Fillers; ///< Connections of our own that fill the queue.
+  std::set<std::uint16_t> FillerPorts;
+  std::set<LinkConnection *> Connections;
+};
+
+} // namespace amaranthspur::bench::soak
+
+#endif // AMARANTHSPUR_BENCH_SOAK_LINKS_H
--- /dev/null
+++ b/src/bench/soak/Site.h
@@ -0,0 +1,53 @@
+// Everything that a soak runs: the platform, the groups of servers, the entry
+// VMs and the configuration.
+#ifndef AMARANTHSPUR_BENCH_SOAK_SITE_H
+#define AMARANTHSPUR_BENCH_SOAK_SITE_H
+
+#include "bench/soak/EntryVm.h"
+#include "bench/soak/Servers.h"
+#include "bench/soak/Store.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace amaranthspur::bench::soak {
+
+/// Owns the parts of a soak.
+class Site {
+public:
+  Site(Record &Events, TaskGroup &Tasks);
+
+  /// Starts \p GroupCount groups of three servers and \p VmCount entry VMs.
+  Result<Success> start(unsigned GroupCount, unsigned VmCount,
+                        const DeployCommand &Command,
+                        const std::string &LogDirectory);
+  /// Waits until all entry VMs are ready. \returns false after a time limit.
+  QCoro::Task<bool> waitReady();
+  QCoro::Task<> stop();
+
+  /// Writes the next version of the configuration.
+  /// \param TimeoutMs of the statements on primary routes.
+  /// \param WithProbedRoute whether the probed route exists.
+  void configure(unsigned TimeoutMs, bool WithProbedRoute);
+
+  Store &platform() { return this->Platform; }
+  std::vector<std::unique_ptr<ServerGroup>> &groups() { return this->Groups; }
+  std::vector<std::unique_ptr<EntryVm>> &vms() { return this->Vms; }
+  EntryVm *findVm(const std::string &Name);
+  Record &Events;
+  TaskGroup &Tasks;
+
+private:
+  int promote(const std::string &Service, const std::string &Target,
+              const std::string &Holder, std::uint64_t Fence);
+
+  Store Platform;
+  std::vector<std::unique_ptr<ServerGroup>> Groups;
+  std::vector<std::unique_ptr<EntryVm>> Vms;
+  unsigned Version = 7;
+};
+
+} // namespace amaranthspur::bench::soak
+
+#endif // AMARANTHSPUR_BENCH_SOAK_SITE_H
--- /dev/null
+++ b/src/bench/soak/Store.h
@@ -0,0 +1,121 @@
+// The platform of a soak: its metadata store and its promotion call.
+#ifndef AMARANTHSPUR_BENCH_SOAK_STORE_H
+#define AMARANTHSPUR_BENCH_SOAK_STORE_H
+
+#include "bench/soak/Record.h"
+#include "bench/soak/TextStream.h"
+
+#include <QJsonObject>
+#include <QTcpServer>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace amaranthspur::bench::soak {
+
+/// How the store treats calls.
+enum class StoreFault {
+  None,
+  Silent,      ///< Calls are not performed and get no answer.
+  Slow,        ///< Calls take longer.
+  Refusing,    ///< Calls get 503.
+  LosesAnswer, ///< Some calls are performed and get no answer.
+  Late,        ///< Some calls get no answer and are performed seconds later.
+};
+
+/// Keeps rows in memory and serves them over HTTP on a loopback address, with
+/// one task for each connection.
+class Store {
+public:
+  /// Receives an order. \returns the status of the answer.
+  using OrderHandler =
+      std::function<int(const std::string &Service, const std::string &Target,
+                        const std::string &Holder, std::uint64_t Fence)>;
+
+  Store(Record &Events, TaskGroup &Tasks, OrderHandler OnOrder);
+
+  /// Starts to listen.
+  Result<Success> listen();
+  Address address() const;
+
+  /// Writes a row of the operator or of a server.
+  void put(const std::string &Table, const std::string &Key,
+           const QByteArray &Value);
+  /// Removes a row.
+  void remove(const std::string &Table, const std::string &Key);
+
+  void setFault(StoreFault Fault) { this->Fault = Fault; }
+  StoreFault fault() const { return this->Fault; }
+
+  /// Ends all connections and waits.
+  void stop();
+
+private:
+  struct Row {
+    std::uint64_t Version = 0;
+    QByteArray Value;
+    bool Deleted = false;
+  };
+  struct Request {
+    std::string Method;
+    std::string Target;
+    std::map<std::string, std::string> Headers;
+    std::string Body;
+  };
+  struct Answer {
+    int Status = 200;
+    QJsonObject Body;
+  };
+  using Key = std::pair<std::string, std::string>;
+
+  QCoro::Task<> serve(std::shared_ptr<TextStream> Stream);
+  QCoro::Task<std::optional<Request>> readRequest(TextStream &Stream);
+  /// Applies the fault in force. \returns nothing if there is no answer.
+  QCoro::Task<std::optional<Answer>> answer(const Request &Call);
+  QCoro::Task<Answer> perform(const Request &Call);
+  QCoro::Task<Answer> feed(std::string Table, std::uint64_t After,
+                           Duration Wait);
+  QCoro::Task<> performLater(Request Call);
+  Answer readRows(const std::string &Table, const std::string &From,
+                  std::size_t Limit) const;
+  Answer transact(const std::string &Body);
+  Answer order(const Request &Call);
+  std::vector<std::pair<Key, Row>> changes(const std::string &Table,
+                                           std::uint64_t After) const;
+  QJsonObject page(const std::vector<std::pair<Key, Row>> &Rows) const;
+  void change(const Key &At, const QByteArray &Value, bool Deleted);
+
+  Record &Events;
+  TaskGroup &Tasks;
+  OrderHandler OnOrder;
+  std::unique_ptr<QTcpServer> Listener;
+  std::set<std::shared_ptr<TextStream>> Streams;
+  std::map<Key, Row> Rows;
+  std::uint64_t Version = 0;
+  TaskCondition Changed;
+  StoreFault Fault = StoreFault::None;
+  unsigned Calls = 0;
+  bool Stopping = false;
+};
+
+} // namespace amaranthspur::bench::soak
+
+namespace amaranthspur {
+
+template <> struct EnumNames<bench::soak::StoreFault> {
+  using Kind = bench::soak::StoreFault;
+  static constexpr auto Entries =
+      std::to_array<std::pair<Kind, std::string_view>>(
+          {{Kind::None, "none"},
+           {Kind::Silent, "silent"},
+           {Kind::Slow, "slow"},
+           {Kind::Refusing, "refusing"},
+           {Kind::LosesAnswer, "loses-answers"},
+           {Kind::Late, "late"}});
+};
+
+} // namespace amaranthspur
+
+#endif // AMARANTHSPUR_BENCH_SOAK_STORE_H
