--- a/src/bench/soak/Faults.cpp
+++ b/src/bench/soak/Faults.cpp
@@ -1,8 +1,20 @@
 #include "bench/soak/Faults.h"
 
+#include <QTimer>
+
 #include <string_view>
 
 namespace amaranthspur::bench::soak {
+
+/// The bytes that a call of an entry VM has, the path that carries it, and how
+/// often it is drawn.
+struct FaultPlan::TriggerRow {
+  CallTrigger Trigger;
+  std::string_view Bytes;
+  Path EntryVm::*Carrier;
+  unsigned Weight;
+};
+
 namespace {
 
 /// How often a fault is drawn, as a share of the sum of all weights.
@@ -12,30 +24,25 @@
 };
 
 constexpr FaultWeight Weights[] = {
-    {FaultKind::Kill, 3},          {FaultKind::Terminate, 4},
+    {FaultKind::Kill, 2},          {FaultKind::Terminate, 4},
     {FaultKind::Freeze, 2},        {FaultKind::HangUp, 2},
-    {FaultKind::Cut, 6},           {FaultKind::Configuration, 2},
+    {FaultKind::Cut, 8},           {FaultKind::Configuration, 2},
     {FaultKind::Store, 2},         {FaultKind::ServerCrash, 2},
     {FaultKind::ServerRestart, 1}, {FaultKind::DeafReplica, 2},
     {FaultKind::Release, 8},
 };
 
-/// The bytes that a call of an entry VM has, and the path that carries it.
-struct TriggerRow {
-  CutTrigger Trigger;
-  std::string_view Bytes;
-  Path EntryVm::*Carrier;
-};
-
-constexpr TriggerRow Triggers[] = {
-    {CutTrigger::Claim, "POST /rows-tx", &EntryVm::ToStore},
-    {CutTrigger::StepDown, " STEPDOWN ", &EntryVm::ToServers},
-    {CutTrigger::Pause, " PAUSE ", &EntryVm::ToServers},
-    {CutTrigger::Order, "POST /promotions", &EntryVm::ToPromotions},
-    {CutTrigger::Commit, " COMMIT\r\n", &EntryVm::ToServers},
+// An order that is held up can arrive after a later one, so that it is drawn
+// most.
+constexpr FaultPlan::TriggerRow Triggers[] = {
+    {CallTrigger::Claim, "POST /rows-tx", &EntryVm::ToStore, 1},
+    {CallTrigger::StepDown, " STEPDOWN ", &EntryVm::ToServers, 1},
+    {CallTrigger::Pause, " PAUSE ", &EntryVm::ToServers, 1},
+    {CallTrigger::Order, "POST /promotions", &EntryVm::ToPromotions, 4},
+    {CallTrigger::Commit, " COMMIT\r\n", &EntryVm::ToServers, 1},
 };
 
-/// A cut that waits for a call is given up after this time.
+/// A fault that waits for a call is given up after this time.
 constexpr Duration TriggerTimeout = std::chrono::seconds(10);
 /// Time after a fault of a server before its group gets another one.
 constexpr Duration GroupRecovery = std::chrono::seconds(3);
@@ -64,7 +71,7 @@
       }
       Drawn -= W.Weight;
     }
-    co_await sleepFor(this->draw(300, 2200));
+    co_await sleepFor(this->draw(200, 1400));
   }
 }
 
@@ -167,64 +174,91 @@
   this->Target.platform().setFault(StoreFault::None);
 }
 
-std::vector<Path *> FaultPlan::drawPaths(EntryVm &Vm, CutTrigger Trigger) {
+std::vector<Path *> FaultPlan::drawPaths(EntryVm &Vm, Path *Carrier) {
   const std::vector<Path *> All = {&Vm.ToStore, &Vm.ToPromotions,
                                    &Vm.ToServers};
   if (this->Generator.below(3) == 0)
     return All;
-  for (const TriggerRow &Row : Triggers)
-    if (Row.Trigger == Trigger)
-      return {&(Vm.*Row.Carrier)};
+  if (Carrier != nullptr)
+    return {Carrier};
   return {All[this->Generator.below(All.size())]};
 }
 
 void FaultPlan::cut() {
-  constexpr auto Count = EnumNames<CutTrigger>::Entries.size();
-  const auto Trigger = static_cast<CutTrigger>(this->Generator.below(Count));
-  if (Trigger == CutTrigger::Now) {
+  // A quarter of the cuts begin at no particular call.
+  if (this->Generator.below(4) == 0) {
     if (EntryVm *Vm = this->drawVm(); Vm != nullptr)
-      this->beginCut(*Vm, Trigger);
+      this->beginCut(*Vm, nullptr);
     return;
   }
-  // Which entry VM makes the call is not known before.
-  const Duration Length = this->draw(2000, 8000);
-  for (const auto &Vm : this->Target.vms())
-    this->armCut(*Vm, Trigger, Length);
+  unsigned Sum = 0;
+  for (const TriggerRow &Row : Triggers)
+    Sum += Row.Weight;
+  auto Drawn = static_cast<unsigned>(this->Generator.below(Sum));
+  for (const TriggerRow &Row : Triggers) {
+    if (Drawn < Row.Weight) {
+      this->arm(Row);
+      // A takeover follows, unless one is under way.
+      if (Row.Trigger != CallTrigger::Commit)
+        this->releasePrimary(this->drawGroup());
+      return;
+    }
+    Drawn -= Row.Weight;
+  }
 }
 
-QCoro::Task<> FaultPlan::beginCut(EntryVm &Vm, CutTrigger Trigger) {
+QCoro::Task<> FaultPlan::beginCut(EntryVm &Vm, Path *Carrier) {
   const TaskGroup::Guard Counted(this->Target.Tasks);
-  const std::vector<Path *> Paths = this->drawPaths(Vm, Trigger);
-  // A third each: both directions, from the VM, to the VM.
-  const std::uint64_t Direction = this->Generator.below(3);
+  const std::vector<Path *> Paths = this->drawPaths(Vm, Carrier);
+  // Half of the cuts are in both directions, the others in one.
+  const std::uint64_t Direction = this->Generator.below(4);
   const Duration Length = this->draw(2000, 8000);
-  this->Target.Events.note("cut at " + std::string(nameOf(Trigger)) + " of " +
-                           Vm.name() + ", " + std::to_string(Paths.size()) +
-                           " paths, direction " + std::to_string(Direction));
-  co_await Vm.cut(Paths, Direction != 2, Direction != 1, Length);
+  this->Target.Events.note("cut of " + Vm.name() + ", " +
+                           std::to_string(Paths.size()) + " paths, direction " +
+                           std::to_string(Direction));
+  co_await Vm.cut(Paths, Direction != 3, Direction != 2, Length);
 }
 
-void FaultPlan::armCut(EntryVm &Vm, CutTrigger Trigger, Duration Length) {
+void FaultPlan::meet(EntryVm &Caller, CallTrigger Trigger, Path &Carrier) {
+  this->Target.Events.note("trigger " + std::string(nameOf(Trigger)) + " of " +
+                           Caller.name());
+  // Most faults at a call are cuts; a few are kills and freezes, which begin
+  // after its bytes have left the process.
+  switch (this->Generator.below(6)) {
+  case 0:
+    QTimer::singleShot(0, &this->Context, [this, &Caller] {
+      if (!Caller.changing())
+        Caller.restartByKill(this->draw(300, 3000));
+    });
+    return;
+  case 1:
+    if (!Caller.changing() && !Caller.frozen())
+      Caller.freeze(this->draw(1000, 7000));
+    return;
+  default:
+    this->beginCut(Caller, &Carrier);
+  }
+}
+
+void FaultPlan::arm(const TriggerRow &Row) {
+  // Which entry VM makes the call is not known before.
   const TimePoint Until = steadyNow() + TriggerTimeout;
-  for (const TriggerRow &Row : Triggers) {
-    if (Row.Trigger != Trigger)
-      continue;
-    (Vm.*Row.Carrier).OnForward = [this, &Vm, Row, Length,
-                                   Until](std::string_view Bytes) {
+  for (const auto &Vm : this->Target.vms())
+    ((*Vm).*Row.Carrier).OnForward = [this, Caller = Vm.get(), &Row,
+                                      Until](std::string_view Bytes) {
       if (Bytes.find(Row.Bytes) == std::string_view::npos)
         return;
-      // The function that runs is destroyed with the assignments below.
-      FaultPlan *const Plan = this;
-      EntryVm &Caller = Vm;
-      const CutTrigger Met = Row.Trigger;
-      const bool InTime = steadyNow() < Until;
-      Path EntryVm::*const Carrier = Row.Carrier;
-      for (const auto &Each : Plan->Target.vms())
-        ((*Each).*Carrier).OnForward = nullptr;
-      if (InTime && Plan->Target.Events.now() < Plan->EndMs)
-        Plan->beginCut(Caller, Met);
+      // Clearing the functions destroys the one that runs, with its captures.
+      FaultPlan &Plan = *this;
+      EntryVm &Met = *Caller;
+      const TriggerRow &Table = Row;
+      const bool InTime =
+          steadyNow() < Until && Plan.Target.Events.now() < Plan.EndMs;
+      for (const auto &Each : Plan.Target.vms())
+        ((*Each).*Table.Carrier).OnForward = nullptr;
+      if (InTime)
+        Plan.meet(Met, Table.Trigger, Met.*Table.Carrier);
     };
-  }
 }
 
 void FaultPlan::crashServer(bool KeepLog) {
@@ -297,21 +331,25 @@
     return;
   }
   // Primaries and replicas in equal parts.
-  DatabaseServer *Chosen = Group.primary();
   if (this->Generator.below(2) == 0)
-    for (DatabaseServer *S : Group.running())
-      if (!S->draining() && S->role() == ServerRole::Replica)
-        Chosen = S;
-  if (Chosen != nullptr && !Chosen->draining())
-    this->releaseServer(Group, *Chosen);
+    return this->releasePrimary(Group);
+  for (DatabaseServer *S : Group.running())
+    if (!S->draining() && S->role() == ServerRole::Replica) {
+      this->releaseServer(Group, *S);
+      return;
+    }
+}
+
+void FaultPlan::releasePrimary(ServerGroup &Group) {
+  DatabaseServer *Primary = Group.primary();
+  if (Primary != nullptr && !Primary->draining())
+    this->releaseServer(Group, *Primary);
 }
 
 QCoro::Task<> FaultPlan::releaseSeries(ServerGroup &Group) {
   const TaskGroup::Guard Counted(this->Target.Tasks);
   for (unsigned I = 0; I < SeriesLength; ++I) {
-    DatabaseServer *Primary = Group.primary();
-    if (Primary != nullptr && !Primary->draining())
-      this->releaseServer(Group, *Primary);
+    this->releasePrimary(Group);
     co_await sleepFor(this->draw(1000, 3000));
   }
 }
--- a/src/bench/soak/Faults.h
+++ b/src/bench/soak/Faults.h
@@ -9,14 +9,16 @@
 
 namespace amaranthspur::bench::soak {
 
-/// A call of an entry VM at which a cut can begin.
-enum class CutTrigger { Now, Claim, StepDown, Pause, Order, Commit };
+/// A call of an entry VM at which a fault can begin.
+enum class CallTrigger { Claim, StepDown, Pause, Order, Commit };
 
 /// Disrupts a site from outside.
 class FaultPlan {
 public:
   FaultPlan(Site &Target, Random &Generator);
 
+  struct TriggerRow;
+
   /// Injects faults until \p EndMs of the record's clock.
   QCoro::Task<> run(double EndMs);
   /// Ends all machines at once and starts them again.
@@ -34,15 +36,21 @@
   void crashServer(bool KeepLog);
   void deafenReplica();
   void release();
-  QCoro::Task<> beginCut(EntryVm &Vm, CutTrigger Trigger);
+  /// \param Carrier the path that carries the call at which the cut begins;
+  /// null if there is none.
+  QCoro::Task<> beginCut(EntryVm &Vm, Path *Carrier);
   QCoro::Task<> endStoreFault(Duration Length);
   QCoro::Task<> returnServer(ServerGroup &Group, DatabaseServer &Server,
                              bool KeepLog);
   QCoro::Task<> endDeafness(ServerGroup &Group, DatabaseServer &Server);
   QCoro::Task<> releaseServer(ServerGroup &Group, DatabaseServer &Server);
   QCoro::Task<> releaseSeries(ServerGroup &Group);
-  void armCut(EntryVm &Vm, CutTrigger Trigger, Duration Length);
-  std::vector<Path *> drawPaths(EntryVm &Vm, CutTrigger Trigger);
+  void releasePrimary(ServerGroup &Group);
+  /// Makes a fault begin at the next call of a kind.
+  void arm(const TriggerRow &Row);
+  /// Begins a fault of the entry VM that makes such a call.
+  void meet(EntryVm &Caller, CallTrigger Trigger, Path &Carrier);
+  std::vector<Path *> drawPaths(EntryVm &Vm, Path *Carrier);
   EntryVm *drawVm();
   ServerGroup &drawGroup();
   Duration draw(unsigned FromMs, unsigned ToMs);
@@ -54,18 +62,18 @@
   std::vector<bool> Impaired;
   bool ProbedRoute = true;
   double EndMs = 0;
+  QObject Context; ///< Delayed calls end with it.
 };
 
 } // namespace amaranthspur::bench::soak
 
 namespace amaranthspur {
 
-template <> struct EnumNames<bench::soak::CutTrigger> {
-  using Kind = bench::soak::CutTrigger;
+template <> struct EnumNames<bench::soak::CallTrigger> {
+  using Kind = bench::soak::CallTrigger;
   static constexpr auto Entries =
       std::to_array<std::pair<Kind, std::string_view>>(
-          {{Kind::Now, "now"},
-           {Kind::Claim, "claim"},
+          {{Kind::Claim, "claim"},
            {Kind::StepDown, "step-down"},
            {Kind::Pause, "pause"},
            {Kind::Order, "order"},
--- a/src/bench/soak/Judge.cpp
+++ b/src/bench/soak/Judge.cpp
@@ -251,7 +251,7 @@
 
   void checkConnections() {
     std::map<unsigned, const StatementRun *> FirstRun; // By transaction.
-    std::map<unsigned, unsigned> Open; // Connection -> its transaction.
+    std::map<unsigned, unsigned> Last; // Connection -> transaction.
     for (const StatementRun &R : this->Seen.Runs) {
       const Statement *S = this->find(R.Id);
       if (S == nullptr)
@@ -273,10 +273,10 @@
       if (!New && At->second->Connection != R.Connection)
         this->add(Rule::Pinned,
                   What + " on another connection than " + At->second->Id);
-      if (New && Open.contains(R.Connection) &&
-          Open[R.Connection] == S->Transaction)
-        this->add(Rule::Pinned, What + " inside another transaction");
-      Open[R.Connection] = S->Transaction;
+      if (!New && At->second->Connection == R.Connection &&
+          Last[R.Connection] != S->Transaction)
+        this->add(Rule::Pinned, What + " after another transaction");
+      Last[R.Connection] = S->Transaction;
     }
   }
 
