--- a/src/bench/soak/Conversations.cpp
+++ b/src/bench/soak/Conversations.cpp
@@ -117,11 +117,13 @@
 }
 
 std::string DatabaseServer::positionOf(std::size_t Count) const {
-  const unsigned Of =
-      Count == 0
-          ? this->Term
-          : this->Group.Events.Seen.Commits[(*this->Log)[Count - 1]].Term;
-  return std::to_string(Of) + "." + std::to_string(Count);
+  // The position of an empty log is before all others, whatever the term of the
+  // server: it may have heard of a later primary before it received anything.
+  if (Count == 0)
+    return "1.0";
+  const auto &Commits = this->Group.Events.Seen.Commits;
+  return std::to_string(Commits[(*this->Log)[Count - 1]].Term) + "." +
+         std::to_string(Count);
 }
 
 std::string DatabaseServer::position() const {
--- a/src/bench/soak/Faults.cpp
+++ b/src/bench/soak/Faults.cpp
@@ -295,6 +295,8 @@
   } else {
     co_await sleepFor(this->draw(200, 1000));
   }
+  if (this->Stopped)
+    co_return;
   Server.restart(KeepLog);
   co_await sleepFor(GroupRecovery);
   this->Impaired[Group.number()] = false;
@@ -368,10 +370,12 @@
   Server.drain();
   if (!Before) {
     co_await sleepFor(this->draw(50, 1000));
+    if (this->Stopped)
+      co_return;
     Group.add(Server.dataCentre(), ServerRole::Replica);
   }
   co_await sleepFor(this->draw(7000, 9000));
-  if (Server.running())
+  if (!this->Stopped)
     Server.leave();
 }
 
--- a/src/bench/soak/Faults.h
+++ b/src/bench/soak/Faults.h
@@ -21,6 +21,8 @@
 
   /// Injects faults until \p EndMs of the record's clock.
   QCoro::Task<> run(double EndMs);
+  /// Ends all planned changes of the servers.
+  void stop() { this->Stopped = true; }
   /// Ends all machines at once and starts them again.
   QCoro::Task<> losePower();
 
@@ -62,6 +64,7 @@
   std::vector<bool> Impaired;
   bool ProbedRoute = true;
   double EndMs = 0;
+  bool Stopped = false;
   QObject Context; ///< Delayed calls end with it.
 };
 
--- a/src/bench/soak/Servers.h
+++ b/src/bench/soak/Servers.h
@@ -120,6 +120,7 @@
   bool Deaf = false;
   bool Draining = false;
   bool Running = true;
+  bool Left = false; ///< For good.
   unsigned Starts = 0;
   unsigned Sequence = 0;
   double BornAt = 0;
--- a/src/bench/soak/Soak.cpp
+++ b/src/bench/soak/Soak.cpp
@@ -67,6 +67,7 @@
     S.Events.Seen.FinalLogs.push_back(Primary == nullptr ? LogView()
                                                          : Primary->log());
   }
+  Plan.stop();
   co_await S.stop();
   co_await S.Tasks.waitUntilEmpty(steadyNow() + StopTimeout);
 }
