--- a/src/bench/soak/Callers.cpp
+++ b/src/bench/soak/Callers.cpp
@@ -80,7 +80,9 @@
   Duration pause() const override { return milliseconds(100); }
 };
 
-/// Sends reads; on a route that shows a session its own writes, also writes.
+/// Sends reads by a prepared statement, whose name all sessions share but whose
+/// shape is the session's own; on a route that shows a session its own writes,
+/// also writes.
 class Reader final : public Caller {
 public:
   Reader(CallerContext &Context, unsigned Number, unsigned Group,
@@ -89,17 +91,25 @@
         Writes(Route == RouteType::ReadYourWrites) {}
 
 protected:
+  QCoro::Task<bool> beginSession() override {
+    const Outcome End = co_await this->send(StatementKind::Other,
+                                            "PREPARE s1 READ " + this->shape());
+    co_return End == Outcome::Success;
+  }
   QCoro::Task<bool> operate() override {
     const std::string Item = " r" + std::to_string(this->number());
     if (this->Writes)
       co_await this->send(StatementKind::Write, "WRITE" + Item + " data");
     if (this->usable() && !this->inTransaction())
-      co_await this->send(StatementKind::Read, "READ" + Item);
+      co_await this->send(StatementKind::Read, "EXECUTE s1" + Item,
+                          this->shape());
     co_return this->usable();
   }
   Duration pause() const override { return milliseconds(90); }
 
 private:
+  std::string shape() const { return "q" + std::to_string(this->number()); }
+
   bool Writes;
 };
 
@@ -157,7 +167,9 @@
   const Outcome Set =
       co_await this->send(StatementKind::Other, "SET zone " + Value);
   this->Value = Value;
-  co_return Set == Outcome::Success;
+  if (Set != Outcome::Success)
+    co_return false;
+  co_return co_await this->beginSession();
 }
 
 QCoro::Task<Outcome> Caller::begin(std::string Text) {
@@ -171,7 +183,8 @@
   co_return End;
 }
 
-QCoro::Task<Outcome> Caller::send(StatementKind Kind, std::string Text) {
+QCoro::Task<Outcome> Caller::send(StatementKind Kind, std::string Text,
+                                  std::string Shape) {
   Statement S;
   S.Id = makeId(this->Context.Generator);
   S.Group = this->Group;
@@ -183,6 +196,7 @@
   S.SentAt = this->Context.Events.now();
   S.OperationAt = this->Transaction == 0 ? S.SentAt : this->OperationAt;
   S.SessionValue = this->Value;
+  S.Shape = std::move(Shape);
   // BEGIN may be answered without a server; the first read or write is then the
   // statement that opens the transaction there.
   S.First = this->Transaction == 0 ||
--- a/src/bench/soak/Callers.h
+++ b/src/bench/soak/Callers.h
@@ -43,11 +43,16 @@
 protected:
   /// Performs one operation. \returns false if the connection is to be closed.
   virtual QCoro::Task<bool> operate() = 0;
+  /// Performs what an operation needs of a new session. \returns whether that
+  /// succeeded.
+  virtual QCoro::Task<bool> beginSession() { co_return true; }
   /// The time between two operations.
   virtual Duration pause() const = 0;
 
   /// Sends one statement and waits for its answer.
-  QCoro::Task<Outcome> send(StatementKind Kind, std::string Text);
+  /// \param Shape of the prepared statement that \p Text executes, or empty.
+  QCoro::Task<Outcome> send(StatementKind Kind, std::string Text,
+                            std::string Shape = {});
   QCoro::Task<Outcome> begin(std::string Text);
   /// Returns whether the connection can be used again.
   bool usable() const;
--- a/src/bench/soak/Conversations.cpp
+++ b/src/bench/soak/Conversations.cpp
@@ -214,7 +214,7 @@
   if (Words[0] == "SET" && Words.size() > 2)
     C.Value = Words[2];
   if (Words[0] == "PREPARE" && Words.size() > 3)
-    C.Prepared[Words[1]] = Words[2];
+    C.Prepared[Words[1]] = {Words[2], Words[3]};
   if (Words[0] == "DEALLOC" && Words.size() > 1)
     C.Prepared.erase(Words[1]);
   if (Words[0] == "RESET") {
@@ -241,11 +241,13 @@
                                                std::string Query,
                                                std::vector<std::string> Words) {
   std::string Verb = Words[0];
+  std::string Shape;
   if (Verb == "EXECUTE") {
     const auto Prepared = C.Prepared.find(Words.size() > 1 ? Words[1] : "");
     if (Prepared == C.Prepared.end())
       co_return this->refuse(C, "NOSTMT");
-    Verb = Prepared->second;
+    Verb = Prepared->second.first;
+    Shape = Prepared->second.second;
   }
   const bool Led = this->Role == ServerRole::Primary;
   const bool Plain = C.InTransaction && !C.ReadOnly;
@@ -261,6 +263,7 @@
   Run.At = this->Group.Events.now();
   Run.InTransaction = C.InTransaction;
   Run.SessionValue = C.Value;
+  Run.Shape = std::move(Shape);
   this->Group.Events.Seen.Runs.push_back(std::move(Run));
   this->Group.Events.note(this->Id + ": runs " + Query + " " + Words[0] +
                           " from " + C.Vm);
--- a/src/bench/soak/Faults.cpp
+++ b/src/bench/soak/Faults.cpp
@@ -17,19 +17,25 @@
 
 namespace {
 
-/// How often a fault is drawn, as a share of the sum of all weights.
+/// How often a fault is drawn in the phases of each profile, as a share of the
+/// sum of all weights of the profile. The order is that of FaultProfile.
 struct FaultWeight {
   FaultKind Kind;
-  unsigned Weight;
+  std::array<unsigned, 3> Weights;
 };
 
-constexpr FaultWeight Weights[] = {
-    {FaultKind::Kill, 2},          {FaultKind::Terminate, 4},
-    {FaultKind::Freeze, 2},        {FaultKind::HangUp, 2},
-    {FaultKind::Cut, 8},           {FaultKind::Configuration, 2},
-    {FaultKind::Store, 2},         {FaultKind::ServerCrash, 2},
-    {FaultKind::ServerRestart, 1}, {FaultKind::DeafReplica, 2},
-    {FaultKind::Release, 8},
+constexpr FaultWeight FaultWeights[] = {
+    {FaultKind::Kill, {0, 1, 2}},
+    {FaultKind::Terminate, {4, 1, 3}},
+    {FaultKind::Freeze, {0, 1, 2}},
+    {FaultKind::HangUp, {2, 0, 1}},
+    {FaultKind::Cut, {0, 8, 4}},
+    {FaultKind::Configuration, {1, 0, 2}},
+    {FaultKind::Store, {0, 1, 2}},
+    {FaultKind::ServerCrash, {0, 0, 2}},
+    {FaultKind::ServerRestart, {0, 0, 1}},
+    {FaultKind::DeafReplica, {1, 1, 2}},
+    {FaultKind::Release, {8, 2, 4}},
 };
 
 // An order that is held up can arrive after a later one, so that it is drawn
@@ -59,22 +65,29 @@
 QCoro::Task<> FaultPlan::run(double EndMs) {
   const TaskGroup::Guard Counted(this->Target.Tasks);
   this->EndMs = EndMs;
-  unsigned Sum = 0;
-  for (const FaultWeight &W : Weights)
-    Sum += W.Weight;
+  double PhaseEndMs = 0;
+  auto Profile = FaultProfile::Planned;
   while (this->Target.Events.now() < EndMs) {
-    auto Drawn = static_cast<unsigned>(this->Generator.below(Sum));
-    for (const FaultWeight &W : Weights) {
-      if (Drawn < W.Weight) {
-        this->inject(W.Kind);
-        break;
-      }
-      Drawn -= W.Weight;
+    if (this->Target.Events.now() >= PhaseEndMs) {
+      Profile = static_cast<FaultProfile>(
+          this->Generator.below(EnumNames<FaultProfile>::Entries.size()));
+      PhaseEndMs =
+          this->Target.Events.now() + toMilliseconds(this->draw(6000, 10000));
+      this->Target.Events.note("phase " + std::string(nameOf(Profile)));
     }
-    co_await sleepFor(this->draw(200, 1400));
+    this->inject(this->drawKind(Profile));
+    co_await sleepFor(this->draw(300, 1700));
   }
 }
 
+FaultKind FaultPlan::drawKind(FaultProfile Profile) {
+  const auto Column = static_cast<std::size_t>(Profile);
+  std::vector<FaultKind> Kinds;
+  for (const FaultWeight &W : FaultWeights)
+    Kinds.insert(Kinds.end(), W.Weights[Column], W.Kind);
+  return Kinds[this->Generator.below(Kinds.size())];
+}
+
 void FaultPlan::inject(FaultKind Kind) {
   switch (Kind) {
   case FaultKind::Kill:
--- a/src/bench/soak/Faults.h
+++ b/src/bench/soak/Faults.h
@@ -12,6 +12,14 @@
 /// A call of an entry VM at which a fault can begin.
 enum class CallTrigger { Claim, StepDown, Pause, Order, Commit };
 
+/// What a phase of a run consists of. Rules that hold only for processes
+/// without disruption need phases of planned work alone.
+enum class FaultProfile {
+  Planned,   ///< Stops, reloads, configurations and releases.
+  Takeovers, ///< Faults that begin at the calls of a takeover.
+  All,
+};
+
 /// Disrupts a site from outside.
 class FaultPlan {
 public:
@@ -27,6 +35,7 @@
   QCoro::Task<> losePower();
 
 private:
+  FaultKind drawKind(FaultProfile Profile);
   void inject(FaultKind Kind);
   void kill();
   void terminate();
@@ -72,6 +81,15 @@
 
 namespace amaranthspur {
 
+template <> struct EnumNames<bench::soak::FaultProfile> {
+  using Kind = bench::soak::FaultProfile;
+  static constexpr auto Entries =
+      std::to_array<std::pair<Kind, std::string_view>>(
+          {{Kind::Planned, "planned"},
+           {Kind::Takeovers, "takeovers"},
+           {Kind::All, "all"}});
+};
+
 template <> struct EnumNames<bench::soak::CallTrigger> {
   using Kind = bench::soak::CallTrigger;
   static constexpr auto Entries =
--- a/src/bench/soak/History.h
+++ b/src/bench/soak/History.h
@@ -81,6 +81,7 @@
   Outcome End = Outcome::TimedOut;
   std::string Code;         ///< Of an error.
   std::string SessionValue; ///< The session's acknowledged value.
+  std::string Shape;        ///< Prepared by the session, if it is executed.
 };
 
 /// One run of a statement at a server.
@@ -92,6 +93,7 @@
   double At = 0;
   bool InTransaction = false;
   std::string SessionValue; ///< The value that was set on the connection.
+  std::string Shape;        ///< Of the prepared statement that ran.
   LogView View;             ///< The log that a read saw.
 };
 
--- a/src/bench/soak/Judge.cpp
+++ b/src/bench/soak/Judge.cpp
@@ -263,6 +263,9 @@
         this->add(Rule::Pinned, What + " with the value \"" + R.SessionValue +
                                     "\" instead of \"" + S->SessionValue +
                                     "\"");
+      if (R.Shape != S->Shape)
+        this->add(Rule::Pinned, What + " with the shape \"" + R.Shape +
+                                    "\" instead of \"" + S->Shape + "\"");
       if (R.InTransaction != (S->Transaction != 0))
         this->add(Rule::Pinned,
                   What + (R.InTransaction ? " inside a transaction"
--- a/src/bench/soak/Servers.h
+++ b/src/bench/soak/Servers.h
@@ -77,7 +77,8 @@
     bool Failed = false;
     bool Wrote = false;
     std::string Value;
-    std::map<std::string, std::string> Prepared; ///< Name to access and shape.
+    /// Access and shape by name.
+    std::map<std::string, std::pair<std::string, std::string>> Prepared;
   };
   /// A commit that waits until a replica holds it.
   struct Pending {
--- a/src/bench/soak/testing/JudgeTest.cpp
+++ b/src/bench/soak/testing/JudgeTest.cpp
@@ -270,6 +270,12 @@
      [](History &H) { H.Statements[0].End = Outcome::Promise; }, Rule::Refused},
     {"another session's value",
      [](History &H) { H.Runs[0].SessionValue = "other"; }, Rule::Pinned},
+    {"another session's prepared statement",
+     [](History &H) {
+       H.Statements[1].Shape = "a";
+       H.Runs[1].Shape = "b";
+     },
+     Rule::Pinned},
     {"a transaction on one connection", addTransaction, std::nullopt},
     {"a transaction on two connections",
      [](History &H) {
