--- a/src/bench/soak/testing/LinksTest.cpp
+++ b/src/bench/soak/testing/LinksTest.cpp
@@ -58,7 +58,8 @@
   At.sin_family = AF_INET;
   At.sin_port = htons(To.Port);
   inet_pton(AF_INET, To.Host.c_str(), &At.sin_addr);
-  ::connect(Descriptor, reinterpret_cast<const sockaddr *>(&At), sizeof(At));
+  [[maybe_unused]] const int Status = ::connect(
+      Descriptor, reinterpret_cast<const sockaddr *>(&At), sizeof(At));
   return Descriptor;
 }
 
