Explorer: bounded time without a primary, and turns of holders

Liveness: after random events up to a step-down, a fair schedule must lead to an acknowledged commit within the lease and one takeover (7.2 s). The head of exploreFairly() states what it assumes; delays of the monitor (detection, pauses after a failed takeover) are not part of the model. A procedure that never orders is found.

Turns: the exhaustive search finds orders of two entry VMs 0 ms apart after 19 events, because a claim that is marked as finished may be taken at once.

--- a/src/policy/testing/TakeoverExplorer.h
+++ b/src/policy/testing/TakeoverExplorer.h
@@ -21,6 +21,7 @@
 //    not one of them was suspended, cut off or ended in between.
 //  - STRANDED: when a takeover has ended with a promotion, no server that its
 //    holder reaches is kept from the new primary by a term that it holds.
+//  - LIVE: a primary acknowledges within a bounded time after a step-down.
 //  - STALE: no server is proved to lead whose log lacked an acknowledged commit
 //    when the proof began.
 #ifndef AMARANTHSPUR_POLICY_TESTING_TAKEOVEREXPLORER_H
@@ -164,6 +165,9 @@
   std::uint64_t Events = 0;    ///< Events that were carried out.
   std::uint64_t Takeovers = 0; ///< Promotions that took effect.
   std::map<std::string, std::uint64_t> Gaps;
+  /// Time from the step-down to the first commit that was acknowledged
+  /// afterwards; zero if no primary stepped down. Of exploreFairly().
+  Duration Outage = Duration::zero();
 
   std::string text() const;
 };
@@ -176,6 +180,19 @@
 ExplorerResult exploreRandomly(const ExplorerOptions &Options,
                                std::uint64_t Seed, std::size_t Length);
 
+/// Explores random events until the group has no primary, at most \p Length,
+/// and then a fair schedule until a primary acknowledges a new commit. It is a
+/// violation (LIVE) if that takes longer than \p Bound.
+///
+/// In the fair schedule, each entry VM but at most one carries out a step every
+/// 100 ms, calls in flight are lost, calls reach the servers and the store, and
+/// an order takes effect after 600 ms. It assumes that no further server leaves
+/// or fails, and that the events before let all servers answer.
+/// \param Stopped whether the entry VM that made the primary step down does
+/// nothing more.
+ExplorerResult exploreFairly(const ExplorerOptions &Options, std::uint64_t Seed,
+                             std::size_t Length, Duration Bound, bool Stopped);
+
 } // namespace amaranthspur::testing
 
 namespace amaranthspur {
--- a/src/policy/testing/TakeoverExplorerTest.cpp
+++ b/src/policy/testing/TakeoverExplorerTest.cpp
@@ -101,6 +101,19 @@
   }
 };
 
+/// Gives a takeover up instead of ordering the promotion.
+class NeverOrders final : public PresentLogic {
+public:
+  using PresentLogic::PresentLogic;
+  std::unique_ptr<TakeoverLogic> clone() const override {
+    return std::make_unique<NeverOrders>(*this);
+  }
+  TakeoverAction next(TimePoint Now) override {
+    TakeoverAction Action = this->Procedure.next(Now);
+    return Action.Step == TakeoverStep::Order ? TakeoverAction{} : Action;
+  }
+};
+
 /// Ends a takeover when its target leads, whatever terms the servers hold.
 class LeavesStranded final : public PresentLogic {
 public:
@@ -343,6 +356,15 @@
       {"an order that was given up arrives", Present, 2, true, HeldUp, 25,
        "ONE", CallEnd::Closed, othersThan(Invariant::One)},
       {"an order that was given up is reset", Present, 2, true, HeldUp, 25, ""},
+      {"a released claim may be taken at once",
+       Present,
+       2,
+       false,
+       {},
+       24,
+       "TURN",
+       CallEnd::Reset,
+       {}},
       {"no step-down, a server joins", makeNoStepDown, 1, false, Joins, 14,
        "LOST"},
       {"no step-down",
@@ -506,3 +528,56 @@
     CHECK(Takeovers > 0);
   }
 }
+
+// Guards against a service that stays without a primary after a holder has
+// ended or was cut off during its takeover.
+TEST_CASE("a primary acknowledges again after a step-down") {
+  struct Row {
+    const char *Name;
+    TakeoverFactory Make;
+    std::size_t Vms;
+    std::map<Kind, unsigned> Limits;
+    bool Stopped;      ///< The holder of the step-down does nothing more.
+    const char *Found; ///< Start of the violation; empty if there must be none.
+  };
+  const TakeoverFactory Present = make<PresentLogic>;
+  const std::map<Kind, unsigned> Faults = {
+      {Kind::Commit, 3}, {Kind::Join, 1},       {Kind::Wait, 3},
+      {Kind::Die, 1},    {Kind::LoseAnswer, 2}, {Kind::LoseCall, 2},
+      {Kind::HoldUp, 2}};
+  const Row Rows[] = {
+      {"no promotion is ordered", make<NeverOrders>, 3, Faults, false, "LIVE"},
+      {"the holder goes on", Present, 3, Faults, false, ""},
+      {"the holder stops", Present, 3, Faults, true, ""},
+      {"one of five stops", Present, 5, Faults, true, ""},
+  };
+  // One takeover: the promotion window, the call and its effect.
+  const Duration Takeover =
+      TakeoverClaim::PromotionWindow + milliseconds(700) + milliseconds(1000);
+  for (const Row &R : Rows) {
+    ExplorerOptions Options;
+    Options.Make = R.Make;
+    Options.Vms = R.Vms;
+    Options.Limits = R.Limits;
+    Options.Waits = {200, 700};
+    Options.Unchecked = {Invariant::Turn};
+    Duration Longest = Duration::zero();
+    unsigned Outages = 0;
+    std::string Violation;
+    for (unsigned Seed = 1; Seed <= 1000 * rounds(); ++Seed) {
+      const ExplorerResult Result = exploreFairly(
+          Options, Seed, 60, TakeoverClaim::Lease + Takeover, R.Stopped);
+      Longest = std::max(Longest, Result.Outage);
+      Outages += Result.Outage != Duration::zero();
+      if (Result.Violation.empty())
+        continue;
+      Violation = Result.Violation.substr(0, Result.Violation.find(':'));
+      UNSCOPED_INFO("seed " << Seed << ": " << Result.text());
+      break;
+    }
+    WARN(R.Name << ": " << Outages << " step-downs, longest time without a "
+                << "primary " << toMilliseconds(Longest) << " ms");
+    CHECK(Violation == R.Found);
+    CHECK(Outages > 0);
+  }
+}
--- a/src/policy/testing/TakeoverModel.h
+++ b/src/policy/testing/TakeoverModel.h
@@ -160,6 +160,23 @@
   bool isEnabled(const ExplorerEvent &E) const;
   void apply(const ExplorerEvent &E, bool Coarse);
   std::size_t hash() const;
+
+  TimePoint now() const { return this->Now; }
+  /// Returns whether the platform's present primary leads.
+  bool isLed() const {
+    const Server &S = this->Servers[this->Leader];
+    return S.Running && !S.Gone && S.Primary;
+  }
+  std::size_t leader() const { return this->Leader; }
+  /// Returns whether the last commit has been acknowledged.
+  bool isLastAcknowledged() const {
+    return (this->Acknowledged & (1U << (this->Commits - 1U))) != 0;
+  }
+  /// Returns for how long the order \p Index has been pending.
+  Duration pendingFor(std::size_t Index) const {
+    return this->Now - this->Orders[Index].ArrivedAt;
+  }
+  std::size_t vms() const { return this->Vms.size(); }
   std::string describe(const ExplorerEvent &E) const;
 
   std::string Violation; ///< The name of the invariant, a colon, and the case.
