--- a/src/policy/testing/TakeoverModelEvents.cpp
+++ b/src/policy/testing/TakeoverModelEvents.cpp
@@ -244,9 +244,9 @@
     mix(H, static_cast<std::size_t>(V.Now) + 4UL * V.Undoing + 8 * V.Fence +
                128 * V.Expected + 8192 * V.Believed.value_or(9));
     mix(H, V.Claim.mayClaim(this->Now) + 2UL * V.Given.OldReached +
-               4 * (V.Given.SteppedDownAt != 0) +
-               8 * (this->LastRelease > V.Given.LastRead) +
-               16 * (this->OldRestarted > V.Given.SteppedDownAt));
+               4UL * (V.Given.SteppedDownAt != 0) +
+               8UL * (this->LastRelease > V.Given.LastRead) +
+               16UL * (this->OldRestarted > V.Given.SteppedDownAt));
     mix(H, V.Proof.Inputs + 4UL * (V.Proof.Logic != nullptr) +
                8UL * (V.Proof.Missing != 0) + 16 * V.Proof.TermNumber);
     if (V.Now == Doing::Nothing)
