Merge the wait by the store's clock into the explorer

The model tells the entry VMs the store's clock, which differs from theirs, and writes the turns of claims, confirmations and releases as GroupMonitor does. An order of a suspended holder that is delivered between the time limit of its call and the moment at which the kernel gives the connection up breaks TURN by at most that time; a row checks that this is counted as the gap late-order.

--- a/src/policy/testing/TakeoverExplorerTest.cpp
+++ b/src/policy/testing/TakeoverExplorerTest.cpp
@@ -49,6 +49,7 @@
     std::set<Invariant> Unchecked = {};
     const ClaimRule *Claims = nullptr;
     std::vector<std::size_t> Waits = {NextClaim};
+    std::optional<TakeoverGap> Gap = {}; ///< That must be met.
   };
   const ReleasedIsFree Free;
   const OrdersArriveAtOnce AtOnce;
@@ -110,6 +111,18 @@
        {},
        nullptr,
        {700, 4100}},
+      {"an order of a suspended holder is delayed",
+       Present,
+       2,
+       true,
+       Delayed,
+       22,
+       "",
+       CallEnd::Reset,
+       {},
+       nullptr,
+       {900, 3902},
+       TakeoverGap::LateOrder},
       {"no step-down, a server joins", makeNoStepDown, 1, false, Joins, 14,
        "LOST"},
       {"no step-down",
@@ -154,6 +167,7 @@
     const ExplorerResult Result = exploreAll(Options, R.Depth);
     CAPTURE(Result.text());
     CHECK(Result.Violation.substr(0, Result.Violation.find(':')) == R.Found);
+    CHECK((!R.Gap || Result.Gaps.count(std::string(nameOf(*R.Gap))) != 0));
     // A row in which no promotion takes effect would show nothing.
     CHECK((*R.Found != '\0' || Result.Takeovers > 0));
   }
--- a/src/policy/testing/TakeoverModel.cpp
+++ b/src/policy/testing/TakeoverModel.cpp
@@ -26,6 +26,10 @@
 }
 
 void TakeoverModel::observeRow(Vm &V) const {
+  // The store's clock differs from that of the entry VMs.
+  constexpr std::int64_t StoreAheadMs = 7000;
+  V.Claim.observeClock(inMs(this->Now.time_since_epoch()) + StoreAheadMs,
+                       this->Now, this->Now);
   V.Claim.observe(this->RowVersion, this->Row, this->Now);
 }
 
@@ -108,7 +112,7 @@
     return;
   M.Fence = this->RowVersion;
   M.OrderBy = M.Begun + TakeoverClaim::OrderSpan;
-  M.Outcome = ClaimOutcome{Before, false, false, 0, {vmId(V), 0}};
+  M.Outcome = ClaimOutcome{Before, false, false, 0, {}};
   M.Now = Doing::Acting;
   M.Inputs = 0;
   if (M.Undoing) {
@@ -180,6 +184,7 @@
     if (How == Kind::LoseAnswer)
       Outcome = PromotionOutcome::Unknown;
   }
+  M.OrderEnd = this->Now;
   mix(M.Inputs, static_cast<std::size_t>(Outcome));
   auto Logic = M.Logic->clone();
   Logic->recordOrder(Outcome);
--- a/src/policy/testing/TakeoverModel.h
+++ b/src/policy/testing/TakeoverModel.h
@@ -111,7 +111,8 @@
   TimePoint Begun{};
   std::uint64_t Expected = 0; ///< Version that the claim is based on.
   std::uint64_t Fence = 0;
-  TimePoint OrderBy{}; ///< An order must have been abandoned then.
+  TimePoint OrderBy{};  ///< An order must have been abandoned then.
+  TimePoint OrderEnd{}; ///< End of the call of the last order.
   std::shared_ptr<const TakeoverLogic> Logic;
   TakeoverAction Action;
   std::vector<std::size_t> Pending; ///< Servers that the step has yet to call.
--- a/src/policy/testing/TakeoverModelCalls.cpp
+++ b/src/policy/testing/TakeoverModelCalls.cpp
@@ -53,19 +53,25 @@
   C.Step = M.Action.Step;
   C.TermNumber = M.Action.TermNumber;
   C.Expected = M.Fence;
+  // The last moment at which an order under the written row can be under way.
+  const ClaimTurn Turn =
+      M.Claim.turnUntil((M.Now == Doing::Claiming ? M.Begun : this->Now) +
+                        TakeoverClaim::OrderSpan);
   if (M.Now == Doing::Claiming) {
     C.What = CallKind::Write;
     C.Expected = M.Expected;
     C.Written = parseClaimRow(
-        1, M.Undoing ? undoClaimValue({vmId(V), 0})
-                     : takeoverClaimValue({vmId(V), 0}, nextTerm(M.Plan)));
+        1, M.Undoing ? undoClaimValue(Turn)
+                     : takeoverClaimValue(Turn, nextTerm(M.Plan)));
   } else if (C.Step == TakeoverStep::Confirm || this->mustRenew(M)) {
     C.What = CallKind::Write;
     C.Written = parseClaimRow(
-        1, confirmedClaimValue({vmId(V), 0}, C.TermNumber, M.Action.Target));
+        1, confirmedClaimValue(Turn, C.TermNumber, M.Action.Target));
   } else if (C.Step == TakeoverStep::End) {
     C.What = CallKind::Write;
-    C.Written = parseClaimRow(1, finishedClaimValue(M.Outcome));
+    ClaimOutcome Outcome = M.Outcome;
+    Outcome.Turn = M.Claim.turnUntil(M.OrderEnd);
+    C.Written = parseClaimRow(1, finishedClaimValue(Outcome));
   } else if (C.Step == TakeoverStep::Order) {
     C.What = CallKind::Order;
     C.Limit = std::min(CallLimit, M.OrderBy - this->Now);
--- a/src/policy/testing/TakeoverModelEvents.cpp
+++ b/src/policy/testing/TakeoverModelEvents.cpp
@@ -300,6 +300,7 @@
              (this->Row.Target ? indexOf(*this->Row.Target) : 99));
   mix(H, this->Row.Turn ? std::hash<std::string>()(this->Row.Turn->Holder.str())
                         : 0);
+  mix(H, this->Row.Turn ? this->Row.Turn->WaitFromMs : 0);
   mix(H, this->Now.time_since_epoch().count());
   return H;
 }
