Explorer: orders that are held up, and servers that join hold no term

It showed a fault of the model: a server that joined held the term that the new primary had adopted before its promotion, and stayed stranded. Only a pause makes a server hold a term.

--- a/src/policy/testing/TakeoverExplorerTest.cpp
+++ b/src/policy/testing/TakeoverExplorerTest.cpp
@@ -233,6 +233,7 @@
     unsigned Seeds;
     const char *Found; ///< Start of the violation; empty if there must be none.
     std::set<Invariant> Unchecked = {};
+    std::map<Kind, TakeoverStep> FaultySteps = {};
   };
   const std::map<Kind, unsigned> All = {
       {Kind::Commit, 3},   {Kind::Join, 1},  {Kind::Leave, 1},
@@ -245,6 +246,13 @@
   std::map<Kind, unsigned> NoRestarts = HeldUp;
   NoRestarts.erase(Kind::Restart);
   NoRestarts.erase(Kind::Crash);
+  // The link of the holder to the platform is cut when it orders.
+  const std::map<Kind, unsigned> CutOrders = {
+      {Kind::Commit, 3}, {Kind::Join, 1}, {Kind::LoseAnswer, 2},
+      {Kind::HoldUp, 4}, {Kind::Die, 1},  {Kind::Wait, 8}};
+  const std::map<Kind, TakeoverStep> AtOrders = {
+      {Kind::HoldUp, TakeoverStep::Order},
+      {Kind::LoseAnswer, TakeoverStep::Order}};
   const Row Rows[] = {
       {"no step-down", makeNoStepDown, 2, 3, All, 300, "ONE",
        othersThan(Invariant::One)},
@@ -253,6 +261,15 @@
       {"ends of logs not compared", make<IgnoresEnds>, 2, 3, All, 300, "LOST",
        othersThan(Invariant::Lost)},
       {"two entry VMs, all faults", make<PresentLogic>, 2, 3, HeldUp, 4000, ""},
+      {"three entry VMs, orders are held up",
+       make<PresentLogic>,
+       3,
+       3,
+       CutOrders,
+       4000,
+       "",
+       {},
+       AtOrders},
       {"three entry VMs, servers do not restart", make<PresentLogic>, 3, 4,
        NoRestarts, 4000, ""},
   };
@@ -264,7 +281,8 @@
     Options.Servers = R.Servers;
     Options.Limits = R.Limits;
     Options.Unchecked = R.Unchecked;
-    Options.Waits = {200, 700, 1500, 4000, 4800};
+    Options.FaultySteps = R.FaultySteps;
+    Options.Waits = {200, 500, 700, 900, 1500, 3900, 4802};
     std::map<std::string, std::uint64_t> Gaps;
     std::uint64_t Takeovers = 0;
     std::string Violation;
--- a/src/policy/testing/TakeoverModelEvents.cpp
+++ b/src/policy/testing/TakeoverModelEvents.cpp
@@ -196,6 +196,7 @@
   case Kind::Join: {
     Server New = this->Servers[E.A];
     New.Primary = false;
+    New.Held = 0;
     this->Servers.push_back(New);
     this->LastRelease = this->Events;
     this->acknowledge(E.A, this->Servers.size() - 1);
