--- a/src/policy/testing/TakeoverExplorer.h
+++ b/src/policy/testing/TakeoverExplorer.h
@@ -6,25 +6,36 @@
 // decided by one event and carried out by another, so an entry VM can be
 // suspended between them. Replication to each server is an event.
 //
+// A call that is held up on its way arrives at any later time, unless its
+// sender has reset the connection. An order that has arrived takes effect
+// within 1 s, if its target runs then.
+//
 // Invariants:
 //  - LOST: a promoted log holds each acknowledged commit, except those that an
 //    earlier promotion has removed.
 //  - ONE: no superseded primary acknowledges a commit after a promotion, unless
 //    the entry VM that ordered the promotion could not reach it.
 //  - CLAIM: orders under one version of the claim row are of one entry VM.
+//  - FENCE: no order arrives after one with a higher fence.
+//  - TURN: orders of two entry VMs arrive at least the lease apart, whether or
+//    not one of them was suspended, cut off or ended in between.
 //  - STRANDED: when a takeover has ended with a promotion, no server that its
 //    holder reaches is kept from the new primary by a term that it holds.
+//  - LIVE: a primary acknowledges within a bounded time after a step-down.
 //  - STALE: no server is proved to lead whose log lacked an acknowledged commit
 //    when the proof began.
 #ifndef AMARANTHSPUR_POLICY_TESTING_TAKEOVEREXPLORER_H
 #define AMARANTHSPUR_POLICY_TESTING_TAKEOVEREXPLORER_H
 
+#include "core/Names.h"
 #include "policy/LeadershipProof.h"
 #include "policy/TakeoverProcedure.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -66,6 +77,17 @@
 /// Makes the evidence for a primary of a term.
 using ProofFactory = std::function<std::unique_ptr<ProofLogic>(Term)>;
 
+/// The rule by which an entry VM may claim a takeover. Some implementations are
+/// wrong on purpose.
+class ClaimRule {
+public:
+  virtual ~ClaimRule() = default;
+  /// \param Seen the claim as the entry VM has observed it.
+  /// \param Row the content of the row.
+  virtual bool mayClaim(const TakeoverClaim &Seen, const ClaimRow &Row,
+                        ClaimPurpose Purpose, TimePoint Now) const = 0;
+};
+
 /// What happens in one event; A and B are its operands.
 enum class ExplorerEventKind {
   Plan,       ///< Entry VM A polls the servers and begins a takeover.
@@ -73,7 +95,10 @@
   Step,       ///< Entry VM A carries out its step, a call at server B.
   LoseAnswer, ///< The same, but the answer is lost.
   LoseCall,   ///< The step has neither an effect nor an answer.
-  Die,        ///< Entry VM A restarts.
+  HoldUp,     ///< The same, but the call is held up and arrives later.
+  Arrive,     ///< The held-up call A arrives.
+  GiveUp,     ///< Entry VM A gives up the call that is held up.
+  Die,        ///< Entry VM A is killed and restarts.
   Cut,        ///< The link of entry VM A and server B is cut, or restored.
   Commit,     ///< Primary A appends a commit.
   Deliver,    ///< Server B receives the log of primary A.
@@ -97,9 +122,9 @@
 /// Cases that the platform gives no means to prevent. A history that breaks an
 /// invariant in such a case ends without a violation and is counted.
 enum class TakeoverGap {
-  /// An order that takes effect after another entry VM has claimed the
-  /// takeover: the platform does not check the fence of an order. The model
-  /// leaves such effects out, so they are not counted.
+  /// An order that arrives later than the time limit of its call, because the
+  /// sender was suspended and its kernel had not yet given the connection up.
+  /// The platform does not check the fence of an order.
   LateOrder,
   /// The holder had no answer of the old primary, a server joined, restarted or
   /// was resumed after the holder's last read of the registrations, and the
@@ -118,16 +143,31 @@
   StrayCommit,
 };
 
+/// How the sender of a call ends its connection when it gives the call up.
+enum class CallEnd {
+  Closed, ///< What was sent still arrives when the path is back.
+  Reset,  ///< What has not arrived never does.
+};
+
+/// What a history may break; see the head of this file.
+enum class Invariant { Lost, One, Claim, Fence, Turn, Stranded, Stale, Live };
+
 struct ExplorerOptions {
   TakeoverFactory Make;
-  ProofFactory MakeProof; ///< Not needed without a limit for Prove.
+  ProofFactory MakeProof;            ///< Not needed without a limit for Prove.
+  const ClaimRule *Claims = nullptr; ///< TakeoverClaim's rule if it is null.
   std::size_t Vms = 2;
   std::size_t Servers = 3;
-  /// Maximum numbers of events of each kind; none for a missing kind. Plan,
-  /// Step, Deliver, Effect and Ask are not limited.
+  /// Maximum numbers of events of each kind; none for a missing kind, except
+  /// Plan, Step, Arrive, GiveUp, Deliver, Effect and Ask, which are unlimited.
   std::map<ExplorerEventKind, unsigned> Limits;
   std::vector<std::size_t> Waits = {1000, 4000};
   bool PrimaryHidden = false; ///< No entry VM reaches the first primary.
+  CallEnd GivenUp = CallEnd::Reset;
+  /// The only step whose calls meet with the kind of fault (LoseAnswer,
+  /// LoseCall or HoldUp); any step for a missing kind.
+  std::map<ExplorerEventKind, TakeoverStep> FaultySteps;
+  std::set<Invariant> Unchecked; ///< Invariants that may be broken.
 };
 
 /// The first violation that was found.
@@ -137,6 +177,9 @@
   std::uint64_t Events = 0;    ///< Events that were carried out.
   std::uint64_t Takeovers = 0; ///< Promotions that took effect.
   std::map<std::string, std::uint64_t> Gaps;
+  /// Time from the step-down to the first commit that was acknowledged
+  /// afterwards; zero if no primary stepped down. Of exploreFairly().
+  Duration Outage = Duration::zero();
 
   std::string text() const;
 };
@@ -149,6 +192,82 @@
 ExplorerResult exploreRandomly(const ExplorerOptions &Options,
                                std::uint64_t Seed, std::size_t Length);
 
+/// Explores random events until the group has no primary, at most \p Length,
+/// and then a fair schedule until a primary acknowledges a new commit. It is a
+/// violation (LIVE) if that takes longer than \p Bound.
+///
+/// In the fair schedule, each entry VM but at most one carries out a step every
+/// 100 ms, calls in flight are lost, calls reach the servers and the store, and
+/// an order takes effect after 600 ms. It assumes that no further server leaves
+/// or fails, and that the events before let all servers answer.
+/// \param Stopped whether the entry VM that made the primary step down does
+/// nothing more.
+ExplorerResult exploreFairly(const ExplorerOptions &Options, std::uint64_t Seed,
+                             std::size_t Length, Duration Bound, bool Stopped);
+
 } // namespace amaranthspur::testing
 
+namespace amaranthspur {
+
+template <> struct EnumNames<testing::ExplorerEventKind> {
+  using Kind = testing::ExplorerEventKind;
+  static constexpr auto Entries =
+      std::to_array<std::pair<Kind, std::string_view>>(
+          {{Kind::Plan, "plan"},
+           {Kind::Undo, "undo"},
+           {Kind::Step, "step"},
+           {Kind::LoseAnswer, "lose-answer"},
+           {Kind::LoseCall, "lose-call"},
+           {Kind::HoldUp, "hold-up"},
+           {Kind::Arrive, "arrive"},
+           {Kind::GiveUp, "give-up"},
+           {Kind::Die, "die"},
+           {Kind::Cut, "cut"},
+           {Kind::Commit, "commit"},
+           {Kind::Deliver, "deliver"},
+           {Kind::Join, "join"},
+           {Kind::Leave, "leave"},
+           {Kind::Restart, "restart"},
+           {Kind::Crash, "crash"},
+           {Kind::Deafen, "deafen"},
+           {Kind::Effect, "effect"},
+           {Kind::Prove, "prove"},
+           {Kind::Ask, "ask"},
+           {Kind::Wait, "wait"}});
+};
+
+template <> struct EnumNames<testing::CallEnd> {
+  using End = testing::CallEnd;
+  static constexpr auto Entries =
+      std::to_array<std::pair<End, std::string_view>>(
+          {{End::Closed, "closed"}, {End::Reset, "reset"}});
+};
+
+template <> struct EnumNames<testing::Invariant> {
+  using What = testing::Invariant;
+  static constexpr auto Entries =
+      std::to_array<std::pair<What, std::string_view>>(
+          {{What::Lost, "LOST"},
+           {What::One, "ONE"},
+           {What::Claim, "CLAIM"},
+           {What::Fence, "FENCE"},
+           {What::Turn, "TURN"},
+           {What::Stranded, "STRANDED"},
+           {What::Stale, "STALE"},
+           {What::Live, "LIVE"}});
+};
+
+template <> struct EnumNames<testing::TakeoverGap> {
+  using Gap = testing::TakeoverGap;
+  static constexpr auto Entries =
+      std::to_array<std::pair<Gap, std::string_view>>(
+          {{Gap::LateOrder, "late-order"},
+           {Gap::UnreachablePrimary, "unreachable-primary"},
+           {Gap::RestartedPrimary, "restarted-primary"},
+           {Gap::SoleHolder, "sole-holder"},
+           {Gap::StrayCommit, "stray-commit"}});
+};
+
+} // namespace amaranthspur
+
 #endif // AMARANTHSPUR_POLICY_TESTING_TAKEOVEREXPLORER_H
