Explorer: an entry VM claims again under its own claim

The model tells TakeoverClaim which process wrote the row, and when an order of that process can take effect no more.

--- a/src/policy/testing/TakeoverModel.cpp
+++ b/src/policy/testing/TakeoverModel.cpp
@@ -30,7 +30,11 @@
   constexpr std::int64_t StoreAheadMs = 7000;
   V.Claim.observeClock(inMs(this->Now.time_since_epoch()) + StoreAheadMs,
                        this->Now, this->Now);
-  V.Claim.observe(this->RowVersion, this->Row, this->Now);
+  const bool Own =
+      this->RowWriter &&
+      V.Claim.turnUntil(this->Now).Holder == vmId(*this->RowWriter) &&
+      V.Process == this->RowProcess;
+  V.Claim.observe(this->RowVersion, this->Row, this->Now, Own);
 }
 
 void TakeoverModel::observeRow() {
@@ -38,12 +42,13 @@
     this->observeRow(V);
 }
 
-bool TakeoverModel::compareAndSet(std::uint64_t Expected,
-                                  const ClaimRow &Written) {
-  if (Expected != this->RowVersion)
+bool TakeoverModel::write(const Call &C) {
+  if (C.Expected != this->RowVersion)
     return false;
   ++this->RowVersion;
-  this->Row = Written;
+  this->Row = C.Written;
+  this->RowWriter = C.Vm;
+  this->RowProcess = C.Process;
   this->observeRow();
   return true;
 }
@@ -99,8 +104,8 @@
   const ClaimRow Before = this->Row;
   const Call C = this->makeCall(V, 0);
   M.Now = Doing::Nothing;
-  const bool Applied = How != Kind::LoseCall && How != Kind::GiveUp &&
-                       this->compareAndSet(C.Expected, C.Written);
+  const bool Applied =
+      How != Kind::LoseCall && How != Kind::GiveUp && this->write(C);
   if (How == Kind::Step && !Applied &&
       this->mayClaim(V, M.Undoing ? ClaimPurpose::Undo : ClaimPurpose::Order)) {
     // The entry VM tries again with the version that it has read now.
@@ -175,6 +180,7 @@
       return;
     }
   }
+  M.Claim.recordOrder(M.OrderBy + EffectTimeout);
   PromotionOutcome Outcome = PromotionOutcome::NotDone;
   M.Outcome.Ordered = true;
   if (How == Kind::GiveUp) {
@@ -185,6 +191,7 @@
       Outcome = PromotionOutcome::Unknown;
   }
   M.OrderEnd = this->Now;
+  M.Claim.recordOrder(M.OrderEnd + EffectTimeout);
   mix(M.Inputs, static_cast<std::size_t>(Outcome));
   auto Logic = M.Logic->clone();
   Logic->recordOrder(Outcome);
@@ -206,7 +213,7 @@
     if (How != Kind::LoseCall && How != Kind::GiveUp &&
         (M.Undoing || M.Action.End != TakeoverEnd::Open)) {
       const Call C = this->makeCall(V, S);
-      this->compareAndSet(C.Expected, C.Written);
+      this->write(C);
     }
     M.Now = Doing::Nothing;
     M.Logic.reset();
--- a/src/policy/testing/TakeoverModel.h
+++ b/src/policy/testing/TakeoverModel.h
@@ -43,6 +43,8 @@
 inline constexpr Duration KernelSlack = milliseconds(300);
 /// Longest time between the arrival of an order and its effect.
 inline constexpr Duration EffectLimit = milliseconds(1000);
+/// Time for which a holder waits for the effect of its order.
+inline constexpr Duration EffectTimeout = milliseconds(2500);
 
 struct Order {
   std::size_t Target = 0;
@@ -73,6 +75,7 @@
   TimePoint SentAt{};
   Duration Limit = CallLimit;
   bool GivenUp = false;       ///< The connection was closed, and not reset.
+  std::uint64_t Process = 0;  ///< Of the sender.
   std::uint64_t Expected = 0; ///< Of Write.
   ClaimRow Written;           ///< Of Write.
   TakeoverStep Step = TakeoverStep::End;
@@ -111,8 +114,9 @@
   TimePoint Begun{};
   std::uint64_t Expected = 0; ///< Version that the claim is based on.
   std::uint64_t Fence = 0;
-  TimePoint OrderBy{};  ///< An order must have been abandoned then.
-  TimePoint OrderEnd{}; ///< End of the call of the last order.
+  std::uint64_t Process = 0; ///< Number of its present process.
+  TimePoint OrderBy{};       ///< An order must have been abandoned then.
+  TimePoint OrderEnd{};      ///< End of the call of the last order.
   std::shared_ptr<const TakeoverLogic> Logic;
   TakeoverAction Action;
   std::vector<std::size_t> Pending; ///< Servers that the step has yet to call.
@@ -234,8 +238,8 @@
   void arrive(std::size_t Index);
   void change(const Call &C);
   PromotionOutcome takeOrder(const Call &C);
-  /// Writes the claim row if it has the version \p Expected.
-  bool compareAndSet(std::uint64_t Expected, const ClaimRow &Written);
+  /// Writes the claim row if it has the version that \p C expects.
+  bool write(const Call &C);
   void prove(std::size_t V, std::size_t S);
   void ask(std::size_t V, std::size_t S);
   /// Lets the logic of \p V decide its next step.
@@ -280,6 +284,8 @@
   std::uint64_t HighestFence = 0; ///< Of the orders that have arrived.
   std::vector<Call> InFlight;     ///< Calls that are held up.
   std::uint64_t RowVersion = 0;
+  std::optional<std::size_t> RowWriter; ///< Entry VM that wrote the row.
+  std::uint64_t RowProcess = 0;         ///< Its process then.
   ClaimRow Row = parseClaimRow(0, {});
   std::array<Term, MaxServers> Led{}; ///< Last term that each server has led.
 };
--- a/src/policy/testing/TakeoverModelCalls.cpp
+++ b/src/policy/testing/TakeoverModelCalls.cpp
@@ -47,6 +47,7 @@
   const Vm &M = this->Vms[V];
   Call C;
   C.Vm = V;
+  C.Process = M.Process;
   C.SentAt = this->Now;
   C.Begun = M.Begun;
   C.Server = S;
@@ -115,8 +116,8 @@
 ClaimCheck TakeoverModel::confirm(std::size_t V, Kind How) {
   Vm &M = this->Vms[V];
   const Call C = this->makeCall(V, 0);
-  const bool Applied = How != Kind::LoseCall && How != Kind::GiveUp &&
-                       this->compareAndSet(C.Expected, C.Written);
+  const bool Applied =
+      How != Kind::LoseCall && How != Kind::GiveUp && this->write(C);
   if (How != Kind::Step)
     return ClaimCheck::Unknown;
   if (!Applied)
@@ -157,6 +158,8 @@
 }
 
 void TakeoverModel::holdUp(std::size_t V, std::size_t S) {
+  if (this->makeCall(V, S).What == CallKind::Order)
+    this->Vms[V].Claim.recordOrder(this->Vms[V].OrderBy + EffectTimeout);
   this->InFlight.push_back(this->makeCall(V, S));
   this->Vms[V].Waiting = true;
   this->Vms[V].Asked = S;
@@ -181,7 +184,7 @@
                        static_cast<std::ptrdiff_t>(Index));
   switch (C.What) {
   case CallKind::Write:
-    this->compareAndSet(C.Expected, C.Written);
+    this->write(C);
     break;
   case CallKind::Change:
     if (this->Servers[C.Server].Running && !this->Servers[C.Server].Gone)
--- a/src/policy/testing/TakeoverModelEvents.cpp
+++ b/src/policy/testing/TakeoverModelEvents.cpp
@@ -171,6 +171,7 @@
     this->reset(E.A);
     Vm Fresh;
     Fresh.Claim = TakeoverClaim(vmId(E.A));
+    Fresh.Process = this->Vms[E.A].Process + 1;
     Fresh.Believed = this->Vms[E.A].Believed;
     this->observeRow(Fresh);
     this->Vms[E.A] = Fresh;
@@ -302,6 +303,7 @@
   mix(H, this->Row.Turn ? std::hash<std::string>()(this->Row.Turn->Holder.str())
                         : 0);
   mix(H, this->Row.Turn ? this->Row.Turn->WaitFromMs : 0);
+  mix(H, this->RowWriter.value_or(9) + 16 * this->RowProcess);
   mix(H, this->Now.time_since_epoch().count());
   return H;
 }
