--- a/src/policy/testing/TakeoverModel.cpp
+++ b/src/policy/testing/TakeoverModel.cpp
@@ -180,7 +180,7 @@
       return;
     }
   }
-  M.Claim.recordOrder(M.OrderBy + EffectTimeout);
+  M.Claim.recordOrder(M.OrderBy + EffectTimeout, false);
   PromotionOutcome Outcome = PromotionOutcome::NotDone;
   M.Outcome.Ordered = true;
   if (How == Kind::GiveUp) {
@@ -191,7 +191,8 @@
       Outcome = PromotionOutcome::Unknown;
   }
   M.OrderEnd = this->Now;
-  M.Claim.recordOrder(M.OrderEnd + EffectTimeout);
+  M.Claim.recordOrder(M.OrderEnd + EffectTimeout,
+                      Outcome != PromotionOutcome::Unknown);
   mix(M.Inputs, static_cast<std::size_t>(Outcome));
   auto Logic = M.Logic->clone();
   Logic->recordOrder(Outcome);
--- a/src/policy/testing/TakeoverModelCalls.cpp
+++ b/src/policy/testing/TakeoverModelCalls.cpp
@@ -159,7 +159,7 @@
 
 void TakeoverModel::holdUp(std::size_t V, std::size_t S) {
   if (this->makeCall(V, S).What == CallKind::Order)
-    this->Vms[V].Claim.recordOrder(this->Vms[V].OrderBy + EffectTimeout);
+    this->Vms[V].Claim.recordOrder(this->Vms[V].OrderBy + EffectTimeout, false);
   this->InFlight.push_back(this->makeCall(V, S));
   this->Vms[V].Waiting = true;
   this->Vms[V].Asked = S;
