Keep the turn of a claim that was not released

The explorer broke TURN: a holder orders a promotion without an effect, claims again under its own claim and gives up. The row that it releases named no turn, so another entry VM ordered 2.8 to 3.0 s after the first order.

A finished row took over the turn of the row before only if that was finished as well. The holder of a claim that was not released may have given an order, so its turn is taken over too.

ClaimRowTest expected no turn after an expired claim; it now expects that of the expired claim, a stricter wait.

--- a/src/policy/ClaimRow.cpp
+++ b/src/policy/ClaimRow.cpp
@@ -127,12 +127,10 @@
     Last = Outcome.Highest;
   else if (Settled && !Outcome.Ordered && Outcome.Highest <= Before.LastTerm)
     Last = Before.LastTerm;
-  // A claim without an order carries on the wait for the order before it.
-  std::optional<ClaimTurn> Turn;
-  if (Outcome.Ordered)
-    Turn = Outcome.Turn;
-  else if (Before.State == ClaimState::Finished)
-    Turn = Before.Turn;
+  // A claim without an order carries on the wait for the order before it. The
+  // holder of a claim that was not released may have given one.
+  const std::optional<ClaimTurn> Turn =
+      Outcome.Ordered ? std::optional(Outcome.Turn) : Before.Turn;
   std::string Value(FinishedWord);
   if (Last != 0 || Turn)
     Value += " " + std::to_string(Last);
--- a/src/policy/testing/ClaimRowTest.cpp
+++ b/src/policy/testing/ClaimRowTest.cpp
@@ -98,7 +98,8 @@
       {"promoted after an expired claim", Expired, true, true,
        "finished 0 vm-1@90"},
       {"no order", Other, false, false, "finished 0 vm-2@70"},
-      {"no order after an expired claim", Expired, false, false, "finished"},
+      {"no order after an expired claim", Expired, false, false,
+       "finished 0 vm-2@70"},
       {"no order before either", None, false, false, "finished"},
   };
   for (const Row &R : Rows) {
