Do not order under a claim that was made to undo adoptions

A claim to undo adoptions may replace a released row within the turn of the entry VM that gave the last order. If its release was lost, its holder could claim again at once under its own claim and order within that turn. Such a claim is now respected by its own holder as well.

TakeoverTest, "an entry VM claims again under its own claim": the row within another's turn fails without the change.

--- a/src/policy/ClaimRow.cpp
+++ b/src/policy/ClaimRow.cpp
@@ -89,6 +89,7 @@
   if (Count == 2 && Words[1] == UndoWord) {
     Row.State = ClaimState::Held;
     Row.Turn = parseTurn(Words[0]);
+    Row.Undoing = true;
     return Row;
   }
   if (Count == 1 || parseNumber(Words[1]) == 0)
--- a/src/policy/ClaimRow.h
+++ b/src/policy/ClaimRow.h
@@ -87,6 +87,7 @@
   /// Of the holder or, if the row is finished, of the last order. Nothing in
   /// rows of earlier versions, and in finished rows without a known order.
   std::optional<ClaimTurn> Turn = {};
+  bool Undoing = false; ///< It is held to undo adoptions.
 
   bool operator==(const ClaimRow &) const = default;
 };
--- a/src/policy/Takeover.cpp
+++ b/src/policy/Takeover.cpp
@@ -95,7 +95,10 @@
     return Purpose == ClaimPurpose::Undo || !this->Row.Turn ||
            this->hasLastOrder() || this->hasWaited(Now);
   case ClaimState::Held:
-    return this->Own ? Now >= this->RenewAfter : this->hasWaited(Now);
+    // A claim to undo adoptions may have replaced a row that names the turn of
+    // another entry VM.
+    return this->Own && !this->Row.Undoing ? Now >= this->RenewAfter
+                                           : this->hasWaited(Now);
   case ClaimState::Unknown:
     break;
   }
--- a/src/policy/Takeover.h
+++ b/src/policy/Takeover.h
@@ -138,7 +138,9 @@
 /// no change of turn. So may an entry VM that still holds the claim, if no
 /// order that it has given can take effect any more: nothing else acts under
 /// that claim, and the row names the target that the next takeover prefers. It
-/// has given none if its claim was written without an answer. Two gaps remain:
+/// has given none if its claim was written without an answer. A claim to undo
+/// adoptions is excepted: it may have replaced a row that names the turn of
+/// another entry VM. Two gaps remain:
 /// a holder that is suspended between the check of the time and the sending of
 /// its order, and a finished row of an earlier version, which tells no turn and
 /// is not waited for.
--- a/src/policy/testing/ClaimRowTest.cpp
+++ b/src/policy/testing/ClaimRowTest.cpp
@@ -17,6 +17,11 @@
   return {EntryVmId(Holder), WaitFromMs};
 }
 
+ClaimRow undoing(ClaimRow Row) {
+  Row.Undoing = true;
+  return Row;
+}
+
 } // namespace
 
 // Guards against a value that is misread: as the proof of a term, as a finished
@@ -35,13 +40,13 @@
       {4, "vm-1 3 i-7 5", row(S::Held, 0, ServerId("i-7"), 5)},
       {4, "vm-1 3 i-7 0", row(S::Unknown)},
       {4, "vm-1 3 i-7 5 more", row(S::Unknown)},
-      {4, "vm-1 undo", row(S::Held)},
+      {4, "vm-1 undo", undoing(row(S::Held))},
       {4, "finished", row(S::Finished)},
       {4, "finished 3", row(S::Finished, 3)},
       {4, "finished 18446744073709551615", row(S::Finished, ~Term(0))},
       {4, "vm-1@70 3", row(S::Held, 0, {}, 0, turn("vm-1", 70))},
       {4, "vm-1@0 3 i-7", row(S::Held, 0, ServerId("i-7"), 0, turn("vm-1", 0))},
-      {4, "vm@1@70 undo", row(S::Held, 0, {}, 0, turn("vm@1", 70))},
+      {4, "vm@1@70 undo", undoing(row(S::Held, 0, {}, 0, turn("vm@1", 70)))},
       {4, "finished 3 vm-1@70", row(S::Finished, 3, {}, 0, turn("vm-1", 70))},
       {4, "finished 0 vm-1@0", row(S::Finished, 0, {}, 0, turn("vm-1", 0))},
       {4, "finished 3 vm-1", row(S::Unknown)},
--- a/src/policy/testing/TakeoverTest.cpp
+++ b/src/policy/testing/TakeoverTest.cpp
@@ -300,9 +300,14 @@
     bool Answered;  ///< The order.
     int AtMs;
     bool MayClaim;
+    const char *Value = "vm@0 4 i-7";
   };
   const Row Rows[] = {
       {"its claim, without an order", true, 0, false, 0, true},
+      {"its claim to undo adoptions, within another's turn", true, 0, false,
+       4799, false, "vm@0 undo"},
+      {"its claim to undo adoptions, after another's turn", true, 0, false,
+       4800, true, "vm@0 undo"},
       {"its order may take effect", true, 3000, true, 2999, false},
       {"its order cannot take effect any more", true, 3000, true, 3000, true},
       {"its order had no answer, and the others have their turn", true, 3000,
@@ -318,7 +323,7 @@
     const TimePoint Start{std::chrono::seconds(100)};
     if (R.EffectByMs != 0)
       Claim.recordOrder(Start + milliseconds(R.EffectByMs), R.Answered);
-    Claim.observe(5, parseClaimRow(5, "vm@0 4 i-7"), Start, R.Own);
+    Claim.observe(5, parseClaimRow(5, R.Value), Start, R.Own);
     CHECK(Claim.mayClaim(Start + milliseconds(R.AtMs)) == R.MayClaim);
   }
 }
