Close connections that no request uses again

The new HTTP client kept the connection of each answered order, although an order always opens a new one. A connection of a request that requires a new one is now closed.

--- a/src/platform/HttpClient.cpp
+++ b/src/platform/HttpClient.cpp
@@ -164,7 +164,9 @@
   // request opens a new one.
   if (!succeeded(R))
     this->dropConnections();
-  else if (Counted.isCurrent() && Stream->isReusable())
+  // Requests that require a new connection would only add to the idle ones.
+  else if (!Request.FreshConnection && Counted.isCurrent() &&
+           Stream->isReusable())
     this->Idle.push_back({std::move(Stream), steadyNow()});
   co_return R;
 }
--- a/src/platform/testing/HttpExchangeTest.cpp
+++ b/src/platform/testing/HttpExchangeTest.cpp
@@ -5,6 +5,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <QHostAddress>
+#include <QTcpServer>
+#include <QTcpSocket>
+
 #include <optional>
 #include <string>
 #include <vector>
@@ -229,3 +233,33 @@
     }(Polls));
   }
 }
+
+// Guards against connections that are kept although no request uses them again:
+// orders that the platform refuses for the moment are repeated every 50 ms.
+TEST_CASE("a request that requires a new connection leaves none behind") {
+  testApplication();
+  QTcpServer Server;
+  std::vector<QTcpSocket *> Accepted;
+  QObject::connect(&Server, &QTcpServer::newConnection, &Server, [&] {
+    while (QTcpSocket *S = Server.nextPendingConnection()) {
+      Accepted.push_back(S);
+      QObject::connect(S, &QTcpSocket::readyRead, S, [S] {
+        S->readAll();
+        S->write(Answered);
+      });
+    }
+  });
+  REQUIRE(Server.listen(QHostAddress::LocalHost));
+  HttpClient Client(Address{"127.0.0.1", Server.serverPort()});
+  for (int I = 0; I < 5; ++I) {
+    HttpRequest Order{"POST", "/promotions", "{}", "application/json"};
+    Order.FreshConnection = true;
+    const Result<HttpResponse> R = runTask(
+        Client.send(std::move(Order), steadyNow() + std::chrono::seconds(2)));
+    REQUIRE(succeeded(R));
+  }
+  runTask([]() -> QCoro::Task<> { co_await sleepFor(milliseconds(50)); }());
+  REQUIRE(Accepted.size() == 5);
+  for (const QTcpSocket *S : Accepted)
+    CHECK(S->state() != QAbstractSocket::ConnectedState);
+}
