Pass calls to servers to the kernel at once

The time by which a STEPDOWN, PAUSE or RESUME must be sent is checked before its bytes are written, but the event loop passed them to the kernel later. A holder that was suspended in between would have sent them when it woke. The link now flushes as the HTTP client does. Found by reading; the moment cannot be hit by a test.

--- a/src/platform/LineServerLink.cpp
+++ b/src/platform/LineServerLink.cpp
@@ -95,6 +95,9 @@
     this->Stream->limitUnacknowledged(Deadline - steadyNow());
     const TimePoint WrittenAt = steadyNow();
     this->Stream->write(Message);
+    // Without this, the event loop would pass the bytes to the kernel later,
+    // perhaps after a suspension.
+    this->Stream->flush();
     lines::AnswerReader Reader;
     while (true) {
       const std::optional<std::string> Line =
