--- a/src/bench/soak/EntryVm.cpp
+++ b/src/bench/soak/EntryVm.cpp
@@ -118,13 +118,7 @@
   if (this->Changing)
     co_return; // The task that stops it starts it again.
   this->Changing = true;
-  this->Ready = false;
-  this->saveOutput();
-  co_await sleepFor(Pause);
-  this->Events.Seen.Disruptions[Index].To = this->Events.now();
-  this->Changing = false;
-  if (!this->Stopping)
-    this->start();
+  co_await this->startAfter(Pause, Index);
 }
 
 QCoro::Task<> EntryVm::restartByStop(Duration Pause) {
@@ -134,10 +128,14 @@
   this->Changing = true;
   co_await this->Process->stop(steadyNow() + GraceTime);
   this->Events.note(this->Name + ": process has ended");
+  co_await this->startAfter(Pause, Index);
+}
+
+QCoro::Task<> EntryVm::startAfter(Duration Pause, std::size_t Disruption) {
   this->Ready = false;
   this->saveOutput();
   co_await sleepFor(Pause);
-  this->Events.Seen.Disruptions[Index].To = this->Events.now();
+  this->Events.Seen.Disruptions[Disruption].To = this->Events.now();
   this->Changing = false;
   if (!this->Stopping)
     this->start();
--- a/src/bench/soak/EntryVm.h
+++ b/src/bench/soak/EntryVm.h
@@ -68,6 +68,9 @@
 
 private:
   void saveOutput();
+  /// Starts the process that has ended again after \p Pause, which ends the
+  /// disruption with the index \p Disruption.
+  QCoro::Task<> startAfter(Duration Pause, std::size_t Disruption);
   QCoro::Task<bool> isReady();
 
   std::string Name;
