--- a/src/platform/HttpPlatform.cpp
+++ b/src/platform/HttpPlatform.cpp
@@ -103,11 +103,12 @@
     co_return Error{errorOf(R)};
   const HttpResponse &Response = valueOf(R);
   if (Response.Status == HttpOk) {
-    const Result<std::uint64_t> Version = rows::decodeNewVersion(Response.Body);
-    if (!succeeded(Version))
-      co_return Error{errorOf(Version)};
-    TableRow Written{valueOf(Version), Value, Operation,
-                     rows::decodeStoreMs(Response.Body)};
+    const Result<rows::WriteReceipt> Receipt =
+        rows::decodeWriteReceipt(Response.Body);
+    if (!succeeded(Receipt))
+      co_return Error{errorOf(Receipt)};
+    TableRow Written{valueOf(Receipt).Version, Value, Operation,
+                     valueOf(Receipt).StoreMs};
     co_return CasOutcome{true, std::move(Written)};
   }
   if (Response.Status != HttpPreconditionFailed)
--- a/src/platform/RowCodec.cpp
+++ b/src/platform/RowCodec.cpp
@@ -63,16 +63,13 @@
   return Out;
 }
 
-Result<std::uint64_t> decodeNewVersion(const QByteArray &Body) {
+Result<WriteReceipt> decodeWriteReceipt(const QByteArray &Body) {
   const QJsonDocument Document = QJsonDocument::fromJson(Body);
   const QJsonObject O = Document.object();
   if (!O["row-version"].isDouble())
     return Error{"the platform's response to a write has no version"};
-  return static_cast<std::uint64_t>(O["row-version"].toInteger());
-}
-
-std::optional<std::int64_t> decodeStoreMs(const QByteArray &Body) {
-  return storeMs(QJsonDocument::fromJson(Body).object());
+  return WriteReceipt{static_cast<std::uint64_t>(O["row-version"].toInteger()),
+                      storeMs(O)};
 }
 
 QByteArray encodeValue(const std::string &Value, const std::string &Operation) {
--- a/src/platform/RowCodec.h
+++ b/src/platform/RowCodec.h
@@ -39,12 +39,14 @@
 /// skipped, since other programs write to the same tables.
 Result<Page> decodePage(const QByteArray &Body);
 
-/// Decodes the version that a transaction assigned to the rows it wrote.
-Result<std::uint64_t> decodeNewVersion(const QByteArray &Body);
+/// The response to a transaction that was applied.
+struct WriteReceipt {
+  std::uint64_t Version = 0;           ///< Of the rows that were written.
+  std::optional<std::int64_t> StoreMs; ///< The store's clock, if it is told.
+};
 
-/// Decodes the store's clock in a response about rows, or nothing if the
-/// response lacks it.
-std::optional<std::int64_t> decodeStoreMs(const QByteArray &Body);
+/// Decodes the response to a transaction that was applied.
+Result<WriteReceipt> decodeWriteReceipt(const QByteArray &Body);
 
 /// Encodes the value of one of this program's own rows.
 QByteArray encodeValue(const std::string &Value, const std::string &Operation);
