--- a/src/platform/LineServerLink.cpp
+++ b/src/platform/LineServerLink.cpp
@@ -103,12 +103,12 @@
       const std::optional<std::string> Line =
           co_await this->Stream->nextLine(Deadline);
       if (!Line) {
-        const bool InTime = !this->Stream->isOpen();
+        const bool IsLost = !this->Stream->isOpen();
         this->reportAbandoned(Kind, T, Message.size(), WrittenAt);
         // Resets the connection, so that the server does not execute the
         // message after the failure has been reported.
         this->Stream->abort();
-        co_return Error{InTime ? "connection to server lost"
+        co_return Error{IsLost ? "connection to server lost"
                                : "no answer in time"};
       }
       const Result<bool> Complete = Reader.addLine(*Line);
