--- a/src/root/testing/LineDaemonTest.cpp
+++ b/src/root/testing/LineDaemonTest.cpp
@@ -13,8 +13,15 @@
 #include <QProcess>
 
 #include <algorithm>
+#include <array>
+#include <cerrno>
 #include <csignal>
 
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace amaranthspur;
 using linegroup::LineGroup;
 using linegroup::LineServer;
@@ -31,9 +38,63 @@
          R"("limits":{"tx-idle-ms":3000}})";
 }
 
+/// A link whose bytes are held up: its connections are opened, but nothing is
+/// read from them before end().
+class HeldLink {
+public:
+  HeldLink() : Listener(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in At{};
+    At.sin_family = AF_INET;
+    At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t Size = sizeof(At);
+    REQUIRE(::bind(this->Listener, reinterpret_cast<sockaddr *>(&At), Size) ==
+            0);
+    REQUIRE(::listen(this->Listener, 8) == 0);
+    ::getsockname(this->Listener, reinterpret_cast<sockaddr *>(&At), &Size);
+    this->BoundPort = ntohs(At.sin_port);
+  }
+  HeldLink(const HeldLink &) = delete;
+  HeldLink &operator=(const HeldLink &) = delete;
+  ~HeldLink() {
+    ::close(this->Listener);
+    if (this->Connection >= 0)
+      ::close(this->Connection);
+  }
+
+  std::uint16_t port() const { return this->BoundPort; }
+
+  /// Returns whether bytes have arrived on the first connection.
+  bool holdsBytes() {
+    pollfd Incoming{this->Listener, POLLIN, 0};
+    if (this->Connection < 0 && ::poll(&Incoming, 1, 0) == 1)
+      this->Connection = ::accept(this->Listener, nullptr, nullptr);
+    pollfd Bytes{this->Connection, POLLIN, 0};
+    return this->Connection >= 0 && ::poll(&Bytes, 1, 0) == 1;
+  }
+
+  /// Reads the first connection to its end.
+  /// \returns 0 if the sender closed it, so that the bytes count as sent, or
+  /// the error with which it ended.
+  int end() const {
+    std::array<char, 4096> Buffer{};
+    ssize_t Read = 1;
+    while (Read > 0)
+      Read =
+          ::recv(this->Connection, Buffer.data(), Buffer.size(), MSG_DONTWAIT);
+    return Read == 0 ? 0 : errno;
+  }
+
+private:
+  int Listener;
+  int Connection = -1;
+  std::uint16_t BoundPort = 0;
+};
+
 /// A fake platform, a group of three servers and one daemon process.
 struct Fixture {
-  explicit Fixture(int TimeoutMs = 1000) {
+  /// \param OrderPort port of the platform's promotions; 0 for the port of its
+  /// store.
+  explicit Fixture(int TimeoutMs = 1000, std::uint16_t OrderPort = 0) {
     const quint16 Port = this->Server.listen(QHostAddress::LocalHost);
     this->Store.setExternalRow("op", "config", planWith(TimeoutMs));
     this->addServer(this->A, "a", "primary");
@@ -65,7 +126,7 @@
                         "--platform-address",
                         LocalAddress(Port),
                         "--promotion-address",
-                        LocalAddress(Port),
+                        LocalAddress(OrderPort == 0 ? Port : OrderPort),
                         "--drain-notice-ms",
                         "300",
                         "--drain-timeout-ms",
@@ -78,14 +139,13 @@
   }
 
   void addServer(const LineServer &Listener, const std::string &Id,
-                 const std::string &Role) {
+                 const std::string &Role, const std::string &State = "ready") {
     this->Store.setExternalRow(
         "servers", Id,
         R"({"service":"ledger","address":"127.0.0.1:)" +
             std::to_string(Listener.port()) +
-            R"(","zone":"here","version":"v1","slots":5,"state":"ready",)"
-            R"("cold-ms":0,"sequence":1,"db-role":")" +
-            Role + "\"}");
+            R"(","zone":"here","version":"v1","slots":5,"state":")" + State +
+            R"(","cold-ms":0,"sequence":1,"db-role":")" + Role + "\"}");
   }
 
   /// Runs the event loop until \p Condition holds; fails the test after 10 s.
@@ -331,3 +391,28 @@
   Caller C(F);
   CHECK(C.request("CONNECT orders u1") == "READY I -|");
 }
+
+// Guards against an order that its holder has given up and that is carried out
+// when its path is back, after the order of another entry VM.
+TEST_CASE("an order that was given up is reset") {
+  struct Row {
+    const char *Name;
+    bool Killed; ///< The process is killed instead of waiting for an answer.
+  };
+  const Row Rows[] = {{"no answer in time", false},
+                      {"the process is killed", true}};
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    HeldLink Orders;
+    Fixture F(1000, Orders.port());
+    F.addServer(F.A, "a", "primary", "draining");
+    F.waitUntil([&Orders] { return Orders.holdsBytes(); });
+    if (R.Killed) {
+      F.Daemon.kill();
+      F.waitUntil([&F] { return F.Daemon.state() == QProcess::NotRunning; });
+    } else {
+      F.waitForOutput("outcome=unknown");
+    }
+    CHECK(Orders.end() == ECONNRESET);
+  }
+}
