--- a/src/ctl/Explain.cpp
+++ b/src/ctl/Explain.cpp
@@ -32,6 +32,7 @@
     std::to_array<TakeoverEvent>({{"promotion-started", 0},
                                   {"promotion-refused", 1},
                                   {"takeover-step", 2},
+                                  {"call-abandoned", 2},
                                   {"promotion-ordered", 2},
                                   {"promotion-finished", 3},
                                   {"adoption-undone", 4},
@@ -268,25 +269,36 @@
   /// Writes the takeovers that other entry VMs logged for the term that the
   /// entry VM assumed and for the next one.
   void addRemoteTakeovers() {
-    std::vector<const LogRecord *> Found;
+    struct FoundEvent {
+      const LogRecord *Record;
+      std::uint64_t Term;
+    };
+    std::vector<FoundEvent> Found;
     const std::uint64_t AssumedTerm = termOf(this->Subject);
-    for (const LogRecord &R : this->Records)
-      if (R.Process != this->Subject.Process && takeoverStage(R) &&
-          R.field("service") == this->field("service") &&
-          termOf(R) >= std::max<std::uint64_t>(AssumedTerm, 2) &&
-          termOf(R) <= AssumedTerm + 1)
-        Found.push_back(&R);
+    // An order or a claim that was given up has a fence but no term. It belongs
+    // to the takeover that its process logged last.
+    std::map<std::string, std::uint64_t> LastTerm;
+    for (const LogRecord &R : this->Records) {
+      if (R.Process == this->Subject.Process || !takeoverStage(R) ||
+          R.field("service") != this->field("service"))
+        continue;
+      std::uint64_t &Last = LastTerm[R.Process];
+      Last = termOf(R) == 0 ? Last : termOf(R);
+      if (Last >= std::max<std::uint64_t>(AssumedTerm, 2) &&
+          Last <= AssumedTerm + 1)
+        Found.push_back({&R, Last});
+    }
     std::stable_sort(Found.begin(), Found.end(),
-                     [](const LogRecord *A, const LogRecord *B) {
-                       return std::pair(termOf(*A), takeoverStage(*A)) <
-                              std::pair(termOf(*B), takeoverStage(*B));
+                     [](const FoundEvent &A, const FoundEvent &B) {
+                       return std::pair(A.Term, takeoverStage(*A.Record)) <
+                              std::pair(B.Term, takeoverStage(*B.Record));
                      });
     if (Found.size() > MaxChanges)
       Found.resize(MaxChanges);
     std::vector<std::string> Lines;
     Lines.reserve(Found.size());
-    for (const LogRecord *R : Found)
-      Lines.push_back(R->Process + " " + formatRecord(*R));
+    for (const FoundEvent &E : Found)
+      Lines.push_back(E.Record->Process + " " + formatRecord(*E.Record));
     this->addSection(
         "takeovers on other entry VMs, by term (their clocks differ)",
         "takeovers", Lines);
--- a/src/platform/HttpClient.cpp
+++ b/src/platform/HttpClient.cpp
@@ -63,7 +63,8 @@
 
 } // namespace
 
-HttpClient::HttpClient(const Address &Server) {
+HttpClient::HttpClient(const Address &Server, AbandonedCallObserver *Observer)
+    : Observer(Observer) {
   const QString Host = QString::fromStdString(Server.Host);
   const bool Ipv6 = Host.contains(':');
   this->Base = "http://" + (Ipv6 ? "[" + Host + "]" : Host) + ":" +
@@ -77,6 +78,21 @@
   this->Http->setAutoDeleteReplies(false);
 }
 
+void HttpClient::reportAbandoned(const HttpRequest &Request,
+                                 std::optional<TimePoint> WrittenAt,
+                                 ConnectionEnd End) const {
+  if (!this->Observer || Request.Subject.Kind == CallKind::Read)
+    return;
+  AbandonedCall Call;
+  Call.Subject = Request.Subject;
+  Call.End = End;
+  if (WrittenAt) {
+    Call.Written = static_cast<std::size_t>(Request.Body.size());
+    Call.SinceWritten = steadyNow() - *WrittenAt;
+  }
+  this->Observer->recordAbandoned(Call);
+}
+
 QCoro::Task<Result<HttpResponse>> HttpClient::send(HttpRequest Sent,
                                                    TimePoint Deadline) {
   QNetworkRequest Request(QUrl(this->Base + Sent.Path, QUrl::StrictMode));
@@ -104,7 +120,10 @@
   WaitPoint Finished;
   bool TooLarge = false;
   std::optional<TimePoint> ProgressAt;
+  std::optional<TimePoint> WrittenAt;
   QNetworkReply *Running = Reply.get();
+  QObject::connect(Running, &QNetworkReply::requestSent, Running,
+                   [&WrittenAt] { WrittenAt = steadyNow(); });
   QObject::connect(Running, &QNetworkReply::finished, Running,
                    [&Finished] { Finished.wake(); });
   QObject::connect(
@@ -127,6 +146,7 @@
   QObject::disconnect(Running, nullptr, nullptr, nullptr);
   if (TooLarge || !InTime) {
     Running->abort();
+    this->reportAbandoned(Sent, WrittenAt, ConnectionEnd::Closed);
     // Other connections to the same server may be dead as well, so the next
     // request opens a new one.
     if (this->Http == Manager)
@@ -137,9 +157,11 @@
   const int Status =
       Running->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
   // A response that was cut off has a status, but also a transport error.
-  if (Status == 0 || Running->error() == QNetworkReply::RemoteHostClosedError)
+  if (Status == 0 || Running->error() == QNetworkReply::RemoteHostClosedError) {
+    this->reportAbandoned(Sent, WrittenAt, ConnectionEnd::Lost);
     co_return Error{"the platform is unreachable: " +
                     Running->errorString().toStdString()};
+  }
   co_return HttpResponse{Status, Running->readAll()};
 }
 
--- a/src/platform/HttpClient.h
+++ b/src/platform/HttpClient.h
@@ -2,6 +2,7 @@
 #ifndef AMARANTHSPUR_PLATFORM_HTTPCLIENT_H
 #define AMARANTHSPUR_PLATFORM_HTTPCLIENT_H
 
+#include "core/AbandonedCall.h"
 #include "core/Address.h"
 #include "core/Clock.h"
 #include "core/Result.h"
@@ -11,6 +12,7 @@
 #include <QString>
 
 #include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -29,6 +31,7 @@
   /// Boot clock (core/BootClock.h). The body is not sent later, so that the
   /// server does not get a complete request. Applies to a request with a body.
   TimePoint SendBy = TimePoint::max();
+  CallSubject Subject = {}; ///< For the report of a request given up.
 };
 
 /// A complete response, whatever its status.
@@ -48,7 +51,10 @@
 /// the tasks of its calls.
 class HttpClient {
 public:
-  explicit HttpClient(const Address &Server);
+  /// \param Observer is told of requests without an answer, except reads. May
+  /// be null; otherwise it must outlive this object.
+  explicit HttpClient(const Address &Server,
+                      AbandonedCallObserver *Observer = nullptr);
 
   /// Sends \p Request once, without retries.
   ///
@@ -65,7 +71,14 @@
   /// keep theirs.
   void renewConnections();
 
+  /// Reports that \p Request ended without an answer.
+  /// \param WrittenAt when it was written, or nothing if it was not.
+  void reportAbandoned(const HttpRequest &Request,
+                       std::optional<TimePoint> WrittenAt,
+                       ConnectionEnd End) const;
+
   QString Base;
+  AbandonedCallObserver *Observer;
   /// Owns the connections for new requests. It is replaced instead of calling
   /// its clearConnectionCache(), which ends its thread, so that requests still
   /// in progress would never finish.
--- a/src/platform/HttpPlatform.cpp
+++ b/src/platform/HttpPlatform.cpp
@@ -60,8 +60,9 @@
 } // namespace
 
 HttpPlatform::HttpPlatform(const Address &Service, std::uint64_t Seed,
-                           CircuitBreaker::Settings Thresholds)
-    : Http(Service), Breaker(Thresholds), Rng(Seed) {}
+                           CircuitBreaker::Settings Thresholds,
+                           AbandonedCallObserver *Observer)
+    : Http(Service, Observer), Breaker(Thresholds), Rng(Seed) {}
 
 QCoro::Task<Result<TableRow>> HttpPlatform::readRow(std::string Key,
                                                     TimePoint Deadline) {
@@ -88,6 +89,7 @@
       rows::encodeConditionalWrite(OwnTable, Key, Expected,
                                    rows::encodeValue(Value, Operation)),
       "application/json"};
+  Request.Subject = {CallKind::RowWrite, "", Key, 0, Expected};
   const Result<HttpResponse> R =
       co_await this->sendWithRetries(std::move(Request), Deadline);
   if (!succeeded(R))
@@ -118,6 +120,7 @@
                                                      TimePoint Deadline) {
   HttpRequest Request{"PUT", "/blob-put/" + percentEncoded(Name),
                       QByteArray::fromStdString(Content)};
+  Request.Subject = {CallKind::ObjectWrite, "", Name};
   const Result<HttpResponse> R =
       co_await this->sendWithRetries(std::move(Request), Deadline);
   if (!succeeded(R))
--- a/src/platform/HttpPlatform.h
+++ b/src/platform/HttpPlatform.h
@@ -26,12 +26,16 @@
 /// one thread only and must outlive the tasks of its calls.
 class HttpPlatform final : public Platform, public TableFeed {
 public:
+  static constexpr CircuitBreaker::Settings DefaultThresholds{
+      5, milliseconds(500), std::chrono::seconds(2)};
+
   /// \param Service address of the platform's service.
   /// \param Seed seed of the random jitter of retries.
   /// \param Thresholds thresholds of the circuit breaker.
+  /// \param Observer is told of writes that were given up; may be null.
   HttpPlatform(const Address &Service, std::uint64_t Seed,
-               CircuitBreaker::Settings Thresholds = {5, milliseconds(500),
-                                                      std::chrono::seconds(2)});
+               CircuitBreaker::Settings Thresholds = DefaultThresholds,
+               AbandonedCallObserver *Observer = nullptr);
 
   QCoro::Task<Result<TableRow>> readRow(std::string Key,
                                         TimePoint Deadline) override;
--- a/src/platform/LineServerLink.cpp
+++ b/src/platform/LineServerLink.cpp
@@ -2,6 +2,8 @@
 
 #include "platform/LineStream.h"
 
+#include <algorithm>
+
 namespace amaranthspur {
 namespace {
 
@@ -14,22 +16,28 @@
 
 class LineServerLink final : public ServerLink {
 public:
-  explicit LineServerLink(std::unique_ptr<LineStream> Opened)
-      : Stream(std::move(Opened)) {}
+  LineServerLink(std::unique_ptr<LineStream> Opened,
+                 const RegisteredServer &Server,
+                 AbandonedCallObserver *Observer)
+      : Stream(std::move(Opened)), Service(Server.Service.str()),
+        Target(Server.Id.str()), Observer(Observer) {}
 
   QCoro::Task<Result<Answer>> run(Statement S, std::optional<LogPosition> Floor,
                                   std::string PreparedName,
                                   TimePoint Deadline) override {
     return this->exchange(
+        CallKind::Statement, 0,
         lines::encodeForwardedStatement(S, Floor, PreparedName), Deadline);
   }
   QCoro::Task<Result<Answer>> rollback(TimePoint Deadline) override {
-    return this->exchange(lines::encodeProxyStatement(lines::RollbackStatement),
+    return this->exchange(CallKind::Session, 0,
+                          lines::encodeProxyStatement(lines::RollbackStatement),
                           Deadline);
   }
   QCoro::Task<Result<Answer>> set(std::string Name, std::string Value,
                                   TimePoint Deadline) override {
     return this->exchange(
+        CallKind::Session, 0,
         lines::encodeProxyStatement(lines::setStatement(Name, Value)),
         Deadline);
   }
@@ -37,52 +45,65 @@
                                       std::string Shape,
                                       TimePoint Deadline) override {
     return this->exchange(
+        CallKind::Session, 0,
         lines::encodeProxyStatement(lines::prepareStatement(Name, Mode, Shape)),
         Deadline);
   }
   QCoro::Task<Result<Answer>> reset(TimePoint Deadline) override {
-    return this->exchange(lines::encodeProxyStatement(lines::ResetStatement),
+    return this->exchange(CallKind::Session, 0,
+                          lines::encodeProxyStatement(lines::ResetStatement),
                           Deadline);
   }
   QCoro::Task<Result<StatusAnswer>> status(TimePoint Deadline) override {
-    return this->exchangeStatus(std::string(lines::StatusStatement), Deadline);
+    return this->exchangeStatus(CallKind::Read, 0,
+                                std::string(lines::StatusStatement), Deadline);
   }
   QCoro::Task<Result<StatusAnswer>> pause(Term T, TimePoint Deadline) override {
     return this->exchangeStatus(
-        lines::adoptTermStatement(ServerRole::Replica, T), Deadline);
+        CallKind::Pause, T, lines::adoptTermStatement(ServerRole::Replica, T),
+        Deadline);
   }
   QCoro::Task<Result<StatusAnswer>> resume(TimePoint Deadline) override {
-    return this->exchangeStatus(std::string(lines::ResumeStatement), Deadline);
+    return this->exchangeStatus(CallKind::Resume, 0,
+                                std::string(lines::ResumeStatement), Deadline);
   }
   QCoro::Task<Result<StatusAnswer>> stepDown(Term T,
                                              TimePoint Deadline) override {
     return this->exchangeStatus(
+        CallKind::StepDown, T,
         lines::adoptTermStatement(ServerRole::Primary, T), Deadline);
   }
 
   bool isUsable() const override {
     return this->Stream->isOpen() && !this->Outstanding;
   }
-  void abort() override { this->Stream->abort(); }
+  void abort() override {
+    this->Aborted = true;
+    this->Stream->abort();
+  }
 
 private:
   /// Sends one message and reads the answer to it.
-  QCoro::Task<Result<Answer>> exchange(std::string Message,
-                                       TimePoint Deadline) {
+  QCoro::Task<Result<Answer>>
+  exchange(CallKind Kind, Term T, std::string Message, TimePoint Deadline) {
     if (!this->isUsable())
       co_return Error{"connection to server is closed"};
     // The flag stays set if no answer arrives in time, so that the connection
     // is not used again: a late answer would be taken for the answer to a later
     // message.
     this->Outstanding = true;
+    const TimePoint WrittenAt = steadyNow();
     this->Stream->write(Message);
     lines::AnswerReader Reader;
     while (true) {
       const std::optional<std::string> Line =
           co_await this->Stream->nextLine(Deadline);
-      if (!Line)
-        co_return Error{this->Stream->isOpen() ? "no answer in time"
-                                               : "connection to server lost"};
+      if (!Line) {
+        const bool InTime = !this->Stream->isOpen();
+        this->reportAbandoned(Kind, T, Message.size(), WrittenAt);
+        co_return Error{InTime ? "connection to server lost"
+                               : "no answer in time"};
+      }
       const Result<bool> Complete = Reader.addLine(*Line);
       if (!succeeded(Complete))
         co_return Error{errorOf(Complete)};
@@ -94,10 +115,10 @@
   }
 
   /// Sends a statement whose answer has a status row, and decodes the row.
-  QCoro::Task<Result<StatusAnswer>> exchangeStatus(std::string Text,
-                                                   TimePoint Deadline) {
-    Result<Answer> R =
-        co_await this->exchange(lines::encodeProxyStatement(Text), Deadline);
+  QCoro::Task<Result<StatusAnswer>>
+  exchangeStatus(CallKind Kind, Term T, std::string Text, TimePoint Deadline) {
+    Result<Answer> R = co_await this->exchange(
+        Kind, T, lines::encodeProxyStatement(Text), Deadline);
     if (!succeeded(R))
       co_return Error{errorOf(R)};
     Answer A = valueOf(std::move(R));
@@ -109,8 +130,27 @@
     co_return Result<StatusAnswer>(StatusAnswer(valueOf(Report)));
   }
 
+  /// Reports that a call whose message has \p Size bytes ended without an
+  /// answer.
+  void reportAbandoned(CallKind Kind, Term T, std::size_t Size,
+                       TimePoint WrittenAt) const {
+    if (!this->Observer || Kind == CallKind::Read)
+      return;
+    const bool IsLost = !this->Stream->isOpen() && !this->Aborted;
+    const std::size_t Queued = std::min(Size, this->Stream->queuedBytes());
+    this->Observer->recordAbandoned(
+        {{Kind, this->Service, this->Target, T, 0},
+         Size - Queued,
+         steadyNow() - WrittenAt,
+         IsLost ? ConnectionEnd::Lost : ConnectionEnd::Closed});
+  }
+
   std::unique_ptr<LineStream> Stream;
+  std::string Service;
+  std::string Target;
+  AbandonedCallObserver *Observer;
   bool Outstanding = false;
+  bool Aborted = false;
 };
 
 /// Waits for the server's greeting.
@@ -155,8 +195,8 @@
   std::optional<OpenFailure> Failure = co_await readGreeting(*Stream, Deadline);
   if (Failure)
     co_return OpenedLink(std::move(*Failure));
-  std::unique_ptr<ServerLink> Link =
-      std::make_unique<LineServerLink>(std::move(Stream));
+  std::unique_ptr<ServerLink> Link = std::make_unique<LineServerLink>(
+      std::move(Stream), Server, this->Observer);
   co_return OpenedLink(std::move(Link));
 }
 
--- a/src/platform/LineServerLink.h
+++ b/src/platform/LineServerLink.h
@@ -2,6 +2,7 @@
 #ifndef AMARANTHSPUR_PLATFORM_LINESERVERLINK_H
 #define AMARANTHSPUR_PLATFORM_LINESERVERLINK_H
 
+#include "core/AbandonedCall.h"
 #include "root/groups/ServerLink.h"
 
 #include <string>
@@ -12,13 +13,18 @@
 class LineServerConnector final : public ServerConnector {
 public:
   /// \param Self name with which this entry VM connects to servers.
-  explicit LineServerConnector(EntryVmId Self) : Self(std::move(Self)) {}
+  /// \param Observer is told of calls to servers that were given up. May be
+  /// null; otherwise it must outlive the connections.
+  explicit LineServerConnector(EntryVmId Self,
+                               AbandonedCallObserver *Observer = nullptr)
+      : Self(std::move(Self)), Observer(Observer) {}
 
   QCoro::Task<OpenedLink> open(RegisteredServer Server,
                                TimePoint Deadline) override;
 
 private:
   EntryVmId Self;
+  AbandonedCallObserver *Observer;
 };
 
 } // namespace amaranthspur
--- a/src/platform/PromotionClient.cpp
+++ b/src/platform/PromotionClient.cpp
@@ -28,6 +28,8 @@
   // delayed and arrive after a later one.
   Request.FreshConnection = true;
   Request.SendBy = Order.SendBy;
+  Request.Subject = {CallKind::Promotion, Order.Service.str(),
+                     Order.Target.str(), 0, Order.FencingToken};
   const Result<HttpResponse> R =
       co_await this->Http.send(std::move(Request), Deadline);
   if (!succeeded(R))
--- a/src/platform/PromotionClient.h
+++ b/src/platform/PromotionClient.h
@@ -39,7 +39,10 @@
 /// Client of the platform's HTTP interface for promotions.
 class HttpPromotionClient final : public PromotionClient {
 public:
-  explicit HttpPromotionClient(const Address &Server) : Http(Server) {}
+  /// \param Observer is told of orders that were given up; may be null.
+  explicit HttpPromotionClient(const Address &Server,
+                               AbandonedCallObserver *Observer = nullptr)
+      : Http(Server, Observer) {}
 
   QCoro::Task<PromotionOutcome> promote(PromotionRequest Order,
                                         TimePoint Deadline) override;
--- a/src/policy/ClaimRow.cpp
+++ b/src/policy/ClaimRow.cpp
@@ -7,6 +7,8 @@
 namespace amaranthspur {
 namespace {
 
+constexpr std::string_view ClaimKeyPrefix = "takeover/";
+
 constexpr std::string_view FinishedWord = "finished";
 constexpr std::string_view UndoWord = "undo";
 
@@ -21,7 +23,13 @@
 } // namespace
 
 std::string claimKey(const ServiceName &Service) {
-  return "takeover/" + Service.str();
+  return std::string(ClaimKeyPrefix) + Service.str();
+}
+
+std::string serviceOfClaimKey(std::string_view Key) {
+  if (!Key.starts_with(ClaimKeyPrefix))
+    return {};
+  return std::string(Key.substr(ClaimKeyPrefix.size()));
 }
 
 ClaimRow parseClaimRow(std::uint64_t Version, const std::string &Value) {
--- a/src/policy/ClaimRow.h
+++ b/src/policy/ClaimRow.h
@@ -79,6 +79,10 @@
 /// Returns the key of the claim row of \p Service.
 std::string claimKey(const ServiceName &Service);
 
+/// Returns the service whose claim is kept under \p Key, or an empty string if
+/// it is the key of another row.
+std::string serviceOfClaimKey(std::string_view Key);
+
 /// Returns the content of a row with \p Version, which is 0 if the row does not
 /// exist, and \p Value.
 ClaimRow parseClaimRow(std::uint64_t Version, const std::string &Value);
--- a/src/root/LineDaemon.h
+++ b/src/root/LineDaemon.h
@@ -20,6 +20,7 @@
 #include "root/relay/Relay.h"
 #include "root/sessions/LocalReads.h"
 #include "root/sessions/SessionListener.h"
+#include "root/telemetry/AbandonedCallLog.h"
 #include "root/telemetry/AdminServer.h"
 
 namespace amaranthspur {
@@ -65,6 +66,7 @@
   Settings Values;
   std::uint64_t Incarnation;
   Metrics Counters;
+  AbandonedCallLog Abandoned{this->Counters};
   Random RandomSource;
   Locality OwnLocality;
   HttpPlatform PlatformClient;
--- a/src/root/telemetry/Log.h
+++ b/src/root/telemetry/Log.h
@@ -35,6 +35,7 @@
 /// The event that a line reports.
 enum class LogEvent {
   AdoptionUndone,
+  CallAbandoned,
   CallerRejected,
   ChildFailed,
   ChildRestarted,
@@ -90,6 +91,7 @@
   static constexpr auto Entries =
       std::to_array<std::pair<LogEvent, std::string_view>>(
           {{LogEvent::AdoptionUndone, "adoption-undone"},
+           {LogEvent::CallAbandoned, "call-abandoned"},
            {LogEvent::CallerRejected, "caller-rejected"},
            {LogEvent::ChildFailed, "child-failed"},
            {LogEvent::ChildRestarted, "child-restarted"},
