--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -392,6 +392,7 @@
       co_return std::nullopt;
     const TableRow &Row = valueOf(R).Current;
     Held.Before = this->LastClaim;
+    const TableRow Replaced = this->LastRow;
     this->observeClaim(Row);
     if (!valueOf(R).Applied)
       continue;
@@ -400,6 +401,8 @@
         {{"service", this->Monitored->name().str()},
          {"row", Value},
          {"fence", Held.Fence},
+         {"before", Replaced.Version == 0 ? "-" : Replaced.Value},
+         {"before_by", Replaced.Version == 0 ? "-" : Replaced.Operation},
          {"took_ms", (bootNow() - Held.Begun) / milliseconds(1)}});
     co_return Held;
   }
@@ -407,6 +410,7 @@
 }
 
 void GroupMonitor::observeClaim(const TableRow &Row) {
+  this->LastRow = Row;
   this->LastClaim = parseClaimRow(Row.Version, Row.Value);
   this->Claim.observe(Row.Version,
                       this->LastClaim.State == ClaimState::Finished, bootNow(),
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -256,6 +256,7 @@
   TakeoverClaim Claim;
   /// The claim row as it was read last.
   ClaimRow LastClaim = parseClaimRow(0, {});
+  TableRow LastRow; ///< The same as it was stored, for the log.
   /// Servers that the last takeover found by reading the registrations.
   std::map<ServerId, RegisteredServer> Found;
   /// The servers that the present takeover has stopped, with their starts.
