--- a/src/policy/ClaimRow.cpp
+++ b/src/policy/ClaimRow.cpp
@@ -9,6 +9,9 @@
 
 constexpr std::string_view FinishedWord = "finished";
 constexpr std::string_view UndoWord = "undo";
+constexpr std::string_view UnknownTerm = "0";
+/// Separates the entry VM and the time of a turn.
+constexpr char TurnMark = '@';
 
 /// Returns the number that \p Word consists of; 0 if it is not one.
 std::uint64_t parseNumber(const std::string &Word) {
@@ -18,6 +21,39 @@
   return Status == std::errc() && Rest == End ? T : 0;
 }
 
+std::string turnWord(const ClaimTurn &Turn) {
+  return Turn.Holder.str() + TurnMark + std::to_string(Turn.WaitFromMs);
+}
+
+/// Returns the turn that \p Word consists of, or nothing if it is not one.
+std::optional<ClaimTurn> parseTurn(const std::string &Word) {
+  const std::size_t At = Word.rfind(TurnMark);
+  if (At == std::string::npos || At == 0)
+    return std::nullopt;
+  const std::string Digits = Word.substr(At + 1);
+  ClaimTurn Turn{EntryVmId(Word.substr(0, At)), 0};
+  const char *End = Digits.data() + Digits.size();
+  const auto [Rest, Status] =
+      std::from_chars(Digits.data(), End, Turn.WaitFromMs);
+  if (Status != std::errc() || Rest != End || Turn.WaitFromMs < 0)
+    return std::nullopt;
+  return Turn;
+}
+
+/// Reads the words of a finished row into \p Row.
+void parseFinished(const std::vector<std::string> &Words, ClaimRow &Row) {
+  const std::size_t Count = Words.size();
+  const Term Last = Count > 1 ? parseNumber(Words[1]) : 0;
+  std::optional<ClaimTurn> Turn;
+  if (Count == 3 && (Last != 0 || Words[1] == UnknownTerm))
+    Turn = parseTurn(Words[2]);
+  if (Count != 1 && !(Count == 2 && Last != 0) && !Turn)
+    return;
+  Row.State = ClaimState::Finished;
+  Row.LastTerm = Last;
+  Row.Turn = std::move(Turn);
+}
+
 } // namespace
 
 std::string claimKey(const ServiceName &Service) {
@@ -39,19 +75,17 @@
   if (Count == 0 || Count > 4)
     return Row;
   if (Words[0] == FinishedWord) {
-    const Term Last = Count == 2 ? parseNumber(Words[1]) : 0;
-    if (Count == 1 || Last != 0)
-      Row.State = ClaimState::Finished;
-    Row.LastTerm = Last;
+    parseFinished(Words, Row);
     return Row;
   }
   if (Count == 2 && Words[1] == UndoWord) {
     Row.State = ClaimState::Held;
+    Row.Turn = parseTurn(Words[0]);
     return Row;
   }
   if (Count == 1 || parseNumber(Words[1]) == 0)
     return Row;
-  // Rows of an earlier version have no fourth word.
+  // Only earlier versions write the fourth word.
   const std::uint64_t ClaimedAs = Count == 4 ? parseNumber(Words[3]) : 0;
   if (Count == 4 && ClaimedAs == 0)
     return Row;
@@ -59,22 +93,21 @@
   Row.ClaimedAs = ClaimedAs;
   if (Count >= 3)
     Row.Target = ServerId(Words[2]);
+  Row.Turn = parseTurn(Words[0]);
   return Row;
 }
 
-std::string takeoverClaimValue(const EntryVmId &Holder, Term T) {
-  return Holder.str() + " " + std::to_string(T);
+std::string takeoverClaimValue(const ClaimTurn &Turn, Term T) {
+  return turnWord(Turn) + " " + std::to_string(T);
 }
 
-std::string confirmedClaimValue(const EntryVmId &Holder, Term T,
-                                const ServerId &Target,
-                                std::uint64_t ClaimedAs) {
-  return takeoverClaimValue(Holder, T) + " " + Target.str() + " " +
-         std::to_string(ClaimedAs);
+std::string confirmedClaimValue(const ClaimTurn &Turn, Term T,
+                                const ServerId &Target) {
+  return takeoverClaimValue(Turn, T) + " " + Target.str();
 }
 
-std::string undoClaimValue(const EntryVmId &Holder) {
-  return Holder.str() + " " + std::string(UndoWord);
+std::string undoClaimValue(const ClaimTurn &Turn) {
+  return turnWord(Turn) + " " + std::string(UndoWord);
 }
 
 std::string finishedClaimValue(const ClaimOutcome &Outcome) {
@@ -86,8 +119,16 @@
     Last = Outcome.Highest;
   else if (Settled && !Outcome.Ordered && Outcome.Highest <= Before.LastTerm)
     Last = Before.LastTerm;
+  // A claim without an order carries on the wait for the order before it.
+  std::optional<ClaimTurn> Turn;
+  if (Outcome.Ordered)
+    Turn = Outcome.Turn;
+  else if (Before.State == ClaimState::Finished)
+    Turn = Before.Turn;
   std::string Value(FinishedWord);
-  return Last == 0 ? Value : Value + " " + std::to_string(Last);
+  if (Last != 0 || Turn)
+    Value += " " + std::to_string(Last);
+  return Turn ? Value + " " + turnWord(*Turn) : Value;
 }
 
 } // namespace amaranthspur
--- a/src/policy/ClaimRow.h
+++ b/src/policy/ClaimRow.h
@@ -1,13 +1,22 @@
 // The row of the store that holds the claim on a group's takeover: its key, and
 // the forms of its value.
 //
-//   <vm> <term>           claimed
-//   <vm> <term> <target> <version>
-//                         confirmed before an order is given; the version of
-//                         the row when it was claimed
-//   <vm> undo             claimed to undo adoptions
-//   finished              released; nothing is known of the last term
-//   finished <term>       released; see below
+//   <turn> <term>           claimed
+//   <turn> <term> <target>  confirmed before an order is given
+//   <turn> undo             claimed to undo adoptions
+//   finished <term> <turn>  released after an order; <term> is 0 if unknown
+//   finished [<term>]       released; no order that others wait for is known
+//
+// <turn> is `<vm>@<ms>`: the entry VM that holds the claim or, in a row that is
+// finished, gave the last order, and from when the others' wait counts
+// (ClaimTurn). TakeoverClaim decides by it who may claim when.
+//
+// Rows of earlier versions have `<vm>` instead of <turn> and, after the target,
+// the version of the row when it was claimed; a finished row tells no turn. An
+// earlier version reads a confirmed row with its target, and counts its lease
+// from that row, so that its order follows at least Lease - OrderSpan after
+// this version's. It has no form for a finished row with a turn and respects it
+// as a claim for its lease.
 //
 // `finished T` states that no promotion to a term later than T has taken effect
 // and that none will before the row is claimed again. An entry VM that reads it
@@ -53,6 +62,16 @@
            {ClaimState::Unknown, "unknown"}});
 };
 
+/// An entry VM's turn to order the promotions of a group.
+struct ClaimTurn {
+  EntryVmId Holder;
+  /// From when the others' wait counts, in ms of the store's clock; 0 if that
+  /// is not known. They then count from their first sight of the row.
+  std::int64_t WaitFromMs = 0;
+
+  bool operator==(const ClaimTurn &) const = default;
+};
+
 /// The term of the first primary of a group.
 inline constexpr Term FirstTerm = 1;
 
@@ -63,7 +82,11 @@
   Term LastTerm = 0; ///< T of `finished T`, or FirstTerm if the row is missing;
                      ///< 0 if not known.
   std::uint64_t ClaimedAs = 0; ///< The version of the row when it was claimed,
-                               ///< if it has been confirmed since.
+                               ///< if it has been confirmed since; only
+                               ///< written by earlier versions.
+  /// Of the holder or, if the row is finished, of the last order. Nothing in
+  /// rows of earlier versions, and in finished rows without a known order.
+  std::optional<ClaimTurn> Turn = {};
 
   bool operator==(const ClaimRow &) const = default;
 };
@@ -74,6 +97,8 @@
   bool Ordered = false;  ///< An order was given under the claim.
   bool Promoted = false; ///< The target of the only order leads.
   Term Highest = 0;      ///< Highest term of a primary that the holder knows.
+  /// Of the holder; replaces that of the row before if it gave an order.
+  ClaimTurn Turn = {};
 };
 
 /// Returns the key of the claim row of \p Service.
@@ -83,18 +108,16 @@
 /// exist, and \p Value.
 ClaimRow parseClaimRow(std::uint64_t Version, const std::string &Value);
 
-/// Returns the value with which \p Holder claims a takeover to term \p T.
-std::string takeoverClaimValue(const EntryVmId &Holder, Term T);
+/// Returns the value with which a takeover to term \p T is claimed.
+std::string takeoverClaimValue(const ClaimTurn &Turn, Term T);
 
-/// Returns the value with which \p Holder confirms a claim.
+/// Returns the value with which a claim is confirmed.
 /// \param Target the server whose promotion is about to be ordered.
-/// \param ClaimedAs the version of the row when it was claimed.
-std::string confirmedClaimValue(const EntryVmId &Holder, Term T,
-                                const ServerId &Target,
-                                std::uint64_t ClaimedAs);
+std::string confirmedClaimValue(const ClaimTurn &Turn, Term T,
+                                const ServerId &Target);
 
-/// Returns the value with which \p Holder claims the undoing of adoptions.
-std::string undoClaimValue(const EntryVmId &Holder);
+/// Returns the value with which the undoing of adoptions is claimed.
+std::string undoClaimValue(const ClaimTurn &Turn);
 
 /// Returns the value with which a claim is released.
 std::string finishedClaimValue(const ClaimOutcome &Outcome);
--- a/src/policy/Takeover.cpp
+++ b/src/policy/Takeover.cpp
@@ -75,18 +75,41 @@
   return Stranded;
 }
 
-void TakeoverClaim::observe(std::uint64_t Seen, bool IsFinished, TimePoint Now,
-                            std::uint64_t ClaimedAs) {
-  const std::uint64_t SeenStart = ClaimedAs == 0 ? Seen : ClaimedAs;
+void TakeoverClaim::observe(std::uint64_t Seen, const ClaimRow &Content,
+                            TimePoint Now) {
+  const std::uint64_t SeenStart =
+      Content.ClaimedAs == 0 ? Seen : Content.ClaimedAs;
   if (SeenStart != this->Start)
     this->SeenSince = Now;
   this->Start = SeenStart;
   this->Version = Seen;
-  this->Finished = IsFinished;
+  this->Row = Content;
 }
 
-bool TakeoverClaim::mayClaim(TimePoint Now) const {
-  return this->Version == 0 || this->Finished || Now - this->SeenSince >= Lease;
+bool TakeoverClaim::mayClaim(TimePoint Now, ClaimPurpose Purpose) const {
+  switch (this->Row.State) {
+  case ClaimState::Missing:
+    return true;
+  case ClaimState::Finished:
+    return Purpose == ClaimPurpose::Undo || !this->Row.Turn ||
+           this->hasLastOrder() || this->hasWaited(Now);
+  case ClaimState::Held:
+  case ClaimState::Unknown:
+    break;
+  }
+  return this->hasWaited(Now);
+}
+
+bool TakeoverClaim::hasLastOrder() const {
+  return this->Row.State == ClaimState::Finished && this->Row.Turn &&
+         this->Row.Turn->Holder == this->Self;
+}
+
+bool TakeoverClaim::hasWaited(TimePoint Now) const {
+  const bool MayBeOrdered =
+      this->Row.State == ClaimState::Held && this->Row.Turn;
+  return Now - this->SeenSince >=
+         Lease + (MayBeOrdered ? OrderSpan : Duration::zero());
 }
 
 } // namespace amaranthspur
--- a/src/policy/Takeover.h
+++ b/src/policy/Takeover.h
@@ -5,6 +5,7 @@
 #ifndef AMARANTHSPUR_POLICY_TAKEOVER_H
 #define AMARANTHSPUR_POLICY_TAKEOVER_H
 
+#include "policy/ClaimRow.h"
 #include "policy/GroupBeliefs.h"
 
 #include <array>
@@ -93,6 +94,18 @@
 std::vector<ServerId> strandedServers(const ServerReports &Reports,
                                       const ServerId &Leader);
 
+/// What an entry VM claims a group's takeover for.
+enum class ClaimPurpose {
+  Order, ///< To order a promotion.
+  Undo,  ///< To undo adoptions; no order is given.
+};
+
+template <> struct EnumNames<ClaimPurpose> {
+  static constexpr auto Entries =
+      std::to_array<std::pair<ClaimPurpose, std::string_view>>(
+          {{ClaimPurpose::Order, "order"}, {ClaimPurpose::Undo, "undo"}});
+};
+
 /// The claim on a group's takeover, as observed by one entry VM.
 ///
 /// The claim is a row whose version is incremented by compare-and-set. The
@@ -100,10 +113,27 @@
 /// entry VMs do not claim until they have seen the row unchanged for the lease,
 /// which is longer. Times are taken from a clock that also runs during
 /// suspension.
+///
+/// The orders of two entry VMs are at least the lease apart, whether or not the
+/// claim has been released in between:
+///  - The holder abandons an order without an answer when OrderSpan has passed
+///    since it began to write the row that it last changed: the claim or the
+///    confirmation. An entry VM that has seen that row for OrderSpan and the
+///    lease therefore claims a lease after the order.
+///  - A row that was released after an order was written when the order had
+///    been answered or had taken effect, and names the entry VM that gave it.
+///    The others claim when they have seen the row for the lease.
+///  - A claim without an order confirms no row, and its release names the order
+///    before.
+/// The entry VM that gave the last order may claim at once, as its orders are
+/// no change of turn. Two gaps remain: a holder that is suspended between the
+/// check of the time and the sending of its order, and a finished row of an
+/// earlier version, which tells no turn and is not waited for.
 class TakeoverClaim {
 public:
   /// Time for which other entry VMs respect an unchanged claim. Covers the
   /// promotion window, the promotion itself (up to 1 s) and two slow calls.
+  /// Also the least time between the orders of two entry VMs.
   static constexpr Duration Lease = std::chrono::seconds(4);
   /// Time after the start of a claim within which its holder may promote.
   static constexpr Duration PromotionWindow = milliseconds(1500);
@@ -113,16 +143,28 @@
   /// Time after the start of a claim within which its holder may undo what it
   /// has done. Leaves time for calls that are under way when the lease ends.
   static constexpr Duration UndoWindow = milliseconds(3000);
+  /// Time from the start of the confirmation to when an order without an answer
+  /// has been abandoned. The confirmation and the calls between it and the
+  /// order take some 10 ms each; after slower ones the holder confirms again.
+  static constexpr Duration OrderSpan = milliseconds(800);
+  /// Least part of OrderSpan that is left when an order is given.
+  static constexpr Duration LeastOrderTime = milliseconds(300);
+
+  TakeoverClaim() = default;
+  /// \param Self the entry VM that observes the claim.
+  explicit TakeoverClaim(EntryVmId Self) : Self(std::move(Self)) {}
 
-  /// Records that the row was read with \p Version; 0 if it does not exist.
-  /// \param Finished whether the holder has marked the takeover as finished.
-  /// \param ClaimedAs the version with which the present claim began, if its
-  /// holder has changed the row since; the lease is counted from that version.
-  void observe(std::uint64_t Version, bool Finished, TimePoint Now,
-               std::uint64_t ClaimedAs = 0);
+  /// Records that the row was read with \p Version, which is 0 if it does not
+  /// exist, and the content \p Row.
+  void observe(std::uint64_t Version, const ClaimRow &Row, TimePoint Now);
 
   /// Returns whether this entry VM may claim the takeover.
-  bool mayClaim(TimePoint Now) const;
+  bool mayClaim(TimePoint Now,
+                ClaimPurpose Purpose = ClaimPurpose::Order) const;
+
+  /// Returns whether the claim is released and the last order was given by this
+  /// entry VM.
+  bool hasLastOrder() const;
 
   /// Returns the version that was read last.
   std::uint64_t version() const { return this->Version; }
@@ -144,10 +186,14 @@
   }
 
 private:
+  /// Returns whether the wait for the row has ended, by its first sight.
+  bool hasWaited(TimePoint Now) const;
+
+  EntryVmId Self;
   std::uint64_t Version = 0;
-  bool Finished = true;
-  std::uint64_t Start = 0; ///< Version with which the claim began.
-  TimePoint SeenSince{};   ///< When a version of the claim was first read.
+  ClaimRow Row;
+  std::uint64_t Start = 0; ///< Version from which the wait counts.
+  TimePoint SeenSince{};   ///< When that version or a later one was first read.
 };
 
 } // namespace amaranthspur
--- a/src/policy/testing/TakeoverExplorer.cpp
+++ b/src/policy/testing/TakeoverExplorer.cpp
@@ -54,6 +54,15 @@
 /// Operand of Kind::Ask for the claim row.
 constexpr std::size_t ClaimRowOperand = MaxServers;
 
+/// Returns the row with which a claim is released. It names no turn, so that
+/// any entry VM may claim at once: more orders of events are searched than the
+/// turns allow, and a violation does not depend on them.
+ClaimRow releasedRow(const ClaimOutcome &Outcome) {
+  ClaimRow Row = parseClaimRow(1, finishedClaimValue(Outcome));
+  Row.Turn.reset();
+  return Row;
+}
+
 /// Returns whether events of \p K are not limited.
 bool isFree(Kind K) {
   return K == Kind::Plan || K == Kind::Step || K == Kind::Deliver ||
@@ -383,8 +392,7 @@
 
 void Model::observeRow() {
   for (Vm &V : this->Vms)
-    V.Claim.observe(this->RowVersion, this->Row.State != ClaimState::Held,
-                    this->Now);
+    V.Claim.observe(this->RowVersion, this->Row, this->Now);
 }
 
 bool Model::compareAndSet(std::uint64_t Expected, const ClaimRow &Written) {
@@ -459,7 +467,7 @@
   if (!Applied || How == Kind::LoseAnswer)
     return;
   M.Fence = this->RowVersion;
-  M.Outcome = ClaimOutcome{Before, false, false, 0};
+  M.Outcome = ClaimOutcome{Before, false, false, 0, {EntryVmId("vm"), 0}};
   M.Given.Claim = ++this->Claims;
   M.Now = Doing::Acting;
   M.Inputs = 0;
@@ -563,8 +571,7 @@
       this->checkStranded(V);
     if (How != Kind::LoseCall &&
         (M.Undoing || M.Action.End != TakeoverEnd::Open))
-      this->compareAndSet(M.Fence,
-                          parseClaimRow(1, finishedClaimValue(M.Outcome)));
+      this->compareAndSet(M.Fence, releasedRow(M.Outcome));
     M.Now = Doing::Nothing;
     M.Logic.reset();
     return;
@@ -811,8 +818,7 @@
   case Kind::Die: {
     Vm Fresh;
     Fresh.Believed = this->Vms[E.A].Believed;
-    Fresh.Claim.observe(this->RowVersion, this->Row.State != ClaimState::Held,
-                        this->Now);
+    Fresh.Claim.observe(this->RowVersion, this->Row, this->Now);
     this->Vms[E.A] = Fresh;
     break;
   }
--- a/src/policy/testing/TakeoverTest.cpp
+++ b/src/policy/testing/TakeoverTest.cpp
@@ -171,9 +171,12 @@
     CAPTURE(R.Name);
     TakeoverClaim Claim;
     const TimePoint Start{std::chrono::seconds(100)};
-    for (const Observation &S : R.History)
-      Claim.observe(S.Version, S.Finished, Start + milliseconds(S.AtMs),
-                    S.ClaimedAs);
+    for (const Observation &S : R.History) {
+      ClaimRow Seen;
+      Seen.State = S.Finished ? ClaimState::Finished : ClaimState::Held;
+      Seen.ClaimedAs = S.ClaimedAs;
+      Claim.observe(S.Version, Seen, Start + milliseconds(S.AtMs));
+    }
     CHECK(Claim.mayClaim(Start + milliseconds(R.AtMs)) == R.MayClaim);
   }
   // The holder stops promoting well before others may claim.
@@ -182,6 +185,68 @@
   CHECK(TakeoverClaim::UndoWindow < TakeoverClaim::Lease);
 }
 
+// Guards against orders of two entry VMs that follow each other within the
+// lease, although nothing is wrong (issue 34): a released claim could be
+// claimed by any entry VM at once, and the lease was counted from the claim
+// instead of the last moment at which its order can be sent.
+TEST_CASE("another entry VM claims a lease after the last order") {
+  struct Observation {
+    std::uint64_t Version;
+    const char *Value;
+    int AtMs;
+  };
+  struct Row {
+    const char *Name;
+    std::vector<Observation> History;
+    int AtMs;
+    bool MayClaim;
+    bool MayUndo;
+  };
+  const char *Other = "finished 3 other@0";
+  const Row Rows[] = {
+      {"released after its order", {{5, Other, 0}}, 3999, false, true},
+      {"a lease later", {{5, Other, 0}}, 4000, true, true},
+      {"released after an order of this entry VM",
+       {{5, "finished 3 vm@0", 0}},
+       0,
+       true,
+       true},
+      {"released without an order", {{5, "finished 3", 0}}, 0, true, true},
+      {"released, and claimed by a third",
+       {{5, Other, 0}, {6, "third@0 4", 3000}},
+       7799,
+       false,
+       false},
+      {"claimed", {{5, "other@0 4", 0}}, 4799, false, false},
+      {"a lease after the end of its order",
+       {{5, "other@0 4", 0}},
+       4800,
+       true,
+       true},
+      {"confirmed later",
+       {{5, "other@0 4", 0}, {6, "other@0 4 i-7", 1500}},
+       6299,
+       false,
+       false},
+      {"a lease after the order that was confirmed later",
+       {{5, "other@0 4", 0}, {6, "other@0 4 i-7", 1500}},
+       6300,
+       true,
+       true},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    TakeoverClaim Claim(EntryVmId("vm"));
+    const TimePoint Start{std::chrono::seconds(100)};
+    for (const Observation &S : R.History)
+      Claim.observe(S.Version, parseClaimRow(S.Version, S.Value),
+                    Start + milliseconds(S.AtMs));
+    const TimePoint Now = Start + milliseconds(R.AtMs);
+    CHECK(Claim.mayClaim(Now) == R.MayClaim);
+    CHECK(Claim.mayClaim(Now, ClaimPurpose::Undo) == R.MayUndo);
+  }
+}
+
 namespace {
 
 /// A group of three servers that acknowledges a commit once one replica holds
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -23,6 +23,7 @@
 GroupMonitor::GroupMonitor(std::shared_ptr<Group> Monitored,
                            MonitorDependencies Dependencies)
     : Monitored(std::move(Monitored)), Dependencies(std::move(Dependencies)),
+      Claim(this->Dependencies.Self),
       OperationNonce(this->Dependencies.Rng.below(1ULL << 62U)) {}
 
 void GroupMonitor::start() { this->watch(); }
@@ -88,7 +89,9 @@
 }
 
 bool GroupMonitor::defersToRelay() const {
+  // A relay would have to wait for the lease after this entry VM's order.
   return this->SuspectSince && this->Monitored->isFollower() &&
+         !this->Claim.hasLastOrder() &&
          steadyNow() - *this->SuspectSince < this->DeferralTime;
 }
 
@@ -376,14 +379,15 @@
 }
 
 QCoro::Task<std::optional<GroupMonitor::HeldClaim>>
-GroupMonitor::claim(std::string Value) {
+GroupMonitor::claim(std::string Value, ClaimPurpose Purpose) {
   HeldClaim Held;
   const std::string Operation = this->nextOperation();
   // The known version may be outdated: another entry VM may have finished that
   // claim since. The second attempt uses the version read by the first.
-  for (int Attempt = 0; Attempt < 2 && this->Claim.mayClaim(bootNow());
+  for (int Attempt = 0; Attempt < 2 && this->Claim.mayClaim(bootNow(), Purpose);
        ++Attempt) {
     Held.Begun = bootNow();
+    Held.OrderBy = Held.Begun + TakeoverClaim::OrderSpan;
     const Result<CasOutcome> R =
         co_await this->Dependencies.Store.compareAndSet(
             claimKey(this->Monitored->name()), this->Claim.version(), Value,
@@ -396,7 +400,7 @@
     this->observeClaim(Row);
     if (!valueOf(R).Applied)
       continue;
-    Held.Fence = Held.ClaimedAs = Row.Version;
+    Held.Fence = Row.Version;
     log(LogLevel::Info, LogEvent::TakeoverClaimed,
         {{"service", this->Monitored->name().str()},
          {"row", Value},
@@ -412,9 +416,26 @@
 void GroupMonitor::observeClaim(const TableRow &Row) {
   this->LastRow = Row;
   this->LastClaim = parseClaimRow(Row.Version, Row.Value);
-  this->Claim.observe(Row.Version,
-                      this->LastClaim.State == ClaimState::Finished, bootNow(),
-                      this->LastClaim.ClaimedAs);
+  this->Claim.observe(Row.Version, this->LastClaim, bootNow());
+}
+
+ClaimTurn GroupMonitor::turn() const { return {this->Dependencies.Self, 0}; }
+
+QCoro::Task<ClaimCheck> GroupMonitor::confirm(HeldClaim &Held, ServerId Target,
+                                              Term T) {
+  const TimePoint OrderBy = bootNow() + TakeoverClaim::OrderSpan;
+  const ClaimCheck Check = co_await this->advance(
+      Held, confirmedClaimValue(this->turn(), T, Target), ConfirmTimeout);
+  if (Check == ClaimCheck::Held)
+    Held.OrderBy = OrderBy;
+  co_return Check;
+}
+
+QCoro::Task<ClaimCheck>
+GroupMonitor::renewConfirmation(HeldClaim &Held, ServerId Target, Term T) {
+  if (Held.OrderBy - bootNow() >= TakeoverClaim::LeastOrderTime)
+    co_return ClaimCheck::Held;
+  co_return co_await this->confirm(Held, std::move(Target), T);
 }
 
 QCoro::Task<ClaimCheck>
@@ -449,7 +470,7 @@
   // The target may be missing among the known servers: it may have registered
   // or restarted since.
   ClaimOutcome Outcome{Held.Before, Held.Ordered, Held.LedTerm != 0,
-                       Held.LedTerm};
+                       Held.LedTerm, this->turn()};
   for (const auto &[Id, Server] : this->Monitored->beliefs().servers())
     Outcome.Highest = std::max(Outcome.Highest, Server.TermNumber);
   const std::string Value = finishedClaimValue(Outcome);
@@ -488,7 +509,7 @@
 QCoro::Task<std::optional<std::string>>
 GroupMonitor::execute(std::vector<TakeoverServer> Servers, Term KnownTerm) {
   std::optional<HeldClaim> Held = co_await this->claim(
-      takeoverClaimValue(this->Dependencies.Self, nextTerm(Servers)));
+      takeoverClaimValue(this->turn(), nextTerm(Servers)), ClaimPurpose::Order);
   if (!Held)
     co_return "another entry VM holds the claim, or the store does not answer";
   LogPosition RequiredEnd;
@@ -530,16 +551,20 @@
       break;
     }
     case TakeoverStep::Confirm: {
-      const ClaimCheck Check = co_await this->advance(
-          *Held,
-          confirmedClaimValue(this->Dependencies.Self, Procedure.term(),
-                              Action.Target, Held->ClaimedAs),
-          ConfirmTimeout);
+      const ClaimCheck Check =
+          co_await this->confirm(*Held, Action.Target, Procedure.term());
       Outcome = nameOf(Check);
       Procedure.recordClaim(Check);
       break;
     }
     case TakeoverStep::Order: {
+      const ClaimCheck Check = co_await this->renewConfirmation(
+          *Held, Action.Target, Procedure.term());
+      if (Check != ClaimCheck::Held) {
+        Outcome = nameOf(Check);
+        Procedure.recordClaim(Check);
+        break;
+      }
       Held->Ordered = true;
       const PromotionOutcome Answer =
           co_await this->promote(Action.Target, *Held, Action.SendBy);
@@ -587,9 +612,10 @@
   Order.Target = std::move(Target);
   Order.Holder = this->Dependencies.Self;
   Order.FencingToken = Held.Fence;
-  Order.SendBy = SendBy;
-  const PromotionOutcome Outcome = co_await this->Dependencies.Orders.promote(
-      Order, steadyNow() + OrderTimeout);
+  Order.SendBy = std::min(SendBy, Held.OrderBy);
+  const Duration Timeout = std::min(OrderTimeout, Held.OrderBy - bootNow());
+  const PromotionOutcome Outcome =
+      co_await this->Dependencies.Orders.promote(Order, steadyNow() + Timeout);
   co_return Outcome;
 }
 
@@ -734,14 +760,14 @@
   if (!this->StrandedSince)
     this->StrandedSince = steadyNow();
   if (steadyNow() - *this->StrandedSince < StrandedAdoptionTimeout ||
-      !this->Claim.mayClaim(bootNow()))
+      !this->Claim.mayClaim(bootNow(), ClaimPurpose::Undo))
     co_return;
   // The known terms may be outdated, and a claim costs two calls to the store.
   const std::vector<ServerId> Suspected = co_await this->pollStranded();
   if (Suspected.empty())
     co_return;
   const std::optional<HeldClaim> Held =
-      co_await this->claim(undoClaimValue(this->Dependencies.Self));
+      co_await this->claim(undoClaimValue(this->turn()), ClaimPurpose::Undo);
   if (!Held)
     co_return;
   // Only what is found under the claim is undone: a takeover may have ended
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -122,13 +122,13 @@
 private:
   /// A claim on the takeover, held by this entry VM.
   struct HeldClaim {
-    std::uint64_t Fence = 0;     ///< Version of the row.
-    std::uint64_t ClaimedAs = 0; ///< Version with which the claim began.
-    TimePoint Begun;             ///< Boot clock (core/BootClock.h).
-    ClaimRow Before;             ///< The row that the claim has replaced.
-    bool Ordered = false;        ///< An order was given under the claim.
-    Term LedTerm = 0;       ///< Of the server that leads by the last order.
-    std::string Unanswered; ///< Last change of the row without an answer.
+    std::uint64_t Fence = 0; ///< Version of the row.
+    TimePoint Begun;         ///< Boot clock (core/BootClock.h).
+    TimePoint OrderBy;       ///< Boot clock; end of OrderSpan.
+    ClaimRow Before;         ///< The row that the claim has replaced.
+    bool Ordered = false;    ///< An order was given under the claim.
+    Term LedTerm = 0;        ///< Of the server that leads by the last order.
+    std::string Unanswered;  ///< Last change of the row without an answer.
   };
 
   /// What the tasks share that await the effect of an order.
@@ -205,7 +205,16 @@
   std::string nextOperation();
   /// Claims the group's takeover; returns nothing if another entry VM holds the
   /// claim or the store does not answer.
-  QCoro::Task<std::optional<HeldClaim>> claim(std::string Value);
+  QCoro::Task<std::optional<HeldClaim>> claim(std::string Value,
+                                              ClaimPurpose Purpose);
+  /// Returns the turn of this entry VM.
+  ClaimTurn turn() const;
+  /// Writes to the claim row that the promotion of \p Target to term \p T is
+  /// about to be ordered, if the claim is still held.
+  QCoro::Task<ClaimCheck> confirm(HeldClaim &Held, ServerId Target, Term T);
+  /// Confirms the claim again if less than LeastOrderTime of OrderSpan is left.
+  QCoro::Task<ClaimCheck> renewConfirmation(HeldClaim &Held, ServerId Target,
+                                            Term T);
   /// Writes \p Value to the claim row, if the claim is still held.
   QCoro::Task<ClaimCheck> advance(HeldClaim &Held, std::string Value,
                                   Duration Timeout);
