--- a/src/platform/HttpClient.cpp
+++ b/src/platform/HttpClient.cpp
@@ -1,23 +1,13 @@
 #include "platform/HttpClient.h"
 
-#include "core/Async.h"
 #include "core/BootClock.h"
-
-#include <QIODevice>
-#include <QNetworkAccessManager>
-#include <QNetworkProxy>
-#include <QNetworkReply>
-#include <QNetworkRequest>
-#include <QUrl>
+#include "platform/HttpStream.h"
 
 #include <algorithm>
-#include <optional>
 
 namespace amaranthspur {
 namespace {
 
-/// Longest response that is read. Configurations are smaller than 4 MiB.
-constexpr qint64 MaxResponseBytes = 8LL * 1024 * 1024;
 /// Longest pause in a response that is arriving; after it the connection is
 /// considered dead. Packets are queued for up to 0.5 s on a congested link
 /// between regions.
@@ -26,143 +16,156 @@
 /// complete. For comparison, 40 configurations of 300 KB take 1.6 s on the
 /// 60 Mbit/s link between the regions.
 constexpr Duration TransferExtension = std::chrono::seconds(8);
+/// Time after which an idle connection is not used again. Servers close idle
+/// connections, and a request that crosses the close is lost.
+constexpr Duration MaxIdleTime = std::chrono::seconds(30);
 
-/// A request body that can be read only until a time of the boot clock.
-///
-/// A connection reads it when it has been established. If the process is
-/// suspended before that, the time is checked after it wakes.
-class TimedBody final : public QIODevice {
-public:
-  TimedBody(QByteArray Content, TimePoint SendBy)
-      : Content(std::move(Content)), SendBy(SendBy) {
-    this->open(QIODevice::ReadOnly | QIODevice::Unbuffered);
-  }
-
-  bool isSequential() const override { return true; }
-  qint64 bytesAvailable() const override {
-    return this->Content.size() - this->Taken + QIODevice::bytesAvailable();
-  }
-
-protected:
-  qint64 readData(char *To, qint64 MaxSize) override {
-    if (bootNow() >= this->SendBy)
-      return -1;
-    const qint64 Size =
-        std::min<qint64>(MaxSize, this->Content.size() - this->Taken);
-    std::copy_n(this->Content.constData() + this->Taken, Size, To);
-    this->Taken += Size;
-    return Size;
-  }
-  qint64 writeData(const char *, qint64) override { return -1; }
+constexpr const char *NoAnswer = "the platform did not answer in time";
 
-private:
-  QByteArray Content;
-  TimePoint SendBy;
-  qint64 Taken = 0; ///< Number of bytes that have been read.
-};
+bool changesNothing(const HttpRequest &Request) {
+  return Request.Verb == "GET";
+}
 
 } // namespace
 
 HttpClient::HttpClient(const Address &Server, AbandonedCallObserver *Observer)
-    : Observer(Observer) {
-  const QString Host = QString::fromStdString(Server.Host);
-  const bool Ipv6 = Host.contains(':');
-  this->Base = "http://" + (Ipv6 ? "[" + Host + "]" : Host) + ":" +
-               QString::number(Server.Port);
-  this->renewConnections();
+    : Server(Server), Observer(Observer) {}
+
+HttpClient::~HttpClient() = default;
+
+std::unique_ptr<HttpStream> HttpClient::takeIdle() {
+  while (!this->Idle.empty()) {
+    IdleStream Last = std::move(this->Idle.back());
+    this->Idle.pop_back();
+    if (steadyNow() - Last.Since < MaxIdleTime && Last.Stream->isReusable())
+      return std::move(Last.Stream);
+  }
+  return nullptr;
+}
+
+void HttpClient::dropConnections() {
+  this->Idle.clear();
+  ++this->Generation;
 }
 
-void HttpClient::renewConnections() {
-  this->Http = std::make_shared<QNetworkAccessManager>();
-  this->Http->setProxy(QNetworkProxy::NoProxy);
-  this->Http->setAutoDeleteReplies(false);
+QCoro::Task<std::unique_ptr<HttpStream>> HttpClient::open(TimePoint Deadline) {
+  QTcpSocket *Socket = co_await openSocket(this->Server, Deadline);
+  if (!Socket)
+    co_return std::unique_ptr<HttpStream>();
+  co_return std::make_unique<HttpStream>(Socket);
+}
+
+std::string HttpClient::encode(const HttpRequest &Request) const {
+  const bool IsIpv6 = this->Server.Host.find(':') != std::string::npos;
+  const std::string Host =
+      IsIpv6 ? "[" + this->Server.Host + "]" : this->Server.Host;
+  std::string Out = Request.Verb.toStdString() + " " +
+                    Request.Path.toStdString() + " HTTP/1.1\r\nHost: " + Host +
+                    ":" + std::to_string(this->Server.Port) + "\r\n";
+  if (!changesNothing(Request))
+    Out += "Content-Type: " + Request.ContentType.toStdString() +
+           "\r\nContent-Length: " + std::to_string(Request.Body.size()) +
+           "\r\n";
+  for (const auto &[Name, Value] : Request.Headers)
+    Out += Name.toStdString() + ": " + Value.toStdString() + "\r\n";
+  return Out + "\r\n" + Request.Body.toStdString();
 }
 
 void HttpClient::reportAbandoned(const HttpRequest &Request,
-                                 std::optional<TimePoint> WrittenAt,
-                                 ConnectionEnd End) const {
+                                 const HttpStream &Stream, std::size_t Size,
+                                 TimePoint WrittenAt) const {
   if (!this->Observer || Request.Subject.Kind == CallKind::Read)
     return;
   AbandonedCall Call;
   Call.Subject = Request.Subject;
-  Call.End = End;
-  if (WrittenAt) {
-    Call.Written = static_cast<std::size_t>(Request.Body.size());
-    Call.SinceWritten = steadyNow() - *WrittenAt;
-  }
+  Call.Written = Size - std::min(Size, Stream.queuedBytes());
+  Call.SinceWritten = steadyNow() - WrittenAt;
+  Call.End = Stream.endIfGivenUp();
   this->Observer->recordAbandoned(Call);
 }
 
-QCoro::Task<Result<HttpResponse>> HttpClient::send(HttpRequest Sent,
-                                                   TimePoint Deadline) {
-  QNetworkRequest Request(QUrl(this->Base + Sent.Path, QUrl::StrictMode));
-  Request.setHeader(QNetworkRequest::ContentTypeHeader, Sent.ContentType);
-  Request.setAttribute(QNetworkRequest::RedirectPolicyAttribute,
-                       QNetworkRequest::ManualRedirectPolicy);
-  for (const auto &[Name, Value] : Sent.Headers)
-    Request.setRawHeader(Name, Value);
-  TimedBody Body(Sent.Body, Sent.SendBy);
-  const bool IsTimed = Sent.SendBy != TimePoint::max();
-  if (IsTimed) {
-    // Without these two, the body would be read before the connection is
-    // opened.
-    Request.setHeader(QNetworkRequest::ContentLengthHeader, Sent.Body.size());
-    Request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
-  }
-  if (Sent.FreshConnection)
-    this->renewConnections();
-  // The reply belongs to the manager, so the manager must be destroyed after
-  // it.
-  const std::shared_ptr<QNetworkAccessManager> Manager = this->Http;
-  const std::unique_ptr<QNetworkReply> Reply(
-      IsTimed ? Manager->sendCustomRequest(Request, Sent.Verb, &Body)
-              : Manager->sendCustomRequest(Request, Sent.Verb, Sent.Body));
-  WaitPoint Finished;
-  bool TooLarge = false;
-  std::optional<TimePoint> ProgressAt;
-  std::optional<TimePoint> WrittenAt;
-  QNetworkReply *Running = Reply.get();
-  QObject::connect(Running, &QNetworkReply::requestSent, Running,
-                   [&WrittenAt] { WrittenAt = steadyNow(); });
-  QObject::connect(Running, &QNetworkReply::finished, Running,
-                   [&Finished] { Finished.wake(); });
-  QObject::connect(
-      Running, &QNetworkReply::downloadProgress, Running,
-      [&Finished, &TooLarge, &ProgressAt](qint64 Received, qint64 /*Total*/) {
-        if (Received > 0)
-          ProgressAt = steadyNow();
-        TooLarge = TooLarge || Received > MaxResponseBytes;
-        if (TooLarge)
-          Finished.wake();
-      });
+QCoro::Task<> HttpClient::readResponse(HttpStream &Stream, TimePoint Deadline) {
   TimePoint Until = Deadline;
-  bool InTime = false;
-  while (!InTime && steadyNow() < Until) {
-    InTime = co_await Finished.wait(Until);
-    if (ProgressAt)
-      Until = std::max(Until, std::min(Deadline + TransferExtension,
-                                       *ProgressAt + StallTimeout));
+  ReadEvent Event = ReadEvent::Data;
+  while (Event == ReadEvent::Data && !Stream.isResponseEnded()) {
+    Event = co_await Stream.waitReadable(Until);
+    if (Event == ReadEvent::Data)
+      Until = std::max(Deadline, std::min(Deadline + TransferExtension,
+                                          steadyNow() + StallTimeout));
   }
-  QObject::disconnect(Running, nullptr, nullptr, nullptr);
-  if (TooLarge || !InTime) {
-    Running->abort();
-    this->reportAbandoned(Sent, WrittenAt, ConnectionEnd::Closed);
-    // Other connections to the same server may be dead as well, so the next
-    // request opens a new one.
-    if (this->Http == Manager)
-      this->renewConnections();
-    co_return Error{TooLarge ? "the platform's response is too large"
-                             : "the platform did not answer in time"};
+  if (Event == ReadEvent::Closed)
+    Stream.endResponse();
+}
+
+QCoro::Task<Result<HttpResponse>>
+HttpClient::exchange(const HttpRequest &Request, HttpStream &Stream,
+                     TimePoint Deadline) {
+  const std::string Message = this->encode(Request);
+  // The process may have been suspended while the connection was opened.
+  if (bootNow() >= Request.SendBy)
+    co_return Error{"the time to send the request has passed"};
+  Stream.limitUnacknowledged(Deadline - steadyNow());
+  Stream.expectResponse();
+  Stream.write(Message);
+  // Without this, the event loop would pass the bytes to the kernel later,
+  // perhaps after a suspension.
+  Stream.flush();
+  const TimePoint WrittenAt = steadyNow();
+  co_await readResponse(Stream, Deadline);
+  switch (Stream.state()) {
+  case ResponseState::Complete:
+    co_return Stream.takeResponse();
+  case ResponseState::TooLarge:
+    co_return Error{"the platform's response is too large"};
+  case ResponseState::Malformed:
+    co_return Error{"the platform's response is malformed or was cut off"};
+  case ResponseState::Awaited:
+  case ResponseState::Arriving:
+    break;
+  }
+  this->reportAbandoned(Request, Stream, Message.size(), WrittenAt);
+  co_return Error{Stream.isOpen()
+                      ? NoAnswer
+                      : "the platform is unreachable: connection lost"};
+}
+
+QCoro::Task<Result<HttpResponse>> HttpClient::send(HttpRequest Request,
+                                                   TimePoint Deadline) {
+  bool InTime = true;
+  while (InTime && !Request.FreshConnection && this->InUse >= MaxConnections)
+    InTime = co_await this->Released.wait(Deadline);
+  if (!InTime)
+    co_return Error{NoAnswer};
+  const Use Counted(*this);
+  const std::uint64_t Begun = this->Generation;
+  std::unique_ptr<HttpStream> Stream;
+  if (!Request.FreshConnection)
+    Stream = this->takeIdle();
+  Result<HttpResponse> R = Error{};
+  bool NeedsNew = !Stream;
+  if (Stream) {
+    R = co_await this->exchange(Request, *Stream, Deadline);
+    // The server had closed the connection before the request arrived.
+    NeedsNew = changesNothing(Request) && !Stream->isOpen() &&
+               Stream->state() == ResponseState::Awaited;
+    if (NeedsNew)
+      this->Idle.clear();
   }
-  const int Status =
-      Running->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-  // A response that was cut off has a status, but also a transport error.
-  if (Status == 0 || Running->error() == QNetworkReply::RemoteHostClosedError) {
-    this->reportAbandoned(Sent, WrittenAt, ConnectionEnd::Lost);
-    co_return Error{"the platform is unreachable: " +
-                    Running->errorString().toStdString()};
+  if (NeedsNew) {
+    Stream = co_await this->open(Deadline);
+    if (Stream)
+      R = co_await this->exchange(Request, *Stream, Deadline);
+    else
+      R = Error{"the platform is unreachable: cannot connect to " +
+                this->Server.str()};
   }
-  co_return HttpResponse{Status, Running->readAll()};
+  // Other connections to the same server may be dead as well, so the next
+  // request opens a new one.
+  if (!succeeded(R))
+    this->dropConnections();
+  else if (Begun == this->Generation && Stream->isReusable())
+    this->Idle.push_back({std::move(Stream), steadyNow()});
+  co_return R;
 }
 
 } // namespace amaranthspur
--- a/src/root/Daemon.cpp
+++ b/src/root/Daemon.cpp
@@ -59,7 +59,9 @@
 Daemon::Daemon(Settings Given)
     : Values(std::move(Given)), Incarnation(startTime()),
       RandomSource(this->Incarnation),
-      PlatformClient(this->Values.Platform, this->Incarnation), Peers([this] {
+      PlatformClient(this->Values.Platform, this->Incarnation,
+                     HttpPlatform::DefaultThresholds, &this->Abandoned),
+      Peers([this] {
         PeerNetworkOptions Options =
             peerOptions(this->Values, this->Incarnation);
         Options.OwnRevision = [this] {
--- a/src/root/Daemon.h
+++ b/src/root/Daemon.h
@@ -17,6 +17,7 @@
 #include "root/peers/Forwarding.h"
 #include "root/peers/ViewExchange.h"
 #include "root/peers/ZmqPeerNetwork.h"
+#include "root/telemetry/AbandonedCallLog.h"
 #include "root/telemetry/AdminServer.h"
 
 namespace amaranthspur {
@@ -55,6 +56,7 @@
   Settings Values;
   std::uint64_t Incarnation;
   Metrics Counters;
+  AbandonedCallLog Abandoned{this->Counters};
   SteadyClock MonotonicClock;
   Random RandomSource;
   ViewTable Views;
