--- a/src/platform/HttpPlatform.cpp
+++ b/src/platform/HttpPlatform.cpp
@@ -51,10 +51,17 @@
 /// Returns the row \p Key of \p Page, or a row of version 0 if the page lacks
 /// it.
 Result<TableRow> findRow(const rows::Page &Page, const std::string &Key) {
-  for (const WatchedRow &Row : Page.Rows)
-    if (Row.Key == Key)
-      return rows::decodeValue(Row);
-  return TableRow{};
+  for (const WatchedRow &Row : Page.Rows) {
+    if (Row.Key != Key)
+      continue;
+    Result<TableRow> Found = rows::decodeValue(Row);
+    if (auto *Decoded = std::get_if<TableRow>(&Found))
+      Decoded->StoreMs = Page.StoreMs;
+    return Found;
+  }
+  TableRow Missing;
+  Missing.StoreMs = Page.StoreMs;
+  return Missing;
 }
 
 } // namespace
@@ -97,7 +104,9 @@
     const Result<std::uint64_t> Version = rows::decodeNewVersion(Response.Body);
     if (!succeeded(Version))
       co_return Error{errorOf(Version)};
-    co_return CasOutcome{true, {valueOf(Version), Value, Operation}};
+    TableRow Written{valueOf(Version), Value, Operation,
+                     rows::decodeStoreMs(Response.Body)};
+    co_return CasOutcome{true, std::move(Written)};
   }
   if (Response.Status != HttpPreconditionFailed)
     co_return unexpectedStatus(Response);
--- a/src/platform/Platform.h
+++ b/src/platform/Platform.h
@@ -27,6 +27,9 @@
   std::uint64_t Version = 0; ///< Increases with each change; 0: no row.
   std::string Value;
   std::string Operation; ///< Identifier of the change that wrote this version.
+  /// The store's clock when it gave the answer with this row; nothing if the
+  /// answer lacks it. The clock is steady and starts anywhere.
+  std::optional<std::int64_t> StoreMs = {};
 };
 
 /// The result of a compare-and-set.
--- a/src/platform/RowCodec.cpp
+++ b/src/platform/RowCodec.cpp
@@ -11,6 +11,13 @@
   return QJsonDocument(O).toJson(QJsonDocument::Compact);
 }
 
+std::optional<std::int64_t> storeMs(const QJsonObject &O) {
+  const QJsonValue Field = O["now-ms"];
+  if (!Field.isDouble())
+    return std::nullopt;
+  return Field.toInteger();
+}
+
 std::optional<WatchedRow> decodeRow(const QJsonObject &O) {
   if (!O["key"].isString() || !O["row-version"].isDouble())
     return std::nullopt;
@@ -48,6 +55,7 @@
   Page Out;
   Out.StoreVersion = static_cast<std::uint64_t>(O["row-version"].toInteger());
   Out.HasMore = O["has-more"].toBool();
+  Out.StoreMs = storeMs(O);
   const QJsonArray Rows = O["rows"].toArray();
   for (const auto &Entry : Rows)
     if (std::optional<WatchedRow> Row = decodeRow(Entry.toObject()))
@@ -63,6 +71,10 @@
   return static_cast<std::uint64_t>(O["row-version"].toInteger());
 }
 
+std::optional<std::int64_t> decodeStoreMs(const QByteArray &Body) {
+  return storeMs(QJsonDocument::fromJson(Body).object());
+}
+
 QByteArray encodeValue(const std::string &Value, const std::string &Operation) {
   return toCompactJson({{"value", QString::fromStdString(Value)},
                         {"operation", QString::fromStdString(Operation)}});
--- a/src/platform/RowCodec.h
+++ b/src/platform/RowCodec.h
@@ -14,6 +14,7 @@
 #include <QByteArray>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,7 @@
   std::vector<WatchedRow> Rows;
   std::uint64_t StoreVersion = 0; ///< Of the store when it read the page.
   bool HasMore = false;           ///< Rows of the range follow in another page.
+  std::optional<std::int64_t> StoreMs; ///< The store's clock.
 };
 
 /// Decodes a response with rows. Rows without a valid key or version are
@@ -40,6 +42,10 @@
 /// Decodes the version that a transaction assigned to the rows it wrote.
 Result<std::uint64_t> decodeNewVersion(const QByteArray &Body);
 
+/// Decodes the store's clock in a response about rows, or nothing if the
+/// response lacks it.
+std::optional<std::int64_t> decodeStoreMs(const QByteArray &Body);
+
 /// Encodes the value of one of this program's own rows.
 QByteArray encodeValue(const std::string &Value, const std::string &Operation);
 
--- a/src/platform/testing/HttpPlatformTest.cpp
+++ b/src/platform/testing/HttpPlatformTest.cpp
@@ -77,6 +77,34 @@
   CHECK(valueOf(Vms)[0].Leaving);
 }
 
+// Guards against an answer whose clock is dropped: a claim would then be waited
+// for from its first sight.
+TEST_CASE("answers about a row tell the store's clock") {
+  Fixture F;
+  const auto NowMs = [] {
+    return steadyNow().time_since_epoch() / milliseconds(1);
+  };
+  const std::string Key = "takeover/ledger";
+  const std::int64_t Before = NowMs();
+  std::vector<std::optional<std::int64_t>> Told;
+  for (int I = 0; I < 2; ++I) {
+    const auto Read = QCoro::waitFor(F.Client.readRow(Key, secondsFromNow(5)));
+    REQUIRE(succeeded(Read));
+    CHECK(valueOf(Read).Version == (I == 0 ? 0 : 1));
+    Told.push_back(valueOf(Read).StoreMs);
+    const auto Written = QCoro::waitFor(F.Client.compareAndSet(
+        Key, 0, "value", "op-" + std::to_string(I), secondsFromNow(5)));
+    REQUIRE(succeeded(Written));
+    CHECK(valueOf(Written).Applied == (I == 0));
+    Told.push_back(valueOf(Written).Current.StoreMs);
+  }
+  for (const std::optional<std::int64_t> &Ms : Told) {
+    REQUIRE(Ms);
+    CHECK(*Ms >= Before);
+    CHECK(*Ms <= NowMs());
+  }
+}
+
 // Guards against a write that is applied twice, or that is reported as failed
 // although it was applied, when its response is lost.
 TEST_CASE("a write whose responses are lost is applied once") {
--- a/src/platform/testing/MemoryPlatform.h
+++ b/src/platform/testing/MemoryPlatform.h
@@ -18,7 +18,7 @@
   QCoro::Task<Result<TableRow>> readRow(std::string Key, TimePoint) override {
     if (this->Down)
       co_return Error{"no answer"};
-    co_return this->Rows[Key];
+    co_return this->answer(this->Rows[Key]);
   }
 
   QCoro::Task<Result<CasOutcome>>
@@ -28,9 +28,9 @@
       co_return Error{"no answer"};
     TableRow &Row = this->Rows[Key];
     if (Row.Version != Expected)
-      co_return CasOutcome{Row.Operation == Operation, Row};
+      co_return CasOutcome{Row.Operation == Operation, this->answer(Row)};
     Row = {++this->Counter, std::move(Value), std::move(Operation)};
-    const CasOutcome Outcome{true, Row};
+    const CasOutcome Outcome{true, this->answer(Row)};
     const Duration Delay = this->AnswerDelay(Outcome.Current);
     if (Delay > Duration::zero())
       co_await sleepFor(Delay);
@@ -55,9 +55,19 @@
   std::function<Duration(const TableRow &)> AnswerDelay = [](const TableRow &) {
     return Duration::zero();
   };
+  /// Returns the store's clock; nothing if the answers lack it.
+  std::function<std::optional<std::int64_t>()> StoreMs = [] {
+    return std::nullopt;
+  };
   std::uint64_t Counter = 0; ///< Last version; shared by all rows, as in the
                              ///< platform's store.
   std::map<std::string, TableRow> Rows;
+
+private:
+  TableRow answer(TableRow Row) const {
+    Row.StoreMs = this->StoreMs();
+    return Row;
+  }
 };
 
 } // namespace amaranthspur
--- a/src/policy/Takeover.cpp
+++ b/src/policy/Takeover.cpp
@@ -106,6 +106,10 @@
 }
 
 bool TakeoverClaim::hasWaited(TimePoint Now) const {
+  const std::optional<std::int64_t> StoreMs = this->Clock.earliest(Now);
+  if (this->Row.Turn && this->Row.Turn->WaitFromMs != 0 && StoreMs &&
+      *StoreMs - this->Row.Turn->WaitFromMs >= Lease / milliseconds(1))
+    return true;
   const bool MayBeOrdered =
       this->Row.State == ClaimState::Held && this->Row.Turn;
   return Now - this->SeenSince >=
--- a/src/policy/Takeover.h
+++ b/src/policy/Takeover.h
@@ -7,6 +7,7 @@
 
 #include "policy/ClaimRow.h"
 #include "policy/GroupBeliefs.h"
+#include "policy/StoreClock.h"
 
 #include <array>
 #include <cstdint>
@@ -125,6 +126,14 @@
 ///    The others claim when they have seen the row for the lease.
 ///  - A claim without an order confirms no row, and its release names the order
 ///    before.
+/// Where the row tells from which moment of the store's clock the wait counts,
+/// an entry VM that has not seen the row before knows whether the lease has
+/// passed since. The holder writes an upper bound of the last moment at which
+/// its order can be under way: the end of OrderSpan before the order, and later
+/// the end of the call. The others compare it with a lower bound of the present
+/// moment (policy/StoreClock.h). If the store's clock is not known to either
+/// of them, the wait counts from the first sight of the row, which is later.
+///
 /// The entry VM that gave the last order may claim at once, as its orders are
 /// no change of turn. Two gaps remain: a holder that is suspended between the
 /// check of the time and the sending of its order, and a finished row of an
@@ -158,6 +167,18 @@
   /// exist, and the content \p Row.
   void observe(std::uint64_t Version, const ClaimRow &Row, TimePoint Now);
 
+  /// Records an answer of the store; see StoreClock.
+  void observeClock(std::int64_t StoreMs, TimePoint SentAt,
+                    TimePoint ReceivedAt) {
+    this->Clock.observe(StoreMs, SentAt, ReceivedAt);
+  }
+
+  /// Returns the turn of this entry VM, for a row that others wait for from
+  /// \p End on.
+  ClaimTurn turnUntil(TimePoint End) const {
+    return {this->Self, this->Clock.latest(End).value_or(0)};
+  }
+
   /// Returns whether this entry VM may claim the takeover.
   bool mayClaim(TimePoint Now,
                 ClaimPurpose Purpose = ClaimPurpose::Order) const;
@@ -186,10 +207,11 @@
   }
 
 private:
-  /// Returns whether the wait for the row has ended, by its first sight.
+  /// Returns whether the wait for the row has ended.
   bool hasWaited(TimePoint Now) const;
 
   EntryVmId Self;
+  StoreClock Clock;
   std::uint64_t Version = 0;
   ClaimRow Row;
   std::uint64_t Start = 0; ///< Version from which the wait counts.
--- a/src/policy/testing/TakeoverTest.cpp
+++ b/src/policy/testing/TakeoverTest.cpp
@@ -247,6 +247,66 @@
   }
 }
 
+// Guards against a wait that starts anew in each entry VM that has not read the
+// row before: a service stayed without a primary for up to twice the lease. And
+// against a wait that ends early because an answer was slow or the entry VM was
+// suspended.
+TEST_CASE("the wait for a claim is measured by the store's clock") {
+  struct Row {
+    const char *Name;
+    const char *Value;
+    std::optional<std::int64_t> StoreMs; ///< In the answer with the row.
+    int AfterMs;                         ///< Since the answer.
+    bool MayClaim;
+  };
+  const Row Rows[] = {
+      {"held, read late", "other@5000 4 i-7", 9000, 0, true},
+      {"held, read a little earlier", "other@5000 4 i-7", 8999, 0, false},
+      {"time has passed since the answer", "other@5000 4 i-7", 7000, 2000,
+       true},
+      {"a little less time", "other@5000 4 i-7", 7000, 1999, false},
+      {"released, read late", "finished 3 other@5000", 9000, 0, true},
+      {"released, read earlier", "finished 3 other@5000", 8999, 0, false},
+      {"the answer has no clock", "finished 3 other@5000", std::nullopt, 3999,
+       false},
+      {"the answer has no clock, and the lease has passed since first sight",
+       "finished 3 other@5000", std::nullopt, 4000, true},
+      {"the holder did not know the clock", "finished 3 other@0", 90000, 3999,
+       false},
+      {"the store's clock has started again", "finished 3 other@99000", 5, 4000,
+       true},
+      {"a row of an earlier version", "other 4 i-7 3", 90000, 3999, false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    TakeoverClaim Claim(EntryVmId("vm"));
+    const TimePoint Sent{std::chrono::seconds(100)};
+    const TimePoint Received = Sent + milliseconds(900);
+    if (R.StoreMs)
+      Claim.observeClock(*R.StoreMs, Sent, Received);
+    Claim.observe(5, parseClaimRow(5, R.Value), Received);
+    CHECK(Claim.mayClaim(Received + milliseconds(R.AfterMs)) == R.MayClaim);
+  }
+}
+
+// Guards against a turn that ends, by the store's clock, before the order of
+// its holder.
+TEST_CASE("a turn ends at or after its last moment by the store's clock") {
+  const TimePoint Sent{std::chrono::seconds(100)};
+  for (const int AnsweredMs : {0, 1, 900}) {
+    CAPTURE(AnsweredMs);
+    TakeoverClaim Claim(EntryVmId("vm"));
+    CHECK(Claim.turnUntil(Sent).WaitFromMs == 0);
+    // The answer was made when the request arrived, just before the clock
+    // advanced to 5001.
+    Claim.observeClock(5000, Sent, Sent + milliseconds(AnsweredMs));
+    const ClaimTurn Turn = Claim.turnUntil(Sent + milliseconds(2000));
+    CHECK(Turn.Holder == EntryVmId("vm"));
+    CHECK(Turn.WaitFromMs >= 7001);
+    CHECK(Turn.WaitFromMs <= 7003);
+  }
+}
+
 namespace {
 
 /// A group of three servers that acknowledges a commit once one replica holds
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -379,7 +379,7 @@
 }
 
 QCoro::Task<std::optional<GroupMonitor::HeldClaim>>
-GroupMonitor::claim(std::string Value, ClaimPurpose Purpose) {
+GroupMonitor::claim(ClaimPurpose Purpose, Term T) {
   HeldClaim Held;
   const std::string Operation = this->nextOperation();
   // The known version may be outdated: another entry VM may have finished that
@@ -388,6 +388,10 @@
        ++Attempt) {
     Held.Begun = bootNow();
     Held.OrderBy = Held.Begun + TakeoverClaim::OrderSpan;
+    const ClaimTurn Turn = this->Claim.turnUntil(Held.OrderBy);
+    const std::string Value = Purpose == ClaimPurpose::Undo
+                                  ? undoClaimValue(Turn)
+                                  : takeoverClaimValue(Turn, T);
     const Result<CasOutcome> R =
         co_await this->Dependencies.Store.compareAndSet(
             claimKey(this->Monitored->name()), this->Claim.version(), Value,
@@ -397,7 +401,7 @@
     const TableRow &Row = valueOf(R).Current;
     Held.Before = this->LastClaim;
     const TableRow Replaced = this->LastRow;
-    this->observeClaim(Row);
+    this->observeClaim(Row, Held.Begun);
     if (!valueOf(R).Applied)
       continue;
     Held.Fence = Row.Version;
@@ -413,19 +417,20 @@
   co_return std::nullopt;
 }
 
-void GroupMonitor::observeClaim(const TableRow &Row) {
+void GroupMonitor::observeClaim(const TableRow &Row, TimePoint SentAt) {
+  if (Row.StoreMs)
+    this->Claim.observeClock(*Row.StoreMs, SentAt, bootNow());
   this->LastRow = Row;
   this->LastClaim = parseClaimRow(Row.Version, Row.Value);
   this->Claim.observe(Row.Version, this->LastClaim, bootNow());
 }
 
-ClaimTurn GroupMonitor::turn() const { return {this->Dependencies.Self, 0}; }
-
 QCoro::Task<ClaimCheck> GroupMonitor::confirm(HeldClaim &Held, ServerId Target,
                                               Term T) {
   const TimePoint OrderBy = bootNow() + TakeoverClaim::OrderSpan;
   const ClaimCheck Check = co_await this->advance(
-      Held, confirmedClaimValue(this->turn(), T, Target), ConfirmTimeout);
+      Held, confirmedClaimValue(this->Claim.turnUntil(OrderBy), T, Target),
+      ConfirmTimeout);
   if (Check == ClaimCheck::Held)
     Held.OrderBy = OrderBy;
   co_return Check;
@@ -445,6 +450,7 @@
   // The second attempt then uses the version that it has given the row.
   for (int Attempt = 0; Attempt < 2; ++Attempt) {
     const std::string Operation = this->nextOperation();
+    const TimePoint SentAt = bootNow();
     const Result<CasOutcome> R =
         co_await this->Dependencies.Store.compareAndSet(
             claimKey(this->Monitored->name()), Held.Fence, Value, Operation,
@@ -454,7 +460,7 @@
       co_return ClaimCheck::Unknown;
     }
     const TableRow &Row = valueOf(R).Current;
-    this->observeClaim(Row);
+    this->observeClaim(Row, SentAt);
     const bool IsOwn = valueOf(R).Applied || (!Held.Unanswered.empty() &&
                                               Row.Operation == Held.Unanswered);
     if (!IsOwn)
@@ -470,7 +476,7 @@
   // The target may be missing among the known servers: it may have registered
   // or restarted since.
   ClaimOutcome Outcome{Held.Before, Held.Ordered, Held.LedTerm != 0,
-                       Held.LedTerm, this->turn()};
+                       Held.LedTerm, this->Claim.turnUntil(Held.OrderEnd)};
   for (const auto &[Id, Server] : this->Monitored->beliefs().servers())
     Outcome.Highest = std::max(Outcome.Highest, Server.TermNumber);
   const std::string Value = finishedClaimValue(Outcome);
@@ -508,8 +514,8 @@
 
 QCoro::Task<std::optional<std::string>>
 GroupMonitor::execute(std::vector<TakeoverServer> Servers, Term KnownTerm) {
-  std::optional<HeldClaim> Held = co_await this->claim(
-      takeoverClaimValue(this->turn(), nextTerm(Servers)), ClaimPurpose::Order);
+  std::optional<HeldClaim> Held =
+      co_await this->claim(ClaimPurpose::Order, nextTerm(Servers));
   if (!Held)
     co_return "another entry VM holds the claim, or the store does not answer";
   LogPosition RequiredEnd;
@@ -568,6 +574,7 @@
       Held->Ordered = true;
       const PromotionOutcome Answer =
           co_await this->promote(Action.Target, *Held, Action.SendBy);
+      Held->OrderEnd = bootNow();
       Outcome = nameOf(Answer);
       Procedure.recordOrder(Answer);
       break;
@@ -767,7 +774,7 @@
   if (Suspected.empty())
     co_return;
   const std::optional<HeldClaim> Held =
-      co_await this->claim(undoClaimValue(this->turn()), ClaimPurpose::Undo);
+      co_await this->claim(ClaimPurpose::Undo);
   if (!Held)
     co_return;
   // Only what is found under the claim is undone: a takeover may have ended
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -127,6 +127,7 @@
     TimePoint OrderBy;       ///< Boot clock; end of OrderSpan.
     ClaimRow Before;         ///< The row that the claim has replaced.
     bool Ordered = false;    ///< An order was given under the claim.
+    TimePoint OrderEnd;      ///< Boot clock; end of the last order's call.
     Term LedTerm = 0;        ///< Of the server that leads by the last order.
     std::string Unanswered;  ///< Last change of the row without an answer.
   };
@@ -205,10 +206,8 @@
   std::string nextOperation();
   /// Claims the group's takeover; returns nothing if another entry VM holds the
   /// claim or the store does not answer.
-  QCoro::Task<std::optional<HeldClaim>> claim(std::string Value,
-                                              ClaimPurpose Purpose);
-  /// Returns the turn of this entry VM.
-  ClaimTurn turn() const;
+  /// \param T the term to lead next, for an order.
+  QCoro::Task<std::optional<HeldClaim>> claim(ClaimPurpose Purpose, Term T = 0);
   /// Writes to the claim row that the promotion of \p Target to term \p T is
   /// about to be ordered, if the claim is still held.
   QCoro::Task<ClaimCheck> confirm(HeldClaim &Held, ServerId Target, Term T);
@@ -221,7 +220,8 @@
   /// Marks the claim row as finished. If that fails, the claim expires.
   QCoro::Task<> release(HeldClaim Claim, std::string How);
   /// Records \p Row as the claim row.
-  void observeClaim(const TableRow &Row);
+  /// \param SentAt boot clock; when the call was sent.
+  void observeClaim(const TableRow &Row, TimePoint SentAt);
   /// Reads the group's registrations; nothing if the store does not answer.
   QCoro::Task<std::optional<std::vector<TakeoverServer>>> readServers();
   /// Orders the promotion once.
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -633,6 +633,54 @@
   }
 }
 
+// Guards against a service without a primary for the lease after an entry VM
+// has read, for the first time, a claim that expired long ago.
+TEST_CASE("a claim that expired before it was read is not waited for") {
+  struct Row {
+    const char *Name;
+    const char *Value;
+    std::optional<std::int64_t> StoreMs;
+    bool Ordered;
+  };
+  const Row Rows[] = {
+      {"it has expired", "other@50000 2 b", 54000, true},
+      {"it has not", "other@50000 2 b", 50500, false},
+      {"released after an order long ago", "finished 1 other@50000", 54000,
+       true},
+      {"the store tells no time", "other@50000 2 b", std::nullopt, false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    const TimePoint Start = steadyNow();
+    const auto StoreMs = [&R, Start]() -> std::optional<std::int64_t> {
+      if (!R.StoreMs)
+        return std::nullopt;
+      return *R.StoreMs + (steadyNow() - Start) / milliseconds(1);
+    };
+    F.Store.StoreMs = StoreMs;
+    F.Store.Rows["takeover/ledger"] = {7, R.Value, "x"};
+    std::int64_t OrderedAtMs = 0;
+    F.Orders.BeforeEffect = [&](const PromotionRequest &) {
+      OrderedAtMs = StoreMs().value_or(0);
+    };
+    F.Group["a"].Draining = true;
+    F.refresh();
+    F.pass(std::chrono::seconds(2));
+    REQUIRE(F.Orders.Orders.empty() != R.Ordered);
+    if (!R.Ordered)
+      continue;
+    // The others' wait counts from the order, not from the release.
+    const ClaimRow Released =
+        parseClaimRow(1, F.Store.Rows["takeover/ledger"].Value);
+    REQUIRE(Released.State == ClaimState::Finished);
+    REQUIRE(Released.Turn);
+    CHECK(Released.Turn->Holder == EntryVmId("vm"));
+    CHECK(Released.Turn->WaitFromMs >= OrderedAtMs);
+    CHECK(Released.Turn->WaitFromMs <= OrderedAtMs + 50);
+  }
+}
+
 // Guards against fence tokens that do not increase from one claim to the next.
 TEST_CASE("each claim has a higher fence") {
   Fixture F;
--- a/src/testing/fake-platform/PlatformServer.cpp
+++ b/src/testing/fake-platform/PlatformServer.cpp
@@ -78,6 +78,13 @@
   return QUrl::fromPercentEncoding(Rest.toUtf8()).toStdString();
 }
 
+/// Encodes an answer about rows, with the store's clock.
+QByteArray rowsAnswer(QJsonObject O) {
+  O["now-ms"] =
+      static_cast<qint64>(steadyNow().time_since_epoch() / milliseconds(1));
+  return compact(O);
+}
+
 } // namespace
 
 PlatformServer::PlatformServer(PlatformStore &Store) : Store(Store) {}
@@ -165,10 +172,10 @@
       if (!R.Removed && R.Key >= From)
         Rows.append(toJson(Table, R));
   }
-  return {200, compact({{"rows", Rows},
-                        {"has-more", false},
-                        {"row-version",
-                         static_cast<qint64>(this->Store.version())}})};
+  return {200, rowsAnswer({{"rows", Rows},
+                           {"has-more", false},
+                           {"row-version",
+                            static_cast<qint64>(this->Store.version())}})};
 }
 
 PlatformServer::Answer PlatformServer::writeRow(const QByteArray &Body) {
@@ -187,11 +194,11 @@
                            Value["operation"].toString().toStdString());
   const auto Version = static_cast<qint64>(this->Store.version());
   if (Outcome.Applied)
-    return {200, compact({{"row-version", Version}})};
+    return {200, rowsAnswer({{"row-version", Version}})};
   QJsonArray Rows;
   if (Outcome.Present.Version > 0)
     Rows.append(toJson(Key, Outcome.Present));
-  return {412, compact({{"rows", Rows}, {"row-version", Version}})};
+  return {412, rowsAnswer({{"rows", Rows}, {"row-version", Version}})};
 }
 
 std::optional<PlatformServer::Answer>
@@ -207,9 +214,9 @@
   QJsonArray Rows;
   for (const ExternalRow &R : Changed)
     Rows.append(toJson(Table, R));
-  return Answer{200, compact({{"rows", Rows},
-                              {"row-version",
-                               static_cast<qint64>(this->Store.version())}})};
+  return Answer{200, rowsAnswer({{"rows", Rows},
+                                 {"row-version", static_cast<qint64>(
+                                                     this->Store.version())}})};
 }
 
 void PlatformServer::poll(const QHttpServerRequest &Request,
@@ -227,9 +234,9 @@
         std::optional<Answer> PollReply = this->feed(Query);
         if (!PollReply && steadyNow() >= Until)
           PollReply = Answer{
-              200, compact({{"rows", QJsonArray()},
-                            {"row-version",
-                             static_cast<qint64>(this->Store.version())}})};
+              200, rowsAnswer({{"rows", QJsonArray()},
+                               {"row-version",
+                                static_cast<qint64>(this->Store.version())}})};
         if (Guard && Guard->state() == QAbstractSocket::ConnectedState &&
             !PollReply)
           return;
