--- a/src/platform/testing/MemoryPlatform.h
+++ b/src/platform/testing/MemoryPlatform.h
@@ -31,6 +31,8 @@
       co_return CasOutcome{Row.Operation == Operation, this->answer(Row)};
     Row = {++this->Counter, std::move(Value), std::move(Operation)};
     const CasOutcome Outcome{true, this->answer(Row)};
+    if (this->LosesAnswer(Outcome.Current))
+      co_return Error{"no answer"};
     const Duration Delay = this->AnswerDelay(Outcome.Current);
     if (Delay > Duration::zero())
       co_await sleepFor(Delay);
@@ -59,6 +61,10 @@
   std::function<std::optional<std::int64_t>()> StoreMs = [] {
     return std::nullopt;
   };
+  /// Returns whether the writer of a row gets no answer.
+  std::function<bool(const TableRow &)> LosesAnswer = [](const TableRow &) {
+    return false;
+  };
   std::uint64_t Counter = 0; ///< Last version; shared by all rows, as in the
                              ///< platform's store.
   std::map<std::string, TableRow> Rows;
--- a/src/policy/Takeover.cpp
+++ b/src/policy/Takeover.cpp
@@ -76,7 +76,7 @@
 }
 
 void TakeoverClaim::observe(std::uint64_t Seen, const ClaimRow &Content,
-                            TimePoint Now) {
+                            TimePoint Now, bool IsOwn) {
   const std::uint64_t SeenStart =
       Content.ClaimedAs == 0 ? Seen : Content.ClaimedAs;
   if (SeenStart != this->Start)
@@ -84,6 +84,7 @@
   this->Start = SeenStart;
   this->Version = Seen;
   this->Row = Content;
+  this->Own = IsOwn;
 }
 
 bool TakeoverClaim::mayClaim(TimePoint Now, ClaimPurpose Purpose) const {
@@ -94,6 +95,7 @@
     return Purpose == ClaimPurpose::Undo || !this->Row.Turn ||
            this->hasLastOrder() || this->hasWaited(Now);
   case ClaimState::Held:
+    return (this->Own && Now >= this->EffectBy) || this->hasWaited(Now);
   case ClaimState::Unknown:
     break;
   }
--- a/src/policy/Takeover.h
+++ b/src/policy/Takeover.h
@@ -135,9 +135,13 @@
 /// of them, the wait counts from the first sight of the row, which is later.
 ///
 /// The entry VM that gave the last order may claim at once, as its orders are
-/// no change of turn. Two gaps remain: a holder that is suspended between the
-/// check of the time and the sending of its order, and a finished row of an
-/// earlier version, which tells no turn and is not waited for.
+/// no change of turn. So may an entry VM that still holds the claim, if no
+/// order that it has given can take effect any more: nothing else acts under
+/// that claim, and the row names the target that the next takeover prefers. It
+/// has given none if its claim was written without an answer. Two gaps remain:
+/// a holder that is suspended between the check of the time and the sending of
+/// its order, and a finished row of an earlier version, which tells no turn and
+/// is not waited for.
 class TakeoverClaim {
 public:
   /// Time for which other entry VMs respect an unchanged claim. Covers the
@@ -165,7 +169,13 @@
 
   /// Records that the row was read with \p Version, which is 0 if it does not
   /// exist, and the content \p Row.
-  void observe(std::uint64_t Version, const ClaimRow &Row, TimePoint Now);
+  /// \param Own whether this process has written it.
+  void observe(std::uint64_t Version, const ClaimRow &Row, TimePoint Now,
+               bool Own = false);
+
+  /// Records that this entry VM gives an order, which takes effect before
+  /// \p EffectBy or never.
+  void recordOrder(TimePoint EffectBy) { this->EffectBy = EffectBy; }
 
   /// Records an answer of the store; see StoreClock.
   void observeClock(std::int64_t StoreMs, TimePoint SentAt,
@@ -215,6 +225,8 @@
   std::uint64_t Version = 0;
   ClaimRow Row;
   std::uint64_t Start = 0; ///< Version from which the wait counts.
+  bool Own = false;        ///< This process has written the row.
+  TimePoint EffectBy{};    ///< Of the last order of this process.
   TimePoint SeenSince{};   ///< When that version or a later one was first read.
 };
 
--- a/src/policy/testing/TakeoverTest.cpp
+++ b/src/policy/testing/TakeoverTest.cpp
@@ -289,6 +289,36 @@
   }
 }
 
+// Guards against an entry VM that waits for the lease of its own claim, and
+// against one that gives another order while the one before may take effect.
+TEST_CASE("an entry VM claims again under its own claim when no order can take "
+          "effect") {
+  struct Row {
+    const char *Name;
+    bool Own;
+    int EffectByMs; ///< Of its last order; 0 if it has given none.
+    int AtMs;
+    bool MayClaim;
+  };
+  const Row Rows[] = {
+      {"its claim, without an order", true, 0, 0, true},
+      {"its order may take effect", true, 3000, 2999, false},
+      {"its order cannot take effect any more", true, 3000, 3000, true},
+      {"the claim of another process", false, 0, 4799, false},
+      {"the claim of another process, after an order of its own", false, 3000,
+       3000, false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    TakeoverClaim Claim(EntryVmId("vm"));
+    const TimePoint Start{std::chrono::seconds(100)};
+    if (R.EffectByMs != 0)
+      Claim.recordOrder(Start + milliseconds(R.EffectByMs));
+    Claim.observe(5, parseClaimRow(5, "vm@0 4 i-7"), Start, R.Own);
+    CHECK(Claim.mayClaim(Start + milliseconds(R.AtMs)) == R.MayClaim);
+  }
+}
+
 // Guards against a turn that ends, by the store's clock, before the order of
 // its holder.
 TEST_CASE("a turn ends at or after its last moment by the store's clock") {
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -372,10 +372,13 @@
   co_await sleepFor(FailedTakeoverPause);
 }
 
-std::string GroupMonitor::nextOperation() {
+std::string GroupMonitor::operationPrefix() const {
   return this->Dependencies.Self.str() + "/" +
-         std::to_string(this->OperationNonce) + "/" +
-         std::to_string(++this->Operations);
+         std::to_string(this->OperationNonce) + "/";
+}
+
+std::string GroupMonitor::nextOperation() {
+  return this->operationPrefix() + std::to_string(++this->Operations);
 }
 
 QCoro::Task<std::optional<GroupMonitor::HeldClaim>>
@@ -422,7 +425,8 @@
     this->Claim.observeClock(*Row.StoreMs, SentAt, bootNow());
   this->LastRow = Row;
   this->LastClaim = parseClaimRow(Row.Version, Row.Value);
-  this->Claim.observe(Row.Version, this->LastClaim, bootNow());
+  this->Claim.observe(Row.Version, this->LastClaim, bootNow(),
+                      Row.Operation.rfind(this->operationPrefix(), 0) == 0);
 }
 
 QCoro::Task<ClaimCheck> GroupMonitor::confirm(HeldClaim &Held, ServerId Target,
@@ -572,9 +576,11 @@
         break;
       }
       Held->Ordered = true;
+      this->Claim.recordOrder(Held->OrderBy + EffectTimeout);
       const PromotionOutcome Answer =
           co_await this->promote(Action.Target, *Held, Action.SendBy);
       Held->OrderEnd = bootNow();
+      this->Claim.recordOrder(Held->OrderEnd + EffectTimeout);
       Outcome = nameOf(Answer);
       Procedure.recordOrder(Answer);
       break;
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -202,6 +202,8 @@
   /// \returns why it was abandoned, or nothing if the target now leads.
   QCoro::Task<std::optional<std::string>>
   execute(std::vector<TakeoverServer> Servers, Term KnownTerm);
+  /// Returns what the identifiers of this monitor's writes begin with.
+  std::string operationPrefix() const;
   /// Returns an identifier that is unique among all writes to the store.
   std::string nextOperation();
   /// Claims the group's takeover; returns nothing if another entry VM holds the
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -681,6 +681,38 @@
   }
 }
 
+// Guards against a service without a primary for the lease because an entry VM
+// waits for its own claim.
+TEST_CASE("an entry VM does not wait for the lease of its own claim") {
+  struct Row {
+    const char *Name;
+    bool ClaimAnswerLost;
+    PromotionOutcome Answer;
+    unsigned Orders; ///< By the same entry VM, within the lease.
+  };
+  const Row Rows[] = {
+      {"the answer to its claim is lost", true, PromotionOutcome::Accepted, 1},
+      {"its order has no effect", false, PromotionOutcome::Unknown, 2},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    F.Orders.Answer = R.Answer;
+    bool Lost = false;
+    F.Store.LosesAnswer = [&](const TableRow &) {
+      return R.ClaimAnswerLost && !std::exchange(Lost, true);
+    };
+    F.Group["a"].Draining = true;
+    F.refresh();
+    runTask([](Fixture &F, unsigned Orders) -> QCoro::Task<> {
+      const TimePoint End = steadyNow() + TakeoverClaim::Lease;
+      while (steadyNow() < End && F.Orders.Orders.size() < Orders)
+        co_await sleepFor(milliseconds(20));
+    }(F, R.Orders));
+    CHECK(F.Orders.Orders.size() == R.Orders);
+  }
+}
+
 // Guards against fence tokens that do not increase from one claim to the next.
 TEST_CASE("each claim has a higher fence") {
   Fixture F;
