--- a/src/policy/Takeover.cpp
+++ b/src/policy/Takeover.cpp
@@ -95,7 +95,7 @@
     return Purpose == ClaimPurpose::Undo || !this->Row.Turn ||
            this->hasLastOrder() || this->hasWaited(Now);
   case ClaimState::Held:
-    return (this->Own && Now >= this->EffectBy) || this->hasWaited(Now);
+    return this->Own ? Now >= this->RenewAfter : this->hasWaited(Now);
   case ClaimState::Unknown:
     break;
   }
--- a/src/policy/Takeover.h
+++ b/src/policy/Takeover.h
@@ -173,9 +173,14 @@
   void observe(std::uint64_t Version, const ClaimRow &Row, TimePoint Now,
                bool Own = false);
 
-  /// Records that this entry VM gives an order, which takes effect before
-  /// \p EffectBy or never.
-  void recordOrder(TimePoint EffectBy) { this->EffectBy = EffectBy; }
+  /// Records that this entry VM gives an order, which ends and takes effect
+  /// before \p EffectBy or never.
+  /// \param Answered whether the platform has answered it. If it has not, this
+  /// entry VM may have lost its link to it, while it still reaches the store.
+  /// It then leaves the next turn to the others.
+  void recordOrder(TimePoint EffectBy, bool Answered) {
+    this->RenewAfter = Answered ? EffectBy : EffectBy + Lease;
+  }
 
   /// Records an answer of the store; see StoreClock.
   void observeClock(std::int64_t StoreMs, TimePoint SentAt,
@@ -226,7 +231,7 @@
   ClaimRow Row;
   std::uint64_t Start = 0; ///< Version from which the wait counts.
   bool Own = false;        ///< This process has written the row.
-  TimePoint EffectBy{};    ///< Of the last order of this process.
+  TimePoint RenewAfter{};  ///< When an own claim may be claimed again.
   TimePoint SeenSince{};   ///< When that version or a later one was first read.
 };
 
--- a/src/policy/testing/TakeoverTest.cpp
+++ b/src/policy/testing/TakeoverTest.cpp
@@ -297,23 +297,27 @@
     const char *Name;
     bool Own;
     int EffectByMs; ///< Of its last order; 0 if it has given none.
+    bool Answered;  ///< The order.
     int AtMs;
     bool MayClaim;
   };
   const Row Rows[] = {
-      {"its claim, without an order", true, 0, 0, true},
-      {"its order may take effect", true, 3000, 2999, false},
-      {"its order cannot take effect any more", true, 3000, 3000, true},
-      {"the claim of another process", false, 0, 4799, false},
+      {"its claim, without an order", true, 0, false, 0, true},
+      {"its order may take effect", true, 3000, true, 2999, false},
+      {"its order cannot take effect any more", true, 3000, true, 3000, true},
+      {"its order had no answer, and the others have their turn", true, 3000,
+       false, 6999, false},
+      {"the others have not taken their turn", true, 3000, false, 7000, true},
+      {"the claim of another process", false, 0, false, 4799, false},
       {"the claim of another process, after an order of its own", false, 3000,
-       3000, false},
+       true, 3000, false},
   };
   for (const Row &R : Rows) {
     CAPTURE(R.Name);
     TakeoverClaim Claim(EntryVmId("vm"));
     const TimePoint Start{std::chrono::seconds(100)};
     if (R.EffectByMs != 0)
-      Claim.recordOrder(Start + milliseconds(R.EffectByMs));
+      Claim.recordOrder(Start + milliseconds(R.EffectByMs), R.Answered);
     Claim.observe(5, parseClaimRow(5, "vm@0 4 i-7"), Start, R.Own);
     CHECK(Claim.mayClaim(Start + milliseconds(R.AtMs)) == R.MayClaim);
   }
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -576,11 +576,12 @@
         break;
       }
       Held->Ordered = true;
-      this->Claim.recordOrder(Held->OrderBy + EffectTimeout);
+      this->Claim.recordOrder(Held->OrderBy + EffectTimeout, false);
       const PromotionOutcome Answer =
           co_await this->promote(Action.Target, *Held, Action.SendBy);
       Held->OrderEnd = bootNow();
-      this->Claim.recordOrder(Held->OrderEnd + EffectTimeout);
+      this->Claim.recordOrder(Held->OrderEnd + EffectTimeout,
+                              Answer != PromotionOutcome::Unknown);
       Outcome = nameOf(Answer);
       Procedure.recordOrder(Answer);
       break;
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -22,7 +22,8 @@
     this->Orders.push_back(Order);
     this->BeforeEffect(Order);
     const PromotionOutcome Outcome = this->Answer;
-    if (Outcome == PromotionOutcome::Accepted || this->TakesEffect)
+    if (!this->HasNoEffect &&
+        (Outcome == PromotionOutcome::Accepted || this->TakesEffect))
       this->takeEffect(Order.Target.str());
     co_return Outcome;
   }
@@ -37,6 +38,7 @@
   LineGroup &Group;
   PromotionOutcome Answer = PromotionOutcome::Accepted;
   bool TakesEffect = false; ///< The order is carried out whatever the answer.
+  bool HasNoEffect = false; ///< The order is never carried out.
   Duration EffectDelay{};   ///< Time from an order to its effect.
   std::vector<PromotionRequest> Orders;
   /// Called with each order before it takes effect.
@@ -682,7 +684,8 @@
 }
 
 // Guards against a service without a primary for the lease because an entry VM
-// waits for its own claim.
+// waits for its own claim, and against one that takes the claim again and again
+// although its orders do not reach the platform.
 TEST_CASE("an entry VM does not wait for the lease of its own claim") {
   struct Row {
     const char *Name;
@@ -692,12 +695,15 @@
   };
   const Row Rows[] = {
       {"the answer to its claim is lost", true, PromotionOutcome::Accepted, 1},
-      {"its order has no effect", false, PromotionOutcome::Unknown, 2},
+      {"its order is accepted and has no effect", false,
+       PromotionOutcome::Accepted, 2},
+      {"its order has no answer", false, PromotionOutcome::Unknown, 1},
   };
   for (const Row &R : Rows) {
     CAPTURE(R.Name);
     Fixture F;
     F.Orders.Answer = R.Answer;
+    F.Orders.HasNoEffect = !R.ClaimAnswerLost;
     bool Lost = false;
     F.Store.LosesAnswer = [&](const TableRow &) {
       return R.ClaimAnswerLost && !std::exchange(Lost, true);
@@ -708,7 +714,7 @@
       const TimePoint End = steadyNow() + TakeoverClaim::Lease;
       while (steadyNow() < End && F.Orders.Orders.size() < Orders)
         co_await sleepFor(milliseconds(20));
-    }(F, R.Orders));
+    }(F, 3));
     CHECK(F.Orders.Orders.size() == R.Orders);
   }
 }
