--- a/src/platform/testing/MemoryPlatform.h
+++ b/src/platform/testing/MemoryPlatform.h
@@ -30,7 +30,7 @@
     if (Row.Version != Expected)
       co_return CasOutcome{Row.Operation == Operation, this->answer(Row)};
     Row = {++this->Counter, std::move(Value), std::move(Operation)};
-    const CasOutcome Outcome{true, this->answer(Row)};
+    const CasOutcome Outcome{true, Row};
     if (this->LosesAnswer(Outcome.Current))
       co_return Error{"no answer"};
     const Duration Delay = this->AnswerDelay(Outcome.Current);
--- a/src/policy/Takeover.h
+++ b/src/policy/Takeover.h
@@ -188,6 +188,11 @@
     this->Clock.observe(StoreMs, SentAt, ReceivedAt);
   }
 
+  /// Returns whether the store's clock is known.
+  bool knowsClock(TimePoint Now) const {
+    return this->Clock.latest(Now).has_value();
+  }
+
   /// Returns the turn of this entry VM, for a row that others wait for from
   /// \p End on.
   ClaimTurn turnUntil(TimePoint End) const {
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -385,6 +385,14 @@
 GroupMonitor::claim(ClaimPurpose Purpose, Term T) {
   HeldClaim Held;
   const std::string Operation = this->nextOperation();
+  // The answer to a write that was applied may lack the store's clock.
+  if (!this->Claim.knowsClock(bootNow())) {
+    const TimePoint SentAt = bootNow();
+    const Result<TableRow> Read = co_await this->Dependencies.Store.readRow(
+        claimKey(this->Monitored->name()), steadyNow() + ConfirmTimeout);
+    if (succeeded(Read))
+      this->observeClaim(valueOf(Read), SentAt);
+  }
   // The known version may be outdated: another entry VM may have finished that
   // claim since. The second attempt uses the version read by the first.
   for (int Attempt = 0; Attempt < 2 && this->Claim.mayClaim(bootNow(), Purpose);
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -650,6 +650,7 @@
       {"released after an order long ago", "finished 1 other@50000", 54000,
        true},
       {"the store tells no time", "other@50000 2 b", std::nullopt, false},
+      {"there was no claim before", "", 54000, true},
   };
   for (const Row &R : Rows) {
     CAPTURE(R.Name);
@@ -661,7 +662,8 @@
       return *R.StoreMs + (steadyNow() - Start) / milliseconds(1);
     };
     F.Store.StoreMs = StoreMs;
-    F.Store.Rows["takeover/ledger"] = {7, R.Value, "x"};
+    if (*R.Value != '\0')
+      F.Store.Rows["takeover/ledger"] = {7, R.Value, "x"};
     std::int64_t OrderedAtMs = 0;
     F.Orders.BeforeEffect = [&](const PromotionRequest &) {
       OrderedAtMs = StoreMs().value_or(0);
