--- a/src/platform/testing/MemoryPlatform.h
+++ b/src/platform/testing/MemoryPlatform.h
@@ -15,16 +15,21 @@
 /// Supports rows only; calls for objects or for the list of VMs fail.
 class MemoryPlatform final : public Platform {
 public:
-  QCoro::Task<Result<TableRow>> readRow(std::string Key, TimePoint) override {
-    if (this->Down)
+  QCoro::Task<Result<TableRow>> readRow(std::string Key,
+                                        TimePoint Deadline) override {
+    if (this->Silent)
+      co_await sleepFor(Deadline - steadyNow());
+    if (this->Down || this->Silent)
       co_return Error{"no answer"};
     co_return this->answer(this->Rows[Key]);
   }
 
   QCoro::Task<Result<CasOutcome>>
   compareAndSet(std::string Key, std::uint64_t Expected, std::string Value,
-                std::string Operation, TimePoint) override {
-    if (this->Down)
+                std::string Operation, TimePoint Deadline) override {
+    if (this->Silent)
+      co_await sleepFor(Deadline - steadyNow());
+    if (this->Down || this->Silent)
       co_return Error{"no answer"};
     TableRow &Row = this->Rows[Key];
     if (Row.Version != Expected)
@@ -51,7 +56,8 @@
     co_return Error{"not used"};
   }
 
-  bool Down = false; ///< Whether every call on rows fails.
+  bool Down = false;   ///< Whether every call on rows fails.
+  bool Silent = false; ///< Whether no call on rows is answered in time.
   /// Returns the time until the writer of a row gets its answer, whatever its
   /// deadline, as if the writer was suspended.
   std::function<Duration(const TableRow &)> AnswerDelay = [](const TableRow &) {
--- a/src/policy/Takeover.h
+++ b/src/policy/Takeover.h
@@ -140,10 +140,15 @@
 /// that claim, and the row names the target that the next takeover prefers. It
 /// has given none if its claim was written without an answer. A claim to undo
 /// adoptions is excepted: it may have replaced a row that names the turn of
-/// another entry VM. Two gaps remain:
-/// a holder that is suspended between the check of the time and the sending of
-/// its order, and a finished row of an earlier version, which tells no turn and
-/// is not waited for.
+/// another entry VM.
+///
+/// Gaps remain: a holder that is suspended between the check of the time and
+/// the sending of its order, alone or with its machine; a row of an earlier
+/// version, which tells no turn or not the end of an order; and a holder to
+/// which the store gives no answer to the confirmation. That holder orders
+/// within the windows below, so that a silent store does not leave the group
+/// without a primary, and another entry VM may order 2.1 s after it (Lease and
+/// OrderSpan less ReturnWindow and the call).
 class TakeoverClaim {
 public:
   /// Time for which other entry VMs respect an unchanged claim. Covers the
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -445,6 +445,10 @@
       ConfirmTimeout);
   if (Check == ClaimCheck::Held)
     Held.OrderBy = OrderBy;
+  // The store may stay silent for the rest of the takeover. The windows of the
+  // claim then limit the order.
+  if (Check == ClaimCheck::Unknown)
+    Held.OrderBy = Held.Begun + TakeoverClaim::ReturnWindow + OrderTimeout;
   co_return Check;
 }
 
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -721,6 +721,37 @@
   }
 }
 
+// Guards against a group that stays without a primary because the store answers
+// nothing after the claim: the old primary steps down and no order is given.
+TEST_CASE("a takeover goes on when the store falls silent after the claim") {
+  struct Row {
+    const char *Name;
+    int ClaimMs; ///< Time until the claim is answered.
+    bool PrimaryIsSilent;
+  };
+  const Row Rows[] = {
+      {"a leaving primary", 4, false},
+      {"a leaving primary, and a slow claim", 150, false},
+      {"a silent primary", 4, true},
+      {"a silent primary, and a slow claim", 450, true},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    F.Store.AnswerDelay = [&F, &R](const TableRow &) {
+      F.Store.Silent = true;
+      return milliseconds(R.ClaimMs);
+    };
+    F.Group["a"].Draining = !R.PrimaryIsSilent;
+    F.Group["a"].Reachable = !R.PrimaryIsSilent;
+    F.refresh();
+    if (R.PrimaryIsSilent)
+      F.Servers->observeFailure(ServerId("a"), "test");
+    F.pass(std::chrono::seconds(5));
+    CHECK(F.Orders.Orders.size() == 1);
+  }
+}
+
 // Guards against fence tokens that do not increase from one claim to the next.
 TEST_CASE("each claim has a higher fence") {
   Fixture F;
