--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -587,11 +587,14 @@
         Procedure.recordClaim(Check);
         break;
       }
-      Held->Ordered = true;
+      const bool OrderedBefore = std::exchange(Held->Ordered, true);
       this->Claim.recordOrder(Held->OrderBy + EffectTimeout, false);
       const PromotionOutcome Answer =
           co_await this->promote(Action.Target, *Held, Action.SendBy);
       Held->OrderEnd = bootNow();
+      // An order without effect is no turn that the others have to wait for.
+      if (Answer == PromotionOutcome::NotDone)
+        Held->Ordered = OrderedBefore;
       this->Claim.recordOrder(Held->OrderEnd + EffectTimeout,
                               Answer != PromotionOutcome::Unknown);
       Outcome = nameOf(Answer);
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -752,6 +752,23 @@
   }
 }
 
+// Guards against an entry VM whose orders alone are refused and that keeps all
+// others from the takeover.
+TEST_CASE("a takeover whose orders were not done names no turn") {
+  Fixture F;
+  F.Orders.Answer = PromotionOutcome::NotDone;
+  F.Group["a"].Draining = true;
+  F.refresh();
+  runTask([](Fixture &F) -> QCoro::Task<> {
+    const TimePoint End = steadyNow() + std::chrono::seconds(6);
+    while (steadyNow() < End &&
+           !F.Store.Rows["takeover/ledger"].Value.starts_with("finished"))
+      co_await sleepFor(milliseconds(5));
+  }(F));
+  CHECK(F.Orders.Orders.size() > 1);
+  CHECK(F.Store.Rows["takeover/ledger"].Value == "finished 1");
+}
+
 // Guards against fence tokens that do not increase from one claim to the next.
 TEST_CASE("each claim has a higher fence") {
   Fixture F;
