--- a/src/policy/Takeover.h
+++ b/src/policy/Takeover.h
@@ -216,6 +216,8 @@
 
   /// Returns the version that was read last.
   std::uint64_t version() const { return this->Version; }
+  /// Returns the content that was read last.
+  const ClaimRow &row() const { return this->Row; }
 
   /// Returns whether the holder of a claim started at \p Begun may still
   /// promote.
@@ -240,7 +242,7 @@
   EntryVmId Self;
   StoreClock Clock;
   std::uint64_t Version = 0;
-  ClaimRow Row;
+  ClaimRow Row = parseClaimRow(0, {});
   std::uint64_t Start = 0; ///< Version from which the wait counts.
   bool Own = false;        ///< This process has written the row.
   TimePoint RenewAfter{};  ///< When an own claim may be claimed again.
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -410,7 +410,7 @@
     if (!succeeded(R))
       co_return std::nullopt;
     const TableRow &Row = valueOf(R).Current;
-    Held.Before = this->LastClaim;
+    Held.Before = this->Claim.row();
     const TableRow Replaced = this->LastRow;
     this->observeClaim(Row, Held.Begun);
     if (!valueOf(R).Applied)
@@ -432,8 +432,8 @@
   if (Row.StoreMs)
     this->Claim.observeClock(*Row.StoreMs, SentAt, bootNow());
   this->LastRow = Row;
-  this->LastClaim = parseClaimRow(Row.Version, Row.Value);
-  this->Claim.observe(Row.Version, this->LastClaim, bootNow(),
+  this->Claim.observe(Row.Version, parseClaimRow(Row.Version, Row.Value),
+                      bootNow(),
                       Row.Operation.rfind(this->operationPrefix(), 0) == 0);
 }
 
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -265,9 +265,7 @@
   std::shared_ptr<Group> Monitored;
   MonitorDependencies Dependencies;
   TakeoverClaim Claim;
-  /// The claim row as it was read last.
-  ClaimRow LastClaim = parseClaimRow(0, {});
-  TableRow LastRow; ///< The same as it was stored, for the log.
+  TableRow LastRow; ///< The claim row as it was read last, for the log.
   /// Servers that the last takeover found by reading the registrations.
   std::map<ServerId, RegisteredServer> Found;
   /// The servers that the present takeover has stopped, with their starts.
