--- a/src/policy/LeadershipProof.h
+++ b/src/policy/LeadershipProof.h
@@ -19,11 +19,13 @@
 //     (policy/ClaimRow.h). No promotion to a term later than F has taken effect
 //     before the row was read.
 //
-// A third one, an acknowledged commit with synchronous replication, is recorded
-// by the group (Group::observeCommit): no superseded primary acknowledges one
-// (policy/TakeoverProcedure.h, with the same gap for a primary that the holder
-// of the claim could not reach). A report of a later term shows that the
-// primary has been superseded, and no proof is given.
+// A third one, an acknowledged commit with synchronous replication and a holder
+// that every takeover asks (policy/CommitHolders.h), is recorded by the group
+// (Group::observeCommit): the holder received it after it was sent, and it
+// receives nothing from a superseded primary (policy/TakeoverProcedure.h, with
+// the same gap for a primary that the holder of the claim could not reach). A
+// report of a later term shows that the primary has been superseded, and no
+// proof is given.
 //
 // The first proof relies on a list of servers that has the promoted server. It
 // can be wrong if all other servers receive nothing, and this entry VM has not
