--- a/src/ctl/Explain.cpp
+++ b/src/ctl/Explain.cpp
@@ -107,6 +107,17 @@
     {"timeout", "did not answer in time"},
 });
 
+/// Descriptions of the reasons in the log field `required_by`. The server that
+/// reported the end follows.
+constexpr auto RequiredByCodes = std::to_array<CodeMeaning>({
+    {"none", "no end was known"},
+    {"reported", "reported by"},
+    {"old-primary", "the end of the old primary at its step-down,"},
+    {"after-loss", "the end of the old primary after the last loss of a log"},
+    {"earlier-attempt", "required in an earlier attempt"},
+    {"acknowledged", "a commit that this entry VM had reported to a caller"},
+});
+
 /// Returns the description of \p Code in \p Table, or \p Default if it has
 /// none.
 template <std::size_t N>
@@ -129,12 +140,26 @@
   return Parts;
 }
 
+/// Returns the number at the start of \p Text, or 0 if there is none.
+std::uint64_t leadingNumber(const std::string &Text) {
+  std::uint64_t Number = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  return Number;
+}
+
 /// Returns the term in \p R, or 0 if it has none.
 std::uint64_t termOf(const LogRecord &R) {
-  const std::string &Text = R.field("term");
-  std::uint64_t Term = 0;
-  std::from_chars(Text.data(), Text.data() + Text.size(), Term);
-  return Term;
+  return leadingNumber(R.field("term"));
+}
+
+/// Returns the description of a value of the log field `required_by`.
+std::string requiredBy(const std::string &Value) {
+  const std::size_t Colon = std::min(Value.find(':'), Value.size());
+  const std::string Code = Value.substr(0, Colon);
+  std::string Text(meaningOf(RequiredByCodes, Code, Code));
+  if (Colon < Value.size())
+    Text += " " + Value.substr(Colon + 1);
+  return Text;
 }
 
 /// Returns \p R as one line: the time, the event, and the non-empty fields
@@ -162,6 +187,7 @@
     this->addTransaction();
     this->addLocalChanges();
     this->addRemoteTakeovers();
+    this->addCommit();
     QJsonArray All = this->Out.Json["statements"].toArray();
     All.append(this->Json);
     this->Out.Json["statements"] = All;
@@ -304,6 +330,48 @@
         "takeovers", Lines);
   }
 
+  /// Returns the records of \p Event, of the service of the statement, that
+  /// name a later term than the one of its commit, by term.
+  std::vector<const LogRecord *> laterTerms(std::string_view Event) const {
+    const std::uint64_t CommitTerm = leadingNumber(this->field("position"));
+    std::vector<const LogRecord *> Found;
+    for (const LogRecord &R : this->Records)
+      if (R.Event == Event && R.field("service") == this->field("service") &&
+          termOf(R) > CommitTerm)
+        Found.push_back(&R);
+    std::stable_sort(Found.begin(), Found.end(),
+                     [](const LogRecord *A, const LogRecord *B) {
+                       return termOf(*A) < termOf(*B);
+                     });
+    if (Found.size() > MaxChanges)
+      Found.resize(MaxChanges);
+    return Found;
+  }
+
+  /// Writes where the commit of the statement was held, what later takeovers
+  /// required of their targets, and which primaries lacked a commit.
+  void addCommit() {
+    if (this->field("holder").empty() || this->field("holder") == "-")
+      return;
+    this->addSection("its commit", "commit",
+                     {"position " + this->field("position") +
+                      ", acknowledged by " + this->field("server") +
+                      ", held by " + this->field("holder")});
+    std::vector<std::string> Orders;
+    for (const LogRecord *R : this->laterTerms("promotion-ordered"))
+      Orders.push_back(R->Process + " " + R->Time + " ordered " +
+                       R->field("target") + " for term " + R->field("term") +
+                       ": required " + R->field("required") + " (" +
+                       requiredBy(R->field("required_by")) +
+                       "), target's end " + R->field("target_end") + ", " +
+                       R->field("outcome"));
+    this->addSection("takeovers after it, by term", "orders", Orders);
+    std::vector<std::string> Alarms;
+    for (const LogRecord *R : this->laterTerms("acknowledged-commit-missing"))
+      Alarms.push_back(R->Process + " " + formatRecord(*R));
+    this->addSection("primaries that lack a commit, by term", "alarms", Alarms);
+  }
+
   const std::vector<LogRecord> &Records;
   std::size_t SubjectIndex;
   const LogRecord &Subject;
--- a/src/ctl/Explain.h
+++ b/src/ctl/Explain.h
@@ -39,7 +39,8 @@
 
 /// Explains the statement \p Id: its outcome, the configuration and the primary
 /// that the entry VM assumed, the servers tried, its transaction, and the
-/// earlier changes to its service. The time is linear in the size of
+/// earlier changes to its service. For a commit, also its holder, and what the
+/// later takeovers required of their targets. The time is linear in the size of
 /// \p Records.
 /// \param Records are the records of all processes. Those of one process are in
 /// the order in which they were written.
--- a/src/ctl/testing/ExplainTest.cpp
+++ b/src/ctl/testing/ExplainTest.cpp
@@ -30,6 +30,7 @@
     "written=40 written_ms_ago=700 connection=closed\n"
     "  3.6 b 2026-04-19T05:51:40.660Z level=INFO process=b "
     "event=promotion-ordered service=s step=order target=i-2 term=2 fence=7 "
+    "required=1.160 required_by=old-primary:i-1 target_end=1.160 "
     "outcome=accepted\n"
     "  3.6 b 2026-04-19T05:51:40.616Z level=INFO process=b "
     "event=promotion-started service=other target=i-9 term=2\n"
@@ -61,7 +62,23 @@
     "consistency=read-your-writes plan=3 primary=i-1 term=1 known_age_ms=237 "
     "floor=1.151 server=\"\" attempts=2 "
     "trail=\"i-2:lagging,i-1:no-connection\" outcome=failed why=\"no server "
-    "gave a usable answer\" ms=630\n";
+    "gave a usable answer\" ms=630\n"
+    "2026-04-19T05:51:02.960Z level=INFO process=a event=statement-answered "
+    "id=c1 session=11 transaction=0 database=d service=s kind=write "
+    "consistency=primary plan=3 primary=i-1 term=1 known_age_ms=5 floor=- "
+    "server=i-1 holder=i-3 attempts=1 trail=\"\" position=1.161 outcome=ok "
+    "why=\"\" ms=9\n"
+    "2026-04-19T05:51:02.970Z level=INFO process=a event=promotion-ordered "
+    "service=s step=order target=i-4 term=3 fence=9 required=1.162 "
+    "required_by=acknowledged target_end=1.162 outcome=refused\n"
+    "2026-04-19T05:51:02.980Z level=WARN process=a "
+    "event=acknowledged-commit-missing service=s server=i-2 term=2 "
+    "position=1.160 known_from=report acknowledged=1.161 "
+    "acknowledged_ms_ago=20 holder=i-3\n"
+    "2026-04-19T05:51:02.980Z level=WARN process=a "
+    "event=acknowledged-commit-missing service=other server=i-9 term=2 "
+    "position=1.1 known_from=report acknowledged=1.2 acknowledged_ms_ago=20 "
+    "holder=i-8\n";
 
 } // namespace
 
@@ -93,10 +110,19 @@
         "i-2 had not reached the position",
         "i-1 had no connection free for this entry VM"},
        {"earlier in its transaction"}},
-      {"b1", {"It succeeded", "i-1 answered"}, {"w1"}},
+      {"b1", {"It succeeded", "i-1 answered"}, {"w1", "its commit"}},
+      {"c1",
+       {"position 1.161, acknowledged by i-1, held by i-3",
+        "ordered i-2 for term 2: required 1.160 (the end of the old primary",
+        "at its step-down, i-1), target's end 1.160, accepted",
+        "ordered i-4 for term 3: required 1.162 (a commit that this entry VM",
+        "had reported to a caller), target's end 1.162, refused",
+        "primaries that lack a commit",
+        "acknowledged=1.161 acknowledged_ms_ago=20 holder=i-3"},
+       {"server=i-9"}},
   };
   const std::vector<LogRecord> Records = parseLog(Log);
-  CHECK(Records.size() == 13);
+  CHECK(Records.size() == 17);
   for (const Row &R : Rows) {
     CAPTURE(R.Id);
     const Report Out = explain(R.Id, Records);
