--- a/src/policy/CommitHolders.cpp
+++ b/src/policy/CommitHolders.cpp
@@ -1,6 +1,7 @@
 #include "policy/CommitHolders.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace amaranthspur {
 
@@ -17,6 +18,9 @@
       H.RegisteredSince = Now;
     H.StartedAtMs = R.StartedAtMs;
     H.Draining = R.Draining;
+    if (R.Role == ServerRole::Primary && H.RegisteredRole != R.Role)
+      H.LedUnknownTerm = true;
+    H.RegisteredRole = R.Role;
     Next.emplace(R.Id, H);
   }
   this->Servers = std::move(Next);
@@ -30,8 +34,12 @@
   Holder &H = Found->second;
   H.FollowedTerm = Report.TermNumber;
   H.AdoptedTerm = Report.AdoptedTerm;
-  if (Report.Role == ServerRole::Primary)
+  // A server that has stepped down reports the term that it has led.
+  if (Report.Role == ServerRole::Primary ||
+      std::exchange(H.LedUnknownTerm, false))
     H.LedTerm = std::max(H.LedTerm, Report.TermNumber);
+  if (Report.Role == ServerRole::Primary)
+    H.LedUnknownTerm = false;
   else
     this->observeReplica(Id, Report.Received);
 }
@@ -61,7 +69,8 @@
   const bool AllLeave = this->allOthersLeave(Primary);
   std::vector<Counted> Found;
   for (const auto &[Id, H] : this->Servers)
-    if (Id != Primary && (T == 0 || H.LedTerm < T) && (AllLeave || !H.Draining))
+    if (Id != Primary && !H.LedUnknownTerm && (T == 0 || H.LedTerm < T) &&
+        (AllLeave || !H.Draining))
       Found.push_back({&Id, &H});
   return Found;
 }
--- a/src/policy/CommitHolders.h
+++ b/src/policy/CommitHolders.h
@@ -9,7 +9,9 @@
 // each takeover has to ask:
 //
 //  - It is registered, and it is not the primary that acknowledged the commit
-//    or a server that has led the same term.
+//    or a server that has led the same term. A primary that crashed may have
+//    come back under another id. The takeover does not count the log of the
+//    primary that it replaces if that has stepped down.
 //  - It is not leaving. The log of a leaving server may end with it before it
 //    has adopted a term. Where all other servers are leaving, one counts.
 //  - It is established: the primary of the commit's term or an earlier one was
@@ -84,6 +86,9 @@
     bool Draining = false;
     /// Lowest term for which it is established; 0 if it is for none.
     Term EstablishedTerm = 0;
+    std::optional<ServerRole> RegisteredRole;
+    /// It has registered as a primary and not reported the term since.
+    bool LedUnknownTerm = false;
     Term FollowedTerm = 0; ///< As it reported last.
     Term AdoptedTerm = 0;  ///< As it reported last.
     Term LedTerm = 0;      ///< Highest term that it is known to have led.
--- a/src/policy/testing/CommitHoldersTest.cpp
+++ b/src/policy/testing/CommitHoldersTest.cpp
@@ -160,6 +160,23 @@
          F.replica("b", {1, 5});
        },
        ""},
+      {"the primary is back under another id and has stepped down",
+       [](Fixture &F) {
+         F.list({"b", "c", "d"}, 11);
+         F.Registered[2].Role = ServerRole::Primary;
+         F.Holders.setServers(F.Registered, at(11));
+         F.Holders.observeProof(1, at(12));
+         F.replica("d", {1, 5});
+       },
+       ""},
+      {"a server that has registered as a primary answers a read",
+       [](Fixture &F) {
+         F.Registered[1].Role = ServerRole::Primary;
+         F.Holders.setServers(F.Registered, at(11));
+         F.Holders.observeProof(1, at(12));
+         F.Holders.observeReplica(ServerId("b"), {1, 5});
+       },
+       ""},
       {"a primary of an earlier term follows",
        [](Fixture &F) {
          F.Holders.observeProof(1, at(10));
