--- a/src/bench/soak/Servers.cpp
+++ b/src/bench/soak/Servers.cpp
@@ -339,11 +339,15 @@
   DatabaseServer *Server = this->find(Target);
   if (Server == nullptr || !Server->running())
     return 409;
-  if (Server != this->primary())
-    QTimer::singleShot(
-        std::chrono::duration_cast<milliseconds>(PromotionTime + Late),
-        Qt::PreciseTimer, &this->Context,
-        [this, Server] { this->takeEffect(*Server); });
+  if (Late > Duration::zero())
+    QTimer::singleShot(std::chrono::duration_cast<milliseconds>(Late),
+                       Qt::PreciseTimer, &this->Context, [this, Target] {
+                         this->promote(Target, Duration::zero());
+                       });
+  else if (Server != this->primary())
+    QTimer::singleShot(std::chrono::duration_cast<milliseconds>(PromotionTime),
+                       Qt::PreciseTimer, &this->Context,
+                       [this, Server] { this->takeEffect(*Server); });
   return 200;
 }
 
