--- a/src/bench/soak/Faults.cpp
+++ b/src/bench/soak/Faults.cpp
@@ -47,7 +47,7 @@
     {FaultKind::ServerRestart, {0, 0, 1, 0, 0}},
     {FaultKind::DeafReplica, {1, 1, 2, 0, 0}},
     {FaultKind::Release, {8, 2, 4, 3, 3}},
-    {FaultKind::PrimaryCrash, {0, 0, 0, 4, 4}},
+    {FaultKind::PrimaryCrash, {0, 0, 0, 6, 6}},
     {FaultKind::Isolation, {0, 0, 0, 3, 3}},
 };
 
--- a/src/bench/soak/Faults.h
+++ b/src/bench/soak/Faults.h
@@ -51,7 +51,10 @@
   QCoro::Task<> returnServer(ServerGroup &Group, DatabaseServer &Server,
                              bool KeepLog);
   QCoro::Task<> endDeafness(ServerGroup &Group, DatabaseServer &Server);
-  QCoro::Task<> releaseServer(ServerGroup &Group, DatabaseServer &Server);
+  void releaseServer(ServerGroup &Group, DatabaseServer &Server);
+  /// \param JoinFirst whether the new server starts before the old one drains.
+  QCoro::Task<> releaseServer(ServerGroup &Group, DatabaseServer &Server,
+                              bool JoinFirst);
   QCoro::Task<> releaseSeries(ServerGroup &Group);
   void releasePrimary(ServerGroup &Group);
   /// Crashes the primaries of all groups, one shortly after the other, and
--- a/src/bench/soak/ServerFaults.cpp
+++ b/src/bench/soak/ServerFaults.cpp
@@ -115,13 +115,15 @@
 
 QCoro::Task<> FaultPlan::releaseReplicas(ServerGroup &Group) {
   const TaskGroup::Guard Counted(this->Target.Tasks);
-  co_await sleepFor(this->draw(100, 800));
+  // The new servers start before the takeover makes the known ones adopt a
+  // term.
+  co_await sleepFor(this->draw(50, 500));
   for (DatabaseServer *S : readyReplicas(Group)) {
     if (this->Stopped)
       co_return;
     if (this->Generator.below(3) == 0 || !S->running() || S->draining())
       continue;
-    this->releaseServer(Group, *S);
+    this->releaseServer(Group, *S, true);
     co_await sleepFor(Stagger);
   }
 }
@@ -200,19 +202,22 @@
   }
 }
 
+void FaultPlan::releaseServer(ServerGroup &Group, DatabaseServer &Server) {
+  this->releaseServer(Group, Server, this->Generator.below(2) == 0);
+}
+
 QCoro::Task<> FaultPlan::releaseServer(ServerGroup &Group,
-                                       DatabaseServer &Server) {
+                                       DatabaseServer &Server, bool JoinFirst) {
   const TaskGroup::Guard Counted(this->Target.Tasks);
   this->Target.Events.disrupt(FaultKind::Release, Server.id());
-  const bool Before = this->Generator.below(2) == 0;
-  if (Before) {
+  if (JoinFirst) {
     Group.add(Server.dataCentre(), ServerRole::Replica);
     co_await sleepFor(this->draw(200, 1000));
   }
   if (!Server.running())
     co_return;
   Server.drain();
-  if (!Before) {
+  if (!JoinFirst) {
     co_await sleepFor(this->draw(50, 1000));
     if (this->Stopped)
       co_return;
