soak: STALE judges the run whose answer the caller got

Cause: the judge took every run of a read for one whose answer was passed on.

Change: a caller keeps the server that the digest of its answer names, and the judge looks at the runs there; without a digest at all runs. Rows: the answer of a stale run is passed on, that of a later run is, and both are stale.

--- a/src/bench/soak/Callers.cpp
+++ b/src/bench/soak/Callers.cpp
@@ -230,6 +230,11 @@
       S.End = this->Stream->isOpen() ? Outcome::TimedOut : Outcome::Closed;
       co_return;
     }
+    // The digest of a stand-in server is d.SERVER.ID.
+    const std::string_view Digest = "COMPLETE d.";
+    if (Line->starts_with(Digest))
+      S.Server = Line->substr(Digest.size(),
+                              Line->find('.', Digest.size()) - Digest.size());
     if (Line->starts_with("ERROR ")) {
       const std::size_t Start = std::string_view("ERROR ").size();
       S.Code = Line->substr(Start, Line->find(' ', Start) - Start);
--- a/src/bench/soak/History.h
+++ b/src/bench/soak/History.h
@@ -82,6 +82,7 @@
                           ///< the statement itself, was sent.
   Outcome End = Outcome::TimedOut;
   std::string Code;         ///< Of an error.
+  std::string Server;       ///< Named by the digest of the answer, if any.
   std::string SessionValue; ///< The session's acknowledged value.
   std::string Shape;        ///< Prepared by the session, if it is executed.
 };
--- a/src/bench/soak/Judge.cpp
+++ b/src/bench/soak/Judge.cpp
@@ -206,6 +206,10 @@
       if (S == nullptr || S->Kind != StatementKind::Read ||
           S->End != Outcome::Success || !R.View.Entries)
         continue;
+      // The caller got the answer of one run; an entry VM discards that of a
+      // server whose lead it cannot prove, and runs the read again elsewhere.
+      if (!S->Server.empty() && S->Server != R.Server)
+        continue;
       const std::unordered_set<unsigned> Held(
           R.View.Entries->begin(),
           R.View.Entries->begin() + static_cast<std::ptrdiff_t>(R.View.Count));
--- a/src/bench/soak/testing/JudgeTest.cpp
+++ b/src/bench/soak/testing/JudgeTest.cpp
@@ -265,6 +265,29 @@
      std::nullopt},
     {"a primary read lacks a commit",
      [](History &H) { readOldLog(H, RouteType::Primary, 10, 2); }, Rule::Stale},
+    {"a primary read lacks a commit and its answer is passed on",
+     [](History &H) {
+       readOldLog(H, RouteType::Primary, 10, 2);
+       H.Statements.back().Server = H.Runs.back().Server;
+     },
+     Rule::Stale},
+    {"a primary read lacks a commit, and the answer of a later run is passed "
+     "on",
+     [](History &H) {
+       readOldLog(H, RouteType::Primary, 10, 2);
+       H.Statements.back().Server = "i-2";
+       H.Runs.push_back(makeRun("r3", "i-2", WriteAt + 60));
+       H.Runs.back().View = makeLog({0});
+     },
+     std::nullopt},
+    {"a primary read lacks a commit also at its later run",
+     [](History &H) {
+       readOldLog(H, RouteType::Primary, 10, 2);
+       H.Statements.back().Server = "i-2";
+       H.Runs.push_back(makeRun("r3", "i-2", WriteAt + 60));
+       H.Runs.back().View = makeLog({});
+     },
+     Rule::Stale},
     {"a bounded read lacks a recent commit",
      [](History &H) { readOldLog(H, RouteType::BoundedStale, 1000, 1); },
      std::nullopt},
