--- a/src/bench/soak/Links.cpp
+++ b/src/bench/soak/Links.cpp
@@ -44,8 +44,18 @@
 
 } // namespace
 
+bool Path::holds(bool Forward) const {
+  return (Forward ? this->HoldForward : this->HoldBackward) ||
+         (this->Whole != nullptr && this->Whole->holds(Forward));
+}
+
+TimePoint Path::cutSince() const {
+  const bool Own = this->HoldForward || this->HoldBackward;
+  return Own || this->Whole == nullptr ? this->CutAt : this->Whole->cutSince();
+}
+
 void Path::cut(bool Forward, bool Backward) {
-  if (!this->isCut())
+  if (!this->HoldForward && !this->HoldBackward)
     this->CutAt = steadyNow();
   this->HoldForward = this->HoldForward || Forward;
   this->HoldBackward = this->HoldBackward || Backward;
@@ -76,8 +86,8 @@
 }
 
 LinkConnection::~LinkConnection() {
-  if (this->Owner != nullptr)
-    this->Owner->Connections.erase(this);
+  for (Path *P = this->Owner; P != nullptr; P = P->Whole)
+    P->Connections.erase(this);
   this->ClientReadable.reset();
   this->ServerReadable.reset();
   if (this->Client >= 0)
@@ -121,8 +131,10 @@
     if (Count > 0) {
       const std::string_view Bytes(Buffer, static_cast<std::size_t>(Count));
       H.Held += Bytes;
-      if (Forward && this->Owner != nullptr && this->Owner->OnForward)
-        this->Owner->OnForward(Bytes);
+      for (Path *P = Forward ? this->Owner : nullptr; P != nullptr;
+           P = P->Whole)
+        if (P->OnForward)
+          P->OnForward(Bytes);
     } else if (Count == 0) {
       H.Ended = true;
     } else if (errno == EAGAIN) {
@@ -194,22 +206,24 @@
   }
   if (this->Ended)
     co_return;
-  this->Owner->Connections.insert(this);
+  for (Path *P = this->Owner; P != nullptr; P = P->Whole)
+    P->Connections.insert(this);
   if (!this->openUpstream())
     this->reset();
   while (!this->Ended && !(this->Forward.Closed && this->Backward.Closed)) {
     this->read(this->Forward, true);
     this->read(this->Backward, false);
     const bool Cut = this->Owner->isCut();
-    const TimePoint DropAt =
-        DropAfter == NeverDropped ? NoDeadline : this->Owner->CutAt + DropAfter;
+    const TimePoint DropAt = DropAfter == NeverDropped
+                                 ? NoDeadline
+                                 : this->Owner->cutSince() + DropAfter;
     if (Cut && !this->Dropped && steadyNow() >= DropAt)
       this->dropUpstream();
     if (this->Dropped && !Cut)
       this->reset();
     if (!this->Dropped) {
-      this->deliver(this->Forward, this->Owner->HoldForward);
-      this->deliver(this->Backward, this->Owner->HoldBackward);
+      this->deliver(this->Forward, this->Owner->holds(true));
+      this->deliver(this->Backward, this->Owner->holds(false));
     }
     if (this->Ended || (this->Forward.Closed && this->Backward.Closed))
       break;
@@ -229,37 +243,55 @@
                            Duration DropAfter)
     : Tasks(Tasks), Upstream(std::move(Upstream)), Sole(Sole),
       FindPath(std::move(FindPath)), DropAfter(DropAfter) {
+  this->Own = {Host, 0};
+  if (this->listenAtOwn() && this->Sole != nullptr)
+    this->Sole->Listener = this;
+}
+
+bool LinkListener::listenAtOwn() {
   this->Descriptor = openSocket(SOCK_NONBLOCK);
-  sockaddr_in At = socketAddress({Host, 0});
+  const int On = 1;
+  ::setsockopt(this->Descriptor, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  sockaddr_in At = socketAddress(this->Own);
   socklen_t Size = sizeof(At);
   if (::bind(this->Descriptor, reinterpret_cast<sockaddr *>(&At), Size) != 0 ||
       ::listen(this->Descriptor, Backlog) != 0 ||
       ::getsockname(this->Descriptor, reinterpret_cast<sockaddr *>(&At),
                     &Size) != 0) {
     ::close(std::exchange(this->Descriptor, -1));
-    return;
+    return false;
   }
-  this->Own = {Host, ntohs(At.sin_port)};
-  if (this->Sole != nullptr)
-    this->Sole->Listener = this;
+  this->Own.Port = ntohs(At.sin_port);
   this->Acceptable = std::make_unique<QSocketNotifier>(this->Descriptor,
                                                        QSocketNotifier::Read);
   QObject::connect(this->Acceptable.get(), &QSocketNotifier::activated,
                    this->Acceptable.get(), [this] { this->accept(); });
+  return true;
 }
 
-LinkListener::~LinkListener() {
-  this->stop();
-  if (this->Sole != nullptr)
-    this->Sole->Listener = nullptr;
+void LinkListener::setRefusing(bool Refusing) {
+  if (Refusing)
+    this->stopListening();
+  else if (this->Descriptor < 0)
+    this->listenAtOwn();
 }
 
-void LinkListener::stop() {
+void LinkListener::stopListening() {
   this->Acceptable.reset();
   if (this->Descriptor >= 0)
     ::close(std::exchange(this->Descriptor, -1));
   for (const int Filler : std::exchange(this->Fillers, {}))
     ::close(Filler);
+}
+
+LinkListener::~LinkListener() {
+  this->stop();
+  if (this->Sole != nullptr)
+    this->Sole->Listener = nullptr;
+}
+
+void LinkListener::stop() {
+  this->stopListening();
   for (LinkConnection *C : this->Connections)
     C->reset();
 }
--- a/src/bench/soak/testing/LinksTest.cpp
+++ b/src/bench/soak/testing/LinksTest.cpp
@@ -143,6 +143,54 @@
   }
 }
 
+// Guards against a cut of one server that cuts the entry VM's connections to
+// the others, and against one of the whole path that spares a part.
+TEST_CASE("a cut of a part of a path") {
+  struct Row {
+    const char *Name;
+    bool CutsPart;
+    const char *During;
+  };
+  const Row Rows[] = {{"of the part", true, "other"},
+                      {"of the whole", false, ""}};
+  testApplication();
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Upstream Target;
+    TaskGroup Tasks;
+    Path Whole;
+    Path Part(&Whole);
+    Path Other(&Whole);
+    LinkListener Link(
+        Tasks, "127.0.0.1", Target.address(), nullptr,
+        [&](std::string_view Bytes) -> Path * {
+          if (Bytes.empty())
+            return nullptr;
+          return Bytes == "part" ? &Part : &Other;
+        },
+        NeverDropped);
+    (R.CutsPart ? Part : Whole).cut(true, true);
+    const int First = openConnection(Link.address());
+    const int Second = openConnection(Link.address());
+    runFor(Settle);
+    sendText(First, "part");
+    sendText(Second, "other");
+    runFor(Settle);
+    CHECK(Target.Received == R.During);
+    CHECK(Part.isCut());
+    CHECK(Other.isCut() != R.CutsPart);
+    (R.CutsPart ? Part : Whole).heal();
+    runFor(Settle);
+    CHECK(Target.Received.size() == std::string_view("partother").size());
+    ::close(First);
+    ::close(Second);
+    runFor(Settle);
+    Link.stop();
+    runFor(Settle);
+    CHECK(Tasks.size() == 0);
+  }
+}
+
 // Guards against a cut that begins only after the bytes of the call that starts
 // it were forwarded.
 TEST_CASE("a cut that begins at a call") {
@@ -172,6 +220,37 @@
   CHECK(Tasks.size() == 0);
 }
 
+// Guards against a crashed server whose link still accepts connections, which
+// the daemon takes for one that runs, and against another address afterwards.
+TEST_CASE("a link that refuses connections") {
+  testApplication();
+  Upstream Target;
+  TaskGroup Tasks;
+  Path Open;
+  LinkListener Link(Tasks, "127.0.0.1", Target.address(), &Open, nullptr,
+                    NeverDropped);
+  const Address Before = Link.address();
+  const int Early = openConnection(Before);
+  runFor(Settle);
+  Link.setRefusing(true);
+  const int Refused = openConnection(Before);
+  runFor(Settle);
+  CHECK_FALSE(isConnected(Refused));
+  CHECK(Target.Connections == 1);
+  Link.setRefusing(false);
+  CHECK(Link.valid());
+  CHECK(Link.address() == Before);
+  const int Late = openConnection(Before);
+  runFor(Settle);
+  CHECK(isConnected(Late));
+  CHECK(Target.Connections == 2);
+  for (const int Descriptor : {Early, Refused, Late})
+    ::close(Descriptor);
+  runFor(Settle);
+  Link.stop();
+  CHECK(Tasks.size() == 0);
+}
+
 // Guards against a cut during which new connections are accepted or refused,
 // and against one whose own connections reach the upstream at the heal.
 TEST_CASE("a connection that is opened during a cut") {
