--- a/src/policy/testing/TakeoverExplorer.cpp
+++ b/src/policy/testing/TakeoverExplorer.cpp
@@ -13,6 +13,22 @@
 using detail::Kind;
 using detail::TakeoverModel;
 
+/// Returns whether \p K is an event of a takeover. An order that may take
+/// effect late mostly does not do so before other events.
+bool isStep(Kind K, const ExplorerOptions &Options) {
+  return K == Kind::Step || K == Kind::Plan || K == Kind::GiveUp ||
+         (K == Kind::Effect &&
+          Options.LongestEffect <= std::chrono::seconds(1));
+}
+
+/// Returns whether \p K is an event of the observer.
+bool isObservation(Kind K) { return K == Kind::Hear || K == Kind::Report; }
+
+/// Returns the name of the gap or the skipped fault in which \p M broke.
+std::string exclusionOf(const TakeoverModel &M) {
+  return std::string(M.Gap ? nameOf(*M.Gap) : nameOf(*M.Fault));
+}
+
 /// Carries out those of \p Events that are enabled.
 ExplorerResult replay(const ExplorerOptions &Options,
                       const std::vector<ExplorerEvent> &Events, bool Coarse) {
@@ -25,7 +41,7 @@
     M.apply(E, Coarse);
     if (M.Violation.empty())
       continue;
-    if (!M.Gap)
+    if (M.isBroken())
       R.Violation = M.Violation;
     break;
   }
@@ -58,8 +74,8 @@
         TakeoverModel Copy = M;
         Copy.apply(E, true);
         ++R.Events;
-        if (!Copy.Violation.empty() && Copy.Gap) {
-          ++R.Gaps[std::string(nameOf(*Copy.Gap))];
+        if (!Copy.Violation.empty() && !Copy.isBroken()) {
+          ++R.Gaps[exclusionOf(Copy)];
           continue;
         }
         if (Copy.Violation.empty() && !Seen.insert(Copy.hash()).second)
@@ -76,7 +92,9 @@
           R.History = Found.History;
           return R;
         }
-        Next.emplace_back(Nodes.size() - 1, std::move(Copy));
+        // No event follows a state of the last level.
+        if (Level + 1 < Depth)
+          Next.emplace_back(Nodes.size() - 1, std::move(Copy));
       }
     Frontier = std::move(Next);
   }
@@ -93,10 +111,12 @@
     const std::vector<ExplorerEvent> Events = M.enabled(false);
     // Most events are steps, so that takeovers come to their end.
     const bool Step = Rng.below(3) != 0;
+    const bool Observation =
+        !Step && !Options.ObservesAtOnce && Rng.below(2) == 0;
     std::vector<ExplorerEvent> Some;
     for (const ExplorerEvent &E : Events)
-      if (Step == (E.Kind == Kind::Step || E.Kind == Kind::Plan ||
-                   E.Kind == Kind::Effect || E.Kind == Kind::GiveUp))
+      if (Step == isStep(E.Kind, Options) &&
+          Observation == isObservation(E.Kind))
         Some.push_back(E);
     if (Some.empty())
       continue;
@@ -105,9 +125,9 @@
     ++R.Events;
   }
   R.Takeovers = M.Takeovers;
-  if (M.Gap)
-    ++R.Gaps[std::string(nameOf(*M.Gap))];
-  if (M.Violation.empty() || M.Gap)
+  if (!M.Violation.empty() && !M.isBroken())
+    ++R.Gaps[exclusionOf(M)];
+  if (!M.isBroken())
     return R;
   // Leaves out each event without which a violation remains.
   for (std::size_t I = Path.size(); I-- != 0;) {
--- a/src/policy/testing/TakeoverExplorer.h
+++ b/src/policy/testing/TakeoverExplorer.h
@@ -6,28 +6,44 @@
 // decided by one event and carried out by another, so an entry VM can be
 // suspended between them. Replication to each server is an event.
 //
+// A server that joins is not registered at first. It can receive commits all
+// the same; a later event registers it. Takeovers find registered servers only.
+// A primary that has crashed may come back under another id, which is a new
+// server with its log.
+//
+// One more entry VM, the observer, has sent every commit. It reaches every
+// server, hears late of registrations, asks servers for their reports and
+// passes an acknowledgement on to its caller when its rule allows that. The
+// proofs of leadership of the other entry VMs reach it at once.
+//
 // A call that is held up on its way arrives at any later time, unless its
 // sender has reset the connection. An order that has arrived takes effect
-// within 1 s, if its target runs then.
+// within 1 s, unless the options allow more, if its target runs then.
 //
 // Invariants:
-//  - LOST: a promoted log holds each acknowledged commit, except those that an
-//    earlier promotion has removed.
+//  - LOST: a promoted log holds each commit whose acknowledgement has been
+//    passed on to a caller, except those that an earlier promotion has removed.
+//    No acknowledgement of a commit that a promotion has removed is passed on.
 //  - ONE: no superseded primary acknowledges a commit after a promotion, unless
-//    the entry VM that ordered the promotion could not reach it.
+//    the entry VM that ordered the promotion could not reach it. What it
+//    acknowledges with a server that is not registered, or under another id
+//    than before, counts when the acknowledgement is passed on.
 //  - CLAIM: orders under one version of the claim row are of one entry VM.
 //  - FENCE: no order arrives after one with a higher fence.
 //  - TURN: orders of two entry VMs arrive at least the lease apart, whether or
 //    not one of them was suspended, cut off or ended in between.
 //  - STRANDED: when a takeover has ended with a promotion, no server that its
 //    holder reaches is kept from the new primary by a term that it holds.
-//  - LIVE: a primary acknowledges within a bounded time after a step-down.
+//  - LIVE: an acknowledgement is passed on within a bounded time after a
+//    step-down.
 //  - STALE: no server is proved to lead whose log lacked an acknowledged commit
-//    when the proof began.
+//    when the proof began. A commit that was acknowledged with a server that
+//    was not registered counts when its acknowledgement has been passed on.
 #ifndef AMARANTHSPUR_POLICY_TESTING_TAKEOVEREXPLORER_H
 #define AMARANTHSPUR_POLICY_TESTING_TAKEOVEREXPLORER_H
 
 #include "core/Names.h"
+#include "policy/AccessPlan.h"
 #include "policy/LeadershipProof.h"
 #include "policy/TakeoverProcedure.h"
 
@@ -88,6 +104,27 @@
                         ClaimPurpose Purpose, TimePoint Now) const = 0;
 };
 
+/// The rule by which the observer passes acknowledgements on, as CommitHolders
+/// has it. Some implementations are wrong on purpose.
+class AcknowledgementRule {
+public:
+  virtual ~AcknowledgementRule() = default;
+  virtual std::unique_ptr<AcknowledgementRule> clone() const = 0;
+  virtual void setServers(const std::vector<RegisteredServer> &Servers,
+                          TimePoint Now) = 0;
+  virtual void recordReport(const ServerId &Id, const ServerReport &Report) = 0;
+  /// Records that the primary of \p T had not been superseded at \p At.
+  virtual void recordProof(Term T, TimePoint At) = 0;
+  /// Returns the server by which the acknowledgement may be passed on, or
+  /// nothing if it may not. \p Primary stands for the replica that the primary
+  /// acknowledged the commit with, which the entry VM does not know.
+  virtual std::optional<ServerId> holderOf(LogPosition Commit,
+                                           const ServerId &Primary) const = 0;
+};
+
+using AcknowledgementFactory =
+    std::function<std::unique_ptr<AcknowledgementRule>()>;
+
 /// What happens in one event; A and B are its operands.
 enum class ExplorerEventKind {
   Plan,       ///< Entry VM A polls the servers and begins a takeover.
@@ -103,13 +140,18 @@
   Commit,     ///< Primary A appends a commit.
   Deliver,    ///< Server B receives the log of primary A.
   Join,       ///< A new server starts with the log of primary A.
+  Register,   ///< The registration of server A appears in the store.
+  Drain,      ///< Replica A announces that it leaves.
   Leave,      ///< Replica A ends, and its log with it.
   Restart,    ///< Server A restarts with its log.
   Crash,      ///< Server A stops, or runs again with its log.
+  Return,     ///< Primary A, which has crashed, runs again under another id.
   Deafen,     ///< Server A stops receiving, or receives again.
   Effect,     ///< The order A takes effect.
   Prove,      ///< Entry VM A begins to prove that server B leads.
   Ask,        ///< Server B, or the claim row if it is none, is asked for that.
+  Hear,       ///< The observer hears of the registration of server A.
+  Report,     ///< The observer receives a report of server A.
   Wait,       ///< A milliseconds pass.
 };
 
@@ -126,15 +168,22 @@
   /// sender was suspended and its kernel had not yet given the connection up.
   /// The platform does not check the fence of an order.
   LateOrder,
-  /// The holder had no answer of the old primary, a server joined, restarted or
-  /// was resumed after the holder's last read of the registrations, and the
-  /// holder has heard nothing of that server since the commit.
+  /// The holder had no answer of the old primary. The server by which the
+  /// acknowledgement was passed on restarted or was resumed after the holder's
+  /// last read of the registrations, and the holder has heard nothing of it
+  /// since it received the commit. A registration tells neither of the two in
+  /// time.
   UnreachablePrimary,
   /// The old primary restarted after it had stepped down, leads its term again
   /// until it hears of the promotion, and acknowledged the commit with a server
   /// that the holder has heard nothing of since then.
   RestartedPrimary,
-  /// Only the old primary has the commit, which was acknowledged in an earlier
+  /// The holder had no answer of the old primary, and the server by which the
+  /// acknowledgement was passed on has left. The successor with its log is not
+  /// registered. The old primary fell silent before it reported its end again.
+  HolderLeft,
+  /// Only the old primary, of the registered servers, has the commit, which was
+  /// acknowledged in an earlier
   /// term with a server that has left, and the holder had no answer of it.
   SoleHolder,
   /// The promoted log holds a commit that a superseded primary, which the
@@ -143,6 +192,26 @@
   StrayCommit,
 };
 
+/// Faults that the search has found and that are not mended yet
+/// (KNOWN-RED.txt). A search that skips one goes on to look for others, and
+/// counts it.
+enum class OpenFault {
+  /// A commit whose acknowledgement waits for a holder is received by an
+  /// established server after the promotion that has removed it: the promotion
+  /// ends the adoption of the server, which follows the old primary again.
+  ReceivedAfterPromotion,
+  /// A server counts for a commit of an earlier term than that of the primary
+  /// whose proof has established it. It was registered before the proof, and
+  /// after the takeover of the earlier term had read the registrations.
+  EstablishedInLaterTerm,
+  /// The server by which the acknowledgement was passed on has left, and the
+  /// successor with its log is not registered. The old primary has stepped down
+  /// and reports the commit, but a shorter log is promoted, since no registered
+  /// server has that end. The holder does not remember that a server left: the
+  /// explorer gives it no required end, as after a restart.
+  DepartureForgotten,
+};
+
 /// How the sender of a call ends its connection when it gives the call up.
 enum class CallEnd {
   Closed, ///< What was sent still arrives when the path is back.
@@ -154,29 +223,38 @@
 
 struct ExplorerOptions {
   TakeoverFactory Make;
+  AcknowledgementFactory MakeAcknowledgement;
   ProofFactory MakeProof;            ///< Not needed without a limit for Prove.
   const ClaimRule *Claims = nullptr; ///< TakeoverClaim's rule if it is null.
   std::size_t Vms = 2;
   std::size_t Servers = 3;
   /// Maximum numbers of events of each kind; none for a missing kind, except
-  /// Plan, Step, Arrive, GiveUp, Deliver, Effect and Ask, which are unlimited.
+  /// Plan, Step, Arrive, GiveUp, Deliver, Effect, Ask, Register, Hear and
+  /// Report, which are unlimited. With a limit of 0 for Register, a server is
+  /// registered when it joins.
   std::map<ExplorerEventKind, unsigned> Limits;
   std::vector<std::size_t> Waits = {1000, 4000};
   bool PrimaryHidden = false; ///< No entry VM reaches the first primary.
   CallEnd GivenUp = CallEnd::Reset;
+  /// The observer hears of registrations and receives reports at once, and not
+  /// by events.
+  bool ObservesAtOnce = true;
+  /// Longest time between the arrival of an order and its effect.
+  Duration LongestEffect = std::chrono::seconds(1);
   /// The only step whose calls meet with the kind of fault (LoseAnswer,
   /// LoseCall or HoldUp); any step for a missing kind.
   std::map<ExplorerEventKind, TakeoverStep> FaultySteps;
   std::set<Invariant> Unchecked; ///< Invariants that may be broken.
+  std::set<OpenFault> Skipped;
 };
 
 /// The first violation that was found.
 struct ExplorerResult {
   std::string Violation; ///< Empty if there is none.
   std::vector<std::string> History;
-  std::uint64_t Events = 0;    ///< Events that were carried out.
-  std::uint64_t Takeovers = 0; ///< Promotions that took effect.
-  std::map<std::string, std::uint64_t> Gaps;
+  std::uint64_t Events = 0;                  ///< Events that were carried out.
+  std::uint64_t Takeovers = 0;               ///< Promotions that took effect.
+  std::map<std::string, std::uint64_t> Gaps; ///< And skipped faults, by name.
   /// Time from the step-down to the first commit that was acknowledged
   /// afterwards; zero if no primary stepped down. Of exploreFairly().
   Duration Outage = Duration::zero();
@@ -226,13 +304,18 @@
            {Kind::Commit, "commit"},
            {Kind::Deliver, "deliver"},
            {Kind::Join, "join"},
+           {Kind::Register, "register"},
+           {Kind::Drain, "drain"},
            {Kind::Leave, "leave"},
            {Kind::Restart, "restart"},
            {Kind::Crash, "crash"},
+           {Kind::Return, "return"},
            {Kind::Deafen, "deafen"},
            {Kind::Effect, "effect"},
            {Kind::Prove, "prove"},
            {Kind::Ask, "ask"},
+           {Kind::Hear, "hear"},
+           {Kind::Report, "report"},
            {Kind::Wait, "wait"}});
 };
 
@@ -257,6 +340,15 @@
            {What::Live, "LIVE"}});
 };
 
+template <> struct EnumNames<testing::OpenFault> {
+  using Fault = testing::OpenFault;
+  static constexpr auto Entries =
+      std::to_array<std::pair<Fault, std::string_view>>(
+          {{Fault::ReceivedAfterPromotion, "received-after-promotion"},
+           {Fault::EstablishedInLaterTerm, "established-in-later-term"},
+           {Fault::DepartureForgotten, "departure-forgotten"}});
+};
+
 template <> struct EnumNames<testing::TakeoverGap> {
   using Gap = testing::TakeoverGap;
   static constexpr auto Entries =
@@ -264,6 +356,7 @@
           {{Gap::LateOrder, "late-order"},
            {Gap::UnreachablePrimary, "unreachable-primary"},
            {Gap::RestartedPrimary, "restarted-primary"},
+           {Gap::HolderLeft, "holder-left"},
            {Gap::SoleHolder, "sole-holder"},
            {Gap::StrayCommit, "stray-commit"}});
 };
--- a/src/policy/testing/TakeoverExplorerTest.cpp
+++ b/src/policy/testing/TakeoverExplorerTest.cpp
@@ -22,6 +22,11 @@
   return Others;
 }
 
+/// Faults that have a test of their own, which is listed in KNOWN-RED.txt.
+const std::set<OpenFault> Skipped = {OpenFault::ReceivedAfterPromotion,
+                                     OpenFault::EstablishedInLaterTerm,
+                                     OpenFault::DepartureForgotten};
+
 /// Factor for the number of seeds, for long manual runs.
 unsigned rounds() {
   const char *Text = std::getenv("AMARANTHSPUR_MODEL_ROUNDS");
@@ -50,6 +55,7 @@
     const ClaimRule *Claims = nullptr;
     std::vector<std::size_t> Waits = {NextClaim};
     std::optional<TakeoverGap> Gap = {}; ///< That must be met.
+    AcknowledgementFactory Rule = makeRule<PresentHolders>;
   };
   const ReleasedIsFree Free;
   const OrdersArriveAtOnce AtOnce;
@@ -59,7 +65,11 @@
   const std::map<Kind, unsigned> Wakes = {{Kind::Commit, 1}, {Kind::Wait, 1}};
   const std::map<Kind, unsigned> Restarts = {{Kind::Commit, 1},
                                              {Kind::Restart, 1}};
-  const std::map<Kind, unsigned> Releases = {
+  const std::map<Kind, unsigned> Releases = {{Kind::Commit, 1},
+                                             {Kind::Join, 1},
+                                             {Kind::Leave, 1},
+                                             {Kind::Register, 0}};
+  const std::map<Kind, unsigned> LateReleases = {
       {Kind::Commit, 1}, {Kind::Join, 1}, {Kind::Leave, 1}};
   const std::map<Kind, unsigned> Faults = {
       {Kind::Commit, 1}, {Kind::Crash, 1}, {Kind::Cut, 1}, {Kind::Deafen, 1}};
@@ -123,8 +133,19 @@
        nullptr,
        {900, 3902},
        TakeoverGap::LateOrder},
-      {"no step-down, a server joins", makeNoStepDown, 1, false, Joins, 14,
-       "LOST"},
+      {"no step-down, a server joins",
+       makeNoStepDown,
+       1,
+       false,
+       Joins,
+       14,
+       "LOST",
+       CallEnd::Reset,
+       {},
+       nullptr,
+       {NextClaim},
+       {},
+       makeRule<AnyReplicaSuffices>},
       {"no step-down",
        makeNoStepDown,
        1,
@@ -147,6 +168,8 @@
       {"a holder wakes", Present, 2, true, Wakes, 22, ""},
       {"a server restarts", Present, 1, false, Restarts, 24, ""},
       {"a primary is replaced and leaves", Present, 1, false, Releases, 30, ""},
+      {"a primary is replaced and leaves, late registration", Present, 1, false,
+       LateReleases, 22, ""},
       {"a server crashes, another is deaf", Present, 1, false, Faults, 17, ""},
       {"two entry VMs, an answer is lost", Present, 2, false, Losses, 11, ""},
   };
@@ -154,6 +177,8 @@
     CAPTURE(R.Name);
     ExplorerOptions Options;
     Options.Make = R.Make;
+    Options.MakeAcknowledgement = R.Rule;
+    Options.Skipped = Skipped;
     Options.Vms = R.Vms;
     Options.PrimaryHidden = R.PrimaryHidden;
     Options.Limits = R.Limits;
@@ -173,6 +198,125 @@
   }
 }
 
+// Guards against an acknowledgement that is passed on and of which the next
+// primary has nothing (issue 37), and against an explorer that would miss it.
+TEST_CASE("all short orders of events at an acknowledgement") {
+  struct Row {
+    const char *Name;
+    AcknowledgementFactory Rule;
+    std::size_t Servers;
+    bool PrimaryHidden;
+    std::map<Kind, unsigned> Limits;
+    std::size_t Depth;
+    const char *Found; ///< Start of the violation; empty if there must be none.
+    std::size_t Vms = 1;
+    Duration LongestEffect = milliseconds(1000);
+  };
+  const std::map<Kind, unsigned> Joins = {{Kind::Commit, 1}, {Kind::Join, 1}};
+  const std::map<Kind, unsigned> Commits = {{Kind::Commit, 2}, {Kind::Join, 1}};
+  const std::map<Kind, unsigned> Drains = {
+      {Kind::Commit, 1}, {Kind::Drain, 1}, {Kind::Leave, 1}};
+  const std::map<Kind, unsigned> Returns = {
+      {Kind::Commit, 1}, {Kind::Join, 1}, {Kind::Crash, 1}, {Kind::Return, 1}};
+  const std::map<Kind, unsigned> Waits = {
+      {Kind::Commit, 1}, {Kind::Plan, 2}, {Kind::Wait, 1}};
+  const AcknowledgementFactory Present = makeRule<PresentHolders>;
+  const Row Rows[] = {
+      {"any replica suffices", makeRule<AnyReplicaSuffices>, 3, true, Joins, 13,
+       "LOST"},
+      {"an unregistered server counts", makeRule<CountsUnregistered>, 3, true,
+       Joins, 13, "LOST"},
+      {"a server that is not established counts",
+       makeRule<CountsNotEstablished>, 3, true, Joins, 16, "LOST"},
+      {"a leaving server counts", makeRule<CountsLeaving>, 4, true, Drains, 17,
+       "LOST"},
+      {"the primary itself counts", makeRule<CountsPrimary>, 3, false, Joins,
+       16, "LOST"},
+      {"a position of another term counts", makeRule<CountsAnyTerm>, 3, true,
+       Commits, 17, "LOST"},
+      {"a server joins, the primary is cut off", Present, 3, true, Joins, 17,
+       ""},
+      {"a server joins", Present, 3, false, Joins, 18, ""},
+      {"a server joins, two commits", Present, 3, true, Commits, 17, ""},
+      {"a server leaves", Present, 4, true, Drains, 17, ""},
+      {"a primary returns", Present, 3, true, Returns, 17, ""},
+      {"an order takes effect after its holder's wait", Present, 3, true, Waits,
+       20, "", 2, milliseconds(3900)},
+      {"an order takes effect after the lease", Present, 3, true, Waits, 24, "",
+       2, std::chrono::seconds(6)},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    ExplorerOptions Options;
+    Options.Make = make<PresentLogic>;
+    Options.MakeAcknowledgement = R.Rule;
+    Options.Skipped = Skipped;
+    Options.Vms = R.Vms;
+    Options.Servers = R.Servers;
+    Options.PrimaryHidden = R.PrimaryHidden;
+    Options.Limits = R.Limits;
+    Options.LongestEffect = R.LongestEffect;
+    Options.Waits = {3900, 4802};
+    Options.Unchecked = othersThan(Invariant::Lost);
+    const ExplorerResult Result = exploreAll(Options, R.Depth);
+    CAPTURE(Result.text(), Result.Events);
+    std::string Excluded;
+    for (const auto &[Name, Count] : Result.Gaps)
+      Excluded += " " + Name + "=" + std::to_string(Count);
+    WARN(R.Name << ": " << Result.Events << " events, excluded:" << Excluded);
+    CHECK(Result.Violation.substr(0, Result.Violation.find(':')) == R.Found);
+    // A row in which no promotion takes effect would show nothing.
+    CHECK((*R.Found != '\0' || Result.Takeovers > 0));
+  }
+}
+
+// Guards against three known ways in which an acknowledgement is passed on that
+// the next primary does not have, or that comes after its promotion. They are
+// listed in KNOWN-RED.txt; the other searches skip them.
+TEST_CASE("no reported commit is lost by an open fault") {
+  struct Row {
+    OpenFault Fault;
+    std::size_t Servers;
+    bool PrimaryHidden;
+    std::map<Kind, unsigned> Limits;
+    std::size_t Depth;
+  };
+  const Row Rows[] = {
+      {OpenFault::ReceivedAfterPromotion,
+       3,
+       true,
+       {{Kind::Commit, 1}, {Kind::Join, 1}},
+       14},
+      {OpenFault::EstablishedInLaterTerm,
+       3,
+       true,
+       {{Kind::Commit, 2}, {Kind::Join, 1}},
+       16},
+      {OpenFault::DepartureForgotten,
+       4,
+       false,
+       {{Kind::Commit, 1}, {Kind::Join, 1}, {Kind::Leave, 1}},
+       19},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(nameOf(R.Fault));
+    ExplorerOptions Options;
+    Options.Make = make<PresentLogic>;
+    Options.MakeAcknowledgement = makeRule<PresentHolders>;
+    Options.Vms = 1;
+    Options.Servers = R.Servers;
+    Options.PrimaryHidden = R.PrimaryHidden;
+    Options.Limits = R.Limits;
+    Options.Unchecked = othersThan(Invariant::Lost);
+    Options.Skipped = Skipped;
+    Options.Skipped.erase(R.Fault);
+    const ExplorerResult Result = exploreAll(Options, R.Depth);
+    CAPTURE(Result.text());
+    CHECK(Result.Violation == "");
+    CHECK(Result.Events > 0);
+  }
+}
+
 // Guards against a read that a superseded primary answers because it is proved
 // to lead (review case 3), and against an explorer that would miss it.
 TEST_CASE("all short orders of events at a proof of leadership") {
@@ -186,7 +330,11 @@
     const char *Found; ///< Start of the violation; empty if there must be none.
   };
   const std::map<Kind, unsigned> Proof = {{Kind::Prove, 1}, {Kind::Commit, 1}};
-  const std::map<Kind, unsigned> Joins = {
+  const std::map<Kind, unsigned> Joins = {{Kind::Prove, 1},
+                                          {Kind::Commit, 1},
+                                          {Kind::Join, 1},
+                                          {Kind::Register, 0}};
+  const std::map<Kind, unsigned> LateJoins = {
       {Kind::Prove, 1}, {Kind::Commit, 1}, {Kind::Join, 1}};
   const std::map<Kind, unsigned> Leaves = {
       {Kind::Prove, 1}, {Kind::Commit, 1}, {Kind::Leave, 1}};
@@ -201,12 +349,16 @@
       {"the old primary is not reached", Present, PresentSteps, true, Proof, 18,
        ""},
       {"a server joins", Present, PresentSteps, false, Joins, 15, ""},
+      {"a server joins, late registration", Present, PresentSteps, false,
+       LateJoins, 12, ""},
       {"a server leaves", Present, PresentSteps, false, Leaves, 16, ""},
   };
   for (const Row &R : Rows) {
     CAPTURE(R.Name);
     ExplorerOptions Options;
     Options.Make = R.Make;
+    Options.MakeAcknowledgement = makeRule<PresentHolders>;
+    Options.Skipped = Skipped;
     Options.MakeProof = R.MakeProof;
     Options.Vms = 1;
     // One has received the commit of the new primary, another one nothing.
@@ -234,6 +386,9 @@
     const char *Found; ///< Start of the violation; empty if there must be none.
     std::set<Invariant> Unchecked = {};
     std::map<Kind, TakeoverStep> FaultySteps = {};
+    AcknowledgementFactory Rule = makeRule<PresentHolders>;
+    bool ObservesAtOnce = true;
+    Duration LongestEffect = milliseconds(1000);
   };
   const std::map<Kind, unsigned> All = {
       {Kind::Commit, 3},   {Kind::Join, 1},  {Kind::Leave, 1},
@@ -246,6 +401,15 @@
   std::map<Kind, unsigned> NoRestarts = HeldUp;
   NoRestarts.erase(Kind::Restart);
   NoRestarts.erase(Kind::Crash);
+  std::map<Kind, unsigned> Returns = HeldUp;
+  Returns[Kind::Join] = 2;
+  Returns[Kind::Return] = 2;
+  std::map<Kind, unsigned> Drains = Returns;
+  Drains[Kind::Drain] = 2;
+  // Little else happens, so that more commits are passed on.
+  const std::map<Kind, unsigned> FewFaults = {
+      {Kind::Commit, 3}, {Kind::Join, 2},  {Kind::Crash, 1}, {Kind::Return, 1},
+      {Kind::Cut, 2},    {Kind::Prove, 3}, {Kind::Wait, 3}};
   // The link of the holder to the platform is cut when it orders.
   const std::map<Kind, unsigned> CutOrders = {
       {Kind::Commit, 3}, {Kind::Join, 1}, {Kind::LoseAnswer, 2},
@@ -256,9 +420,27 @@
   const Row Rows[] = {
       {"no step-down", makeNoStepDown, 2, 3, All, 300, "ONE",
        othersThan(Invariant::One)},
-      {"no step-down", makeNoStepDown, 2, 3, All, 300, "LOST",
-       othersThan(Invariant::Lost)},
-      {"ends of logs not compared", make<IgnoresEnds>, 2, 3, All, 300, "LOST",
+      {"no step-down",
+       makeNoStepDown,
+       2,
+       3,
+       All,
+       300,
+       "LOST",
+       othersThan(Invariant::Lost),
+       {},
+       makeRule<AnyReplicaSuffices>},
+      {"any replica suffices",
+       make<PresentLogic>,
+       2,
+       3,
+       All,
+       4000,
+       "LOST",
+       othersThan(Invariant::Lost),
+       {},
+       makeRule<AnyReplicaSuffices>},
+      {"ends of logs not compared", make<IgnoresEnds>, 2, 3, All, 4000, "LOST",
        othersThan(Invariant::Lost)},
       {"two entry VMs, all faults", make<PresentLogic>, 2, 3, HeldUp, 4000, ""},
       {"three entry VMs, orders are held up",
@@ -272,15 +454,55 @@
        AtOrders},
       {"three entry VMs, servers do not restart", make<PresentLogic>, 3, 4,
        NoRestarts, 4000, ""},
+      {"a primary returns", make<PresentLogic>, 2, 3, Returns, 4000, ""},
+      {"a server leaves", make<PresentLogic>, 2, 4, Drains, 4000, ""},
+      {"a server leaves, reports are late",
+       make<PresentLogic>,
+       2,
+       4,
+       Drains,
+       4000,
+       "",
+       {},
+       {},
+       makeRule<PresentHolders>,
+       false},
+      {"orders take effect late",
+       make<PresentLogic>,
+       3,
+       3,
+       CutOrders,
+       4000,
+       "",
+       {},
+       AtOrders,
+       makeRule<PresentHolders>,
+       true,
+       std::chrono::seconds(6)},
+      {"few faults, reports are late",
+       make<PresentLogic>,
+       1,
+       3,
+       FewFaults,
+       4000,
+       "",
+       {},
+       {},
+       makeRule<PresentHolders>,
+       false},
   };
   for (const Row &R : Rows) {
     ExplorerOptions Options;
     Options.Make = R.Make;
+    Options.MakeAcknowledgement = R.Rule;
+    Options.Skipped = Skipped;
     Options.MakeProof = makeProof<PresentProof>;
     Options.Vms = R.Vms;
     Options.Servers = R.Servers;
     Options.Limits = R.Limits;
     Options.Unchecked = R.Unchecked;
+    Options.ObservesAtOnce = R.ObservesAtOnce;
+    Options.LongestEffect = R.LongestEffect;
     Options.FaultySteps = R.FaultySteps;
     Options.Waits = {200, 500, 700, 900, 1500, 3900, 4802};
     std::map<std::string, std::uint64_t> Gaps;
@@ -336,6 +558,8 @@
   for (const Row &R : Rows) {
     ExplorerOptions Options;
     Options.Make = R.Make;
+    Options.MakeAcknowledgement = makeRule<PresentHolders>;
+    Options.Skipped = Skipped;
     Options.Vms = R.Vms;
     Options.Limits = R.Limits;
     Options.Waits = {200, 700};
--- a/src/policy/testing/TakeoverFairness.cpp
+++ b/src/policy/testing/TakeoverFairness.cpp
@@ -53,7 +53,8 @@
       this->apply({Kind::Commit, this->M->leader(), 0});
     }
     for (const ExplorerEvent &E : this->M->enabled(false))
-      if (E.Kind == Kind::Deliver && this->M->isEnabled(E))
+      if ((E.Kind == Kind::Deliver || E.Kind == Kind::Register) &&
+          this->M->isEnabled(E))
         this->apply(E);
   }
 
@@ -113,11 +114,11 @@
   FairSchedule Fair(M, R);
   do {
     Fair.runTick(Stopped ? By : std::nullopt, Rng);
-  } while (M.Violation.empty() && !(M.isLed() && M.isLastAcknowledged()) &&
+  } while (M.Violation.empty() && !(M.isLed() && M.isLastPassed()) &&
            M.now() - Since <= Bound);
   R.Outage = M.now() - Since;
   R.Takeovers = M.Takeovers;
-  if (!M.Violation.empty() && !M.Gap)
+  if (M.isBroken())
     R.Violation = M.Violation;
   else if (M.Violation.empty() && R.Outage > Bound)
     R.Violation = std::string(nameOf(Invariant::Live)) +
--- a/src/policy/testing/TakeoverModel.cpp
+++ b/src/policy/testing/TakeoverModel.cpp
@@ -3,18 +3,26 @@
 #include <algorithm>
 
 namespace amaranthspur::testing::detail {
-namespace {
-
-/// Returns a bit for each commit in \p Log.
-std::uint32_t commitsIn(const std::vector<Entry> &Log) {
-  std::uint32_t Commits = 0;
-  for (const Entry &E : Log)
-    Commits |= 1U << E.Commit;
-  return Commits;
+TakeoverModel::TakeoverModel(const ExplorerOptions &Options)
+    : Options(&Options) {
+  this->Servers.resize(Options.Servers);
+  this->Vms.resize(Options.Vms);
+  for (Server &S : this->Servers)
+    S.Log = {{1, 0, 0}};
+  this->Servers[0].Primary = true;
+  this->Led[0] = FirstTerm;
+  for (std::size_t V = 0; V < Options.Vms; ++V) {
+    this->Vms[V].Believed = 0;
+    this->Vms[V].Claim = TakeoverClaim(vmId(V));
+    if (Options.PrimaryHidden)
+      this->Cuts.insert({V, 0});
+  }
+  this->Rule = Options.MakeAcknowledgement();
+  for (std::size_t S = 0; S < this->Servers.size(); ++S)
+    this->hear(S);
+  this->observeProof(FirstTerm, this->Events);
 }
 
-} // namespace
-
 ServerReport TakeoverModel::report(const Server &S) const {
   ServerReport R;
   R.Role = S.Primary ? ServerRole::Primary : ServerRole::Replica;
@@ -53,23 +61,35 @@
   return true;
 }
 
+std::optional<std::size_t> TakeoverModel::registeredPrimary() const {
+  // A registered server registers its change of role at once, so the entry VMs
+  // know the primary of the latest term even if they cannot reach it.
+  const Server &Latest = this->Servers[this->Leader];
+  if (Latest.Gone || !Latest.Primary)
+    return std::nullopt;
+  if (this->isListed(this->Leader))
+    return this->Leader;
+  if (Latest.Predecessor && this->isListed(*Latest.Predecessor))
+    return Latest.Predecessor;
+  return std::nullopt;
+}
+
 void TakeoverModel::plan(std::size_t V) {
   Vm &M = this->Vms[V];
   M.Plan.clear();
+  M.Inputs = 0;
   M.Given = Order{};
   M.Given.Vm = V;
-  // A server registers its change of role at once, so the entry VM knows the
-  // primary of the latest term even if it cannot reach it.
-  M.Believed = this->Leader;
-  const Server &Latest = this->Servers[this->Leader];
-  if (Latest.Gone || !Latest.Primary)
-    M.Believed.reset();
+  // The entry VM may know an earlier state of the registrations. That is a plan
+  // that was made earlier, so this one need not lag.
+  M.Believed = this->registeredPrimary();
   for (std::size_t S = 0; S < this->Servers.size(); ++S) {
-    if (this->Servers[S].Gone)
+    if (!this->isListed(S))
       continue;
     TakeoverServer T;
     T.Id = idOf(S);
     T.OldPrimary = M.Believed == S;
+    T.Draining = this->Servers[S].Draining;
     // The entry VMs prefer different targets.
     T.DistanceFromHere = S % this->Vms.size() == V ? Distance::SameDataCentre
                                                    : Distance::OtherRegion;
@@ -78,10 +98,13 @@
     M.Given.OldReached =
         M.Given.OldReached || (T.OldPrimary && T.Report.has_value());
     M.Plan.push_back(T);
+    mix(M.Inputs, S * 8 + 4UL * T.OldPrimary + 2UL * T.Draining +
+                      (T.OldPrimary && T.Report));
   }
   M.Given.Old = M.Believed;
   if (reasonAgainstTakeover(M.Plan))
     return;
+  mix(M.Inputs, nextTerm(M.Plan));
   M.Now = Doing::Claiming;
   M.Undoing = false;
   M.Begun = this->Now;
@@ -91,8 +114,11 @@
 void TakeoverModel::undo(std::size_t V) {
   Vm &M = this->Vms[V];
   M.Stranded.clear();
-  for (const std::size_t S : this->stranded(V))
+  M.Inputs = 0;
+  for (const std::size_t S : this->stranded(V)) {
     M.Stranded.push_back(idOf(S));
+    mix(M.Inputs, S);
+  }
   M.Now = Doing::Claiming;
   M.Undoing = true;
   M.Begun = this->Now;
@@ -119,7 +145,6 @@
   M.OrderBy = M.Begun + TakeoverClaim::OrderSpan;
   M.Outcome = ClaimOutcome{Before, false, false, 0, {}};
   M.Now = Doing::Acting;
-  M.Inputs = 0;
   if (M.Undoing) {
     M.Action = TakeoverAction{};
     if (TakeoverClaim::mayUndo(M.Begun, this->Now)) {
@@ -129,8 +154,6 @@
     }
     return;
   }
-  for (const TakeoverServer &S : M.Plan)
-    mix(M.Inputs, S.Report.has_value());
   mix(M.Inputs, Before.Target ? indexOf(*Before.Target) : 99);
   M.Logic = this->Options->Make(M.Plan, Before.Target, M.Begun);
   this->decide(V);
@@ -170,7 +193,10 @@
 
 void TakeoverModel::order(std::size_t V, Kind How) {
   Vm &M = this->Vms[V];
-  if (this->mustRenew(M)) {
+  // Time has passed since a call that is given up was sent.
+  const bool Renews =
+      How == Kind::GiveUp ? !M.WaitsForOrder : this->mustRenew(M);
+  if (Renews) {
     const ClaimCheck Check = this->confirm(V, How);
     if (Check != ClaimCheck::Held) {
       mix(M.Inputs, 77 + static_cast<std::size_t>(Check));
@@ -249,9 +275,10 @@
     M.Given.LastRead = this->Events;
     std::vector<TakeoverServer> Listed;
     for (std::size_t I = 0; I < this->Servers.size(); ++I)
-      if (!this->Servers[I].Gone) {
+      if (this->isListed(I)) {
         mix(M.Inputs, I);
         Listed.emplace_back().Id = idOf(I);
+        Listed.back().Draining = this->Servers[I].Draining;
       }
     if (How == Kind::Step)
       Logic->recordServers(Listed);
@@ -293,66 +320,6 @@
   this->decide(V);
 }
 
-bool TakeoverModel::isUnseen(std::uint32_t Lost, const Order &O) const {
-  for (std::size_t C = 0; C < MaxCommits; ++C)
-    if ((Lost & (1U << C)) != 0 &&
-        O.Answered[this->Witnesses[C].Replica] >= this->Witnesses[C].At)
-      return false;
-  return true;
-}
-
-bool TakeoverModel::isHeldByNone(std::uint32_t Lost, const Order &O) const {
-  for (std::size_t S = 0; S < this->Servers.size(); ++S)
-    for (const Entry &E : this->Servers[S].Log)
-      if (O.Old != S && (Lost & (1U << E.Commit)) != 0)
-        return false;
-  return true;
-}
-
-void TakeoverModel::violate(Invariant What, const std::string &Text) {
-  if (this->Options->Unchecked.count(What) == 0)
-    this->Violation = std::string(nameOf(What)) + ": " + Text;
-}
-
-void TakeoverModel::violate(Invariant What, const std::string &Text,
-                            std::uint32_t Lost, const Order &O) {
-  this->violate(What, Text);
-  if (this->Violation.empty())
-    return;
-  if (O.Late)
-    this->Gap = TakeoverGap::LateOrder;
-  if (!O.OldReached && this->isHeldByNone(Lost, O))
-    this->Gap = TakeoverGap::SoleHolder;
-  if (!this->isUnseen(Lost, O))
-    return;
-  if (!O.OldReached && this->LastRelease > O.LastRead)
-    this->Gap = TakeoverGap::UnreachablePrimary;
-  if (O.SteppedDownAt != 0 && this->OldRestarted > O.SteppedDownAt)
-    this->Gap = TakeoverGap::RestartedPrimary;
-}
-
-void TakeoverModel::acknowledge(std::size_t Primary, std::size_t Replica) {
-  const Server &X = this->Servers[Primary];
-  for (const Entry &E : X.Log) {
-    const std::uint32_t Bit = 1U << E.Commit;
-    if ((this->Acknowledged & Bit) != 0)
-      continue;
-    this->Acknowledged |= Bit;
-    this->Witnesses[E.Commit] = {Replica, this->Events};
-    if (X.TermNumber >= this->LeaderTerm)
-      continue;
-    this->Removed |= Bit;
-    this->Stray |= Bit;
-    // The rule excuses a primary that the holder could not reach.
-    const Order &O = this->Effects.at(X.TermNumber + 1);
-    if (O.OldReached || (O.Old && O.Old != Primary))
-      this->violate(Invariant::One,
-                    "a superseded primary acknowledges commit " +
-                        std::to_string(E.Commit),
-                    Bit, O);
-  }
-}
-
 void TakeoverModel::checkStranded(std::size_t V) {
   // A server whose call was lost, or that could not be reached, is resumed
   // later, under another claim.
@@ -374,11 +341,31 @@
   X.Held = 0;
   X.Primary = S == this->Leader;
   X.Deaf = false;
-  this->LastRelease = this->Events;
+  ++X.Start;
+  X.RestartedAt = this->Events;
   if (X.Primary)
     this->OldRestarted = this->Events;
 }
 
+void TakeoverModel::comeBack(std::size_t S) {
+  Server New = this->Servers[S];
+  New.Running = true;
+  New.Registered = this->registersAtOnce();
+  New.Predecessor = S;
+  New.Draining = false;
+  this->Servers.push_back(New);
+  const std::size_t Index = this->Servers.size() - 1;
+  Server &Old = this->Servers[S];
+  Old.Gone = true;
+  Old.Expiring = Old.Registered && !New.Registered;
+  Old.Log.clear();
+  if (this->Leader == S) {
+    this->Leader = Index;
+    this->Led[Index] = this->LeaderTerm;
+  }
+  this->restart(Index);
+}
+
 void TakeoverModel::takeEffect(Order &O) {
   O.Pending = false;
   Server &X = this->Servers[O.Target];
@@ -390,6 +377,8 @@
   X.TermNumber = this->LeaderTerm;
   this->Led[O.Target] = this->LeaderTerm;
   ++this->Takeovers;
+  O.Late = O.Late || this->Now - O.ArrivedAt > TakeoverClaim::Lease;
+  O.TookEffectAt = this->Events;
   this->Effects[this->LeaderTerm] = O;
   // The platform counts the terms that were led; a pause under a later term
   // stays.
@@ -397,12 +386,15 @@
     if (S.Held <= this->LeaderTerm)
       S.Held = 0;
   const std::uint32_t Held = commitsIn(X.Log);
-  const std::uint32_t Lost = this->Acknowledged & ~this->Removed & ~Held;
+  const std::uint32_t Lost = this->Passed & ~this->Removed & ~Held;
+  for (std::size_t C = 0; C < this->Commits; ++C)
+    if ((this->Acknowledged & ~this->Removed & ~Held & (1U << C)) != 0)
+      this->Written[C].RemovedBy = this->LeaderTerm;
   this->Removed |= ((1U << this->Commits) - 1) & ~Held & this->Acknowledged;
   if (Lost != 0)
     this->violate(Invariant::Lost,
                   "the promoted server " + idOf(O.Target).str() +
-                      " lacks acknowledged commits " + std::to_string(Lost),
+                      " lacks reported commits " + std::to_string(Lost),
                   Lost, O);
   if (!this->Violation.empty() && !this->Gap && (Held & this->Stray) != 0)
     this->Gap = TakeoverGap::StrayCommit;
@@ -412,9 +404,9 @@
   Proving &P = this->Vms[V].Proof;
   P = Proving{};
   P.Leader = S;
+  P.Since = this->Events;
   P.TermNumber = this->Led[S];
-  P.Missing =
-      this->Acknowledged & ~this->Removed & ~commitsIn(this->Servers[S].Log);
+  P.Missing = this->Counted & ~this->Removed & ~commitsIn(this->Servers[S].Log);
   P.Logic = this->Options->MakeProof(P.TermNumber);
 }
 
@@ -437,7 +429,7 @@
   }
   std::vector<ServerId> Others;
   for (std::size_t I = 0; I < this->Servers.size(); ++I)
-    if (I != P.Leader && !this->Servers[I].Gone)
+    if (I != P.Leader && this->View[I].Listed)
       Others.push_back(idOf(I));
   if (Logic->state(Others) == ProofState::Proved && P.Missing != 0)
     this->violate(Invariant::Stale,
@@ -445,6 +437,8 @@
                       " is proved to lead and lacks acknowledged commits " +
                       std::to_string(P.Missing));
   P.Logic = std::move(Logic);
+  if (P.Logic->state(Others) == ProofState::Proved)
+    this->observeProof(P.TermNumber, P.Since);
   if (P.Logic->state(Others) == ProofState::Proved ||
       P.Logic->state(Others) == ProofState::Superseded)
     P = Proving{};
--- a/src/policy/testing/TakeoverModel.h
+++ b/src/policy/testing/TakeoverModel.h
@@ -15,14 +15,17 @@
 using Kind = ExplorerEventKind;
 
 inline constexpr std::size_t MaxServers = 8;
-inline constexpr std::size_t MaxCommits = 30;
+inline constexpr std::size_t MaxCommits = 8;
 /// Operand of Kind::Ask for the claim row.
 inline constexpr std::size_t ClaimRowOperand = MaxServers;
 
 struct Entry {
   std::uint8_t TermNumber = 0;
-  std::uint8_t Commit = 0; ///< Number of the commit, below 32.
-  bool operator==(const Entry &) const = default;
+  std::uint8_t Commit = 0;      ///< Number of the commit, below MaxCommits.
+  std::uint16_t ReceivedAt = 0; ///< Event at which the server received it.
+  bool operator==(const Entry &Other) const {
+    return this->TermNumber == Other.TermNumber && this->Commit == Other.Commit;
+  }
 };
 
 struct Server {
@@ -33,16 +36,29 @@
   Term TermNumber = 1;
   Term Held = 0; ///< Not zero while it is paused.
   std::vector<Entry> Log;
+  bool Registered = true;
+  bool Draining = false;
+  bool Expiring = false;         ///< It is gone, and its registration is not.
+  std::uint64_t Start = 1;       ///< Differs after a restart.
+  std::uint64_t RestartedAt = 0; ///< Event.
+  std::uint64_t ResumedAt = 0;   ///< Event.
+  std::optional<std::size_t> Predecessor; ///< Its id before its return.
 };
 
+/// Returns a bit for each commit in \p Log.
+inline std::uint32_t commitsIn(const std::vector<Entry> &Log) {
+  std::uint32_t Commits = 0;
+  for (const Entry &E : Log)
+    Commits |= 1U << E.Commit;
+  return Commits;
+}
+
 /// Time limit of a call. A sender that runs gives the call up by then.
 inline constexpr Duration CallLimit = milliseconds(700);
 /// Time after that limit by which the kernel of a suspended sender has given
 /// the connection up, because data is not acknowledged (TCP_USER_TIMEOUT, which
 /// is set to the limit of the call, and its timer).
 inline constexpr Duration KernelSlack = milliseconds(300);
-/// Longest time between the arrival of an order and its effect.
-inline constexpr Duration EffectLimit = milliseconds(1000);
 /// Time for which a holder waits for the effect of its order.
 inline constexpr Duration EffectTimeout = milliseconds(2500);
 
@@ -51,7 +67,9 @@
   std::size_t Vm = 0;
   std::uint64_t Fence = 0;
   TimePoint ArrivedAt{};
-  bool Late = false; ///< It arrived after the time limit of its call.
+  std::uint64_t TookEffectAt = 0; ///< Event.
+  bool Late = false; ///< It arrived after the time limit of its call, or took
+                     ///< effect after the lease.
   std::optional<std::size_t> Old;
   bool Pending = true;
   bool OldReached = false;         ///< The old primary answered the holder.
@@ -85,15 +103,41 @@
   Order Given;            ///< Of Order.
 };
 
-/// The replica that a commit was acknowledged with, and when.
+/// The replica that a commit was acknowledged with, and when it received it.
 struct Witness {
   std::size_t Replica = 0;
   std::uint64_t At = 0;
+  bool Unheard = false;  ///< The observer had not heard of its last restart.
+  bool Draining = false; ///< The observer knew that it leaves.
+};
+
+/// A commit, as its writer knows it.
+struct Commit {
+  LogPosition Position;
+  std::size_t Primary = 0;
+  std::uint64_t SentAt = 0; ///< Event.
+  Term RemovedBy = 0;       ///< Promotion that has removed it last.
+  Witness Acknowledged;     ///< By the primary.
+  Witness Passed;           ///< On to the caller.
+};
+
+/// What the observer knows of a server.
+struct Observed {
+  bool Listed = false;
+  bool Draining = false;
+  std::uint64_t Start = 0;
+  std::uint64_t Since = 0;   ///< Event at which it heard of the registration.
+  std::size_t LogLength = 0; ///< When it heard that the server leaves.
+  LogPosition End;           ///< Reported as a replica while it was listed.
+  Term ProvedTerm = 0;       ///< Lowest of a proof since then; 0 if none.
+  Term Led = 0;              ///< Reported as a primary while it was listed.
+  LogPosition UnlistedEnd;   ///< Reported while it was not.
 };
 
 /// A proof that an entry VM is making.
 struct Proving {
   std::size_t Leader = 0;
+  std::uint64_t Since = 0; ///< Event at which it was begun.
   Term TermNumber = 0;
   std::uint32_t Missing = 0; ///< Commits that its log lacked at the beginning.
   std::set<std::size_t> Asked;
@@ -121,8 +165,9 @@
   TakeoverAction Action;
   std::vector<std::size_t> Pending; ///< Servers that the step has yet to call.
   ServerReports Answers;
-  bool Waiting = false;  ///< It waits for the answer to a held-up call.
-  std::size_t Asked = 0; ///< The server of that call.
+  bool Waiting = false;       ///< It waits for the answer to a held-up call.
+  bool WaitsForOrder = false; ///< That call is an order.
+  std::size_t Asked = 0;      ///< The server of that call.
   TimePoint Ordered{};
   Order Given;          ///< The facts of the present takeover.
   ClaimOutcome Outcome; ///< What is known when the claim is released.
@@ -153,20 +198,7 @@
 /// The state of the group and of the entry VMs.
 class TakeoverModel {
 public:
-  explicit TakeoverModel(const ExplorerOptions &Options) : Options(&Options) {
-    this->Servers.resize(Options.Servers);
-    this->Vms.resize(Options.Vms);
-    for (Server &S : this->Servers)
-      S.Log = {{1, 0}};
-    this->Servers[0].Primary = true;
-    this->Led[0] = FirstTerm;
-    for (std::size_t V = 0; V < Options.Vms; ++V) {
-      this->Vms[V].Believed = 0;
-      this->Vms[V].Claim = TakeoverClaim(vmId(V));
-      if (Options.PrimaryHidden)
-        this->Cuts.insert({V, 0});
-    }
-  }
+  explicit TakeoverModel(const ExplorerOptions &Options);
 
   std::vector<ExplorerEvent> enabled(bool Coarse) const;
   bool isEnabled(const ExplorerEvent &E) const;
@@ -180,9 +212,9 @@
     return S.Running && !S.Gone && S.Primary;
   }
   std::size_t leader() const { return this->Leader; }
-  /// Returns whether the last commit has been acknowledged.
-  bool isLastAcknowledged() const {
-    return (this->Acknowledged & (1U << (this->Commits - 1U))) != 0;
+  /// Returns whether the acknowledgement of the last commit has been passed on.
+  bool isLastPassed() const {
+    return (this->Passed & (1U << (this->Commits - 1U))) != 0;
   }
   /// Returns for how long the order \p Index has been pending.
   Duration pendingFor(std::size_t Index) const {
@@ -193,6 +225,11 @@
 
   std::string Violation; ///< The name of the invariant, a colon, and the case.
   std::optional<TakeoverGap> Gap;
+  std::optional<OpenFault> Fault; ///< That is skipped.
+  /// Returns whether there is a violation that counts.
+  bool isBroken() const {
+    return !this->Violation.empty() && !this->Gap && !this->Fault;
+  }
   std::uint64_t Takeovers = 0;
 
 private:
@@ -211,8 +248,26 @@
   bool mayFail(const Vm &V, Kind How) const;
   /// Returns whether the present step of \p V sends a call that may be held up.
   bool maySend(const Vm &V) const;
-  /// Returns whether nothing is lost with the log of \p S.
   bool mayLeave(std::size_t S) const;
+  /// Returns whether a running replica other than \p S has the first \p Length
+  /// entries of its log.
+  bool isTransferred(std::size_t S, std::size_t Length) const;
+  /// Returns whether a server that joins is registered in the same event.
+  bool registersAtOnce() const {
+    const auto Limit = this->Options->Limits.find(Kind::Register);
+    return Limit != this->Options->Limits.end() && Limit->second == 0;
+  }
+  /// Returns whether the store has a registration of \p S.
+  bool isListed(std::size_t S) const {
+    const Server &X = this->Servers[S];
+    return X.Registered && (!X.Gone || X.Expiring);
+  }
+  /// Returns the primary that the registrations show.
+  std::optional<std::size_t> registeredPrimary() const;
+  /// Returns whether \p S is the old primary of \p O, under any id.
+  bool isOld(std::size_t S, const Order &O) const {
+    return O.Old && (O.Old == S || O.Old == this->Servers[S].Predecessor);
+  }
   std::vector<std::size_t> stranded(std::size_t V) const;
 
   void observeRow();
@@ -247,14 +302,64 @@
   /// Looks for servers that the takeover of \p V has kept from the new primary.
   void checkStranded(std::size_t V);
   void restart(std::size_t S);
+  void comeBack(std::size_t S);
+  /// Gives \p To the log of \p From.
+  void receive(std::size_t To, std::size_t From);
   /// Acknowledges all commits of \p Primary, whose log \p Replica has now.
   void acknowledge(std::size_t Primary, std::size_t Replica);
+  /// Reports a violation if the holder that has superseded \p Primary of the
+  /// term \p Led could reach it, and so could end its acknowledgement of \p C.
+  void checkSuperseded(std::size_t Primary, Term Led, std::size_t C);
+  /// Returns whether the acknowledgement of \p C counts when it is passed on.
+  bool isJudgedLater(std::size_t C, std::size_t Primary) const;
+  /// Returns what the observer would know of the registration of \p S.
+  Observed registration(std::size_t S) const;
+  bool mayHear(std::size_t S) const;
+  bool mayReport(std::size_t S) const;
+  void hear(std::size_t S);
+  void reportToObserver(std::size_t S);
+  void observeProof(Term T, std::uint64_t At);
+  /// Lets the observer learn what it learns at once, and pass on what it may.
+  void observe();
+  void pass(std::size_t C, std::size_t Holder);
+  /// Returns whether \p S restarted or was resumed after the last read of the
+  /// registrations for \p O.
+  bool isReleased(std::size_t S, const Order &O) const {
+    return std::max(this->Servers[S].RestartedAt, this->Servers[S].ResumedAt) >
+           O.LastRead;
+  }
+  /// Calls \p What with each order, and with what is known for the next ones.
+  template <typename Call> void forEachOrder(const Call &What) const {
+    for (const Order &O : this->Orders)
+      What(O);
+    for (const Vm &V : this->Vms)
+      if (V.Now == Doing::Acting)
+        What(V.Given);
+  }
+  /// Returns whether another acknowledgement may be passed on.
+  bool mayPassMore() const;
+  /// Adds what the observer knows to \p Hash.
+  void mixObserver(std::size_t &Hash) const;
+  /// Returns the time that stands for the event \p At.
+  static TimePoint timeOf(std::uint64_t At) {
+    return TimePoint(Duration(static_cast<Duration::rep>(At)));
+  }
   void takeEffect(Order &O);
-  /// Returns whether the holder heard from none of the replicas that \p Lost
-  /// were acknowledged with after that had happened.
-  bool isUnseen(std::uint32_t Lost, const Order &O) const;
-  /// Returns whether no server but the old primary has any of \p Lost.
+  /// Returns whether the holder has heard nothing of \p W since it received the
+  /// commit.
+  static bool isUnseen(const Witness &W, const Order &O) {
+    return O.Answered[W.Replica] < W.At;
+  }
+  /// Returns the gap in which \p Lost may be lost by \p O.
+  std::optional<TakeoverGap> gapOf(Invariant What, std::uint32_t Lost,
+                                   const Order &O) const;
+  /// Returns whether no registered server but the old primary has any of
+  /// \p Lost.
   bool isHeldByNone(std::uint32_t Lost, const Order &O) const;
+  bool isDepartureForgotten(Invariant What, std::uint32_t Lost,
+                            const Order &O) const;
+  /// Records a violation by a fault that is open.
+  void violate(OpenFault What, Invariant Broken, const std::string &Text);
   /// Records a violation, unless it is not to be checked.
   void violate(Invariant What, const std::string &Text);
   /// The same for lost commits, with the gap if it is one.
@@ -273,13 +378,17 @@
   std::vector<Order> Orders;
   std::map<Term, Order> Effects; ///< The promotions by term.
   std::uint8_t Commits = 1;
-  std::array<Witness, MaxCommits> Witnesses{};
+  std::array<Commit, MaxCommits> Written{};
   std::uint32_t Acknowledged = 1; ///< A bit for each commit.
+  std::uint32_t Answered = 1;     ///< Those that their first primary answered.
+  std::uint32_t Passed = 1;       ///< Those whose callers have been told.
+  std::uint32_t Counted = 1;      ///< Those that a proved primary must have.
   std::uint32_t Removed = 0;      ///< Those that a promotion has removed.
   std::uint32_t Stray = 0;        ///< Those of superseded primaries.
-  std::uint64_t LastRelease = 0;  ///< Last event that let a server receive.
   std::uint64_t OldRestarted = 0; ///< Last restart of Leader.
-  std::map<std::uint64_t, std::size_t> OrderedBy; ///< Entry VM by version.
+  std::array<Observed, MaxServers> View{};         ///< Of the observer.
+  std::shared_ptr<const AcknowledgementRule> Rule; ///< Of the observer.
+  std::map<std::uint64_t, std::size_t> OrderedBy;  ///< Entry VM by version.
   std::optional<Order> LastOrder; ///< That arrived, whatever the answer.
   std::uint64_t HighestFence = 0; ///< Of the orders that have arrived.
   std::vector<Call> InFlight;     ///< Calls that are held up.
--- a/src/policy/testing/TakeoverModelCalls.cpp
+++ b/src/policy/testing/TakeoverModelCalls.cpp
@@ -37,10 +37,11 @@
 }
 
 bool TakeoverModel::mayWait(Duration Time) const {
-  return std::none_of(
-      this->Orders.begin(), this->Orders.end(), [this, Time](const Order &O) {
-        return O.Pending && this->Now + Time - O.ArrivedAt > EffectLimit;
-      });
+  return std::none_of(this->Orders.begin(), this->Orders.end(),
+                      [this, Time](const Order &O) {
+                        return O.Pending && this->Now + Time - O.ArrivedAt >
+                                                this->Options->LongestEffect;
+                      });
 }
 
 Call TakeoverModel::makeCall(std::size_t V, std::size_t S) const {
@@ -96,7 +97,7 @@
     // A RESUME that was decided in time counts as part of the gap of an
     // unreachable primary; one that was decided later does not.
     if (X.Held != 0 && TakeoverClaim::mayUndo(C.Begun, C.SentAt))
-      this->LastRelease = this->Events;
+      X.ResumedAt = this->Events;
     X.Held = 0;
   }
 }
@@ -158,7 +159,8 @@
 }
 
 void TakeoverModel::holdUp(std::size_t V, std::size_t S) {
-  if (this->makeCall(V, S).What == CallKind::Order)
+  this->Vms[V].WaitsForOrder = this->makeCall(V, S).What == CallKind::Order;
+  if (this->Vms[V].WaitsForOrder)
     this->Vms[V].Claim.recordOrder(this->Vms[V].OrderBy + EffectTimeout, false);
   this->InFlight.push_back(this->makeCall(V, S));
   this->Vms[V].Waiting = true;
--- a/src/policy/testing/TakeoverModelEvents.cpp
+++ b/src/policy/testing/TakeoverModelEvents.cpp
@@ -10,7 +10,8 @@
 bool isFree(Kind K) {
   return K == Kind::Plan || K == Kind::Step || K == Kind::Arrive ||
          K == Kind::GiveUp || K == Kind::Deliver || K == Kind::Effect ||
-         K == Kind::Ask;
+         K == Kind::Ask || K == Kind::Register || K == Kind::Hear ||
+         K == Kind::Report;
 }
 
 } // namespace
@@ -26,15 +27,29 @@
 }
 
 bool TakeoverModel::mayLeave(std::size_t S) const {
-  // The log of a draining server is transferred to its successor before the
-  // server ends, so another replica has it.
+  const Server &X = this->Servers[S];
+  if (X.Primary)
+    return false;
+  // Without a limit for Drain, leaving is one event, and the whole log has been
+  // transferred to a successor before. Otherwise the server ends some time
+  // after the entry VMs have heard that it leaves. What it had received then
+  // has been transferred; what it receives afterwards ends with it.
+  if (this->Options->Limits.count(Kind::Drain) == 0)
+    return this->isTransferred(S, X.Log.size());
+  return X.Draining && this->View[S].Draining &&
+         this->isTransferred(S, this->View[S].LogLength);
+}
+
+bool TakeoverModel::isTransferred(std::size_t S, std::size_t Length) const {
   const std::vector<Entry> &Log = this->Servers[S].Log;
   for (std::size_t I = 0; I < this->Servers.size(); ++I) {
     const Server &Other = this->Servers[I];
     if (I != S && I != this->Leader && !Other.Primary && !Other.Gone &&
-        Other.Running && Other.Log.size() >= Log.size() &&
-        std::equal(Log.begin(), Log.end(), Other.Log.begin()))
-      return !this->Servers[S].Primary;
+        Other.Running && Other.Log.size() >= Length && Log.size() >= Length &&
+        std::equal(Log.begin(),
+                   Log.begin() + static_cast<std::ptrdiff_t>(Length),
+                   Other.Log.begin()))
+      return true;
   }
   return false;
 }
@@ -46,7 +61,7 @@
       !this->Servers[*M.Believed].Primary)
     return Found;
   for (std::size_t S = 0; S < this->Servers.size(); ++S)
-    if (S != *M.Believed && this->reaches(V, S) &&
+    if (S != *M.Believed && this->isListed(S) && this->reaches(V, S) &&
         this->Servers[S].Held > this->Servers[*M.Believed].TermNumber)
       Found.push_back(S);
   return Found;
@@ -93,7 +108,7 @@
         Add(Kind::Prove, V, S);
     if (M.Proof.Logic) {
       for (std::size_t S = 0; S < this->Servers.size(); ++S)
-        if (S != M.Proof.Leader && !this->Servers[S].Gone &&
+        if (S != M.Proof.Leader && this->View[S].Listed &&
             M.Proof.Asked.count(S) == 0)
           Add(Kind::Ask, V, S);
       if (M.Proof.Asked.count(ClaimRowOperand) == 0)
@@ -106,9 +121,21 @@
   }
   for (std::size_t S = 0; S < this->Servers.size(); ++S) {
     const Server &X = this->Servers[S];
+    if (!this->Options->ObservesAtOnce && this->mayHear(S))
+      Add(Kind::Hear, S);
     if (X.Gone)
       continue;
-    if (X.Running && X.Primary && this->Commits < MaxCommits)
+    if (!this->Options->ObservesAtOnce && this->mayReport(S))
+      Add(Kind::Report, S);
+    if (X.Running && !X.Registered)
+      Add(Kind::Register, S);
+    if (X.Running && X.Registered && !X.Primary && !X.Draining)
+      Add(Kind::Drain, S);
+    if (!X.Running && X.Primary && this->Servers.size() < MaxServers)
+      Add(Kind::Return, S);
+    // Writes are sent to servers whose registrations are known.
+    if (X.Running && X.Primary && this->View[S].Listed &&
+        this->Commits < MaxCommits)
       Add(Kind::Commit, S);
     for (std::size_t T = 0; T < this->Servers.size(); ++T)
       if (this->mayDeliver(S, T))
@@ -183,12 +210,17 @@
     break;
   case Kind::Commit: {
     Server &X = this->Servers[E.A];
-    X.Log.push_back({static_cast<std::uint8_t>(X.TermNumber), this->Commits++});
+    Commit &New = this->Written[this->Commits];
+    X.Log.push_back({static_cast<std::uint8_t>(X.TermNumber), this->Commits++,
+                     static_cast<std::uint16_t>(this->Events)});
+    New.Position = {X.TermNumber, X.Log.size()};
+    New.Primary = E.A;
+    New.SentAt = this->Events;
     break;
   }
   case Kind::Deliver: {
     Server &Y = this->Servers[E.B];
-    Y.Log = this->Servers[E.A].Log;
+    this->receive(E.B, E.A);
     Y.TermNumber = this->Servers[E.A].TermNumber;
     Y.Primary = false;
     this->acknowledge(E.A, E.B);
@@ -198,11 +230,29 @@
     Server New = this->Servers[E.A];
     New.Primary = false;
     New.Held = 0;
+    New.Registered = this->registersAtOnce();
+    New.Draining = false;
+    New.Start = 1;
+    New.RestartedAt = 0;
+    New.ResumedAt = 0;
+    New.Predecessor.reset();
+    for (Entry &Copied : New.Log)
+      Copied.ReceivedAt = static_cast<std::uint16_t>(this->Events);
     this->Servers.push_back(New);
-    this->LastRelease = this->Events;
     this->acknowledge(E.A, this->Servers.size() - 1);
     break;
   }
+  case Kind::Register: {
+    Server &X = this->Servers[E.A];
+    X.Registered = true;
+    // An address belongs to the server with the latest start.
+    if (X.Predecessor)
+      this->Servers[*X.Predecessor].Expiring = false;
+    break;
+  }
+  case Kind::Drain:
+    this->Servers[E.A].Draining = true;
+    break;
   case Kind::Leave:
     this->Servers[E.A].Gone = true;
     this->Servers[E.A].Log.clear();
@@ -215,6 +265,9 @@
     if (this->Servers[E.A].Running)
       this->restart(E.A);
     break;
+  case Kind::Return:
+    this->comeBack(E.A);
+    break;
   case Kind::Deafen:
     this->Servers[E.A].Deaf = !this->Servers[E.A].Deaf;
     break;
@@ -227,10 +280,17 @@
   case Kind::Ask:
     this->ask(E.A, E.B);
     break;
+  case Kind::Hear:
+    this->hear(E.A);
+    break;
+  case Kind::Report:
+    this->reportToObserver(E.A);
+    break;
   case Kind::Wait:
     this->Now += milliseconds(E.A);
     break;
   }
+  this->observe();
 }
 
 std::size_t TakeoverModel::hash() const {
@@ -238,6 +298,8 @@
   for (const Server &S : this->Servers) {
     mix(H, S.Primary + 2 * S.Running + 4 * S.Gone + 8 * S.Deaf +
                16 * S.TermNumber + 1024 * S.Held);
+    mix(H, S.Registered + 2 * S.Draining + 4 * S.Expiring +
+               8 * S.Predecessor.value_or(9) + 128 * S.Start);
     for (const Entry &E : S.Log)
       mix(H, E.TermNumber * 64 + E.Commit);
     mix(H, 12345);
@@ -247,14 +309,13 @@
                128 * V.Expected + 8192 * V.Believed.value_or(9));
     mix(H, V.Claim.mayClaim(this->Now) + 2UL * V.Given.OldReached +
                4UL * (V.Given.SteppedDownAt != 0) +
-               8UL * (this->LastRelease > V.Given.LastRead) +
                16UL * (this->OldRestarted > V.Given.SteppedDownAt));
     mix(H, V.Proof.Inputs + 4UL * (V.Proof.Logic != nullptr) +
                8UL * (V.Proof.Missing != 0) + 16 * V.Proof.TermNumber);
     if (V.Now == Doing::Nothing)
       continue;
     mix(H, V.Inputs);
-    mix(H, V.Waiting + 2 * V.Asked);
+    mix(H, V.Waiting + 2 * V.Asked + 64 * V.WaitsForOrder);
     mix(H, (V.OrderBy - this->Now).count());
     mix(H, (V.Begun - this->Now).count());
     mix(H, (V.Ordered - this->Now).count());
@@ -272,7 +333,6 @@
     mix(H, static_cast<std::size_t>(K) * 64 + Count);
   for (const Order &O : this->Orders)
     mix(H, O.Target * 64 + O.Vm * 8 + O.Pending * 4UL + O.OldReached * 2UL +
-               (this->LastRelease > O.LastRead) +
                512UL * (this->OldRestarted > O.SteppedDownAt) +
                1024UL * O.Late);
   if (this->LastOrder)
@@ -288,12 +348,7 @@
     mix(H, static_cast<std::size_t>(C.Step) * 64 + C.Given.Target);
     mix(H, C.SentAt.time_since_epoch().count());
   }
-  for (std::size_t C = 1; C < this->Commits; ++C) {
-    for (const Order &O : this->Orders)
-      mix(H, this->isUnseen(1U << C, O));
-    for (const Vm &V : this->Vms)
-      mix(H, this->isUnseen(1U << C, V.Given));
-  }
+  this->mixObserver(H);
   mix(H, this->Acknowledged);
   mix(H, this->Removed);
   mix(H, this->Stray);
@@ -343,6 +398,8 @@
     return Text + " " + std::to_string(E.A) + " ms";
   if (E.Kind == Kind::Ask && E.B == ClaimRowOperand)
     return Text + " vm" + std::to_string(E.A) + " the claim row";
+  if (E.Kind == Kind::Hear || E.Kind == Kind::Report)
+    return Text + " to the observer of " + idOf(E.A).str();
   Text += IsVm ? " vm" + std::to_string(E.A) : " " + idOf(E.A).str();
   if (E.Kind == Kind::Prove || E.Kind == Kind::Ask || E.Kind == Kind::Cut ||
       E.Kind == Kind::Deliver)
--- a/src/policy/testing/TakeoverVariants.h
+++ b/src/policy/testing/TakeoverVariants.h
@@ -3,6 +3,7 @@
 #ifndef AMARANTHSPUR_POLICY_TESTING_TAKEOVERVARIANTS_H
 #define AMARANTHSPUR_POLICY_TESTING_TAKEOVERVARIANTS_H
 
+#include "policy/CommitHolders.h"
 #include "policy/testing/TakeoverExplorer.h"
 
 #include <algorithm>
@@ -280,6 +281,141 @@
   ProofState Found = ProofState::Open;
 };
 
+/// The rule for acknowledgements as it is.
+class PresentHolders : public AcknowledgementRule {
+public:
+  std::unique_ptr<AcknowledgementRule> clone() const override {
+    return std::make_unique<PresentHolders>(*this);
+  }
+  void setServers(const std::vector<RegisteredServer> &Servers,
+                  TimePoint Now) override {
+    this->Holders.setServers(Servers, Now);
+  }
+  void recordReport(const ServerId &Id, const ServerReport &Report) override {
+    this->Holders.observeReport(Id, Report);
+  }
+  void recordProof(Term, TimePoint At) override {
+    this->Holders.observeProof(At);
+  }
+  std::optional<ServerId> holderOf(LogPosition Commit,
+                                   const ServerId &Primary) const override {
+    return this->Holders.holderOf(Commit, Primary);
+  }
+
+protected:
+  CommitHolders Holders;
+};
+
+/// Passes on what the primary acknowledges, as before issue 37.
+class AnyReplicaSuffices final : public AcknowledgementRule {
+public:
+  std::unique_ptr<AcknowledgementRule> clone() const override {
+    return std::make_unique<AnyReplicaSuffices>(*this);
+  }
+  void setServers(const std::vector<RegisteredServer> &, TimePoint) override {}
+  void recordReport(const ServerId &, const ServerReport &) override {}
+  void recordProof(Term, TimePoint) override {}
+  std::optional<ServerId> holderOf(LogPosition,
+                                   const ServerId &Primary) const override {
+    return Primary;
+  }
+};
+
+/// Counts every replica that reports the commit, registered or not.
+class CountsUnregistered final : public PresentHolders {
+public:
+  std::unique_ptr<AcknowledgementRule> clone() const override {
+    return std::make_unique<CountsUnregistered>(*this);
+  }
+  void recordReport(const ServerId &Id, const ServerReport &Report) override {
+    PresentHolders::recordReport(Id, Report);
+    if (Report.Role == ServerRole::Replica)
+      this->Ends[Id] = std::max(this->Ends[Id], Report.Received);
+  }
+  std::optional<ServerId> holderOf(LogPosition Commit,
+                                   const ServerId &Primary) const override {
+    for (const auto &[Id, End] : this->Ends)
+      if (Id != Primary && End.TermNumber == Commit.TermNumber && End >= Commit)
+        return Id;
+    return std::nullopt;
+  }
+
+private:
+  std::map<ServerId, LogPosition> Ends;
+};
+
+/// Counts a registered server without a proof since its registration.
+class CountsNotEstablished final : public PresentHolders {
+public:
+  std::unique_ptr<AcknowledgementRule> clone() const override {
+    return std::make_unique<CountsNotEstablished>(*this);
+  }
+  void setServers(const std::vector<RegisteredServer> &Servers,
+                  TimePoint Now) override {
+    this->Holders.setServers(Servers, Now);
+    this->Holders.observeProof(Now);
+  }
+};
+
+/// Counts a server that is leaving although another one is registered.
+class CountsLeaving final : public PresentHolders {
+public:
+  std::unique_ptr<AcknowledgementRule> clone() const override {
+    return std::make_unique<CountsLeaving>(*this);
+  }
+  void setServers(const std::vector<RegisteredServer> &Servers,
+                  TimePoint Now) override {
+    std::vector<RegisteredServer> Staying = Servers;
+    for (RegisteredServer &R : Staying)
+      R.Draining = false;
+    this->Holders.setServers(Staying, Now);
+  }
+};
+
+/// Counts the primary itself when it reports as a replica.
+class CountsPrimary final : public PresentHolders {
+public:
+  std::unique_ptr<AcknowledgementRule> clone() const override {
+    return std::make_unique<CountsPrimary>(*this);
+  }
+  void recordReport(const ServerId &Id, const ServerReport &Report) override {
+    PresentHolders::recordReport(Id, Report);
+    if (Report.Role == ServerRole::Replica)
+      this->Ends[Id] = Report.Received;
+  }
+  std::optional<ServerId> holderOf(LogPosition Commit,
+                                   const ServerId &Primary) const override {
+    const auto Own = this->Ends.find(Primary);
+    if (Own != this->Ends.end() &&
+        Own->second.TermNumber == Commit.TermNumber && Own->second >= Commit)
+      return Primary;
+    return PresentHolders::holderOf(Commit, Primary);
+  }
+
+private:
+  std::map<ServerId, LogPosition> Ends;
+};
+
+/// Counts a server whose log ends later than the commit, in whatever term.
+class CountsAnyTerm final : public PresentHolders {
+public:
+  std::unique_ptr<AcknowledgementRule> clone() const override {
+    return std::make_unique<CountsAnyTerm>(*this);
+  }
+  std::optional<ServerId> holderOf(LogPosition Commit,
+                                   const ServerId &Primary) const override {
+    static constexpr Term MostTerms = 8;
+    std::optional<ServerId> Found = PresentHolders::holderOf(Commit, Primary);
+    for (Term T = Commit.TermNumber + 1; T <= MostTerms && !Found; ++T)
+      Found = PresentHolders::holderOf({T, 0}, Primary);
+    return Found;
+  }
+};
+
+template <typename Rule> std::unique_ptr<AcknowledgementRule> makeRule() {
+  return std::make_unique<Rule>();
+}
+
 template <typename Logic> std::unique_ptr<ProofLogic> makeProof(Term T) {
   return std::make_unique<Logic>(T);
 }
