--- a/src/policy/testing/TakeoverExplorer.h
+++ b/src/policy/testing/TakeoverExplorer.h
@@ -194,10 +194,10 @@
   StrayCommit,
 };
 
-/// Faults that the search has found and that are not mended yet
-/// (KNOWN-RED.txt). A search that skips one goes on to look for others, and
-/// counts it.
-enum class OpenFault {
+/// Faults that the search has found (issue 37). A search that skips one goes on
+/// to look for others, and counts it. ReceivedAfterPromotion is not mended yet
+/// (KNOWN-RED.txt).
+enum class FoundFault {
   /// A commit whose acknowledgement waits for a holder is received by an
   /// established server after the promotion that has removed it: the promotion
   /// ends the adoption of the server, which follows the old primary again.
@@ -209,8 +209,9 @@
   /// The server by which the acknowledgement was passed on has left, and the
   /// successor with its log is not registered. The old primary has stepped down
   /// and reports the commit, but a shorter log is promoted, since no registered
-  /// server has that end. The holder does not remember that a server left: the
-  /// explorer gives it no required end, as after a restart.
+  /// server has that end. The holder has to require the end of the log of the
+  /// old primary while it has no report of that since a server left
+  /// (Group::isLossCovered()).
   DepartureForgotten,
   /// A primary has crashed, is back under another id and steps down. It counts
   /// as a replica for the commits that it acknowledged under its earlier id: an
@@ -253,7 +254,7 @@
   /// LoseCall or HoldUp); any step for a missing kind.
   std::map<ExplorerEventKind, TakeoverStep> FaultySteps;
   std::set<Invariant> Unchecked; ///< Invariants that may be broken.
-  std::set<OpenFault> Skipped;
+  std::set<FoundFault> Skipped;
 };
 
 /// The first violation that was found.
@@ -348,8 +349,8 @@
            {What::Live, "LIVE"}});
 };
 
-template <> struct EnumNames<testing::OpenFault> {
-  using Fault = testing::OpenFault;
+template <> struct EnumNames<testing::FoundFault> {
+  using Fault = testing::FoundFault;
   static constexpr auto Entries =
       std::to_array<std::pair<Fault, std::string_view>>(
           {{Fault::ReceivedAfterPromotion, "received-after-promotion"},
--- a/src/policy/testing/TakeoverExplorerTest.cpp
+++ b/src/policy/testing/TakeoverExplorerTest.cpp
@@ -22,10 +22,11 @@
   return Others;
 }
 
-/// Faults that have a test of their own, which is listed in KNOWN-RED.txt.
-const std::set<OpenFault> Skipped = {
-    OpenFault::ReceivedAfterPromotion, OpenFault::EstablishedInLaterTerm,
-    OpenFault::DepartureForgotten, OpenFault::ReturnedPrimaryCounts};
+/// ReceivedAfterPromotion has a test of its own, which is listed in
+/// KNOWN-RED.txt. DepartureForgotten is a matter of the caller of the
+/// procedure, which the logic of most rows leaves out (LossNotCovered).
+const std::set<FoundFault> Skipped = {FoundFault::ReceivedAfterPromotion,
+                                      FoundFault::DepartureForgotten};
 
 /// Factor for the number of seeds, for long manual runs.
 unsigned rounds() {
@@ -292,36 +293,69 @@
   }
 }
 
-// Guards against known ways in which an acknowledgement is passed on that
-// the next primary does not have, or that comes after its promotion. They are
-// listed in KNOWN-RED.txt; the other searches skip them.
+/// A search for one of the faults that were found before.
+struct FaultSearch {
+  FoundFault Fault;
+  TakeoverFactory Make;
+  std::size_t Servers;
+  bool PrimaryHidden;
+  std::map<Kind, unsigned> Limits;
+  std::size_t Depth;
+  bool ObservesAtOnce = true;
+  std::vector<ExplorerEvent> First = {}; ///< Server 4 is the primary then.
+};
+
+void checkNotFound(const FaultSearch &S) {
+  CAPTURE(nameOf(S.Fault));
+  ExplorerOptions Options;
+  Options.Make = S.Make;
+  Options.MakeAcknowledgement = makeRule<PresentHolders>;
+  Options.MakeProof = makeProof<PresentProof>;
+  Options.Vms = 1;
+  Options.ObservesAtOnce = S.ObservesAtOnce;
+  Options.First = S.First;
+  Options.Servers = S.Servers;
+  Options.PrimaryHidden = S.PrimaryHidden;
+  Options.Limits = S.Limits;
+  Options.Unchecked = othersThan(Invariant::Lost);
+  Options.Skipped = Skipped;
+  Options.Skipped.erase(S.Fault);
+  const ExplorerResult Result = exploreAll(Options, S.Depth);
+  CAPTURE(Result.text());
+  CHECK(Result.Violation == "");
+  CHECK(Result.Events > 0);
+}
+
+// Guards against an acknowledgement that is passed on although a promotion has
+// removed the commit: a promotion ends the adoption of a replica, which follows
+// an old primary that the holder cannot reach. Listed in KNOWN-RED.txt.
 TEST_CASE("no reported commit is lost by an open fault") {
-  struct Row {
-    OpenFault Fault;
-    std::size_t Servers;
-    bool PrimaryHidden;
-    std::map<Kind, unsigned> Limits;
-    std::size_t Depth;
-    bool ObservesAtOnce = true;
-    std::vector<ExplorerEvent> First = {}; ///< Server 4 is the primary then.
-  };
-  const Row Rows[] = {
-      {OpenFault::ReceivedAfterPromotion,
-       3,
-       true,
-       {{Kind::Commit, 1}, {Kind::Join, 1}},
-       14},
-      {OpenFault::EstablishedInLaterTerm,
+  checkNotFound({FoundFault::ReceivedAfterPromotion,
+                 make<PresentLogic>,
+                 3,
+                 true,
+                 {{Kind::Commit, 1}, {Kind::Join, 1}},
+                 14});
+}
+
+// Guards against ways in which an acknowledgement was passed on for a commit
+// that the next primary did not have (issue 37).
+TEST_CASE("no reported commit is lost by a fault that was found before") {
+  const FaultSearch Rows[] = {
+      {FoundFault::EstablishedInLaterTerm,
+       make<PresentLogic>,
        3,
        true,
        {{Kind::Commit, 2}, {Kind::Join, 1}},
        16},
-      {OpenFault::DepartureForgotten,
+      {FoundFault::DepartureForgotten,
+       make<LossNotCovered>,
        4,
        false,
        {{Kind::Commit, 1}, {Kind::Join, 1}, {Kind::Leave, 1}},
        19},
-      {OpenFault::ReturnedPrimaryCounts,
+      {FoundFault::ReturnedPrimaryCounts,
+       make<PresentLogic>,
        3,
        false,
        {{Kind::Commit, 1},
@@ -343,26 +377,8 @@
         {Kind::Register, 4},
         {Kind::Hear, 4}}},
   };
-  for (const Row &R : Rows) {
-    CAPTURE(nameOf(R.Fault));
-    ExplorerOptions Options;
-    Options.Make = make<PresentLogic>;
-    Options.MakeAcknowledgement = makeRule<PresentHolders>;
-    Options.MakeProof = makeProof<PresentProof>;
-    Options.Vms = 1;
-    Options.ObservesAtOnce = R.ObservesAtOnce;
-    Options.First = R.First;
-    Options.Servers = R.Servers;
-    Options.PrimaryHidden = R.PrimaryHidden;
-    Options.Limits = R.Limits;
-    Options.Unchecked = othersThan(Invariant::Lost);
-    Options.Skipped = Skipped;
-    Options.Skipped.erase(R.Fault);
-    const ExplorerResult Result = exploreAll(Options, R.Depth);
-    CAPTURE(Result.text());
-    CHECK(Result.Violation == "");
-    CHECK(Result.Events > 0);
-  }
+  for (const FaultSearch &R : Rows)
+    checkNotFound(R);
 }
 
 // Guards against a read that a superseded primary answers because it is proved
--- a/src/policy/testing/TakeoverModel.h
+++ b/src/policy/testing/TakeoverModel.h
@@ -125,6 +125,9 @@
 /// What the observer knows of a server.
 struct Observed {
   bool Listed = false;
+  bool Primary = false; ///< As it has registered.
+  /// It has registered as a primary and not reported since.
+  bool LedUnknownTerm = false;
   bool Draining = false;
   std::uint64_t Start = 0;
   std::uint64_t Since = 0;   ///< Event at which it heard of the registration.
@@ -226,7 +229,7 @@
 
   std::string Violation; ///< The name of the invariant, a colon, and the case.
   std::optional<TakeoverGap> Gap;
-  std::optional<OpenFault> Fault; ///< That is skipped.
+  std::optional<FoundFault> Fault; ///< That is skipped.
   /// Returns whether there is a violation that counts.
   bool isBroken() const {
     return !this->Violation.empty() && !this->Gap && !this->Fault;
@@ -363,9 +366,9 @@
   /// \p Lost.
   bool isHeldByNone(std::uint32_t Lost, const Order &O) const;
   /// Returns the open fault by which \p Lost are lost by \p O.
-  std::optional<OpenFault> faultOf(std::uint32_t Lost, const Order &O) const;
+  std::optional<FoundFault> faultOf(std::uint32_t Lost, const Order &O) const;
   /// Records a violation by a fault that is open.
-  void violate(OpenFault What, Invariant Broken, const std::string &Text);
+  void violate(FoundFault What, Invariant Broken, const std::string &Text);
   /// Records a violation, unless it is not to be checked.
   void violate(Invariant What, const std::string &Text);
   /// The same for lost commits, with the gap if it is one.
--- a/src/policy/testing/TakeoverModelCommits.cpp
+++ b/src/policy/testing/TakeoverModelCommits.cpp
@@ -57,7 +57,7 @@
   const bool ByHolder = (this->Passed & (1U << C)) != 0 &&
                         this->Written[C].Passed.At > O.TookEffectAt;
   if (ByHolder && this->isJudgedLater(C, Primary))
-    this->violate(OpenFault::ReceivedAfterPromotion, Invariant::One, Text);
+    this->violate(FoundFault::ReceivedAfterPromotion, Invariant::One, Text);
   else
     this->violate(Invariant::One, Text, 1U << C, O);
 }
@@ -67,6 +67,8 @@
   const Observed &Known = this->View[S];
   Observed Next = Known;
   Next.Listed = this->isListed(S);
+  Next.LedUnknownTerm = Known.LedUnknownTerm || (X.Primary && !Known.Primary);
+  Next.Primary = X.Primary;
   Next.Draining = X.Draining;
   if (Next.Draining && !Known.Draining)
     Next.LogLength = X.Log.size();
@@ -85,7 +87,8 @@
   const Observed &Known = this->View[S];
   return Next.Listed != Known.Listed ||
          (Next.Listed &&
-          (Next.Draining != Known.Draining || Next.Start != Known.Start));
+          (Next.Primary != Known.Primary || Next.Draining != Known.Draining ||
+           Next.Start != Known.Start));
 }
 
 bool TakeoverModel::mayReport(std::size_t S) const {
@@ -108,6 +111,7 @@
       continue;
     RegisteredServer &R = Listed.emplace_back();
     R.Id = idOf(I);
+    R.Role = Known.Primary ? ServerRole::Primary : ServerRole::Replica;
     R.Draining = Known.Draining;
     R.StartedAtMs = static_cast<std::int64_t>(Known.Start);
   }
@@ -119,6 +123,7 @@
 void TakeoverModel::reportToObserver(std::size_t S) {
   const ServerReport R = this->report(this->Servers[S]);
   Observed &Known = this->View[S];
+  Known.LedUnknownTerm = false;
   if (Known.Listed && this->Servers[S].Primary)
     Known.Led = std::max(Known.Led, R.TermNumber);
   else if (Known.Listed)
@@ -194,9 +199,9 @@
                              " is reported after a promotion has removed it";
     const Order &O = this->Effects.at(Known.RemovedBy);
     if (Holder != Known.Primary && Known.Passed.At > O.TookEffectAt)
-      this->violate(OpenFault::ReceivedAfterPromotion, Invariant::Lost, Text);
+      this->violate(FoundFault::ReceivedAfterPromotion, Invariant::Lost, Text);
     else if (Holder != Known.Primary && ProvedTerm > Known.Position.TermNumber)
-      this->violate(OpenFault::EstablishedInLaterTerm, Invariant::Lost, Text);
+      this->violate(FoundFault::EstablishedInLaterTerm, Invariant::Lost, Text);
     else
       this->violate(Invariant::Lost, Text, Bit, O);
   }
@@ -242,7 +247,7 @@
   return std::nullopt;
 }
 
-void TakeoverModel::violate(OpenFault What, Invariant Broken,
+void TakeoverModel::violate(FoundFault What, Invariant Broken,
                             const std::string &Text) {
   if (!this->Violation.empty())
     return;
@@ -266,13 +271,13 @@
   this->Gap = this->gapOf(What, Lost, O);
   if (What != Invariant::Lost || this->Gap)
     return;
-  const std::optional<OpenFault> Found = this->faultOf(Lost, O);
+  const std::optional<FoundFault> Found = this->faultOf(Lost, O);
   if (Found && this->Options->Skipped.count(*Found) != 0)
     this->Fault = Found;
 }
 
-std::optional<OpenFault> TakeoverModel::faultOf(std::uint32_t Lost,
-                                                const Order &O) const {
+std::optional<FoundFault> TakeoverModel::faultOf(std::uint32_t Lost,
+                                                 const Order &O) const {
   bool Left = O.SteppedDownAt != 0;
   bool Returned = true;
   for (std::size_t C = 0; C < MaxCommits; ++C) {
@@ -283,9 +288,9 @@
     Returned = Returned && Holder.Predecessor == this->Written[C].Primary;
   }
   if (Returned)
-    return OpenFault::ReturnedPrimaryCounts;
+    return FoundFault::ReturnedPrimaryCounts;
   if (Left)
-    return OpenFault::DepartureForgotten;
+    return FoundFault::DepartureForgotten;
   return std::nullopt;
 }
 
@@ -308,6 +313,7 @@
     if (!More)
       continue;
     mix(Hash, Known.ProvedTerm + 64 * Known.Led);
+    mix(Hash, Known.Primary + 2 * Known.LedUnknownTerm);
     mix(Hash, Known.End.TermNumber * 64 + Known.End.Index);
     mix(Hash, Known.UnlistedEnd.TermNumber * 64 + Known.UnlistedEnd.Index);
     // By which proofs and commits it may become established.
--- a/src/policy/testing/TakeoverVariants.h
+++ b/src/policy/testing/TakeoverVariants.h
@@ -52,6 +52,31 @@
   TakeoverProcedure Procedure;
 };
 
+/// Requires the end at the step-down, as the caller does while it has no report
+/// of the primary since a server left (Group::isLossCovered()).
+class LossNotCovered final : public PresentLogic {
+public:
+  using PresentLogic::PresentLogic;
+  std::unique_ptr<TakeoverLogic> clone() const override {
+    return std::make_unique<LossNotCovered>(*this);
+  }
+  TakeoverAction next(TimePoint Now) override {
+    const TakeoverAction Action = PresentLogic::next(Now);
+    this->Step = Action.Step;
+    return Action;
+  }
+  void recordAnswers(const ServerReports &Answers, TimePoint Now) override {
+    if (this->Step == TakeoverStep::StepDown)
+      for (const auto &[Id, Report] : Answers)
+        if (Report.Role == ServerRole::Replica)
+          this->Procedure.require({Report.Received, EndSource::OldPrimary, Id});
+    PresentLogic::recordAnswers(Answers, Now);
+  }
+
+private:
+  TakeoverStep Step = TakeoverStep::End;
+};
+
 /// Undoes adoptions whatever the time since the claim, as if a suspension had
 /// not been noticed.
 class UndoesLate final : public PresentLogic {
@@ -294,8 +319,8 @@
   void recordReport(const ServerId &Id, const ServerReport &Report) override {
     this->Holders.observeReport(Id, Report);
   }
-  void recordProof(Term, TimePoint At) override {
-    this->Holders.observeProof(At);
+  void recordProof(Term T, TimePoint At) override {
+    this->Holders.observeProof(T, At);
   }
   std::optional<ServerId> holderOf(LogPosition Commit,
                                    const ServerId &Primary) const override {
@@ -353,7 +378,7 @@
   void setServers(const std::vector<RegisteredServer> &Servers,
                   TimePoint Now) override {
     this->Holders.setServers(Servers, Now);
-    this->Holders.observeProof(Now);
+    this->Holders.observeProof(FirstTerm, Now);
   }
 };
 
