--- a/src/policy/CommitHolders.cpp
+++ b/src/policy/CommitHolders.cpp
@@ -86,8 +86,11 @@
 bool CommitHolders::mayBeHeld(const ServerId &Primary, Term T) const {
   for (const Counted &C : this->countedServers(Primary, T)) {
     const Holder &H = *C.Server;
-    const Term Leading = T != 0 ? T : H.FollowedTerm;
-    if (H.EstablishedTerm != 0 && H.AdoptedTerm <= Leading)
+    const Term Leading =
+        T != 0 ? T : std::max(H.FollowedTerm, H.EstablishedTerm);
+    // A server holds no term after a promotion, and follows the later one.
+    if (isEstablished(H, Leading) &&
+        std::max(H.FollowedTerm, H.AdoptedTerm) <= Leading)
       return true;
   }
   return false;
--- a/src/policy/testing/CommitHoldersTest.cpp
+++ b/src/policy/testing/CommitHoldersTest.cpp
@@ -213,3 +213,40 @@
   F.replica("b", {2, 7});
   CHECK(F.Holders.holderOf({2, 7}, ServerId("c")) == ServerId("b"));
 }
+
+// Guards against writes that are sent to a primary although no commit of it
+// could be reported as a success, and against writes that wait for nothing.
+TEST_CASE("a write needs a replica that may hold its commit") {
+  struct Row {
+    const char *Name;
+    Term Proved;   ///< 0: there is no proof.
+    Term Followed; ///< By b and c.
+    Term Adopted;  ///< By b and c; 0 if they hold no term.
+    Term Leading;  ///< 0 if it is not known.
+    bool MayBeHeld;
+  };
+  const Row Rows[] = {
+      {"they follow", 1, 1, 0, 1, true},
+      {"they follow, and the term of the primary is not known", 1, 1, 0, 0,
+       true},
+      {"there is no proof", 0, 1, 0, 1, false},
+      {"they hold a later term", 1, 1, 2, 1, false},
+      {"they hold a later term, and that of the primary is not known", 1, 1, 2,
+       0, false},
+      {"they hold the term that is led", 1, 1, 2, 2, true},
+      {"they follow a later primary and hold no term", 1, 2, 0, 1, false},
+      {"they were proved to be registered in a later term", 2, 1, 0, 1, false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    if (R.Proved != 0)
+      F.Holders.observeProof(R.Proved, at(10));
+    for (const char *Id : {"b", "c"}) {
+      ServerReport Report = report(ServerRole::Replica, {R.Followed, 4});
+      Report.AdoptedTerm = R.Adopted;
+      F.Holders.observeReport(ServerId(Id), Report);
+    }
+    CHECK(F.Holders.mayBeHeld(ServerId("a"), R.Leading) == R.MayBeHeld);
+  }
+}
