--- a/src/policy/LeavingLogs.h
+++ b/src/policy/LeavingLogs.h
@@ -26,9 +26,10 @@
 class LeavingLogs {
 public:
   /// Time after which every entry VM knows of a change of a registration that
-  /// this one knows of. In the record of issue 37 registrations took 20 to
-  /// 450 ms.
-  static constexpr Duration NoticeTime = std::chrono::seconds(1);
+  /// this one knows of: one whose long poll has gone silent notices after 5 s
+  /// and then reads the table (PlatformDirectory::PollTimeout,
+  /// TableReadTimeout).
+  static constexpr Duration NoticeTime = milliseconds(6500);
 
   /// Sets the registered servers of the group. A server that has restarted is
   /// a new one.
