--- a/src/policy/testing/CommitHoldersTest.cpp
+++ b/src/policy/testing/CommitHoldersTest.cpp
@@ -30,13 +30,13 @@
 struct Fixture {
   Fixture() { this->list({"a", "b", "c"}, 10); }
 
-  void list(std::vector<const char *> Ids, int Second) {
+  void list(const std::vector<const char *> &Ids, int Second) {
     this->Registered.clear();
     for (const char *Id : Ids)
       this->Registered.push_back(registration(Id));
     this->Holders.setServers(this->Registered, at(Second));
   }
-  void drain(std::vector<std::size_t> Indices) {
+  void drain(const std::vector<std::size_t> &Indices) {
     for (const std::size_t I : Indices)
       this->Registered[I].Draining = true;
     this->Holders.setServers(this->Registered, at(11));
