--- a/src/policy/testing/TakeoverVariants.h
+++ b/src/policy/testing/TakeoverVariants.h
@@ -61,7 +61,7 @@
     return std::make_unique<LossNotCovered>(*this);
   }
   TakeoverAction next(TimePoint Now) override {
-    const TakeoverAction Action = PresentLogic::next(Now);
+    TakeoverAction Action = PresentLogic::next(Now);
     this->Step = Action.Step;
     return Action;
   }
