--- a/src/policy/CommitHolders.h
+++ b/src/policy/CommitHolders.h
@@ -27,9 +27,16 @@
 // The server received the commit before it adopted a later term, and reports it
 // to every takeover that makes it adopt one. So the target's log reaches it.
 //
-// Gaps: the server leaves or restarts, and the primary falls silent before it
-// has reported the end of its log again; its registration expires while it
-// runs; it restarts under its id, and this entry VM has not heard of it.
+// Gaps:
+//  - The server leaves or restarts, and the primary falls silent before it has
+//    reported the end of its log again; its registration expires while it runs;
+//    it restarts under its id, and this entry VM has not heard of it.
+//  - A takeover whose old primary has stepped down need not wait for all
+//    adoptions. The old primary restarts and leads again with a server that has
+//    not adopted the term.
+//  - A promotion ends the adoptions. A replica that has not heard of it may
+//    receive from an old primary that the holder of the claim did not reach.
+//  - An order takes effect after another takeover has begun.
 //
 // The class sends no messages and reads no clock. Times are of the boot clock.
 #ifndef AMARANTHSPUR_POLICY_COMMITHOLDERS_H
--- a/src/policy/testing/LeavingLogsTest.cpp
+++ b/src/policy/testing/LeavingLogsTest.cpp
@@ -9,14 +9,15 @@
 
 namespace {
 
-TimePoint at(int Seconds) { return TimePoint(std::chrono::seconds(Seconds)); }
+/// Returns a time that counts in units of the notice time.
+TimePoint at(int Units) { return TimePoint(Units * LeavingLogs::NoticeTime); }
 
-/// A group of three servers, of which `c` has been leaving since second 10.
+/// A group of three servers, of which `c` has been leaving since time 10.
 struct Fixture {
   Fixture() { this->set({"c"}, 10); }
 
   /// Sets the servers, with those in \p Leaving leaving.
-  void set(const std::vector<std::string> &Leaving, int Second,
+  void set(const std::vector<std::string> &Leaving, int Time,
            std::int64_t StartOfC = 1) {
     std::vector<RegisteredServer> Listed;
     for (const char *Id : {"a", "b", "c"}) {
@@ -27,10 +28,10 @@
           std::find(Leaving.begin(), Leaving.end(), Id) != Leaving.end();
       Listed.push_back(R);
     }
-    this->Logs.setServers(Listed, at(Second));
+    this->Logs.setServers(Listed, at(Time));
   }
-  void end(const char *Id, std::uint64_t Index, int Second) {
-    this->Logs.observeEnd(ServerId(Id), {1, Index}, at(Second));
+  void end(const char *Id, std::uint64_t Index, int Time) {
+    this->Logs.observeEnd(ServerId(Id), {1, Index}, at(Time));
   }
 
   LeavingLogs Logs;
