Log the end that a target had to reach with the logs of leaving servers

takeover-step told a lower required end than the choice of the target used. The choice is unchanged.

--- a/src/policy/TakeoverProcedure.cpp
+++ b/src/policy/TakeoverProcedure.cpp
@@ -300,10 +300,11 @@
     return;
   }
   // The target may change when the old primary has stepped down.
+  const RequiredEnd Longest = this->longestLog();
   const std::optional<ServerId> Likely =
-      chooseTarget(this->Servers, this->longestLog().Position, this->Preferred);
+      chooseTarget(this->Servers, Longest.Position, this->Preferred);
   if (Likely)
-    this->promote(*Likely, this->Required);
+    this->promote(*Likely, Longest);
   else
     this->end(TakeoverEnd::GivenUp,
               "no server has received the log since a server left");
@@ -413,7 +414,7 @@
   if (this->others().size() < 2)
     this->fail("too few servers");
   else if (Found)
-    this->promote(*Found, this->Required);
+    this->promote(*Found, Longest);
   else
     this->fail("no server holds the longest log that was reported");
 }
