--- a/src/root/sessions/testing/StatementRunnerTest.cpp
+++ b/src/root/sessions/testing/StatementRunnerTest.cpp
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 using namespace amaranthspur;
+using linegroup::FakeServer;
 using linegroup::LineGroup;
 using linegroup::LinkFault;
 
@@ -116,6 +117,56 @@
   }
 }
 
+// Guards against an acknowledged commit that a takeover loses because the only
+// replica that holds it is one that the takeover does not ask: it has not
+// registered yet, or has registered after the others have adopted the next term
+// (issue 37).
+TEST_CASE("a commit is reported when a replica that takeovers ask holds it") {
+  struct Row {
+    const char *Name;
+    bool Received; ///< Whether b and c receive the commit.
+    Term Adopted;  ///< By b and c.
+    bool Joins;    ///< Whether d has joined and holds the commit.
+    bool Registered;
+    bool ReceivedLate; ///< Whether b and c receive it 60 ms later.
+    std::optional<AnswerCode> Code;
+  };
+  const Row Rows[] = {
+      {"all hold it", true, 1, false, false, false, std::nullopt},
+      {"only a server that has not registered", false, 1, true, false, false,
+       AnswerCode::OutcomeUnknown},
+      {"the others receive it late", false, 1, true, false, true, std::nullopt},
+      {"only a server that has registered during a takeover", false, 2, true,
+       true, false, AnswerCode::OutcomeUnknown},
+      {"a server that has registered, and no takeover", false, 1, true, true,
+       false, std::nullopt},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    REQUIRE(F.run("WRITE item data").succeeded());
+    for (const char *Id : {"b", "c"}) {
+      F.Group[Id].ReplicationStopped = !R.Received;
+      F.Group[Id].Adopted = R.Adopted;
+    }
+    if (R.Joins) {
+      FakeServer &Joined = F.Group.servers()["d"];
+      Joined.Id = ServerId("d");
+      Joined.Log = Joined.Applied = F.Group["a"].Log;
+    }
+    if (R.Registered)
+      F.Servers->configure(F.Servers->limits(), F.Group.registrations());
+    const auto ReceiveLate = [](Fixture &F) -> QCoro::Task<> {
+      co_await sleepFor(milliseconds(60));
+      F.Group["b"].ReplicationStopped = F.Group["c"].ReplicationStopped = false;
+      F.Group.replicateAll();
+    };
+    if (R.ReceivedLate)
+      ReceiveLate(F);
+    CHECK(F.run("WRITE item data").Code == R.Code);
+  }
+}
+
 // Guards against a write that a superseded primary acknowledges. Without
 // synchronous replicas the primary acknowledges a commit before a replica holds
 // it, so the acknowledgement does not prove that it still leads.
