--- /dev/null
+++ b/src/policy/CommitHolders.cpp
@@ -0,0 +1,90 @@
+#include "policy/CommitHolders.h"
+
+#include <algorithm>
+
+namespace amaranthspur {
+
+void CommitHolders::setServers(const std::vector<RegisteredServer> &Listed,
+                               TimePoint Now) {
+  std::map<ServerId, Holder> Next;
+  for (const RegisteredServer &R : Listed) {
+    const auto Known = this->Servers.find(R.Id);
+    Holder H;
+    if (Known != this->Servers.end() &&
+        Known->second.StartedAtMs == R.StartedAtMs)
+      H = Known->second;
+    else
+      H.RegisteredSince = Now;
+    H.StartedAtMs = R.StartedAtMs;
+    H.Draining = R.Draining;
+    Next.emplace(R.Id, H);
+  }
+  this->Servers = std::move(Next);
+}
+
+void CommitHolders::observeReport(const ServerId &Id,
+                                  const ServerReport &Report) {
+  const auto Found = this->Servers.find(Id);
+  if (Found == this->Servers.end())
+    return;
+  if (Report.Role == ServerRole::Primary)
+    Found->second.LedTerm = std::max(Found->second.LedTerm, Report.TermNumber);
+  else
+    this->observeReplica(Id, Report.Received);
+}
+
+void CommitHolders::observeReplica(const ServerId &Id, LogPosition End) {
+  const auto Found = this->Servers.find(Id);
+  if (Found != this->Servers.end())
+    Found->second.End = std::max(Found->second.End, End);
+}
+
+void CommitHolders::observeProof(TimePoint At) {
+  for (auto &[Id, H] : this->Servers)
+    H.Established = H.Established || H.RegisteredSince <= At;
+}
+
+bool CommitHolders::allOthersLeave(const ServerId &Primary) const {
+  return std::all_of(this->Servers.begin(), this->Servers.end(),
+                     [&Primary](const auto &Entry) {
+                       return Entry.first == Primary || Entry.second.Draining;
+                     });
+}
+
+std::vector<CommitHolders::Counted>
+CommitHolders::countedServers(const ServerId &Primary, Term T) const {
+  const bool AllLeave = this->allOthersLeave(Primary);
+  std::vector<Counted> Found;
+  for (const auto &[Id, H] : this->Servers)
+    if (Id != Primary && H.LedTerm < T && (AllLeave || !H.Draining))
+      Found.push_back({&Id, &H});
+  return Found;
+}
+
+std::optional<ServerId> CommitHolders::holderOf(LogPosition Commit,
+                                                const ServerId &Primary) const {
+  for (const Counted &C : this->countedServers(Primary, Commit.TermNumber))
+    if (C.Server->Established && holds(*C.Server, Commit))
+      return *C.Id;
+  return std::nullopt;
+}
+
+std::vector<ServerId> CommitHolders::candidates(LogPosition Commit,
+                                                const ServerId &Primary) const {
+  std::vector<ServerId> Ids;
+  for (const Counted &C : this->countedServers(Primary, Commit.TermNumber))
+    Ids.push_back(*C.Id);
+  return Ids;
+}
+
+std::optional<TimePoint>
+CommitHolders::proofNeeded(LogPosition Commit, const ServerId &Primary) const {
+  std::optional<TimePoint> Since;
+  for (const Counted &C : this->countedServers(Primary, Commit.TermNumber))
+    if (!C.Server->Established && holds(*C.Server, Commit))
+      Since =
+          std::min(Since.value_or(TimePoint::max()), C.Server->RegisteredSince);
+  return Since;
+}
+
+} // namespace amaranthspur
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -17,6 +17,7 @@
 void Group::start() {
   this->proveLeadership();
   this->samplePrimary();
+  this->findHolders();
   this->closeIdle();
 }
 
@@ -25,9 +26,12 @@
   this->ProveWake.wake();
   this->ProofChange.wake();
   this->SampleWake.wake();
+  this->CommitWake.wake();
+  this->HolderAnswered.wake();
   this->CloseWake.wake();
   this->MonitorWake.wake();
   this->ProofReceived.notifyAll();
+  this->HolderFound.notifyAll();
   this->PrimaryChange.notifyAll();
   co_await this->Tasks.waitUntilEmpty();
 }
@@ -36,6 +40,7 @@
                       const std::vector<RegisteredServer> &Servers) {
   this->Limits = NewLimits;
   const bool Changed = this->Beliefs.setServers(Servers);
+  this->Holders.setServers(Servers, bootNow());
   std::map<ServerId, std::shared_ptr<ServerPool>> Kept;
   std::size_t Remaining = 0;
   for (const RegisteredServer &Server : Servers) {
@@ -155,7 +160,7 @@
   if (!Known.Primary.empty() && Known.TermNumber != 0)
     this->Beliefs.observeLeader(Known.Primary, Known.TermNumber);
   if (Known.ProvedTerm != 0) {
-    this->Fresh.observeProof(Known.ProvedTerm, Known.ProvedAt);
+    this->recordProof(Known.ProvedTerm, Known.ProvedAt);
     if (Known.ReportedAt != TimePoint())
       this->Fresh.observeReport(Known.Position.TermNumber, Known.Position,
                                 Known.ReportedAt);
@@ -181,6 +186,109 @@
   const std::optional<BelievedPrimary> Leader = this->Beliefs.primary();
   if (A.Position && Leader && Leader->Id == Id && Leader->TermNumber != 0)
     this->Fresh.observeReport(Leader->TermNumber, *A.Position, SentAt);
+  const ServerBelief *Server = this->Beliefs.find(Id);
+  if (A.Position && Server && Server->Role == ServerRole::Replica) {
+    this->Holders.observeReplica(Id, *A.Position);
+    this->HolderFound.notifyAll();
+  }
+}
+
+void Group::recordProof(Term T, TimePoint At) {
+  this->Fresh.observeProof(T, At);
+  this->Holders.observeProof(At);
+  this->HolderFound.notifyAll();
+}
+
+const Group::AwaitedCommit *Group::firstAwaited() const {
+  for (const AwaitedCommit &C : this->Awaited)
+    if (!this->Holders.holderOf(C.Position, C.Primary))
+      return &C;
+  return nullptr;
+}
+
+QCoro::Task<std::optional<ServerId>>
+Group::awaitHolder(LogPosition Commit, ServerId Primary, TimePoint Deadline) {
+  std::optional<ServerId> Holder = this->Holders.holderOf(Commit, Primary);
+  if (Holder)
+    co_return Holder;
+  const auto Entry = this->Awaited.insert({Commit, Primary});
+  this->CommitWake.wake();
+  while (!Holder && !this->Stopping) {
+    const bool Notified = co_await this->HolderFound.wait(Deadline);
+    Holder = this->Holders.holderOf(Commit, Primary);
+    if (!Notified)
+      break;
+  }
+  this->Awaited.erase(Entry);
+  co_return Holder;
+}
+
+QCoro::Task<> Group::askHolder(ServerId Id) {
+  const TaskGroup::Guard Guard(this->Tasks);
+  if (!this->AskedForLog.insert(Id).second)
+    co_return;
+  co_await this->controlStatus(Id);
+  this->AskedForLog.erase(Id);
+  this->HolderAnswered.wake();
+}
+
+std::vector<ServerId> Group::holdersToAsk(const AwaitedCommit &For) const {
+  std::vector<ServerId> Ids;
+  const std::vector<ServerId> Candidates =
+      this->Holders.candidates(For.Position, For.Primary);
+  for (const ServerId &Id : this->Beliefs.readOrder(std::nullopt, steadyNow()))
+    if (std::find(Candidates.begin(), Candidates.end(), Id) != Candidates.end())
+      Ids.push_back(Id);
+  return Ids;
+}
+
+bool Group::isAsking(const std::vector<ServerId> &Servers) const {
+  return std::any_of(
+      Servers.begin(), Servers.end(),
+      [this](const ServerId &Id) { return this->AskedForLog.count(Id) > 0; });
+}
+
+QCoro::Task<> Group::findHolders() {
+  const TaskGroup::Guard Guard(this->Tasks);
+  LogPosition Last; // The last commit that is looked for.
+  Duration Delay = HolderRetryDelay;
+  bool AskAll = false;
+  const auto IsWanted = [this, &Last] {
+    const AwaitedCommit *First = this->firstAwaited();
+    return !this->Stopping && First && First->Position <= Last;
+  };
+  while (!this->Stopping) {
+    const AwaitedCommit *First = this->firstAwaited();
+    if (!First) {
+      co_await this->CommitWake.wait();
+      continue;
+    }
+    // Commits that came while replicas were asked begin with one replica again.
+    if (First->Position > Last) {
+      Last = this->Awaited.rbegin()->Position;
+      Delay = HolderRetryDelay;
+      AskAll = false;
+    }
+    const auto Since =
+        this->Holders.proofNeeded(First->Position, First->Primary);
+    if (Since) {
+      this->ProofWantedFor = std::max(this->ProofWantedFor, *Since);
+      this->ProveWake.wake();
+    }
+    std::vector<ServerId> Asked = this->holdersToAsk(*First);
+    if (!AskAll && Asked.size() > 1)
+      Asked.resize(1);
+    for (const ServerId &Id : Asked)
+      this->askHolder(Id);
+    AskAll = true;
+    const TimePoint Until = steadyNow() + HolderAnswerTime;
+    while (IsWanted() && this->isAsking(Asked) && steadyNow() < Until)
+      co_await this->HolderAnswered.wait(Until);
+    if (!IsWanted())
+      continue;
+    co_await sleepFor(Delay);
+    Delay = std::min(Delay * 2, LongestHolderRetryDelay);
+  }
 }
 
 void Group::observeCommit(const ServerId &Id, const Answer &A,
@@ -193,7 +301,7 @@
   // had not been superseded when the commit was sent.
   if (this->commitsAreProofs() && Leader && Leader->Id == Id &&
       Leader->TermNumber != 0 && Leader->TermNumber == A.Position->TermNumber) {
-    this->Fresh.observeProof(Leader->TermNumber, SentAt);
+    this->recordProof(Leader->TermNumber, SentAt);
     this->ProofReceived.notifyAll();
   }
 }
@@ -249,6 +357,8 @@
     this->EndWanted = false;
   }
   this->Beliefs.observeStatus(Id, Report, steadyNow());
+  this->Holders.observeReport(Id, Report);
+  this->HolderFound.notifyAll();
   if (const std::shared_ptr<ServerPool> Pool = this->pool(Id)) {
     Pool->share().observeCount(Report.Connections, steadyNow());
     this->ConnectionCounts[Id] = {Report.Connections, steadyNow()};
@@ -366,7 +476,7 @@
          steadyNow() < Until) {
     switch (Proof->state(this->othersThan(Leader.Id))) {
     case ProofState::Proved:
-      this->Fresh.observeProof(Leader.TermNumber, Proof->since());
+      this->recordProof(Leader.TermNumber, Proof->since());
       this->ProofReceived.notifyAll();
       co_return true;
     case ProofState::Superseded:
@@ -404,7 +514,7 @@
     co_return false;
   }
   // The relay requested the proof after this request, hence after SentAt.
-  this->Fresh.observeProof(T, SentAt);
+  this->recordProof(T, SentAt);
   this->ProofReceived.notifyAll();
   co_return true;
 }
--- a/src/root/sessions/Session.cpp
+++ b/src/root/sessions/Session.cpp
@@ -443,33 +443,27 @@
   const bool Wrote = this->TransactionWrote;
   const Term LeaderTerm = this->Transaction->LeaderTerm;
   const TimePoint SentAt = bootNow();
-  const auto Pending = E.ServerGroup->pendingWrites().insert(steadyNow());
+  const PendingWrite Pending(*E.ServerGroup);
   const Result<Answer> R =
       co_await Link.link().run(S, std::nullopt, "", E.Deadline);
-  E.ServerGroup->pendingWrites().erase(Pending);
   this->endTransaction();
   Answer A;
   if (succeeded(R)) {
     A = valueOf(R);
     E.ServerGroup->observeAnswer(Link.server(), A, SentAt);
-    const bool NeedsProof =
-        A.succeeded() && Wrote && !E.ServerGroup->commitsAreProofs();
-    bool LeaderProved = true;
-    if (NeedsProof)
-      LeaderProved =
-          co_await E.ServerGroup->awaitProof(LeaderTerm, bootNow(), E.Deadline);
-    if (!LeaderProved)
-      A = failure(AnswerCode::OutcomeUnknown,
-                  "could not prove that the server was still the primary");
-    if (A.succeeded() && Wrote) {
-      E.ServerGroup->observeCommit(Link.server(), A, SentAt);
-      this->Floor = A.Position;
-      this->FloorService = E.Route.Service;
-    }
     if (A.Code == AnswerCode::ReadOnly)
       E.ServerGroup->markNotPrimary(Link.server());
     if (A.State != TransactionState::Idle)
       Link.drop();
+    Link.release();
+    if (A.succeeded() && Wrote) {
+      const BelievedPrimary Primary{E.LastServer, LeaderTerm};
+      A = co_await confirmCommit(std::move(A), Primary, SentAt, E);
+      if (A.succeeded()) {
+        this->Floor = A.Position;
+        this->FloorService = E.Route.Service;
+      }
+    }
   } else {
     E.ServerGroup->observeFailure(Link.server(), errorOf(R));
     Link.drop();
@@ -565,6 +559,7 @@
        {"floor", positionText(E.Floor)},
        {"server", E.LastServer.str()},
        {"forwarder", E.Forwarder.empty() ? "-" : E.Forwarder.str()},
+       {"holder", E.Holder.empty() ? "-" : E.Holder.str()},
        {"attempts", E.Attempts},
        {"trail", E.Trail},
        {"position", positionText(A.Position)},
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -325,6 +325,28 @@
   co_return failure(AnswerCode::Failed, "no server gave a usable answer");
 }
 
+QCoro::Task<Answer> confirmCommit(Answer A, BelievedPrimary Primary,
+                                  TimePoint SentAt, StatementContext &E) {
+  std::optional<std::string> Doubt;
+  if (!E.ServerGroup->commitsAreProofs()) {
+    const bool Proved = co_await E.ServerGroup->awaitProof(
+        Primary.TermNumber, bootNow(), E.Deadline);
+    if (!Proved)
+      Doubt = "could not prove that the server was still the primary";
+  } else if (A.Position) {
+    const std::optional<ServerId> Holder = co_await E.ServerGroup->awaitHolder(
+        *A.Position, Primary.Id, E.Deadline);
+    if (Holder)
+      E.Holder = *Holder;
+    else
+      Doubt = "no registered replica is known to hold the commit";
+  }
+  if (Doubt)
+    co_return failure(AnswerCode::OutcomeUnknown, *Doubt);
+  E.ServerGroup->observeCommit(Primary.Id, A, SentAt);
+  co_return A;
+}
+
 QCoro::Task<Answer> runWrite(Statement S, StatementContext &E) {
   while (true) {
     const bool NeedsProof = !E.ServerGroup->commitsAreProofs();
@@ -346,10 +368,9 @@
     const TimePoint SentAt = bootNow();
     const TimePoint Sent = steadyNow();
     const InFlight Running(*E.ServerGroup, Leader->Id);
-    const auto Pending = E.ServerGroup->pendingWrites().insert(Sent);
+    const PendingWrite Pending(*E.ServerGroup);
     Result<Answer> R =
         co_await Link.link().run(S, std::nullopt, preparedName(E), E.Deadline);
-    E.ServerGroup->pendingWrites().erase(Pending);
     if (!succeeded(R)) {
       recordFailedAttempt(E, Leader->Id, "lost");
       E.ServerGroup->observeFailure(Leader->Id, errorOf(R));
@@ -362,16 +383,8 @@
     if (A.succeeded()) {
       E.ServerGroup->beliefs().observeLatency(Leader->Id, steadyNow() - Sent,
                                               steadyNow());
-      bool LeaderProved = true;
-      if (NeedsProof)
-        LeaderProved = co_await E.ServerGroup->awaitProof(
-            Leader->TermNumber, bootNow(), E.Deadline);
-      if (!LeaderProved)
-        co_return failure(
-            AnswerCode::OutcomeUnknown,
-            "could not prove that the server was still the primary");
-      E.ServerGroup->observeCommit(Leader->Id, A, SentAt);
-      co_return A;
+      Link.release();
+      co_return co_await confirmCommit(std::move(A), *Leader, SentAt, E);
     }
     recordFailedAttempt(E, Leader->Id, nameOf(*A.Code));
     if (!isNotRun(*A.Code))
--- a/src/root/sessions/StatementRunner.h
+++ b/src/root/sessions/StatementRunner.h
@@ -87,6 +87,8 @@
   bool Dispatched = false; ///< Sent to a server that could have run it.
   ServerId LastServer;
   EntryVmId Forwarder; ///< That ran the read; empty: run here.
+  ServerId
+      Holder; ///< Of a commit, besides the primary (policy/CommitHolders.h).
   std::optional<LogPosition> Floor;
   std::string Trail; ///< The server and the result of each failed attempt.
 };
@@ -121,6 +123,13 @@
 /// a floor and none is known yet.
 QCoro::Task<ReadConstraint> awaitReadConstraint(StatementContext &E);
 
+/// Decides what a caller is told of the commit that \p Primary acknowledged
+/// with \p A: success if no takeover can lose it as far as is known, otherwise
+/// that the outcome is unknown. Waits for the evidence by E.Deadline. \param
+/// SentAt boot clock; when the write or COMMIT was sent.
+QCoro::Task<Answer> confirmCommit(Answer A, BelievedPrimary Primary,
+                                  TimePoint SentAt, StatementContext &E);
+
 /// Runs a read outside a transaction.
 QCoro::Task<Answer> runRead(Statement S, StatementContext &E);
 
