--- a/src/policy/CommitHolders.cpp
+++ b/src/policy/CommitHolders.cpp
@@ -39,9 +39,11 @@
     Found->second.End = std::max(Found->second.End, End);
 }
 
-void CommitHolders::observeProof(TimePoint At) {
+void CommitHolders::observeProof(Term T, TimePoint At) {
   for (auto &[Id, H] : this->Servers)
-    H.Established = H.Established || H.RegisteredSince <= At;
+    if (H.RegisteredSince <= At &&
+        (H.EstablishedTerm == 0 || T < H.EstablishedTerm))
+      H.EstablishedTerm = T;
 }
 
 bool CommitHolders::allOthersLeave(const ServerId &Primary) const {
@@ -64,7 +66,7 @@
 std::optional<ServerId> CommitHolders::holderOf(LogPosition Commit,
                                                 const ServerId &Primary) const {
   for (const Counted &C : this->countedServers(Primary, Commit.TermNumber))
-    if (C.Server->Established && holds(*C.Server, Commit))
+    if (isEstablished(*C.Server, Commit.TermNumber) && holds(*C.Server, Commit))
       return *C.Id;
   return std::nullopt;
 }
@@ -81,7 +83,8 @@
 CommitHolders::proofNeeded(LogPosition Commit, const ServerId &Primary) const {
   std::optional<TimePoint> Since;
   for (const Counted &C : this->countedServers(Primary, Commit.TermNumber))
-    if (!C.Server->Established && holds(*C.Server, Commit))
+    if (!isEstablished(*C.Server, Commit.TermNumber) &&
+        holds(*C.Server, Commit))
       Since =
           std::min(Since.value_or(TimePoint::max()), C.Server->RegisteredSince);
   return Since;
--- a/src/policy/CommitHolders.h
+++ b/src/policy/CommitHolders.h
@@ -12,12 +12,13 @@
 //    or a server that has led the same term.
 //  - It is not leaving. The log of a leaving server may end with it before it
 //    has adopted a term. Where all other servers are leaving, one counts.
-//  - It is established: the primary of some term was proved not to have been
-//    superseded (policy/LeadershipProof.h) at a time at which the server was
-//    registered. No takeover that had read the registrations before was under
-//    way then, since the servers that it had found would have held its term, or
-//    the claim row would have shown it. Takeovers that begin later read the
-//    registration.
+//  - It is established: the primary of the commit's term or an earlier one was
+//    proved not to have been superseded (policy/LeadershipProof.h) at a time at
+//    which the server was registered. No takeover that had read the
+//    registrations before was under way then, since the servers that it had
+//    found would have held its term, or the claim row would have shown it.
+//    Takeovers that begin later read the registration. A proof for a later term
+//    says nothing: the promotion to that term may have missed the server.
 //  - It reported, as a replica, an end of its log at or after the commit, in
 //    the term of the commit. The entries of one term come from one log.
 //
@@ -52,8 +53,8 @@
   void observeReport(const ServerId &Id, const ServerReport &Report);
   /// Records that \p Id, a replica, answered with the position \p End.
   void observeReplica(const ServerId &Id, LogPosition End);
-  /// Records that the primary of some term had not been superseded at \p At.
-  void observeProof(TimePoint At);
+  /// Records that the primary of \p T had not been superseded at \p At.
+  void observeProof(Term T, TimePoint At);
 
   /// Returns the server that holds \p Commit for every takeover, or nothing if
   /// none is known to. Takes time linear in the number of servers.
@@ -75,7 +76,8 @@
     std::int64_t StartedAtMs = 0;
     TimePoint RegisteredSince; ///< When this entry VM first knew of it.
     bool Draining = false;
-    bool Established = false;
+    /// Lowest term for which it is established; 0 if it is for none.
+    Term EstablishedTerm = 0;
     Term LedTerm = 0; ///< Highest term that it is known to have led.
     LogPosition End;  ///< Highest position that it has reported as a replica.
   };
@@ -90,6 +92,10 @@
   std::vector<Counted> countedServers(const ServerId &Primary, Term T) const;
   /// Returns whether every server but \p Primary is leaving.
   bool allOthersLeave(const ServerId &Primary) const;
+  /// Returns whether \p H is established for commits of \p T.
+  static bool isEstablished(const Holder &H, Term T) {
+    return H.EstablishedTerm != 0 && H.EstablishedTerm <= T;
+  }
   /// Returns whether \p H has reported \p Commit.
   static bool holds(const Holder &H, LogPosition Commit) {
     return H.End.TermNumber == Commit.TermNumber && H.End >= Commit;
--- a/src/policy/testing/CommitHoldersTest.cpp
+++ b/src/policy/testing/CommitHoldersTest.cpp
@@ -67,38 +67,38 @@
       {"nothing is known", [](Fixture &) {}, ""},
       {"a replica reports it",
        [](Fixture &F) {
-         F.Holders.observeProof(at(10));
+         F.Holders.observeProof(1, at(10));
          F.replica("b", {1, 5});
        },
        "b"},
       {"a replica answers a read at it",
        [](Fixture &F) {
-         F.Holders.observeProof(at(10));
+         F.Holders.observeProof(1, at(10));
          F.Holders.observeReplica(ServerId("c"), {1, 6});
        },
        "c"},
       {"the replicas lack it",
        [](Fixture &F) {
-         F.Holders.observeProof(at(10));
+         F.Holders.observeProof(1, at(10));
          F.replica("b", {1, 4});
          F.replica("c", {1, 4});
        },
        ""},
       {"a replica of a later term need not have it",
        [](Fixture &F) {
-         F.Holders.observeProof(at(10));
+         F.Holders.observeProof(1, at(10));
          F.replica("b", {2, 5});
        },
        ""},
       {"a server that is not registered",
        [](Fixture &F) {
-         F.Holders.observeProof(at(10));
+         F.Holders.observeProof(1, at(10));
          F.replica("d", {1, 5});
        },
        ""},
       {"a server that has registered after the last proof",
        [](Fixture &F) {
-         F.Holders.observeProof(at(10));
+         F.Holders.observeProof(1, at(10));
          F.list({"a", "b", "c", "d"}, 12);
          F.replica("d", {1, 5});
        },
@@ -107,12 +107,19 @@
        [](Fixture &F) {
          F.list({"a", "b", "c", "d"}, 12);
          F.replica("d", {1, 5});
-         F.Holders.observeProof(at(12));
+         F.Holders.observeProof(1, at(12));
        },
        "d"},
+      {"the same, with a proof since for a later term",
+       [](Fixture &F) {
+         F.list({"a", "b", "c", "d"}, 12);
+         F.replica("d", {1, 5});
+         F.Holders.observeProof(2, at(12));
+       },
+       ""},
       {"it has restarted since it reported",
        [](Fixture &F) {
-         F.Holders.observeProof(at(10));
+         F.Holders.observeProof(1, at(10));
          F.replica("b", {1, 5});
          F.Registered[1].StartedAtMs = 2;
          F.Holders.setServers(F.Registered, at(11));
@@ -120,34 +127,34 @@
        ""},
       {"it has left",
        [](Fixture &F) {
-         F.Holders.observeProof(at(10));
+         F.Holders.observeProof(1, at(10));
          F.replica("b", {1, 5});
          F.list({"a", "c"}, 11);
        },
        ""},
       {"it is leaving and another replica is not",
        [](Fixture &F) {
-         F.Holders.observeProof(at(10));
+         F.Holders.observeProof(1, at(10));
          F.drain({1});
          F.replica("b", {1, 5});
        },
        ""},
       {"all replicas are leaving",
        [](Fixture &F) {
-         F.Holders.observeProof(at(10));
+         F.Holders.observeProof(1, at(10));
          F.drain({1, 2});
          F.replica("b", {1, 5});
        },
        "b"},
       {"the primary itself has stepped down",
        [](Fixture &F) {
-         F.Holders.observeProof(at(10));
+         F.Holders.observeProof(1, at(10));
          F.replica("a", {1, 5});
        },
        ""},
       {"another server that has led the term has stepped down",
        [](Fixture &F) {
-         F.Holders.observeProof(at(10));
+         F.Holders.observeProof(1, at(10));
          F.Holders.observeReport(ServerId("b"),
                                  report(ServerRole::Primary, {1, 5}));
          F.replica("b", {1, 5});
@@ -155,7 +162,7 @@
        ""},
       {"a primary of an earlier term follows",
        [](Fixture &F) {
-         F.Holders.observeProof(at(10));
+         F.Holders.observeProof(1, at(10));
          F.Holders.observeReport(ServerId("b"),
                                  report(ServerRole::Primary, {0, 3}));
          F.replica("b", {1, 5});
@@ -178,6 +185,14 @@
   F.replica("b", {1, 5});
   CHECK(F.Holders.proofNeeded({1, 5}, ServerId("a")) == at(10));
   CHECK_FALSE(F.Holders.proofNeeded({1, 6}, ServerId("a")));
-  F.Holders.observeProof(at(10));
+  F.Holders.observeProof(1, at(10));
   CHECK_FALSE(F.Holders.proofNeeded({1, 5}, ServerId("a")));
 }
+
+// Guards against writes that wait for another proof after each takeover.
+TEST_CASE("a server stays established in later terms") {
+  Fixture F;
+  F.Holders.observeProof(1, at(10));
+  F.replica("b", {2, 7});
+  CHECK(F.Holders.holderOf({2, 7}, ServerId("c")) == ServerId("b"));
+}
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -195,7 +195,7 @@
 
 void Group::recordProof(Term T, TimePoint At) {
   this->Fresh.observeProof(T, At);
-  this->Holders.observeProof(At);
+  this->Holders.observeProof(T, At);
   this->HolderFound.notifyAll();
 }
 
