--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -10,14 +10,14 @@
 Group::Group(ServiceName Name, ServerConnector &Connector,
              const Locality &Where, EvidenceSource *Source, ClaimReader *Claims)
     : Name(std::move(Name)), Connector(Connector), Where(Where), Source(Source),
-      Claims(Claims), Beliefs(Where) {}
+      Claims(Claims), Beliefs(Where), Search(*this) {}
 
 Group::~Group() = default;
 
 void Group::start() {
   this->proveLeadership();
   this->samplePrimary();
-  this->findHolders();
+  this->Search.start();
   this->closeIdle();
 }
 
@@ -26,13 +26,11 @@
   this->ProveWake.wake();
   this->ProofChange.wake();
   this->SampleWake.wake();
-  this->CommitWake.wake();
-  this->HolderAnswered.wake();
   this->CloseWake.wake();
   this->MonitorWake.wake();
   this->ProofReceived.notifyAll();
-  this->HolderFound.notifyAll();
   this->PrimaryChange.notifyAll();
+  co_await this->Search.stop();
   co_await this->Tasks.waitUntilEmpty();
 }
 
@@ -40,7 +38,7 @@
                       const std::vector<RegisteredServer> &Servers) {
   this->Limits = NewLimits;
   const bool Changed = this->Beliefs.setServers(Servers);
-  this->Holders.setServers(Servers, bootNow());
+  this->Search.setServers(Servers, bootNow());
   std::map<ServerId, std::shared_ptr<ServerPool>> Kept;
   std::size_t Remaining = 0;
   for (const RegisteredServer &Server : Servers) {
@@ -88,8 +86,7 @@
     const std::optional<BelievedPrimary> Leader = this->Beliefs.primary();
     if (this->Stopping || !Leader || Leader->TermNumber != T)
       co_return false;
-    this->ProofWantedFor = std::max(this->ProofWantedFor, Since);
-    this->ProveWake.wake();
+    this->requestProof(Since);
     const bool Woken = co_await this->ProofReceived.wait(Deadline);
     if (!Woken)
       co_return this->Fresh.provedSince(T, Since);
@@ -187,108 +184,13 @@
   if (A.Position && Leader && Leader->Id == Id && Leader->TermNumber != 0)
     this->Fresh.observeReport(Leader->TermNumber, *A.Position, SentAt);
   const ServerBelief *Server = this->Beliefs.find(Id);
-  if (A.Position && Server && Server->Role == ServerRole::Replica) {
-    this->Holders.observeReplica(Id, *A.Position);
-    this->HolderFound.notifyAll();
-  }
+  if (A.Position && Server && Server->Role == ServerRole::Replica)
+    this->Search.observeReplica(Id, *A.Position);
 }
 
 void Group::recordProof(Term T, TimePoint At) {
   this->Fresh.observeProof(T, At);
-  this->Holders.observeProof(T, At);
-  this->HolderFound.notifyAll();
-}
-
-const Group::AwaitedCommit *Group::firstAwaited() const {
-  for (const AwaitedCommit &C : this->Awaited)
-    if (!this->Holders.holderOf(C.Position, C.Primary))
-      return &C;
-  return nullptr;
-}
-
-QCoro::Task<std::optional<ServerId>>
-Group::awaitHolder(LogPosition Commit, ServerId Primary, TimePoint Deadline) {
-  std::optional<ServerId> Holder = this->Holders.holderOf(Commit, Primary);
-  if (Holder)
-    co_return Holder;
-  const auto Entry = this->Awaited.insert({Commit, Primary});
-  this->CommitWake.wake();
-  while (!Holder && !this->Stopping) {
-    const bool Notified = co_await this->HolderFound.wait(Deadline);
-    Holder = this->Holders.holderOf(Commit, Primary);
-    if (!Notified)
-      break;
-  }
-  this->Awaited.erase(Entry);
-  co_return Holder;
-}
-
-QCoro::Task<> Group::askHolder(ServerId Id) {
-  const TaskGroup::Guard Guard(this->Tasks);
-  if (!this->AskedForLog.insert(Id).second)
-    co_return;
-  co_await this->controlStatus(Id);
-  this->AskedForLog.erase(Id);
-  this->HolderAnswered.wake();
-}
-
-std::vector<ServerId> Group::holdersToAsk(const AwaitedCommit &For) const {
-  std::vector<ServerId> Ids;
-  const std::vector<ServerId> Candidates =
-      this->Holders.candidates(For.Position, For.Primary);
-  for (const ServerId &Id : this->Beliefs.readOrder(std::nullopt, steadyNow()))
-    if (std::find(Candidates.begin(), Candidates.end(), Id) != Candidates.end())
-      Ids.push_back(Id);
-  return Ids;
-}
-
-bool Group::isAsking(const std::vector<ServerId> &Servers) const {
-  return std::any_of(
-      Servers.begin(), Servers.end(),
-      [this](const ServerId &Id) { return this->AskedForLog.count(Id) > 0; });
-}
-
-QCoro::Task<> Group::findHolders() {
-  const TaskGroup::Guard Guard(this->Tasks);
-  LogPosition Last; // The last commit that is looked for.
-  Duration Delay = HolderRetryDelay;
-  bool AskAll = false;
-  const auto IsWanted = [this, &Last] {
-    const AwaitedCommit *First = this->firstAwaited();
-    return !this->Stopping && First && First->Position <= Last;
-  };
-  while (!this->Stopping) {
-    const AwaitedCommit *First = this->firstAwaited();
-    if (!First) {
-      co_await this->CommitWake.wait();
-      continue;
-    }
-    // Commits that came while replicas were asked begin with one replica again.
-    if (First->Position > Last) {
-      Last = this->Awaited.rbegin()->Position;
-      Delay = HolderRetryDelay;
-      AskAll = false;
-    }
-    const auto Since =
-        this->Holders.proofNeeded(First->Position, First->Primary);
-    if (Since) {
-      this->ProofWantedFor = std::max(this->ProofWantedFor, *Since);
-      this->ProveWake.wake();
-    }
-    std::vector<ServerId> Asked = this->holdersToAsk(*First);
-    if (!AskAll && Asked.size() > 1)
-      Asked.resize(1);
-    for (const ServerId &Id : Asked)
-      this->askHolder(Id);
-    AskAll = true;
-    const TimePoint Until = steadyNow() + HolderAnswerTime;
-    while (IsWanted() && this->isAsking(Asked) && steadyNow() < Until)
-      co_await this->HolderAnswered.wait(Until);
-    if (!IsWanted())
-      continue;
-    co_await sleepFor(Delay);
-    Delay = std::min(Delay * 2, LongestHolderRetryDelay);
-  }
+  this->Search.observeProof(T, At);
 }
 
 void Group::observeCommit(const ServerId &Id, const Answer &A,
@@ -357,8 +259,7 @@
     this->EndWanted = false;
   }
   this->Beliefs.observeStatus(Id, Report, steadyNow());
-  this->Holders.observeReport(Id, Report);
-  this->HolderFound.notifyAll();
+  this->Search.observeReport(Id, Report);
   if (const std::shared_ptr<ServerPool> Pool = this->pool(Id)) {
     Pool->share().observeCount(Report.Connections, steadyNow());
     this->ConnectionCounts[Id] = {Report.Connections, steadyNow()};
@@ -412,6 +313,19 @@
   co_return *Report;
 }
 
+QCoro::Task<> Group::requestReport(ServerId Id) {
+  co_await this->controlStatus(std::move(Id));
+}
+
+std::vector<ServerId> Group::preferredServers() const {
+  return this->Beliefs.readOrder(std::nullopt, steadyNow());
+}
+
+void Group::requestProof(TimePoint Since) {
+  this->ProofWantedFor = std::max(this->ProofWantedFor, Since);
+  this->ProveWake.wake();
+}
+
 std::vector<ServerId> Group::othersThan(const ServerId &Leader) const {
   std::vector<ServerId> Ids;
   for (const auto &[Id, Server] : this->Beliefs.servers())
@@ -591,8 +505,7 @@
     const std::optional<TimePoint> Usable = this->Fresh.newestUsable();
     const std::optional<TimePoint> Reported = this->Fresh.newestReport();
     if (Reported && (!Usable || bootNow() - *Usable >= Interval)) {
-      this->ProofWantedFor = std::max(this->ProofWantedFor, *Reported);
-      this->ProveWake.wake();
+      this->requestProof(*Reported);
     }
     co_await this->requestConnectionCounts();
     co_await this->SampleWake.wait(steadyNow() + Interval / 2);
--- a/src/root/groups/Group.h
+++ b/src/root/groups/Group.h
@@ -1,22 +1,22 @@
 // One group of backend servers, as this entry VM uses it.
 //
 // A group owns the beliefs about its servers, a connection pool per server and
-// four tasks. The first obtains proofs that the primary still leads, for the
+// three tasks. The first obtains proofs that the primary still leads, for the
 // reads and commits that wait for one. The second samples the end of the
-// primary's log while sessions read from the group. The third asks replicas for
-// the commits whose acknowledgement waits for a holder. The fourth closes
-// connections that were idle for too long. Takeovers are carried out by a
-// separate object (GroupMonitor.h).
+// primary's log while sessions read from the group. The third closes
+// connections that were idle for too long. Replicas that hold acknowledged
+// commits are found by a part of its own (HolderSearch.h). Takeovers are
+// carried out by a separate object (GroupMonitor.h).
 #ifndef AMARANTHSPUR_ROOT_GROUPS_GROUP_H
 #define AMARANTHSPUR_ROOT_GROUPS_GROUP_H
 
 #include "core/Async.h"
-#include "policy/CommitHolders.h"
 #include "policy/ForwarderChoice.h"
 #include "policy/Freshness.h"
 #include "policy/GroupBeliefs.h"
 #include "policy/LeadershipProof.h"
 #include "root/groups/ClaimReader.h"
+#include "root/groups/HolderSearch.h"
 #include "root/groups/ServerPool.h"
 #include "root/relay/EvidenceBoard.h"
 
@@ -27,7 +27,7 @@
 namespace amaranthspur {
 
 /// One group. Session tasks keep it alive through a shared pointer.
-class Group {
+class Group final : private ReplicaAccess {
 public:
   /// Interval at which the primary's log position is sampled while sessions
   /// read with a staleness bound. It is less than half of the smallest bound in
@@ -67,14 +67,6 @@
   /// may make 2,000 reads per second.
   static constexpr Duration ClaimReadInterval = milliseconds(25);
   static constexpr Duration ClaimRetryInterval = milliseconds(100);
-  /// Time within which a replica that is asked for a commit answers: a round
-  /// trip between regions takes 16 ms. After it the others are asked as well.
-  static constexpr Duration HolderAnswerTime = milliseconds(40);
-  /// Delay before replicas that did not hold an acknowledged commit yet are
-  /// asked again, which doubles up to the longest one. An entry reaches the
-  /// replicas within 8 ms between regions.
-  static constexpr Duration HolderRetryDelay = milliseconds(5);
-  static constexpr Duration LongestHolderRetryDelay = milliseconds(80);
   /// A server that answered within this time counts as alive even if a
   /// connection to it fails: a server resets connections beyond its limit.
   static constexpr Duration AliveAfterAnswer = milliseconds(250);
@@ -137,7 +129,9 @@
   /// \param Primary the server that acknowledged the commit.
   /// \returns that server, or nothing if none is known by \p Deadline.
   QCoro::Task<std::optional<ServerId>>
-  awaitHolder(LogPosition Commit, ServerId Primary, TimePoint Deadline);
+  awaitHolder(LogPosition Commit, ServerId Primary, TimePoint Deadline) {
+    return this->Search.await(Commit, std::move(Primary), Deadline);
+  }
 
   /// Returns the lowest known position that covers every commit acknowledged
   /// before \p Since (boot clock), or nothing if no usable sample is that
@@ -229,13 +223,9 @@
   TaskCondition &primaryChanged() { return this->PrimaryChange; }
 
 private:
-  /// A commit whose acknowledgement waits for a holder.
-  struct AwaitedCommit {
-    LogPosition Position;
-    ServerId Primary; ///< That acknowledged it.
-
-    auto operator<=>(const AwaitedCommit &) const = default;
-  };
+  QCoro::Task<> requestReport(ServerId Id) override;
+  std::vector<ServerId> preferredServers() const override;
+  void requestProof(TimePoint Since) override;
 
   QCoro::Task<> proveLeadership();
   QCoro::Task<> samplePrimary();
@@ -243,15 +233,6 @@
   /// connections depends on it.
   QCoro::Task<> requestConnectionCounts();
   QCoro::Task<> closeIdle();
-  QCoro::Task<> findHolders();
-  /// Asks \p Id, in a task of its own, for the end of its log.
-  QCoro::Task<> askHolder(ServerId Id);
-  /// Returns the servers to ask for \p For, the best first.
-  std::vector<ServerId> holdersToAsk(const AwaitedCommit &For) const;
-  /// Returns whether one of \p Servers is asked at the moment.
-  bool isAsking(const std::vector<ServerId> &Servers) const;
-  /// Returns the first of the commits that wait for a holder, or null.
-  const AwaitedCommit *firstAwaited() const;
   /// Records that the primary of \p T had not been superseded at \p At.
   void recordProof(Term T, TimePoint At);
   QCoro::Task<bool> proveOnce();
@@ -282,8 +263,7 @@
   ServiceLimits Limits;
   GroupBeliefs Beliefs;
   Freshness Fresh;
-  CommitHolders Holders;
-  std::multiset<AwaitedCommit> Awaited;
+  HolderSearch Search;
   std::map<ServerId, std::shared_ptr<ServerPool>> Pools;
   std::optional<BelievedPrimary> LastPrimary;
   LogPosition Acknowledged;
@@ -299,18 +279,14 @@
   TimePoint ClaimReadFrom{};   ///< Earliest next read (steady clock).
   /// Servers with a status request for a proof under way.
   std::set<ServerId> AskedForProof;
-  std::set<ServerId> AskedForLog; ///< The same, for a commit's holder.
   bool ReadingClaim = false;
   TimePoint LastFloorRequest{}; ///< Steady clock.
   WaitPoint ProveWake;
   WaitPoint ProofChange; ///< Woken when evidence for a proof has arrived.
   WaitPoint SampleWake;
-  WaitPoint CommitWake;     ///< Woken by a commit that waits for a holder.
-  WaitPoint HolderAnswered; ///< Woken when a replica has been asked.
   WaitPoint CloseWake;
   WaitPoint MonitorWake;
   TaskCondition ProofReceived;
-  TaskCondition HolderFound;
   TaskCondition PrimaryChange;
   TaskGroup Tasks;
   bool Stopping = false;
