--- a/src/policy/CommitHolders.cpp
+++ b/src/policy/CommitHolders.cpp
@@ -27,8 +27,11 @@
   const auto Found = this->Servers.find(Id);
   if (Found == this->Servers.end())
     return;
+  Holder &H = Found->second;
+  H.FollowedTerm = Report.TermNumber;
+  H.AdoptedTerm = Report.AdoptedTerm;
   if (Report.Role == ServerRole::Primary)
-    Found->second.LedTerm = std::max(Found->second.LedTerm, Report.TermNumber);
+    H.LedTerm = std::max(H.LedTerm, Report.TermNumber);
   else
     this->observeReplica(Id, Report.Received);
 }
@@ -58,7 +61,7 @@
   const bool AllLeave = this->allOthersLeave(Primary);
   std::vector<Counted> Found;
   for (const auto &[Id, H] : this->Servers)
-    if (Id != Primary && H.LedTerm < T && (AllLeave || !H.Draining))
+    if (Id != Primary && (T == 0 || H.LedTerm < T) && (AllLeave || !H.Draining))
       Found.push_back({&Id, &H});
   return Found;
 }
@@ -71,10 +74,20 @@
   return std::nullopt;
 }
 
-std::vector<ServerId> CommitHolders::candidates(LogPosition Commit,
-                                                const ServerId &Primary) const {
+bool CommitHolders::mayBeHeld(const ServerId &Primary, Term T) const {
+  for (const Counted &C : this->countedServers(Primary, T)) {
+    const Holder &H = *C.Server;
+    const Term Leading = T != 0 ? T : H.FollowedTerm;
+    if (H.EstablishedTerm != 0 && H.AdoptedTerm <= Leading)
+      return true;
+  }
+  return false;
+}
+
+std::vector<ServerId> CommitHolders::candidates(const ServerId &Primary,
+                                                Term T) const {
   std::vector<ServerId> Ids;
-  for (const Counted &C : this->countedServers(Primary, Commit.TermNumber))
+  for (const Counted &C : this->countedServers(Primary, T))
     Ids.push_back(*C.Id);
   return Ids;
 }
--- a/src/policy/CommitHolders.h
+++ b/src/policy/CommitHolders.h
@@ -62,9 +62,15 @@
   std::optional<ServerId> holderOf(LogPosition Commit,
                                    const ServerId &Primary) const;
 
-  /// Returns the servers that may count as holders of \p Commit.
-  std::vector<ServerId> candidates(LogPosition Commit,
-                                   const ServerId &Primary) const;
+  /// Returns whether a server that counts may receive a commit of \p Primary,
+  /// as far as is known. If not, all of them hold a later term than \p T, or
+  /// none is established: a takeover is under way or has just ended, and a
+  /// write could not be reported as a success. \param T the term of \p Primary;
+  /// 0 if it is not known.
+  bool mayBeHeld(const ServerId &Primary, Term T) const;
+  /// Returns the servers that may count if they become established or receive
+  /// again, for a commit of \p T or, if that is 0, of a term not known.
+  std::vector<ServerId> candidates(const ServerId &Primary, Term T) const;
 
   /// Returns the time for which a proof of leadership is needed before a server
   /// that has reported \p Commit counts, or nothing if there is no such server.
@@ -78,8 +84,10 @@
     bool Draining = false;
     /// Lowest term for which it is established; 0 if it is for none.
     Term EstablishedTerm = 0;
-    Term LedTerm = 0; ///< Highest term that it is known to have led.
-    LogPosition End;  ///< Highest position that it has reported as a replica.
+    Term FollowedTerm = 0; ///< As it reported last.
+    Term AdoptedTerm = 0;  ///< As it reported last.
+    Term LedTerm = 0;      ///< Highest term that it is known to have led.
+    LogPosition End; ///< Highest position that it has reported as a replica.
   };
 
   /// A server that may count as a holder.
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -94,6 +94,14 @@
   co_return true;
 }
 
+bool Group::mayWriteAt(const BelievedPrimary &Primary) {
+  if (!this->commitsAreProofs() ||
+      this->Search.mayBeHeld(Primary.Id, Primary.TermNumber))
+    return true;
+  this->Search.refresh(Primary.Id, Primary.TermNumber);
+  return false;
+}
+
 std::optional<LogPosition> Group::floorAsOf(TimePoint Since) {
   this->requestFloors();
   return this->Fresh.floorAsOf(Since);
@@ -191,6 +199,7 @@
 void Group::recordProof(Term T, TimePoint At) {
   this->Fresh.observeProof(T, At);
   this->Search.observeProof(T, At);
+  this->PrimaryChange.notifyAll();
 }
 
 void Group::observeCommit(const ServerId &Id, const Answer &A,
--- a/src/root/groups/Group.h
+++ b/src/root/groups/Group.h
@@ -133,6 +133,10 @@
     return this->Search.await(Commit, std::move(Primary), Deadline);
   }
 
+  /// Returns whether a write at \p Primary could be reported as a success, as
+  /// far as is known. If not, asks the servers again.
+  bool mayWriteAt(const BelievedPrimary &Primary);
+
   /// Returns the lowest known position that covers every commit acknowledged
   /// before \p Since (boot clock), or nothing if no usable sample is that
   /// recent. The call also keeps the sampling task running.
--- a/src/root/groups/HolderSearch.cpp
+++ b/src/root/groups/HolderSearch.cpp
@@ -1,5 +1,7 @@
 #include "root/groups/HolderSearch.h"
 
+#include "core/BootClock.h"
+
 #include <algorithm>
 
 namespace amaranthspur {
@@ -58,6 +60,15 @@
   co_return Holder;
 }
 
+void HolderSearch::refresh(const ServerId &Primary, Term T) {
+  if (this->Stopping || steadyNow() < this->RefreshFrom)
+    return;
+  this->RefreshFrom = steadyNow() + RefreshInterval;
+  this->Access.requestProof(bootNow());
+  for (const ServerId &Id : this->Holders.candidates(Primary, T))
+    this->ask(Id);
+}
+
 QCoro::Task<> HolderSearch::ask(ServerId Id) {
   const TaskGroup::Guard Guard(this->Tasks);
   if (!this->Asked.insert(Id).second)
@@ -69,7 +80,7 @@
 
 std::vector<ServerId> HolderSearch::serversFor(const AwaitedCommit &For) const {
   const std::vector<ServerId> Candidates =
-      this->Holders.candidates(For.Position, For.Primary);
+      this->Holders.candidates(For.Primary, For.Position.TermNumber);
   std::vector<ServerId> Ids = this->Access.preferredServers();
   std::erase_if(Ids, [&Candidates](const ServerId &Id) {
     return std::find(Candidates.begin(), Candidates.end(), Id) ==
--- a/src/root/groups/HolderSearch.h
+++ b/src/root/groups/HolderSearch.h
@@ -45,6 +45,9 @@
   static constexpr Duration RetryDelay = milliseconds(5);
   static constexpr Duration LongestRetryDelay = milliseconds(80);
 
+  /// Shortest time between two rounds of refresh().
+  static constexpr Duration RefreshInterval = milliseconds(50);
+
   /// \param Access must outlive the search.
   explicit HolderSearch(ReplicaAccess &Access) : Access(Access) {}
   HolderSearch(const HolderSearch &) = delete;
@@ -61,6 +64,16 @@
   QCoro::Task<std::optional<ServerId>>
   await(LogPosition Commit, ServerId Primary, TimePoint Deadline);
 
+  /// Returns whether a commit of \p Primary may be held by a server that counts
+  /// (CommitHolders::mayBeHeld()).
+  /// \param T the term of \p Primary; 0 if it is not known.
+  bool mayBeHeld(const ServerId &Primary, Term T) const {
+    return this->Holders.mayBeHeld(Primary, T);
+  }
+  /// Asks the servers that may count whether they do now, at most once in
+  /// RefreshInterval.
+  void refresh(const ServerId &Primary, Term T);
+
   /// These record what CommitHolders describes, and wake those that wait.
   void setServers(const std::vector<RegisteredServer> &Servers, TimePoint Now);
   void observeReport(const ServerId &Id, const ServerReport &Report);
@@ -89,6 +102,7 @@
   ReplicaAccess &Access;
   CommitHolders Holders;
   std::multiset<AwaitedCommit> Awaited;
+  TimePoint RefreshFrom{};   ///< Earliest next round (steady clock).
   std::set<ServerId> Asked;  ///< Servers with a request under way.
   WaitPoint CommitWake;      ///< Woken by a commit that waits.
   WaitPoint Answered;        ///< Woken when a request has ended.
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -99,16 +99,19 @@
 }
 
 /// Waits for a believed primary that is not being avoided after a failure.
+/// \param Mode for a write, the primary must be one at which a write could be
+/// reported as a success. Under an open takeover it could not.
 /// \param NeedTerm whether its term must be known.
-QCoro::Task<std::optional<BelievedPrimary>> awaitPrimary(StatementContext &E,
-                                                         bool NeedTerm) {
+QCoro::Task<std::optional<BelievedPrimary>>
+awaitPrimary(StatementContext &E, Access Mode, bool NeedTerm) {
   bool Waited = false;
   while (true) {
     const GroupBeliefs &Beliefs = E.ServerGroup->beliefs();
     const std::optional<BelievedPrimary> Leader = Beliefs.primary();
     const bool Usable =
         Leader && (!NeedTerm || Leader->TermNumber != 0) &&
-        !Beliefs.isAvoided(*Beliefs.find(Leader->Id), steadyNow());
+        !Beliefs.isAvoided(*Beliefs.find(Leader->Id), steadyNow()) &&
+        (Mode == Access::Read || E.ServerGroup->mayWriteAt(*Leader));
     if (Usable) {
       // All statements that waited for the primary reach it at the same time.
       // They must not be refused because of the resulting queue.
@@ -244,7 +247,7 @@
     std::optional<BelievedPrimary> Leader = E.ServerGroup->beliefs().primary();
     std::optional<ServerId> Id;
     if (Constraint.AtPrimary) {
-      Leader = co_await awaitPrimary(E, true);
+      Leader = co_await awaitPrimary(E, Access::Read, true);
       if (Leader)
         Id = Leader->Id;
     } else {
@@ -351,7 +354,7 @@
   while (true) {
     const bool NeedsProof = !E.ServerGroup->commitsAreProofs();
     const std::optional<BelievedPrimary> Leader =
-        co_await awaitPrimary(E, NeedsProof);
+        co_await awaitPrimary(E, Access::Write, NeedsProof);
     if (!Leader)
       co_return refuseNotRun("no primary is known");
     LinkLease Link = co_await leaseLink(E, Leader->Id, E.Deadline);
@@ -406,8 +409,9 @@
     std::optional<BelievedPrimary> Leader = E.ServerGroup->beliefs().primary();
     std::optional<ServerId> Id;
     if (Constraint.AtPrimary || Begin.Mode == Access::Write) {
-      Leader = co_await awaitPrimary(E, Constraint.AtPrimary ||
-                                            !E.ServerGroup->commitsAreProofs());
+      Leader = co_await awaitPrimary(E, Begin.Mode,
+                                     Constraint.AtPrimary ||
+                                         !E.ServerGroup->commitsAreProofs());
       if (!Leader)
         break;
       Id = Leader->Id;
