--- a/src/root/groups/HolderSearch.cpp
+++ b/src/root/groups/HolderSearch.cpp
@@ -132,7 +132,7 @@
     if (!IsWanted())
       continue;
     co_await sleepFor(Delay);
-    Delay = std::min(Delay * 2, LongestRetryDelay);
+    Delay = std::min(Delay * RetryGrowth, LongestRetryDelay);
   }
 }
 
--- a/src/root/groups/HolderSearch.h
+++ b/src/root/groups/HolderSearch.h
@@ -39,11 +39,13 @@
   /// Time within which a replica answers: a round trip between regions takes
   /// 16 ms. After it the others are asked as well.
   static constexpr Duration AnswerTime = milliseconds(40);
-  /// Delay before replicas that did not hold a commit yet are asked again,
-  /// which doubles up to the longest one. An entry reaches the replicas within
-  /// 8 ms between regions.
+  /// Delay before replicas that did not hold a commit yet are asked again. An
+  /// entry reaches the replicas within 8 ms between regions. The delay grows by
+  /// RetryGrowth up to the longest one, since a replica that lacks the entry
+  /// for longer is slow or cut off.
   static constexpr Duration RetryDelay = milliseconds(5);
-  static constexpr Duration LongestRetryDelay = milliseconds(80);
+  static constexpr int RetryGrowth = 3;
+  static constexpr Duration LongestRetryDelay = milliseconds(150);
 
   /// Shortest time between two rounds of refresh().
   static constexpr Duration RefreshInterval = milliseconds(50);
