--- a/src/policy/TakeoverProcedure.cpp
+++ b/src/policy/TakeoverProcedure.cpp
@@ -5,11 +5,11 @@
 namespace amaranthspur {
 
 TakeoverProcedure::TakeoverProcedure(std::vector<TakeoverServer> Servers,
-                                     Term KnownTerm, LogPosition RequiredEnd,
+                                     Term KnownTerm, RequiredEnd Required,
                                      std::optional<ServerId> Preferred,
                                      TimePoint Begun)
     : Servers(std::move(Servers)), Preferred(std::move(Preferred)),
-      Begun(Begun), OldTerm(KnownTerm), Required(RequiredEnd) {
+      Begun(Begun), OldTerm(KnownTerm), Required(std::move(Required)) {
   for (TakeoverServer &S : this->Servers) {
     if (S.OldPrimary)
       this->OldWasSilent = !S.Report;
@@ -84,11 +84,18 @@
   this->Current = Phase::Resume;
 }
 
-void TakeoverProcedure::promote(const ServerId &Id) {
+void TakeoverProcedure::promote(const ServerId &Id,
+                                const RequiredEnd &Reached) {
   this->Target = Id;
+  this->TargetRequired = Reached;
   this->Current = this->Confirmed == Id ? Phase::Order : Phase::Confirm;
 }
 
+RequiredEnd TakeoverProcedure::endWithOldPrimary() const {
+  return RequiredEnd{*this->OldEnd, EndSource::OldPrimary, this->old()->Id}
+      .raisedTo(this->Required);
+}
+
 TimePoint TakeoverProcedure::orderBy() const {
   return this->Begun + (this->Returning ? TakeoverClaim::ReturnWindow
                                         : TakeoverClaim::PromotionWindow);
@@ -114,6 +121,10 @@
   TakeoverAction Action;
   Action.TermNumber = this->NextTerm;
   Action.Target = this->Target;
+  Action.Required = this->TargetRequired;
+  for (const TakeoverServer &S : this->Servers)
+    if (S.Id == this->Target && S.Report)
+      Action.TargetEnd = S.Report->Received;
   switch (this->Current) {
   case Phase::Survey:
     Action.Step = TakeoverStep::Poll;
@@ -180,7 +191,8 @@
 
 void TakeoverProcedure::recordAnswers(const ServerReports &Answers,
                                       LogPosition Acknowledged, TimePoint Now) {
-  this->Required = std::max(this->Required, Acknowledged);
+  this->Required =
+      this->Required.raisedTo({Acknowledged, EndSource::Acknowledged, {}});
   // While only the servers that have not adopted the term are asked, the
   // reports of the others stay.
   const bool AllAsked = this->Current == Phase::Survey ||
@@ -193,7 +205,8 @@
     else if (AllAsked && !S.OldPrimary)
       S.Report.reset();
     if (S.Report && !S.OldPrimary)
-      this->Required = std::max(this->Required, S.Report->Received);
+      this->Required = this->Required.raisedTo(
+          {S.Report->Received, EndSource::Reported, S.Id});
   }
   switch (this->Current) {
   case Phase::Survey:
@@ -265,9 +278,9 @@
   }
   // The target may change when the old primary has stepped down.
   const std::optional<ServerId> Likely =
-      chooseTarget(this->Servers, this->Required, this->Preferred);
+      chooseTarget(this->Servers, this->Required.Position, this->Preferred);
   if (Likely)
-    this->promote(*Likely);
+    this->promote(*Likely, this->Required);
   else
     this->end(TakeoverEnd::GivenUp,
               "no server has received the log since a server left");
@@ -288,10 +301,11 @@
   }
   // An old primary that has restarted may have added entries since. They are in
   // the log of a server that received them before it adopted the term.
-  const std::optional<ServerId> Found = chooseTarget(
-      this->Servers, std::max(*this->OldEnd, this->Required), this->Preferred);
+  const RequiredEnd End = this->endWithOldPrimary();
+  const std::optional<ServerId> Found =
+      chooseTarget(this->Servers, End.Position, this->Preferred);
   if (Found && !this->isSuperseded())
-    this->promote(*Found);
+    this->promote(*Found, End);
   else
     this->Current = Phase::Freeze;
 }
@@ -304,6 +318,14 @@
     this->Current = Phase::Register;
 }
 
+bool TakeoverProcedure::isNew(const TakeoverServer &Server) const {
+  return std::none_of(this->Servers.begin(), this->Servers.end(),
+                      [&Server](const TakeoverServer &K) {
+                        return K.Id == Server.Id &&
+                               K.StartedAtMs == Server.StartedAtMs;
+                      });
+}
+
 void TakeoverProcedure::recordServers(
     const std::optional<std::vector<TakeoverServer>> &Listed) {
   if (!Listed) {
@@ -331,12 +353,13 @@
 }
 
 void TakeoverProcedure::checkOld(const ServerReports &Answers) {
+  const RequiredEnd End = this->endWithOldPrimary();
   const auto Found = Answers.find(this->old()->Id);
   if (Found == Answers.end() || Found->second.Role != ServerRole::Replica ||
-      Found->second.Received < std::max(*this->OldEnd, this->Required))
+      Found->second.Received < End.Position)
     this->fail(this->Reason + "; the old primary cannot lead again");
   else
-    this->promote(this->old()->Id);
+    this->promote(this->old()->Id, End);
 }
 
 void TakeoverProcedure::verify() {
@@ -356,17 +379,17 @@
   }
   // Commits of terms before the old primary's were acknowledged with servers
   // that may have left. Only a log with an entry of its term holds all of them.
-  if (this->OldEnd && this->Required < *this->OldEnd &&
-      this->Required.TermNumber < this->OldTerm) {
+  if (this->OldEnd && this->Required.Position < *this->OldEnd &&
+      this->Required.Position.TermNumber < this->OldTerm) {
     this->fail("no other server holds an entry of the old primary's term");
     return;
   }
   const std::optional<ServerId> Found =
-      chooseTarget(this->Servers, this->Required, this->Preferred);
+      chooseTarget(this->Servers, this->Required.Position, this->Preferred);
   if (this->others().size() < 2)
     this->fail("too few servers");
   else if (Found)
-    this->promote(*Found);
+    this->promote(*Found, this->Required);
   else
     this->fail("no server holds the longest log that was reported");
 }
--- a/src/policy/TakeoverProcedure.h
+++ b/src/policy/TakeoverProcedure.h
@@ -140,12 +140,47 @@
            {ClaimCheck::Unknown, "unknown"}});
 };
 
+/// Why the log of the target has to reach an end.
+enum class EndSource {
+  None,           ///< No end is known yet.
+  Reported,       ///< A server has reported it since the claim.
+  OldPrimary,     ///< The old primary reported it when it had stepped down.
+  AfterLoss,      ///< The old primary reported it after the last loss of a log.
+  EarlierAttempt, ///< It was required in a takeover that failed.
+  Acknowledged,   ///< The entry VM has reported a commit to a caller there.
+};
+
+template <> struct EnumNames<EndSource> {
+  static constexpr auto Entries =
+      std::to_array<std::pair<EndSource, std::string_view>>(
+          {{EndSource::None, "none"},
+           {EndSource::Reported, "reported"},
+           {EndSource::OldPrimary, "old-primary"},
+           {EndSource::AfterLoss, "after-loss"},
+           {EndSource::EarlierAttempt, "earlier-attempt"},
+           {EndSource::Acknowledged, "acknowledged"}});
+};
+
+/// The end of a log that a target has to reach.
+struct RequiredEnd {
+  LogPosition Position;
+  EndSource Source = EndSource::None;
+  ServerId Server; ///< That reported it; for Reported and OldPrimary.
+
+  /// Returns the higher of the two ends; this one if they are equal.
+  RequiredEnd raisedTo(const RequiredEnd &Other) const {
+    return this->Position < Other.Position ? Other : *this;
+  }
+};
+
 /// One step, with its arguments.
 struct TakeoverAction {
   TakeoverStep Step = TakeoverStep::End;
   std::vector<ServerId> Servers; ///< For Poll, StepDown, Adopt and Resume.
   Term TermNumber = 0;           ///< For StepDown and Adopt.
   ServerId Target;               ///< For Confirm, Order and AwaitEffect.
+  RequiredEnd Required;  ///< That Target had to reach; for Confirm and Order.
+  LogPosition TargetEnd; ///< That Target reported last; for the same steps.
   /// The calls of the step, or its order, must not be sent later. A holder that
   /// was suspended after next() would otherwise send them when it wakes, while
   /// another entry VM takes over.
@@ -164,12 +199,12 @@
   /// \param Servers the known servers, with the reports of the plan. Of these
   /// only the old primary's is used: whether it answered.
   /// \param KnownTerm the term of the last known primary; 0 if unknown.
-  /// \param RequiredEnd the end of a log that the target has to reach in any
-  /// case; zero if there is none.
+  /// \param Required the end of a log that the target has to reach in any case;
+  /// zero if there is none.
   /// \param Preferred the target of an earlier takeover that was not finished.
   /// \param Begun when the claim was begun.
   TakeoverProcedure(std::vector<TakeoverServer> Servers, Term KnownTerm,
-                    LogPosition RequiredEnd, std::optional<ServerId> Preferred,
+                    RequiredEnd Required, std::optional<ServerId> Preferred,
                     TimePoint Begun);
 
   /// Returns the step to carry out now.
@@ -198,7 +233,11 @@
   bool hasReturnedLead() const { return this->ReturnOrdered; }
 
   /// Returns the highest end of a log that the target has to reach.
-  LogPosition requiredEnd() const { return this->Required; }
+  LogPosition requiredEnd() const { return this->Required.Position; }
+
+  /// Returns whether \p Server, as it is registered, is not one of the servers
+  /// of the takeover yet, or has restarted.
+  bool isNew(const TakeoverServer &Server) const;
 
   /// Returns the term of the old primary, as far as it is known.
   Term oldTerm() const { return this->OldTerm; }
@@ -233,7 +272,11 @@
   void verify();
   void checkOld(const ServerReports &Answers);
   /// Makes \p Id the target, and confirms the claim unless the row names it.
-  void promote(const ServerId &Id);
+  /// \param Reached the end that its log had to reach.
+  void promote(const ServerId &Id, const RequiredEnd &Reached);
+  /// Returns the end that a target has to reach if no commit can be added to
+  /// the log of the old primary, which has stepped down.
+  RequiredEnd endWithOldPrimary() const;
   /// Gives up, or returns the lead to the old primary if that has stepped down.
   void fail(std::string Why);
   /// Gives up, and leaves the lead where it is.
@@ -265,10 +308,11 @@
   Term OldTerm = 0;                  ///< Of the old primary in the first poll.
   Term LedTerm = 0;                  ///< Of the target, once it leads.
   std::optional<LogPosition> OldEnd; ///< Set once it has stepped down.
-  LogPosition Required; ///< Highest end that the target has to reach.
+  RequiredEnd Required; ///< Highest end that the target has to reach.
   ServerId Target;
-  ServerId Confirmed;     ///< The target in the claim row.
-  bool Returning = false; ///< The old primary is to lead again.
+  RequiredEnd TargetRequired; ///< What Target had to reach when it was chosen.
+  ServerId Confirmed;         ///< The target in the claim row.
+  bool Returning = false;     ///< The old primary is to lead again.
   bool ReturnOrdered = false;
   TakeoverEnd Ended = TakeoverEnd::GivenUp;
   std::string Reason;
--- a/src/policy/testing/TakeoverProcedureTest.cpp
+++ b/src/policy/testing/TakeoverProcedureTest.cpp
@@ -53,7 +53,8 @@
 
   std::map<std::string, State> Servers{{"p", {}}, {"a", {}}, {"b", {}}};
   Term KnownTerm = 3;
-  LogPosition RequiredEnd;
+  RequiredEnd Required;
+  LogPosition Acknowledged;
   bool StoreAnswers = true;
   ClaimCheck Claim = ClaimCheck::Held;
   std::vector<PromotionOutcome> Orders; ///< Answers, in order; then Accepted.
@@ -66,18 +67,27 @@
 using Event = std::function<void(Surroundings &, TakeoverStep, unsigned)>;
 
 struct Outcome {
-  std::string Steps; ///< Names of the steps, with the targets of orders.
+  std::string Steps;   ///< Names of the steps, with the targets of orders.
+  std::string Ordered; ///< The ends of the last order, as a log line has them.
   TakeoverEnd End = TakeoverEnd::GivenUp;
   std::string Why;
 };
 
+/// Returns the required end of \p Order, why it was required, and the end of
+/// the target's log.
+std::string describeEnds(const TakeoverAction &Order) {
+  return positionText(Order.Required.Position) + " " +
+         std::string(nameOf(Order.Required.Source)) + ":" +
+         Order.Required.Server.str() + " " + positionText(Order.TargetEnd);
+}
+
 Outcome runTakeover(Surroundings &S, const Event &Before) {
   std::vector<TakeoverServer> Planned = S.registered();
   for (TakeoverServer &Server : Planned) {
     Server.OldPrimary = Server.Id.str() == "p";
     Server.Report = S.answer(Server.Id, TakeoverStep::Poll, 0);
   }
-  TakeoverProcedure Procedure(Planned, S.KnownTerm, S.RequiredEnd, std::nullopt,
+  TakeoverProcedure Procedure(Planned, S.KnownTerm, S.Required, std::nullopt,
                               Begun);
   Outcome Seen;
   std::map<TakeoverStep, unsigned> Counts;
@@ -95,7 +105,7 @@
       for (const ServerId &Id : Action.Servers)
         if (const auto Report = S.answer(Id, Action.Step, Action.TermNumber))
           Answers.emplace(Id, *Report);
-      Procedure.recordAnswers(Answers, {}, S.Now);
+      Procedure.recordAnswers(Answers, S.Acknowledged, S.Now);
       break;
     }
     case TakeoverStep::ReadServers:
@@ -107,6 +117,7 @@
       break;
     case TakeoverStep::Order:
       Seen.Steps += "=" + Action.Target.str();
+      Seen.Ordered = describeEnds(Action);
       Procedure.recordOrder(OrderCount < S.Orders.size()
                                 ? S.Orders[OrderCount]
                                 : PromotionOutcome::Accepted);
@@ -255,7 +266,7 @@
        TakeoverEnd::GivenUp},
       {"no replica has received the log since a server left",
        [](Surroundings &S) {
-         S.RequiredEnd = {3, 10};
+         S.Required = {{3, 10}, EndSource::EarlierAttempt, {}};
          S.Servers["p"].Index = 12;
        },
        Never, "poll end", TakeoverEnd::GivenUp},
@@ -263,7 +274,7 @@
        "server left",
        [](Surroundings &S) {
          S.Servers["p"].Silent = true;
-         S.RequiredEnd = {3, 10};
+         S.Required = {{3, 10}, EndSource::EarlierAttempt, {}};
        },
        Never, Frozen + "resume end", TakeoverEnd::GivenUp},
       {"nothing may be undone late in the lease", Nothing,
@@ -408,3 +419,60 @@
         "resume step-down end");
   CHECK(S.Servers["p"].Role == ServerRole::Primary);
 }
+
+// Guards against an order whose log line does not tell why its target was
+// complete: the source of the end is the one that was highest.
+TEST_CASE("an order tells the end that its target had to reach, and why") {
+  struct Row {
+    const char *Name;
+    std::function<void(Surroundings &)> Prepare;
+    std::string Ordered;
+  };
+  const auto SilentPrimary = [](Surroundings &S) {
+    S.Servers["p"].Silent = true;
+  };
+  const Row Rows[] = {
+      {"the old primary steps down", [](Surroundings &) {},
+       "3.9 old-primary:p 3.9"},
+      {"a replica has more than the old primary",
+       [](Surroundings &S) { S.Servers["b"].Index = 10; },
+       "3.10 reported:b 3.10"},
+      {"the old primary leads again",
+       [](Surroundings &S) {
+         S.Servers["a"].Index = S.Servers["b"].Index = 8;
+         S.Servers["b"].RefusesTerm = true;
+       },
+       "3.9 old-primary:p 3.9"},
+      {"the old primary is silent",
+       [&](Surroundings &S) {
+         SilentPrimary(S);
+         S.Servers["a"].Index = 8;
+       },
+       "3.9 reported:b 3.9"},
+      {"the end after a loss is higher than all but the target's",
+       [&](Surroundings &S) {
+         SilentPrimary(S);
+         S.Required = {{3, 9}, EndSource::AfterLoss, {}};
+       },
+       "3.9 after-loss: 3.9"},
+      {"an earlier attempt saw the same end",
+       [&](Surroundings &S) {
+         SilentPrimary(S);
+         S.Required = {{3, 9}, EndSource::EarlierAttempt, {}};
+       },
+       "3.9 earlier-attempt: 3.9"},
+      {"a commit was reported",
+       [&](Surroundings &S) {
+         SilentPrimary(S);
+         S.Acknowledged = {3, 9};
+       },
+       "3.9 acknowledged: 3.9"},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Surroundings S;
+    R.Prepare(S);
+    CHECK(runTakeover(S, [](Surroundings &, TakeoverStep, unsigned) {
+          }).Ordered == R.Ordered);
+  }
+}
--- a/src/policy/testing/TakeoverVariants.h
+++ b/src/policy/testing/TakeoverVariants.h
@@ -17,7 +17,7 @@
       : Begun(Begun),
         // The entry VM remembers neither the term of a primary that does not
         // answer nor a longer log, as after a restart.
-        Procedure(std::move(Servers), 0, LogPosition{}, std::move(Preferred),
+        Procedure(std::move(Servers), 0, RequiredEnd{}, std::move(Preferred),
                   Begun) {}
   std::unique_ptr<TakeoverLogic> clone() const override {
     return std::make_unique<PresentLogic>(*this);
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -534,15 +534,17 @@
       co_await this->claim(ClaimPurpose::Order, nextTerm(Servers));
   if (!Held)
     co_return "another entry VM holds the claim, or the store does not answer";
-  LogPosition RequiredEnd;
+  RequiredEnd Required;
   if (KnownTerm != 0) {
-    RequiredEnd = this->Monitored->endAfterLoss(KnownTerm);
+    Required = Required.raisedTo(
+        {this->Monitored->endAfterLoss(KnownTerm), EndSource::AfterLoss, {}});
     if (this->LongestSeen.first == KnownTerm)
-      RequiredEnd = std::max(RequiredEnd, this->LongestSeen.second);
+      Required = Required.raisedTo(
+          {this->LongestSeen.second, EndSource::EarlierAttempt, {}});
   }
   TakeoverProcedure Procedure(std::move(Servers),
                               std::max(KnownTerm, Held->Before.LastTerm),
-                              RequiredEnd, Held->Before.Target, Held->Begun);
+                              Required, Held->Before.Target, Held->Begun);
   TakeoverStep Previous = TakeoverStep::End;
   this->Secured.clear();
   while (true) {
@@ -568,7 +570,7 @@
     }
     case TakeoverStep::ReadServers: {
       const auto Listed = co_await this->readServers();
-      Outcome = Listed ? std::to_string(Listed->size()) : "no answer";
+      Outcome = Listed ? this->describeFound(*Listed, Procedure) : "no answer";
       Procedure.recordServers(Listed);
       break;
     }
@@ -648,38 +650,6 @@
   co_return Outcome;
 }
 
-std::string GroupMonitor::describe(const ServerReports &Seen) const {
-  std::string Text;
-  for (const auto &[Id, Report] : Seen) {
-    const RegisteredServer *Known = this->registration(Id);
-    Text += (Text.empty() ? "" : " ") + Id.str() + "@" +
-            std::to_string(Known ? Known->Version : 0) + ":" +
-            std::string(nameOf(Report.Role)) + "," +
-            std::to_string(Report.TermNumber) + "," +
-            positionText(Report.Received) + "," +
-            std::to_string(Report.AdoptedTerm);
-  }
-  return Text;
-}
-
-void GroupMonitor::logStep(const TakeoverAction &Action, const HeldClaim &Held,
-                           Term T, const std::string &Outcome) {
-  std::string Asked;
-  for (const ServerId &Id : Action.Servers)
-    Asked += (Asked.empty() ? "" : " ") + Id.str();
-  const bool IsOrder = Action.Step == TakeoverStep::Order;
-  log(LogLevel::Info,
-      IsOrder ? LogEvent::PromotionOrdered : LogEvent::TakeoverStepDone,
-      {{"service", this->Monitored->name().str()},
-       {"step", nameOf(Action.Step)},
-       {"target", Action.Target.empty() ? "-" : Action.Target.str()},
-       {"term", T},
-       {"fence", Held.Fence},
-       {"since_claim_ms", (bootNow() - Held.Begun) / milliseconds(1)},
-       {"asked", Asked.empty() ? "-" : Asked},
-       {"outcome", Outcome}});
-}
-
 QCoro::Task<> GroupMonitor::secureServer(ServerId Id, EffectWait &Wait) {
   const TaskGroup::Guard Guard(Wait.Running);
   Wait.Asked.insert(Id);
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -248,6 +248,11 @@
   /// Returns, for the log, the version of each server's registration and its
   /// report in \p Seen.
   std::string describe(const ServerReports &Seen) const;
+  /// Returns, for the log, the servers that were read last with the versions of
+  /// their registrations. Those that are new to \p Procedure are marked.
+  /// \param Listed the result of readServers().
+  std::string describeFound(const std::vector<TakeoverServer> &Listed,
+                            const TakeoverProcedure &Procedure) const;
   void logStep(const TakeoverAction &Action, const HeldClaim &Held, Term T,
                const std::string &Outcome);
   /// Returns the servers of \p Action and all that the takeover has stopped.
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -2,10 +2,13 @@
 
 #include "platform/testing/MemoryPlatform.h"
 #include "root/groups/testing/GroupRegistrations.h"
+#include "testing/CapturedLog.h"
 #include "testing/TaskRunner.h"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace amaranthspur;
 using linegroup::FakeServer;
 using linegroup::LineGroup;
@@ -785,3 +788,47 @@
     CHECK(F.Orders.Orders[I - 1].FencingToken <
           F.Orders.Orders[I].FencingToken);
 }
+
+// Guards against a takeover whose log lines do not tell which servers it knew,
+// what it required of its target and why.
+TEST_CASE("the log tells what a takeover knew and required") {
+  std::vector<std::string> Steps;
+  std::vector<std::string> Orders;
+  {
+    const CapturedLog Log;
+    Fixture F;
+    FakeServer &Joined = F.Group.servers()["d"];
+    Joined.Id = ServerId("d");
+    Joined.Log = Joined.Applied = {1, 9};
+    F.Group["a"].Reachable = false;
+    F.Servers->observeFailure(ServerId("a"), "test");
+    F.pass(std::chrono::seconds(3));
+    Steps = Log.lines(LogEvent::TakeoverStepDone);
+    Orders = Log.lines(LogEvent::PromotionOrdered);
+  }
+  struct Row {
+    const char *Name;
+    const std::vector<std::string> &Lines;
+    const char *Expected;
+  };
+  const Row Rows[] = {
+      {"the first read finds another server", Steps,
+       " step=read-servers target=- term=2 "},
+      {"it is marked", Steps, " outcome=\"a@2 b@3 c@4 d@5:new\""},
+      {"it is not new to the second read", Steps,
+       " outcome=\"a@2 b@3 c@4 d@5\""},
+      {"the confirmation has the ends", Steps,
+       " required=1.9 required_by=reported:d target_end=1.9 outcome=held"},
+      {"the order has the ends", Orders,
+       " required=1.9 required_by=reported:d target_end=1.9 "
+       "outcome=accepted"},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name, R.Lines);
+    CHECK(std::any_of(R.Lines.begin(), R.Lines.end(),
+                      [&R](const std::string &Line) {
+                        return Line.find(R.Expected) != std::string::npos;
+                      }));
+  }
+  CHECK(Orders.size() == 1);
+}
