--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -8,9 +8,10 @@
 namespace amaranthspur {
 
 Group::Group(ServiceName Name, ServerConnector &Connector,
-             const Locality &Where, EvidenceSource *Source, ClaimReader *Claims)
+             const Locality &Where, EvidenceSource *Source, ClaimReader *Claims,
+             Metrics *Counters)
     : Name(std::move(Name)), Connector(Connector), Where(Where), Source(Source),
-      Claims(Claims), Beliefs(Where) {}
+      Claims(Claims), Beliefs(Where), MissingCommits(this->Name, Counters) {}
 
 Group::~Group() = default;
 
@@ -159,6 +160,7 @@
 void Group::applyEvidence(const GroupEvidence &Known) {
   if (!Known.Primary.empty() && Known.TermNumber != 0)
     this->Beliefs.observeLeader(Known.Primary, Known.TermNumber);
+  this->MissingCommits.observeEvidence(Known);
   if (Known.ProvedTerm != 0) {
     this->recordProof(Known.ProvedTerm, Known.ProvedAt);
     if (Known.ReportedAt != TimePoint())
@@ -184,8 +186,10 @@
                           TimePoint SentAt) {
   this->Beliefs.observeAnswer(Id, A.Position, steadyNow());
   const std::optional<BelievedPrimary> Leader = this->Beliefs.primary();
-  if (A.Position && Leader && Leader->Id == Id && Leader->TermNumber != 0)
+  if (A.Position && Leader && Leader->Id == Id && Leader->TermNumber != 0) {
     this->Fresh.observeReport(Leader->TermNumber, *A.Position, SentAt);
+    this->MissingCommits.observeAnswer(*Leader, *A.Position);
+  }
   const ServerBelief *Server = this->Beliefs.find(Id);
   if (A.Position && Server && Server->Role == ServerRole::Replica) {
     this->Holders.observeReplica(Id, *A.Position);
@@ -291,10 +295,11 @@
   }
 }
 
-void Group::observeCommit(const ServerId &Id, const Answer &A,
-                          TimePoint SentAt) {
+void Group::observeCommit(const ServerId &Id, const Answer &A, TimePoint SentAt,
+                          const ServerId &Holder) {
   if (!A.Position)
     return;
+  this->MissingCommits.recordCommit(*A.Position, Holder);
   this->Acknowledged = std::max(this->Acknowledged, *A.Position);
   const std::optional<BelievedPrimary> Leader = this->Beliefs.primary();
   // A replica had to hold the commit before the acknowledgement, so the primary
@@ -357,6 +362,7 @@
     this->EndWanted = false;
   }
   this->Beliefs.observeStatus(Id, Report, steadyNow());
+  this->MissingCommits.observeReport(Id, Report);
   this->Holders.observeReport(Id, Report);
   this->HolderFound.notifyAll();
   if (const std::shared_ptr<ServerPool> Pool = this->pool(Id)) {
--- a/src/root/groups/Group.h
+++ b/src/root/groups/Group.h
@@ -17,6 +17,7 @@
 #include "policy/GroupBeliefs.h"
 #include "policy/LeadershipProof.h"
 #include "root/groups/ClaimReader.h"
+#include "root/groups/MissingCommitAlarm.h"
 #include "root/groups/ServerPool.h"
 #include "root/relay/EvidenceBoard.h"
 
@@ -93,8 +94,10 @@
   /// \param Source the relay; null if there is none.
   /// \param Claims reads the claim row as a proof of leadership; null if only
   /// the servers' reports are used.
+  /// \param Counters null if nothing is counted.
   Group(ServiceName Name, ServerConnector &Connector, const Locality &Where,
-        EvidenceSource *Source = nullptr, ClaimReader *Claims = nullptr);
+        EvidenceSource *Source = nullptr, ClaimReader *Claims = nullptr,
+        Metrics *Counters = nullptr);
   Group(const Group &) = delete;
   Group &operator=(const Group &) = delete;
   ~Group();
@@ -148,8 +151,11 @@
   /// of the boot clock.
   void observeAnswer(const ServerId &Id, const Answer &A, TimePoint SentAt);
   /// Records that \p Id, which was believed to be the primary, acknowledged a
-  /// commit that was sent at \p SentAt (boot clock).
-  void observeCommit(const ServerId &Id, const Answer &A, TimePoint SentAt);
+  /// commit that was sent at \p SentAt (boot clock) and is reported to the
+  /// caller now.
+  /// \param Holder the result of awaitHolder(); empty if that was not called.
+  void observeCommit(const ServerId &Id, const Answer &A, TimePoint SentAt,
+                     const ServerId &Holder);
   /// Records that \p Id could not be reached or that a connection was lost.
   void observeFailure(const ServerId &Id, const std::string &Why);
   /// Records that no connection to \p Id could be acquired. A full pool, or a
@@ -163,6 +169,9 @@
   /// Records a status report that \p Id has just sent.
   void observeReport(const ServerId &Id, const ServerReport &Report);
 
+  /// Returns the alarm of commits that were reported and that a primary lacks.
+  MissingCommitAlarm &missingCommits() { return this->MissingCommits; }
+
   /// Returns the highest position of a commit whose acknowledgement reached
   /// this entry VM.
   LogPosition acknowledged() const { return this->Acknowledged; }
@@ -286,6 +295,7 @@
   std::multiset<AwaitedCommit> Awaited;
   std::map<ServerId, std::shared_ptr<ServerPool>> Pools;
   std::optional<BelievedPrimary> LastPrimary;
+  MissingCommitAlarm MissingCommits;
   LogPosition Acknowledged;
   LogPosition EndAfterLoss;
   Term EndTerm = 0;      ///< In which EndAfterLoss was reported.
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -600,6 +600,9 @@
       this->Claim.recordOrder(Held->OrderEnd + EffectTimeout,
                               Answer != PromotionOutcome::Unknown);
       Outcome = nameOf(Answer);
+      if (Answer == PromotionOutcome::Accepted)
+        this->Monitored->missingCommits().observeOrder(
+            Action.Target, Procedure.oldTerm() + 1, Action.TargetEnd);
       Procedure.recordOrder(Answer);
       break;
     }
--- a/src/root/groups/GroupRegistry.cpp
+++ b/src/root/groups/GroupRegistry.cpp
@@ -56,7 +56,8 @@
 void GroupRegistry::addGroup(const ServiceName &Service) {
   Entry &E = this->Groups[Service];
   E.ServerGroup = std::make_shared<Group>(Service, this->Connector, this->Where,
-                                          this->Source, &this->Claims);
+                                          this->Source, &this->Claims,
+                                          &this->Dependencies.Counters);
   E.ServerGroup->setEntryVms(this->EntryVms);
   E.Monitor = std::make_shared<GroupMonitor>(E.ServerGroup, this->Dependencies);
   E.ServerGroup->start();
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -1,5 +1,6 @@
 #include "root/groups/GroupMonitor.h"
 
+#include "core/BootClock.h"
 #include "platform/testing/MemoryPlatform.h"
 #include "root/groups/testing/GroupRegistrations.h"
 #include "testing/CapturedLog.h"
@@ -794,17 +795,26 @@
 TEST_CASE("the log tells what a takeover knew and required") {
   std::vector<std::string> Steps;
   std::vector<std::string> Orders;
+  std::vector<std::string> Alarms;
   {
     const CapturedLog Log;
     Fixture F;
     FakeServer &Joined = F.Group.servers()["d"];
     Joined.Id = ServerId("d");
     Joined.Log = Joined.Applied = {1, 9};
+    // The old primary acknowledges a commit with a server that is not
+    // registered.
+    F.Orders.BeforeEffect = [&F](const PromotionRequest &) {
+      Answer A;
+      A.Position = LogPosition{1, 12};
+      F.Servers->observeCommit(ServerId("a"), A, bootNow(), {});
+    };
     F.Group["a"].Reachable = false;
     F.Servers->observeFailure(ServerId("a"), "test");
     F.pass(std::chrono::seconds(3));
     Steps = Log.lines(LogEvent::TakeoverStepDone);
     Orders = Log.lines(LogEvent::PromotionOrdered);
+    Alarms = Log.lines(LogEvent::AcknowledgedCommitMissing);
   }
   struct Row {
     const char *Name;
@@ -822,6 +832,8 @@
       {"the order has the ends", Orders,
        " required=1.9 required_by=reported:d target_end=1.9 "
        "outcome=accepted"},
+      {"the order lacks a commit", Alarms,
+       " server=d term=2 position=1.9 known_from=order acknowledged=1.12 "},
   };
   for (const Row &R : Rows) {
     CAPTURE(R.Name, R.Lines);
@@ -831,4 +843,5 @@
                       }));
   }
   CHECK(Orders.size() == 1);
+  CHECK(Alarms.size() == 1);
 }
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -343,7 +343,7 @@
   }
   if (Doubt)
     co_return failure(AnswerCode::OutcomeUnknown, *Doubt);
-  E.ServerGroup->observeCommit(Primary.Id, A, SentAt);
+  E.ServerGroup->observeCommit(Primary.Id, A, SentAt, E.Holder);
   co_return A;
 }
 
--- a/src/root/telemetry/Log.h
+++ b/src/root/telemetry/Log.h
@@ -34,6 +34,7 @@
 
 /// The event that a line reports.
 enum class LogEvent {
+  AcknowledgedCommitMissing,
   AdoptionUndone,
   CallAbandoned,
   CallerRejected,
@@ -90,7 +91,8 @@
 template <> struct EnumNames<LogEvent> {
   static constexpr auto Entries =
       std::to_array<std::pair<LogEvent, std::string_view>>(
-          {{LogEvent::AdoptionUndone, "adoption-undone"},
+          {{LogEvent::AcknowledgedCommitMissing, "acknowledged-commit-missing"},
+           {LogEvent::AdoptionUndone, "adoption-undone"},
            {LogEvent::CallAbandoned, "call-abandoned"},
            {LogEvent::CallerRejected, "caller-rejected"},
            {LogEvent::ChildFailed, "child-failed"},
