--- a/src/root/directory/PlatformDirectory.cpp
+++ b/src/root/directory/PlatformDirectory.cpp
@@ -7,6 +7,23 @@
 #include <set>
 
 namespace amaranthspur {
+namespace {
+
+/// Returns the Unix time of the wall clock.
+milliseconds wallClockNow() {
+  return std::chrono::duration_cast<milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
+} // namespace
+
+std::string knownAfterStart(const RegisteredServer &Server,
+                            const RegisteredServer *Known, milliseconds Now) {
+  if (Server.StartedAtMs == 0 ||
+      (Known && Known->StartedAtMs == Server.StartedAtMs))
+    return "-";
+  return std::to_string(Now.count() - Server.StartedAtMs);
+}
 
 QCoro::Task<Result<Success>> PlatformDirectory::start() {
   this->Stopping = false;
@@ -138,7 +155,9 @@
                         Known->second.Draining != Server.Draining ||
                         Known->second.StartedAtMs != Server.StartedAtMs ||
                         Known->second.Role != Server.Role;
-  if (IsChange)
+  if (IsChange) {
+    const RegisteredServer *Before =
+        Known == this->Servers.end() ? nullptr : &Known->second;
     log(LogLevel::Info, LogEvent::ServersChanged,
         {{"server", Id.str()},
          {"service", Server.Service.str()},
@@ -146,7 +165,10 @@
          {"state", Server.Draining ? "draining" : "ready"},
          {"role", nameOf(*Server.Role)},
          {"started_at_ms", Server.StartedAtMs},
+         {"known_ms_after_start",
+          knownAfterStart(Server, Before, wallClockNow())},
          {"row_version", Row.Version}});
+  }
   this->Servers.insert_or_assign(Id, Server);
 }
 
--- a/src/root/directory/PlatformDirectory.h
+++ b/src/root/directory/PlatformDirectory.h
@@ -20,6 +20,15 @@
 
 namespace amaranthspur {
 
+/// Returns how long after the start of a server this entry VM came to know of
+/// it, in milliseconds: the difference between the entry VM's wall clock and
+/// the server's, which may be wrong by the difference of the clocks. Returns
+/// `-` if this start was known before or the registration does not tell it.
+/// \param Known the registration that was known before; null if none was.
+/// \param Now Unix time.
+std::string knownAfterStart(const RegisteredServer &Server,
+                            const RegisteredServer *Known, milliseconds Now);
+
 /// Follows the operator's table and the table of the registered servers.
 class PlatformDirectory final : public Child {
 public:
--- a/src/root/directory/testing/PlatformDirectoryTest.cpp
+++ b/src/root/directory/testing/PlatformDirectoryTest.cpp
@@ -1,6 +1,7 @@
 #include "root/directory/PlatformDirectory.h"
 
 #include "platform/HttpPlatform.h"
+#include "testing/CapturedLog.h"
 #include "testing/TaskRunner.h"
 #include "testing/fake-platform/PlatformServer.h"
 
@@ -192,3 +193,44 @@
   CHECK(F.Directory->servers().count(ServerId("i-1")) == 1);
   F.waitUntil([&F] { return F.Directory->servers().empty(); });
 }
+
+// Guards against a time that is logged for another change than a start, and
+// against one that looks plausible although the start is not known.
+TEST_CASE("the time from a server's start until it is known is logged") {
+  struct Row {
+    const char *Name;
+    std::int64_t Start;
+    std::optional<std::int64_t> KnownStart; ///< Nothing: not known before.
+    const char *Text;
+  };
+  const Row Rows[] = {
+      {"a new server", 1'000, std::nullopt, "450"},
+      {"a restart", 1'000, 600, "450"},
+      {"another change", 1'000, 1'000, "-"},
+      {"its clock is ahead", 1'500, std::nullopt, "-50"},
+      {"the start is not told", 0, std::nullopt, "-"},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    RegisteredServer Now;
+    Now.StartedAtMs = R.Start;
+    RegisteredServer Before;
+    Before.StartedAtMs = R.KnownStart.value_or(0);
+    CHECK(knownAfterStart(Now, R.KnownStart ? &Before : nullptr,
+                          milliseconds(1'450)) == R.Text);
+  }
+  std::vector<std::string> Lines;
+  {
+    const CapturedLog Log;
+    Fixture F;
+    std::string Value = server("ready");
+    Value.back() = ',';
+    F.Store.setExternalRow("servers", "i-2", Value + R"("born":1000})");
+    F.waitUntil([&F] { return F.Directory->servers().size() == 2; });
+    Lines = Log.lines(LogEvent::ServersChanged);
+  }
+  REQUIRE(Lines.size() >= 2);
+  CHECK(Lines[0].find(" known_ms_after_start=- ") != std::string::npos);
+  // The present time, in milliseconds since 1970, has 13 digits.
+  CHECK(Lines[1].find(" known_ms_after_start=1") != std::string::npos);
+}
