--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -8,9 +8,11 @@
 namespace amaranthspur {
 
 Group::Group(ServiceName Name, ServerConnector &Connector,
-             const Locality &Where, EvidenceSource *Source, ClaimReader *Claims)
+             const Locality &Where, EvidenceSource *Source, ClaimReader *Claims,
+             Metrics *Counters)
     : Name(std::move(Name)), Connector(Connector), Where(Where), Source(Source),
-      Claims(Claims), Beliefs(Where), Search(*this) {}
+      Claims(Claims), Beliefs(Where), Search(*this),
+      MissingCommits(this->Name, Counters) {}
 
 Group::~Group() = default;
 
@@ -164,6 +166,7 @@
 void Group::applyEvidence(const GroupEvidence &Known) {
   if (!Known.Primary.empty() && Known.TermNumber != 0)
     this->Beliefs.observeLeader(Known.Primary, Known.TermNumber);
+  this->MissingCommits.observeEvidence(Known);
   if (Known.ProvedTerm != 0) {
     this->recordProof(Known.ProvedTerm, Known.ProvedAt);
     if (Known.ReportedAt != TimePoint())
@@ -189,8 +192,10 @@
                           TimePoint SentAt) {
   this->Beliefs.observeAnswer(Id, A.Position, steadyNow());
   const std::optional<BelievedPrimary> Leader = this->Beliefs.primary();
-  if (A.Position && Leader && Leader->Id == Id && Leader->TermNumber != 0)
+  if (A.Position && Leader && Leader->Id == Id && Leader->TermNumber != 0) {
     this->Fresh.observeReport(Leader->TermNumber, *A.Position, SentAt);
+    this->MissingCommits.observeAnswer(*Leader, *A.Position);
+  }
   const ServerBelief *Server = this->Beliefs.find(Id);
   if (A.Position && Server && Server->Role == ServerRole::Replica)
     this->Search.observeReplica(Id, *A.Position);
@@ -202,10 +207,11 @@
   this->PrimaryChange.notifyAll();
 }
 
-void Group::observeCommit(const ServerId &Id, const Answer &A,
-                          TimePoint SentAt) {
+void Group::observeCommit(const ServerId &Id, const Answer &A, TimePoint SentAt,
+                          const ServerId &Holder) {
   if (!A.Position)
     return;
+  this->MissingCommits.recordCommit(*A.Position, Holder);
   this->Acknowledged = std::max(this->Acknowledged, *A.Position);
   const std::optional<BelievedPrimary> Leader = this->Beliefs.primary();
   // A replica had to hold the commit before the acknowledgement, so the primary
@@ -269,6 +275,7 @@
   }
   this->Beliefs.observeStatus(Id, Report, steadyNow());
   this->Search.observeReport(Id, Report);
+  this->MissingCommits.observeReport(Id, Report);
   if (const std::shared_ptr<ServerPool> Pool = this->pool(Id)) {
     Pool->share().observeCount(Report.Connections, steadyNow());
     this->ConnectionCounts[Id] = {Report.Connections, steadyNow()};
