--- a/src/policy/ClaimRow.cpp
+++ b/src/policy/ClaimRow.cpp
@@ -14,13 +14,44 @@
 constexpr std::string_view UnknownTerm = "0";
 /// Separates the entry VM and the time of a turn.
 constexpr char TurnMark = '@';
+/// Begins the word of a required log.
+constexpr std::string_view RequiredMark = "end=";
 
-/// Returns the number that \p Word consists of; 0 if it is not one.
-std::uint64_t parseNumber(const std::string &Word) {
+/// Returns the number that \p Word consists of, or nothing if it is not one.
+std::optional<std::uint64_t> parseDigits(std::string_view Word) {
   std::uint64_t T = 0;
   const char *End = Word.data() + Word.size();
   const auto [Rest, Status] = std::from_chars(Word.data(), End, T);
-  return Status == std::errc() && Rest == End ? T : 0;
+  return Status == std::errc() && Rest == End ? std::optional(T) : std::nullopt;
+}
+
+/// Returns the number that \p Word consists of; 0 if it is not one.
+std::uint64_t parseNumber(const std::string &Word) {
+  return parseDigits(Word).value_or(0);
+}
+
+/// Returns the word of \p Required with a space before it, or nothing.
+std::string requiredSuffix(const std::optional<RequiredLog> &Required) {
+  if (!Required)
+    return "";
+  return " " + std::string(RequiredMark) + std::to_string(Required->Of) + ":" +
+         positionText(Required->End);
+}
+
+/// Returns the required log that \p Word consists of, or nothing if it is not
+/// one.
+std::optional<RequiredLog> parseRequired(std::string_view Word) {
+  const std::size_t Colon = Word.find(':');
+  const std::size_t Dot = Word.find('.', Colon + 1);
+  if (Colon == std::string_view::npos || Dot == std::string_view::npos)
+    return std::nullopt;
+  const auto Of = parseDigits(
+      Word.substr(RequiredMark.size(), Colon - RequiredMark.size()));
+  const auto InTerm = parseDigits(Word.substr(Colon + 1, Dot - Colon - 1));
+  const auto Index = parseDigits(Word.substr(Dot + 1));
+  if (!Of || *Of == 0 || !InTerm || !Index)
+    return std::nullopt;
+  return RequiredLog{*Of, {*InTerm, *Index}};
 }
 
 std::string turnWord(const ClaimTurn &Turn) {
@@ -76,10 +107,16 @@
   }
   std::istringstream Stream(Value);
   std::vector<std::string> Words;
-  for (std::string Word; Words.size() < 5 && Stream >> Word;)
+  for (std::string Word; Words.size() < 6 && Stream >> Word;)
     Words.push_back(Word);
-  const std::size_t Count = Words.size();
   Row.State = ClaimState::Unknown;
+  if (!Words.empty() && Words.back().starts_with(RequiredMark)) {
+    Row.Required = parseRequired(Words.back());
+    if (!Row.Required)
+      return Row;
+    Words.pop_back();
+  }
+  const std::size_t Count = Words.size();
   if (Count == 0 || Count > 4)
     return Row;
   if (Words[0] == FinishedWord) {
@@ -106,17 +143,27 @@
   return Row;
 }
 
-std::string takeoverClaimValue(const ClaimTurn &Turn, Term T) {
-  return turnWord(Turn) + " " + std::to_string(T);
+std::optional<RequiredLog>
+stillRequired(const std::optional<RequiredLog> &Required, Term Led) {
+  return Required && Required->Of >= Led ? Required : std::nullopt;
+}
+
+std::string takeoverClaimValue(const ClaimTurn &Turn, Term T,
+                               const std::optional<RequiredLog> &Required) {
+  return turnWord(Turn) + " " + std::to_string(T) + requiredSuffix(Required);
 }
 
 std::string confirmedClaimValue(const ClaimTurn &Turn, Term T,
-                                const ServerId &Target) {
-  return takeoverClaimValue(Turn, T) + " " + Target.str();
+                                const ServerId &Target,
+                                const std::optional<RequiredLog> &Required) {
+  return takeoverClaimValue(Turn, T) + " " + Target.str() +
+         requiredSuffix(Required);
 }
 
-std::string undoClaimValue(const ClaimTurn &Turn) {
-  return turnWord(Turn) + " " + std::string(UndoWord);
+std::string undoClaimValue(const ClaimTurn &Turn,
+                           const std::optional<RequiredLog> &Required) {
+  return turnWord(Turn) + " " + std::string(UndoWord) +
+         requiredSuffix(Required);
 }
 
 std::string finishedClaimValue(const ClaimOutcome &Outcome) {
@@ -135,7 +182,9 @@
   std::string Value(FinishedWord);
   if (Last != 0 || Turn)
     Value += " " + std::to_string(Last);
-  return Turn ? Value + " " + turnWord(*Turn) : Value;
+  if (Turn)
+    Value += " " + turnWord(*Turn);
+  return Outcome.Promoted ? Value : Value + requiredSuffix(Outcome.Required);
 }
 
 } // namespace amaranthspur
--- a/src/policy/ClaimRow.h
+++ b/src/policy/ClaimRow.h
@@ -7,6 +7,12 @@
 //   finished <term> <turn>  released after an order; <term> is 0 if unknown
 //   finished [<term>]       released; no order that others wait for is known
 //
+// Each form may have one more word at its end, `end=<term>:<position>`: the log
+// of the server that succeeds the primary of <term> has to reach the position
+// (RequiredLog). A holder writes what it knows when it confirms or releases the
+// claim, and keeps what it has read until a promotion to a later term has taken
+// effect. policy/TakeoverProcedure.h says which positions are required.
+//
 // <turn> is `<vm>@<ms>`: the entry VM that holds the claim or, in a row that is
 // finished, gave the last order, and from when the others' wait counts
 // (ClaimTurn). TakeoverClaim decides by it who may claim when.
@@ -16,7 +22,9 @@
 // earlier version reads a confirmed row with its target, and counts its lease
 // from that row, so that its order follows at least Lease - OrderSpan after
 // this version's. It has no form for a finished row with a turn and respects it
-// as a claim for its lease.
+// as a claim for its lease. The same holds for each row with a required log,
+// but that of a claim: there it takes the word for a target, which no server
+// is. What it writes in turn has no required log.
 //
 // `finished T` states that no promotion to a term later than T has taken effect
 // and that none will before the row is claimed again. An entry VM that reads it
@@ -72,6 +80,14 @@
   bool operator==(const ClaimTurn &) const = default;
 };
 
+/// How far the log of the next primary has to reach.
+struct RequiredLog {
+  Term Of = 0; ///< Of the primary that is to be succeeded.
+  LogPosition End;
+
+  bool operator==(const RequiredLog &) const = default;
+};
+
 /// The term of the first primary of a group.
 inline constexpr Term FirstTerm = 1;
 
@@ -87,7 +103,8 @@
   /// Of the holder or, if the row is finished, of the last order. Nothing in
   /// rows of earlier versions, and in finished rows without a known order.
   std::optional<ClaimTurn> Turn = {};
-  bool Undoing = false; ///< It is held to undo adoptions.
+  bool Undoing = false;                     ///< It is held to undo adoptions.
+  std::optional<RequiredLog> Required = {}; ///< Nothing if none is known.
 
   bool operator==(const ClaimRow &) const = default;
 };
@@ -100,6 +117,8 @@
   Term Highest = 0;      ///< Highest term of a primary that the holder knows.
   /// Of the holder; replaces that of the row before if it gave an order.
   ClaimTurn Turn = {};
+  /// What the next holder has to require if the target does not lead.
+  std::optional<RequiredLog> Required = {};
 };
 
 /// Returns the key of the claim row of \p Service.
@@ -113,16 +132,27 @@
 /// exist, and \p Value.
 ClaimRow parseClaimRow(std::uint64_t Version, const std::string &Value);
 
+/// Returns \p Required unless a promotion to a later term has taken effect.
+/// \param Led the latest term that a primary is known to have led.
+std::optional<RequiredLog>
+stillRequired(const std::optional<RequiredLog> &Required, Term Led);
+
 /// Returns the value with which a takeover to term \p T is claimed.
-std::string takeoverClaimValue(const ClaimTurn &Turn, Term T);
+/// \param Required as in the row that the claim replaces, if it still applies.
+std::string takeoverClaimValue(const ClaimTurn &Turn, Term T,
+                               const std::optional<RequiredLog> &Required = {});
 
 /// Returns the value with which a claim is confirmed.
 /// \param Target the server whose promotion is about to be ordered.
-std::string confirmedClaimValue(const ClaimTurn &Turn, Term T,
-                                const ServerId &Target);
+/// \param Required what the next holder has to require.
+std::string
+confirmedClaimValue(const ClaimTurn &Turn, Term T, const ServerId &Target,
+                    const std::optional<RequiredLog> &Required = {});
 
 /// Returns the value with which the undoing of adoptions is claimed.
-std::string undoClaimValue(const ClaimTurn &Turn);
+/// \param Required as in the row that the claim replaces, if it still applies.
+std::string undoClaimValue(const ClaimTurn &Turn,
+                           const std::optional<RequiredLog> &Required = {});
 
 /// Returns the value with which a claim is released.
 std::string finishedClaimValue(const ClaimOutcome &Outcome);
--- a/src/policy/TakeoverProcedure.h
+++ b/src/policy/TakeoverProcedure.h
@@ -26,14 +26,14 @@
 //     read of the registrations after the last adoption, has adopted the next
 //     term and still holds it in a later poll, and the target's log reaches the
 //     required end: that of each log that was reported since the claim or in an
-//     earlier attempt, and that of the old primary's log as it was reported
-//     after the last server had left the group or restarted. A commit is held
-//     by a replica when it is acknowledged. If that replica has left or
-//     restarted since, the commit lies below the required end; otherwise it is
-//     in a reported log. After the adoptions the old primary has no replica
-//     with which it could acknowledge. Commits of terms before the old
-//     primary's are in each log that has an entry of its term. If it has
-//     stepped down and no log has one, it leads again.
+//     earlier attempt of any holder, and that of the old primary's log as it
+//     was reported after the last server had left the group or restarted. A
+//     commit is held by a replica when it is acknowledged. If that replica has
+//     left or restarted since, the commit lies below the required end;
+//     otherwise it is in a reported log. After the adoptions the old primary
+//     has no replica with which it could acknowledge. Commits of terms before
+//     the old primary's are in each log that has an entry of its term. If it
+//     has stepped down and no log has one, it leads again.
 //
 // Gaps that the platform gives no means to close:
 //  - In the second way, an old primary that this entry VM cannot reach
@@ -55,6 +55,15 @@
 //    after the promotion. By its term, that log then looks longer than the log
 //    of a later primary that has no entry of its own term yet.
 //
+// What is required outlasts a takeover that does not promote its target: the
+// server that reported a log may have left when the next holder asks, and may
+// have been the only one besides the old primary with an acknowledged commit.
+// The claim row therefore carries the required end on, with the term of the old
+// primary (policy/ClaimRow.h). Each later holder requires it until a promotion
+// to a later term has taken effect, since that target has reached it. A holder
+// that loses its claim, or ends, before it confirms or releases it passes on
+// only what it has read.
+//
 // An order is given only within the promotion window of the claim, and after
 // the claim row has been confirmed with the target in it. A takeover that
 // follows an unfinished one prefers its target. In the first way the row is
--- a/src/policy/testing/ClaimRowTest.cpp
+++ b/src/policy/testing/ClaimRowTest.cpp
@@ -22,6 +22,11 @@
   return Row;
 }
 
+ClaimRow requiring(ClaimRow Row, RequiredLog Required) {
+  Row.Required = Required;
+  return Row;
+}
+
 } // namespace
 
 // Guards against a value that is misread: as the proof of a term, as a finished
@@ -56,6 +61,30 @@
       {4, "finished 3 @7", row(S::Unknown)},
       {4, "finished x vm-1@7", row(S::Unknown)},
       {4, "finished 3 vm-1@7 more", row(S::Unknown)},
+      {4, "vm-1@70 4 end=3:2.9",
+       requiring(row(S::Held, 0, {}, 0, turn("vm-1", 70)), {3, {2, 9}})},
+      {4, "vm-1@70 4 i-7 end=3:3.9",
+       requiring(row(S::Held, 0, ServerId("i-7"), 0, turn("vm-1", 70)),
+                 {3, {3, 9}})},
+      {4, "vm-1@70 undo end=3:3.9",
+       requiring(undoing(row(S::Held, 0, {}, 0, turn("vm-1", 70))),
+                 {3, {3, 9}})},
+      {4, "finished end=3:3.9", requiring(row(S::Finished), {3, {3, 9}})},
+      {4, "finished 3 end=3:3.9", requiring(row(S::Finished, 3), {3, {3, 9}})},
+      {4, "finished 3 vm-1@70 end=3:3.0",
+       requiring(row(S::Finished, 3, {}, 0, turn("vm-1", 70)), {3, {3, 0}})},
+      {4, "finished 3 end=", row(S::Unknown)},
+      {4, "finished 3 end=3", row(S::Unknown)},
+      {4, "finished 3 end=3:3", row(S::Unknown)},
+      {4, "finished 3 end=0:3.9", row(S::Unknown)},
+      {4, "finished 3 end=x:3.9", row(S::Unknown)},
+      {4, "finished 3 end=3:3.9x", row(S::Unknown)},
+      {4, "finished 3 end=3.9:3", row(S::Unknown)},
+      {4, "finished end=3:3.9 3", row(S::Unknown)},
+      {4, "vm-1@70 4 i-7 more end=3:3.9",
+       requiring(row(S::Unknown), {3, {3, 9}})},
+      {4, "vm-1@70 end=3:3.9", requiring(row(S::Unknown), {3, {3, 9}})},
+      {4, "end=3:3.9", requiring(row(S::Unknown), {3, {3, 9}})},
       {4, "", row(S::Unknown)},
       {4, "vm-1", row(S::Unknown)},
       {4, "vm-1 x", row(S::Unknown)},
@@ -81,6 +110,51 @@
   CHECK(takeoverClaimValue(Self, 3) == "vm-1@70 3");
   CHECK(confirmedClaimValue(Self, 3, ServerId("i-7")) == "vm-1@70 3 i-7");
   CHECK(undoClaimValue(Self) == "vm-1@70 undo");
+  const RequiredLog Required{3, {2, 9}};
+  CHECK(takeoverClaimValue(Self, 4, Required) == "vm-1@70 4 end=3:2.9");
+  CHECK(confirmedClaimValue(Self, 4, ServerId("i-7"), Required) ==
+        "vm-1@70 4 i-7 end=3:2.9");
+  CHECK(undoClaimValue(Self, Required) == "vm-1@70 undo end=3:2.9");
+}
+
+// Guards against a promoted server that lacks commits which only the holder
+// before knew of, and against a group without a primary because of a log that a
+// later primary has left behind.
+TEST_CASE("a required log is passed on until a later primary leads") {
+  const RequiredLog Required{3, {3, 9}};
+  struct Row {
+    const char *Name;
+    Term Led;
+    bool Applies;
+  };
+  const Row Rows[] = {
+      {"no term is known", 0, true},
+      {"an earlier term", 2, true},
+      {"the primary that is to be succeeded", 3, true},
+      {"a later primary", 4, false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    CHECK(stillRequired(Required, R.Led).has_value() == R.Applies);
+    CHECK_FALSE(stillRequired(std::nullopt, R.Led));
+  }
+  const ClaimRow Before = row(ClaimState::Finished, 3);
+  struct Release {
+    const char *Name;
+    bool Ordered;
+    bool Promoted;
+    const char *Expected;
+  };
+  const Release Releases[] = {
+      {"given up", false, false, "finished 3 end=3:3.9"},
+      {"given up after an order", true, false, "finished 0 vm-1@90 end=3:3.9"},
+      {"promoted", true, true, "finished 3 vm-1@90"},
+  };
+  for (const Release &R : Releases) {
+    CAPTURE(R.Name);
+    CHECK(finishedClaimValue({Before, R.Ordered, R.Promoted, 3,
+                              turn("vm-1", 90), Required}) == R.Expected);
+  }
 }
 
 // Guards against a change of turn that the next entry VM does not know of, and
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -372,6 +372,24 @@
   co_await sleepFor(FailedTakeoverPause);
 }
 
+Term GroupMonitor::latestTerm() const {
+  Term Latest = 0;
+  for (const auto &[Id, Server] : this->Monitored->beliefs().servers())
+    Latest = std::max(Latest, Server.TermNumber);
+  return Latest;
+}
+
+void GroupMonitor::recordRequired(HeldClaim &Held,
+                                  const TakeoverProcedure &Procedure) const {
+  const Term Latest = this->latestTerm();
+  const Term Of = Procedure.oldTerm() != 0 ? Procedure.oldTerm() : Latest;
+  const LogPosition End = Procedure.requiredEnd();
+  if (Of != 0 && Of >= Latest && End != LogPosition())
+    Held.Required = RequiredLog{Of, End};
+  else
+    Held.Required = stillRequired(Held.Required, Latest);
+}
+
 std::string GroupMonitor::operationPrefix() const {
   return this->Dependencies.Self.str() + "/" +
          std::to_string(this->OperationNonce) + "/";
@@ -400,9 +418,11 @@
     Held.Begun = bootNow();
     Held.OrderBy = Held.Begun + TakeoverClaim::OrderSpan;
     const ClaimTurn Turn = this->Claim.turnUntil(Held.OrderBy);
+    Held.Required =
+        stillRequired(this->Claim.row().Required, this->latestTerm());
     const std::string Value = Purpose == ClaimPurpose::Undo
-                                  ? undoClaimValue(Turn)
-                                  : takeoverClaimValue(Turn, T);
+                                  ? undoClaimValue(Turn, Held.Required)
+                                  : takeoverClaimValue(Turn, T, Held.Required);
     const Result<CasOutcome> R =
         co_await this->Dependencies.Store.compareAndSet(
             claimKey(this->Monitored->name()), this->Claim.version(), Value,
@@ -440,9 +460,11 @@
 QCoro::Task<ClaimCheck> GroupMonitor::confirm(HeldClaim &Held, ServerId Target,
                                               Term T) {
   const TimePoint OrderBy = bootNow() + TakeoverClaim::OrderSpan;
-  const ClaimCheck Check = co_await this->advance(
-      Held, confirmedClaimValue(this->Claim.turnUntil(OrderBy), T, Target),
-      ConfirmTimeout);
+  const ClaimCheck Check =
+      co_await this->advance(Held,
+                             confirmedClaimValue(this->Claim.turnUntil(OrderBy),
+                                                 T, Target, Held.Required),
+                             ConfirmTimeout);
   if (Check == ClaimCheck::Held)
     Held.OrderBy = OrderBy;
   // The store may stay silent for the rest of the takeover. The windows of the
@@ -491,10 +513,13 @@
 QCoro::Task<> GroupMonitor::release(HeldClaim Held, std::string How) {
   // The target may be missing among the known servers: it may have registered
   // or restarted since.
-  ClaimOutcome Outcome{Held.Before, Held.Ordered, Held.LedTerm != 0,
-                       Held.LedTerm, this->Claim.turnUntil(Held.OrderEnd)};
-  for (const auto &[Id, Server] : this->Monitored->beliefs().servers())
-    Outcome.Highest = std::max(Outcome.Highest, Server.TermNumber);
+  ClaimOutcome Outcome{Held.Before,
+                       Held.Ordered,
+                       Held.LedTerm != 0,
+                       Held.LedTerm,
+                       this->Claim.turnUntil(Held.OrderEnd),
+                       stillRequired(Held.Required, this->latestTerm())};
+  Outcome.Highest = std::max(Outcome.Highest, this->latestTerm());
   const std::string Value = finishedClaimValue(Outcome);
   const ClaimCheck Check = co_await this->advance(Held, Value, ClaimTimeout);
   log(Check == ClaimCheck::Held ? LogLevel::Info : LogLevel::Warning,
@@ -535,8 +560,11 @@
   if (!Held)
     co_return "another entry VM holds the claim, or the store does not answer";
   LogPosition RequiredEnd;
+  if (Held->Required && Held->Required->Of >= Held->Before.LastTerm)
+    RequiredEnd = Held->Required->End;
   if (KnownTerm != 0) {
-    RequiredEnd = this->Monitored->endAfterLoss(KnownTerm);
+    RequiredEnd =
+        std::max(RequiredEnd, this->Monitored->endAfterLoss(KnownTerm));
     if (this->LongestSeen.first == KnownTerm)
       RequiredEnd = std::max(RequiredEnd, this->LongestSeen.second);
   }
@@ -573,6 +601,7 @@
       break;
     }
     case TakeoverStep::Confirm: {
+      this->recordRequired(*Held, Procedure);
       const ClaimCheck Check =
           co_await this->confirm(*Held, Action.Target, Procedure.term());
       Outcome = nameOf(Check);
@@ -580,6 +609,7 @@
       break;
     }
     case TakeoverStep::Order: {
+      this->recordRequired(*Held, Procedure);
       const ClaimCheck Check = co_await this->renewConfirmation(
           *Held, Action.Target, Procedure.term());
       if (Check != ClaimCheck::Held) {
@@ -621,6 +651,7 @@
       Procedure.recordResumed();
       break;
     case TakeoverStep::End:
+      this->recordRequired(*Held, Procedure);
       if (Action.End != TakeoverEnd::Open)
         co_await this->release(*Held, std::string(nameOf(Action.End)));
       if (Action.End == TakeoverEnd::Promoted)
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -130,6 +130,8 @@
     TimePoint OrderEnd;      ///< Boot clock; end of the last order's call.
     Term LedTerm = 0;        ///< Of the server that leads by the last order.
     std::string Unanswered;  ///< Last change of the row without an answer.
+    /// What the next holder has to require.
+    std::optional<RequiredLog> Required;
   };
 
   /// What the tasks share that await the effect of an order.
@@ -202,6 +204,12 @@
   /// \returns why it was abandoned, or nothing if the target now leads.
   QCoro::Task<std::optional<std::string>>
   execute(std::vector<TakeoverServer> Servers, Term KnownTerm);
+  /// Returns the latest term that a server is known to have reported.
+  Term latestTerm() const;
+  /// Records in \p Held what \p Procedure requires of its target, unless a
+  /// server has reported a later term.
+  void recordRequired(HeldClaim &Held,
+                      const TakeoverProcedure &Procedure) const;
   /// Returns what the identifiers of this monitor's writes begin with.
   std::string operationPrefix() const;
   /// Returns an identifier that is unique among all writes to the store.
