--- a/src/policy/TakeoverProcedure.h
+++ b/src/policy/TakeoverProcedure.h
@@ -27,7 +27,8 @@
 //     term and still holds it in a later poll, and the target's log reaches the
 //     required end: that of each log that was reported since the claim or in an
 //     earlier attempt of any holder, and that of the old primary's log as it
-//     was reported after the last server had left the group or restarted. A
+//     was reported after the last server had left the group or restarted, or as
+//     it was at the step-down if there is no such report. A
 //     commit is held by a replica when it is acknowledged. If that replica has
 //     left or restarted since, the commit lies below the required end;
 //     otherwise it is in a reported log. After the adoptions the old primary
@@ -89,6 +90,8 @@
 
 #include "policy/Takeover.h"
 
+#include <algorithm>
+
 namespace amaranthspur {
 
 /// What the caller of a TakeoverProcedure has to do.
@@ -188,6 +191,11 @@
   /// \param Acknowledged highest position of a commit known to be acknowledged.
   void recordAnswers(const ServerReports &Answers, LogPosition Acknowledged,
                      TimePoint Now);
+  /// Requires that the log of the target reaches \p End. Must be called before
+  /// the answers are recorded from which \p End is known.
+  void require(LogPosition End) {
+    this->Required = std::max(this->Required, End);
+  }
   /// Records the registered servers, or that they could not be read.
   void recordServers(const std::optional<std::vector<TakeoverServer>> &Listed);
   /// Records whether the claim is still held.
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -54,7 +54,10 @@
     Pool->share().setSharers(this->EntryVms);
   }
   // The log of a server that has left or restarted is gone.
-  this->EndWanted = this->EndWanted || Remaining < this->Pools.size();
+  if (Remaining < this->Pools.size()) {
+    this->EndWanted = true;
+    this->LostAt = bootNow();
+  }
   this->Pools = std::move(Kept);
   if (Changed) {
     this->MonitorWake.wake();
@@ -184,8 +187,10 @@
                           TimePoint SentAt) {
   this->Beliefs.observeAnswer(Id, A.Position, steadyNow());
   const std::optional<BelievedPrimary> Leader = this->Beliefs.primary();
-  if (A.Position && Leader && Leader->Id == Id && Leader->TermNumber != 0)
+  if (A.Position && Leader && Leader->Id == Id && Leader->TermNumber != 0) {
     this->Fresh.observeReport(Leader->TermNumber, *A.Position, SentAt);
+    this->recordEnd(Leader->TermNumber, *A.Position, SentAt);
+  }
   const ServerBelief *Server = this->Beliefs.find(Id);
   if (A.Position && Server && Server->Role == ServerRole::Replica) {
     this->Holders.observeReplica(Id, *A.Position);
@@ -193,6 +198,14 @@
   }
 }
 
+void Group::recordEnd(Term T, LogPosition End, TimePoint SentAt) {
+  if (!this->EndWanted || SentAt < this->LostAt)
+    return;
+  this->EndAfterLoss = End;
+  this->EndTerm = T;
+  this->EndWanted = false;
+}
+
 void Group::recordProof(Term T, TimePoint At) {
   this->Fresh.observeProof(T, At);
   this->Holders.observeProof(At);
@@ -339,7 +352,8 @@
   this->updatePrimary();
 }
 
-void Group::observeReport(const ServerId &Id, const ServerReport &Report) {
+void Group::observeReport(const ServerId &Id, const ServerReport &Report,
+                          TimePoint SentAt) {
   const ServerBelief *Known = this->Beliefs.find(Id);
   if (Known &&
       (Known->Role != Report.Role || Known->TermNumber != Report.TermNumber ||
@@ -351,11 +365,8 @@
          {"term", Report.TermNumber},
          {"adopted", Report.AdoptedTerm},
          {"position", positionText(Report.Received)}});
-  if (this->EndWanted && Report.Role == ServerRole::Primary) {
-    this->EndAfterLoss = Report.Received;
-    this->EndTerm = Report.TermNumber;
-    this->EndWanted = false;
-  }
+  if (Report.Role == ServerRole::Primary)
+    this->recordEnd(Report.TermNumber, Report.Received, SentAt);
   this->Beliefs.observeStatus(Id, Report, steadyNow());
   this->Holders.observeReport(Id, Report);
   this->HolderFound.notifyAll();
@@ -397,6 +408,7 @@
     co_return std::nullopt;
   }
   auto Link = std::move(std::get<std::unique_ptr<PooledLink>>(Acquired));
+  const TimePoint SentAt = bootNow();
   const Result<StatusAnswer> R = co_await Link->Link->status(Deadline);
   Pool->release(std::move(Link));
   if (!succeeded(R)) {
@@ -408,7 +420,7 @@
     this->markAlive(Id);
     co_return std::nullopt;
   }
-  this->observeReport(Id, *Report);
+  this->observeReport(Id, *Report, SentAt);
   co_return *Report;
 }
 
--- a/src/root/groups/Group.h
+++ b/src/root/groups/Group.h
@@ -160,20 +160,26 @@
   void markAlive(const ServerId &Id);
   /// Records that \p Id refused a write because it is not the primary.
   void markNotPrimary(const ServerId &Id);
-  /// Records a status report that \p Id has just sent.
-  void observeReport(const ServerId &Id, const ServerReport &Report);
+  /// Records a status report of \p Id.
+  /// \param SentAt boot clock; when the call was sent that it answers.
+  void observeReport(const ServerId &Id, const ServerReport &Report,
+                     TimePoint SentAt);
 
   /// Returns the highest position of a commit whose acknowledgement reached
   /// this entry VM.
   LogPosition acknowledged() const { return this->Acknowledged; }
 
   /// Returns the end of the log that the primary of \p T reported after a
-  /// server had left the group or restarted for the last time; zero if there is
-  /// no such report. A server that holds it holds every commit that only the
-  /// lost server had received.
+  /// server had left the group or restarted; zero if there is no such report. A
+  /// server that holds it holds every commit that only the lost server had
+  /// received. A server that has taken the address of another one may have that
+  /// one's log; the other one has left all the same.
   LogPosition endAfterLoss(Term T) const {
     return this->EndTerm == T ? this->EndAfterLoss : LogPosition();
   }
+  /// Returns whether a primary has reported the end of its log since the last
+  /// server left or restarted, so that endAfterLoss() covers that loss.
+  bool isLossCovered() const { return !this->EndWanted; }
 
   /// Returns the start times (steady clock) of the writes that wait for their
   /// acknowledgement. The monitor checks the age of the oldest.
@@ -270,6 +276,9 @@
   QCoro::Task<std::optional<ServerReport>> controlStatus(ServerId Id);
   /// Returns the registered servers without \p Leader.
   std::vector<ServerId> othersThan(const ServerId &Leader) const;
+  /// Records that the log of the primary of \p T reached \p End when it
+  /// answered a call that was sent at \p SentAt.
+  void recordEnd(Term T, LogPosition End, TimePoint SentAt);
   /// Logs a change of the believed primary and wakes the tasks that wait for
   /// it.
   void updatePrimary();
@@ -290,6 +299,7 @@
   LogPosition EndAfterLoss;
   Term EndTerm = 0;      ///< In which EndAfterLoss was reported.
   bool EndWanted = true; ///< No primary has reported since the last loss.
+  TimePoint LostAt{};    ///< Boot clock; when the last loss was noticed.
   std::multiset<TimePoint> PendingWrites;
   std::map<ServerId, std::pair<unsigned, TimePoint>> ConnectionCounts;
   std::size_t EntryVms = 0;    ///< 0: not known.
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -257,7 +257,8 @@
       this->Monitored->observeFailure(Id, Failure->Detail);
     co_return std::nullopt;
   }
-  if (bootNow() >= SendBy)
+  const TimePoint SentAt = bootNow();
+  if (SentAt >= SendBy)
     co_return std::nullopt;
   const auto &Link = std::get<std::unique_ptr<ServerLink>>(Opened);
   Result<StatusAnswer> R = Error{};
@@ -280,7 +281,7 @@
     co_return std::nullopt;
   }
   if (const auto *Report = std::get_if<ServerReport>(&valueOf(R)))
-    this->Monitored->observeReport(Id, *Report);
+    this->Monitored->observeReport(Id, *Report, SentAt);
   else
     this->Monitored->markAlive(Id);
   co_return valueOf(std::move(R));
@@ -390,6 +391,16 @@
     Held.Required = stillRequired(Held.Required, Latest);
 }
 
+void GroupMonitor::requireLostLog(TakeoverProcedure &Procedure,
+                                  const ServerReports &Answers) const {
+  Procedure.require(this->Monitored->endAfterLoss(Procedure.oldTerm()));
+  if (this->Monitored->isLossCovered())
+    return;
+  for (const auto &[Id, Report] : Answers)
+    if (Report.Role == ServerRole::Replica)
+      Procedure.require(Report.Received);
+}
+
 std::string GroupMonitor::operationPrefix() const {
   return this->Dependencies.Self.str() + "/" +
          std::to_string(this->OperationNonce) + "/";
@@ -586,6 +597,8 @@
           co_await this->requestAll(Action.Servers, requestFor(Action.Step),
                                     Action.TermNumber, Action.SendBy);
       Outcome = this->describe(Answers);
+      if (Action.Step == TakeoverStep::StepDown)
+        this->requireLostLog(Procedure, Answers);
       // A server that has stepped down holds no term, but acknowledges nothing.
       this->recordSecured(Answers, Action.Step == TakeoverStep::StepDown
                                        ? 0
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -210,6 +210,11 @@
   /// server has reported a later term.
   void recordRequired(HeldClaim &Held,
                       const TakeoverProcedure &Procedure) const;
+  /// Makes \p Procedure require the commits that a lost server may have held
+  /// alone.
+  /// \param Answers of the old primary to the step-down.
+  void requireLostLog(TakeoverProcedure &Procedure,
+                      const ServerReports &Answers) const;
   /// Returns what the identifiers of this monitor's writes begin with.
   std::string operationPrefix() const;
   /// Returns an identifier that is unique among all writes to the store.
--- a/src/root/groups/testing/GroupEvidenceTest.cpp
+++ b/src/root/groups/testing/GroupEvidenceTest.cpp
@@ -162,7 +162,7 @@
     ServerReport Report;
     Report.Role = ServerRole::Primary;
     Report.TermNumber = Report.AdoptedTerm = T;
-    Of.observeReport(ServerId(Id), Report);
+    Of.observeReport(ServerId(Id), Report, bootNow());
   };
   const BelievedPrimary A{ServerId("a"), 1};
   const BelievedPrimary B{ServerId("b"), 2};
@@ -222,3 +222,115 @@
   CHECK(F.statusRequests() > 0);
   CHECK(F.Orders.Orders > 0);
 }
+
+// Guards against a promoted server that lacks commits which only a lost server
+// had received: a report from before the loss says nothing of them, and without
+// a report the end of the primary's log is not known.
+TEST_CASE("the end of the primary's log is known after a loss by any answer to "
+          "a later call") {
+  struct Row {
+    const char *Name;
+    std::function<void(Group &, LineGroup &, TimePoint Before)> Events;
+    bool Covered;
+    LogPosition End;
+  };
+  const auto Report = [](Group &G, ServerRole Role, TimePoint SentAt) {
+    ServerReport R;
+    R.Role = Role;
+    R.TermNumber = 1;
+    R.Received = {1, 8};
+    G.observeReport(ServerId("a"), R, SentAt);
+  };
+  const auto Reply = [](Group &G, const char *Id, TimePoint SentAt) {
+    Answer A;
+    A.Position = LogPosition{1, 9};
+    G.observeAnswer(ServerId(Id), A, SentAt);
+  };
+  const auto Lose = [](Group &G, LineGroup &Of) {
+    std::vector<RegisteredServer> Left = Of.registrations();
+    Left.pop_back();
+    G.configure(G.limits(), Left);
+  };
+  const auto Replace = [](Group &G, LineGroup &Of) {
+    std::vector<RegisteredServer> Now = Of.registrations();
+    Now.back().Id = ServerId("d");
+    Now.back().StartedAtMs = 2;
+    G.configure(G.limits(), Now);
+  };
+  const Row Rows[] = {
+      {"nothing is lost", [](Group &, LineGroup &, TimePoint) {}, true, {1, 5}},
+      {"a server has left",
+       [&](Group &G, LineGroup &Of, TimePoint) { Lose(G, Of); },
+       false,
+       {1, 5}},
+      {"a server at its address has replaced it",
+       [&](Group &G, LineGroup &Of, TimePoint) { Replace(G, Of); },
+       false,
+       {1, 5}},
+      {"the primary reports afterwards",
+       [&](Group &G, LineGroup &Of, TimePoint) {
+         Lose(G, Of);
+         Report(G, ServerRole::Primary, bootNow());
+       },
+       true,
+       {1, 8}},
+      {"its report was asked for before",
+       [&](Group &G, LineGroup &Of, TimePoint Before) {
+         Lose(G, Of);
+         Report(G, ServerRole::Primary, Before);
+       },
+       false,
+       {1, 5}},
+      {"it reports that it does not lead",
+       [&](Group &G, LineGroup &Of, TimePoint) {
+         Lose(G, Of);
+         Report(G, ServerRole::Replica, bootNow());
+       },
+       false,
+       {1, 5}},
+      {"it answers a statement",
+       [&](Group &G, LineGroup &Of, TimePoint) {
+         Lose(G, Of);
+         Reply(G, "a", bootNow());
+       },
+       true,
+       {1, 9}},
+      {"it answers a statement after a replacement",
+       [&](Group &G, LineGroup &Of, TimePoint) {
+         Replace(G, Of);
+         Reply(G, "a", bootNow());
+       },
+       true,
+       {1, 9}},
+      {"the statement was sent before",
+       [&](Group &G, LineGroup &Of, TimePoint Before) {
+         Lose(G, Of);
+         Reply(G, "a", Before);
+       },
+       false,
+       {1, 5}},
+      {"a replica answers a statement",
+       [&](Group &G, LineGroup &Of, TimePoint) {
+         Lose(G, Of);
+         Reply(G, "b", bootNow());
+       },
+       false,
+       {1, 5}},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    LineGroup Servers;
+    Locality Where{DataCentre("here"), {{DataCentre("here"), Region("r")}}};
+    Group G(ServiceName("ledger"), Servers, Where);
+    G.configure(ServiceLimits{}, Servers.registrations());
+    CHECK_FALSE(G.isLossCovered());
+    ServerReport First;
+    First.Role = ServerRole::Primary;
+    First.TermNumber = 1;
+    First.Received = {1, 5};
+    G.observeReport(ServerId("a"), First, bootNow());
+    R.Events(G, Servers, bootNow() - milliseconds(1));
+    CHECK(G.isLossCovered() == R.Covered);
+    CHECK(positionText(G.endAfterLoss(1)) == positionText(R.End));
+  }
+}
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -1,5 +1,6 @@
 #include "root/groups/GroupMonitor.h"
 
+#include "core/BootClock.h"
 #include "platform/testing/MemoryPlatform.h"
 #include "root/groups/testing/GroupRegistrations.h"
 #include "testing/TaskRunner.h"
@@ -839,6 +840,82 @@
   }
 }
 
+// Guards against acknowledged commits that the promoted server lacks: they were
+// held by a server that has left, and the primary has not reported the end of
+// its log since.
+TEST_CASE("the end at the step-down is required after a loss that no report "
+          "covers") {
+  struct Row {
+    const char *Name;
+    std::function<void(Fixture &)> InjectFault;
+    std::string Target; ///< Of the only order; empty if none is expected.
+  };
+  const auto Leave = [](Fixture &F, const char *Id) {
+    F.Group.servers().erase(Id);
+    F.refresh();
+  };
+  const auto Commit = [](Fixture &F) {
+    for (int I = 0; I < 4; ++I)
+      F.Group.commit("a");
+  };
+  const Row Rows[] = {
+      {"a server leaves during the poll before the takeover",
+       [&](Fixture &F) {
+         Commit(F);
+         // The servers are asked in this order; the first three have answered.
+         F.Group.OpenDelay = [&F, &Leave](const FakeServer &To) {
+           if (To.Id == ServerId("d") && F.Group["a"].Draining &&
+               F.Group.servers().count("c") > 0)
+             Leave(F, "c");
+           return Duration::zero();
+         };
+       },
+       "a"},
+      {"a server joins after that poll and leaves before the step-down",
+       [&](Fixture &F) {
+         Leave(F, "c");
+         ServerReport Report;
+         Report.Role = ServerRole::Primary;
+         Report.TermNumber = 1;
+         Report.Received = F.Group["a"].Log;
+         F.Servers->observeReport(ServerId("a"), Report, bootNow());
+         F.Store.AnswerDelay = [&F, &Leave, &Commit](const TableRow &Row) {
+           if (Row.Value.starts_with("vm@0 2 ") && F.Orders.Orders.empty()) {
+             FakeServer &Joined = F.Group.servers()["e"];
+             Joined.Id = ServerId("e");
+             F.refresh();
+             Commit(F);
+             Leave(F, "e");
+           }
+           return Duration::zero();
+         };
+       },
+       "a"},
+      {"the primary reports between the loss and the takeover",
+       [&](Fixture &F) {
+         Commit(F);
+         Leave(F, "c");
+       },
+       ""},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    FakeServer &Behind = F.Group.servers()["d"];
+    Behind = F.Group["b"];
+    Behind.Id = ServerId("d");
+    Behind.ReplicationStopped = F.Group["b"].ReplicationStopped = true;
+    F.refresh();
+    R.InjectFault(F);
+    F.Group["a"].Draining = true;
+    F.refresh();
+    F.pass(std::chrono::seconds(2));
+    REQUIRE(F.Orders.Orders.empty() == R.Target.empty());
+    if (!R.Target.empty())
+      CHECK(F.Orders.Orders[0].Target == ServerId(R.Target));
+  }
+}
+
 // Guards against fence tokens that do not increase from one claim to the next.
 TEST_CASE("each claim has a higher fence") {
   Fixture F;
--- a/src/root/groups/testing/GroupProofTest.cpp
+++ b/src/root/groups/testing/GroupProofTest.cpp
@@ -37,7 +37,7 @@
     ServerReport Report;
     Report.Role = ServerRole::Primary;
     Report.TermNumber = Report.AdoptedTerm = 1;
-    this->Servers->observeReport(ServerId("a"), Report);
+    this->Servers->observeReport(ServerId("a"), Report, bootNow());
   }
   ~Fixture() { runTask(this->Servers->stop()); }
 
