--- a/src/policy/Takeover.h
+++ b/src/policy/Takeover.h
@@ -65,6 +65,9 @@
   std::int64_t StartedAtMs = 0; ///< Differs after a restart.
   Distance DistanceFromHere = Distance::SameDataCentre; ///< From this entry VM.
   std::optional<ServerReport> Report; ///< Nothing if it did not answer.
+  /// The part of its log that counts (policy/LeavingLogs.h); nothing if all of
+  /// it does.
+  std::optional<LogPosition> CountedEnd = {};
 };
 
 /// Returns the term of the next primary: one above all terms in the reports.
--- a/src/policy/TakeoverProcedure.cpp
+++ b/src/policy/TakeoverProcedure.cpp
@@ -4,6 +4,20 @@
 
 namespace amaranthspur {
 
+namespace {
+
+/// Returns the end of the log that \p S has reported, as far as it counts after
+/// the server has left.
+LogPosition countedEnd(const TakeoverServer &S) {
+  const LogPosition End = S.Report->Received;
+  // Entries of another term have no place in the log that the bound is from.
+  if (!S.CountedEnd || S.CountedEnd->TermNumber != End.TermNumber)
+    return End;
+  return std::min(End, *S.CountedEnd);
+}
+
+} // namespace
+
 TakeoverProcedure::TakeoverProcedure(std::vector<TakeoverServer> Servers,
                                      Term KnownTerm, LogPosition RequiredEnd,
                                      std::optional<ServerId> Preferred,
@@ -60,6 +74,14 @@
   return Ids;
 }
 
+LogPosition TakeoverProcedure::longestLog() const {
+  LogPosition Longest = this->Required;
+  for (const TakeoverServer &S : this->Servers)
+    if (S.Report && !S.OldPrimary)
+      Longest = std::max(Longest, S.Report->Received);
+  return Longest;
+}
+
 void TakeoverProcedure::end(TakeoverEnd How, std::string Why) {
   this->Current = Phase::End;
   this->Ended = How;
@@ -193,7 +215,7 @@
     else if (AllAsked && !S.OldPrimary)
       S.Report.reset();
     if (S.Report && !S.OldPrimary)
-      this->Required = std::max(this->Required, S.Report->Received);
+      this->Required = std::max(this->Required, countedEnd(S));
   }
   switch (this->Current) {
   case Phase::Survey:
@@ -265,7 +287,7 @@
   }
   // The target may change when the old primary has stepped down.
   const std::optional<ServerId> Likely =
-      chooseTarget(this->Servers, this->Required, this->Preferred);
+      chooseTarget(this->Servers, this->longestLog(), this->Preferred);
   if (Likely)
     this->promote(*Likely);
   else
@@ -288,8 +310,9 @@
   }
   // An old primary that has restarted may have added entries since. They are in
   // the log of a server that received them before it adopted the term.
-  const std::optional<ServerId> Found = chooseTarget(
-      this->Servers, std::max(*this->OldEnd, this->Required), this->Preferred);
+  const std::optional<ServerId> Found =
+      chooseTarget(this->Servers, std::max(*this->OldEnd, this->longestLog()),
+                   this->Preferred);
   if (Found && !this->isSuperseded())
     this->promote(*Found);
   else
@@ -356,13 +379,14 @@
   }
   // Commits of terms before the old primary's were acknowledged with servers
   // that may have left. Only a log with an entry of its term holds all of them.
-  if (this->OldEnd && this->Required < *this->OldEnd &&
-      this->Required.TermNumber < this->OldTerm) {
+  const LogPosition Longest = this->longestLog();
+  if (this->OldEnd && Longest < *this->OldEnd &&
+      Longest.TermNumber < this->OldTerm) {
     this->fail("no other server holds an entry of the old primary's term");
     return;
   }
   const std::optional<ServerId> Found =
-      chooseTarget(this->Servers, this->Required, this->Preferred);
+      chooseTarget(this->Servers, Longest, this->Preferred);
   if (this->others().size() < 2)
     this->fail("too few servers");
   else if (Found)
--- a/src/policy/TakeoverProcedure.h
+++ b/src/policy/TakeoverProcedure.h
@@ -65,6 +65,18 @@
 // that loses its claim, or ends, before it confirms or releases it passes on
 // only what it has read.
 //
+// Only commits that a caller was told of need to be in the target's log. Each
+// is held by a replica that the entry VM did not know to be leaving, unless all
+// others were (policy/CommitHolders.h). Of the log of a leaving server, the
+// part that it had when the last entry VM learned of the leaving is therefore
+// required (policy/LeavingLogs.h). The rest is required only while the server
+// reports it. The end of an unregistered server is never seen. Any other end
+// that was reported may be that of the only server with an acknowledged commit,
+// so it is required until a log reaches it, however long that takes: after the
+// old primary has fallen silent for good and, with it, a replica that has not
+// left by plan, or one that has left before its part was known. The group has
+// no primary then until one of them returns with its log.
+//
 // An order is given only within the promotion window of the claim, and after
 // the claim row has been confirmed with the target in it. A takeover that
 // follows an unfinished one prefers its target. In the first way the row is
@@ -214,7 +226,8 @@
   /// Returns whether the old primary has been ordered to lead again.
   bool hasReturnedLead() const { return this->ReturnOrdered; }
 
-  /// Returns the highest end of a log that the target has to reach.
+  /// Returns the highest end of a log that the target has to reach in any case,
+  /// also if the server that reported it has left.
   LogPosition requiredEnd() const { return this->Required; }
 
   /// Returns the term of the old primary, as far as it is known.
@@ -265,6 +278,9 @@
   const TakeoverServer *old() const;
   /// Returns whether the old primary has stepped down, or does not answer.
   bool mayOrder() const;
+  /// Returns the highest of Required and the ends of the logs that the other
+  /// servers report.
+  LogPosition longestLog() const;
   /// Returns until when the order of this takeover may be given.
   TimePoint orderBy() const;
   /// Returns the first server that reports to be the primary of a term later
@@ -282,7 +298,7 @@
   Term OldTerm = 0;                  ///< Of the old primary in the first poll.
   Term LedTerm = 0;                  ///< Of the target, once it leads.
   std::optional<LogPosition> OldEnd; ///< Set once it has stepped down.
-  LogPosition Required; ///< Highest end that the target has to reach.
+  LogPosition Required;              ///< See requiredEnd().
   ServerId Target;
   ServerId Confirmed;     ///< The target in the claim row.
   bool Returning = false; ///< The old primary is to lead again.
--- a/src/policy/testing/TakeoverProcedureTest.cpp
+++ b/src/policy/testing/TakeoverProcedureTest.cpp
@@ -20,6 +20,7 @@
     Term Adopted = 0;
     std::uint64_t Index = 9;
     std::int64_t StartedAtMs = 1;
+    std::optional<LogPosition> CountedEnd;
     bool Silent = false;
     bool RefusesTerm = false; ///< It neither steps down nor adopts a term.
   };
@@ -46,6 +47,7 @@
       TakeoverServer Server;
       Server.Id = ServerId(Id);
       Server.StartedAtMs = S.StartedAtMs;
+      Server.CountedEnd = S.CountedEnd;
       List.push_back(Server);
     }
     return List;
@@ -160,6 +162,13 @@
   const auto LeftTerm = [](Surroundings &S) {
     S.Servers["a"].Adopted = S.Servers["b"].Adopted = 4;
   };
+  const auto LosesLog = [](Surroundings &S, TakeoverStep Step,
+                           unsigned Earlier) {
+    if (Step == TakeoverStep::Adopt && Earlier == 0)
+      S.Servers["b"].Index = 10;
+    if (Step == TakeoverStep::Poll && Earlier == 1)
+      S.Servers["b"].Index = 0;
+  };
   const std::string SteppedDown = "poll confirm step-down adopt ";
   const std::string Frozen = "poll adopt read-servers poll ";
   const Row Rows[] = {
@@ -358,14 +367,29 @@
        "poll adopt read-servers poll adopt read-servers poll confirm order=a "
        "await-effect step-down end",
        TakeoverEnd::Promoted},
-      {"the server with the longest log has lost it", SilentPrimary,
-       [](Surroundings &S, TakeoverStep Step, unsigned Earlier) {
-         if (Step == TakeoverStep::Adopt && Earlier == 0)
-           S.Servers["b"].Index = 10;
-         if (Step == TakeoverStep::Poll && Earlier == 1)
-           S.Servers["b"].Index = 0;
-       },
+      {"the server with the longest log has lost it", SilentPrimary, LosesLog,
        Frozen + "resume end", TakeoverEnd::GivenUp},
+      {"the same, and callers relied only on what another server has",
+       [](Surroundings &S) {
+         S.Servers["p"].Silent = true;
+         S.Servers["b"].CountedEnd = {3, 9};
+       },
+       LosesLog, Frozen + "confirm order=a await-effect step-down end",
+       TakeoverEnd::Promoted},
+      {"the same, but what they relied on is known of another term only",
+       [](Surroundings &S) {
+         S.Servers["p"].Silent = true;
+         S.Servers["b"].CountedEnd = {2, 9};
+       },
+       LosesLog, Frozen + "resume end", TakeoverEnd::GivenUp},
+      {"a leaving server has the longest log",
+       [](Surroundings &S) {
+         S.Servers["p"].Silent = true;
+         S.Servers["b"].Index = 10;
+         S.Servers["b"].CountedEnd = {3, 9};
+       },
+       Never, Frozen + "confirm order=b await-effect step-down end",
+       TakeoverEnd::Promoted},
       {"the registrations cannot be read",
        [](Surroundings &S) {
          S.Servers["p"].Silent = true;
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -41,6 +41,7 @@
   this->Limits = NewLimits;
   const bool Changed = this->Beliefs.setServers(Servers);
   this->Holders.setServers(Servers, bootNow());
+  this->Leaving.setServers(Servers, bootNow());
   std::map<ServerId, std::shared_ptr<ServerPool>> Kept;
   std::size_t Remaining = 0;
   for (const RegisteredServer &Server : Servers) {
@@ -199,6 +200,7 @@
 }
 
 void Group::recordEnd(Term T, LogPosition End, TimePoint SentAt) {
+  this->Leaving.observePrimary(End, SentAt);
   if (!this->EndWanted || SentAt < this->LostAt)
     return;
   this->EndAfterLoss = End;
@@ -367,6 +369,8 @@
          {"position", positionText(Report.Received)}});
   if (Report.Role == ServerRole::Primary)
     this->recordEnd(Report.TermNumber, Report.Received, SentAt);
+  else
+    this->Leaving.observeEnd(Id, Report.Received, SentAt);
   this->Beliefs.observeStatus(Id, Report, steadyNow());
   this->Holders.observeReport(Id, Report);
   this->HolderFound.notifyAll();
--- a/src/root/groups/Group.h
+++ b/src/root/groups/Group.h
@@ -16,6 +16,7 @@
 #include "policy/Freshness.h"
 #include "policy/GroupBeliefs.h"
 #include "policy/LeadershipProof.h"
+#include "policy/LeavingLogs.h"
 #include "root/groups/ClaimReader.h"
 #include "root/groups/ServerPool.h"
 #include "root/relay/EvidenceBoard.h"
@@ -181,6 +182,14 @@
   /// server left or restarted, so that endAfterLoss() covers that loss.
   bool isLossCovered() const { return !this->EndWanted; }
 
+  /// Returns the part of the log of \p Id that a takeover has to preserve also
+  /// if that server leaves (policy/LeavingLogs.h); nothing if all of it counts.
+  std::optional<LogPosition> countedEnd(const ServerId &Id) const {
+    // Without synchronous replicas no holder is awaited.
+    return this->commitsAreProofs() ? this->Leaving.countedEnd(Id)
+                                    : std::nullopt;
+  }
+
   /// Returns the start times (steady clock) of the writes that wait for their
   /// acknowledgement. The monitor checks the age of the oldest.
   std::multiset<TimePoint> &pendingWrites() { return this->PendingWrites; }
@@ -292,6 +301,7 @@
   GroupBeliefs Beliefs;
   Freshness Fresh;
   CommitHolders Holders;
+  LeavingLogs Leaving;
   std::multiset<AwaitedCommit> Awaited;
   std::map<ServerId, std::shared_ptr<ServerPool>> Pools;
   std::optional<BelievedPrimary> LastPrimary;
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -333,6 +333,7 @@
     const auto Report = Seen.find(Id);
     if (Report != Seen.end())
       S.Report = Report->second;
+    S.CountedEnd = this->Monitored->countedEnd(Id);
     Servers.push_back(std::move(S));
   }
   return Servers;
