--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -384,7 +384,10 @@
 void GroupMonitor::recordRequired(HeldClaim &Held,
                                   const TakeoverProcedure &Procedure) const {
   const Term Latest = this->latestTerm();
-  const Term Of = Procedure.oldTerm() != 0 ? Procedure.oldTerm() : Latest;
+  // The holder before may have known of a later primary than this one.
+  const Term Of =
+      std::max(Procedure.oldTerm() != 0 ? Procedure.oldTerm() : Latest,
+               Held.Required ? Held.Required->Of : 0);
   const LogPosition End = Procedure.requiredEnd();
   if (Of != 0 && Of >= Latest && End != LogPosition())
     Held.Required = RequiredLog{Of, End};
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -855,6 +855,25 @@
   }
 }
 
+// Guards against a holder with an outdated belief, whose release would make the
+// next one take a required log for that of an earlier primary.
+TEST_CASE("a holder that gives up keeps the term of a required log") {
+  Fixture F;
+  F.Store.Rows["takeover/ledger"] = {7, "finished end=4:1.9", "x"};
+  F.Group["a"].Reachable = false;
+  F.Servers->observeFailure(ServerId("a"), "test");
+  runTask([](Fixture &F) -> QCoro::Task<> {
+    const TableRow &Row = F.Store.Rows["takeover/ledger"];
+    const TimePoint End = steadyNow() + std::chrono::seconds(3);
+    while (steadyNow() < End &&
+           (Row.Version == 7 || !Row.Value.starts_with("finished")))
+      co_await sleepFor(milliseconds(5));
+  }(F));
+  CHECK(F.Store.Rows["takeover/ledger"].Version != 7);
+  CHECK(F.Store.Rows["takeover/ledger"].Value == "finished end=4:1.9");
+  CHECK(F.Orders.Orders.empty());
+}
+
 // Guards against acknowledged commits that the promoted server lacks: they were
 // held by a server that has left, and the primary has not reported the end of
 // its log since.
