--- a/src/policy/TakeoverProcedure.cpp
+++ b/src/policy/TakeoverProcedure.cpp
@@ -4,6 +4,20 @@
 
 namespace amaranthspur {
 
+namespace {
+
+/// Returns the end of the log that \p S has reported, as far as it counts after
+/// the server has left.
+LogPosition countedEnd(const TakeoverServer &S) {
+  const LogPosition End = S.Report->Received;
+  // Entries of another term have no place in the log that the bound is from.
+  if (!S.CountedEnd || S.CountedEnd->TermNumber != End.TermNumber)
+    return End;
+  return std::min(End, *S.CountedEnd);
+}
+
+} // namespace
+
 TakeoverProcedure::TakeoverProcedure(std::vector<TakeoverServer> Servers,
                                      Term KnownTerm, RequiredEnd Required,
                                      std::optional<ServerId> Preferred,
@@ -60,6 +74,15 @@
   return Ids;
 }
 
+RequiredEnd TakeoverProcedure::longestLog() const {
+  RequiredEnd Longest = this->Required;
+  for (const TakeoverServer &S : this->Servers)
+    if (S.Report && !S.OldPrimary)
+      Longest =
+          Longest.raisedTo({S.Report->Received, EndSource::Reported, S.Id});
+  return Longest;
+}
+
 void TakeoverProcedure::end(TakeoverEnd How, std::string Why) {
   this->Current = Phase::End;
   this->Ended = How;
@@ -93,7 +116,7 @@
 
 RequiredEnd TakeoverProcedure::endWithOldPrimary() const {
   return RequiredEnd{*this->OldEnd, EndSource::OldPrimary, this->old()->Id}
-      .raisedTo(this->Required);
+      .raisedTo(this->longestLog());
 }
 
 TimePoint TakeoverProcedure::orderBy() const {
@@ -205,8 +228,8 @@
     else if (AllAsked && !S.OldPrimary)
       S.Report.reset();
     if (S.Report && !S.OldPrimary)
-      this->Required = this->Required.raisedTo(
-          {S.Report->Received, EndSource::Reported, S.Id});
+      this->Required =
+          this->Required.raisedTo({countedEnd(S), EndSource::Reported, S.Id});
   }
   switch (this->Current) {
   case Phase::Survey:
@@ -278,7 +301,7 @@
   }
   // The target may change when the old primary has stepped down.
   const std::optional<ServerId> Likely =
-      chooseTarget(this->Servers, this->Required.Position, this->Preferred);
+      chooseTarget(this->Servers, this->longestLog().Position, this->Preferred);
   if (Likely)
     this->promote(*Likely, this->Required);
   else
@@ -379,13 +402,14 @@
   }
   // Commits of terms before the old primary's were acknowledged with servers
   // that may have left. Only a log with an entry of its term holds all of them.
-  if (this->OldEnd && this->Required.Position < *this->OldEnd &&
-      this->Required.Position.TermNumber < this->OldTerm) {
+  const RequiredEnd Longest = this->longestLog();
+  if (this->OldEnd && Longest.Position < *this->OldEnd &&
+      Longest.Position.TermNumber < this->OldTerm) {
     this->fail("no other server holds an entry of the old primary's term");
     return;
   }
   const std::optional<ServerId> Found =
-      chooseTarget(this->Servers, this->Required.Position, this->Preferred);
+      chooseTarget(this->Servers, Longest.Position, this->Preferred);
   if (this->others().size() < 2)
     this->fail("too few servers");
   else if (Found)
--- a/src/policy/TakeoverProcedure.h
+++ b/src/policy/TakeoverProcedure.h
@@ -26,14 +26,15 @@
 //     read of the registrations after the last adoption, has adopted the next
 //     term and still holds it in a later poll, and the target's log reaches the
 //     required end: that of each log that was reported since the claim or in an
-//     earlier attempt, and that of the old primary's log as it was reported
-//     after the last server had left the group or restarted. A commit is held
-//     by a replica when it is acknowledged. If that replica has left or
-//     restarted since, the commit lies below the required end; otherwise it is
-//     in a reported log. After the adoptions the old primary has no replica
-//     with which it could acknowledge. Commits of terms before the old
-//     primary's are in each log that has an entry of its term. If it has
-//     stepped down and no log has one, it leads again.
+//     earlier attempt of any holder, and that of the old primary's log as it
+//     was reported after the last server had left the group or restarted, or as
+//     it was at the step-down if there is no such report. A
+//     commit is held by a replica when it is acknowledged. If that replica has
+//     left or restarted since, the commit lies below the required end;
+//     otherwise it is in a reported log. After the adoptions the old primary
+//     has no replica with which it could acknowledge. Commits of terms before
+//     the old primary's are in each log that has an entry of its term. If it
+//     has stepped down and no log has one, it leads again.
 //
 // Gaps that the platform gives no means to close:
 //  - In the second way, an old primary that this entry VM cannot reach
@@ -55,6 +56,27 @@
 //    after the promotion. By its term, that log then looks longer than the log
 //    of a later primary that has no entry of its own term yet.
 //
+// What is required outlasts a takeover that does not promote its target: the
+// server that reported a log may have left when the next holder asks, and may
+// have been the only one besides the old primary with an acknowledged commit.
+// The claim row therefore carries the required end on, with the term of the old
+// primary (policy/ClaimRow.h). Each later holder requires it until a promotion
+// to a later term has taken effect, since that target has reached it. A holder
+// that loses its claim, or ends, before it confirms or releases it passes on
+// only what it has read.
+//
+// Only commits that a caller was told of need to be in the target's log. Each
+// is held by a replica that the entry VM did not know to be leaving, unless all
+// others were (policy/CommitHolders.h). Of the log of a leaving server, the
+// part that it had when the last entry VM learned of the leaving is therefore
+// required (policy/LeavingLogs.h). The rest is required only while the server
+// reports it. The end of an unregistered server is never seen. Any other end
+// that was reported may be that of the only server with an acknowledged commit,
+// so it is required until a log reaches it, however long that takes: after the
+// old primary has fallen silent for good and, with it, a replica that has not
+// left by plan, or one that has left before its part was known. The group has
+// no primary then until one of them returns with its log.
+//
 // An order is given only within the promotion window of the claim, and after
 // the claim row has been confirmed with the target in it. A takeover that
 // follows an unfinished one prefers its target. In the first way the row is
@@ -80,6 +102,8 @@
 
 #include "policy/Takeover.h"
 
+#include <algorithm>
+
 namespace amaranthspur {
 
 /// What the caller of a TakeoverProcedure has to do.
@@ -147,6 +171,7 @@
   OldPrimary,     ///< The old primary reported it when it had stepped down.
   AfterLoss,      ///< The old primary reported it after the last loss of a log.
   EarlierAttempt, ///< It was required in a takeover that failed.
+  ClaimRow,       ///< An earlier holder has required it.
   Acknowledged,   ///< The entry VM has reported a commit to a caller there.
 };
 
@@ -158,6 +183,7 @@
            {EndSource::OldPrimary, "old-primary"},
            {EndSource::AfterLoss, "after-loss"},
            {EndSource::EarlierAttempt, "earlier-attempt"},
+           {EndSource::ClaimRow, "claim-row"},
            {EndSource::Acknowledged, "acknowledged"}});
 };
 
@@ -214,6 +240,11 @@
   /// \param Acknowledged highest position of a commit known to be acknowledged.
   void recordAnswers(const ServerReports &Answers, LogPosition Acknowledged,
                      TimePoint Now);
+  /// Requires that the log of the target reaches \p End. Must be called before
+  /// the answers are recorded from which \p End is known.
+  void require(const RequiredEnd &End) {
+    this->Required = this->Required.raisedTo(End);
+  }
   /// Records the registered servers, or that they could not be read.
   void recordServers(const std::optional<std::vector<TakeoverServer>> &Listed);
   /// Records whether the claim is still held.
@@ -232,7 +263,8 @@
   /// Returns whether the old primary has been ordered to lead again.
   bool hasReturnedLead() const { return this->ReturnOrdered; }
 
-  /// Returns the highest end of a log that the target has to reach.
+  /// Returns the highest end of a log that the target has to reach in any case,
+  /// also if the server that reported it has left.
   LogPosition requiredEnd() const { return this->Required.Position; }
 
   /// Returns whether \p Server, as it is registered, is not one of the servers
@@ -291,6 +323,9 @@
   const TakeoverServer *old() const;
   /// Returns whether the old primary has stepped down, or does not answer.
   bool mayOrder() const;
+  /// Returns the highest of Required and the ends of the logs that the other
+  /// servers report.
+  RequiredEnd longestLog() const;
   /// Returns until when the order of this takeover may be given.
   TimePoint orderBy() const;
   /// Returns the first server that reports to be the primary of a term later
@@ -308,7 +343,7 @@
   Term OldTerm = 0;                  ///< Of the old primary in the first poll.
   Term LedTerm = 0;                  ///< Of the target, once it leads.
   std::optional<LogPosition> OldEnd; ///< Set once it has stepped down.
-  RequiredEnd Required; ///< Highest end that the target has to reach.
+  RequiredEnd Required;              ///< See requiredEnd().
   ServerId Target;
   RequiredEnd TargetRequired; ///< What Target had to reach when it was chosen.
   ServerId Confirmed;         ///< The target in the claim row.
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -41,6 +41,7 @@
   this->Limits = NewLimits;
   const bool Changed = this->Beliefs.setServers(Servers);
   this->Search.setServers(Servers, bootNow());
+  this->Leaving.setServers(Servers, bootNow());
   std::map<ServerId, std::shared_ptr<ServerPool>> Kept;
   std::size_t Remaining = 0;
   for (const RegisteredServer &Server : Servers) {
@@ -54,7 +55,10 @@
     Pool->share().setSharers(this->EntryVms);
   }
   // The log of a server that has left or restarted is gone.
-  this->EndWanted = this->EndWanted || Remaining < this->Pools.size();
+  if (Remaining < this->Pools.size()) {
+    this->EndWanted = true;
+    this->LostAt = bootNow();
+  }
   this->Pools = std::move(Kept);
   if (Changed) {
     this->MonitorWake.wake();
@@ -195,12 +199,22 @@
   if (A.Position && Leader && Leader->Id == Id && Leader->TermNumber != 0) {
     this->Fresh.observeReport(Leader->TermNumber, *A.Position, SentAt);
     this->MissingCommits.observeAnswer(*Leader, *A.Position);
+    this->recordEnd(Leader->TermNumber, *A.Position, SentAt);
   }
   const ServerBelief *Server = this->Beliefs.find(Id);
   if (A.Position && Server && Server->Role == ServerRole::Replica)
     this->Search.observeReplica(Id, *A.Position);
 }
 
+void Group::recordEnd(Term T, LogPosition End, TimePoint SentAt) {
+  this->Leaving.observePrimary(End, SentAt);
+  if (!this->EndWanted || SentAt < this->LostAt)
+    return;
+  this->EndAfterLoss = End;
+  this->EndTerm = T;
+  this->EndWanted = false;
+}
+
 void Group::recordProof(Term T, TimePoint At) {
   this->Fresh.observeProof(T, At);
   this->Search.observeProof(T, At);
@@ -256,7 +270,8 @@
   this->updatePrimary();
 }
 
-void Group::observeReport(const ServerId &Id, const ServerReport &Report) {
+void Group::observeReport(const ServerId &Id, const ServerReport &Report,
+                          TimePoint SentAt) {
   const ServerBelief *Known = this->Beliefs.find(Id);
   if (Known &&
       (Known->Role != Report.Role || Known->TermNumber != Report.TermNumber ||
@@ -268,11 +283,10 @@
          {"term", Report.TermNumber},
          {"adopted", Report.AdoptedTerm},
          {"position", positionText(Report.Received)}});
-  if (this->EndWanted && Report.Role == ServerRole::Primary) {
-    this->EndAfterLoss = Report.Received;
-    this->EndTerm = Report.TermNumber;
-    this->EndWanted = false;
-  }
+  if (Report.Role == ServerRole::Primary)
+    this->recordEnd(Report.TermNumber, Report.Received, SentAt);
+  else
+    this->Leaving.observeEnd(Id, Report.Received, SentAt);
   this->Beliefs.observeStatus(Id, Report, steadyNow());
   this->Search.observeReport(Id, Report);
   this->MissingCommits.observeReport(Id, Report);
@@ -314,6 +328,7 @@
     co_return std::nullopt;
   }
   auto Link = std::move(std::get<std::unique_ptr<PooledLink>>(Acquired));
+  const TimePoint SentAt = bootNow();
   const Result<StatusAnswer> R = co_await Link->Link->status(Deadline);
   Pool->release(std::move(Link));
   if (!succeeded(R)) {
@@ -325,7 +340,7 @@
     this->markAlive(Id);
     co_return std::nullopt;
   }
-  this->observeReport(Id, *Report);
+  this->observeReport(Id, *Report, SentAt);
   co_return *Report;
 }
 
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -257,7 +257,8 @@
       this->Monitored->observeFailure(Id, Failure->Detail);
     co_return std::nullopt;
   }
-  if (bootNow() >= SendBy)
+  const TimePoint SentAt = bootNow();
+  if (SentAt >= SendBy)
     co_return std::nullopt;
   const auto &Link = std::get<std::unique_ptr<ServerLink>>(Opened);
   Result<StatusAnswer> R = Error{};
@@ -280,7 +281,7 @@
     co_return std::nullopt;
   }
   if (const auto *Report = std::get_if<ServerReport>(&valueOf(R)))
-    this->Monitored->observeReport(Id, *Report);
+    this->Monitored->observeReport(Id, *Report, SentAt);
   else
     this->Monitored->markAlive(Id);
   co_return valueOf(std::move(R));
@@ -332,6 +333,7 @@
     const auto Report = Seen.find(Id);
     if (Report != Seen.end())
       S.Report = Report->second;
+    S.CountedEnd = this->Monitored->countedEnd(Id);
     Servers.push_back(std::move(S));
   }
   return Servers;
@@ -372,6 +374,39 @@
   co_await sleepFor(FailedTakeoverPause);
 }
 
+Term GroupMonitor::latestTerm() const {
+  Term Latest = 0;
+  for (const auto &[Id, Server] : this->Monitored->beliefs().servers())
+    Latest = std::max(Latest, Server.TermNumber);
+  return Latest;
+}
+
+void GroupMonitor::recordRequired(HeldClaim &Held,
+                                  const TakeoverProcedure &Procedure) const {
+  const Term Latest = this->latestTerm();
+  // The holder before may have known of a later primary than this one.
+  const Term Of =
+      std::max(Procedure.oldTerm() != 0 ? Procedure.oldTerm() : Latest,
+               Held.Required ? Held.Required->Of : 0);
+  const LogPosition End = Procedure.requiredEnd();
+  if (Of != 0 && Of >= Latest && End != LogPosition())
+    Held.Required = RequiredLog{Of, End};
+  else
+    Held.Required = stillRequired(Held.Required, Latest);
+}
+
+void GroupMonitor::requireLostLog(TakeoverProcedure &Procedure,
+                                  const ServerReports &Answers) const {
+  Procedure.require({this->Monitored->endAfterLoss(Procedure.oldTerm()),
+                     EndSource::AfterLoss,
+                     {}});
+  if (this->Monitored->isLossCovered())
+    return;
+  for (const auto &[Id, Report] : Answers)
+    if (Report.Role == ServerRole::Replica)
+      Procedure.require({Report.Received, EndSource::OldPrimary, Id});
+}
+
 std::string GroupMonitor::operationPrefix() const {
   return this->Dependencies.Self.str() + "/" +
          std::to_string(this->OperationNonce) + "/";
@@ -400,9 +435,11 @@
     Held.Begun = bootNow();
     Held.OrderBy = Held.Begun + TakeoverClaim::OrderSpan;
     const ClaimTurn Turn = this->Claim.turnUntil(Held.OrderBy);
+    Held.Required =
+        stillRequired(this->Claim.row().Required, this->latestTerm());
     const std::string Value = Purpose == ClaimPurpose::Undo
-                                  ? undoClaimValue(Turn)
-                                  : takeoverClaimValue(Turn, T);
+                                  ? undoClaimValue(Turn, Held.Required)
+                                  : takeoverClaimValue(Turn, T, Held.Required);
     const Result<CasOutcome> R =
         co_await this->Dependencies.Store.compareAndSet(
             claimKey(this->Monitored->name()), this->Claim.version(), Value,
@@ -440,9 +477,11 @@
 QCoro::Task<ClaimCheck> GroupMonitor::confirm(HeldClaim &Held, ServerId Target,
                                               Term T) {
   const TimePoint OrderBy = bootNow() + TakeoverClaim::OrderSpan;
-  const ClaimCheck Check = co_await this->advance(
-      Held, confirmedClaimValue(this->Claim.turnUntil(OrderBy), T, Target),
-      ConfirmTimeout);
+  const ClaimCheck Check =
+      co_await this->advance(Held,
+                             confirmedClaimValue(this->Claim.turnUntil(OrderBy),
+                                                 T, Target, Held.Required),
+                             ConfirmTimeout);
   if (Check == ClaimCheck::Held)
     Held.OrderBy = OrderBy;
   // The store may stay silent for the rest of the takeover. The windows of the
@@ -491,10 +530,13 @@
 QCoro::Task<> GroupMonitor::release(HeldClaim Held, std::string How) {
   // The target may be missing among the known servers: it may have registered
   // or restarted since.
-  ClaimOutcome Outcome{Held.Before, Held.Ordered, Held.LedTerm != 0,
-                       Held.LedTerm, this->Claim.turnUntil(Held.OrderEnd)};
-  for (const auto &[Id, Server] : this->Monitored->beliefs().servers())
-    Outcome.Highest = std::max(Outcome.Highest, Server.TermNumber);
+  ClaimOutcome Outcome{Held.Before,
+                       Held.Ordered,
+                       Held.LedTerm != 0,
+                       Held.LedTerm,
+                       this->Claim.turnUntil(Held.OrderEnd),
+                       stillRequired(Held.Required, this->latestTerm())};
+  Outcome.Highest = std::max(Outcome.Highest, this->latestTerm());
   const std::string Value = finishedClaimValue(Outcome);
   const ClaimCheck Check = co_await this->advance(Held, Value, ClaimTimeout);
   log(Check == ClaimCheck::Held ? LogLevel::Info : LogLevel::Warning,
@@ -535,6 +577,8 @@
   if (!Held)
     co_return "another entry VM holds the claim, or the store does not answer";
   RequiredEnd Required;
+  if (Held->Required && Held->Required->Of >= Held->Before.LastTerm)
+    Required = {Held->Required->End, EndSource::ClaimRow, {}};
   if (KnownTerm != 0) {
     Required = Required.raisedTo(
         {this->Monitored->endAfterLoss(KnownTerm), EndSource::AfterLoss, {}});
@@ -560,6 +604,8 @@
           co_await this->requestAll(Action.Servers, requestFor(Action.Step),
                                     Action.TermNumber, Action.SendBy);
       Outcome = this->describe(Answers);
+      if (Action.Step == TakeoverStep::StepDown)
+        this->requireLostLog(Procedure, Answers);
       // A server that has stepped down holds no term, but acknowledges nothing.
       this->recordSecured(Answers, Action.Step == TakeoverStep::StepDown
                                        ? 0
@@ -575,6 +621,7 @@
       break;
     }
     case TakeoverStep::Confirm: {
+      this->recordRequired(*Held, Procedure);
       const ClaimCheck Check =
           co_await this->confirm(*Held, Action.Target, Procedure.term());
       Outcome = nameOf(Check);
@@ -582,6 +629,7 @@
       break;
     }
     case TakeoverStep::Order: {
+      this->recordRequired(*Held, Procedure);
       const ClaimCheck Check = co_await this->renewConfirmation(
           *Held, Action.Target, Procedure.term());
       if (Check != ClaimCheck::Held) {
@@ -626,6 +674,7 @@
       Procedure.recordResumed();
       break;
     case TakeoverStep::End:
+      this->recordRequired(*Held, Procedure);
       if (Action.End != TakeoverEnd::Open)
         co_await this->release(*Held, std::string(nameOf(Action.End)));
       if (Action.End == TakeoverEnd::Promoted)
--- a/src/root/groups/testing/MissingCommitAlarmTest.cpp
+++ b/src/root/groups/testing/MissingCommitAlarmTest.cpp
@@ -32,7 +32,7 @@
     Report.Role = ServerRole::Primary;
     Report.TermNumber = Report.AdoptedTerm = T;
     Report.Received = End;
-    this->Servers->observeReport(ServerId(Id), Report);
+    this->Servers->observeReport(ServerId(Id), Report, bootNow());
   }
   /// Records an answer of \p Id, which is believed to lead.
   void answer(const char *Id, LogPosition Position) {
--- a/src/root/sessions/testing/StatementRunnerTest.cpp
+++ b/src/root/sessions/testing/StatementRunnerTest.cpp
@@ -36,7 +36,7 @@
     ServerReport Report;
     Report.Role = ServerRole::Primary;
     Report.TermNumber = Report.AdoptedTerm = 1;
-    this->Servers->observeReport(ServerId("a"), Report);
+    this->Servers->observeReport(ServerId("a"), Report, bootNow());
   }
   ~Fixture() { runTask(this->Servers->stop()); }
 
@@ -203,7 +203,7 @@
       Report.TermNumber = 1;
       Report.AdoptedTerm = F.Group[Id].Adopted;
       Report.Received = F.Group[Id].Log;
-      F.Servers->observeReport(ServerId(Id), Report);
+      F.Servers->observeReport(ServerId(Id), Report, bootNow());
     }
     if (R.ComesBack) {
       FakeServer &Back = F.Group.servers()["d"];
