--- a/src/root/groups/HolderSearch.cpp
+++ b/src/root/groups/HolderSearch.cpp
@@ -82,10 +82,16 @@
   const std::vector<ServerId> Candidates =
       this->Holders.candidates(For.Primary, For.Position.TermNumber);
   std::vector<ServerId> Ids = this->Access.preferredServers();
-  std::erase_if(Ids, [&Candidates](const ServerId &Id) {
-    return std::find(Candidates.begin(), Candidates.end(), Id) ==
-           Candidates.end();
+  const auto Has = [](const std::vector<ServerId> &In, const ServerId &Id) {
+    return std::find(In.begin(), In.end(), Id) != In.end();
+  };
+  std::erase_if(Ids, [&Candidates, &Has](const ServerId &Id) {
+    return !Has(Candidates, Id);
   });
+  // Leaving servers are not preferred, and count where all others leave.
+  for (const ServerId &Id : Candidates)
+    if (!Has(Ids, Id))
+      Ids.push_back(Id);
   return Ids;
 }
 
--- a/src/root/sessions/testing/StatementRunnerTest.cpp
+++ b/src/root/sessions/testing/StatementRunnerTest.cpp
@@ -130,6 +130,7 @@
     bool Registered;
     bool ReceivedLate; ///< Whether b and c receive it 60 ms later.
     std::optional<AnswerCode> Code;
+    bool Leaving = false; ///< Whether b and c are leaving.
   };
   const Row Rows[] = {
       {"all hold it", true, 1, false, false, false, std::nullopt},
@@ -140,6 +141,8 @@
        true, false, AnswerCode::OutcomeUnknown},
       {"a server that has registered, and no takeover", false, 1, true, true,
        false, std::nullopt},
+      {"all replicas are leaving", true, 1, false, false, false, std::nullopt,
+       true},
   };
   for (const Row &R : Rows) {
     CAPTURE(R.Name);
@@ -156,7 +159,8 @@
       Joined.Id = ServerId("d");
       Joined.Log = Joined.Applied = F.Group["a"].Log;
     }
-    if (R.Registered)
+    F.Group["b"].Draining = F.Group["c"].Draining = R.Leaving;
+    if (R.Registered || R.Leaving)
       F.Servers->configure(F.Servers->limits(), F.Group.registrations());
     const auto ReceiveLate = [](Fixture &F) -> QCoro::Task<> {
       co_await sleepFor(milliseconds(60));
