--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -208,7 +208,9 @@
 
 void Group::recordEnd(Term T, LogPosition End, TimePoint SentAt) {
   this->Leaving.observePrimary(End, SentAt);
-  if (!this->EndWanted || SentAt < this->LostAt)
+  // A superseded primary says nothing of the log of a later one.
+  const bool IsNewer = this->EndWanted || T > this->EndTerm;
+  if (!IsNewer || T < this->EndTerm || SentAt < this->LostAt)
     return;
   this->EndAfterLoss = End;
   this->EndTerm = T;
--- a/src/root/groups/Group.h
+++ b/src/root/groups/Group.h
@@ -187,7 +187,9 @@
   }
   /// Returns whether a primary has reported the end of its log since the last
   /// server left or restarted, so that endAfterLoss() covers that loss.
-  bool isLossCovered() const { return !this->EndWanted; }
+  bool isLossCovered(Term T) const {
+    return !this->EndWanted && this->EndTerm >= T;
+  }
 
   /// Returns the part of the log of \p Id that a takeover has to preserve also
   /// if that server leaves (policy/LeavingLogs.h); nothing if all of it counts.
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -400,7 +400,7 @@
   Procedure.require({this->Monitored->endAfterLoss(Procedure.oldTerm()),
                      EndSource::AfterLoss,
                      {}});
-  if (this->Monitored->isLossCovered())
+  if (this->Monitored->isLossCovered(Procedure.oldTerm()))
     return;
   for (const auto &[Id, Report] : Answers)
     if (Report.Role == ServerRole::Replica)
