--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -215,6 +215,25 @@
   return Listed == this->Found.end() ? nullptr : &Listed->second;
 }
 
+RegisteredServer GroupMonitor::registrationOrEmpty(const ServerId &Id) const {
+  const RegisteredServer *Known = this->registration(Id);
+  return Known ? *Known : RegisteredServer{};
+}
+
+bool GroupMonitor::isReplaced(const RegisteredServer &Server) const {
+  const auto Replaces = [&Server](const RegisteredServer &Other) {
+    return Other.Id != Server.Id && Other.At == Server.At &&
+           Other.StartedAtMs > Server.StartedAtMs;
+  };
+  for (const auto &[Id, Known] : this->Monitored->beliefs().servers())
+    if (Replaces(Known.Registration))
+      return true;
+  for (const auto &[Id, Listed] : this->Found)
+    if (Replaces(Listed))
+      return true;
+  return false;
+}
+
 QCoro::Task<Result<StatusAnswer>>
 GroupMonitor::adopt(ServerLink &Link, std::optional<ServerRole> Role, Term T,
                     TimePoint Deadline) {
@@ -655,12 +674,11 @@
       break;
     }
     case TakeoverStep::AwaitEffect: {
-      const bool WasKnown = this->Monitored->beliefs().find(Action.Target);
+      const RegisteredServer Target = this->registrationOrEmpty(Action.Target);
       const std::optional<Term> Led =
           co_await this->awaitEffect(Action, Procedure.oldTerm() + 1);
       Held->LedTerm = Led.value_or(0);
-      const bool Lost =
-          !Led && WasKnown && !this->Monitored->beliefs().find(Action.Target);
+      const bool Lost = !Led && this->isReplaced(Target);
       Outcome = Led ? "leads" : Lost ? "target replaced" : "not yet";
       if (Lost)
         Procedure.recordLostTarget();
@@ -758,13 +776,13 @@
 QCoro::Task<std::optional<Term>>
 GroupMonitor::awaitEffect(const TakeoverAction &Order, Term Leading) {
   const TimePoint Deadline = steadyNow() + EffectTimeout;
-  const bool WasKnown = this->Monitored->beliefs().find(Order.Target);
+  const RegisteredServer Target = this->registrationOrEmpty(Order.Target);
   std::optional<Term> Led;
   EffectWait Wait{Order.Target, Order.TermNumber, Order.SendBy, {}, {}, false};
   this->secureNewServers(Wait);
   while (!Led && steadyNow() < Deadline && !this->Stopping) {
     co_await sleepFor(EffectPollInterval);
-    if (WasKnown && !this->Monitored->beliefs().find(Order.Target))
+    if (this->isReplaced(Target))
       break;
     const std::optional<StatusAnswer> Reply =
         co_await this->call(Order.Target, ServerRequest::Status, 0);
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -197,6 +197,12 @@
   /// the registrations during a takeover; null if there is none.
   const RegisteredServer *registration(const ServerId &Id) const;
 
+  /// The same; an empty one if there is none.
+  RegisteredServer registrationOrEmpty(const ServerId &Id) const;
+  /// Returns whether another server has started at the address of \p Server
+  /// since. That its registration is gone does not show that it has ended.
+  bool isReplaced(const RegisteredServer &Server) const;
+
   QCoro::Task<> takeOver(TakeoverReason Reason);
   /// Claims and carries out a takeover.
   /// \param Servers the servers with their reports, as planned from.
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -482,6 +482,58 @@
   F.Servers->pendingWrites().erase(Waiting);
 }
 
+// Guards against an order that is taken for dead, and replicas that are resumed
+// before it takes effect, because the registration of its target has expired.
+TEST_CASE(
+    "an order is awaited unless another server has the target's address") {
+  struct Row {
+    const char *Name;
+    bool Replaced;
+    bool Awaited;
+  };
+  const Row Rows[] = {{"the registration is gone", false, true},
+                      {"another server has the address", true, false}};
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    F.Orders.EffectDelay = milliseconds(600);
+    bool StillHeld = false;
+    F.Orders.AfterEffect = [&F, &StillHeld](const std::string &) {
+      StillHeld = F.Group["c"].Adopted > 1 || F.Group["c"].TermNumber > 1;
+    };
+    const auto ChangeList = [](Fixture &F, bool Replaced,
+                               ServerId Target) -> QCoro::Task<> {
+      co_await sleepFor(milliseconds(100));
+      std::vector<RegisteredServer> Listed = F.Group.registrations();
+      for (RegisteredServer &S : Listed)
+        if (S.Id == Target && Replaced) {
+          S.Id = ServerId("d");
+          S.StartedAtMs += 1;
+        }
+      std::erase_if(Listed, [&Target](const RegisteredServer &S) {
+        return S.Id == Target;
+      });
+      F.Servers->configure(F.Servers->limits(), Listed);
+    };
+    F.Orders.BeforeEffect = [&](const PromotionRequest &Order) {
+      ChangeList(F, R.Replaced, Order.Target);
+    };
+    F.Group["a"].Reachable = false;
+    F.Servers->observeFailure(ServerId("a"), "test");
+    F.pass(std::chrono::seconds(2));
+    REQUIRE_FALSE(F.Orders.Orders.empty());
+    runTask([](Fixture &F) -> QCoro::Task<> {
+      F.Orders.BeforeEffect = [](const PromotionRequest &) {};
+      co_await sleepFor(milliseconds(900));
+    }(F));
+    const std::string &Row = F.Store.Rows["takeover/ledger"].Value;
+    CAPTURE(Row);
+    CHECK((Row.rfind("finished 2 ", 0) == 0) == R.Awaited);
+    if (R.Awaited)
+      CHECK(StillHeld);
+  }
+}
+
 // Guards against an old primary that was silent, comes back between the order
 // and its effect, and acknowledges commits with a replica that joins.
 TEST_CASE("an old primary that comes back before a promotion takes effect is "
