--- /dev/null
+++ b/src/policy/quotas/QuotaAmount.cpp
@@ -0,0 +1,55 @@
+#include "policy/quotas/QuotaAmount.h"
+
+#include <algorithm>
+
+namespace amaranthspur {
+namespace {
+
+double inSeconds(Duration D) {
+  return std::chrono::duration<double>(D).count();
+}
+
+} // namespace
+
+QuotaAmount smallerOf(const QuotaAmount &A, const QuotaAmount &B) {
+  return {std::min(A.RatePerSecond, B.RatePerSecond),
+          std::min(A.Burst, B.Burst)};
+}
+
+QuotaAmount largerOf(const QuotaAmount &A, const QuotaAmount &B) {
+  return {std::max(A.RatePerSecond, B.RatePerSecond),
+          std::max(A.Burst, B.Burst)};
+}
+
+double toleratedExtra(const WorkspaceQuota &Quota,
+                      const QuotaTolerance &Tolerance) {
+  const double Allowed =
+      Quota.RatePerSecond * inSeconds(Tolerance.Window) + Quota.Burst;
+  return Tolerance.Excess * Allowed + Tolerance.Slack;
+}
+
+QuotaAmount dataCentreShare(const WorkspaceQuota &Quota,
+                            const QuotaTolerance &Tolerance,
+                            std::size_t DataCentres) {
+  const auto Count = static_cast<double>(std::max<std::size_t>(1, DataCentres));
+  const double Extra = LeasedExtraPart * toleratedExtra(Quota, Tolerance);
+  // Half of the extra is added to the rate, half to the burst: in a window
+  // they add up to the extra.
+  return {(Quota.RatePerSecond + Extra / 2 / inSeconds(Tolerance.Window)) /
+              Count,
+          (Quota.Burst + Extra / 2) / Count};
+}
+
+QuotaAmount entryVmReserve(const WorkspaceQuota &Quota,
+                           const QuotaTolerance &Tolerance,
+                           std::size_t EntryVms) {
+  const auto Count = static_cast<double>(std::max<std::size_t>(1, EntryVms));
+  const double Extra =
+      ReservedExtraPart * toleratedExtra(Quota, Tolerance) / Count;
+  if (Extra < 1)
+    return {};
+  const double Burst = std::max(1.0, Extra / 2);
+  return {(Extra - Burst) / inSeconds(Tolerance.Window), Burst};
+}
+
+} // namespace amaranthspur
