Make the model of quotas find faults of the allocator

Change: quiet times before floods, and checks of the sum of what entry VMs hold and of granted tokens.

--- a/src/policy/quotas/QuotaAllocator.h
+++ b/src/policy/quotas/QuotaAllocator.h
@@ -23,8 +23,9 @@
 //     of the rates and the sum of the bursts of the commitments and of the pool
 //     never exceed the share. New leases are cut to what is left.
 //  4. Tokens that a reply grants are taken from the pool. Together with the
-//     tokens that were reported they do not exceed the granted burst, and the
-//     holder's bucket does not fill while the request is under way. So the
+//     tokens that were reported they do not exceed the granted burst, and what
+//     fills the holder's bucket while the request is under way is bounded so
+//     that all three together do not exceed the commitment. So the
 //     tokens that are held, under way or in the pool are at most B at any time
 //     and grow by at most R per second; each operation takes one.
 //  5. An allocator that follows another one grants nothing but what a holder
--- a/src/policy/quotas/QuotaBucket.cpp
+++ b/src/policy/quotas/QuotaBucket.cpp
@@ -46,9 +46,20 @@
   return true;
 }
 
-void QuotaBucket::pause(bool Stop, TimePoint Now) {
+void QuotaBucket::pause(TimePoint Now) {
   this->fill(Now);
-  this->Paused = Stop;
+  this->Paused = true;
+  this->PausedAt = Now;
+}
+
+double QuotaBucket::resume(TimePoint Now) {
+  if (!this->Paused)
+    return 0;
+  this->fill(Now);
+  this->Paused = false;
+  const std::chrono::duration<double> Passed =
+      std::max(Duration::zero(), Now - this->PausedAt);
+  return Passed.count() * this->Capacity.RatePerSecond;
 }
 
 std::optional<Duration> QuotaBucket::untilNext(TimePoint Now) const {
--- a/src/policy/quotas/QuotaBucket.h
+++ b/src/policy/quotas/QuotaBucket.h
@@ -26,8 +26,12 @@
   double take(double Tokens, TimePoint Now);
   /// Takes a token for one operation; returns whether there was one.
   bool spend(TimePoint Now);
-  /// Stops or resumes the filling. Time while stopped adds nothing.
-  void pause(bool Stop, TimePoint Now);
+  /// Stops the filling.
+  void pause(TimePoint Now);
+  /// Resumes the filling, if it was stopped.
+  /// \returns the tokens that the time in between would have added to a bucket
+  /// without a bound.
+  double resume(TimePoint Now);
 
   double tokens(TimePoint Now) const;
   const QuotaAmount &capacity() const { return this->Capacity; }
@@ -42,6 +46,7 @@
   double Tokens = 0;
   std::optional<TimePoint> FilledAt;
   bool Paused = false;
+  TimePoint PausedAt{};
 };
 
 } // namespace amaranthspur
--- a/src/policy/quotas/QuotaLeaseHolder.cpp
+++ b/src/policy/quotas/QuotaLeaseHolder.cpp
@@ -130,7 +130,9 @@
       At = this->States.erase(At);
       continue;
     }
-    S.Leased.pause(true, Now);
+    S.Leased.pause(Now);
+    S.AskedTokens = S.Leased.tokens(Now);
+    S.AskedBurst = S.Leased.capacity().Burst;
     const double Demand = this->reportedDemand(S, Now);
     S.SinceRequest = 0;
     S.AskedDemand = Demand;
@@ -147,7 +149,14 @@
 void QuotaLeaseHolder::resume(TimePoint Now) {
   this->InFlight = false;
   for (auto &[Workspace, S] : this->States)
-    S.Leased.pause(false, Now);
+    S.Deferred = S.Leased.resume(Now);
+}
+
+void QuotaLeaseHolder::addDeferred(State &S, double Granted, double Burst,
+                                   TimePoint Now) {
+  const double Room = std::max(S.AskedBurst, Burst) - S.AskedTokens - Granted;
+  S.Leased.add(std::clamp(S.Deferred, 0.0, std::max(0.0, Room)), Now);
+  S.Deferred = 0;
 }
 
 void QuotaLeaseHolder::applyLeases(const std::vector<QuotaLease> &Leases,
@@ -165,6 +174,7 @@
     S.LeaseEnd = End;
     S.Returned = S.Leased.resize(Lease.Amount, Now);
     S.Leased.add(Lease.Tokens, Now);
+    addDeferred(S, Lease.Tokens, Lease.Amount.Burst, Now);
     const bool IsEnough =
         S.Leased.tokens(Now) >= 1 + S.AskedDemand * EnoughSeconds;
     if (IsEnough)
@@ -178,8 +188,11 @@
 }
 
 void QuotaLeaseHolder::abandonRequest(TimePoint Now) {
-  if (this->InFlight)
-    this->resume(Now);
+  if (!this->InFlight)
+    return;
+  this->resume(Now);
+  for (auto &[Workspace, S] : this->States)
+    addDeferred(S, 0, S.AskedBurst, Now);
 }
 
 std::vector<WorkspaceName> QuotaLeaseHolder::endExpired(TimePoint Now) {
--- a/src/policy/quotas/QuotaLeaseHolder.h
+++ b/src/policy/quotas/QuotaLeaseHolder.h
@@ -2,7 +2,9 @@
 //
 // A lease counts from the time at which its request was sent. While a request
 // is under way the buckets do not fill, so that the tokens that were reported
-// bound those that are there when the reply adds some (QuotaAllocator.h). One
+// bound those that are there when the reply adds some (QuotaAllocator.h). What
+// the time in between adds is put in afterwards, as far as the reported tokens,
+// the granted ones and it together fit into the larger of the two leases. One
 // request is under way at a time; its reply is applied or given up before the
 // next one is made. All times are of the boot clock (core/BootClock.h), since a
 // lease also expires while the machine is suspended.
@@ -120,6 +122,9 @@
     bool Unserved = false; ///< An operation found no token since the request.
     bool Asked = false;    ///< The same before the request under way.
     double AskedDemand = 0;
+    double AskedTokens = 0; ///< That the request under way reports.
+    double AskedBurst = 0;  ///< The same.
+    double Deferred = 0;    ///< Tokens of the time that the request took.
     std::optional<TimePoint> ShortAt; ///< Reply to such a request that gave
                                       ///< less than the demand.
     double Demand = 0;
@@ -137,7 +142,12 @@
   double reportedDemand(const State &S, TimePoint Now) const;
   static bool expire(State &S, TimePoint Now);
   void applyLimit(State &S, const WorkspaceQuota &Limit, TimePoint Now) const;
+  /// Ends the request under way.
   void resume(TimePoint Now);
+  /// Adds what the time of the request has added, up to what fits beside
+  /// \p Granted tokens into a lease of \p Burst.
+  static void addDeferred(State &S, double Granted, double Burst,
+                          TimePoint Now);
 
   QuotaHolderId Self;
   QuotaTolerance Tolerance;
--- a/src/policy/quotas/testing/QuotaAllocatorTest.cpp
+++ b/src/policy/quotas/testing/QuotaAllocatorTest.cpp
@@ -283,3 +283,36 @@
               .size() == R.Leases);
   }
 }
+
+// Guards against tokens that a reply adds to those that the holder reports, and
+// that together exceed its lease.
+TEST_CASE("granted tokens fit beside the reported ones") {
+  const AccessPlan Plan = planWith(100, 40);
+  struct Row {
+    const char *Name;
+    double Demand;
+    double Tokens;
+  };
+  const Row Rows[] = {
+      {"demand, no token", 5, 0},
+      {"demand, some tokens", 5, 3},
+      {"demand, more tokens than it needs", 5, 20},
+      {"no demand, no token", 0, 0},
+      {"no demand, nearly all of its burst", 0, 15},
+  };
+  for (const auto &[Name, Demand, Tokens] : Rows) {
+    CAPTURE(Name);
+    QuotaAllocator Allocator(1, {});
+    Allocator.start(false, at(0));
+    Allocator.lease({vm(1), 1, {{W, 5, {}, 0, 0}}}, Plan, at(0));
+    Allocator.confirm(at(2000));
+    const std::vector<QuotaLease> Leases = Allocator.lease(
+        {vm(1), 2, {{W, Demand, {3, 20}, Tokens, 0}}}, Plan, at(2000));
+    REQUIRE(Leases.size() == 1);
+    CHECK(Leases[0].Tokens >= 0);
+    const bool Fits =
+        Leases[0].Tokens == 0 ||
+        Tokens + Leases[0].Tokens <= Leases[0].Amount.Burst + 0.0001;
+    CHECK(Fits);
+  }
+}
--- a/src/policy/quotas/testing/QuotaBucketTest.cpp
+++ b/src/policy/quotas/testing/QuotaBucketTest.cpp
@@ -62,9 +62,10 @@
 TEST_CASE("a paused bucket does not fill") {
   QuotaBucket Bucket;
   Bucket.resize({10, 10}, at(0));
-  Bucket.pause(true, at(200));
+  Bucket.pause(at(200));
   CHECK(Bucket.tokens(at(700)) == Approx(2));
-  Bucket.pause(false, at(700));
+  CHECK(Bucket.resume(at(700)) == Approx(5));
+  CHECK(Bucket.resume(at(700)) == 0);
   CHECK(Bucket.tokens(at(800)) == Approx(3));
 }
 
--- a/src/policy/quotas/testing/QuotaLeaseHolderTest.cpp
+++ b/src/policy/quotas/testing/QuotaLeaseHolderTest.cpp
@@ -107,6 +107,29 @@
          L.makeRequest(at(0));
        },
        Quota, 900, 1},
+      {"the time of a request counts afterwards",
+       [](H &L) {
+         lease(L, {10, 9}, 1, 0, 0);
+         L.makeRequest(at(0));
+         L.abandonRequest(at(500));
+       },
+       Quota, 500, 6},
+      {"but not beyond the granted burst",
+       [](H &L) {
+         lease(L, {10, 9}, 5, 0, 0);
+         lease(L, {10, 9}, 2, 0, 900);
+       },
+       Quota, 900, 9},
+      {"nor beside tokens that were spent meanwhile",
+       [](H &L) {
+         lease(L, {10, 9}, 5, 0, 0);
+         L.makeRequest(at(0));
+         for (int I = 0; I < 5; ++I)
+           L.admit(W, Quota, true, at(100));
+         L.applyLeases({{W, {10, 9}, 2, std::chrono::seconds(3)}}, at(0),
+                       at(900));
+       },
+       Quota, 900, 4},
   };
   for (const Row &R : Rows) {
     CAPTURE(R.Name);
--- a/src/policy/quotas/testing/QuotaSafetyTest.cpp
+++ b/src/policy/quotas/testing/QuotaSafetyTest.cpp
@@ -72,12 +72,14 @@
 struct Faults {
   unsigned LossPerMille = 0;
   unsigned DelayPerMille = 0; ///< Messages that are delayed by up to 4 s.
-  unsigned RestartsPer10s = 0;
-  unsigned TakeoversPer10s = 0;
+  unsigned RestartsPer100s = 0;
+  unsigned TakeoversPer100s = 0;
 };
 
 struct ModelResult {
   double WorstExcess = -1e9; ///< Operations in a window above the allowed ones.
+  /// Largest part of a data centre's share that entry VMs held at once.
+  double WorstHeld = 0;
   unsigned Attempts = 0;
   unsigned Refused = 0;
 };
@@ -123,8 +125,8 @@
   int CountFromMs = 0;
 
 private:
-  bool happens(unsigned PerTenSeconds) {
-    return this->Rng.below(10000 / TickMs) < PerTenSeconds;
+  bool happens(unsigned Per100s) {
+    return this->Rng.below(100000 / TickMs) < Per100s;
   }
 
   void addRelay(std::size_t D, int Now, bool Follows) {
@@ -147,7 +149,7 @@
 
   void step(std::size_t D, int Now, std::deque<int> &Window, ModelResult &Out) {
     std::vector<std::unique_ptr<ModelRelay>> &Of = this->Relays[D];
-    if (this->happens(this->Given.TakeoversPer10s)) {
+    if (this->happens(this->Given.TakeoversPer100s)) {
       // The former relay may go on for as long as it has authority.
       for (const auto &R : Of)
         R->EndMs = std::min(
@@ -157,13 +159,31 @@
       this->addRelay(D, Now, true);
     }
     for (ModelVm &Vm : this->Vms[D]) {
-      if (this->happens(this->Given.RestartsPer10s))
+      if (this->happens(this->Given.RestartsPer100s))
         this->restart(Vm);
       if (Vm.Follows + 1 < Of.size() && this->Rng.below(50) == 0)
         Vm.Follows = Of.size() - 1;
       this->exchange(Vm, Of, Now);
       this->attempt(Vm, Now, Window, Out);
     }
+    this->checkHeld(D, Now, Out);
+  }
+
+  void checkHeld(std::size_t D, int Now, ModelResult &Out) {
+    QuotaAmount Sum;
+    for (ModelVm &Vm : this->Vms[D]) {
+      Vm.Holder->endExpired(Vm.Clock.at(Now));
+      for (const QuotaUse &Use : Vm.Holder->uses()) {
+        Sum.RatePerSecond += Use.Leased.RatePerSecond;
+        Sum.Burst += Use.Leased.Burst;
+      }
+    }
+    const QuotaAmount Share = dataCentreShare(
+        *this->Plan.Workspaces.at(W).Quota, this->Tolerance, this->DataCentres);
+    Out.WorstHeld =
+        std::max(Out.WorstHeld, Sum.RatePerSecond / Share.RatePerSecond);
+    if (Share.Burst > 0)
+      Out.WorstHeld = std::max(Out.WorstHeld, Sum.Burst / Share.Burst);
   }
 
   int delay() {
@@ -276,20 +296,20 @@
   const Duration Window = std::chrono::seconds(5);
   const QuotaTolerance None{Window, 0, 0};
   const QuotaTolerance Usual{Window, 0.1, 20};
-  const Faults All{100, 60, 3, 6};
+  const Faults All{50, 30, 10, 4};
   const Row Rows[] = {
       {"calm", {100, 40}, None, {}},
-      {"lost messages", {100, 40}, None, {300, 0, 0, 0}},
-      {"delayed messages", {100, 40}, None, {0, 300, 0, 0}},
-      {"restarts", {100, 40}, None, {0, 0, 9, 0}},
-      {"takeovers", {100, 40}, None, {0, 0, 0, 9}},
+      {"lost messages", {100, 40}, None, {100, 0, 0, 0}},
+      {"delayed messages", {100, 40}, None, {0, 100, 0, 0}},
+      {"restarts", {100, 40}, None, {0, 0, 30, 0}},
+      {"takeovers", {100, 40}, None, {0, 0, 0, 7}},
       {"everything", {100, 40}, None, All},
       {"everything, a large burst", {20, 400}, None, All},
       {"everything, with the tolerance", {100, 40}, Usual, All},
       {"everything, a small quota", {1.5, 4}, Usual, All},
       {"everything, no burst", {30, 0}, Usual, All},
   };
-  for (const Row &R : Rows)
+  for (const Row &R : Rows) {
     for (std::uint64_t Seed = 1; Seed <= 12; ++Seed) {
       CAPTURE(R.Name, Seed);
       const double Limit = R.Quota.RatePerSecond * 5 + R.Quota.Burst;
@@ -299,19 +319,29 @@
                   : Limit + toleratedExtra(R.Quota, R.Tolerance);
       Model M(Seed, planWith(R.Quota), R.Tolerance, R.Given, 2, 4);
       const ModelResult Out =
-          M.run(40000, Allowed, [&M, &R](auto &Vms, int Now) {
-            // Demand above the limit, which moves between the entry VMs.
-            if (Now % 700 != 0)
+          M.run(60000, Allowed, [&M, &R, Seed](auto &Vms, int Now) {
+            // Quiet times, in which everything fills, and floods. In half of
+            // the runs, the floods move between the entry VMs.
+            const int Phase = Now % 9000;
+            const bool IsQuiet = Phase < 4000;
+            const bool Changes =
+                Seed % 2 == 0 ? Now % 500 == 0 : Phase == 0 || Phase == 4000;
+            if (!Changes)
               return;
+            const double Most =
+                (R.Quota.RatePerSecond + R.Quota.Burst + 10) * 2;
             for (auto &Of : Vms)
               for (ModelVm &Vm : Of)
-                Vm.Rate = M.Rng.below(3) == 0
-                              ? 0
-                              : (R.Quota.RatePerSecond + 5) * 2 * M.Rng.unit();
+                if (IsQuiet)
+                  Vm.Rate = M.Rng.below(4) == 0 ? 1 : 0;
+                else
+                  Vm.Rate = M.Rng.below(3) == 0 ? 0 : Most * M.Rng.unit();
           });
       CHECK(Out.WorstExcess <= 0);
+      CHECK(Out.WorstHeld <= 1.000001);
       CHECK(Out.Attempts > 1000);
     }
+  }
 }
 
 // Guards against capacity that is lost in leases which nobody uses: demand
