--- a/src/policy/quotas/QuotaAllocator.cpp
+++ b/src/policy/quotas/QuotaAllocator.cpp
@@ -70,6 +70,7 @@
 
 void QuotaAllocator::stop() {
   this->Started = false;
+  this->SpreadsAll = false;
   this->Accounts.clear();
   this->Holders.clear();
 }
@@ -112,7 +113,7 @@
 
 QuotaAmount QuotaAllocator::target(const Account &A, const QuotaHolderId &Self,
                                    unsigned Waiting, const QuotaAmount &Share,
-                                   TimePoint Now) {
+                                   TimePoint Now) const {
   std::vector<double> Rates;
   std::vector<double> Bursts;
   std::size_t Own = 0;
@@ -129,9 +130,12 @@
   // A bucket that is full would waste what it is leased, so less than the
   // demand is leased unless there is demand for everything. The pool adds what
   // is missing with each reply.
-  const double Part =
-      Demands > 0 ? std::clamp(Demands / Share.RatePerSecond, LeasedPart, 1.0)
-                  : LeasedPart;
+  const double Wanted = Demands / Share.RatePerSecond;
+  double Part = LeasedPart;
+  if (Demands > 0 && this->SpreadsAll)
+    Part = std::max(1.0, 1 / Wanted);
+  else if (Demands > 0)
+    Part = std::clamp(Wanted, LeasedPart, 1.0);
   QuotaAmount Out{Part * maxMinPart(Share.RatePerSecond, Rates, Own),
                   maxMinPart(Share.Burst, Bursts, Own)};
   double Used = 0;
@@ -139,9 +143,11 @@
     Used += maxMinPart(Share.Burst, Bursts, I);
   // A burst of less than one operation is of no use to anyone. It stays in the
   // pool, where whoever needs it first gets it.
-  const double Spare = std::max(0.0, Share.Burst - Used) * SparePart /
-                       static_cast<double>(Bursts.size());
-  if (Spare >= 1)
+  const double Unused = std::max(0.0, Share.Burst - Used);
+  const double Spare = Unused * SparePart / static_cast<double>(Bursts.size());
+  if (Demands > 0 && this->SpreadsAll)
+    Out.Burst += Unused * Rates[Own] / Demands;
+  else if (Spare >= 1)
     Out.Burst += Spare;
   return Out;
 }
@@ -176,7 +182,7 @@
   Own.Amount = Report.Held;
   Own.Demand = Report.Demand;
   Own.DemandAt = Now;
-  Own.End = Now + LeaseLength + ExpiryMargin;
+  Own.End = Now + CommitmentTime;
   const QuotaAmount Sum = sumOf(A);
   this->resizePool(A, Share, Now);
   A.Pool.add(Report.Returned, Now);
@@ -200,11 +206,13 @@
 
   const double Room = std::max(0.0, Granted.Burst - Report.Tokens);
   // Tokens beyond the need of the next moments stay where any holder can get
-  // them. One is kept where there are enough for all holders.
-  const double Spare = std::clamp(Granted.Burst - Report.Waiting, 0.0, 1.0);
-  const double Wanted = std::max(
-      0.0, Report.Waiting + std::max(keptTokens(Report.Demand), Spare) -
-               Report.Tokens);
+  // them. One operation more is kept if there is enough for all holders.
+  const double Spare = std::min(1 + Report.Demand * BurstSeconds,
+                                Granted.Burst - Report.Waiting);
+  const double KeptTokens =
+      std::max(keptTokens(Report.Demand), Spare >= 1 ? Spare : 0);
+  const double Wanted =
+      std::max(0.0, Report.Waiting + KeptTokens - Report.Tokens);
   QuotaLease Out{Report.Workspace, Granted,
                  A.Pool.take(std::min(Room, Wanted), Now), LeaseLength};
   Own.Amount = largerOf(Report.Held, Granted);
@@ -252,7 +260,7 @@
     return;
   this->CleanedAt = Now;
   std::erase_if(this->Holders, [Now](const auto &Entry) {
-    return Now - Entry.second.LastRequest > 2 * (LeaseLength + ExpiryMargin);
+    return Now - Entry.second.LastRequest > 2 * CommitmentTime;
   });
   // An account without holders is forgotten when its pool is full, as that of a
   // new account is.
--- a/src/policy/quotas/QuotaAllocator.h
+++ b/src/policy/quotas/QuotaAllocator.h
@@ -18,13 +18,16 @@
 //  2. The holder counts a lease from the time at which it sent its request, the
 //     allocator from its reply plus ExpiryMargin, which exceeds the difference
 //     of clock rates. A holder never uses a lease that the allocator has
-//     dropped. A reply that was delayed beyond the lease is not applied.
+//     dropped. A reply that was delayed beyond the lease is not applied. The
+//     allocator counts a lease for AuthorityTime longer: until then its holder
+//     may have renewed it at an allocator that has followed this one.
 //  3. What is not committed fills a bucket of the allocator, the pool. The sum
 //     of the rates and the sum of the bursts of the commitments and of the pool
 //     never exceed the share. New leases are cut to what is left.
 //  4. Tokens that a reply grants are taken from the pool. Together with the
-//     tokens that were reported they do not exceed the granted burst, and the
-//     holder's bucket does not fill while the request is under way. So the
+//     tokens that were reported they do not exceed the granted burst, and what
+//     fills the holder's bucket while the request is under way is bounded so
+//     that all three together do not exceed the commitment. So the
 //     tokens that are held, under way or in the pool are at most B at any time
 //     and grow by at most R per second; each operation takes one.
 //  5. An allocator that follows another one grants nothing but what a holder
@@ -66,13 +69,19 @@
   /// followed it: the relay finds that a follower is silent after 1.2 s.
   static constexpr Duration AuthorityTime =
       ConfirmationTime + milliseconds(1200);
+  /// Time for which a lease is counted unless its holder reports again. It is
+  /// longer than the lease, since the holder may have renewed it at an
+  /// allocator that has followed this one, and since a delayed request may
+  /// renew it.
+  static constexpr Duration CommitmentTime =
+      LeaseLength + ExpiryMargin + AuthorityTime;
   /// Time for which an allocator that follows another one grants only what is
   /// reported as held.
   static constexpr Duration TakeoverTime =
       LeaseLength + 2 * ExpiryMargin + AuthorityTime;
   /// Part of the demand that is leased as a rate while there is less demand
   /// than the share. Operations beyond it use tokens of the pool.
-  static constexpr double LeasedPart = 0.7;
+  static constexpr double LeasedPart = 0.85;
   /// Demand of this many seconds is the burst that a holder gets, as far as
   /// that is free. It covers the time between two requests. A holder that
   /// expects less than one operation in it gets tokens only for operations that
@@ -94,6 +103,9 @@
   /// Starts to allocate, with nothing known.
   /// \param FollowsAnother whether another allocator may have leases left.
   void start(bool FollowsAnother, TimePoint Now);
+  /// Leases everything to those with demand from now on, because another
+  /// allocator is about to follow, which can only renew what is held.
+  void spreadAll() { this->SpreadsAll = true; }
   /// Forgets everything and grants nothing until the next start.
   void stop();
   /// Records that no other allocator had followed this one at \p AsOf.
@@ -134,9 +146,9 @@
   void resizePool(Account &A, const QuotaAmount &Share, TimePoint Now) const;
   /// Returns what \p Self is to have by its demand and that of the others.
   /// \param Waiting operations of \p Self that wait for a token.
-  static QuotaAmount target(const Account &A, const QuotaHolderId &Self,
-                            unsigned Waiting, const QuotaAmount &Share,
-                            TimePoint Now);
+  QuotaAmount target(const Account &A, const QuotaHolderId &Self,
+                     unsigned Waiting, const QuotaAmount &Share,
+                     TimePoint Now) const;
   /// Returns the account of \p Workspace. The pool of a new one is full if that
   /// of an account without use would be.
   Account &accountOf(const WorkspaceName &Workspace, const QuotaAmount &Share,
@@ -148,6 +160,7 @@
   std::size_t DataCentres;
   QuotaTolerance Tolerance;
   bool Started = false;
+  bool SpreadsAll = false;
   TimePoint GrantsFreelyAt{};
   bool FollowsAnother = false;
   TimePoint CleanedAt{};
--- a/src/policy/quotas/QuotaLeaseHolder.cpp
+++ b/src/policy/quotas/QuotaLeaseHolder.cpp
@@ -130,7 +130,9 @@
       At = this->States.erase(At);
       continue;
     }
-    S.Leased.pause(true, Now);
+    S.Leased.pause(Now);
+    S.AskedTokens = S.Leased.tokens(Now);
+    S.AskedBurst = S.Leased.capacity().Burst;
     const double Demand = this->reportedDemand(S, Now);
     S.SinceRequest = 0;
     S.AskedDemand = Demand;
@@ -148,7 +150,14 @@
 void QuotaLeaseHolder::resume(TimePoint Now) {
   this->InFlight = false;
   for (auto &[Workspace, S] : this->States)
-    S.Leased.pause(false, Now);
+    S.Deferred = S.Leased.resume(Now);
+}
+
+void QuotaLeaseHolder::addDeferred(State &S, double Granted, double Burst,
+                                   TimePoint Now) {
+  const double Room = std::max(S.AskedBurst, Burst) - S.AskedTokens - Granted;
+  S.Leased.add(std::clamp(S.Deferred, 0.0, std::max(0.0, Room)), Now);
+  S.Deferred = 0;
 }
 
 void QuotaLeaseHolder::applyLeases(const std::vector<QuotaLease> &Leases,
@@ -166,6 +175,7 @@
     S.LeaseEnd = End;
     S.Returned = S.Leased.resize(Lease.Amount, Now);
     S.Leased.add(Lease.Tokens, Now);
+    addDeferred(S, Lease.Tokens, Lease.Amount.Burst, Now);
     const bool IsEnough =
         S.Leased.tokens(Now) >= 1 + S.AskedDemand * EnoughSeconds;
     if (IsEnough)
@@ -179,8 +189,11 @@
 }
 
 void QuotaLeaseHolder::abandonRequest(TimePoint Now) {
-  if (this->InFlight)
-    this->resume(Now);
+  if (!this->InFlight)
+    return;
+  this->resume(Now);
+  for (auto &[Workspace, S] : this->States)
+    addDeferred(S, 0, S.AskedBurst, Now);
 }
 
 std::vector<WorkspaceName> QuotaLeaseHolder::endExpired(TimePoint Now) {
@@ -196,6 +209,7 @@
 
 std::vector<QuotaUse> QuotaLeaseHolder::uses() const {
   std::vector<QuotaUse> Out;
+  Out.reserve(this->States.size());
   for (const auto &[Workspace, S] : this->States)
     Out.push_back(
         {Workspace, S.Limit, S.Leased.capacity(), S.Spent, S.Refused});
--- a/src/policy/quotas/testing/QuotaAllocatorTest.cpp
+++ b/src/policy/quotas/testing/QuotaAllocatorTest.cpp
@@ -31,11 +31,11 @@
   QuotaAmount Held;
 
   QuotaLease ask(QuotaAllocator &From, const AccessPlan &Plan, double Demand,
-                 int Ms) {
+                 int Ms, unsigned Waiting = 0) {
     From.confirm(at(Ms));
     const std::vector<QuotaLease> Leases = From.lease(
-        {this->Id, ++this->Sequence, {{W, Demand, this->Held, 0, 0}}}, Plan,
-        at(Ms));
+        {this->Id, ++this->Sequence, {{W, Demand, this->Held, 0, 0, Waiting}}},
+        Plan, at(Ms));
     if (Leases.size() != 1)
       return {};
     this->Held = Leases[0].Amount;
@@ -92,6 +92,7 @@
     QuotaAllocator Allocator(1, {});
     Allocator.start(false, at(0));
     std::vector<Holder> Holders;
+    Holders.reserve(R.Before.size());
     for (std::size_t I = 0; I < R.Before.size(); ++I)
       Holders.push_back({vm(static_cast<int>(I)), 0, {}});
     for (int Ms = 0; Ms < 5000; Ms += 400)
@@ -111,20 +112,27 @@
 }
 
 // Guards against a share that is divided into bursts of less than one
-// operation, of which nobody can use any.
-TEST_CASE("a small share is given to those with demand") {
+// operation, of which nobody can use any, and against tokens that entry VMs
+// keep while an operation of another one waits.
+TEST_CASE("a small share is given to operations that wait") {
   const AccessPlan Plan = planWith(1, 2);
   QuotaAllocator Allocator(1, {});
   Allocator.start(false, at(0));
   std::vector<Holder> Holders;
+  Holders.reserve(6);
   for (int I = 0; I < 6; ++I)
     Holders.push_back({vm(I), 0, {}});
   for (int Ms = 0; Ms <= 3600; Ms += 400)
     for (Holder &H : Holders)
-      H.ask(Allocator, Plan, 0, Ms);
-  const QuotaLease First = Holders[3].ask(Allocator, Plan, 0.5, 4000);
-  CHECK(First.Amount.Burst >= 1);
-  CHECK(First.Tokens >= 1);
+      CHECK(H.ask(Allocator, Plan, 0.3, Ms).Tokens == 0);
+  for (const std::size_t I : {std::size_t{3}, std::size_t{5}}) {
+    CAPTURE(I);
+    const QuotaLease First = Holders[I].ask(Allocator, Plan, 0.5, 4000, 1);
+    CHECK(First.Amount.Burst >= 1);
+    CHECK(First.Tokens >= 1);
+  }
+  const QuotaLease Late = Holders[1].ask(Allocator, Plan, 0.5, 4001, 1);
+  CHECK(Late.Tokens < 1);
 }
 
 // Guards against an allocator that gives out what a former one has leased, and
@@ -173,9 +181,8 @@
     int AtMs;
     bool Returned;
   };
-  const int End = static_cast<int>(
-      (QuotaAllocator::LeaseLength + QuotaAllocator::ExpiryMargin).count() /
-      1000);
+  const int End =
+      static_cast<int>(QuotaAllocator::CommitmentTime.count() / 1000);
   const Row Rows[] = {
       {"not heard of", false, 1, End - 100, false},
       {"not heard of until the end", false, 1, End, true},
@@ -241,6 +248,7 @@
   QuotaAllocator Allocator(1, {});
   Allocator.start(false, at(0));
   std::vector<Holder> Holders;
+  Holders.reserve(4);
   for (int I = 0; I < 4; ++I)
     Holders.push_back({vm(I), 0, {}});
   for (int Ms = 0; Ms < 2000; Ms += 400)
@@ -283,3 +291,70 @@
               .size() == R.Leases);
   }
 }
+
+// Guards against tokens that a reply adds to those that the holder reports, and
+// that together exceed its lease.
+TEST_CASE("granted tokens fit beside the reported ones") {
+  const AccessPlan Plan = planWith(100, 40);
+  struct Row {
+    const char *Name;
+    double Demand;
+    double Tokens;
+  };
+  const Row Rows[] = {
+      {"demand, no token", 5, 0},
+      {"demand, some tokens", 5, 3},
+      {"demand, more tokens than it needs", 5, 20},
+      {"no demand, no token", 0, 0},
+      {"no demand, nearly all of its burst", 0, 15},
+  };
+  for (const auto &[Name, Demand, Tokens] : Rows) {
+    CAPTURE(Name);
+    QuotaAllocator Allocator(1, {});
+    Allocator.start(false, at(0));
+    Allocator.lease({vm(1), 1, {{W, 5, {}, 0, 0}}}, Plan, at(0));
+    Allocator.confirm(at(2000));
+    const std::vector<QuotaLease> Leases = Allocator.lease(
+        {vm(1), 2, {{W, Demand, {3, 20}, Tokens, 0}}}, Plan, at(2000));
+    REQUIRE(Leases.size() == 1);
+    CHECK(Leases[0].Tokens >= 0);
+    const bool Fits =
+        Leases[0].Tokens == 0 ||
+        Tokens + Leases[0].Tokens <= Leases[0].Amount.Burst + 0.0001;
+    CHECK(Fits);
+  }
+}
+
+// Guards against a planned change of the relay after which entry VMs have only
+// a part of what their workspaces may use: the next allocator can only renew
+// what is held.
+TEST_CASE("an allocator that is about to end leases everything") {
+  const AccessPlan Plan = planWith(100, 40);
+  QuotaAllocator Allocator(1, {});
+  Allocator.start(false, at(0));
+  std::vector<Holder> Holders = {
+      {vm(0), 0, {}}, {vm(1), 0, {}}, {vm(2), 0, {}}};
+  const std::vector<double> Demands = {10, 30, 0};
+  const auto AskAll = [&](int Ms) {
+    for (std::size_t I = 0; I < Holders.size(); ++I)
+      Holders[I].ask(Allocator, Plan, Demands[I], Ms);
+  };
+  for (int Ms = 0; Ms < 2000; Ms += 400)
+    AskAll(Ms);
+  CHECK(Allocator.committed(W, at(2000)).RatePerSecond < 50);
+  Allocator.spreadAll();
+  AskAll(2000);
+  CHECK(Holders[0].Held.RatePerSecond > 24);
+  CHECK(Holders[1].Held.RatePerSecond > 74);
+  CHECK(Holders[0].Held.Burst + Holders[1].Held.Burst > 25);
+  const QuotaAmount Sum = Allocator.committed(W, at(2000));
+  CHECK(Sum.RatePerSecond <= 100.0001);
+  CHECK(Sum.Burst <= 40.0001);
+
+  // The next allocator renews it.
+  QuotaAllocator Next(1, {});
+  Next.start(true, at(2400));
+  for (std::size_t I = 0; I < Holders.size(); ++I)
+    Holders[I].ask(Next, Plan, Demands[I], 2400);
+  CHECK(Holders[1].Held.RatePerSecond > 74);
+}
