Lease tokens instead of rates

Cause: the rate of an entry VM whose bucket is full is lost to the others.

Change: a lease is a number of tokens from the allocator's bucket.

--- a/src/policy/quotas/QuotaAllocator.cpp
+++ b/src/policy/quotas/QuotaAllocator.cpp
@@ -20,17 +20,6 @@
          isPlausible(R.Returned);
 }
 
-/// Returns the factor that scales \p Sum to at most \p Limit.
-double scaleTo(double Limit, double Sum) {
-  return Sum > Limit ? Limit / Sum : 1;
-}
-
-/// Returns the tokens that a holder keeps for the time between two requests.
-double keptTokens(double Demand) {
-  const double Expected = Demand * QuotaAllocator::BurstSeconds;
-  return Expected >= 1 ? Expected : 0;
-}
-
 } // namespace
 
 double maxMinPart(double Total, const std::vector<double> &Demands,
@@ -75,20 +64,18 @@
   this->Holders.clear();
 }
 
-QuotaAmount QuotaAllocator::sumOf(const Account &A) {
-  QuotaAmount Sum;
-  for (const auto &[Id, C] : A.Holders) {
-    Sum.RatePerSecond += C.Amount.RatePerSecond;
-    Sum.Burst += C.Amount.Burst;
-  }
+double QuotaAllocator::sumOf(const Account &A) {
+  double Sum = 0;
+  for (const auto &[Id, C] : A.Holders)
+    Sum += C.Tokens;
   return Sum;
 }
 
-QuotaAmount QuotaAllocator::committed(const WorkspaceName &Workspace,
-                                      TimePoint Now) const {
+double QuotaAllocator::committed(const WorkspaceName &Workspace,
+                                 TimePoint Now) const {
   const auto Found = this->Accounts.find(Workspace);
   if (Found == this->Accounts.end())
-    return {};
+    return 0;
   Account Current = Found->second;
   this->removeExpired(Current, Now);
   return sumOf(Current);
@@ -105,51 +92,35 @@
     A.Pool.resize({}, Now);
     return;
   }
-  const QuotaAmount Sum = sumOf(A);
-  A.Pool.resize({std::max(0.0, Share.RatePerSecond - Sum.RatePerSecond),
-                 std::max(0.0, Share.Burst - Sum.Burst)},
+  A.Pool.resize({Share.RatePerSecond, std::max(0.0, Share.Burst - sumOf(A))},
                 Now);
 }
 
-QuotaAmount QuotaAllocator::target(const Account &A, const QuotaHolderId &Self,
-                                   unsigned Waiting, const QuotaAmount &Share,
-                                   TimePoint Now) const {
-  std::vector<double> Rates;
-  std::vector<double> Bursts;
+double QuotaAllocator::wantedTokens(const Account &A, const QuotaHolderId &Self,
+                                    const QuotaReport &Report,
+                                    const QuotaAmount &Share,
+                                    TimePoint Now) const {
+  std::vector<double> Demands;
   std::size_t Own = 0;
-  double Demands = 0;
+  std::size_t Active = 0;
   for (const auto &[Id, C] : A.Holders) {
     const bool Counts = Id == Self || Now - C.DemandAt < DemandTime;
-    const double Demand = Counts ? C.Demand : 0;
     if (Id == Self)
-      Own = Rates.size();
-    Demands += Demand;
-    Rates.push_back(Demand);
-    Bursts.push_back(keptTokens(Demand) + (Id == Self ? Waiting : 0));
+      Own = Demands.size();
+    Demands.push_back(Counts ? C.Demand : 0);
+    Active += Demands.back() > ActiveDemand ? 1 : 0;
   }
-  // A bucket that is full would waste what it is leased, so less than the
-  // demand is leased unless there is demand for everything. The pool adds what
-  // is missing with each reply.
-  const double Wanted = Demands / Share.RatePerSecond;
-  double Part = LeasedPart;
-  if (Demands > 0 && this->SpreadsAll)
-    Part = std::max(1.0, 1 / Wanted);
-  else if (Demands > 0)
-    Part = std::clamp(Wanted, LeasedPart, 1.0);
-  QuotaAmount Out{Part * maxMinPart(Share.RatePerSecond, Rates, Own),
-                  maxMinPart(Share.Burst, Bursts, Own)};
-  double Used = 0;
-  for (std::size_t I = 0; I < Bursts.size(); ++I)
-    Used += maxMinPart(Share.Burst, Bursts, I);
-  // A burst of less than one operation is of no use to anyone. It stays in the
-  // pool, where whoever needs it first gets it.
-  const double Unused = std::max(0.0, Share.Burst - Used);
-  const double Spare = Unused * SparePart / static_cast<double>(Bursts.size());
-  if (Demands > 0 && this->SpreadsAll)
-    Out.Burst += Unused * Rates[Own] / Demands;
-  else if (Spare >= 1)
-    Out.Burst += Spare;
-  return Out;
+  const double Fair = maxMinPart(Share.RatePerSecond, Demands, Own);
+  double Kept = Fair * (this->SpreadsAll ? HandoverSeconds : BurstSeconds);
+  if (Kept < 1) {
+    const bool IsPlenty =
+        Report.Demand > ActiveDemand &&
+        Share.Burst * SparePart >= (1 + Kept) * static_cast<double>(Active);
+    Kept = IsPlenty ? 1 + Kept : 0;
+  }
+  const double Served =
+      std::min<double>(Report.Waiting, 1 + Fair * WaitingSeconds);
+  return std::max(0.0, Served + Kept - Report.Tokens);
 }
 
 QuotaAllocator::Account &
@@ -179,45 +150,16 @@
   Commitment &Own = A.Holders[Holder];
   A.Share = Share;
   // The report replaces what was committed before.
-  Own.Amount = Report.Held;
+  Own.Tokens = Report.Tokens;
   Own.Demand = Report.Demand;
   Own.DemandAt = Now;
   Own.End = Now + CommitmentTime;
-  const QuotaAmount Sum = sumOf(A);
   this->resizePool(A, Share, Now);
-  A.Pool.add(Report.Returned, Now);
-
-  // What is held may be renewed, unless the limit has been lowered.
-  const QuotaAmount Kept{Report.Held.RatePerSecond *
-                             scaleTo(Share.RatePerSecond, Sum.RatePerSecond),
-                         Report.Held.Burst * scaleTo(Share.Burst, Sum.Burst)};
-  const QuotaAmount Free = A.Pool.capacity();
-  const QuotaAmount Most{Kept.RatePerSecond + Free.RatePerSecond,
-                         Kept.Burst + Free.Burst};
-  // Until leases are granted freely, nobody else could get what is not renewed.
-  QuotaAmount Granted =
-      Now < this->GrantsFreelyAt
-          ? Kept
-          : smallerOf(target(A, Holder, Report.Waiting, Share, Now), Most);
-  if (Granted.Burst < 1 && Report.Waiting > 0 && Most.Burst >= 1)
-    Granted.Burst = 1;
-  if (Granted.Burst < 1)
-    Granted = {};
-
-  const double Room = std::max(0.0, Granted.Burst - Report.Tokens);
-  // Tokens beyond the need of the next moments stay where any holder can get
-  // them. One operation more is kept if there is enough for all holders.
-  const double Spare = std::min(1 + Report.Demand * BurstSeconds,
-                                Granted.Burst - Report.Waiting);
-  const double KeptTokens =
-      std::max(keptTokens(Report.Demand), Spare >= 1 ? Spare : 0);
-  const double Wanted =
-      std::max(0.0, Report.Waiting + KeptTokens - Report.Tokens);
-  QuotaLease Out{Report.Workspace, Granted,
-                 A.Pool.take(std::min(Room, Wanted), Now), LeaseLength};
-  Own.Amount = largerOf(Report.Held, Granted);
+  const double Granted =
+      A.Pool.take(this->wantedTokens(A, Holder, Report, Share, Now), Now);
+  Own.Tokens += Granted;
   this->resizePool(A, Share, Now);
-  return Out;
+  return {Report.Workspace, {0, Own.Tokens}, Granted, LeaseLength};
 }
 
 std::vector<QuotaLease> QuotaAllocator::lease(const QuotaRequest &Asked,
--- a/src/policy/quotas/QuotaAllocator.h
+++ b/src/policy/quotas/QuotaAllocator.h
@@ -9,38 +9,33 @@
 //
 // Safety: in no window of length W do more than R x W + B operations run from
 // the leases of a share (R, B), apart from the difference of clock rates.
-//  1. For each holder the allocator keeps an upper bound of what the holder may
-//     use, the commitment: the larger of what it reported as held and of what
-//     the last reply granted. Requests of a holder are numbered and are made
-//     one at a time, after the reply to the one before has been applied or
-//     given up, so nothing else can be held. A request that arrives out of
-//     order is not served.
-//  2. The holder counts a lease from the time at which it sent its request, the
+//  1. A lease is a number of tokens with an expiry. Tokens are taken from the
+//     pool, a token bucket of the allocator with the rate R. A holder's tokens
+//     do not grow by themselves, and each operation takes one.
+//  2. For each holder the allocator keeps an upper bound of the tokens that it
+//     has: those that it reported and those that the reply granted. Requests of
+//     a holder are numbered and are made one at a time, after the reply to the
+//     one before has been applied or given up. A request that arrives out of
+//     order is not served, and a reply that is late is not applied.
+//  3. The pool holds at most B less these bounds. So the tokens that are held,
+//     under way or in the pool are at most B at any time and grow by at most R
+//     per second.
+//  4. The holder counts a lease from the time at which it sent its request, the
 //     allocator from its reply plus ExpiryMargin, which exceeds the difference
-//     of clock rates. A holder never uses a lease that the allocator has
-//     dropped. A reply that was delayed beyond the lease is not applied. The
-//     allocator counts a lease for AuthorityTime longer: until then its holder
-//     may have renewed it at an allocator that has followed this one.
-//  3. What is not committed fills a bucket of the allocator, the pool. The sum
-//     of the rates and the sum of the bursts of the commitments and of the pool
-//     never exceed the share. New leases are cut to what is left.
-//  4. Tokens that a reply grants are taken from the pool. Together with the
-//     tokens that were reported they do not exceed the granted burst, and what
-//     fills the holder's bucket while the request is under way is bounded so
-//     that all three together do not exceed the commitment. So the
-//     tokens that are held, under way or in the pool are at most B at any time
-//     and grow by at most R per second; each operation takes one.
-//  5. An allocator that follows another one grants nothing but what a holder
-//     reports as held until every lease of the former one has ended
-//     (TakeoverTime). Its pool is empty until then. What is held then is part
-//     of the former one's commitments, whose sum is bounded by the share.
+//     of clock rates. A holder never uses tokens that the allocator has
+//     dropped.
+//  5. An allocator that follows another one grants nothing until every lease of
+//     the former one has ended (TakeoverTime). Its pool is empty until then.
 //  6. An allocator grants nothing while another one may have followed it. The
 //     relay confirms that it still is the relay: as long as no follower is
 //     silent, none can have become the relay; otherwise it reads its row in the
 //     store. The confirmation is valid for ConfirmationTime of the boot clock,
 //     so an allocator that was suspended grants nothing before the next one.
-// A lowered limit leaves the commitments above the share until they are
-// renewed; until then a renewed lease is the same part of the new share.
+// After a lowered limit, tokens above it are used up or end with their leases.
+//
+// Rates are not leased. The rate of an entry VM whose bucket is full is lost to
+// the others, which refused a third of the operations of a workspace near its
+// limit in a play of the gift-card deployment.
 #ifndef AMARANTHSPUR_POLICY_QUOTAS_QUOTAALLOCATOR_H
 #define AMARANTHSPUR_POLICY_QUOTAS_QUOTAALLOCATOR_H
 
@@ -56,11 +51,11 @@
 /// number of entry VMs with sessions of the workspace, times its logarithm.
 class QuotaAllocator {
 public:
-  /// A lease is renewed every 400 ms, so that two replies may be lost. After a
+  /// A lease is renewed every 400 ms, so that one reply may be lost. After a
   /// restart of all entry VMs, nothing is leased for this time.
-  static constexpr Duration LeaseLength = milliseconds(1500);
+  static constexpr Duration LeaseLength = milliseconds(1000);
   /// More than 2 % of a lease, for clocks that differ by 1 % each.
-  static constexpr Duration ExpiryMargin = milliseconds(100);
+  static constexpr Duration ExpiryMargin = milliseconds(50);
   /// Leases are granted for this time after it was last confirmed that no other
   /// allocator had followed. The relay confirms it every second, and a read of
   /// its row that this needs takes 1.2 s at most.
@@ -79,17 +74,21 @@
   /// reported as held.
   static constexpr Duration TakeoverTime =
       LeaseLength + 2 * ExpiryMargin + AuthorityTime;
-  /// Part of the demand that is leased as a rate while there is less demand
-  /// than the share. Operations beyond it use tokens of the pool.
-  static constexpr double LeasedPart = 0.85;
-  /// Demand of this many seconds is the burst that a holder gets, as far as
-  /// that is free. It covers the time between two requests. A holder that
-  /// expects less than one operation in it gets tokens only for operations that
-  /// wait: a small quota has fewer tokens than there are entry VMs.
+  /// A holder keeps tokens for its part of the demand in this time, which
+  /// covers the time between two requests.
   static constexpr double BurstSeconds = 0.5;
-  /// Part of the free burst that is leased to all holders, so that a first
-  /// operation need not wait. The rest stays in the pool.
+  /// The same before a planned change of the relay.
+  static constexpr double HandoverSeconds = 1.0;
+  /// Operations that wait get tokens for this time of the holder's part, so
+  /// that one holder does not empty the pool.
+  static constexpr double WaitingSeconds = 0.25;
+  /// A holder that expects less than one operation between two requests keeps a
+  /// token only if this part of the burst is enough for all holders with
+  /// demand. A small quota has fewer tokens than there are entry VMs; they stay
+  /// in the pool for operations that wait.
   static constexpr double SparePart = 0.4;
+  /// A holder with a demand above this, in operations per second, has demand.
+  static constexpr double ActiveDemand = 0.1;
   /// Demand counts for this time after its report.
   static constexpr Duration DemandTime = milliseconds(1200);
   /// Interval at which the state of absent holders is removed.
@@ -120,12 +119,13 @@
   std::vector<QuotaLease> lease(const QuotaRequest &Asked,
                                 const AccessPlan &Plan, TimePoint Now);
 
-  /// Returns what is committed of \p Workspace, all holders together.
-  QuotaAmount committed(const WorkspaceName &Workspace, TimePoint Now) const;
+  /// Returns how many tokens are committed of \p Workspace, all holders
+  /// together.
+  double committed(const WorkspaceName &Workspace, TimePoint Now) const;
 
 private:
   struct Commitment {
-    QuotaAmount Amount;
+    double Tokens = 0;
     TimePoint End;
     double Demand = 0;
     TimePoint DemandAt;
@@ -141,14 +141,14 @@
     std::set<WorkspaceName> Workspaces;
   };
 
-  static QuotaAmount sumOf(const Account &A);
+  /// Returns the tokens that all holders may have.
+  static double sumOf(const Account &A);
   static void removeExpired(Account &A, TimePoint Now);
   void resizePool(Account &A, const QuotaAmount &Share, TimePoint Now) const;
-  /// Returns what \p Self is to have by its demand and that of the others.
-  /// \param Waiting operations of \p Self that wait for a token.
-  QuotaAmount target(const Account &A, const QuotaHolderId &Self,
-                     unsigned Waiting, const QuotaAmount &Share,
-                     TimePoint Now) const;
+  /// Returns how many tokens \p Self is to get in addition to those it has.
+  double wantedTokens(const Account &A, const QuotaHolderId &Self,
+                      const QuotaReport &Report, const QuotaAmount &Share,
+                      TimePoint Now) const;
   /// Returns the account of \p Workspace. The pool of a new one is full if that
   /// of an account without use would be.
   Account &accountOf(const WorkspaceName &Workspace, const QuotaAmount &Share,
