Start with full pools where no relay has leased anything

Cause: at the first start of a deployment, small quotas had no token for seconds. Change: an allocator without a predecessor starts the pool of a workspace full when it is first reported.

--- a/src/policy/quotas/QuotaAllocator.cpp
+++ b/src/policy/quotas/QuotaAllocator.cpp
@@ -45,6 +45,7 @@
 void QuotaAllocator::start(bool FollowsAnother, TimePoint Now) {
   this->stop();
   this->Started = true;
+  this->IsFirst = !FollowsAnother;
   this->ConfirmedAt = Now;
   this->GrantsFreelyAt = FollowsAnother ? Now + TakeoverTime : Now;
 }
@@ -58,6 +59,7 @@
   this->SpreadsAll = false;
   this->Accounts.clear();
   this->Holders.clear();
+  this->Known.clear();
 }
 
 QuotaAmount QuotaAllocator::sumOf(const Account &A) {
@@ -151,6 +153,11 @@
   const QuotaAmount Sum = sumOf(A);
   this->resizePool(A, Share, Now);
   A.Pool.add(Report.Returned, Now);
+  // An account that was forgotten and returns starts empty.
+  const bool IsUnused =
+      this->IsFirst && this->Known.insert(Report.Workspace).second;
+  if (IsUnused)
+    A.Pool.add(A.Pool.capacity().Burst, Now);
 
   // What is held may be renewed, unless the limit has been lowered.
   const QuotaAmount Kept{Report.Held.RatePerSecond *
--- a/src/policy/quotas/QuotaAllocator.h
+++ b/src/policy/quotas/QuotaAllocator.h
@@ -103,7 +103,9 @@
   QuotaAllocator(std::size_t DataCentres, QuotaTolerance Tolerance)
       : DataCentres(DataCentres), Tolerance(Tolerance) {}
 
-  /// Starts to allocate, with nothing known.
+  /// Starts to allocate, with nothing known. If there was no other allocator,
+  /// nothing has run, and the pool of a workspace is full when it is first
+  /// reported.
   /// \param FollowsAnother whether another allocator may have leases left.
   void start(bool FollowsAnother, TimePoint Now);
   /// Leases everything to those with demand from now on, because another
@@ -154,6 +156,8 @@
   QuotaTolerance Tolerance;
   bool Started = false;
   bool SpreadsAll = false;
+  bool IsFirst = false;          ///< No other allocator was before.
+  std::set<WorkspaceName> Known; ///< Reported at any time, if it is the first.
   TimePoint GrantsFreelyAt{};
   TimePoint CleanedAt{};
   TimePoint ConfirmedAt{};
--- a/src/policy/quotas/testing/QuotaAllocatorTest.cpp
+++ b/src/policy/quotas/testing/QuotaAllocatorTest.cpp
@@ -352,3 +352,35 @@
     Holders[I].ask(Next, Plan, Demands[I], 2400);
   CHECK(Holders[1].Held.RatePerSecond > 74);
 }
+
+// Guards against refusals just after the first start of a deployment, and
+// against a second full burst for a workspace that was not reported for a
+// while.
+TEST_CASE("only the first allocator starts with a full burst") {
+  struct Row {
+    const char *Name;
+    bool Follows;
+    bool Returns; ///< The workspace was reported and given up before.
+    bool HasTokens;
+  };
+  const Row Rows[] = {
+      {"first", false, false, true},
+      {"first, but the workspace returns", false, true, false},
+      {"follows another one", true, false, false},
+  };
+  const AccessPlan Plan = planWith(0.001, 40);
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    QuotaAllocator Allocator(1, {});
+    Allocator.start(R.Follows, at(0));
+    if (R.Returns) {
+      Allocator.lease({vm(1), 1, {{W, 5, {}, 0, 0}}}, Plan, at(0));
+      Allocator.lease({vm(1), 2, {}}, Plan, at(600));
+    }
+    Allocator.confirm(at(1200));
+    const std::vector<QuotaLease> Leases =
+        Allocator.lease({vm(2), 1, {{W, 5, {}, 0, 0}}}, Plan, at(1200));
+    REQUIRE(Leases.size() == 1);
+    CHECK((Leases[0].Tokens >= 1) == R.HasTokens);
+  }
+}
