Let the soak judge workspaces, keys and quotas

CONNECT may name a workspace, so the stand-in servers find the entry VM of a connection by the process that holds its socket. The judge reports UNASKED, ROUTE, QUOTA and, for keys, CONFIG; JudgeTest has a row for each case.

New phases: `keys` (keys change while entry VMs are cut off from the store, stopped, killed or frozen) and `quotas` (quotas change and workspaces surge).

--- a/src/bench/ChildProcess.h
+++ b/src/bench/ChildProcess.h
@@ -61,6 +61,9 @@
   /// Returns the text that the process has written to standard output so far.
   const std::string &output() const { return this->Output; }
 
+  /// Returns the process ID, or 0 if the process has exited.
+  std::int64_t processId() const { return this->Process.processId(); }
+
   bool running() const { return this->Process.state() == QProcess::Running; }
 
   /// Returns the resource usage of the process, or zeros if it has exited.
--- a/src/bench/soak/Callers.cpp
+++ b/src/bench/soak/Callers.cpp
@@ -13,12 +13,16 @@
 /// Pause between the statements of a transaction.
 constexpr Duration TransactionPause = milliseconds(150);
 constexpr unsigned WritesPerTransaction = 3;
+/// Pause between the operations of a caller while its workspace surges.
+constexpr Duration SurgePause = milliseconds(5);
+/// Callers that send only in a surge, for all workspaces together.
+constexpr unsigned SurgeReaders = 18;
 /// Interval of the connections to the probed database.
 constexpr Duration RouteProbeInterval = milliseconds(150);
 
 bool isPromise(const std::string &Code) {
-  for (const char *Promise :
-       {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY"})
+  for (const char *Promise : {"BUSY", "ABORTED", "LAGGING", "READONLY",
+                              "WRONGNODE", "TOOMANY", "NOAUTH"})
     if (Code == Promise)
       return true;
   return false;
@@ -54,6 +58,23 @@
   Duration pause() const override { return milliseconds(60); }
 };
 
+/// Sends single reads while its workspace surges. Statements take some 20 ms,
+/// so that shorter pauses of the other callers alone do not make seven times
+/// the usual rate.
+class SurgeReader final : public Caller {
+public:
+  using Caller::Caller;
+
+protected:
+  QCoro::Task<bool> operate() override {
+    if (this->surges())
+      co_await this->send(StatementKind::Read,
+                          "READ s" + std::to_string(this->number()));
+    co_return this->usable();
+  }
+  Duration pause() const override { return milliseconds(100); }
+};
+
 /// Sends transactions with pauses.
 class Transactor final : public Caller {
 public:
@@ -124,6 +145,11 @@
                RouteType Route)
     : Context(Context), Number(Number), Group(Group), Route(Route) {}
 
+bool Caller::surges() const {
+  return !this->Context.Surging.empty() &&
+         this->Context.Surging == this->Context.Tenants.nameOf(this->Number);
+}
+
 bool Caller::usable() const { return this->Stream && this->Stream->isOpen(); }
 
 QCoro::Task<> Caller::run() {
@@ -140,7 +166,7 @@
     Usable = co_await this->operate();
     if (!Usable)
       this->Stream.reset();
-    co_await sleepFor(this->pause());
+    co_await sleepFor(this->surges() ? SurgePause : this->pause());
   }
   this->Stream.reset();
 }
@@ -157,8 +183,13 @@
   this->State = 'I';
   this->Value.clear();
   this->Transaction = 0;
-  this->Stream->write("CONNECT " + databaseOf(this->Group, this->Route) + " c" +
-                      std::to_string(this->Number) + "\r\n");
+  const bool Anonymous = isAnonymous(this->Group, this->Route);
+  this->Key = Anonymous ? ""
+                        : this->Context.Tenants.keyFor(this->Number,
+                                                       this->Context.Generator);
+  this->Stream->write(
+      "CONNECT " + databaseOf(this->Group, this->Route) + " " +
+      (Anonymous ? "c" + std::to_string(this->Number) : this->Key) + "\r\n");
   const std::optional<std::string> Line =
       co_await this->Stream->readLine(Deadline);
   if (!Line || !Line->starts_with("READY"))
@@ -197,6 +228,7 @@
   S.OperationAt = this->Transaction == 0 ? S.SentAt : this->OperationAt;
   S.SessionValue = this->Value;
   S.Shape = std::move(Shape);
+  S.Key = this->Key;
   // BEGIN may be answered without a server; the first read or write is then the
   // statement that opens the transaction there.
   S.First = this->Transaction == 0 ||
@@ -249,7 +281,7 @@
 
 std::vector<std::unique_ptr<Caller>>
 makeCallers(CallerContext &Context, unsigned Group, unsigned Groups) {
-  // About 30 callers in all.
+  // About 30 callers in all, and those that send only in a surge.
   const unsigned Writers = 10 / Groups;
   const unsigned Transactors = 9 / Groups;
   const unsigned Readers = 4 / Groups + 1;
@@ -261,6 +293,9 @@
   for (unsigned I = 0; I < Transactors; ++I)
     Made.push_back(std::make_unique<Transactor>(Context, ++Number, Group,
                                                 RouteType::Primary));
+  for (unsigned I = 0; I < SurgeReaders / Groups; ++I)
+    Made.push_back(std::make_unique<SurgeReader>(Context, ++Number, Group,
+                                                 RouteType::ReadYourWrites));
   for (const auto &[Type, Name] : EnumNames<RouteType>::Entries)
     for (unsigned I = 0; I < Readers; ++I)
       Made.push_back(std::make_unique<Reader>(Context, ++Number, Group, Type));
--- a/src/bench/soak/Callers.h
+++ b/src/bench/soak/Callers.h
@@ -6,6 +6,7 @@
 #include "bench/soak/EntryVm.h"
 #include "bench/soak/Record.h"
 #include "bench/soak/TextStream.h"
+#include "bench/soak/Workspaces.h"
 #include "core/Random.h"
 
 #include <memory>
@@ -20,6 +21,9 @@
   TaskGroup &Tasks;
   const std::vector<std::unique_ptr<EntryVm>> &Vms;
   Random &Generator;
+  const Workspaces &Tenants;
+  /// Workspace whose callers send seven times as much; empty: none.
+  const std::string &Surging;
   bool Stopping = false;
 };
 
@@ -57,6 +61,8 @@
   /// Returns whether the connection can be used again.
   bool usable() const;
   bool inTransaction() const { return this->State != 'I'; }
+  /// Returns whether the workspace of the caller sends more than usual.
+  bool surges() const;
   unsigned number() const { return this->Number; }
   CallerContext &Context;
 
@@ -69,6 +75,7 @@
   RouteType Route;
   EntryVm *Vm = nullptr;
   std::unique_ptr<TextStream> Stream;
+  std::string Key;   ///< Of the session; empty on an anonymous route.
   std::string Value; ///< Acknowledged value of the session.
   char State = 'I';
   unsigned Transaction = 0;
--- a/src/bench/soak/Conversations.cpp
+++ b/src/bench/soak/Conversations.cpp
@@ -1,5 +1,6 @@
 // The line protocol of the servers of a soak.
 #include "bench/soak/Servers.h"
+#include "bench/soak/Workspaces.h"
 
 #include "wire/Listener.h"
 
@@ -63,15 +64,16 @@
     return Links->valid();
   }
   // The entry VMs learn one address per server from each other, so that all use
-  // one listener; the CONNECT line tells whose connection it is.
+  // one listener. CONNECT may name a workspace, so that only the owner of the
+  // socket tells whose connection it is.
   Links = std::make_unique<LinkListener>(
       this->Group.Tasks, "127.0.0.1", Address{"127.0.0.1", this->Port}, nullptr,
-      [Front = this->Front.get()](std::string_view Bytes) -> Path * {
-        const std::size_t End = Bytes.find("\r\n");
-        if (End == std::string_view::npos)
+      [Front = this->Front.get()](std::string_view Bytes,
+                                  std::uint16_t From) -> Path * {
+        if (Bytes.find("\r\n") == std::string_view::npos)
           return nullptr;
-        const auto Words = split(std::string(Bytes.substr(0, End)));
-        return Front->find(Words.size() > 2 ? Words[2] : "");
+        return Front->find(
+            Front->Group.FindOwner(From, Front->Links->address().Port));
       },
       UnreachableTime);
   return Links->valid();
@@ -90,6 +92,8 @@
   C.Number = nextConnection();
   C.Start = this->Starts;
   const std::optional<std::string> First = co_await Stream->readLine();
+  if (First)
+    this->noteKey(*First);
   bool Open = First && this->alive(C) && this->welcome(C, *First);
   if (Open) {
     co_await sleepFor(ConnectTime);
@@ -98,6 +102,8 @@
   while (Open) {
     std::optional<std::string> Line = co_await Stream->readLine();
     Open = Line && Line->starts_with("QUERY ") && this->alive(C);
+    if (Line)
+      this->noteKey(*Line);
     if (Open)
       Open = co_await this->answer(C, std::move(*Line));
   }
@@ -117,10 +123,16 @@
                     (Right ? "TOOMANY " : "WRONGNODE ") + this->Id + "\r\n");
     return false;
   }
-  C.Vm = Words[2];
+  C.Name = Words[2];
   return true;
 }
 
+void DatabaseServer::noteKey(const std::string &Line) {
+  if (Line.find(KeyPrefix) != std::string::npos)
+    this->Group.Events.Seen.KeySightings.push_back(
+        {this->Id, Line, this->Group.Events.now()});
+}
+
 bool DatabaseServer::alive(const Conversation &C) const {
   return this->Running && C.Start == this->Starts;
 }
@@ -213,8 +225,8 @@
     this->stepDown(Named);
   if (Words[0] != "STATUS")
     this->Group.Events.note(this->Id + ": " + Words[0] + " " +
-                            std::to_string(Named) + " from " + C.Vm + "; now " +
-                            this->status());
+                            std::to_string(Named) + " from " + C.Name +
+                            "; now " + this->status());
   return this->reply(C, "ROW " + this->status() + "\r\nCOMPLETE -\r\n");
 }
 
@@ -267,7 +279,7 @@
   StatementRun Run;
   Run.Id = Query;
   Run.Server = this->Id;
-  Run.Vm = C.Vm;
+  Run.Name = C.Name;
   Run.Connection = C.Number;
   Run.At = this->Group.Events.now();
   Run.InTransaction = C.InTransaction;
@@ -275,7 +287,7 @@
   Run.Shape = std::move(Shape);
   this->Group.Events.Seen.Runs.push_back(std::move(Run));
   this->Group.Events.note(this->Id + ": runs " + Query + " " + Words[0] +
-                          " from " + C.Vm);
+                          " from " + C.Name);
   while (this->BusySlots >= Slots)
     co_await this->SlotFreed.wait();
   ++this->BusySlots;
@@ -319,7 +331,7 @@
   Made.At = this->Group.Events.now();
   this->Group.Events.note(this->Id + ": commits " + Query + " as " +
                           std::to_string(Made.Term) + "." +
-                          std::to_string(Made.Number) + " for " + C.Vm);
+                          std::to_string(Made.Number) + " for " + C.Name);
   Commits.push_back(std::move(Made));
   this->Log->push_back(static_cast<unsigned>(Commits.size() - 1));
   this->Applied = this->Log->size();
--- a/src/bench/soak/EntryVm.cpp
+++ b/src/bench/soak/EntryVm.cpp
@@ -84,7 +84,10 @@
       {"cloud.address", this->PromotionLink->address().str()},
       {"internal-ports.0", std::to_string(freePort(Host))},
       {"limits.cpu-share", "0.25"},
-      {"bounds.config-apply-ms", "3000"}};
+      {"bounds.config-apply-ms", "3000"},
+      {"bounds.quota-window-s", "5"},
+      {"bounds.quota-excess", "0.1"},
+      {"bounds.quota-slack", "20"}};
   std::istringstream Words(
       fillPlaceholders(Command.Arguments, Values, zoneList()));
   std::string Word;
--- a/src/bench/soak/EntryVm.h
+++ b/src/bench/soak/EntryVm.h
@@ -42,6 +42,8 @@
   const Address &callerAddress() const { return this->Callers; }
   bool ready() const { return this->Ready; }
   bool running() const { return this->Process && this->Process->running(); }
+  /// Returns the process ID while the process runs.
+  std::int64_t processId() const { return this->Process->processId(); }
   bool frozen() const { return this->Frozen; }
   /// Returns whether a task is about to start the process again.
   bool changing() const { return this->Changing; }
--- a/src/bench/soak/Faults.cpp
+++ b/src/bench/soak/Faults.cpp
@@ -36,19 +36,23 @@
 };
 
 constexpr FaultWeight FaultWeights[] = {
-    {FaultKind::Kill, {0, 1, 2, 0, 0}},
-    {FaultKind::Terminate, {4, 1, 3, 0, 0}},
-    {FaultKind::Freeze, {0, 1, 2, 0, 0}},
-    {FaultKind::HangUp, {2, 0, 1, 0, 0}},
-    {FaultKind::Cut, {0, 8, 4, 1, 1}},
-    {FaultKind::Configuration, {1, 0, 2, 0, 0}},
-    {FaultKind::Store, {0, 1, 2, 0, 0}},
-    {FaultKind::ServerCrash, {0, 0, 2, 0, 0}},
-    {FaultKind::ServerRestart, {0, 0, 1, 0, 0}},
-    {FaultKind::DeafReplica, {1, 1, 2, 0, 0}},
-    {FaultKind::Release, {8, 2, 4, 3, 3}},
-    {FaultKind::PrimaryCrash, {0, 0, 0, 6, 6}},
-    {FaultKind::Isolation, {0, 0, 0, 3, 3}},
+    {FaultKind::Kill, {0, 1, 2, 0, 0, 1, 0}},
+    {FaultKind::Terminate, {4, 1, 3, 0, 0, 2, 1}},
+    {FaultKind::Freeze, {0, 1, 2, 0, 0, 1, 0}},
+    {FaultKind::HangUp, {2, 0, 1, 0, 0, 0, 0}},
+    {FaultKind::Cut, {0, 8, 4, 1, 1, 0, 0}},
+    {FaultKind::Configuration, {1, 0, 2, 0, 0, 0, 0}},
+    {FaultKind::Store, {0, 1, 2, 0, 0, 1, 0}},
+    {FaultKind::ServerCrash, {0, 0, 2, 0, 0, 0, 0}},
+    {FaultKind::ServerRestart, {0, 0, 1, 0, 0, 0, 0}},
+    {FaultKind::DeafReplica, {1, 1, 2, 0, 0, 0, 0}},
+    {FaultKind::Release, {8, 2, 4, 3, 3, 0, 0}},
+    {FaultKind::PrimaryCrash, {0, 0, 0, 6, 6, 0, 0}},
+    {FaultKind::Isolation, {0, 0, 0, 3, 3, 0, 0}},
+    {FaultKind::Keys, {0, 0, 0, 0, 0, 6, 0}},
+    {FaultKind::Quota, {0, 0, 0, 0, 0, 0, 2}},
+    {FaultKind::Surge, {0, 0, 0, 0, 0, 0, 3}},
+    {FaultKind::StoreCut, {0, 0, 0, 0, 0, 3, 1}},
 };
 
 // An order that is held up can arrive after a later one, so that it is drawn
@@ -143,6 +147,16 @@
     return;
   case FaultKind::Isolation:
     return this->isolatePrimary();
+  case FaultKind::Keys:
+    return this->changeKeys();
+  case FaultKind::Quota:
+    return this->changeQuota();
+  case FaultKind::Surge:
+    this->surge();
+    return;
+  case FaultKind::StoreCut:
+    this->cutStore();
+    return;
   case FaultKind::Start:
   case FaultKind::PowerLoss:
     return;
@@ -193,9 +207,43 @@
 void FaultPlan::configure() {
   this->Target.Events.disrupt(FaultKind::Configuration, "configuration");
   this->ProbedRoute = !this->ProbedRoute;
-  const auto TimeoutMs =
-      static_cast<unsigned>(800 + 200 * this->Generator.below(3));
-  this->Target.configure(TimeoutMs, this->ProbedRoute);
+  this->TimeoutMs = static_cast<unsigned>(800 + 200 * this->Generator.below(3));
+  this->Target.configure(this->TimeoutMs, this->ProbedRoute);
+}
+
+void FaultPlan::changeKeys() {
+  this->Target.Events.disrupt(FaultKind::Keys, "configuration");
+  this->Target.Tenants.changeKey(this->Generator);
+  this->Target.configure(this->TimeoutMs, this->ProbedRoute);
+}
+
+void FaultPlan::changeQuota() {
+  this->Target.Events.disrupt(FaultKind::Quota, "configuration");
+  this->Target.Tenants.changeQuota(this->Generator);
+  this->Target.configure(this->TimeoutMs, this->ProbedRoute);
+}
+
+QCoro::Task<> FaultPlan::surge() {
+  const TaskGroup::Guard Counted(this->Target.Tasks);
+  if (!this->Target.Surging.empty())
+    co_return;
+  const auto &Entries = this->Target.Tenants.entries();
+  const Duration Length = this->draw(2000, 6000);
+  this->Target.Surging = Entries[this->Generator.below(Entries.size())].Name;
+  this->Target.Events.disrupt(FaultKind::Surge, this->Target.Surging,
+                              toMilliseconds(Length));
+  co_await sleepFor(Length);
+  this->Target.Surging.clear();
+}
+
+QCoro::Task<> FaultPlan::cutStore() {
+  EntryVm *Vm = this->drawVm();
+  const Duration Length = this->draw(ShortestCutMs, LongestCutMs);
+  if (Vm == nullptr)
+    co_return;
+  this->Target.Events.note("cut of " + Vm->name() + " from the store");
+  std::vector<Path *> Paths = {&Vm->ToStore};
+  co_await Vm->cut(std::move(Paths), true, true, Length);
 }
 
 void FaultPlan::storeFault() {
--- a/src/bench/soak/Faults.h
+++ b/src/bench/soak/Faults.h
@@ -39,6 +39,10 @@
   void hangUp();
   void cut();
   void configure();
+  void changeKeys();
+  void changeQuota();
+  QCoro::Task<> surge();
+  QCoro::Task<> cutStore();
   void storeFault();
   void crashServer(bool KeepLog);
   void deafenReplica();
@@ -80,6 +84,7 @@
   /// could end all copies of a commit, which nothing can prevent.
   std::vector<bool> Impaired;
   bool ProbedRoute = true;
+  unsigned TimeoutMs = 1000; ///< Of the statements on primary routes.
   double EndMs = 0;
   bool Stopped = false;
   QObject Context; ///< Delayed calls end with it.
--- a/src/bench/soak/History.h
+++ b/src/bench/soak/History.h
@@ -46,6 +46,10 @@
   DeafReplica,
   Release,
   PowerLoss,
+  Keys,         ///< A key is withdrawn or added.
+  Quota,        ///< A workspace gets another quota.
+  Surge,        ///< The callers of a workspace send seven times as much.
+  StoreCut,     ///< An entry VM is cut off from the store.
   PrimaryCrash, ///< The server returns with its log under another ID.
   Isolation,    ///< A primary is cut off while a server joins.
 };
@@ -85,13 +89,15 @@
   std::string Server;       ///< Named by the digest of the answer, if any.
   std::string SessionValue; ///< The session's acknowledged value.
   std::string Shape;        ///< Prepared by the session, if it is executed.
+  std::string Key;          ///< Of the session; empty on an anonymous route.
 };
 
 /// One run of a statement at a server.
 struct StatementRun {
   std::string Id;
   std::string Server;
-  std::string Vm; ///< The entry VM whose connection carried it.
+  std::string Name; ///< Of the workspace or the entry VM whose connection
+                    ///< carried it, as told on CONNECT.
   unsigned Connection = 0;
   double At = 0;
   bool InTransaction = false;
@@ -155,6 +161,27 @@
   bool Accepted = false;
 };
 
+/// A workspace in one version of the configuration.
+struct WorkspaceEntry {
+  std::string Name;
+  std::vector<std::string> Keys;
+  double RatePerS = 0;
+  double Burst = 0;
+};
+
+/// The store acknowledged a configuration with these workspaces.
+struct WorkspaceVersion {
+  double At = 0;
+  std::vector<WorkspaceEntry> Workspaces;
+};
+
+/// A server received a line that contains a key.
+struct KeySighting {
+  std::string Server;
+  std::string Line;
+  double At = 0;
+};
+
 /// Everything that was seen.
 struct History {
   std::vector<Statement> Statements;
@@ -166,6 +193,8 @@
   std::vector<DrainReport> DrainReports;
   std::vector<RouteChange> RouteChanges;
   std::vector<RouteProbe> RouteProbes;
+  std::vector<WorkspaceVersion> WorkspaceVersions;
+  std::vector<KeySighting> KeySightings;
   std::vector<LogView> FinalLogs; ///< Of each group's primary at the end.
 };
 
@@ -190,6 +219,10 @@
            {Kind::DeafReplica, "deaf-replica"},
            {Kind::Release, "release"},
            {Kind::PowerLoss, "power-loss"},
+           {Kind::Keys, "keys"},
+           {Kind::Quota, "quota"},
+           {Kind::Surge, "surge"},
+           {Kind::StoreCut, "store-cut"},
            {Kind::PrimaryCrash, "primary-crash"},
            {Kind::Isolation, "isolation"}});
 };
--- a/src/bench/soak/Judge.cpp
+++ b/src/bench/soak/Judge.cpp
@@ -1,9 +1,12 @@
 #include "bench/soak/Judge.h"
 
+#include <cmath>
+#include <limits>
 #include <map>
 #include <set>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 
 namespace amaranthspur::bench::soak {
 namespace {
@@ -28,14 +31,34 @@
 constexpr double ConfigurationMs = 3000;
 /// A server that drains may be used for this long (drain-ms).
 constexpr double DrainMs = 7000;
+/// A statement with a withdrawn key may run when it is sent at most this long
+/// after the acknowledgement (config-apply-ms of deployments with workspaces).
+constexpr double KeyMs = 5000;
+/// Sliding window of a quota, and what may run beyond it (quota-window-s,
+/// quota-excess, quota-slack).
+constexpr double QuotaWindowMs = 5000;
+constexpr double QuotaExcess = 0.1;
+constexpr double QuotaSlack = 20;
+/// A lowered quota binds one window after all entry VMs have been in contact
+/// for this long (config-apply-ms).
+constexpr double QuotaContactMs = 5000;
 /// A VM that was held up in this time before a commit is not charged with it
 /// (thaw-slack-ms).
 constexpr double ThawSlackMs = 300;
 
 bool isPlanned(FaultKind Kind) {
   return Kind == FaultKind::HangUp || Kind == FaultKind::Configuration ||
-         Kind == FaultKind::Release || Kind == FaultKind::Terminate ||
-         Kind == FaultKind::Start;
+         Kind == FaultKind::Keys || Kind == FaultKind::Quota ||
+         Kind == FaultKind::Surge || Kind == FaultKind::Release ||
+         Kind == FaultKind::Terminate || Kind == FaultKind::Start;
+}
+
+/// Returns whether the subject of such a fault, an entry VM or the store, is
+/// out of contact meanwhile.
+bool endsContact(FaultKind Kind) {
+  return Kind == FaultKind::Kill || Kind == FaultKind::Freeze ||
+         Kind == FaultKind::Cut || Kind == FaultKind::Store ||
+         Kind == FaultKind::PowerLoss;
 }
 
 std::string ms(double Time) {
@@ -61,6 +84,9 @@
     this->checkConnections();
     this->checkDraining();
     this->checkRoutes();
+    this->collectKeys();
+    this->checkKeys();
+    this->checkQuotas();
     return std::move(this->Found);
   }
 
@@ -322,7 +348,169 @@
     }
   }
 
+  /// The time for which a workspace held a key.
+  struct KeyTerm {
+    std::string Workspace;
+    double From = 0;
+    double To = std::numeric_limits<double>::max();
+  };
+
+  void collectKeys() {
+    std::map<std::string, std::string> Held; // Key -> workspace.
+    for (const WorkspaceVersion &V : this->Seen.WorkspaceVersions) {
+      std::map<std::string, std::string> Next;
+      for (const WorkspaceEntry &W : V.Workspaces) {
+        this->WorkspaceNames.insert(W.Name);
+        for (const std::string &Key : W.Keys)
+          Next[Key] = W.Name;
+      }
+      for (const auto &[Key, Name] : Held)
+        if (!Next.contains(Key) || Next[Key] != Name)
+          this->KeyTerms[Key].back().To = V.At;
+      for (const auto &[Key, Name] : Next)
+        if (!Held.contains(Key) || Held[Key] != Name)
+          this->KeyTerms[Key].push_back({Name, V.At});
+      Held = std::move(Next);
+    }
+  }
+
+  /// Returns whether \p Vm or the store was cut off or frozen so shortly before
+  /// \p At that the VM need not know the configuration. A start is no reason:
+  /// the process must not use an older version then.
+  bool mayMissKeys(const std::string &Vm, double At) const {
+    return std::ranges::any_of(
+        this->Seen.Disruptions, [&](const Disruption &D) {
+          const bool OfVm = D.Subject == Vm && (D.Kind == FaultKind::Cut ||
+                                                D.Kind == FaultKind::Freeze);
+          return (OfVm || D.Subject == "store") && D.From <= At &&
+                 D.To >= At - KeyMs;
+        });
+  }
+
+  void checkKeys() {
+    for (const KeySighting &K : this->Seen.KeySightings)
+      this->add(Rule::Unasked,
+                K.Server + " received a key at " + ms(K.At) + ": " + K.Line);
+    for (const StatementRun &R : this->Seen.Runs) {
+      const Statement *S = this->find(R.Id);
+      if (S == nullptr)
+        continue;
+      const std::string What =
+          R.Id + ", sent to " + S->Vm + " at " + ms(S->SentAt) +
+          (S->Key.empty() ? " without a key" : " with " + S->Key) +
+          ", ran at " + R.Server + " at " + ms(R.At) + " on a connection of " +
+          R.Name;
+      if (S->Key.empty()) {
+        if (this->WorkspaceNames.contains(R.Name))
+          this->add(Rule::Unasked, What);
+        continue;
+      }
+      const auto Terms = this->KeyTerms.find(S->Key);
+      if (Terms == this->KeyTerms.end() || Terms->second.front().From > R.At) {
+        this->add(Rule::Route, What);
+        continue;
+      }
+      this->checkKeyTerms(*S, R, Terms->second, What);
+    }
+  }
+
+  /// \param Terms of the key of \p S; the first has begun when \p R ran.
+  void checkKeyTerms(const Statement &S, const StatementRun &R,
+                     const std::vector<KeyTerm> &Terms,
+                     const std::string &What) {
+    // The last that began before the statement was sent, else the first.
+    const KeyTerm *Of = &Terms.front();
+    for (const KeyTerm &T : Terms)
+      if (T.From <= S.SentAt)
+        Of = &T;
+    if (Of->Workspace != R.Name)
+      this->add(Rule::Unasked, What + " instead of " + Of->Workspace);
+    if (S.SentAt > Of->To + KeyMs && !this->mayMissKeys(S.Vm, S.SentAt))
+      this->add(Rule::Config,
+                What + "; the key was withdrawn at " + ms(Of->To));
+  }
+
+  /// Returns from when on all windows must keep a quota that was acknowledged
+  /// at \p At.
+  double quotaBinds(double At) const {
+    double InContactFrom = At;
+    bool Changed = true;
+    while (std::exchange(Changed, false))
+      for (const Disruption &D : this->Seen.Disruptions)
+        if (endsContact(D.Kind) && D.From <= InContactFrom + QuotaContactMs &&
+            D.To > InContactFrom) {
+          InContactFrom = D.To;
+          Changed = true;
+        }
+    return InContactFrom + QuotaContactMs + QuotaWindowMs;
+  }
+
+  /// Returns the highest limit of \p Name that may be in force in the window
+  /// from \p From.
+  double quotaAt(const std::string &Name, double From) const {
+    double Limit = 0;
+    const auto &Versions = this->Seen.WorkspaceVersions;
+    for (std::size_t I = 0; I < Versions.size(); ++I) {
+      // A version is superseded once the next one binds.
+      const bool Superseded =
+          I + 1 < Versions.size() && this->QuotaBinds[I + 1] <= From;
+      if (Versions[I].At > From + QuotaWindowMs || Superseded)
+        continue;
+      for (const WorkspaceEntry &W : Versions[I].Workspaces)
+        if (W.Name == Name)
+          Limit = std::max(Limit, W.RatePerS * QuotaWindowMs / 1000 + W.Burst);
+    }
+    return Limit * (1 + QuotaExcess) + QuotaSlack;
+  }
+
+  void checkQuotas() {
+    // When an operation was sent and first run, by workspace.
+    std::map<std::string, std::map<double, double>> Operations;
+    std::unordered_set<std::string> Counted;
+    for (const StatementRun &R : this->Seen.Runs) {
+      const Statement *S = this->find(R.Id);
+      if (S == nullptr || !S->First || !this->WorkspaceNames.contains(R.Name))
+        continue;
+      if (!Counted.insert(R.Id).second)
+        continue;
+      // Times are a few microseconds apart; equal ones must not be merged.
+      double SentAt = S->SentAt;
+      while (!Operations[R.Name].emplace(SentAt, R.At).second)
+        SentAt = std::nextafter(SentAt, std::numeric_limits<double>::max());
+    }
+    for (const WorkspaceVersion &V : this->Seen.WorkspaceVersions)
+      this->QuotaBinds.push_back(this->quotaBinds(V.At));
+    for (const auto &[Name, Sent] : Operations)
+      this->checkQuota(Name, Sent);
+  }
+
+  void checkQuota(const std::string &Name,
+                  const std::map<double, double> &Sent) {
+    double Reported = -QuotaWindowMs;
+    for (auto First = Sent.begin(); First != Sent.end(); ++First) {
+      const double From = First->first;
+      if (From < Reported + QuotaWindowMs)
+        continue;
+      const auto Count = std::count_if(
+          First, Sent.upper_bound(From + QuotaWindowMs),
+          [&](const auto &Op) { return Op.second <= From + QuotaWindowMs; });
+      if (static_cast<double>(Count) <= QuotaSlack)
+        continue;
+      const double Limit = this->quotaAt(Name, From);
+      if (static_cast<double>(Count) <= Limit)
+        continue;
+      Reported = From;
+      this->add(Rule::Quota, std::to_string(Count) + " operations of " + Name +
+                                 " ran in the window from " + ms(From) +
+                                 "; the limit is " +
+                                 std::to_string(static_cast<int>(Limit)));
+    }
+  }
+
   const History &Seen;
+  std::unordered_map<std::string, std::vector<KeyTerm>> KeyTerms;
+  std::unordered_set<std::string> WorkspaceNames;
+  std::vector<double> QuotaBinds; ///< By version; see quotaBinds().
   std::unordered_map<std::string, const Statement *> ById;
   std::unordered_set<std::string> RunIds;
   std::unordered_set<unsigned> RolledBack;
--- a/src/bench/soak/Judge.h
+++ b/src/bench/soak/Judge.h
@@ -10,7 +10,19 @@
 namespace amaranthspur::bench::soak {
 
 /// The rules, named as on the users' pages.
-enum class Rule { Lost, One, Stale, Twice, Refused, Pinned, Drain, Config };
+enum class Rule {
+  Lost,
+  One,
+  Stale,
+  Twice,
+  Refused,
+  Pinned,
+  Drain,
+  Config,
+  Unasked,
+  Route,
+  Quota,
+};
 
 /// One broken rule.
 struct Violation {
@@ -44,7 +56,10 @@
            {Kind::Refused, "REFUSED"},
            {Kind::Pinned, "PINNED"},
            {Kind::Drain, "DRAIN"},
-           {Kind::Config, "CONFIG"}});
+           {Kind::Config, "CONFIG"},
+           {Kind::Unasked, "UNASKED"},
+           {Kind::Route, "ROUTE"},
+           {Kind::Quota, "QUOTA"}});
 };
 
 } // namespace amaranthspur
--- a/src/bench/soak/Links.cpp
+++ b/src/bench/soak/Links.cpp
@@ -184,9 +184,8 @@
     this->ServerReadable->setEnabled(true);
 }
 
-QCoro::Task<>
-LinkConnection::run(std::function<Path *(std::string_view)> FindPath,
-                    Duration DropAfter) {
+QCoro::Task<> LinkConnection::run(PathLookup FindPath, std::uint16_t From,
+                                  Duration DropAfter) {
   this->ClientReadable =
       std::make_unique<QSocketNotifier>(this->Client, QSocketNotifier::Read);
   QObject::connect(this->ClientReadable.get(), &QSocketNotifier::activated,
@@ -196,7 +195,7 @@
                    });
   while (!this->Ended && this->Owner == nullptr) {
     this->read(this->Forward, true);
-    this->Owner = FindPath(this->Forward.Held);
+    this->Owner = FindPath(this->Forward.Held, From);
     if (this->Owner != nullptr)
       break;
     if (this->Forward.Ended || this->Forward.Reset)
@@ -238,8 +237,7 @@
 }
 
 LinkListener::LinkListener(TaskGroup &Tasks, const std::string &Host,
-                           Address Upstream, Path *Sole,
-                           std::function<Path *(std::string_view)> FindPath,
+                           Address Upstream, Path *Sole, PathLookup FindPath,
                            Duration DropAfter)
     : Tasks(Tasks), Upstream(std::move(Upstream)), Sole(Sole),
       FindPath(std::move(FindPath)), DropAfter(DropAfter) {
@@ -338,20 +336,20 @@
     if (this->FillerPorts.erase(ntohs(From.sin_port)) > 0)
       ::close(Client);
     else
-      this->serve(Client);
+      this->serve(Client, ntohs(From.sin_port));
   }
 }
 
-QCoro::Task<> LinkListener::serve(int Client) {
+QCoro::Task<> LinkListener::serve(int Client, std::uint16_t From) {
   const TaskGroup::Guard Running(this->Tasks);
   const int On = 1;
   ::setsockopt(Client, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
   LinkConnection Link(Client, this->Upstream);
   this->Connections.insert(&Link);
-  std::function<Path *(std::string_view)> Find = this->FindPath;
+  PathLookup Find = this->FindPath;
   if (this->Sole != nullptr)
-    Find = [this](std::string_view) { return this->Sole; };
-  co_await Link.run(Find, this->DropAfter);
+    Find = [this](std::string_view, std::uint16_t) { return this->Sole; };
+  co_await Link.run(Find, From, this->DropAfter);
   this->Connections.erase(&Link);
 }
 
--- a/src/bench/soak/Links.h
+++ b/src/bench/soak/Links.h
@@ -28,6 +28,12 @@
 /// The upstream keeps connections however long their path is cut.
 inline constexpr Duration NeverDropped = Duration::max();
 
+class Path;
+
+/// Returns the path of a connection from the first bytes and the port of its
+/// client, or null if they do not tell it yet.
+using PathLookup = std::function<Path *(std::string_view, std::uint16_t)>;
+
 /// The path of one entry VM to one thing that it calls. All its connections are
 /// cut and healed together.
 class Path {
@@ -70,11 +76,10 @@
   ~LinkConnection();
 
   /// Forwards until both directions have ended.
-  /// \param FindPath returns the path of the connection from the first bytes of
-  /// its client, or null if there is none.
+  /// \param From port of the client.
   /// \param DropAfter time for which the upstream keeps the connection while
   /// the path is cut.
-  QCoro::Task<> run(std::function<Path *(std::string_view)> FindPath,
+  QCoro::Task<> run(PathLookup FindPath, std::uint16_t From,
                     Duration DropAfter);
 
   /// Resets both connections.
@@ -120,8 +125,7 @@
   /// \param FindPath see LinkConnection::run(); not used with \p Sole.
   /// \param DropAfter see LinkConnection::run().
   LinkListener(TaskGroup &Tasks, const std::string &Host, Address Upstream,
-               Path *Sole, std::function<Path *(std::string_view)> FindPath,
-               Duration DropAfter);
+               Path *Sole, PathLookup FindPath, Duration DropAfter);
   LinkListener(const LinkListener &) = delete;
   LinkListener &operator=(const LinkListener &) = delete;
   ~LinkListener();
@@ -142,13 +146,13 @@
   bool listenAtOwn();
   void stopListening();
   void accept();
-  QCoro::Task<> serve(int Client);
+  QCoro::Task<> serve(int Client, std::uint16_t From);
 
   TaskGroup &Tasks;
   Address Own;
   Address Upstream;
   Path *Sole;
-  std::function<Path *(std::string_view)> FindPath;
+  PathLookup FindPath;
   Duration DropAfter;
   int Descriptor = -1;
   std::unique_ptr<QSocketNotifier> Acceptable;
--- a/src/bench/soak/Phases.h
+++ b/src/bench/soak/Phases.h
@@ -18,6 +18,11 @@
   /// to the store are late.
   LateWrites,
   LateOrders, ///< The same with late orders instead of late writes.
+  /// Keys are withdrawn and added while entry VMs are cut off from the store or
+  /// restarted.
+  Keys,
+  /// Quotas change, and workspaces send seven times their usual rate.
+  Quotas,
 };
 
 } // namespace amaranthspur::bench::soak
@@ -32,7 +37,9 @@
            {Kind::Takeovers, "takeovers"},
            {Kind::All, "all"},
            {Kind::LateWrites, "late-writes"},
-           {Kind::LateOrders, "late-orders"}});
+           {Kind::LateOrders, "late-orders"},
+           {Kind::Keys, "keys"},
+           {Kind::Quotas, "quotas"}});
 };
 
 } // namespace amaranthspur
--- a/src/bench/soak/Servers.cpp
+++ b/src/bench/soak/Servers.cpp
@@ -268,9 +268,10 @@
 
 ServerGroup::ServerGroup(unsigned Number, Store &Platform, Record &Events,
                          TaskGroup &Tasks,
-                         std::function<Path *(const std::string &)> FindPath)
+                         std::function<Path *(const std::string &)> FindPath,
+                         OwnerLookup FindOwner)
     : Number(Number), Platform(Platform), Events(Events), Tasks(Tasks),
-      FindPath(std::move(FindPath)) {}
+      FindPath(std::move(FindPath)), FindOwner(std::move(FindOwner)) {}
 
 std::string ServerGroup::service() const {
   return "ledger" + std::to_string(this->Number);
--- a/src/bench/soak/Servers.h
+++ b/src/bench/soak/Servers.h
@@ -90,7 +90,7 @@
   /// The state of one connection.
   struct Conversation {
     std::shared_ptr<TextStream> Stream;
-    std::string Vm;
+    std::string Name; ///< Told on CONNECT.
     unsigned Number = 0;
     unsigned Start = 0; ///< Of the server, when the connection was opened.
     bool InTransaction = false;
@@ -120,6 +120,8 @@
   QCoro::Task<bool> commit(Conversation &C, std::string Query);
   bool refuse(Conversation &C, const char *Code);
   bool reply(Conversation &C, const std::string &Lines);
+  /// Records \p Line if it contains a key.
+  void noteKey(const std::string &Line);
   bool alive(const Conversation &C) const;
   std::string status() const;
   std::string position() const;
@@ -165,10 +167,15 @@
 /// The servers of one service.
 class ServerGroup {
 public:
+  /// Returns the name of the entry VM that has connected from the first port
+  /// to the second, or nothing.
+  using OwnerLookup = std::function<std::string(std::uint16_t, std::uint16_t)>;
+
   /// \param FindPath returns the path of an entry VM to the servers.
   ServerGroup(unsigned Number, Store &Platform, Record &Events,
               TaskGroup &Tasks,
-              std::function<Path *(const std::string &)> FindPath);
+              std::function<Path *(const std::string &)> FindPath,
+              OwnerLookup FindOwner);
 
   unsigned number() const { return this->Number; }
   std::string service() const;
@@ -200,6 +207,7 @@
   Record &Events;
   TaskGroup &Tasks;
   std::function<Path *(const std::string &)> FindPath;
+  OwnerLookup FindOwner;
   std::vector<std::unique_ptr<DatabaseServer>> Servers;
   unsigned Created = 0;
   QObject Context; ///< Delayed calls end with it.
--- a/src/bench/soak/Site.cpp
+++ b/src/bench/soak/Site.cpp
@@ -2,6 +2,7 @@
 
 #include "bench/soak/Callers.h"
 #include "bench/soak/Judge.h"
+#include "bench/soak/SocketOwner.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -20,7 +21,7 @@
 
 QJsonObject route(const std::string &Name, const std::string &Database,
                   const std::string &Service, RouteType Type,
-                  unsigned TimeoutMs) {
+                  unsigned TimeoutMs, bool Anonymous) {
   QJsonObject O{
       {"name", QString::fromStdString(Name)},
       {"host", QString::fromStdString(Database)},
@@ -30,6 +31,7 @@
       {"latency-goal-ms", 400},
       {"priority", 1},
       {"service", QString::fromStdString(Service)},
+      {"anonymous", Anonymous},
       {"max-attempts", 2}};
   if (Type != RouteType::Primary)
     O["max-staleness-ms"] = MaxStalenessMs;
@@ -76,6 +78,9 @@
         [this](const std::string &Name) -> Path * {
           EntryVm *Vm = this->findVm(Name);
           return Vm == nullptr ? nullptr : &Vm->ToServers;
+        },
+        [this](std::uint16_t LocalPort, std::uint16_t RemotePort) {
+          return this->ownerOf(LocalPort, RemotePort);
         }));
     for (unsigned I = 0; I < DataCentres.size(); ++I)
       if (this->Groups.back()->add((G + I) % DataCentres.size(),
@@ -123,13 +128,13 @@
     for (const auto &[Type, Name] : EnumNames<RouteType>::Entries)
       Routes.append(route("r-" + std::to_string(Routes.size() + 1),
                           databaseOf(Group->number(), Type), Group->service(),
-                          Type, TimeoutMs));
+                          Type, TimeoutMs, isAnonymous(Group->number(), Type)));
     Services.append(serviceEntry(Group->service()));
   }
   if (WithProbedRoute)
     Routes.append(route("r-extra", ProbedDatabase,
                         this->Groups.front()->service(), RouteType::Primary,
-                        TimeoutMs));
+                        TimeoutMs, true));
   const QJsonObject Limits{{"max-header-bytes", 16384},
                            {"max-body-bytes", 262144},
                            {"header-timeout-ms", 3000},
@@ -138,12 +143,24 @@
   const QJsonObject Document{{"version", static_cast<int>(this->Version)},
                              {"routes", Routes},
                              {"services", Services},
+                             {"tenants", this->Tenants.document()},
                              {"limits", Limits}};
   this->Version += VersionStep;
   this->Platform.put("op", "config",
                      QJsonDocument(Document).toJson(QJsonDocument::Compact));
   this->Events.Seen.RouteChanges.push_back(
       {WithProbedRoute, this->Events.now()});
+  this->Events.Seen.WorkspaceVersions.push_back(
+      {this->Events.now(), this->Tenants.entries()});
+}
+
+std::string Site::ownerOf(std::uint16_t LocalPort, std::uint16_t RemotePort) {
+  const std::string Link = socketLink(LocalPort, RemotePort);
+  if (!Link.empty())
+    for (const auto &Vm : this->Vms)
+      if (Vm->running() && hasOpen(Vm->processId(), Link))
+        return Vm->name();
+  return {};
 }
 
 EntryVm *Site::findVm(const std::string &Name) {
--- a/src/bench/soak/Site.h
+++ b/src/bench/soak/Site.h
@@ -6,6 +6,7 @@
 #include "bench/soak/EntryVm.h"
 #include "bench/soak/Servers.h"
 #include "bench/soak/Store.h"
+#include "bench/soak/Workspaces.h"
 
 #include <memory>
 #include <string>
@@ -34,7 +35,14 @@
   Store &platform() { return this->Platform; }
   std::vector<std::unique_ptr<ServerGroup>> &groups() { return this->Groups; }
   std::vector<std::unique_ptr<EntryVm>> &vms() { return this->Vms; }
+  /// Returns the name of the entry VM whose process has connected from
+  /// \p LocalPort to \p RemotePort of the loopback address; empty: none.
+  std::string ownerOf(std::uint16_t LocalPort, std::uint16_t RemotePort);
   EntryVm *findVm(const std::string &Name);
+  /// What configure() writes.
+  Workspaces Tenants;
+  /// Workspace whose callers send more than usual; empty: none.
+  std::string Surging;
   Record &Events;
   TaskGroup &Tasks;
 
--- a/src/bench/soak/testing/JudgeTest.cpp
+++ b/src/bench/soak/testing/JudgeTest.cpp
@@ -44,7 +44,7 @@
   StatementRun R;
   R.Id = Id;
   R.Server = Server;
-  R.Vm = "vm-1";
+  R.Name = "vm-1";
   R.Connection = 1;
   R.At = At;
   return R;
@@ -136,6 +136,53 @@
   H.Runs.back().View = makeLog({});
 }
 
+/// Limit of ws-1 in a window of 5 s: (20 x 5 + 30) x 1.1 + 20.
+constexpr unsigned QuotaLimit = 163;
+
+/// Adds two workspaces with one key each, of which the first has a quota.
+void addWorkspaces(History &H) {
+  H.WorkspaceVersions = {
+      {0, {{"ws-1", {"key-1"}, 20, 30}, {"ws-2", {"key-2"}, 20, 30}}}};
+}
+
+/// Adds a read with \p Key that runs on a connection of \p Name.
+void runWithKey(History &H, const std::string &Key, const std::string &Name,
+                double At) {
+  H.Statements.push_back(makeStatement("k1", StatementKind::Read, At));
+  H.Statements.back().Key = Key;
+  H.Runs.push_back(makeRun("k1", "i-2", At + 10));
+  H.Runs.back().Name = Name;
+}
+
+/// Withdraws key-1 at 50 s and runs a read with it \p LaterMs later.
+void useWithdrawnKey(History &H, double LaterMs) {
+  addWorkspaces(H);
+  H.WorkspaceVersions.push_back(
+      {50000, {{"ws-1", {"key-3"}, 20, 30}, {"ws-2", {"key-2"}, 20, 30}}});
+  runWithKey(H, "key-1", "ws-1", 50000 + LaterMs);
+}
+
+/// Adds \p Count operations of ws-1, one each ms from \p At.
+void runOperations(History &H, unsigned Count, double At) {
+  for (unsigned I = 0; I < Count; ++I) {
+    const std::string Id = "o" + std::to_string(I);
+    H.Statements.push_back(makeStatement(Id, StatementKind::Read, At + I));
+    H.Statements.back().Key = "key-1";
+    H.Runs.push_back(makeRun(Id, "i-2", At + I + 10));
+    H.Runs.back().Name = "ws-1";
+  }
+}
+
+/// Raises the quota of ws-1 until 50 s, and runs more than the limit after
+/// that \p LaterMs later.
+void runAfterLowering(History &H, double LaterMs) {
+  addWorkspaces(H);
+  H.WorkspaceVersions.push_back(H.WorkspaceVersions[0]);
+  H.WorkspaceVersions[0].Workspaces[0].RatePerS = 100;
+  H.WorkspaceVersions[1].At = 50000;
+  runOperations(H, QuotaLimit + 1, 50000 + LaterMs);
+}
+
 /// One history and the rule that it breaks.
 struct Row {
   const char *Name;
@@ -368,6 +415,159 @@
        H.Disruptions = {{FaultKind::Cut, "vm-1", 50000, 53000}};
      },
      std::nullopt},
+    {"a key on a connection of its workspace",
+     [](History &H) {
+       addWorkspaces(H);
+       runWithKey(H, "key-1", "ws-1", 40000);
+     },
+     std::nullopt},
+    {"a key on a connection of another workspace",
+     [](History &H) {
+       addWorkspaces(H);
+       runWithKey(H, "key-1", "ws-2", 40000);
+     },
+     Rule::Unasked},
+    {"a key on a connection of the proxy's own",
+     [](History &H) {
+       addWorkspaces(H);
+       runWithKey(H, "key-1", "vm-1", 40000);
+     },
+     Rule::Unasked},
+    {"an anonymous statement on a connection of a workspace",
+     [](History &H) {
+       addWorkspaces(H);
+       runWithKey(H, "", "ws-1", 40000);
+     },
+     Rule::Unasked},
+    {"an anonymous statement on a connection of the proxy's own",
+     [](History &H) {
+       addWorkspaces(H);
+       runWithKey(H, "", "vm-1", 40000);
+     },
+     std::nullopt},
+    {"a key that moved to another workspace before the statement was sent",
+     [](History &H) {
+       addWorkspaces(H);
+       H.WorkspaceVersions.push_back({30000, {{"ws-2", {"key-1"}, 20, 30}}});
+       runWithKey(H, "key-1", "ws-1", 40000);
+     },
+     Rule::Unasked},
+    {"a server receives a key",
+     [](History &H) {
+       H.KeySightings = {{"i-1", "CONNECT ledger0 key-1 i-1", 40000}};
+     },
+     Rule::Unasked},
+    {"a key that no configuration ever held",
+     [](History &H) {
+       addWorkspaces(H);
+       runWithKey(H, "key-9", "ws-1", 40000);
+     },
+     Rule::Route},
+    {"a key that only a later configuration holds",
+     [](History &H) {
+       addWorkspaces(H);
+       H.WorkspaceVersions.push_back({50000, {{"ws-1", {"key-9"}, 20, 30}}});
+       runWithKey(H, "key-9", "ws-1", 40000);
+     },
+     Rule::Route},
+    {"a key that a configuration holds when the statement runs",
+     [](History &H) {
+       addWorkspaces(H);
+       H.WorkspaceVersions.push_back({40005, {{"ws-1", {"key-9"}, 20, 30}}});
+       runWithKey(H, "key-9", "ws-1", 40000);
+     },
+     std::nullopt},
+    {"a withdrawn key within the bound",
+     [](History &H) { useWithdrawnKey(H, 4990); }, std::nullopt},
+    {"a withdrawn key after the bound",
+     [](History &H) { useWithdrawnKey(H, 5010); }, Rule::Config},
+    {"a withdrawn key at a machine that is cut off",
+     [](History &H) {
+       useWithdrawnKey(H, 5010);
+       H.Disruptions = {{FaultKind::Cut, "vm-1", 49000, 54000}};
+     },
+     std::nullopt},
+    {"a withdrawn key at a machine that was cut off long before",
+     [](History &H) {
+       useWithdrawnKey(H, 9010);
+       H.Disruptions = {{FaultKind::Cut, "vm-1", 49000, 54000}};
+     },
+     Rule::Config},
+    {"a withdrawn key while the store is disrupted",
+     [](History &H) {
+       useWithdrawnKey(H, 5010);
+       H.Disruptions = {{FaultKind::Store, "store", 51000, 52000}};
+     },
+     std::nullopt},
+    {"a withdrawn key long after the store was disrupted",
+     [](History &H) {
+       useWithdrawnKey(H, 9010);
+       H.Disruptions = {{FaultKind::Store, "store", 51000, 52000}};
+     },
+     Rule::Config},
+    {"a withdrawn key at a process that has just been started",
+     [](History &H) {
+       useWithdrawnKey(H, 5010);
+       H.Disruptions = {{FaultKind::Kill, "vm-1", 53000, 54000},
+                        {FaultKind::Start, "vm-1", 54000, 55000}};
+     },
+     Rule::Config},
+    {"as many operations as a quota allows",
+     [](History &H) {
+       addWorkspaces(H);
+       runOperations(H, QuotaLimit, 40000);
+     },
+     std::nullopt},
+    {"more operations than a quota allows",
+     [](History &H) {
+       addWorkspaces(H);
+       runOperations(H, QuotaLimit + 1, 40000);
+     },
+     Rule::Quota},
+    {"more operations than a quota allows, of which one did not run",
+     [](History &H) {
+       addWorkspaces(H);
+       runOperations(H, QuotaLimit + 1, 40000);
+       H.Runs.pop_back();
+     },
+     std::nullopt},
+    {"more statements than a quota allows, of which one is of a transaction "
+     "that has begun",
+     [](History &H) {
+       addWorkspaces(H);
+       runOperations(H, QuotaLimit + 1, 40000);
+       H.Statements.back().First = false;
+     },
+     std::nullopt},
+    {"an operation that ran twice counts once",
+     [](History &H) {
+       addWorkspaces(H);
+       runOperations(H, QuotaLimit, 40000);
+       H.Runs.push_back(H.Runs.back());
+     },
+     std::nullopt},
+    {"a lowered quota that does not bind yet",
+     [](History &H) { runAfterLowering(H, 9000); }, std::nullopt},
+    {"a lowered quota that binds",
+     [](History &H) { runAfterLowering(H, 10100); }, Rule::Quota},
+    {"a lowered quota while a machine is cut off",
+     [](History &H) {
+       runAfterLowering(H, 10100);
+       H.Disruptions = {{FaultKind::Cut, "vm-2", 54000, 56000}};
+     },
+     std::nullopt},
+    {"a lowered quota while a server is down",
+     [](History &H) {
+       runAfterLowering(H, 10100);
+       H.Disruptions = {{FaultKind::ServerCrash, "i-1", 54000, 56000}};
+     },
+     Rule::Quota},
+    {"a lowered quota long after a machine was cut off",
+     [](History &H) {
+       runAfterLowering(H, 16100);
+       H.Disruptions = {{FaultKind::Cut, "vm-2", 54000, 56000}};
+     },
+     Rule::Quota},
 };
 
 } // namespace
--- a/src/bench/soak/testing/LinksTest.cpp
+++ b/src/bench/soak/testing/LinksTest.cpp
@@ -163,7 +163,7 @@
     Path Other(&Whole);
     LinkListener Link(
         Tasks, "127.0.0.1", Target.address(), nullptr,
-        [&](std::string_view Bytes) -> Path * {
+        [&](std::string_view Bytes, std::uint16_t) -> Path * {
           if (Bytes.empty())
             return nullptr;
           return Bytes == "part" ? &Part : &Other;
