--- a/src/bench/soak/EntryVm.cpp
+++ b/src/bench/soak/EntryVm.cpp
@@ -129,7 +129,11 @@
   const std::size_t Index =
       this->Events.disrupt(FaultKind::Terminate, this->Name);
   this->Changing = true;
-  co_await this->Process->stop(steadyNow() + GraceTime);
+  const TimePoint KillAt = steadyNow() + GraceTime;
+  co_await this->Process->stop(KillAt);
+  if (steadyNow() >= KillAt)
+    this->Events.Seen.LateStops.push_back(
+        {this->Name, this->Events.Seen.Disruptions[Index].From});
   this->Events.note(this->Name + ": process has ended");
   co_await this->startAfter(Pause, Index);
 }
--- a/src/bench/soak/History.h
+++ b/src/bench/soak/History.h
@@ -142,6 +142,12 @@
   double To = 0;
 };
 
+/// A process had not ended at the end of its grace time, and was killed.
+struct LateStop {
+  std::string Vm;
+  double At = 0; ///< When it was told to stop.
+};
+
 /// The store acknowledged that a server is draining.
 struct DrainReport {
   std::string Server;
@@ -190,6 +196,7 @@
   std::vector<Effect> Effects;
   std::vector<Order> Orders;
   std::vector<Disruption> Disruptions;
+  std::vector<LateStop> LateStops;
   std::vector<DrainReport> DrainReports;
   std::vector<RouteChange> RouteChanges;
   std::vector<RouteProbe> RouteProbes;
--- a/src/bench/soak/Judge.cpp
+++ b/src/bench/soak/Judge.cpp
@@ -78,6 +78,7 @@
   std::vector<Violation> run() {
     this->checkPromotedLogs();
     this->checkUnanswered();
+    this->checkStops();
     this->checkOrders();
     this->checkReads();
     this->checkKeptWrites();
@@ -194,6 +195,14 @@
     }
   }
 
+  void checkStops() {
+    for (const LateStop &Late : this->Seen.LateStops)
+      if (!this->disrupted(Late.Vm, Late.At - StableWindowMs, Late.At + GraceMs,
+                           false))
+        this->add(Rule::Lost, Late.Vm + ", told to stop at " + ms(Late.At) +
+                                  ", was killed at the end of its grace time");
+  }
+
   void checkOrders() {
     std::map<unsigned, std::vector<const Order *>> ByGroup;
     for (const Order &O : this->Seen.Orders) {
--- a/src/bench/soak/testing/JudgeTest.cpp
+++ b/src/bench/soak/testing/JudgeTest.cpp
@@ -259,6 +259,17 @@
        H.Disruptions = {{FaultKind::Terminate, "vm-2", 39900, 41000}};
      },
      std::nullopt},
+    {"a process is killed at the end of its grace time",
+     [](History &H) {
+       H.LateStops = {{"vm-1", 40000}};
+     },
+     Rule::Lost},
+    {"a frozen process is killed at the end of its grace time",
+     [](History &H) {
+       H.LateStops = {{"vm-1", 40000}};
+       H.Disruptions = {{FaultKind::Freeze, "vm-1", 41000, 47000}};
+     },
+     std::nullopt},
     {"a lower fence",
      [](History &H) {
        H.Orders.push_back(makeOrder("vm-2", 4, PromotionAt + 9000));
