Return tokens that an idle entry VM does not need

Cause: each entry VM kept one token that it did not need. Change: a reply takes back all tokens beyond the need.

--- a/src/policy/quotas/QuotaAllocator.cpp
+++ b/src/policy/quotas/QuotaAllocator.cpp
@@ -175,8 +175,10 @@
   const double Granted = A.Pool.take(std::max(0.0, Missing), Now);
   Own.Tokens += Granted;
   this->resizePool(A, Share, Now);
-  // A holder gives up what it does not need and reports it as returned.
-  const double Surplus = std::max(0.0, -Missing - SurplusAllowed);
+  // A holder gives up what it does not need and reports it as returned. A token
+  // that an idle entry VM kept would be missing elsewhere: the burst of a small
+  // quota is only a few tokens.
+  const double Surplus = std::max(0.0, -Missing);
   return {Report.Workspace, {0, Own.Tokens - Surplus}, Granted, LeaseLength};
 }
 
--- a/src/policy/quotas/QuotaAllocator.h
+++ b/src/policy/quotas/QuotaAllocator.h
@@ -89,8 +89,6 @@
   static constexpr double SparePart = 0.4;
   /// A holder with a demand above this, in operations per second, has demand.
   static constexpr double ActiveDemand = 0.1;
-  /// Tokens beyond its need that a holder may keep.
-  static constexpr double SurplusAllowed = 1;
   /// Demand counts for this time after its report.
   static constexpr Duration DemandTime = milliseconds(1200);
   /// Interval at which the state of absent holders is removed.
--- a/src/policy/quotas/testing/QuotaAllocatorTest.cpp
+++ b/src/policy/quotas/testing/QuotaAllocatorTest.cpp
@@ -324,9 +324,9 @@
   const Row Rows[] = {
       {"demand, no token", 5, 0, 0, 2.5, 2.5, 2.5},
       {"demand, some tokens", 5, 1, 0, 1.5, 1.5, 2.5},
-      {"demand, more tokens than it needs", 5, 20, 0, 0, 0, 3.5},
+      {"demand, more tokens than it needs", 5, 20, 0, 0, 0, 2.5},
       {"no demand, no token", 0, 0, 0, 0, 0, 0},
-      {"no demand, some tokens", 0, 20, 0, 0, 0, 1},
+      {"no demand, some tokens", 0, 20, 0, 0, 0, 0},
       {"an operation waits", 5, 0, 1, 3.5, 3.5, 3.5},
       {"more operations wait than its part allows", 5, 0, 50, 4.75, 4.75, 4.75},
       {"a small demand, enough for all", 1, 0, 0, 1.5, 1.5, 1.5},
