--- a/src/policy/quotas/QuotaAmount.cpp
+++ b/src/policy/quotas/QuotaAmount.cpp
@@ -16,11 +16,6 @@
           std::min(A.Burst, B.Burst)};
 }
 
-QuotaAmount largerOf(const QuotaAmount &A, const QuotaAmount &B) {
-  return {std::max(A.RatePerSecond, B.RatePerSecond),
-          std::max(A.Burst, B.Burst)};
-}
-
 double toleratedExtra(const WorkspaceQuota &Quota,
                       const QuotaTolerance &Tolerance) {
   const double Allowed =
--- a/src/policy/quotas/QuotaAmount.h
+++ b/src/policy/quotas/QuotaAmount.h
@@ -29,8 +29,6 @@
 
 /// Returns the smaller rate and the smaller burst of two amounts.
 QuotaAmount smallerOf(const QuotaAmount &A, const QuotaAmount &B);
-/// Returns the larger rate and the larger burst of two amounts.
-QuotaAmount largerOf(const QuotaAmount &A, const QuotaAmount &B);
 
 /// By how much a quota may be exceeded in a window.
 struct QuotaTolerance {
