--- a/src/policy/ForwarderChoice.cpp
+++ b/src/policy/ForwarderChoice.cpp
@@ -78,4 +78,14 @@
   return Forwarders;
 }
 
+std::size_t countForwarders(std::size_t Own,
+                            const std::vector<RemoteForwarders> &Others,
+                            std::size_t DataCentres) {
+  std::size_t Count = Own;
+  for (const RemoteForwarders &R : Others)
+    Count += R.Forwarders.size();
+  const std::size_t Known = Others.size() + 1;
+  return Count + (DataCentres > Known ? (DataCentres - Known) * Own : 0);
+}
+
 } // namespace amaranthspur
--- a/src/policy/ForwarderChoice.h
+++ b/src/policy/ForwarderChoice.h
@@ -28,6 +28,15 @@
   bool operator==(const ForwarderVm &) const = default;
 };
 
+/// The forwarders of another data centre.
+struct RemoteForwarders {
+  DataCentre Location;
+  std::string Token; ///< Requests to them must present it.
+  std::vector<ForwarderVm> Forwarders;
+
+  bool operator==(const RemoteForwarders &) const = default;
+};
+
 /// Number of entry VMs per forwarder. Each forwarder then runs the reads of
 /// eight, and an entry VM has links to an eighth of its data centre.
 inline constexpr std::size_t EntryVmsPerForwarder = 8;
@@ -49,6 +58,14 @@
                                         const ServiceName &Service,
                                         const WorkspaceName &Of);
 
+/// Returns the number of forwarders of the deployment. A data centre that is
+/// not listed is assumed to have as many as this one. \param Own number of
+/// forwarders of this data centre. \param Others data centres whose forwarders
+/// are known. \param DataCentres number of data centres, this one included.
+std::size_t countForwarders(std::size_t Own,
+                            const std::vector<RemoteForwarders> &Others,
+                            std::size_t DataCentres);
+
 /// Returns whether reads are worth forwarding: whether the \p EntryVms of the
 /// deployment have less than one connection each to a server that accepts
 /// \p MaxConnections.
--- a/src/policy/quotas/QuotaAmount.h
+++ b/src/policy/quotas/QuotaAmount.h
@@ -98,6 +98,26 @@
   Duration Length{}; ///< From the time at which the request was sent.
 };
 
+/// Tokens that a data centre lacks for a workspace.
+struct QuotaLoanWish {
+  WorkspaceName Workspace;
+  double Tokens = 0;
+};
+
+/// What the allocator of one data centre asks that of another one for.
+struct QuotaLoanRequest {
+  QuotaHolderId Borrower;
+  std::uint64_t Sequence = 0; ///< Increases with each request of the borrower.
+  std::vector<QuotaLoanWish> Wishes;
+};
+
+/// Tokens that another data centre has lent.
+struct QuotaLoan {
+  WorkspaceName Workspace;
+  double Tokens = 0;
+  Duration Length{}; ///< From the time at which the request was sent.
+};
+
 } // namespace amaranthspur
 
 #endif // AMARANTHSPUR_POLICY_QUOTAS_QUOTAAMOUNT_H
--- a/src/policy/testing/ForwarderChoiceTest.cpp
+++ b/src/policy/testing/ForwarderChoiceTest.cpp
@@ -129,6 +129,35 @@
   }
 }
 
+// Guards against a share of the servers' connections that is computed from a
+// wrong number of forwarders.
+TEST_CASE("forwarders of unknown data centres are estimated") {
+  const auto Others = [](std::initializer_list<std::size_t> Counts) {
+    std::vector<RemoteForwarders> Out;
+    for (const std::size_t Count : Counts)
+      Out.push_back({DataCentre("dc-" + std::to_string(Out.size())), "token",
+                     std::vector<ForwarderVm>(Count)});
+    return Out;
+  };
+  struct Row {
+    const char *Name;
+    std::size_t Own;
+    std::vector<RemoteForwarders> Known;
+    std::size_t DataCentres;
+    std::size_t Expected;
+  };
+  const Row Rows[] = {{"one data centre", 2, {}, 1, 2},
+                      {"none is known", 2, {}, 6, 12},
+                      {"one is known", 2, Others({5}), 6, 2 + 5 + 4 * 2},
+                      {"one has none", 2, Others({0}), 2, 2},
+                      {"all are known", 2, Others({1, 3}), 3, 6},
+                      {"more than in the settings", 2, Others({1, 3}), 2, 6}};
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    CHECK(countForwarders(R.Own, R.Known, R.DataCentres) == R.Expected);
+  }
+}
+
 // Guards against a hop for each read where every entry VM can keep a connection
 // of its own.
 TEST_CASE("reads are forwarded only if there are too few connections") {
