Choose homes among the forwarders of a region

With homes per data centre, half of the statements of a workspace find no idle connection at their home. HomeChoice hashes among the forwarders of the region in which a statement runs: that of the entry VM for reads that any server may run, that of the believed primary for others. The forwarders of the own data centre come last, so that without lists of other data centres the choice is the former one. The hash moves to policy/StableHash.h.

--- a/src/policy/ForwarderChoice.cpp
+++ b/src/policy/ForwarderChoice.cpp
@@ -1,5 +1,7 @@
 #include "policy/ForwarderChoice.h"
 
+#include "policy/StableHash.h"
+
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
@@ -7,31 +9,12 @@
 #include <utility>
 
 namespace amaranthspur {
-namespace {
-
-/// FNV-1a. All entry VMs must compute the same values, which std::hash does not
-/// promise.
-std::uint64_t hashOf(const std::string &A, const std::string &B) {
-  constexpr std::uint64_t Basis = 14695981039346656037ULL;
-  constexpr std::uint64_t Prime = 1099511628211ULL;
-  std::uint64_t Hash = Basis;
-  for (const std::string *Text : {&A, &B}) {
-    for (const char C : *Text)
-      Hash = (Hash ^ static_cast<unsigned char>(C)) * Prime;
-    Hash = (Hash ^ 0xffU) * Prime;
-  }
-  // The last bytes have too little influence on the high bits.
-  Hash ^= Hash >> 33U;
-  return Hash * 0xff51afd7ed558ccdULL;
-}
-
-} // namespace
 
 std::vector<ForwarderVm> chooseForwarders(std::vector<ForwarderVm> Candidates) {
   std::sort(Candidates.begin(), Candidates.end(),
             [](const ForwarderVm &A, const ForwarderVm &B) {
-              const std::uint64_t HashA = hashOf(A.Vm.str(), "");
-              const std::uint64_t HashB = hashOf(B.Vm.str(), "");
+              const std::uint64_t HashA = stableHash(A.Vm.str(), "");
+              const std::uint64_t HashB = stableHash(B.Vm.str(), "");
               return std::tie(B.CpuPercent, HashA, A.Vm) <
                      std::tie(A.CpuPercent, HashB, B.Vm);
             });
@@ -51,31 +34,108 @@
 double homeCost(const ForwarderVm &F, const std::string &Pair) {
   constexpr double Range = 18446744073709551616.0; // 2 to the power of 64.
   const double Hash =
-      (static_cast<double>(hashOf(F.Vm.str(), Pair)) + 1) / (Range + 2);
+      (static_cast<double>(stableHash(F.Vm.str(), Pair)) + 1) / (Range + 2);
   return -std::log(Hash) / std::max(1U, F.CpuPercent);
 }
 
+/// Returns the first \p Count of \p Forwarders in the order of preference for a
+/// pair of workspace and service. Takes O(n) time for a constant count.
+std::vector<const ForwarderVm *>
+firstHomes(const std::vector<ForwarderVm> &Forwarders,
+           const ServiceName &Service, const WorkspaceName &Of,
+           std::size_t Count) {
+  const std::string Pair = Service.str() + '\n' + Of.str();
+  std::vector<std::pair<double, const ForwarderVm *>> Costs;
+  Costs.reserve(Forwarders.size());
+  for (const ForwarderVm &F : Forwarders)
+    Costs.emplace_back(homeCost(F, Pair), &F);
+  const auto End = Costs.begin() +
+                   static_cast<std::ptrdiff_t>(std::min(Count, Costs.size()));
+  std::partial_sort(Costs.begin(), End, Costs.end(),
+                    [](const auto &A, const auto &B) {
+                      return std::tie(A.first, A.second->Vm) <
+                             std::tie(B.first, B.second->Vm);
+                    });
+  std::vector<const ForwarderVm *> First;
+  for (auto At = Costs.begin(); At != End; ++At)
+    First.push_back(At->second);
+  return First;
+}
+
 } // namespace
 
 std::vector<ForwarderVm> forwarderOrder(std::vector<ForwarderVm> Forwarders,
                                         const ServiceName &Service,
                                         const WorkspaceName &Of) {
   if (!Of.empty()) {
-    const std::string Pair = Service.str() + '\n' + Of.str();
-    std::sort(Forwarders.begin(), Forwarders.end(),
-              [&Pair](const ForwarderVm &A, const ForwarderVm &B) {
-                return std::pair(homeCost(A, Pair), A.Vm) <
-                       std::pair(homeCost(B, Pair), B.Vm);
-              });
-    return Forwarders;
+    std::vector<ForwarderVm> Order;
+    Order.reserve(Forwarders.size());
+    for (const ForwarderVm *F :
+         firstHomes(Forwarders, Service, Of, Forwarders.size()))
+      Order.push_back(*F);
+    return Order;
   }
   std::sort(Forwarders.begin(), Forwarders.end(),
             [&Service](const ForwarderVm &A, const ForwarderVm &B) {
-              const std::uint64_t HashA = hashOf(A.Vm.str(), Service.str());
-              const std::uint64_t HashB = hashOf(B.Vm.str(), Service.str());
+              const std::uint64_t HashA = stableHash(A.Vm.str(), Service.str());
+              const std::uint64_t HashB = stableHash(B.Vm.str(), Service.str());
               return std::tie(HashA, A.Vm) < std::tie(HashB, B.Vm);
             });
   return Forwarders;
 }
 
+// --- HomeChoice --------------------------------------------------------------
+
+void HomeChoice::setOwn(std::vector<ForwarderVm> Forwarders) {
+  this->Own = std::move(Forwarders);
+  this->update();
+}
+
+void HomeChoice::setRemote(std::vector<RemoteForwarders> Others) {
+  this->Remote = std::move(Others);
+  std::erase_if(this->Remote, [this](const RemoteForwarders &R) {
+    return R.Location == this->Where.Here;
+  });
+  this->update();
+}
+
+void HomeChoice::update() {
+  this->Near.clear();
+  std::vector<DataCentre> Places = {this->Where.Here};
+  for (const auto &[Place, Of] : this->Where.Regions)
+    if (Place != this->Where.Here)
+      Places.push_back(Place);
+  for (const DataCentre &Place : Places) {
+    std::vector<ForwarderVm> &List = this->Near[Place];
+    if (this->Where.isSameRegion(Place, this->Where.Here))
+      List = this->Own;
+    for (const RemoteForwarders &R : this->Remote)
+      if (this->Where.isSameRegion(Place, R.Location))
+        List.insert(List.end(), R.Forwarders.begin(), R.Forwarders.end());
+  }
+}
+
+std::vector<EntryVmId> HomeChoice::candidates(const HomeQuery &Query) const {
+  std::vector<EntryVmId> Order;
+  // Without a workspace a connection serves all callers, so that the forwarders
+  // of one data centre suffice.
+  if (!Query.Of.empty()) {
+    const auto List = this->Near.find(
+        Query.Role == HomeRole::Primary ? Query.Primary : this->Where.Here);
+    if (List != this->Near.end())
+      for (const ForwarderVm *F :
+           firstHomes(List->second, Query.Service, Query.Of, MaxCandidates))
+        Order.push_back(F->Vm);
+  }
+  std::size_t Considered = 0;
+  for (const ForwarderVm &F :
+       forwarderOrder(this->Own, Query.Service, Query.Of)) {
+    if (F.Vm == this->Self || Considered < MaxCandidates)
+      Order.push_back(F.Vm);
+    if (F.Vm == this->Self || ++Considered > MaxCandidates)
+      break;
+  }
+  return Order;
+}
+
 } // namespace amaranthspur
--- a/src/policy/GroupBeliefs.cpp
+++ b/src/policy/GroupBeliefs.cpp
@@ -8,12 +8,17 @@
 Distance Locality::distanceTo(const DataCentre &There) const {
   if (There == this->Here)
     return Distance::SameDataCentre;
-  const auto Own = this->Regions.find(this->Here);
-  const auto Other = this->Regions.find(There);
-  const bool Same = Own != this->Regions.end() &&
-                    Other != this->Regions.end() &&
-                    Own->second == Other->second;
-  return Same ? Distance::SameRegion : Distance::OtherRegion;
+  return this->isSameRegion(this->Here, There) ? Distance::SameRegion
+                                               : Distance::OtherRegion;
+}
+
+bool Locality::isSameRegion(const DataCentre &A, const DataCentre &B) const {
+  if (A == B)
+    return true;
+  const auto OfA = this->Regions.find(A);
+  const auto OfB = this->Regions.find(B);
+  return OfA != this->Regions.end() && OfB != this->Regions.end() &&
+         OfA->second == OfB->second;
 }
 
 bool GroupBeliefs::setServers(const std::vector<RegisteredServer> &Listed) {
--- a/src/policy/GroupBeliefs.h
+++ b/src/policy/GroupBeliefs.h
@@ -49,6 +49,9 @@
   std::map<DataCentre, Region> Regions; ///< The region of each data centre.
 
   Distance distanceTo(const DataCentre &There) const;
+  /// Returns whether \p A and \p B are the same data centre or known to be in
+  /// the same region.
+  bool isSameRegion(const DataCentre &A, const DataCentre &B) const;
 };
 
 /// Beliefs about one server.
--- a/src/policy/testing/ForwarderChoiceTest.cpp
+++ b/src/policy/testing/ForwarderChoiceTest.cpp
@@ -147,3 +147,125 @@
     CHECK(isForwardingUseful(R.EntryVms, R.MaxConnections) == R.Useful);
   }
 }
+
+namespace {
+
+RemoteForwarders remote(const char *Place, std::size_t Count) {
+  RemoteForwarders R;
+  R.Location = DataCentre(Place);
+  for (std::size_t I = 0; I < Count; ++I)
+    R.Forwarders.push_back(
+        {EntryVmId(std::string(Place) + "-" + std::to_string(I)),
+         "10.2.0.1:7440", 50});
+  return R;
+}
+
+} // namespace
+
+// Guards against a home outside the region in which the statement runs, against
+// entry VMs of one region that choose different homes, and against a choice
+// that differs from that of a data centre on its own where nothing is known of
+// the others.
+TEST_CASE("the home is in the region of the statement") {
+  const std::map<DataCentre, Region> Regions = {
+      {DataCentre("a1"), Region("a")},
+      {DataCentre("a2"), Region("a")},
+      {DataCentre("a3"), Region("a")},
+      {DataCentre("b1"), Region("b")},
+      {DataCentre("b2"), Region("b")}};
+  const std::map<std::string, RemoteForwarders> All = {{"a1", remote("a1", 2)},
+                                                       {"a2", remote("a2", 2)},
+                                                       {"a3", remote("a3", 2)},
+                                                       {"b1", remote("b1", 2)},
+                                                       {"b2", remote("b2", 2)}};
+  struct Row {
+    const char *Name;
+    std::vector<const char *> Known; ///< Other data centres.
+    const char *Of;
+    HomeRole Role;
+    const char *Primary;
+    std::vector<const char *> Homes; ///< Data centres that have a part of them.
+  };
+  const Row Rows[] = {
+      {"a read",
+       {"a2", "a3", "b1", "b2"},
+       "w",
+       HomeRole::AnyServer,
+       "b1",
+       {"a1", "a2", "a3"}},
+      {"a write, primary in the region",
+       {"a2", "a3", "b1", "b2"},
+       "w",
+       HomeRole::Primary,
+       "a3",
+       {"a1", "a2", "a3"}},
+      {"a write, primary in the other region",
+       {"a2", "a3", "b1", "b2"},
+       "w",
+       HomeRole::Primary,
+       "b2",
+       {"b1", "b2"}},
+      {"a write, no primary",
+       {"a2", "a3", "b1", "b2"},
+       "w",
+       HomeRole::Primary,
+       "",
+       {"a1"}},
+      {"a write, primary in an unknown place",
+       {"a2", "a3", "b1", "b2"},
+       "w",
+       HomeRole::Primary,
+       "c1",
+       {"a1"}},
+      {"without a workspace",
+       {"a2", "a3", "b1", "b2"},
+       "",
+       HomeRole::AnyServer,
+       "a1",
+       {"a1"}},
+      {"one data centre is known",
+       {"b1"},
+       "w",
+       HomeRole::Primary,
+       "b2",
+       {"b1"}},
+      {"no other is known, a read", {}, "w", HomeRole::AnyServer, "b1", {"a1"}},
+      {"no other is known, a write", {}, "w", HomeRole::Primary, "b1", {"a1"}},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    const std::vector<ForwarderVm> Own = All.at("a1").Forwarders;
+    HomeChoice Choice(EntryVmId("self"), {DataCentre("a1"), Regions});
+    Choice.setOwn(Own);
+    std::vector<RemoteForwarders> Others;
+    for (const char *Place : R.Known)
+      Others.push_back(All.at(Place));
+    Choice.setRemote(Others);
+    // Another entry VM of the region, which knows the same forwarders.
+    HomeChoice Peer(EntryVmId("peer"), {DataCentre("a2"), Regions});
+    Peer.setOwn(All.at("a2").Forwarders);
+    std::vector<RemoteForwarders> OthersOfPeer = Others;
+    OthersOfPeer.push_back(All.at("a1"));
+    Peer.setRemote(OthersOfPeer);
+    std::map<std::string, int> Homes;
+    for (int S = 0; S < 200; ++S) {
+      HomeQuery Query{ServiceName("s" + std::to_string(S)), WorkspaceName(R.Of),
+                      R.Role, DataCentre(R.Primary)};
+      const std::vector<EntryVmId> Found = Choice.candidates(Query);
+      REQUIRE(Found.size() >= 2);
+      ++Homes[Found[0].str().substr(0, 2)];
+      // The own data centre is the last resort.
+      const std::vector<ForwarderVm> Last =
+          forwarderOrder(Own, Query.Service, Query.Of);
+      CHECK(Found[Found.size() - 2] == Last[0].Vm);
+      CHECK(Found[Found.size() - 1] == Last[1].Vm);
+      if (R.Known.size() == 4 && *R.Of && R.Homes.size() > 1)
+        CHECK(Peer.candidates(Query)[0] == Found[0]);
+      if (R.Known.empty())
+        CHECK(Found[0] == Last[0].Vm);
+    }
+    CHECK(Homes.size() == R.Homes.size());
+    for (const char *Place : R.Homes)
+      CHECK(Homes[Place] > 30);
+  }
+}
