Measure the demand of a workspace over at least 200 ms

Cause: while an operation waits for a token, a holder asks every 40 ms. The operations since the last request were divided by at least 200 ms, so that a holder that asked often reported far less than its demand and the average of 1 s counted. In the model of loans between data centres, a workspace of 600 operations/s had 7 to 42 % of its operations refused 0.5 to 2 s after its demand had begun.

Change: the operations are counted from one measurement to the next, which are at least 200 ms apart. In between, the last rate counts unless there is a rise.

--- a/src/policy/quotas/QuotaLeaseHolder.cpp
+++ b/src/policy/quotas/QuotaLeaseHolder.cpp
@@ -19,12 +19,19 @@
 
 double QuotaLeaseHolder::reportedDemand(const State &S, TimePoint Now) const {
   const double Average = demandAt(S, Now);
+  const Duration Since = Now - this->CountedFrom;
   const std::chrono::duration<double> Passed =
-      std::max(Duration(MinRatePeriod), Now - this->RequestedAt);
-  if (S.SinceRequest >= ChangeCount)
-    return std::max(Average, S.SinceRequest / Passed.count());
+      std::max(Duration(MinRatePeriod), Since);
+  const double Rate = S.SinceCounted / Passed.count();
+  if (Since < Duration(MinRatePeriod)) {
+    // Too short to show a fall.
+    const double Least = std::max(Average, S.AskedDemand);
+    return S.SinceCounted >= ChangeCount ? std::max(Least, Rate) : Least;
+  }
+  if (S.SinceCounted >= ChangeCount)
+    return std::max(Average, Rate);
   if (Average * Passed.count() >= ChangeCount)
-    return std::min(Average, (S.SinceRequest + FallAllowance) / Passed.count());
+    return std::min(Average, (S.SinceCounted + FallAllowance) / Passed.count());
   return Average;
 }
 
@@ -89,7 +96,7 @@
     S.Demand = demandAt(S, Now) + 1 / Period.count();
     S.DemandAt = Now;
     S.LastDemand = Now;
-    ++S.SinceRequest;
+    ++S.SinceCounted;
   }
   const bool Spent = S.Leased.spend(Now) || S.Reserve.spend(Now);
   if (Spent) {
@@ -121,6 +128,7 @@
 QuotaRequest QuotaLeaseHolder::makeRequest(TimePoint Now) {
   this->InFlight = true;
   QuotaRequest Out{this->Self, ++this->Sequence, {}};
+  const bool IsCounted = Now - this->CountedFrom >= Duration(MinRatePeriod);
   for (auto At = this->States.begin(); At != this->States.end();) {
     State &S = At->second;
     expire(S, Now);
@@ -134,7 +142,8 @@
     S.AskedTokens = S.Leased.tokens(Now);
     S.AskedBurst = S.Leased.capacity().Burst;
     const double Demand = this->reportedDemand(S, Now);
-    S.SinceRequest = 0;
+    if (IsCounted)
+      S.SinceCounted = 0;
     S.AskedDemand = Demand;
     S.Asked = S.Waiting > 0;
     Out.Reports.push_back({At->first, Demand, S.Leased.capacity(),
@@ -143,7 +152,8 @@
     S.Returned = 0;
     ++At;
   }
-  this->RequestedAt = Now;
+  if (IsCounted)
+    this->CountedFrom = Now;
   return Out;
 }
 
--- a/src/policy/quotas/QuotaLeaseHolder.h
+++ b/src/policy/quotas/QuotaLeaseHolder.h
@@ -53,14 +53,15 @@
 public:
   /// Time constant of the average demand.
   static constexpr Duration DemandPeriod = std::chrono::seconds(1);
-  /// If there were at least so many operations since the last request, or the
-  /// average lets so many expect, their rate counts instead of the average: a
-  /// sudden change would take a second to appear in the average.
+  /// If there were at least so many operations since the last measurement, or
+  /// the average lets so many expect, their rate counts instead of the average:
+  /// a sudden change would take a second to appear in the average.
   static constexpr unsigned ChangeCount = 4;
   /// Operations that are added when a rate is compared with a higher average,
   /// so that chance alone seldom lowers the demand.
   static constexpr unsigned FallAllowance = 2;
-  /// Shortest time over which that rate is measured.
+  /// Shortest time over which that rate is measured. Requests may be made more
+  /// often; a rate since the last of them would be too low.
   static constexpr Duration MinRatePeriod = milliseconds(200);
   /// A workspace without sessions is forgotten after this time without demand.
   static constexpr Duration ForgetAfter = std::chrono::seconds(10);
@@ -130,7 +131,7 @@
     double Demand = 0;
     TimePoint DemandAt{};
     std::optional<TimePoint> LastDemand;
-    unsigned SinceRequest = 0; ///< Operations.
+    unsigned SinceCounted = 0; ///< Operations since CountedFrom.
     double Returned = 0;       ///< Not reported yet.
     std::size_t Sessions = 0;
     std::uint64_t Spent = 0;
@@ -155,7 +156,7 @@
   bool EqualParts = false;
   std::uint64_t Sequence = 0;
   bool InFlight = false;
-  TimePoint RequestedAt{};
+  TimePoint CountedFrom{}; ///< The rate of operations is measured from here.
   std::map<WorkspaceName, State> States;
 };
 
