Lend tokens of quotas between data centres

Cause: each data centre has a fixed share of each quota. A workspace whose callers are all in one of six data centres had a sixth of its rate.

Change: an allocator that lacks tokens borrows from the others (section 5.4 of docs/design/workspaces-and-load.md). A loan expires 1 s after its request; the lender counts it for 2.1 s; the borrower renews a holder's tokens only within its own burst and its unexpired loans. A request reports what is left of former loans, because a lender that counts each to its end could lend only a part of its rate. The argument at the head of QuotaAllocator.h covers loans.

--- a/src/policy/quotas/QuotaAllocator.cpp
+++ b/src/policy/quotas/QuotaAllocator.cpp
@@ -46,11 +46,14 @@
   this->ConfirmedAt = Now;
   this->FollowsAnother = FollowsAnother;
   this->GrantsFreelyAt = FollowsAnother ? Now + TakeoverTime : Now;
+  this->FormerLoansEndAt = this->GrantsFreelyAt;
 }
 
 void QuotaAllocator::observeFormerEnded(TimePoint Now) {
   this->GrantsFreelyAt =
       std::min(this->GrantsFreelyAt, Now + LeaseLength + 2 * ExpiryMargin);
+  this->FormerLoansEndAt =
+      std::min(this->FormerLoansEndAt, Now + LoanCommitmentTime);
 }
 
 void QuotaAllocator::confirm(TimePoint AsOf) {
@@ -62,6 +65,9 @@
   this->SpreadsAll = false;
   this->Accounts.clear();
   this->Holders.clear();
+  this->Lacking.clear();
+  this->LoanNumbers.endAll();
+  this->LoanOrder.clear();
 }
 
 double QuotaAllocator::sumOf(const Account &A) {
@@ -81,9 +87,17 @@
   return sumOf(Current);
 }
 
+double QuotaAllocator::allowance(const Account &A, const QuotaAmount &Share,
+                                 TimePoint Now) {
+  return std::max(0.0,
+                  Share.Burst + A.Borrowed.leasable(Now) - A.Lent.counted(Now));
+}
+
 void QuotaAllocator::removeExpired(Account &A, TimePoint Now) {
   std::erase_if(A.Holders,
                 [Now](const auto &Entry) { return Now >= Entry.second.End; });
+  A.Lent.removeEnded(Now);
+  A.Borrowed.removeEnded(Now);
 }
 
 void QuotaAllocator::resizePool(Account &A, const QuotaAmount &Share,
@@ -92,8 +106,18 @@
     A.Pool.resize({}, Now);
     return;
   }
-  A.Pool.resize({Share.RatePerSecond, std::max(0.0, Share.Burst - sumOf(A))},
-                Now);
+  double Most = allowance(A, Share, Now);
+  const bool MayBeLent = this->DataCentres > 1 && Now < this->FormerLoansEndAt;
+  if (MayBeLent)
+    Most -= LoanPart * Share.Burst;
+  A.Pool.resize({Share.RatePerSecond, std::max(0.0, Most - sumOf(A))}, Now);
+}
+
+QuotaAmount QuotaAllocator::usableShare(const Account &A, TimePoint Now) const {
+  const double Whole =
+      A.Share.RatePerSecond * static_cast<double>(this->DataCentres);
+  const double Rate = A.Share.RatePerSecond + LoanRateLead * loanRate(A, Now);
+  return {std::min(Whole, Rate), allowance(A, A.Share, Now)};
 }
 
 double QuotaAllocator::missingTokens(const Account &A,
@@ -170,16 +194,25 @@
   Own.End = Now + CommitmentTime;
   this->resizePool(A, Share, Now);
   A.Pool.add(Report.Returned, Now);
-  const double Missing =
-      this->missingTokens(A, Holder, Report, Share, SinceLast, Now);
+  const double Missing = this->missingTokens(
+      A, Holder, Report, this->usableShare(A, Now), SinceLast, Now);
   const double Granted = A.Pool.take(std::max(0.0, Missing), Now);
+  const double Others = sumOf(A) - Own.Tokens;
   Own.Tokens += Granted;
+  Own.Waiting = std::max(0.0, Report.Waiting - Own.Tokens);
   this->resizePool(A, Share, Now);
+  if (this->lackOf(A, Now) > MinLoan)
+    this->Lacking.insert(Report.Workspace);
+  else
+    this->Lacking.erase(Report.Workspace);
   // A holder gives up what it does not need and reports it as returned. A token
   // that an idle entry VM kept would be missing elsewhere: the burst of a small
   // quota is only a few tokens.
   const double Surplus = std::max(0.0, -Missing);
-  return {Report.Workspace, {0, Own.Tokens - Surplus}, Granted, LeaseLength};
+  // Tokens of loans that have expired are not renewed.
+  const double Renewable = std::max(0.0, allowance(A, Share, Now) - Others);
+  const double Kept = std::min(Own.Tokens - Surplus, Renewable);
+  return {Report.Workspace, {0, Kept}, Granted, LeaseLength};
 }
 
 std::vector<QuotaLease> QuotaAllocator::lease(const QuotaRequest &Asked,
@@ -224,13 +257,16 @@
   std::erase_if(this->Holders, [Now](const auto &Entry) {
     return Now - Entry.second.LastRequest > 2 * CommitmentTime;
   });
+  this->LoanOrder.removeOlder(2 * CommitmentTime, Now);
   // An account without holders is forgotten when its pool is full, as that of a
   // new account is.
   for (auto It = this->Accounts.begin(); It != this->Accounts.end();) {
     Account &A = It->second;
     removeExpired(A, Now);
     this->resizePool(A, A.Share, Now);
-    const bool IsUnused = A.Holders.empty() && Now >= this->GrantsFreelyAt &&
+    const bool IsUnused = A.Holders.empty() && A.Lent.isEmpty() &&
+                          A.Borrowed.isEmpty() &&
+                          Now >= this->FormerLoansEndAt &&
                           A.Pool.tokens(Now) >= A.Pool.capacity().Burst;
     It = IsUnused ? this->Accounts.erase(It) : std::next(It);
   }
--- a/src/policy/quotas/QuotaAllocator.h
+++ b/src/policy/quotas/QuotaAllocator.h
@@ -33,6 +33,35 @@
 //     so an allocator that was suspended grants nothing before the next one.
 // After a lowered limit, tokens above it are used up or end with their leases.
 //
+// Loans between data centres: the same bound holds for all data centres
+// together. A loan moves tokens from the pool of the lender to that of the
+// borrower, so it adds none; what is to be shown is that the tokens of all data
+// centres never exceed the sum of their bursts.
+//  7. The lender counts a loan for LoanCommitmentTime as committed: its pool,
+//     leases and counted loans are at most its burst B.
+//  8. The borrower leases from a loan for LoanLength from the time at which it
+//     sent its request. It renews what a holder has only as far as this, the
+//     tokens of all other holders and the loans to others are at most B and the
+//     unexpired loans. A holder whose lease is not renewed has no tokens after
+//     LeaseLength. So its tokens never exceed B by more than the loans that
+//     have expired at most a lease ago, which are all counted by their lenders.
+//     What is renewed less than fully counts fully until the next report, since
+//     the reply may be lost.
+//  9. A request tells the lender how much of its loans the borrower still
+//     counts. The borrower has lowered its bound before it asks. The reply to
+//     an earlier request is not applied any more by then, and requests out of
+//     order are rejected.
+// 10. Nothing is lent from borrowed tokens: an allocator lends only without
+//     unexpired loans. Its tokens are at most B without them by then, since
+//     otherwise its pool would be empty.
+// 11. An allocator that follows another one knows its loans in neither
+//     direction. Tokens that were borrowed are renewed only within B (8), and
+//     nothing is borrowed before the leases of the former one have ended. An
+//     allocator lends only if its role was confirmed in the last LendingTime,
+//     so that its loans end with its last leases. If it is known to have ended
+//     before, LoanPart of the burst stays out of the new pool until its loans
+//     have ended; it never lends more than that.
+//
 // Rates are not leased. The rate of an entry VM whose bucket is full is lost to
 // the others, which refused a third of the operations of a workspace near its
 // limit in a play of the gift-card deployment.
@@ -40,6 +69,8 @@
 #define AMARANTHSPUR_POLICY_QUOTAS_QUOTAALLOCATOR_H
 
 #include "policy/quotas/QuotaBucket.h"
+#include "policy/quotas/QuotaLoanBook.h"
+#include "policy/quotas/QuotaLoanRequests.h"
 
 #include <map>
 #include <set>
@@ -74,6 +105,30 @@
   /// reported as held.
   static constexpr Duration TakeoverTime =
       LeaseLength + 2 * ExpiryMargin + AuthorityTime;
+  /// A loan can be leased for this time from its request.
+  static constexpr Duration LoanLength = milliseconds(1000);
+  /// Time for which a lender counts a loan: it may be leased until its end, and
+  /// the last lease is used until its own.
+  static constexpr Duration LoanCommitmentTime =
+      LoanLength + LeaseLength + 2 * ExpiryMargin;
+  /// Loans are granted for this time after a confirmation. They then end no
+  /// later than the leases of the same allocator.
+  static constexpr Duration LendingTime = ConfirmationTime - LoanLength;
+  /// Part of a burst that is lent at most. In steady state a lender of its
+  /// whole rate has lent about 0.9 s of it.
+  static constexpr double LoanPart = 0.7;
+  /// Beside BurstSeconds of the demand of the holders, tokens are borrowed for
+  /// this time of the demand above the own rate. It covers the interval of the
+  /// requests of the holders, in which a single one uses that much.
+  static constexpr double LoanGapSeconds = 0.4;
+  /// A borrower does not report a loan as returned if its own rate would need
+  /// the room within this time.
+  static constexpr double LoanRoomSeconds = 0.2;
+  /// The rate of the loans is not known in advance. So much of the recent one
+  /// counts as usable, so that it does not hold back a rise of the demand.
+  static constexpr double LoanRateLead = 2;
+  /// Tokens that are not worth a request.
+  static constexpr double MinLoan = 0.1;
   /// A holder keeps tokens for its part of the demand in this time, which
   /// covers the time between two requests.
   static constexpr double BurstSeconds = 0.5;
@@ -121,6 +176,24 @@
   std::vector<QuotaLease> lease(const QuotaRequest &Asked,
                                 const AccessPlan &Plan, TimePoint Now);
 
+  /// Returns what to borrow from \p Lender for the workspaces that lack tokens:
+  /// an equal part from each other data centre. Returns nothing if nothing is
+  /// lacking or a request is under way.
+  std::optional<QuotaLoanRequest> makeLoanRequest(const DataCentre &Lender,
+                                                  const QuotaHolderId &Self,
+                                                  TimePoint Now);
+  /// Returns the loans for another allocator: at most what the own holders do
+  /// not need for BurstSeconds of their demand.
+  std::vector<QuotaLoan> lend(const QuotaLoanRequest &Asked,
+                              const AccessPlan &Plan, TimePoint Now);
+  /// Applies the reply to the request under way, which was sent at \p SentAt.
+  /// \returns what was borrowed.
+  std::vector<QuotaLoan> applyLoans(const DataCentre &Lender,
+                                    const std::vector<QuotaLoan> &Loans,
+                                    TimePoint SentAt, TimePoint Now);
+  /// Records that the request under way has no reply.
+  void abandonLoanRequest(const DataCentre &Lender);
+
   /// Returns how many tokens are committed of \p Workspace, all holders
   /// together.
   double committed(const WorkspaceName &Workspace, TimePoint Now) const;
@@ -131,11 +204,16 @@
     TimePoint End;
     double Demand = 0;
     TimePoint DemandAt;
+    double Waiting = 0; ///< Operations that were reported and got no token.
   };
   struct Account {
     std::map<QuotaHolderId, Commitment> Holders;
     QuotaBucket Pool;
     QuotaAmount Share; ///< At the last report.
+    QuotaLoanBook<QuotaHolderId> Lent;
+    QuotaLoanBook<DataCentre> Borrowed;
+    double LoanRate = 0; ///< Average of the borrowed tokens, per second.
+    TimePoint LoanRateAt;
   };
   struct HolderState {
     std::uint64_t Sequence = 0;
@@ -143,8 +221,29 @@
     std::set<WorkspaceName> Workspaces;
   };
 
+  /// What the holders of a workspace need.
+  struct Need {
+    double Demand = 0;
+    double Waiting = 0;
+  };
+
   /// Returns the tokens that all holders may have.
   static double sumOf(const Account &A);
+  static Need needOf(const Account &A, TimePoint Now);
+  /// Returns the tokens that leases, the pool and the loans to others may have
+  /// together, less those loans.
+  static double allowance(const Account &A, const QuotaAmount &Share,
+                          TimePoint Now);
+  /// Returns the average rate of what was borrowed, over about 1 s.
+  static double loanRate(const Account &A, TimePoint Now);
+  /// Returns the rate and the burst that can be leased, loans included.
+  QuotaAmount usableShare(const Account &A, TimePoint Now) const;
+  /// Returns how many tokens are lacking for the present demand.
+  double lackOf(const Account &A, TimePoint Now) const;
+  /// Ends what the borrower does not need of its loans from \p Lender.
+  /// \returns what it still counts of them.
+  static double returnLoans(Account &A, const DataCentre &Lender,
+                            TimePoint Now);
   static void removeExpired(Account &A, TimePoint Now);
   void resizePool(Account &A, const QuotaAmount &Share, TimePoint Now) const;
   /// Returns how many tokens \p Self lacks; a negative number if it has more
@@ -166,11 +265,15 @@
   bool Started = false;
   bool SpreadsAll = false;
   TimePoint GrantsFreelyAt{};
-  bool FollowsAnother = false; ///< Another allocator was before.
+  TimePoint FormerLoansEndAt{}; ///< Loans of the former allocator.
+  bool FollowsAnother = false;  ///< Another allocator was before.
   TimePoint CleanedAt{};
   TimePoint ConfirmedAt{};
   std::map<WorkspaceName, Account> Accounts;
   std::map<QuotaHolderId, HolderState> Holders;
+  std::set<WorkspaceName> Lacking; ///< Lacked tokens at their last report.
+  QuotaLoanNumbers LoanNumbers;
+  QuotaLoanOrder LoanOrder;
 };
 
 /// Divides \p Total by max-min fairness; returns the part of \p Demands[Index].
--- a/src/policy/quotas/QuotaAmount.h
+++ b/src/policy/quotas/QuotaAmount.h
@@ -15,6 +15,7 @@
 #include "policy/AccessPlan.h"
 
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 namespace amaranthspur {
@@ -98,6 +99,29 @@
   Duration Length{}; ///< From the time at which the request was sent.
 };
 
+/// The tokens of one workspace that a data centre wants to borrow.
+struct QuotaLoanWish {
+  WorkspaceName Workspace;
+  double Tokens = 0;
+  /// Tokens of earlier loans of this lender that the borrower may still have;
+  /// the lender counts no more than that. Nothing if it is not known.
+  std::optional<double> Held{};
+};
+
+/// What the allocator of one data centre asks the one of another for.
+struct QuotaLoanRequest {
+  QuotaHolderId Borrower;
+  std::uint64_t Sequence = 0; ///< Increases with each request to a lender.
+  std::vector<QuotaLoanWish> Wishes;
+};
+
+/// A loan, which cannot be renewed.
+struct QuotaLoan {
+  WorkspaceName Workspace;
+  double Tokens = 0;
+  Duration Length{}; ///< From the time at which the request was sent.
+};
+
 } // namespace amaranthspur
 
 #endif // AMARANTHSPUR_POLICY_QUOTAS_QUOTAAMOUNT_H
