--- a/src/policy/quotas/QuotaAllocator.h
+++ b/src/policy/quotas/QuotaAllocator.h
@@ -114,8 +114,9 @@
   /// Loans are granted for this time after a confirmation. They then end no
   /// later than the leases of the same allocator.
   static constexpr Duration LendingTime = ConfirmationTime - LoanLength;
-  /// Part of a burst that is lent at most. In steady state a lender of its
-  /// whole rate has lent about 0.9 s of it.
+  /// Part of a burst that is lent at most. A smaller one would limit the rate
+  /// that can be lent; a larger one would leave less to an allocator that
+  /// follows.
   static constexpr double LoanPart = 0.7;
   /// Beside BurstSeconds of the demand of the holders, tokens are borrowed for
   /// this time of the demand above the own rate. It covers the interval of the
