--- a/src/policy/RouteChoice.h
+++ b/src/policy/RouteChoice.h
@@ -99,9 +99,8 @@
   // A workspace needs connections of its own, which no entry VM but its home
   // can keep.
   if (Query.Of.empty())
-    return IsShared && Forwarders.isForwarded(Query)
-               ? StatementPlace::Forwarder
-               : StatementPlace::Here;
+    return IsShared && Forwarders.isForwarded(Query) ? StatementPlace::Forwarder
+                                                     : StatementPlace::Here;
   if (Forwarders.isHome(Query))
     return StatementPlace::OwnHome;
   return Forwarders.isForwarded(Query) ? StatementPlace::OtherHome
