--- a/src/policy/testing/ForwarderChoiceTest.cpp
+++ b/src/policy/testing/ForwarderChoiceTest.cpp
@@ -267,6 +267,7 @@
     HomeChoice Choice(EntryVmId("self"), {DataCentre("a1"), Regions});
     Choice.setOwn(Own);
     std::vector<RemoteForwarders> Others;
+    Others.reserve(R.Known.size());
     for (const char *Place : R.Known)
       Others.push_back(All.at(Place));
     Choice.setRemote(Others);
