--- a/src/core/Types.h
+++ b/src/core/Types.h
@@ -30,6 +30,7 @@
 using EntryVmId = Identifier<struct EntryVmTag>;
 using CallerName = Identifier<struct CallerTag>;
 using ClassName = Identifier<struct ClassTag>;
+using WorkspaceName = Identifier<struct WorkspaceTag>;
 using DataCentre = Identifier<struct DataCentreTag>;
 using Region = Identifier<struct RegionTag>;
 
--- a/src/platform/Documents.cpp
+++ b/src/platform/Documents.cpp
@@ -23,6 +23,8 @@
 /// Bounds of the numbers in a registration. Up to MaxExactInteger (2^53) a JSON
 /// number is exact.
 constexpr double MaxSlots = 1e6;
+/// Bound of the numbers of a quota, in operations per second.
+constexpr double MaxQuota = 1e9;
 constexpr double MaxExactInteger = 9007199254740992.0;
 
 /// Defaults for limits that are missing in the configuration. Most sites
@@ -76,6 +78,7 @@
       static_cast<unsigned>(std::max<qint64>(0, O["priority"].toInteger(0)));
   Route.MaxAttempts = static_cast<unsigned>(
       std::max<qint64>(1, O["max-attempts"].toInteger(1)));
+  Route.Anonymous = O["anonymous"].toBool(false);
   return Route;
 }
 
@@ -88,6 +91,61 @@
   return Limits;
 }
 
+Result<Workspace> decodeWorkspace(const QJsonObject &O,
+                                  const std::string &Name) {
+  const auto Malformed = [&Name](const char *Problem) {
+    return Error{"workspace \"" + Name + "\" of the configuration has " +
+                 Problem};
+  };
+  Workspace Decoded;
+  const QJsonValue Urgency = O["priority"];
+  if (!Urgency.isUndefined() &&
+      (!isInteger(Urgency) || !isWithin(Urgency, 0, MaxSlots)))
+    return Malformed("an invalid priority");
+  Decoded.Urgency = static_cast<unsigned>(Urgency.toInteger(0));
+  const QJsonValue Rate = O["rate-per-s"];
+  const QJsonValue Burst = O["burst"];
+  if (Rate.isUndefined() && Burst.isUndefined())
+    return Decoded;
+  if (!isWithin(Rate, 0, MaxQuota) ||
+      (!Burst.isUndefined() && !isWithin(Burst, 0, MaxQuota)))
+    return Malformed("an invalid quota");
+  Decoded.Quota = WorkspaceQuota{Rate.toDouble(), Burst.toDouble(0)};
+  return Decoded;
+}
+
+/// Decodes one entry of the list of workspaces into \p Plan.
+/// \returns the mistake, if there is one.
+std::optional<Error> addWorkspace(const QJsonValue &Entry, AccessPlan &Plan) {
+  const QJsonObject O = Entry.toObject();
+  const std::string Name = stringValue(O["name"]);
+  // A server is told the name as a word of a line.
+  const bool IsWord =
+      !Name.empty() && Name.find_first_of(" \t\r\n") == std::string::npos;
+  if (!IsWord)
+    return Error{"a workspace of the configuration has no valid name"};
+  const auto Malformed = [&Name](const char *Problem) {
+    return Error{"workspace \"" + Name + "\" of the configuration " + Problem};
+  };
+  Result<Workspace> Decoded = decodeWorkspace(O, Name);
+  if (!succeeded(Decoded))
+    return Error{errorOf(Decoded)};
+  const WorkspaceName Holder(Name);
+  if (!Plan.Workspaces.emplace(Holder, valueOf(std::move(Decoded))).second)
+    return Malformed("is listed twice");
+  if (!O["api-keys"].isArray())
+    return Malformed("has no list of keys");
+  const QJsonArray Keys = O["api-keys"].toArray();
+  for (const auto &Key : Keys) {
+    if (!Key.isString() || Key.toString().isEmpty())
+      return Malformed("has an invalid key");
+    const auto Known = Plan.KeyHolders.emplace(stringValue(Key), Holder).first;
+    if (Known->second != Holder)
+      return Malformed("has a key of another workspace");
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
 Result<AccessPlan> decodePlan(const std::string &Document) {
@@ -116,6 +174,13 @@
   }
   Plan.TransactionIdle = millisecondsOr(O["limits"].toObject()["tx-idle-ms"],
                                         DefaultTransactionIdleMs);
+  Plan.HasWorkspaces = O.contains("tenants");
+  if (Plan.HasWorkspaces && !O["tenants"].isArray())
+    return Error{"the workspaces of the configuration are not a list"};
+  const QJsonArray Workspaces = O["tenants"].toArray();
+  for (const auto &Entry : Workspaces)
+    if (std::optional<Error> Mistake = addWorkspace(Entry, Plan))
+      return std::move(*Mistake);
   return Plan;
 }
 
@@ -149,6 +214,7 @@
   Server.At = valueOf(std::move(At));
   Server.Location = DataCentre(stringValue(O["zone"]));
   Server.Draining = State == "draining";
+  Server.Slots = static_cast<unsigned>(O["slots"].toInteger(1));
   Server.StartedAtMs = O["born"].toInteger();
   Server.Version = Row.Version;
   Server.Role = parseName<ServerRole>(stringValue(O["db-role"]));
--- a/src/platform/LineCallerStream.cpp
+++ b/src/platform/LineCallerStream.cpp
@@ -34,7 +34,8 @@
           MalformedMessage{AnswerCode::Malformed, errorOf(Decoded)});
     lines::CallerLine Message = valueOf(std::move(Decoded));
     if (auto *Connect = std::get_if<lines::ConnectLine>(&Message))
-      co_return CallerMessage(SessionRequest{std::move(Connect->Database)});
+      co_return CallerMessage(SessionRequest{std::move(Connect->Database),
+                                             std::move(Connect->Key)});
     if (auto *S = std::get_if<Statement>(&Message))
       co_return CallerMessage(std::move(*S));
     co_return CallerMessage(CallerDisconnected{});
--- a/src/platform/LineCodec.cpp
+++ b/src/platform/LineCodec.cpp
@@ -192,6 +192,7 @@
     Connect.Database = takeWord(Rest);
     if (Connect.Database.empty())
       return malformed("CONNECT without a database");
+    Connect.Key = takeWord(Rest);
     return CallerLine(Connect);
   }
   if (Word == "BYE")
--- a/src/platform/LineCodec.h
+++ b/src/platform/LineCodec.h
@@ -47,6 +47,7 @@
 /// A caller's request to open a session on a database.
 struct ConnectLine {
   std::string Database;
+  std::string Key; ///< Identifies the caller; may be empty.
 };
 /// A caller's message that ends its session.
 struct ByeLine {};
@@ -65,7 +66,8 @@
 std::string encodeRejection(AnswerCode Code, std::string_view Detail);
 
 /// Encodes the first message on a connection to a server.
-/// \param ClientName name of this entry VM.
+/// \param ClientName name of the workspace that the connection is for, or of
+/// this entry VM if it is for none.
 /// \param Expected id of the intended server. A server with another id refuses
 /// the connection.
 std::string encodeConnect(const ServiceName &Service,
--- a/src/platform/LineServerLink.cpp
+++ b/src/platform/LineServerLink.cpp
@@ -189,6 +189,7 @@
 } // namespace
 
 QCoro::Task<OpenedLink> LineServerConnector::open(RegisteredServer Server,
+                                                  WorkspaceName For,
                                                   TimePoint Deadline) {
   QTcpSocket *Socket = co_await openSocket(Server.At, Deadline);
   if (!Socket)
@@ -196,8 +197,8 @@
                                      "cannot connect to " + Server.At.str()});
   auto Stream = std::make_unique<LineStream>(Socket);
   Stream->setTcpTimeouts(ServerTimeouts);
-  Stream->write(
-      lines::encodeConnect(Server.Service, this->Self.str(), Server.Id));
+  Stream->write(lines::encodeConnect(
+      Server.Service, For.empty() ? this->Self.str() : For.str(), Server.Id));
   std::optional<OpenFailure> Failure = co_await readGreeting(*Stream, Deadline);
   if (Failure)
     co_return OpenedLink(std::move(*Failure));
--- a/src/platform/LineServerLink.h
+++ b/src/platform/LineServerLink.h
@@ -19,7 +19,7 @@
                                AbandonedCallObserver *Observer = nullptr)
       : Self(std::move(Self)), Observer(Observer) {}
 
-  QCoro::Task<OpenedLink> open(RegisteredServer Server,
+  QCoro::Task<OpenedLink> open(RegisteredServer Server, WorkspaceName For,
                                TimePoint Deadline) override;
 
 private:
--- a/src/platform/testing/AbandonedCallTest.cpp
+++ b/src/platform/testing/AbandonedCallTest.cpp
@@ -83,8 +83,8 @@
   Server.Service = ServiceName("ledger");
   Server.At = Listener.address();
   greet(Listener);
-  OpenedLink Opened =
-      runTask(Connector.open(Server, steadyNow() + std::chrono::seconds(5)));
+  OpenedLink Opened = runTask(Connector.open(
+      Server, WorkspaceName(), steadyNow() + std::chrono::seconds(5)));
   REQUIRE(std::holds_alternative<std::unique_ptr<ServerLink>>(Opened));
   return std::move(std::get<std::unique_ptr<ServerLink>>(Opened));
 }
--- a/src/platform/testing/DocumentsTest.cpp
+++ b/src/platform/testing/DocumentsTest.cpp
@@ -101,6 +101,114 @@
   }
 }
 
+// Guards against callers without a valid key, against a quota that is not
+// enforced, and against a malformed list of which a part is applied.
+TEST_CASE("workspaces are decoded completely or rejected") {
+  const auto Document = [](const std::string &Tenants) {
+    return R"({"version":7,"routes":[],"services":[])" + Tenants + "}";
+  };
+  const auto List = [&Document](const std::string &Entries) {
+    return Document(",\"tenants\":[" + Entries + "]");
+  };
+  const std::string X =
+      R"({"name":"x","api-keys":["k1","k2"],"priority":1,"rate-per-s":262,)"
+      R"("burst":131})";
+  std::string Many;
+  for (int I = 0; I < 10000; ++I) {
+    const std::string N = std::to_string(I);
+    Many += std::string(I == 0 ? "" : ",") + "{\"name\":\"t" + N +
+            "\",\"api-keys\":[\"secret" + N + "\"],\"rate-per-s\":1}";
+  }
+  struct Row {
+    const char *Name;
+    std::string Document;
+    bool Good;
+    std::size_t Workspaces = 0;
+    std::size_t Keys = 0;
+  };
+  const Row Rows[] = {
+      {"no list", Document(""), true},
+      {"an empty list", List(""), true},
+      {"one workspace", List(X), true, 1, 2},
+      {"without a quota", List(R"({"name":"x","api-keys":["k"]})"), true, 1, 1},
+      {"without keys", List(R"({"name":"x","api-keys":[]})"), true, 1, 0},
+      {"10,000 workspaces", List(Many), true, 10000, 10000},
+      {"an unknown field", List(replaced(X, "{", "{\"new\":[[1]],")), true, 1,
+       2},
+      {"the same key twice", List(replaced(X, "k2", "k1")), true, 1, 1},
+      {"not a list", Document(R"(,"tenants":{})"), false},
+      {"an entry of the wrong type", List("7"), false},
+      {"no name", List(replaced(X, "\"name\":\"x\",", "")), false},
+      {"an empty name", List(replaced(X, "\"x\"", "\"\"")), false},
+      {"a name of two words", List(replaced(X, "\"x\"", "\"x y\"")), false},
+      {"a name with a line end", List(replaced(X, "\"x\"", "\"x\\r\\n\"")),
+       false},
+      {"listed twice", List(X + "," + replaced(X, "k1", "k3")), false},
+      {"no list of keys", List(R"({"name":"x"})"), false},
+      {"keys of the wrong type",
+       List(R"({"name":"x","api-keys":"secret-key"})"), false},
+      {"a key of the wrong type", List(R"({"name":"x","api-keys":[7]})"),
+       false},
+      {"nested keys", List(R"({"name":"x","api-keys":[["secret-key"]]})"),
+       false},
+      {"an empty key", List(R"({"name":"x","api-keys":[""]})"), false},
+      {"a key of two workspaces",
+       List(R"({"name":"x","api-keys":["secret-key"]},)"
+            R"({"name":"y","api-keys":["secret-key"]})"),
+       false},
+      {"negative rate", List(replaced(X, "262", "-1")), false},
+      {"rate of the wrong type", List(replaced(X, "262", "\"262\"")), false},
+      {"rate beyond any number", List(replaced(X, "262", "1e300")), false},
+      {"negative burst", List(replaced(X, "131", "-1")), false},
+      {"burst without a rate", List(R"({"name":"x","api-keys":[],"burst":1})"),
+       false},
+      {"priority with a fraction",
+       List(replaced(X, "\"priority\":1", "\"priority\":1.5")), false},
+      {"very deeply nested", List(std::string(100000, '[')), false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    const Result<AccessPlan> Decoded = decodePlan(R.Document);
+    CHECK(succeeded(Decoded) == R.Good);
+    if (!succeeded(Decoded)) {
+      CHECK(errorOf(Decoded).find("secret") == std::string::npos);
+      continue;
+    }
+    CHECK(valueOf(Decoded).Workspaces.size() == R.Workspaces);
+    CHECK(valueOf(Decoded).KeyHolders.size() == R.Keys);
+  }
+  const Result<AccessPlan> Decoded = decodePlan(List(X));
+  REQUIRE(succeeded(Decoded));
+  CHECK(valueOf(Decoded).Workspaces.at(WorkspaceName("x")).Quota ==
+        WorkspaceQuota{262, 131});
+
+  DatabaseRoute Keyed;
+  DatabaseRoute Anonymous;
+  Anonymous.Anonymous = true;
+  struct Access {
+    const char *Name;
+    std::string Document;
+    const DatabaseRoute &Route;
+    const char *Key;
+    std::optional<WorkspaceName> Of;
+  };
+  const Access Cases[] = {
+      {"valid key", List(X), Keyed, "k2", WorkspaceName("x")},
+      {"unknown key", List(X), Keyed, "k", std::nullopt},
+      {"no key", List(X), Keyed, "", std::nullopt},
+      {"anonymous route", List(X), Anonymous, "k", WorkspaceName()},
+      {"no workspace is left", List(""), Keyed, "k1", std::nullopt},
+      {"a deployment without workspaces", Document(""), Keyed, "k",
+       WorkspaceName()},
+  };
+  for (const Access &C : Cases) {
+    CAPTURE(C.Name);
+    const Result<AccessPlan> Plan = decodePlan(C.Document);
+    REQUIRE(succeeded(Plan));
+    CHECK(valueOf(Plan).workspaceOf(C.Route, C.Key) == C.Of);
+  }
+}
+
 // Guards against a malformed configuration of which a part is applied.
 TEST_CASE("a configuration is decoded completely or rejected") {
   const std::string Good =
--- a/src/policy/AccessPlan.h
+++ b/src/policy/AccessPlan.h
@@ -40,6 +40,21 @@
   Duration LatencyObjective{}; ///< For a whole operation.
   unsigned MaxAttempts = 1;    ///< Limit of sends of one statement.
   unsigned Urgency = 0;        ///< 0 is the most urgent.
+  bool Anonymous = false;      ///< Callers need no key.
+};
+
+/// The limit on the operations of a workspace, on all entry VMs together.
+struct WorkspaceQuota {
+  double RatePerSecond = 0;
+  double Burst = 0;
+
+  bool operator==(const WorkspaceQuota &) const = default;
+};
+
+/// A workspace on whose behalf callers use the databases.
+struct Workspace {
+  unsigned Urgency = 0;                ///< 0 is the most urgent.
+  std::optional<WorkspaceQuota> Quota; ///< Nothing if it is not limited.
 };
 
 /// The limits of a service.
@@ -55,6 +70,24 @@
   std::map<std::string, DatabaseRoute> Databases; ///< By name.
   std::map<ServiceName, ServiceLimits> Services;
   Duration TransactionIdle{}; ///< A transaction idle for longer may be ended.
+  /// Whether callers need the key of a workspace. The set of workspaces may be
+  /// empty: then no key is valid.
+  bool HasWorkspaces = false;
+  std::map<WorkspaceName, Workspace> Workspaces;
+  std::map<std::string, WorkspaceName> KeyHolders; ///< By access key.
+
+  /// Returns the workspace of a caller that presents \p Key for \p Route. The
+  /// name is empty if the route needs none.
+  /// \returns nothing if the key is not valid.
+  std::optional<WorkspaceName> workspaceOf(const DatabaseRoute &Route,
+                                           const std::string &Key) const {
+    if (!this->HasWorkspaces || Route.Anonymous)
+      return WorkspaceName();
+    const auto Holder = this->KeyHolders.find(Key);
+    if (Holder == this->KeyHolders.end())
+      return std::nullopt;
+    return Holder->second;
+  }
 };
 
 /// A backend server as it is registered.
@@ -64,6 +97,7 @@
   Address At;
   DataCentre Location;
   bool Draining = false;
+  unsigned Slots = 1;           ///< Statements that it runs at the same time.
   std::int64_t StartedAtMs = 0; ///< Time of the start; differs after a restart.
   std::optional<ServerRole> Role; ///< As reported by the server itself.
   std::uint64_t Version = 0;      ///< Version of the registration.
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -324,7 +324,9 @@
   if (!Pool)
     co_return std::nullopt;
   const TimePoint Deadline = steadyNow() + StatusTimeout;
-  AcquiredLink Acquired = co_await Pool->acquire({}, ControlUrgency, Deadline);
+  LinkRequest Wanted;
+  Wanted.Urgency = ControlUrgency;
+  AcquiredLink Acquired = co_await Pool->acquire(std::move(Wanted), Deadline);
   if (const auto *Failure = std::get_if<OpenFailure>(&Acquired)) {
     this->observeOpenFailure(Id, *Failure);
     co_return std::nullopt;
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -266,8 +266,8 @@
   const std::optional<ServerRole> Role =
       Belief ? Belief->Role : Registration.Role;
   const TimePoint Deadline = steadyNow() + CallTimeout;
-  OpenedLink Opened =
-      co_await this->Monitored->connector().open(Registration, Deadline);
+  OpenedLink Opened = co_await this->Monitored->connector().open(
+      Registration, WorkspaceName(), Deadline);
   if (const auto *Failure = std::get_if<OpenFailure>(&Opened)) {
     // A server that accepts connections is alive, however long its queue is.
     if (Failure->Reached)
--- a/src/root/groups/ServerLink.h
+++ b/src/root/groups/ServerLink.h
@@ -87,8 +87,10 @@
 
   /// Opens a connection to \p Server. The server at that address refuses the
   /// connection if it is not the one that was registered.
-  virtual QCoro::Task<OpenedLink> open(RegisteredServer Server,
-                                       TimePoint Deadline) = 0;
+  /// \param For the workspace whose statements the connection runs; empty for
+  /// none.
+  virtual QCoro::Task<OpenedLink>
+  open(RegisteredServer Server, WorkspaceName For, TimePoint Deadline) = 0;
 };
 
 } // namespace amaranthspur
--- a/src/root/groups/ServerPool.cpp
+++ b/src/root/groups/ServerPool.cpp
@@ -60,33 +60,45 @@
   co_return std::nullopt;
 }
 
-std::unique_ptr<PooledLink>
-ServerPool::takeIdle(const SessionSettingValues &Values) {
+std::unique_ptr<PooledLink> ServerPool::takeIdle(const LinkRequest &Wanted) {
   std::erase_if(this->Idle, [](const std::unique_ptr<PooledLink> &Link) {
     return !Link->Link->isUsable();
   });
-  if (this->Idle.empty())
-    return nullptr;
+  const auto IsAllowed = [&Wanted](const auto &Link) {
+    return !Wanted.For || Link->For == *Wanted.For;
+  };
   auto Chosen = std::find_if(
-      this->Idle.rbegin(), this->Idle.rend(),
-      [&Values](const auto &Link) { return Link->Values == Values; });
+      this->Idle.rbegin(), this->Idle.rend(), [&](const auto &Link) {
+        return IsAllowed(Link) && Link->Values == Wanted.Values;
+      });
   // If no idle connection has these settings, the most recently used one is
   // chosen, so that surplus connections stay idle and reach their idle timeout.
   if (Chosen == this->Idle.rend())
-    Chosen = this->Idle.rbegin();
+    Chosen = std::find_if(this->Idle.rbegin(), this->Idle.rend(), IsAllowed);
+  if (Chosen == this->Idle.rend())
+    return nullptr;
   std::unique_ptr<PooledLink> Link = std::move(*Chosen);
   this->Idle.erase(std::next(Chosen).base());
   return Link;
 }
 
+bool ServerPool::makeRoom() {
+  if (this->Share.mayOpen(this->open(), steadyNow()))
+    return true;
+  // Idle connections are ordered by time of release, the most recent last.
+  if (this->Idle.empty())
+    return false;
+  this->Idle.erase(this->Idle.begin());
+  return true;
+}
+
 QCoro::Task<std::optional<std::unique_ptr<PooledLink>>>
-ServerPool::waitForTurn(SessionSettingValues Values, Waiter Self,
-                        TimePoint Deadline) {
+ServerPool::waitForTurn(LinkRequest Wanted, Waiter Self, TimePoint Deadline) {
   std::optional<std::unique_ptr<PooledLink>> Turn;
   while (true) {
     if (*this->Waiting.begin() == Self) {
-      Turn = this->takeIdle(Values);
-      if (*Turn || this->Share.mayOpen(this->open(), steadyNow()))
+      Turn = this->takeIdle(Wanted);
+      if (*Turn || this->makeRoom())
         co_return Turn;
       Turn.reset();
     }
@@ -98,13 +110,13 @@
   }
 }
 
-QCoro::Task<AcquiredLink> ServerPool::acquire(SessionSettingValues Values,
-                                              unsigned Urgency,
+QCoro::Task<AcquiredLink> ServerPool::acquire(LinkRequest Wanted,
                                               TimePoint Deadline) {
-  const Waiter Self{Urgency, ++this->LastSequence};
+  const Waiter Self{Wanted.Urgency, ++this->LastSequence};
+  const WorkspaceName For = Wanted.For.value_or(WorkspaceName());
   this->Waiting.insert(Self);
   std::optional<std::unique_ptr<PooledLink>> Turn =
-      co_await this->waitForTurn(std::move(Values), Self, Deadline);
+      co_await this->waitForTurn(std::move(Wanted), Self, Deadline);
   this->Waiting.erase(Self);
   // The next task in the queue may find a connection available.
   this->Released.notifyAll();
@@ -116,7 +128,7 @@
   if (*Turn)
     co_return AcquiredLink(std::move(*Turn));
   OpenedLink Opened = co_await this->Connector.open(
-      this->Server, std::min(Deadline, steadyNow() + OpenTimeout));
+      this->Server, For, std::min(Deadline, steadyNow() + OpenTimeout));
   if (auto *Failure = std::get_if<OpenFailure>(&Opened)) {
     --this->InUse;
     if (Failure->Code == AnswerCode::TooManyConnections)
@@ -126,6 +138,7 @@
   }
   auto Link = std::make_unique<PooledLink>();
   Link->Link = std::move(std::get<std::unique_ptr<ServerLink>>(Opened));
+  Link->For = For;
   co_return AcquiredLink(std::move(Link));
 }
 
--- a/src/root/groups/ServerPool.h
+++ b/src/root/groups/ServerPool.h
@@ -32,9 +32,19 @@
 /// Settings of a session by name.
 using SessionSettingValues = std::map<std::string, std::string>;
 
+/// What a task needs of a connection.
+struct LinkRequest {
+  /// The workspace that the connection must be for; empty for none. Nothing:
+  /// any connection will do, for statements of the proxy itself.
+  std::optional<WorkspaceName> For;
+  SessionSettingValues Values; ///< Preferred settings.
+  unsigned Urgency = 0;        ///< 0 is the most urgent.
+};
+
 /// A connection with its settings and prepared statements.
 struct PooledLink {
   std::unique_ptr<ServerLink> Link;
+  WorkspaceName For; ///< It runs the statements of this workspace only.
   SessionSettingValues Values;
   std::set<std::string> Prepared; ///< By preparedStatementName().
   TimePoint IdleSince{};
@@ -59,7 +69,8 @@
 ///
 /// Invariants: a connection is opened only while the number that are open or
 /// being opened is below the pool's share. Waiting tasks are served by urgency,
-/// and in order of arrival among those of equal urgency.
+/// and in order of arrival among those of equal urgency. A connection runs the
+/// statements of one workspace from its opening to its end.
 class ServerPool {
 public:
   /// Timeout for opening a connection. It costs 12 ms of a server slot, which
@@ -77,11 +88,11 @@
   const RegisteredServer &server() const { return this->Server; }
   ConnectionShare &share() { return this->Share; }
 
-  /// Acquires an idle connection, preferably one with the settings \p Values,
-  /// or opens one. Waits while the pool's whole share is in use.
-  /// \param Urgency of the statement; 0 is the most urgent.
-  QCoro::Task<AcquiredLink> acquire(SessionSettingValues Values,
-                                    unsigned Urgency, TimePoint Deadline);
+  /// Acquires an idle connection of the workspace, preferably one with the same
+  /// settings, or opens one. If the share allows none more, the idle connection
+  /// of another workspace that was unused for longest is closed for it. Waits
+  /// while the pool's whole share is in use.
+  QCoro::Task<AcquiredLink> acquire(LinkRequest Wanted, TimePoint Deadline);
 
   /// Returns a connection to the pool. It is closed if it is unusable or beyond
   /// the share.
@@ -116,9 +127,12 @@
   /// \returns an idle connection, null if one may be opened, or nothing if
   /// \p Deadline passes first.
   QCoro::Task<std::optional<std::unique_ptr<PooledLink>>>
-  waitForTurn(SessionSettingValues Values, Waiter Self, TimePoint Deadline);
+  waitForTurn(LinkRequest Wanted, Waiter Self, TimePoint Deadline);
   Duration idleTimeout(const PooledLink &Link, TimePoint Now) const;
-  std::unique_ptr<PooledLink> takeIdle(const SessionSettingValues &Values);
+  std::unique_ptr<PooledLink> takeIdle(const LinkRequest &Wanted);
+  /// Returns whether a connection may be opened. Closes an idle one first if
+  /// that is needed.
+  bool makeRoom();
 
   ServerConnector &Connector;
   RegisteredServer Server;
--- a/src/root/groups/testing/ServerPoolTest.cpp
+++ b/src/root/groups/testing/ServerPoolTest.cpp
@@ -20,8 +20,10 @@
 QCoro::Task<> use(ServerPool &Pool, unsigned Urgency, std::string Name,
                   std::vector<std::string> &Order, TaskGroup &Users) {
   const TaskGroup::Guard Guard(Users);
+  LinkRequest Wanted;
+  Wanted.Urgency = Urgency;
   AcquiredLink Taken =
-      co_await Pool.acquire({}, Urgency, steadyNow() + WaitLimit);
+      co_await Pool.acquire(std::move(Wanted), steadyNow() + WaitLimit);
   auto *Link = std::get_if<std::unique_ptr<PooledLink>>(&Taken);
   if (!Link)
     co_return;
@@ -83,7 +85,8 @@
   Pool.share().setMaximum(33);
   std::vector<std::unique_ptr<PooledLink>> Links;
   for (int I = 0; I < 3; ++I) {
-    AcquiredLink Taken = runTask(Pool.acquire({}, 0, steadyNow() + WaitLimit));
+    AcquiredLink Taken =
+        runTask(Pool.acquire(LinkRequest(), steadyNow() + WaitLimit));
     auto *Link = std::get_if<std::unique_ptr<PooledLink>>(&Taken);
     REQUIRE(Link);
     Links.push_back(std::move(*Link));
@@ -96,3 +99,56 @@
   Pool.closeIdle(steadyNow() + ConnectionShare::IdleTimeout * 2);
   CHECK(Pool.open() == 0);
 }
+
+// Guards against a statement that runs on the connection of another workspace,
+// and against a pool that cannot serve a workspace because idle connections of
+// others use up its share.
+TEST_CASE("a connection serves one workspace") {
+  struct Row {
+    const char *Name;
+    std::size_t Share;
+    std::vector<std::string> Users; ///< Workspaces, one after the other.
+    std::vector<std::string> Opened;
+    std::size_t Open; ///< At the end.
+  };
+  const Row Rows[] = {
+      {"one workspace", 2, {"x", "x", "x"}, {"x"}, 1},
+      {"two workspaces", 2, {"x", "y", "x", "y"}, {"x", "y"}, 2},
+      {"the least recently used one is closed",
+       2,
+       {"x", "y", "x", "z", "x", "y"},
+       {"x", "y", "z", "y"},
+       2},
+      {"without a workspace", 2, {"", "x", ""}, {"", "x"}, 2},
+      {"any connection serves the proxy itself",
+       2,
+       {"x", "any", "any"},
+       {"x"},
+       1},
+  };
+  testApplication();
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    LineGroup Group;
+    const RegisteredServer Server = Group.registrations().front();
+    ServerPool Pool(Group, Server);
+    Pool.share().setMaximum(R.Share);
+    // A refusal keeps the share from growing.
+    Pool.share().observeRefusal(3, steadyNow());
+    REQUIRE(Pool.share().limit() == R.Share);
+    for (const std::string &User : R.Users) {
+      LinkRequest Wanted;
+      if (User != "any")
+        Wanted.For = WorkspaceName(User);
+      AcquiredLink Taken =
+          runTask(Pool.acquire(Wanted, steadyNow() + WaitLimit));
+      auto *Link = std::get_if<std::unique_ptr<PooledLink>>(&Taken);
+      REQUIRE(Link);
+      if (Wanted.For)
+        CHECK((*Link)->For == *Wanted.For);
+      Pool.release(std::move(*Link));
+    }
+    CHECK(Group[Server.Id.str()].OpenedFor == R.Opened);
+    CHECK(Pool.open() == R.Open);
+  }
+}
--- a/src/root/relay/ReadCodec.cpp
+++ b/src/root/relay/ReadCodec.cpp
@@ -42,6 +42,7 @@
   }
   Message.mutable_floor()->set_term(Read.Floor.TermNumber);
   Message.mutable_floor()->set_index(Read.Floor.Index);
+  Message.set_workspace(Read.Workspace.str());
   Message.set_urgency(Read.Urgency);
   Message.set_deadline_us(Read.Remaining.count());
   Message.set_dispatch_us(Read.DispatchIn.count());
@@ -79,6 +80,9 @@
   if (!Message.has_floor())
     return Error{"the forwarded read has no floor"};
   Read.Floor = {Message.floor().term(), Message.floor().index()};
+  if (!Message.workspace().empty() && !isWord(Message.workspace()))
+    return Error{"the workspace of the forwarded read is malformed"};
+  Read.Workspace = WorkspaceName(Message.workspace());
   Read.Urgency = Message.urgency();
   Read.Remaining = limited(Message.deadline_us());
   Read.DispatchIn = limited(Message.dispatch_us());
--- a/src/root/sessions/CallerStream.h
+++ b/src/root/sessions/CallerStream.h
@@ -17,6 +17,7 @@
 /// The caller asks for a session on a database.
 struct SessionRequest {
   std::string Database;
+  std::string Key; ///< Identifies the workspace; must not be logged.
 };
 /// The caller ends its session, or its connection is gone.
 struct CallerDisconnected {};
--- a/src/root/sessions/ForwardedRead.h
+++ b/src/root/sessions/ForwardedRead.h
@@ -20,7 +20,8 @@
 struct ForwardedRead {
   ServiceName Service;
   Statement Read;
-  LogPosition Floor; ///< The server's log must reach it.
+  LogPosition Floor;       ///< The server's log must reach it.
+  WorkspaceName Workspace; ///< Of the caller; empty for none.
   SessionSettingValues Values;
   std::optional<PreparedStatement> Prepared; ///< For Execute.
   unsigned Urgency = 0;
--- a/src/root/sessions/LocalReads.cpp
+++ b/src/root/sessions/LocalReads.cpp
@@ -15,6 +15,7 @@
   E.Route.Service = Read.Service;
   E.Route.Consistency = ReadConsistency::BoundedStaleness;
   E.Route.Urgency = Read.Urgency;
+  E.Workspace = std::move(Read.Workspace);
   E.Values = std::move(Read.Values);
   E.Prepared = std::move(Read.Prepared);
   E.Arrived = steadyNow();
--- a/src/root/sessions/Session.cpp
+++ b/src/root/sessions/Session.cpp
@@ -60,6 +60,7 @@
     co_return false;
   }
   this->Database = Request->Database;
+  this->Key = Request->Key;
   const TimePoint Limit = steadyNow() + PlanTimeout;
   while (this->Dependencies.Directory.plan()->Revision == 0 &&
          steadyNow() < Limit && !this->Finishing)
@@ -71,19 +72,25 @@
   }
   const std::shared_ptr<const AccessPlan> Plan =
       this->Dependencies.Directory.plan();
-  if (Plan->Databases.count(this->Database) > 0) {
+  const auto Route = Plan->Databases.find(this->Database);
+  const bool HasRoute = Route != Plan->Databases.end();
+  if (HasRoute && Plan->workspaceOf(Route->second, this->Key)) {
     this->Caller->greet();
     this->Dependencies.Counters.add(Counter::CallerConnections);
-    this->countReader(Plan->Databases.at(this->Database));
+    this->countReader(Route->second);
     co_return true;
   }
-  const bool Unknown = Plan->Revision != 0;
-  this->Dependencies.Counters.add(Counter::CallersRejected,
-                                  Unknown ? "unknown database"
-                                          : "no configuration");
+  std::string_view Why = "no configuration";
+  if (HasRoute)
+    Why = "invalid key";
+  else if (Plan->Revision != 0)
+    Why = "unknown database";
+  this->Dependencies.Counters.add(Counter::CallersRejected, Why);
   log(LogLevel::Info, LogEvent::SessionRejected,
-      {{"database", this->Database}, {"plan", Plan->Revision}});
-  if (Unknown)
+      {{"database", this->Database}, {"plan", Plan->Revision}, {"why", Why}});
+  if (HasRoute)
+    this->Caller->reject(AnswerCode::NotAuthorised, "the key is not valid");
+  else if (Plan->Revision != 0)
     this->Caller->reject(AnswerCode::UnknownDatabase, this->Database);
   else
     this->Caller->reject(AnswerCode::Busy, "no configuration yet");
@@ -163,7 +170,7 @@
     this->Caller->send(A);
     const bool Taken =
         co_await this->Caller->flushed(steadyNow() + SendTimeout);
-    if (!Taken)
+    if (!Taken || A.Code == AnswerCode::NotAuthorised)
       co_return;
   }
 }
@@ -179,6 +186,8 @@
       co_await this->abandonTransaction(std::nullopt);
     co_return this->handleInFailedTransaction(S);
   }
+  if (!this->mayContinueTransaction())
+    co_return co_await this->abortForKey(std::move(S));
   switch (S.Kind) {
   case StatementVerb::Begin:
     co_return this->handleBegin(S);
@@ -210,14 +219,31 @@
 }
 
 QCoro::Task<Answer> Session::abortForStop(Statement S) {
+  return this->abortTransaction(std::move(S), "this entry VM is stopping");
+}
+
+bool Session::mayContinueTransaction() const {
+  if (this->State != TransactionState::InTransaction)
+    return true;
+  const std::optional<WorkspaceName> Of =
+      this->Dependencies.Directory.plan()->workspaceOf(this->TransactionRoute,
+                                                       this->Key);
+  return Of && *Of == this->TransactionWorkspace;
+}
+
+QCoro::Task<Answer> Session::abortForKey(Statement S) {
+  return this->abortTransaction(std::move(S), "the key is no longer valid");
+}
+
+QCoro::Task<Answer> Session::abortTransaction(Statement S, std::string Why) {
   StatementContext E;
   E.Route = this->TransactionRoute;
+  E.Workspace = this->TransactionWorkspace;
   E.ServerGroup = this->TransactionGroup;
   E.Transaction = this->TransactionNumber;
   co_await this->abandonTransaction(std::nullopt);
   // No COMMIT was sent, so nothing of the transaction is kept.
-  Answer A =
-      failure(AnswerCode::Aborted, "this entry VM is stopping; rolled back");
+  Answer A = failure(AnswerCode::Aborted, Why + "; rolled back");
   if (S.Kind == StatementVerb::Commit)
     this->endTransaction();
   else
@@ -246,6 +272,7 @@
     return this->refuse(S, E, *Refused);
   this->TransactionGroup = E.ServerGroup;
   this->TransactionRoute = E.Route;
+  this->TransactionWorkspace = E.Workspace;
   this->TransactionBegin = S;
   ++this->TransactionNumber;
   this->TransactionArrived = steadyNow();
@@ -297,7 +324,12 @@
   const auto Route = Plan->Databases.find(this->Database);
   if (Route == Plan->Databases.end())
     return failure(AnswerCode::UnknownDatabase, this->Database);
+  const std::optional<WorkspaceName> Of =
+      Plan->workspaceOf(Route->second, this->Key);
+  if (!Of)
+    return failure(AnswerCode::NotAuthorised, "the key is not valid");
   E.Route = Route->second;
+  E.Workspace = *Of;
   E.ServerGroup = this->Dependencies.Groups.find(E.Route.Service);
   if (!E.ServerGroup)
     return refuseNotRun("the service is not configured");
@@ -367,6 +399,7 @@
 QCoro::Task<Answer> Session::handleInTransaction(Statement S) {
   StatementContext E;
   E.Route = this->TransactionRoute;
+  E.Workspace = this->TransactionWorkspace;
   E.ServerGroup = this->TransactionGroup;
   E.Transaction = this->TransactionNumber;
   if (std::optional<Answer> Refused = this->prepareContext(S, E))
@@ -429,6 +462,7 @@
     co_return failure(AnswerCode::Malformed, "no transaction is open");
   StatementContext E;
   E.Route = this->TransactionRoute;
+  E.Workspace = this->TransactionWorkspace;
   E.ServerGroup = this->TransactionGroup;
   E.Transaction = this->TransactionNumber;
   this->prepareContext(S, E);
@@ -548,6 +582,7 @@
       {{"id", S.Id},
        {"database", this->Database},
        {"service", E.Route.Service.str()},
+       {"workspace", E.Workspace.empty() ? "-" : E.Workspace.str()},
        {"session", this->Number},
        {"transaction", E.Transaction},
        {"kind", nameOf(S.Kind)},
--- a/src/root/sessions/Session.h
+++ b/src/root/sessions/Session.h
@@ -6,6 +6,10 @@
 //  - A transaction keeps its connection from its first statement to its end.
 //  - No statement is sent to a server for a caller that has disconnected, and a
 //    COMMIT only if the caller sent one.
+//  - The key of the caller is checked against the plan in force with each
+//    statement that needs a server. A transaction whose key has been withdrawn
+//    is rolled back, so that nothing is kept that the operator no longer
+//    allows.
 #ifndef AMARANTHSPUR_ROOT_SESSIONS_SESSION_H
 #define AMARANTHSPUR_ROOT_SESSIONS_SESSION_H
 
@@ -94,6 +98,14 @@
   /// Returns \p Limit, or the time by which a planned stop requires statements
   /// to have ended if that is sooner.
   TimePoint stopLimited(TimePoint Limit) const;
+  /// Returns whether the caller may still use the workspace for which the
+  /// transaction began.
+  bool mayContinueTransaction() const;
+  /// Rolls the transaction back because its key is no longer valid, and answers
+  /// \p S.
+  QCoro::Task<Answer> abortForKey(Statement S);
+  /// Rolls the transaction back and answers \p S, a statement of it.
+  QCoro::Task<Answer> abortTransaction(Statement S, std::string Why);
   /// Answers a statement after the transaction has failed.
   Answer handleInFailedTransaction(const Statement &S);
   Answer handleBegin(const Statement &S);
@@ -113,8 +125,8 @@
   /// \param Rollback the caller's ROLLBACK statement, or nothing if the caller
   /// sent none.
   QCoro::Task<> abandonTransaction(std::optional<Statement> Rollback);
-  /// Sets the route and the group of \p E; returns the refusal if there is no
-  /// route or no group.
+  /// Sets the route, the workspace and the group of \p E; returns the refusal
+  /// if there is no route or no group, or if the key is not valid.
   std::optional<Answer> findRoute(StatementContext &E) const;
   /// Sets the deadlines, the settings and the prepared statement of \p E;
   /// returns the refusal if the prepared statement is unknown.
@@ -137,6 +149,7 @@
   const SessionDependencies &Dependencies;
   std::unique_ptr<CallerStream> Caller;
   std::string Database;
+  std::string Key; ///< Must not be logged.
   std::unique_ptr<ReaderCount> Reader;
   SessionSettingValues Values;
   std::map<std::string, PreparedStatement> Prepared;
@@ -149,6 +162,7 @@
   TimePoint TransactionArrivedBoot; ///< Boot clock (core/BootClock.h).
   std::shared_ptr<Group> TransactionGroup;
   DatabaseRoute TransactionRoute;
+  WorkspaceName TransactionWorkspace;
   std::optional<OpenTransaction> Transaction; ///< Set by the first statement.
   bool TransactionWrote = false;
   std::uint64_t TransactionNumber = 0; ///< Of the current or last transaction.
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -67,8 +67,10 @@
   }
   if (Pool->isActive(steadyNow()))
     E.DispatchBy = std::max(E.DispatchBy, E.QueuedDispatchBy);
+  // g++ 12 destroys an aggregate temporary in a co_await expression twice.
+  LinkRequest Wanted{E.Workspace, E.Values, E.Route.Urgency};
   AcquiredLink Acquired = co_await Pool->acquire(
-      E.Values, E.Route.Urgency, std::min(Limit, dispatchDeadline(E)));
+      std::move(Wanted), std::min(Limit, dispatchDeadline(E)));
   if (const auto *Failure = std::get_if<OpenFailure>(&Acquired)) {
     const bool Full = Failure->Code == AnswerCode::TooManyConnections;
     recordFailedAttempt(E, Id, Full ? "no-connection" : "unreachable");
@@ -189,6 +191,7 @@
   Read.Service = E.Route.Service;
   Read.Read = std::move(S);
   Read.Floor = Floor;
+  Read.Workspace = E.Workspace;
   Read.Values = E.Values;
   Read.Prepared = E.Prepared;
   Read.Urgency = E.Route.Urgency;
--- a/src/root/sessions/StatementRunner.h
+++ b/src/root/sessions/StatementRunner.h
@@ -69,6 +69,7 @@
 struct StatementContext {
   std::shared_ptr<Group> ServerGroup;
   DatabaseRoute Route;
+  WorkspaceName Workspace; ///< Of the caller; empty for none.
   SessionSettingValues Values;
   std::optional<PreparedStatement> Prepared; ///< For Execute.
   std::optional<LogPosition> SessionFloor;   ///< Of the session's last commit.
--- a/src/root/sessions/testing/SessionTest.cpp
+++ b/src/root/sessions/testing/SessionTest.cpp
@@ -24,6 +24,7 @@
   struct Step {
     std::string Line;
     std::function<void()> Before = [] {};
+    Duration Pause{}; ///< Between the action and the line.
   };
 
   ScriptedCaller(std::deque<Step> Steps, std::vector<std::string> &Answers)
@@ -35,6 +36,8 @@
     const Step Next = this->Steps.front();
     this->Steps.pop_front();
     Next.Before();
+    if (Next.Pause > Duration::zero())
+      co_await sleepFor(Next.Pause);
     if (Next.Line.empty())
       co_return CallerMessage(NoMessage{});
     Result<lines::CallerLine> Decoded = lines::decodeCallerLine(Next.Line);
@@ -43,7 +46,7 @@
           MalformedMessage{AnswerCode::Malformed, errorOf(Decoded)});
     lines::CallerLine Message = valueOf(std::move(Decoded));
     if (auto *Connect = std::get_if<lines::ConnectLine>(&Message))
-      co_return CallerMessage(SessionRequest{Connect->Database});
+      co_return CallerMessage(SessionRequest{Connect->Database, Connect->Key});
     if (auto *S = std::get_if<Statement>(&Message))
       co_return CallerMessage(*S);
     co_return CallerMessage(CallerDisconnected{});
@@ -68,7 +71,8 @@
   std::vector<std::string> &Answers;
 };
 
-/// A table feed with one fixed configuration and one fixed group.
+/// A table feed with a configuration that a test can replace, and one fixed
+/// group.
 class FixedTables final : public TableFeed {
 public:
   explicit FixedTables(const LineGroup &Group) : Group(Group) {}
@@ -76,22 +80,32 @@
   QCoro::Task<Result<WatchedRows>> readTable(WatchedTable Table,
                                              TimePoint) override {
     WatchedRows Rows;
-    Rows.Version = 1;
+    Rows.Version = this->Version;
     if (Table == WatchedTable::Operator)
-      Rows.Rows.push_back({"config", Plan, 1, false});
+      Rows.Rows.push_back({"config", this->Plan, this->Version, false});
     else
       for (const RegisteredServer &R : this->Group.registrations())
         Rows.Rows.push_back({R.Id.str(), document(R), 1, false});
     co_return Rows;
   }
-  QCoro::Task<Result<WatchedRows>> awaitChanges(WatchedTable, std::uint64_t,
-                                                Duration) override {
+  QCoro::Task<Result<WatchedRows>>
+  awaitChanges(WatchedTable Table, std::uint64_t Known, Duration) override {
     co_await sleepFor(milliseconds(20));
     WatchedRows Rows;
-    Rows.Version = 1;
+    Rows.Version = this->Version;
+    if (Table == WatchedTable::Operator && Known < this->Version)
+      Rows.Rows.push_back({"config", this->Plan, this->Version, false});
     co_return Rows;
   }
 
+  /// Replaces the list of workspaces.
+  /// \param Revision higher than the one before.
+  void setWorkspaces(unsigned Revision, const std::string &List) {
+    ++this->Version;
+    this->Plan = std::string(Routes) + R"("tenants":)" + List +
+                 R"(,"version":)" + std::to_string(Revision) + "}";
+  }
+
 private:
   static std::string document(const RegisteredServer &R) {
     return R"({"service":"ledger","address":")" + R.At.str() +
@@ -100,13 +114,18 @@
            std::string(nameOf(*R.Role)) + "\"}";
   }
 
-  static constexpr const char *Plan =
-      R"({"version":3,"routes":[{"name":"r","host":"orders",)"
+  static constexpr const char *Routes =
+      R"({"routes":[{"name":"r","host":"orders",)"
       R"("route-type":"read_your_writes","timeout-ms":400,)"
-      R"("latency-goal-ms":400,"service":"ledger","max-staleness-ms":500}],)"
+      R"("latency-goal-ms":400,"service":"ledger","max-staleness-ms":500},)"
+      R"({"name":"p","host":"public","route-type":"primary",)"
+      R"("timeout-ms":400,"latency-goal-ms":400,"service":"ledger",)"
+      R"("anonymous":true}],)"
       R"("services":[{"name":"ledger","max-conns":33,"sync-replicas":1}],)"
-      R"("limits":{"tx-idle-ms":100}})";
+      R"("limits":{"tx-idle-ms":100},)";
   const LineGroup &Group;
+  std::string Plan = std::string(Routes) + R"("version":3})";
+  std::uint64_t Version = 1;
 };
 
 class NoPromotions final : public PromotionClient {
@@ -171,6 +190,8 @@
                                    this->Counters};
 };
 
+QCoro::Task<> pause(Duration Length) { co_await sleepFor(Length); }
+
 using Steps = std::deque<ScriptedCaller::Step>;
 using Texts = std::vector<std::string>;
 
@@ -392,3 +413,121 @@
         Texts{"zone=a BEGIN", "zone=a WRITE a b", "zone=b WRITE a c",
               "zone=b COMMIT"});
 }
+
+// Guards against a statement that runs for a caller without a valid key or for
+// another workspace, and against a withdrawn key that stays in use in a session
+// or a transaction that was open before.
+TEST_CASE("the key of a session decides for which workspace it runs") {
+  const std::string Both = R"([{"name":"x","api-keys":["kx"]},)"
+                           R"({"name":"y","api-keys":["ky"]}])";
+  const std::string OnlyY = R"([{"name":"x","api-keys":[]},)"
+                            R"({"name":"y","api-keys":["ky"]}])";
+  const std::string Moved = R"([{"name":"y","api-keys":["kx","ky"]}])";
+  struct Row {
+    const char *Name;
+    std::vector<const char *> Lines;
+    std::size_t ChangeBefore; ///< Index of the line before which Next applies.
+    std::string Next;
+    Texts Answers;
+    Texts RunFor; ///< Workspaces of the statements that ran.
+  };
+  const Row Rows[] = {
+      {"unknown key",
+       {"CONNECT orders k"},
+       9,
+       "",
+       {"rejected not-authorised"},
+       {}},
+      {"no key", {"CONNECT orders"}, 9, "", {"rejected not-authorised"}, {}},
+      {"the name of a workspace is not a key",
+       {"CONNECT orders x"},
+       9,
+       "",
+       {"rejected not-authorised"},
+       {}},
+      {"anonymous route",
+       {"CONNECT public", "QUERY 1 READ a"},
+       9,
+       "",
+       {"ready", "ok idle"},
+       {""}},
+      {"valid key",
+       {"CONNECT orders ky", "QUERY 1 WRITE a b", "QUERY 2 READ a"},
+       9,
+       "",
+       {"ready", "ok idle", "ok idle"},
+       {"y"}},
+      {"withdrawn between statements",
+       {"CONNECT orders kx", "QUERY 1 WRITE a b", "QUERY 2 WRITE a b",
+        "QUERY 3 READ a"},
+       2,
+       OnlyY,
+       {"ready", "ok idle", "not-authorised idle"},
+       {"x"}},
+      {"withdrawn before a transaction",
+       {"CONNECT orders kx", "QUERY 1 BEGIN"},
+       1,
+       OnlyY,
+       {"ready", "not-authorised idle"},
+       {}},
+      {"withdrawn in a transaction",
+       {"CONNECT orders kx", "QUERY 1 BEGIN", "QUERY 2 WRITE a b",
+        "QUERY 3 WRITE a b", "QUERY 4 ROLLBACK", "QUERY 5 BEGIN"},
+       3,
+       OnlyY,
+       {"ready", "ok in-transaction", "ok in-transaction", "aborted failed",
+        "ok idle", "not-authorised idle"},
+       {"x", "x"}},
+      {"withdrawn before COMMIT",
+       {"CONNECT orders kx", "QUERY 1 BEGIN", "QUERY 2 WRITE a b",
+        "QUERY 3 COMMIT"},
+       3,
+       OnlyY,
+       {"ready", "ok in-transaction", "ok in-transaction", "aborted idle"},
+       {"x", "x"}},
+      {"moved to another workspace",
+       {"CONNECT orders kx", "QUERY 1 WRITE a b", "QUERY 2 WRITE a b"},
+       2,
+       Moved,
+       {"ready", "ok idle", "ok idle"},
+       {"x", "y"}},
+      {"moved in a transaction",
+       {"CONNECT orders kx", "QUERY 1 BEGIN", "QUERY 2 WRITE a b",
+        "QUERY 3 COMMIT"},
+       3,
+       Moved,
+       {"ready", "ok in-transaction", "ok in-transaction", "aborted idle"},
+       {"x", "x"}},
+      {"an older version does not return",
+       {"CONNECT orders kx", "QUERY 1 WRITE a b"},
+       1,
+       "older",
+       {"ready", "ok idle"},
+       {"x"}},
+      {"a malformed version changes nothing",
+       {"CONNECT orders kx", "QUERY 1 WRITE a b"},
+       1,
+       R"([{"name":"x","api-keys":"ky"}])",
+       {"ready", "ok idle"},
+       {"x"}},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    F.Tables.setWorkspaces(7, Both);
+    runTask(pause(milliseconds(250)));
+    Steps Script;
+    for (const char *Line : R.Lines)
+      Script.push_back({Line});
+    if (R.ChangeBefore < Script.size()) {
+      Script[R.ChangeBefore].Before = [&F, &R, &OnlyY] {
+        const bool IsOlder = R.Next == "older";
+        F.Tables.setWorkspaces(IsOlder ? 6 : 8, IsOlder ? OnlyY : R.Next);
+      };
+      Script[R.ChangeBefore].Pause = milliseconds(250);
+    }
+    CHECK(F.serve(Script) == R.Answers);
+    Texts RunFor = F.Group["a"].ExecutedFor;
+    CHECK(RunFor == R.RunFor);
+  }
+}
--- a/src/testing/line-group/LineGroup.cpp
+++ b/src/testing/line-group/LineGroup.cpp
@@ -12,7 +12,8 @@
 /// A connection to one server of the group.
 class GroupLink final : public ServerLink {
 public:
-  GroupLink(LineGroup &Group, FakeServer &To) : Group(Group), To(To) {}
+  GroupLink(LineGroup &Group, FakeServer &To, WorkspaceName For)
+      : Group(Group), To(To), For(std::move(For)) {}
 
   QCoro::Task<Result<Answer>> run(Statement S, std::optional<LogPosition> Floor,
                                   std::string PreparedName,
@@ -113,6 +114,7 @@
     for (const auto &[Name, Value] : this->Values)
       Setting.append(Name).append("=").append(Value).append(" ");
     this->To.ExecutedStatements.push_back(Setting + S.Text);
+    this->To.ExecutedFor.push_back(this->For.str());
     this->Wrote = this->Wrote || S.Kind == StatementVerb::Write;
     if (S.Kind == StatementVerb::Begin) {
       this->State = TransactionState::InTransaction;
@@ -170,6 +172,7 @@
 
   LineGroup &Group;
   FakeServer &To;
+  WorkspaceName For;
   TransactionState State = TransactionState::Idle;
   std::map<std::string, std::string> Values;
   std::set<std::string> Prepared;
@@ -253,15 +256,18 @@
       this->replicate(Id);
 }
 
-QCoro::Task<OpenedLink> LineGroup::open(RegisteredServer To, TimePoint) {
+QCoro::Task<OpenedLink> LineGroup::open(RegisteredServer To, WorkspaceName For,
+                                        TimePoint) {
   FakeServer &S = this->Servers.at(To.Id.str());
   if (!S.Reachable)
     co_return OpenedLink(OpenFailure{false, std::nullopt, "cannot connect"});
   ++S.OpenedConnections;
+  S.OpenedFor.push_back(For.str());
   const Duration Delay = this->OpenDelay(S);
   if (Delay > Duration::zero())
     co_await sleepFor(Delay);
-  std::unique_ptr<ServerLink> Opened = std::make_unique<GroupLink>(*this, S);
+  std::unique_ptr<ServerLink> Opened =
+      std::make_unique<GroupLink>(*this, S, std::move(For));
   co_return OpenedLink(std::move(Opened));
 }
 
--- a/src/testing/line-group/LineGroup.h
+++ b/src/testing/line-group/LineGroup.h
@@ -49,6 +49,10 @@
       ExecutedStatements; ///< Texts of the statements that were run.
   unsigned StatusRequests = 0;
   unsigned OpenedConnections = 0;
+  /// The workspace of each connection that was opened; empty for none.
+  std::vector<std::string> OpenedFor;
+  /// The workspace of the connection of each executed statement.
+  std::vector<std::string> ExecutedFor;
 };
 
 /// A group of servers `a`, `b`, `c`; `a` is the primary of term 1.
@@ -66,7 +70,7 @@
   /// later term do not follow it.
   void promote(const std::string &Id);
 
-  QCoro::Task<OpenedLink> open(RegisteredServer Server,
+  QCoro::Task<OpenedLink> open(RegisteredServer Server, WorkspaceName For,
                                TimePoint Deadline) override;
 
   /// Commits on server \p Id, if it is a primary.
--- a/src/testing/line-group/LineServer.cpp
+++ b/src/testing/line-group/LineServer.cpp
@@ -121,7 +121,8 @@
   }
   RegisteredServer Self;
   Self.Id = ServerId(this->Id);
-  OpenedLink Opened = co_await this->Group.open(Self, NoDeadline);
+  OpenedLink Opened =
+      co_await this->Group.open(Self, WorkspaceName(), NoDeadline);
   auto *Link = std::get_if<std::unique_ptr<ServerLink>>(&Opened);
   if (!Link)
     co_return;
