--- a/src/policy/quotas/QuotaAllocator.cpp
+++ b/src/policy/quotas/QuotaAllocator.cpp
@@ -45,9 +45,14 @@
 void QuotaAllocator::start(bool FollowsAnother, TimePoint Now) {
   this->stop();
   this->Started = true;
+  this->ConfirmedAt = Now;
   this->GrantsFreelyAt = FollowsAnother ? Now + TakeoverTime : Now;
 }
 
+void QuotaAllocator::confirm(TimePoint AsOf) {
+  this->ConfirmedAt = std::max(this->ConfirmedAt, AsOf);
+}
+
 void QuotaAllocator::stop() {
   this->Started = false;
   this->Accounts.clear();
@@ -174,7 +179,7 @@
                                               const AccessPlan &Plan,
                                               TimePoint Now) {
   std::vector<QuotaLease> Out;
-  if (!this->Started)
+  if (!this->Started || Now - this->ConfirmedAt > ConfirmationTime)
     return Out;
   this->removeOldHolders(Now);
   HolderState &H = this->Holders[Asked.Holder];
--- a/src/policy/quotas/QuotaAllocator.h
+++ b/src/policy/quotas/QuotaAllocator.h
@@ -31,9 +31,11 @@
 //     reports as held until every lease of the former one has ended
 //     (TakeoverTime). Its pool is empty until then. What is held then is part
 //     of the former one's commitments, whose sum is bounded by the share.
-//  6. An allocator grants nothing while another one may have followed it: the
-//     relay withdraws its authority when a follower has vanished, until the
-//     store has confirmed that it still is the relay.
+//  6. An allocator grants nothing while another one may have followed it. The
+//     relay confirms that it still is the relay: as long as no follower is
+//     silent, none can have become the relay; otherwise it reads its row in the
+//     store. The confirmation is valid for ConfirmationTime of the boot clock,
+//     so an allocator that was suspended grants nothing before the next one.
 // A lowered limit leaves the commitments above the share until they are
 // renewed; until then a renewed lease is the same part of the new share.
 #ifndef AMARANTHSPUR_POLICY_QUOTAS_QUOTAALLOCATOR_H
@@ -55,10 +57,14 @@
   static constexpr Duration LeaseLength = std::chrono::seconds(3);
   /// More than 2 % of a lease, for clocks that differ by 1 % each.
   static constexpr Duration ExpiryMargin = milliseconds(100);
-  /// Longest time for which a relay may grant leases after another one has
-  /// followed it: its follower has been silent for 1.2 s, and a read of the
-  /// row that has to confirm it takes 1.2 s at most.
-  static constexpr Duration AuthorityTime = milliseconds(2600);
+  /// Leases are granted for this time after it was last confirmed that no other
+  /// allocator had followed. The relay confirms it every second, and a read of
+  /// its row that this needs takes 1.2 s at most.
+  static constexpr Duration ConfirmationTime = milliseconds(2400);
+  /// Longest time for which an allocator may grant leases after another one has
+  /// followed it: the relay finds that a follower is silent after 1.2 s.
+  static constexpr Duration AuthorityTime =
+      ConfirmationTime + milliseconds(1200);
   /// Time for which an allocator that follows another one grants only what is
   /// reported as held.
   static constexpr Duration TakeoverTime =
@@ -93,6 +99,8 @@
   void start(bool FollowsAnother, TimePoint Now);
   /// Forgets everything and grants nothing until the next start.
   void stop();
+  /// Records that no other allocator had followed this one at \p AsOf.
+  void confirm(TimePoint AsOf);
   bool isStarted() const { return this->Started; }
 
   /// Returns the leases of one holder for what it reports. Workspaces without
@@ -135,6 +143,7 @@
   bool Started = false;
   TimePoint GrantsFreelyAt{};
   TimePoint CleanedAt{};
+  TimePoint ConfirmedAt{};
   std::map<WorkspaceName, Account> Accounts;
   std::map<QuotaHolderId, HolderState> Holders;
 };
--- a/src/policy/quotas/testing/QuotaAllocatorTest.cpp
+++ b/src/policy/quotas/testing/QuotaAllocatorTest.cpp
@@ -32,6 +32,7 @@
 
   QuotaLease ask(QuotaAllocator &From, const AccessPlan &Plan, double Demand,
                  int Ms) {
+    From.confirm(at(Ms));
     const std::vector<QuotaLease> Leases = From.lease(
         {this->Id, ++this->Sequence, {{W, Demand, this->Held, 0, 0}}}, Plan,
         at(Ms));
@@ -253,3 +254,32 @@
   }
   CHECK(Sum <= 20.0001);
 }
+
+// Guards against a relay that was suspended or cut off and leases what the one
+// that has replaced it leases as well.
+TEST_CASE("nothing is leased without a recent confirmation") {
+  const int Valid =
+      static_cast<int>(QuotaAllocator::ConfirmationTime.count() / 1000);
+  struct Row {
+    const char *Name;
+    int ConfirmedMs;
+    int AtMs;
+    std::size_t Leases;
+  };
+  const Row Rows[] = {
+      {"after the start", 0, Valid, 1},
+      {"too long after the start", 0, Valid + 1, 0},
+      {"confirmed", 2000, 2000 + Valid, 1},
+      {"confirmed too long ago", 2000, 2001 + Valid, 0},
+      {"an older confirmation", -5000, Valid, 1},
+  };
+  const AccessPlan Plan = planWith(100, 40);
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    QuotaAllocator Allocator(1, {});
+    Allocator.start(false, at(0));
+    Allocator.confirm(at(R.ConfirmedMs));
+    CHECK(Allocator.lease({vm(1), 1, {{W, 1, {}, 0, 0}}}, Plan, at(R.AtMs))
+              .size() == R.Leases);
+  }
+}
--- a/src/policy/quotas/testing/QuotaSafetyTest.cpp
+++ b/src/policy/quotas/testing/QuotaSafetyTest.cpp
@@ -193,6 +193,7 @@
       const bool Lost = this->Rng.below(1000) < this->Given.LossPerMille;
       E.ReplyMs = 1 << 30;
       if (!Lost && Now < R.EndMs) {
+        R.Allocator.confirm(R.Clock.at(Now));
         E.Granted = R.Allocator.lease(E.Asked, this->Plan, R.Clock.at(Now));
         const bool ReplyLost = this->Rng.below(1000) < this->Given.LossPerMille;
         if (!ReplyLost)
--- a/src/root/LineDaemon.cpp
+++ b/src/root/LineDaemon.cpp
@@ -2,7 +2,6 @@
 
 #include "root/telemetry/Log.h"
 
-#include <QJsonArray>
 #include <QJsonObject>
 
 namespace amaranthspur {
@@ -27,6 +26,15 @@
   return Options;
 }
 
+WorkspaceQuotaOptions LineDaemon::quotaOptions(const Settings &Values,
+                                               std::uint64_t Incarnation) {
+  WorkspaceQuotaOptions Options;
+  Options.Self = {Values.VmId, Incarnation};
+  Options.DataCentres = std::max<std::size_t>(1, Values.Regions.size());
+  Options.Tolerance = Values.Quotas;
+  return Options;
+}
+
 LineDaemon::LineDaemon(Settings Given)
     : Values(std::move(Given)), Incarnation(startTime()),
       RandomSource(this->Incarnation ^
@@ -40,14 +48,19 @@
       Feed(this->PlatformClient, this->Values.ConfigurationBound / PollDivisor),
       DataCentreRelay(relayOptions(this->Values), this->PlatformClient,
                       this->Feed, this->RandomSource, this->Counters),
-      Directory(this->Feed), Registrations(this->PlatformClient),
+      Directory(this->Feed),
+      Quotas(
+          quotaOptions(this->Values, this->Incarnation),
+          [this] { return this->Directory.plan(); }, this->DataCentreRelay,
+          this->RandomSource, this->Counters),
+      Registrations(this->PlatformClient),
       Groups(this->Directory, this->Connector, this->OwnLocality,
              {this->Values.VmId, this->PlatformClient, this->Registrations,
               this->Promoter, this->Counters, this->RandomSource},
              &this->DataCentreRelay),
       Reads(this->Groups),
       Dependencies{this->Directory, this->Groups, this->Counters,
-                   &this->DataCentreRelay.forwarding()},
+                   &this->DataCentreRelay.forwarding(), &this->Quotas},
       Sessions(this->Dependencies, this->StreamFactory, this->Values.Callers,
                this->Values.MaxCallers, this->Values.Stop),
       Admin({this->Values.Admin, this->Values.Readiness}, this->Counters),
@@ -56,13 +69,17 @@
         log(LogLevel::Warning, LogEvent::ChildFailed,
             {{"child", Name}, {"error", Reason.Message}});
       }) {
-  this->Directory.Changed = [this] { this->Groups.refresh(); };
+  this->Directory.Changed = [this] {
+    this->Quotas.applyPlan();
+    this->Groups.refresh();
+  };
   this->DataCentreRelay.setBoard(this->Groups);
   this->DataCentreRelay.setReadRunner(this->Reads);
+  this->DataCentreRelay.setQuotas(this->Quotas);
   this->addStatus();
   for (Child *C : std::initializer_list<Child *>{
-           &this->Admin, &this->DataCentreRelay, &this->Directory,
-           &this->Groups, &this->Sessions})
+           &this->Admin, &this->Quotas, &this->DataCentreRelay,
+           &this->Directory, &this->Groups, &this->Sessions})
     this->RootSupervisor.add(*C);
 }
 
@@ -92,6 +109,8 @@
         {"source", QString::fromUtf8(nameOf(this->Feed.source()).data())},
         {"followers", static_cast<qint64>(this->DataCentreRelay.followers())}});
   });
+  this->Admin.addStatus("quotas",
+                        [this] { return QJsonValue(this->quotaStatus()); });
   this->Admin.addStatus("services", [this] {
     QJsonArray Out;
     for (const auto &[Service, Limits] : this->Directory.plan()->Services) {
@@ -110,6 +129,20 @@
   });
 }
 
+QJsonArray LineDaemon::quotaStatus() const {
+  QJsonArray Out;
+  for (const QuotaUse &Use : this->Quotas.uses())
+    Out.append(
+        QJsonObject{{"workspace", QString::fromStdString(Use.Workspace.str())},
+                    {"rate_per_s", Use.Limit.RatePerSecond},
+                    {"burst", Use.Limit.Burst},
+                    {"leased_per_s", Use.Leased.RatePerSecond},
+                    {"leased_burst", Use.Leased.Burst},
+                    {"spent", static_cast<qint64>(Use.Spent)},
+                    {"refused", static_cast<qint64>(Use.Refused)}});
+  return Out;
+}
+
 QCoro::Task<> LineDaemon::monitorReadiness() {
   while (!this->Draining) {
     this->Counters.set(Gauge::ConfigurationRevision,
--- a/src/root/LineDaemon.h
+++ b/src/root/LineDaemon.h
@@ -1,7 +1,8 @@
 // The root of the supervisor tree of the daemon's front end for the platform's
 // line protocol.
 //
-// The children start in this order: admin, relay, directory, groups, sessions.
+// The children start in this order: admin, quotas, relay, directory, groups,
+// sessions.
 // They stop in the reverse order, so that sessions finish while everything that
 // they need still runs.
 #ifndef AMARANTHSPUR_ROOT_LINEDAEMON_H
@@ -17,12 +18,15 @@
 #include "root/directory/PlatformDirectory.h"
 #include "root/directory/StoredRegistrations.h"
 #include "root/groups/GroupRegistry.h"
+#include "root/quotas/WorkspaceQuotas.h"
 #include "root/relay/Relay.h"
 #include "root/sessions/LocalReads.h"
 #include "root/sessions/SessionListener.h"
 #include "root/telemetry/AbandonedCallLog.h"
 #include "root/telemetry/AdminServer.h"
 
+#include <QJsonArray>
+
 namespace amaranthspur {
 
 /// The daemon with the front end for the platform's line protocol.
@@ -54,11 +58,14 @@
 
 private:
   static RelayOptions relayOptions(const Settings &Values);
+  static WorkspaceQuotaOptions quotaOptions(const Settings &Values,
+                                            std::uint64_t Incarnation);
   /// Returns the current time in microseconds since the epoch.
   static std::uint64_t startTime();
   bool isReady() const;
   /// Registers the providers of /ready and of the members of /status.
   void addStatus();
+  QJsonArray quotaStatus() const;
   /// Updates the gauges and logs changes of readiness at a fixed interval until
   /// the daemon drains.
   QCoro::Task<> monitorReadiness();
@@ -76,6 +83,7 @@
   RelayedFeed Feed;
   Relay DataCentreRelay;
   PlatformDirectory Directory;
+  WorkspaceQuotas Quotas;
   StoredRegistrations Registrations;
   GroupRegistry Groups;
   LocalReads Reads;
--- a/src/root/Settings.cpp
+++ b/src/root/Settings.cpp
@@ -57,6 +57,11 @@
     {"configuration-bound-ms", "3000",
      "time within which an accepted configuration must be in force",
      SettingScope::Lines},
+    {"quota-tolerance", "",
+     "by how much the quota of a workspace may be exceeded, as "
+     "window in s,part,operations (for example 5,0.1,20); empty parts mean "
+     "5,0,0",
+     SettingScope::Lines},
     {"bind-address", "", "source address of outgoing connections"},
     {"deployment-key", nullptr,
      "secret that all entry VMs of the deployment share; at least 8 bytes",
@@ -210,6 +215,47 @@
   return Regions;
 }
 
+/// Parses one part of the tolerance of quotas; returns whether it is valid.
+bool parseTolerancePart(std::string_view Text, double Lowest, double Highest,
+                        double &Out) {
+  if (Text.empty())
+    return true;
+  const char *End = Text.data() + Text.size();
+  const auto [ParsedEnd, Status] = std::from_chars(Text.data(), End, Out);
+  // The comparisons also refuse a value that is not a number.
+  return Status == std::errc() && ParsedEnd == End && Out >= Lowest &&
+         Out <= Highest;
+}
+
+QuotaTolerance parseQuotaTolerance(ValueParser &Parser) {
+  constexpr double MinWindowSeconds = 0.1;
+  constexpr double MaxWindowSeconds = 3600;
+  constexpr double MaxExcess = 10;
+  constexpr double MaxSlack = 1000000;
+  QuotaTolerance Out;
+  const std::string_view Text = Parser.text("quota-tolerance");
+  if (Text.empty())
+    return Out;
+  const std::size_t First = std::min(Text.find(','), Text.size());
+  const std::size_t Second = std::min(Text.find(',', First + 1), Text.size());
+  const bool HasThree = Second < Text.size();
+  double Seconds = std::chrono::duration<double>(Out.Window).count();
+  const bool IsValid =
+      HasThree &&
+      parseTolerancePart(Text.substr(0, First), MinWindowSeconds,
+                         MaxWindowSeconds, Seconds) &&
+      parseTolerancePart(Text.substr(First + 1, Second - First - 1), 0,
+                         MaxExcess, Out.Excess) &&
+      parseTolerancePart(Text.substr(Second + 1), 0, MaxSlack, Out.Slack);
+  if (!IsValid)
+    Parser.addError("quota-tolerance",
+                    "window,excess,slack: 0.1 to 3600, 0 to 10, 0 to 1000000");
+  else
+    Out.Window = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(Seconds));
+  return Out;
+}
+
 /// Reads the settings of the PostgreSQL front end.
 void parsePostgreSqlValues(ValueParser &Parser, Settings &Out) {
   constexpr std::size_t MinKeyBytes = 8;
@@ -239,6 +285,7 @@
   Out.CpuShare = Parser.fraction("cpu-share", MaxCpuShare);
   Out.ConfigurationBound = milliseconds(Parser.number(
       "configuration-bound-ms", MinConfigurationBoundMs, MaxBoundMs));
+  Out.Quotas = parseQuotaTolerance(Parser);
 }
 
 /// Reads the limits of a planned stop.
--- a/src/root/Settings.h
+++ b/src/root/Settings.h
@@ -8,6 +8,7 @@
 #include "core/Result.h"
 #include "policy/Member.h"
 #include "policy/StopSchedule.h"
+#include "policy/quotas/QuotaAmount.h"
 #include "root/telemetry/Log.h"
 #include "wire/Connection.h"
 
@@ -54,6 +55,8 @@
   double CpuShare = 0; ///< Part of a core that this entry VM has; Lines only.
   /// Time within which a configuration must be in force; Lines only.
   Duration ConfigurationBound{};
+  /// By how much the quota of a workspace may be exceeded; Lines only.
+  QuotaTolerance Quotas;
   std::string BindHost; ///< Source address of outgoing connections; empty: any.
   std::string DeploymentKey;
   PolicyVariant Variant = PolicyVariant::Amaranthspur;
--- /dev/null
+++ b/src/root/relay/QuotaCodec.cpp
@@ -0,0 +1,91 @@
+#include "root/relay/QuotaCodec.h"
+
+#include "root/relay/RelayCodec.h"
+
+#include <algorithm>
+
+namespace amaranthspur {
+namespace {
+
+/// Bound of the amounts of a quota.
+constexpr double MaxAmount = 1e9;
+/// Bound of the length of a lease.
+constexpr std::int64_t MaxLengthUs = 60LL * 1000 * 1000;
+
+bool isName(const std::string &Text) {
+  return !Text.empty() && Text.size() <= MaxRelayNameBytes;
+}
+
+bool isAmount(double Number) {
+  // Also false for a value that is not a number.
+  return Number >= 0 && Number <= MaxAmount;
+}
+
+} // namespace
+
+void addQuotas(relay::SyncRequest &Message, const QuotaRequest &Asked) {
+  Message.set_start(Asked.Holder.Start);
+  Message.set_quota_sequence(Asked.Sequence);
+  for (const QuotaReport &R : Asked.Reports) {
+    if (Message.quotas_size() >= MaxQuotasInMessage)
+      return;
+    relay::QuotaDemand *Out = Message.add_quotas();
+    Out->set_workspace(R.Workspace.str());
+    Out->set_demand(R.Demand);
+    Out->set_held_rate(R.Held.RatePerSecond);
+    Out->set_held_burst(R.Held.Burst);
+    Out->set_tokens(R.Tokens);
+    Out->set_returned(R.Returned);
+  }
+}
+
+std::optional<QuotaRequest> quotaRequestOf(const relay::SyncRequest &Message,
+                                           const std::string &Sender) {
+  if (Message.quota_sequence() == 0)
+    return std::nullopt;
+  QuotaRequest Out{
+      {EntryVmId(Sender), Message.start()}, Message.quota_sequence(), {}};
+  const int Count = std::min(Message.quotas_size(), MaxQuotasInMessage);
+  for (int I = 0; I < Count; ++I) {
+    const relay::QuotaDemand &D = Message.quotas(I);
+    const bool IsValid = isName(D.workspace()) && isAmount(D.demand()) &&
+                         isAmount(D.held_rate()) && isAmount(D.held_burst()) &&
+                         isAmount(D.tokens()) && isAmount(D.returned());
+    if (IsValid)
+      Out.Reports.push_back({WorkspaceName(D.workspace()),
+                             D.demand(),
+                             {D.held_rate(), D.held_burst()},
+                             D.tokens(),
+                             D.returned()});
+  }
+  return Out;
+}
+
+void addQuotas(relay::SyncReply &Message,
+               const std::vector<QuotaLease> &Leases) {
+  for (const QuotaLease &L : Leases) {
+    relay::QuotaGrant *Out = Message.add_quotas();
+    Out->set_workspace(L.Workspace.str());
+    Out->set_rate(L.Amount.RatePerSecond);
+    Out->set_burst(L.Amount.Burst);
+    Out->set_tokens(L.Tokens);
+    Out->set_length_us(L.Length.count());
+  }
+}
+
+std::vector<QuotaLease> quotaLeasesOf(const relay::SyncReply &Message) {
+  std::vector<QuotaLease> Out;
+  for (const relay::QuotaGrant &G : Message.quotas()) {
+    const bool IsValid = isName(G.workspace()) && isAmount(G.rate()) &&
+                         isAmount(G.burst()) && isAmount(G.tokens()) &&
+                         G.length_us() > 0 && G.length_us() <= MaxLengthUs;
+    if (IsValid)
+      Out.push_back({WorkspaceName(G.workspace()),
+                     {G.rate(), G.burst()},
+                     G.tokens(),
+                     Duration(G.length_us())});
+  }
+  return Out;
+}
+
+} // namespace amaranthspur
--- a/src/root/relay/Relay.cpp
+++ b/src/root/relay/Relay.cpp
@@ -1,6 +1,7 @@
 #include "root/relay/Relay.h"
 
 #include "core/BootClock.h"
+#include "root/relay/QuotaCodec.h"
 #include "root/relay/ReadCodec.h"
 #include "root/relay/RelayCodec.h"
 #include "root/telemetry/Log.h"
@@ -72,6 +73,8 @@
   this->Listener.close();
   this->Listening = false;
   this->OwnReads.close();
+  if (std::exchange(this->Allocates, false))
+    this->Quotas->endAllocation();
   if (this->Link)
     this->Link->close();
   this->Wake.wake();
@@ -100,6 +103,7 @@
                       this->LastSync + Interval);
     } else if (this->role() == RelayRole::Relay) {
       this->updateFollowers();
+      co_await this->confirmAuthority();
       const bool Verify = this->Election.takeVerification(steadyNow());
       if (Verify)
         co_await this->readRow();
@@ -120,11 +124,13 @@
   const std::string Operation = this->Options.Self.str() + "/" + Own.Token +
                                 "/" + std::to_string(++this->Operations);
   const RelayRow Former = this->row();
+  this->RowAskedAt = bootNow();
   const Result<CasOutcome> R = co_await this->Store.compareAndSet(
       rowKey(this->Options.Location), Former.Version, encodeRelayRow(Own),
       Operation, steadyNow() + ClaimTimeout);
   if (this->Stopping)
     co_return;
+  this->RowWasNew = succeeded(R) && valueOf(R).Applied && Former.Version == 0;
   if (succeeded(R))
     this->observeRow(valueOf(R).Current);
   else
@@ -146,10 +152,12 @@
 }
 
 QCoro::Task<> Relay::readRow() {
+  this->RowAskedAt = bootNow();
   const Result<TableRow> R = co_await this->Store.readRow(
       rowKey(this->Options.Location), steadyNow() + ClaimTimeout);
   if (this->Stopping)
     co_return;
+  this->RowWasNew = false;
   if (succeeded(R))
     this->observeRow(valueOf(R));
   else
@@ -209,6 +217,45 @@
         std::make_shared<RelayLink>(*this->Context, this->row().Address);
   }
   this->updateSource();
+  this->updateAllocation();
+}
+
+void Relay::updateAllocation() {
+  if (!this->Quotas || this->Allocates == this->isRelay())
+    return;
+  this->Allocates = this->isRelay();
+  if (!this->Allocates) {
+    this->Quotas->endAllocation();
+    return;
+  }
+  this->SilentUntil = TimePoint{};
+  this->Quotas->startAllocation(!this->RowWasNew);
+  this->Quotas->confirmAuthority(this->RowAskedAt);
+}
+
+QCoro::Task<> Relay::confirmAuthority() {
+  if (!this->Quotas || !this->Quotas->needsAuthority())
+    co_return;
+  const TimePoint AsOf = bootNow();
+  const TimePoint Now = steadyNow();
+  // An entry VM without an address is stopping, or cannot be a relay.
+  const bool AnySilent = std::any_of(
+      this->Followers.begin(), this->Followers.end(), [Now](const auto &Entry) {
+        return !Entry.second.Self.Address.empty() &&
+               Now - Entry.second.LastRequest > ForwarderTimeout;
+      });
+  if (AnySilent)
+    this->SilentUntil = Now + SilencePeriod;
+  if (Now < this->SilentUntil) {
+    const Result<TableRow> R = co_await this->Store.readRow(
+        rowKey(this->Options.Location), Now + ClaimTimeout);
+    if (this->Stopping || !succeeded(R))
+      co_return;
+    this->observeRow(valueOf(R));
+    this->applyRole();
+  }
+  if (this->isRelay())
+    this->Quotas->confirmAuthority(AsOf);
 }
 
 void Relay::updateSource() {
@@ -234,7 +281,7 @@
   return Message;
 }
 
-relay::Request Relay::makeSyncRequest() const {
+relay::Request Relay::makeSyncRequest() {
   relay::Request Message = this->makeRequest(this->row());
   relay::SyncRequest *Sync = Message.mutable_sync();
   for (const WatchedTable Table : Tables) {
@@ -247,6 +294,11 @@
     Sync->set_address(this->Options.ListenAddress);
   Sync->set_cpu_percent(
       static_cast<std::uint32_t>(this->Options.CpuShare * 100));
+  if (this->Quotas) {
+    const std::optional<QuotaRequest> Asked = this->Quotas->makeRequest();
+    if (Asked)
+      addQuotas(*Sync, *Asked);
+  }
   if (!this->Board)
     return Message;
   for (const ServiceName &Service : this->Board->wantedServices())
@@ -264,6 +316,12 @@
   const TimePoint SentAt = bootNow();
   const std::optional<relay::Reply> Reply = co_await Used->request(
       this->makeSyncRequest(), steadyNow() + SyncTimeout);
+  if (this->Quotas) {
+    if (Reply && Reply->has_sync())
+      this->Quotas->applyLeases(quotaLeasesOf(Reply->sync()), SentAt);
+    else
+      this->Quotas->abandonRequest();
+  }
   if (this->Stopping)
     co_return;
   const bool WasFollowing = this->Election.mayFollow();
@@ -317,6 +375,8 @@
       Listed.push_back({EntryVmId(F.vm()), F.address(), 0});
   this->OwnReads.setForwarders(*this->Context, std::move(Listed),
                                this->row().Token);
+  if (this->Quotas)
+    this->Quotas->shareAmong(Reply.entry_vms() * this->Options.DataCentres);
   if (!this->Board)
     return;
   for (const relay::Evidence &Message : Reply.evidence()) {
@@ -351,6 +411,23 @@
     this->Wake.wake();
 }
 
+void Relay::requestLeases() {
+  if (this->role() != RelayRole::Follower || this->LeasesRequested)
+    return;
+  if (steadyNow() - this->LastSync >= LeaseSpacing)
+    this->Wake.wake();
+  else
+    this->wakeForLeases();
+}
+
+QCoro::Task<> Relay::wakeForLeases() {
+  const TaskGroup::Guard Guard(this->Tasks);
+  this->LeasesRequested = true;
+  co_await sleepFor(this->LastSync + LeaseSpacing - steadyNow());
+  this->LeasesRequested = false;
+  this->Wake.wake();
+}
+
 // --- Relay -------------------------------------------------------------------
 
 void Relay::updateFollowers() {
@@ -360,6 +437,9 @@
   this->updateForwarders();
   this->Counters.set(Gauge::RelayFollowers,
                      static_cast<double>(this->Followers.size()));
+  if (this->Quotas)
+    this->Quotas->shareAmong((this->Followers.size() + 1) *
+                             this->Options.DataCentres);
   if (this->Board)
     this->Board->setEntryVms((this->Followers.size() + 1) *
                              this->Options.DataCentres);
@@ -412,6 +492,10 @@
     return;
   }
   *Answer.mutable_sync() = this->makeSyncReply(Asked.sync());
+  const std::optional<QuotaRequest> Quota =
+      quotaRequestOf(Asked.sync(), Asked.sender());
+  if (Quota && this->Quotas)
+    addQuotas(*Answer.mutable_sync(), this->Quotas->lease(*Quota));
   this->Listener.reply(From, Answer);
 }
 
--- a/src/root/relay/Relay.h
+++ b/src/root/relay/Relay.h
@@ -17,6 +17,7 @@
 #include "policy/RelayElection.h"
 #include "root/Supervisor.h"
 #include "root/relay/EvidenceBoard.h"
+#include "root/relay/QuotaBoard.h"
 #include "root/relay/ReadForwarder.h"
 #include "root/relay/RelayLink.h"
 #include "root/relay/RelayListener.h"
@@ -39,7 +40,7 @@
 };
 
 /// Runs the election, serves followers and follows the relay.
-class Relay final : public Child, public EvidenceSource {
+class Relay final : public Child, public EvidenceSource, public QuotaSource {
 public:
   /// Interval between two requests of a follower. It bounds the delay of a
   /// configuration change, which must be in force within 3 s, and the age of
@@ -47,6 +48,13 @@
   static constexpr Duration SyncInterval = milliseconds(400);
   /// Shortest time between two requests while news are awaited.
   static constexpr Duration MinSyncSpacing = milliseconds(150);
+  /// Shortest time between two requests while an operation waits for a lease.
+  /// It waits for at most a quarter of the latency objective, which is 62 ms
+  /// for the shortest one.
+  static constexpr Duration LeaseSpacing = milliseconds(40);
+  /// After a follower has vanished, the relay reads its row with each update of
+  /// the followers for this time, since the follower may have become the relay.
+  static constexpr Duration SilencePeriod = std::chrono::seconds(8);
   /// Time limit of one request; a round trip takes 2 ms within a data centre.
   static constexpr Duration SyncTimeout = milliseconds(500);
   /// Time limit of a claim or of a read of the relay's row.
@@ -72,6 +80,9 @@
   /// Sets the groups whose evidence is exchanged.
   /// \pre start() has not been called.
   void setBoard(EvidenceBoard &Groups) { this->Board = &Groups; }
+  /// Sets the quotas that are exchanged.
+  /// \pre start() has not been called.
+  void setQuotas(QuotaBoard &Shared) { this->Quotas = &Shared; }
   /// Sets what runs the reads that other entry VMs forward to this one.
   /// \pre start() has not been called.
   void setReadRunner(ForwardedReadRunner &Reads) { this->Reads = &Reads; }
@@ -97,6 +108,10 @@
                           TimePoint Deadline) override;
   void refreshSoon() override;
 
+  // QuotaSource.
+  bool isUsed() const override { return !this->Options.ListenAddress.empty(); }
+  void requestLeases() override;
+
 private:
   QCoro::Task<> run();
   /// Claims the relay's row, or learns who holds it.
@@ -115,8 +130,14 @@
   void applyReply(const relay::SyncReply &Reply, TimePoint SentAt);
   /// Returns a request to the relay of \p To, without a body.
   relay::Request makeRequest(const RelayRow &To) const;
-  relay::Request makeSyncRequest() const;
+  relay::Request makeSyncRequest();
   void updateSource();
+  /// Starts or ends the allocation of quotas with the role.
+  void updateAllocation();
+  /// Confirms to the quotas that this entry VM still is the relay. Reads the
+  /// row if a follower is silent, which may have become the relay.
+  QCoro::Task<> confirmAuthority();
+  QCoro::Task<> wakeForLeases();
   void updateFollowers();
   /// Chooses the forwarders among the followers.
   void updateForwarders();
@@ -151,6 +172,12 @@
   Random &Rng;
   Metrics &Counters;
   EvidenceBoard *Board = nullptr;
+  QuotaBoard *Quotas = nullptr;
+  bool Allocates = false;       ///< The quotas, as the relay.
+  bool RowWasNew = false;       ///< No relay was before this one.
+  TimePoint RowAskedAt{};       ///< Boot clock; last claim or read.
+  TimePoint SilentUntil{};      ///< Steady clock; see SilencePeriod.
+  bool LeasesRequested = false; ///< A task waits to wake the follower.
   RelayElection Election;
   std::unique_ptr<zmq::context_t> Context; ///< Created at the start.
   RelayListener Listener;
--- a/src/root/relay/testing/RelayCodecTest.cpp
+++ b/src/root/relay/testing/RelayCodecTest.cpp
@@ -1,6 +1,7 @@
 #include "root/relay/RelayCodec.h"
 
 #include "core/Random.h"
+#include "root/relay/QuotaCodec.h"
 #include "root/relay/ReadCodec.h"
 
 #include <catch2/catch.hpp>
@@ -317,3 +318,44 @@
     CHECK_FALSE(succeeded(decodeRelayRow(Text, 5)));
   }
 }
+
+// Guards against amounts of a malformed message that would count as a lease,
+// and against a request without quotas that is taken for one that holds none.
+TEST_CASE("malformed quotas are left out") {
+  const double Nan = std::numeric_limits<double>::quiet_NaN();
+  struct Row {
+    const char *Name;
+    const char *Workspace;
+    double Number;
+    std::int64_t LengthUs;
+    bool Valid;
+  };
+  const Row Rows[] = {
+      {"valid", "w", 5, 3000000, true},
+      {"no name", "", 5, 3000000, false},
+      {"negative", "w", -1, 3000000, false},
+      {"no number", "w", Nan, 1, false},
+      {"huge", "w", 1e300, 3000000, false},
+      {"no length", "w", 5, 0, false},
+      {"huge length", "w", 5, std::numeric_limits<std::int64_t>::max(), false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    relay::SyncReply Reply;
+    addQuotas(
+        Reply,
+        {{WorkspaceName(R.Workspace), {R.Number, 2}, 1, Duration(R.LengthUs)}});
+    CHECK(quotaLeasesOf(Reply).size() == (R.Valid ? 1U : 0U));
+    relay::SyncRequest Request;
+    addQuotas(Request,
+              {{EntryVmId("vm"), 7},
+               3,
+               {{WorkspaceName(R.Workspace), R.Number, {1, 2}, 1, 0}}});
+    const std::optional<QuotaRequest> Asked = quotaRequestOf(Request, "vm");
+    REQUIRE(Asked);
+    CHECK(Asked->Holder == QuotaHolderId{EntryVmId("vm"), 7});
+    const bool IsReport = R.Workspace[0] != 0 && R.Number == 5;
+    CHECK(Asked->Reports.size() == (IsReport ? 1U : 0U));
+  }
+  CHECK_FALSE(quotaRequestOf(relay::SyncRequest(), "vm"));
+}
--- a/src/root/relay/testing/RelayTest.cpp
+++ b/src/root/relay/testing/RelayTest.cpp
@@ -1,6 +1,7 @@
 #include "root/relay/Relay.h"
 
 #include "platform/HttpPlatform.h"
+#include "root/quotas/WorkspaceQuotas.h"
 #include "root/relay/RelayCodec.h"
 #include "testing/Processes.h"
 #include "testing/TaskRunner.h"
@@ -84,9 +85,12 @@
     this->Board.Own.TermNumber = 4;
     this->Node.setBoard(this->Board);
     this->Node.setReadRunner(this->Reads);
+    this->Node.setQuotas(this->Quotas);
+    runTask(this->Quotas.start());
     runTask(this->Node.start());
   }
   ~EntryVm() {
+    runTask(this->Quotas.stop(steadyNow() + std::chrono::seconds(5)));
     runTask(this->Node.stop(steadyNow() + std::chrono::seconds(5)));
   }
 
@@ -102,6 +106,25 @@
     return Options;
   }
 
+  /// Puts a quota for the workspace `w` in force, of which a session is here.
+  void limit(const WorkspaceQuota &Limit) {
+    const auto Next = std::make_shared<AccessPlan>();
+    Next->HasWorkspaces = true;
+    Next->Workspaces[WorkspaceName("w")].Quota = Limit;
+    this->Plan = Next;
+    this->Quotas.applyPlan();
+    this->Quotas.addSession(WorkspaceName("w"));
+  }
+  QuotaAnswer admit() {
+    return runTask(
+        this->Quotas.admit(WorkspaceName("w"), std::chrono::seconds(1)));
+  }
+  double leasedBurst() const {
+    const std::vector<QuotaUse> Uses = this->Quotas.uses();
+    return Uses.empty() ? 0 : Uses[0].Leased.Burst;
+  }
+
+  std::shared_ptr<const AccessPlan> Plan = std::make_shared<AccessPlan>();
   Random Rng;
   Metrics Counters;
   HttpPlatform Store;
@@ -109,6 +132,11 @@
   FakeBoard Board;
   FakeReads Reads;
   Relay Node;
+  WorkspaceQuotas Quotas{{{EntryVmId("vm"), this->Rng.below(1U << 30U)}, 1, {}},
+                         [this] { return this->Plan; },
+                         this->Node,
+                         this->Rng,
+                         this->Counters};
 };
 
 struct Fixture {
@@ -366,3 +394,56 @@
   F.waitUntil([&F] { return F.allHave("i-4", "five"); });
   CHECK(F.allFollow());
 }
+
+// Guards against an entry VM without a lease although its relay has some to
+// give, against one that uses its lease for longer, and against a relay that
+// does not renew what the former one has leased.
+TEST_CASE("leases reach followers, are renewed and expire") {
+  Fixture F;
+  for (const auto &[Name, Vm] : F.Vms)
+    Vm->limit({100, 50});
+  F.waitUntil([&F] { return F.allFollow(); });
+  EntryVm *First = F.relay();
+  for (const auto &[Name, Vm] : F.Vms) {
+    CAPTURE(Name);
+    F.waitUntil([&Vm = Vm] { return Vm->admit().Admitted; });
+    F.waitUntil([&Vm = Vm] { return Vm->leasedBurst() >= 1; });
+  }
+
+  // The relay's process ends without notice.
+  runTask(First->Node.stop(steadyNow() + milliseconds(100)));
+  const TimePoint LostAt = steadyNow();
+  F.waitUntil([&F, First] {
+    return std::any_of(F.Vms.begin(), F.Vms.end(), [First](const auto &Entry) {
+      return Entry.second.get() != First && Entry.second->Node.isRelay();
+    });
+  });
+  F.waitUntil([LostAt] {
+    return steadyNow() - LostAt >
+           QuotaAllocator::LeaseLength + milliseconds(300);
+  });
+  for (const auto &[Name, Vm] : F.Vms) {
+    CAPTURE(Name);
+    if (Vm.get() == First)
+      CHECK(Vm->leasedBurst() == 0);
+    else
+      CHECK(Vm->leasedBurst() >= 1);
+  }
+
+  for (const auto &[Name, Vm] : F.Vms)
+    runTask(Vm->Node.stop(steadyNow() + milliseconds(100)));
+  CHECK_FALSE(First->admit().Admitted);
+  CHECK(First->admit().RetryAfter >= QuotaLeaseHolder::MinRetry);
+}
+
+// Guards against fields that a deployment without quotas did not send before.
+TEST_CASE("nothing about quotas is sent without one") {
+  Fixture F;
+  F.waitUntil([&F] { return F.allFollow(); });
+  for (const auto &[Name, Vm] : F.Vms) {
+    Vm->Quotas.addSession(WorkspaceName("w"));
+    CHECK_FALSE(Vm->Quotas.makeRequest());
+    CHECK_FALSE(Vm->Quotas.needsAuthority());
+    CHECK(Vm->admit().Admitted);
+  }
+}
--- a/src/root/sessions/Session.cpp
+++ b/src/root/sessions/Session.cpp
@@ -78,6 +78,10 @@
     this->Caller->greet();
     this->Dependencies.Counters.add(Counter::CallerConnections);
     this->countReader(Route->second);
+    const WorkspaceName Of = *Plan->workspaceOf(Route->second, this->Key);
+    if (this->Dependencies.Quota && !Of.empty())
+      this->Counted =
+          std::make_unique<QuotaSession>(*this->Dependencies.Quota, Of);
     co_return true;
   }
   std::string_view Why = "no configuration";
@@ -190,7 +194,7 @@
     co_return co_await this->abortForKey(std::move(S));
   switch (S.Kind) {
   case StatementVerb::Begin:
-    co_return this->handleBegin(S);
+    co_return co_await this->handleBegin(std::move(S));
   case StatementVerb::Set:
     co_return co_await this->handleSet(std::move(S));
   case StatementVerb::Prepare:
@@ -264,22 +268,42 @@
                  TransactionState::Failed);
 }
 
-Answer Session::handleBegin(const Statement &S) {
+QCoro::Task<std::optional<Answer>>
+Session::admitOperation(const StatementContext &E) {
+  if (!this->Dependencies.Quota || E.Workspace.empty())
+    co_return std::nullopt;
+  const QuotaAnswer Decision = co_await this->Dependencies.Quota->admit(
+      E.Workspace, E.Route.LatencyObjective);
+  if (Decision.Admitted)
+    co_return std::nullopt;
+  std::optional<Answer> Refused =
+      refuseNotRun("the workspace has reached its limit",
+                   TransactionState::Idle, Decision.RetryAfter);
+  co_return Refused;
+}
+
+QCoro::Task<Answer> Session::handleBegin(Statement S) {
   if (this->State != TransactionState::Idle)
-    return failure(AnswerCode::Malformed, "a transaction is open", this->State);
+    co_return failure(AnswerCode::Malformed, "a transaction is open",
+                      this->State);
+  const TimePoint Arrived = steadyNow();
+  const TimePoint ArrivedBoot = bootNow();
   StatementContext E;
   if (std::optional<Answer> Refused = this->findRoute(E))
-    return this->refuse(S, E, *Refused);
+    co_return this->refuse(S, E, *Refused);
+  const std::optional<Answer> OverLimit = co_await this->admitOperation(E);
+  if (OverLimit)
+    co_return this->refuse(S, E, *OverLimit);
   this->TransactionGroup = E.ServerGroup;
   this->TransactionRoute = E.Route;
   this->TransactionWorkspace = E.Workspace;
   this->TransactionBegin = S;
   ++this->TransactionNumber;
-  this->TransactionArrived = steadyNow();
-  this->TransactionArrivedBoot = bootNow();
+  this->TransactionArrived = Arrived;
+  this->TransactionArrivedBoot = ArrivedBoot;
   this->TransactionWrote = false;
   this->State = TransactionState::InTransaction;
-  return success(this->State);
+  co_return success(this->State);
 }
 
 QCoro::Task<Answer> Session::handleSet(Statement S) {
@@ -367,6 +391,9 @@
     co_return this->refuse(S, E, *Refused);
   if (std::optional<Answer> Refused = this->prepareContext(S, E))
     co_return this->refuse(S, E, *Refused);
+  const std::optional<Answer> OverLimit = co_await this->admitOperation(E);
+  if (OverLimit)
+    co_return this->refuse(S, E, *OverLimit);
   const bool Writes = this->writes(S);
   Answer A;
   if (Writes)
--- a/src/root/sessions/Session.h
+++ b/src/root/sessions/Session.h
@@ -16,6 +16,7 @@
 #include "policy/StopSchedule.h"
 #include "root/directory/PlatformDirectory.h"
 #include "root/groups/GroupRegistry.h"
+#include "root/quotas/OperationQuota.h"
 #include "root/sessions/CallerStream.h"
 #include "root/sessions/StatementRunner.h"
 #include "root/telemetry/Metrics.h"
@@ -33,6 +34,7 @@
   const GroupRegistry &Groups;
   Metrics &Counters;
   ReadForwarding *Forwarding = nullptr; ///< Null: reads are run here.
+  OperationQuota *Quota = nullptr;      ///< Null: no workspace is limited.
 };
 
 /// One caller's session.
@@ -78,6 +80,9 @@
 private:
   /// Receives the session request; returns whether the session was accepted.
   QCoro::Task<bool> open();
+  /// Counts an operation of the workspace of \p E; returns the refusal if it is
+  /// not within the quota.
+  QCoro::Task<std::optional<Answer>> admitOperation(const StatementContext &E);
   /// Counts the session as a reader of the group that \p Route leads to, if
   /// its reads need a floor.
   void countReader(const DatabaseRoute &Route);
@@ -108,7 +113,7 @@
   QCoro::Task<Answer> abortTransaction(Statement S, std::string Why);
   /// Answers a statement after the transaction has failed.
   Answer handleInFailedTransaction(const Statement &S);
-  Answer handleBegin(const Statement &S);
+  QCoro::Task<Answer> handleBegin(Statement S);
   QCoro::Task<Answer> handleSet(Statement S);
   Answer handlePrepare(const Statement &S);
   Answer handleDeallocate(const Statement &S);
@@ -151,6 +156,7 @@
   std::string Database;
   std::string Key; ///< Must not be logged.
   std::unique_ptr<ReaderCount> Reader;
+  std::unique_ptr<QuotaSession> Counted; ///< In the quota of its workspace.
   SessionSettingValues Values;
   std::map<std::string, PreparedStatement> Prepared;
   std::optional<LogPosition> Floor; ///< Position of the session's last commit.
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -153,10 +153,11 @@
 
 } // namespace
 
-Answer refuseNotRun(const std::string &Why, TransactionState State) {
+Answer refuseNotRun(const std::string &Why, TransactionState State,
+                    Duration After) {
   return failure(AnswerCode::Busy,
                  "not run; " + Why + "; retry-after-ms=" +
-                     std::to_string(RetryAfter / milliseconds(1)),
+                     std::to_string(After / milliseconds(1)),
                  State);
 }
 
--- a/src/root/sessions/StatementRunner.h
+++ b/src/root/sessions/StatementRunner.h
@@ -114,7 +114,8 @@
 
 /// Returns the refusal of a statement that has not run.
 Answer refuseNotRun(const std::string &Why,
-                    TransactionState State = TransactionState::Idle);
+                    TransactionState State = TransactionState::Idle,
+                    Duration After = RetryAfter);
 
 /// Returns which servers may run a read of \p E, by the route's consistency and
 /// the known floor.
--- a/src/root/sessions/testing/SessionTest.cpp
+++ b/src/root/sessions/testing/SessionTest.cpp
@@ -27,8 +27,9 @@
     Duration Pause{}; ///< Between the action and the line.
   };
 
-  ScriptedCaller(std::deque<Step> Steps, std::vector<std::string> &Answers)
-      : Steps(std::move(Steps)), Answers(Answers) {}
+  ScriptedCaller(std::deque<Step> Steps, std::vector<std::string> &Answers,
+                 std::vector<std::string> &Details)
+      : Steps(std::move(Steps)), Answers(Answers), Details(Details) {}
 
   QCoro::Task<CallerMessage> receive(TimePoint) override {
     if (this->Steps.empty())
@@ -59,6 +60,7 @@
     const std::string State(nameOf(A.State));
     this->Answers.emplace_back((A.Code ? std::string(nameOf(*A.Code)) : "ok") +
                                " " + State);
+    this->Details.push_back(A.Detail);
   }
   QCoro::Task<bool> flushed(TimePoint) override { co_return true; }
   void interrupt() override {}
@@ -69,6 +71,7 @@
 private:
   std::deque<Step> Steps;
   std::vector<std::string> &Answers;
+  std::vector<std::string> &Details;
 };
 
 /// A table feed with a configuration that a test can replace, and one fixed
@@ -135,6 +138,26 @@
   }
 };
 
+/// Admits a fixed number of operations.
+class FixedQuota final : public OperationQuota {
+public:
+  explicit FixedQuota(unsigned Left) : Left(Left) {}
+
+  QCoro::Task<QuotaAnswer> admit(WorkspaceName Workspace, Duration) override {
+    this->AskedFor.push_back(Workspace.str());
+    if (this->Left == 0)
+      co_return QuotaAnswer{false, milliseconds(730)};
+    --this->Left;
+    co_return QuotaAnswer{};
+  }
+  void addSession(const WorkspaceName &) override { ++this->Sessions; }
+  void removeSession(const WorkspaceName &) override { --this->Sessions; }
+
+  unsigned Left;
+  int Sessions = 0;
+  std::vector<std::string> AskedFor;
+};
+
 /// The objects that one session depends on.
 struct Fixture {
   Fixture() {
@@ -153,7 +176,8 @@
   std::vector<std::string> serve(std::deque<ScriptedCaller::Step> Steps) {
     std::vector<std::string> Answers;
     Session Served(this->Dependencies,
-                   std::make_unique<ScriptedCaller>(std::move(Steps), Answers),
+                   std::make_unique<ScriptedCaller>(std::move(Steps), Answers,
+                                                    this->Details),
                    1);
     this->Serving = &Served;
     runTask(Served.run());
@@ -170,7 +194,8 @@
     this->Serving->finish();
   }
 
-  Session *Serving = nullptr; ///< Set during serve().
+  Session *Serving = nullptr;       ///< Set during serve().
+  std::vector<std::string> Details; ///< Of all answers.
 
   LineGroup Group;
   FixedTables Tables{this->Group};
@@ -531,3 +556,76 @@
     CHECK(RunFor == R.RunFor);
   }
 }
+
+// Guards against a refused operation that runs or uses a connection, against a
+// transaction that counts more than once, and against a limit on callers that
+// have no workspace.
+TEST_CASE("an operation above the quota of its workspace is not run") {
+  struct Row {
+    const char *Name;
+    unsigned Admitted;
+    std::vector<const char *> Lines;
+    Texts Answers;
+    std::size_t Operations; ///< Counted.
+    bool UsesServer;
+  };
+  const Row Rows[] = {
+      {"a read",
+       0,
+       {"CONNECT orders kx", "QUERY 1 READ a"},
+       {"ready", "busy idle"},
+       1,
+       false},
+      {"a write",
+       0,
+       {"CONNECT orders kx", "QUERY 1 WRITE a b"},
+       {"ready", "busy idle"},
+       1,
+       false},
+      {"a transaction",
+       0,
+       {"CONNECT orders kx", "QUERY 1 BEGIN"},
+       {"ready", "busy idle"},
+       1,
+       false},
+      {"a transaction counts once",
+       1,
+       {"CONNECT orders kx", "QUERY 1 BEGIN", "QUERY 2 WRITE a b",
+        "QUERY 3 READ a", "QUERY 4 COMMIT", "QUERY 5 READ a"},
+       {"ready", "ok in-transaction", "ok in-transaction", "ok in-transaction",
+        "ok idle", "busy idle"},
+       2,
+       true},
+      {"preparing is no operation",
+       0,
+       {"CONNECT orders kx", "QUERY 1 PREPARE s READ q", "QUERY 2 EXECUTE s a",
+        "QUERY 3 DEALLOC s"},
+       {"ready", "ok idle", "busy idle", "ok idle"},
+       1,
+       false},
+      {"a route without workspaces",
+       0,
+       {"CONNECT public none", "QUERY 1 READ a"},
+       {"ready", "ok idle"},
+       0,
+       true},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    F.Tables.setWorkspaces(7, R"([{"name":"x","api-keys":["kx"]}])");
+    runTask(pause(milliseconds(250)));
+    FixedQuota Quota(R.Admitted);
+    F.Dependencies.Quota = &Quota;
+    Steps Script;
+    for (const char *Line : R.Lines)
+      Script.push_back({Line});
+    CHECK(F.serve(Script) == R.Answers);
+    CHECK(Quota.AskedFor == Texts(R.Operations, "x"));
+    CHECK(Quota.Sessions == 0);
+    CHECK(F.Group["a"].ExecutedFor.empty() == !R.UsesServer);
+    if (R.Answers.back() == "busy idle")
+      CHECK(F.Details.back() == "not run; the workspace has reached its limit; "
+                                "retry-after-ms=730");
+  }
+}
--- a/src/root/telemetry/Metrics.h
+++ b/src/root/telemetry/Metrics.h
@@ -43,6 +43,9 @@
   EventLoopPauses,
   ConfigurationsAccepted,
   RelayRequests,
+  QuotaSpent,
+  QuotaRefused,
+  QuotaLeasesExpired,
 };
 
 /// The name, label and help text of a counter.
@@ -93,6 +96,12 @@
      "Configuration revisions taken into force."},
     {Counter::RelayRequests, "amaranthspur_relay_requests_total", "result",
      "Requests to the relay of the data centre, by result."},
+    {Counter::QuotaSpent, "amaranthspur_quota_spent_total", "workspace",
+     "Operations admitted within the quota of a workspace."},
+    {Counter::QuotaRefused, "amaranthspur_quota_refused_total", "workspace",
+     "Operations refused because of the quota of a workspace."},
+    {Counter::QuotaLeasesExpired, "amaranthspur_quota_leases_expired_total", "",
+     "Leases of quotas that expired without a renewal."},
 });
 } // namespace detail
 
@@ -118,6 +127,8 @@
   ConfigurationRevision,
   LiveMembers,
   RelayFollowers,
+  QuotaLimit,
+  QuotaLeased,
 };
 
 /// The name, label and help text of a gauge.
@@ -150,6 +161,10 @@
      "Entry VMs believed to be live, this one included."},
     {Gauge::RelayFollowers, "amaranthspur_relay_followers", "",
      "Entry VMs that follow this relay; 0 on an entry VM that is not one."},
+    {Gauge::QuotaLimit, "amaranthspur_quota_limit_per_second", "workspace",
+     "Limit of the operations of a workspace on all entry VMs together."},
+    {Gauge::QuotaLeased, "amaranthspur_quota_leased_per_second", "workspace",
+     "Part of a workspace's limit that is leased to this entry VM."},
 });
 } // namespace detail
 
--- a/src/root/testing/SettingsTest.cpp
+++ b/src/root/testing/SettingsTest.cpp
@@ -94,6 +94,16 @@
       {"--configuration-bound-ms", "2000", ""},
       {"--configuration-bound-ms", "1999", "2000 to 600000"},
       {"--configuration-bound-ms", "3s", "2000 to 600000"},
+      {"--quota-tolerance", "", ""},
+      {"--quota-tolerance", "5,0.1,20", ""},
+      {"--quota-tolerance", ",,", ""},
+      {"--quota-tolerance", "5,0.1", "window,excess,slack"},
+      {"--quota-tolerance", "5,0.1,20,1", "window,excess,slack"},
+      {"--quota-tolerance", "0,0.1,20", "window,excess,slack"},
+      {"--quota-tolerance", "5,-0.1,20", "window,excess,slack"},
+      {"--quota-tolerance", "5,nan,20", "window,excess,slack"},
+      {"--quota-tolerance", "5,0.1,1e999", "window,excess,slack"},
+      {"--quota-tolerance", "5s,0.1,20", "window,excess,slack"},
       {"--grace-seconds", "6", ""},
       {"--grace-seconds", "0", "a number above 0"},
       {"--grace-seconds", "3601", "up to 3600"},
@@ -231,3 +241,30 @@
       CHECK(valueOf(Parsed).Action == R.Action);
   }
 }
+
+// Guards against a tolerance that is applied to the wrong window, and against
+// one where none is configured.
+TEST_CASE("the tolerance of quotas") {
+  struct Row {
+    const char *Value;
+    QuotaTolerance Tolerance;
+  };
+  const Row Rows[] = {
+      {"", {std::chrono::seconds(5), 0, 0}},
+      {",,", {std::chrono::seconds(5), 0, 0}},
+      {"5,0.1,20", {std::chrono::seconds(5), 0.1, 20}},
+      {"2.5,,7", {milliseconds(2500), 0, 7}},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Value);
+    Values Flags = validValues();
+    Flags["--front-end"] = "lines";
+    Flags["--readiness-address"] = "127.0.1.1:9001";
+    Flags["--promotion-address"] = "127.0.9.1:8001";
+    Flags["--regions"] = "joburg-a=gauteng";
+    Flags["--quota-tolerance"] = R.Value;
+    const auto Parsed = read(Flags);
+    REQUIRE(succeeded(Parsed));
+    CHECK(valueOf(Parsed).Values.Quotas == R.Tolerance);
+  }
+}
