--- a/src/policy/quotas/QuotaAllocator.cpp
+++ b/src/policy/quotas/QuotaAllocator.cpp
@@ -6,6 +6,9 @@
 namespace amaranthspur {
 namespace {
 
+/// Longest time to fill a bucket that is waited for.
+constexpr double MaxFillSeconds = 3600;
+
 bool isPlausible(double Number) {
   // Also false for a value that is not a number.
   return Number >= 0 && Number <= QuotaAllocator::MaxAmount;
@@ -22,6 +25,12 @@
   return Sum > Limit ? Limit / Sum : 1;
 }
 
+/// Returns the tokens that a holder keeps for the time between two requests.
+double keptTokens(double Demand) {
+  const double Expected = Demand * QuotaAllocator::BurstSeconds;
+  return Expected >= 1 ? Expected : 0;
+}
+
 } // namespace
 
 double maxMinPart(double Total, const std::vector<double> &Demands,
@@ -46,9 +55,15 @@
   this->stop();
   this->Started = true;
   this->ConfirmedAt = Now;
+  this->FollowsAnother = FollowsAnother;
   this->GrantsFreelyAt = FollowsAnother ? Now + TakeoverTime : Now;
 }
 
+void QuotaAllocator::observeFormerEnded(TimePoint Now) {
+  this->GrantsFreelyAt =
+      std::min(this->GrantsFreelyAt, Now + LeaseLength + 2 * ExpiryMargin);
+}
+
 void QuotaAllocator::confirm(TimePoint AsOf) {
   this->ConfirmedAt = std::max(this->ConfirmedAt, AsOf);
 }
@@ -96,7 +111,8 @@
 }
 
 QuotaAmount QuotaAllocator::target(const Account &A, const QuotaHolderId &Self,
-                                   const QuotaAmount &Share, TimePoint Now) {
+                                   unsigned Waiting, const QuotaAmount &Share,
+                                   TimePoint Now) {
   std::vector<double> Rates;
   std::vector<double> Bursts;
   std::size_t Own = 0;
@@ -108,7 +124,7 @@
       Own = Rates.size();
     Demands += Demand;
     Rates.push_back(Demand);
-    Bursts.push_back(Demand > ActiveDemand ? 1 + Demand * BurstSeconds : 0);
+    Bursts.push_back(keptTokens(Demand) + (Id == Self ? Waiting : 0));
   }
   // A bucket that is full would waste what it is leased, so less than the
   // demand is leased unless there is demand for everything. The pool adds what
@@ -130,12 +146,32 @@
   return Out;
 }
 
+QuotaAllocator::Account &
+QuotaAllocator::accountOf(const WorkspaceName &Workspace,
+                          const QuotaAmount &Share, TimePoint Now) {
+  const auto [Found, IsNew] = this->Accounts.try_emplace(Workspace);
+  if (!IsNew || Share.RatePerSecond <= 0)
+    return Found->second;
+  const Duration FillTime =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          std::min(Share.Burst / Share.RatePerSecond, MaxFillSeconds)));
+  // Nothing has been used since the former allocator's last lease ended.
+  const bool IsFull =
+      !this->FollowsAnother || Now - this->GrantsFreelyAt >= FillTime;
+  if (IsFull) {
+    Found->second.Pool.resize(Share, Now);
+    Found->second.Pool.add(Share.Burst, Now);
+  }
+  return Found->second;
+}
+
 QuotaLease QuotaAllocator::leaseOne(const QuotaHolderId &Holder,
                                     const QuotaReport &Report,
                                     const QuotaAmount &Share, TimePoint Now) {
-  Account &A = this->Accounts[Report.Workspace];
+  Account &A = this->accountOf(Report.Workspace, Share, Now);
   this->removeExpired(A, Now);
   Commitment &Own = A.Holders[Holder];
+  A.Share = Share;
   // The report replaces what was committed before.
   Own.Amount = Report.Held;
   Own.Demand = Report.Demand;
@@ -153,21 +189,22 @@
   const QuotaAmount Most{Kept.RatePerSecond + Free.RatePerSecond,
                          Kept.Burst + Free.Burst};
   // Until leases are granted freely, nobody else could get what is not renewed.
-  QuotaAmount Granted = Now < this->GrantsFreelyAt
-                            ? Kept
-                            : smallerOf(target(A, Holder, Share, Now), Most);
-  if (Granted.Burst < 1 && Report.Demand > ActiveDemand && Most.Burst >= 1)
+  QuotaAmount Granted =
+      Now < this->GrantsFreelyAt
+          ? Kept
+          : smallerOf(target(A, Holder, Report.Waiting, Share, Now), Most);
+  if (Granted.Burst < 1 && Report.Waiting > 0 && Most.Burst >= 1)
     Granted.Burst = 1;
   if (Granted.Burst < 1)
     Granted = {};
 
   const double Room = std::max(0.0, Granted.Burst - Report.Tokens);
   // Tokens beyond the need of the next moments stay where any holder can get
-  // them.
-  const double Needed = 1 + Report.Demand * BurstSeconds - Report.Tokens;
-  const double Wanted = Report.Demand > ActiveDemand
-                            ? std::max(0.0, Needed)
-                            : A.Pool.tokens(Now) * IdleTokenPart;
+  // them. One is kept where there are enough for all holders.
+  const double Spare = std::clamp(Granted.Burst - Report.Waiting, 0.0, 1.0);
+  const double Wanted = std::max(
+      0.0, Report.Waiting + std::max(keptTokens(Report.Demand), Spare) -
+               Report.Tokens);
   QuotaLease Out{Report.Workspace, Granted,
                  A.Pool.take(std::min(Room, Wanted), Now), LeaseLength};
   Own.Amount = largerOf(Report.Held, Granted);
@@ -217,14 +254,16 @@
   std::erase_if(this->Holders, [Now](const auto &Entry) {
     return Now - Entry.second.LastRequest > 2 * (LeaseLength + ExpiryMargin);
   });
-  // An account without holders is forgotten with its pool, which starts empty
-  // when the workspace is reported again.
-  std::erase_if(this->Accounts, [Now](const auto &Entry) {
-    const auto &Of = Entry.second.Holders;
-    return std::all_of(Of.begin(), Of.end(), [Now](const auto &Held) {
-      return Now >= Held.second.End;
-    });
-  });
+  // An account without holders is forgotten when its pool is full, as that of a
+  // new account is.
+  for (auto It = this->Accounts.begin(); It != this->Accounts.end();) {
+    Account &A = It->second;
+    removeExpired(A, Now);
+    this->resizePool(A, A.Share, Now);
+    const bool IsUnused = A.Holders.empty() && Now >= this->GrantsFreelyAt &&
+                          A.Pool.tokens(Now) >= A.Pool.capacity().Burst;
+    It = IsUnused ? this->Accounts.erase(It) : std::next(It);
+  }
 }
 
 } // namespace amaranthspur
--- a/src/policy/quotas/QuotaAllocator.h
+++ b/src/policy/quotas/QuotaAllocator.h
@@ -53,8 +53,9 @@
 /// number of entry VMs with sessions of the workspace, times its logarithm.
 class QuotaAllocator {
 public:
-  /// A lease is renewed every 400 ms; a lost relay is replaced within 3 s.
-  static constexpr Duration LeaseLength = std::chrono::seconds(3);
+  /// A lease is renewed every 400 ms, so that two replies may be lost. After a
+  /// restart of all entry VMs, nothing is leased for this time.
+  static constexpr Duration LeaseLength = milliseconds(1500);
   /// More than 2 % of a lease, for clocks that differ by 1 % each.
   static constexpr Duration ExpiryMargin = milliseconds(100);
   /// Leases are granted for this time after it was last confirmed that no other
@@ -72,20 +73,16 @@
   /// Part of the demand that is leased as a rate while there is less demand
   /// than the share. Operations beyond it use tokens of the pool.
   static constexpr double LeasedPart = 0.7;
-  /// Demand of this many seconds is the burst that a holder gets, in addition
-  /// to one operation, as far as that is free. It covers the time between two
-  /// requests.
+  /// Demand of this many seconds is the burst that a holder gets, as far as
+  /// that is free. It covers the time between two requests. A holder that
+  /// expects less than one operation in it gets tokens only for operations that
+  /// wait: a small quota has fewer tokens than there are entry VMs.
   static constexpr double BurstSeconds = 0.5;
   /// Part of the free burst that is leased to all holders, so that a first
   /// operation need not wait. The rest stays in the pool.
   static constexpr double SparePart = 0.4;
-  /// A demand above this, in operations per second, is served before the
-  /// others when there are fewer bursts of one operation than holders.
-  static constexpr double ActiveDemand = 0.1;
   /// Demand counts for this time after its report.
   static constexpr Duration DemandTime = milliseconds(1200);
-  /// Part of the pool's tokens that an entry VM without demand may get.
-  static constexpr double IdleTokenPart = 0.25;
   /// Interval at which the state of absent holders is removed.
   static constexpr Duration CleanInterval = milliseconds(500);
   /// Bound of the numbers that a report may contain.
@@ -101,6 +98,9 @@
   void stop();
   /// Records that no other allocator had followed this one at \p AsOf.
   void confirm(TimePoint AsOf);
+  /// Records that the former allocator has ended, so that only its leases
+  /// count.
+  void observeFormerEnded(TimePoint Now);
   bool isStarted() const { return this->Started; }
 
   /// Returns the leases of one holder for what it reports. Workspaces without
@@ -121,6 +121,7 @@
   struct Account {
     std::map<QuotaHolderId, Commitment> Holders;
     QuotaBucket Pool;
+    QuotaAmount Share; ///< At the last report.
   };
   struct HolderState {
     std::uint64_t Sequence = 0;
@@ -132,8 +133,14 @@
   static void removeExpired(Account &A, TimePoint Now);
   void resizePool(Account &A, const QuotaAmount &Share, TimePoint Now) const;
   /// Returns what \p Self is to have by its demand and that of the others.
+  /// \param Waiting operations of \p Self that wait for a token.
   static QuotaAmount target(const Account &A, const QuotaHolderId &Self,
-                            const QuotaAmount &Share, TimePoint Now);
+                            unsigned Waiting, const QuotaAmount &Share,
+                            TimePoint Now);
+  /// Returns the account of \p Workspace. The pool of a new one is full if that
+  /// of an account without use would be.
+  Account &accountOf(const WorkspaceName &Workspace, const QuotaAmount &Share,
+                     TimePoint Now);
   QuotaLease leaseOne(const QuotaHolderId &Holder, const QuotaReport &Report,
                       const QuotaAmount &Share, TimePoint Now);
   void removeOldHolders(TimePoint Now);
@@ -142,6 +149,7 @@
   QuotaTolerance Tolerance;
   bool Started = false;
   TimePoint GrantsFreelyAt{};
+  bool FollowsAnother = false;
   TimePoint CleanedAt{};
   TimePoint ConfirmedAt{};
   std::map<WorkspaceName, Account> Accounts;
--- a/src/policy/quotas/QuotaAmount.cpp
+++ b/src/policy/quotas/QuotaAmount.cpp
@@ -33,11 +33,7 @@
                             std::size_t DataCentres) {
   const auto Count = static_cast<double>(std::max<std::size_t>(1, DataCentres));
   const double Extra = LeasedExtraPart * toleratedExtra(Quota, Tolerance);
-  // Half of the extra is added to the rate, half to the burst: in a window
-  // they add up to the extra.
-  return {(Quota.RatePerSecond + Extra / 2 / inSeconds(Tolerance.Window)) /
-              Count,
-          (Quota.Burst + Extra / 2) / Count};
+  return {Quota.RatePerSecond / Count, (Quota.Burst + Extra) / Count};
 }
 
 QuotaAmount entryVmReserve(const WorkspaceQuota &Quota,
--- a/src/policy/quotas/QuotaAmount.h
+++ b/src/policy/quotas/QuotaAmount.h
@@ -41,7 +41,7 @@
   bool operator==(const QuotaTolerance &) const = default;
 };
 
-/// Part of the tolerated extra that is leased. A burst of whole operations can
+/// Part of the tolerated extra that is leased, as a burst. Whole operations can
 /// then be given to several data centres at once, also for a small quota.
 inline constexpr double LeasedExtraPart = 0.6;
 /// Part of the tolerated extra that entry VMs without a lease may use. The
@@ -82,6 +82,7 @@
   /// Tokens that were discarded because a reply lowered the lease. They are
   /// reported once.
   double Returned = 0;
+  unsigned Waiting = 0; ///< Operations that wait for a token.
 };
 
 /// The reports of an entry VM. A workspace that is not listed is not held.
--- a/src/policy/quotas/QuotaLeaseHolder.cpp
+++ b/src/policy/quotas/QuotaLeaseHolder.cpp
@@ -96,7 +96,7 @@
     ++S.Spent;
     return {};
   }
-  S.Unserved = true;
+  S.Waiting += IsFirst ? 1 : 0;
   const std::optional<Duration> Next = S.Leased.untilNext(Now);
   const std::optional<Duration> Reserved = S.Reserve.untilNext(Now);
   QuotaDecision Out;
@@ -134,9 +134,10 @@
     const double Demand = this->reportedDemand(S, Now);
     S.SinceRequest = 0;
     S.AskedDemand = Demand;
-    S.Asked = std::exchange(S.Unserved, false);
+    S.Asked = S.Waiting > 0;
     Out.Reports.push_back({At->first, Demand, S.Leased.capacity(),
-                           S.Leased.tokens(Now), S.Returned});
+                           S.Leased.tokens(Now), S.Returned,
+                           std::exchange(S.Waiting, 0)});
     S.Returned = 0;
     ++At;
   }
--- a/src/policy/quotas/QuotaLeaseHolder.h
+++ b/src/policy/quotas/QuotaLeaseHolder.h
@@ -117,8 +117,8 @@
     QuotaBucket Leased;
     QuotaBucket Reserve;
     std::optional<TimePoint> LeaseEnd;
-    bool Unserved = false; ///< An operation found no token since the request.
-    bool Asked = false;    ///< The same before the request under way.
+    unsigned Waiting = 0; ///< Operations without a token since the request.
+    bool Asked = false;   ///< The same before the request under way.
     double AskedDemand = 0;
     std::optional<TimePoint> ShortAt; ///< Reply to such a request that gave
                                       ///< less than the demand.
--- a/src/root/quotas/WorkspaceQuotas.cpp
+++ b/src/root/quotas/WorkspaceQuotas.cpp
@@ -102,9 +102,14 @@
     const bool MayCome = this->askForLease();
     if (!MayCome)
       break;
-    if (this->Allocator.isStarted())
-      continue;
     const TaskGroup::Guard Guard(this->Tasks);
+    if (this->Allocator.isStarted()) {
+      Decision = this->Holder.admit(Workspace, Limit, false, bootNow());
+      if (Decision.Verdict != QuotaVerdict::LeaseWanted)
+        break;
+      co_await sleepFor(OwnSpacing);
+      continue;
+    }
     co_await this->Leased.wait(End);
   }
   if (Decision.Verdict == QuotaVerdict::Admitted) {
@@ -129,7 +134,7 @@
         this->OwnLeasedAt && Now - *this->OwnLeasedAt < Duration(OwnSpacing);
     if (!IsRecent)
       this->leaseToSelf();
-    return !IsRecent;
+    return true;
   }
   if (!this->Source.isAvailable())
     return false;
@@ -215,6 +220,10 @@
   this->Allocator.confirm(AsOf);
 }
 
+void WorkspaceQuotas::formerAllocatorEnded() {
+  this->Allocator.observeFormerEnded(bootNow());
+}
+
 std::vector<QuotaLease> WorkspaceQuotas::lease(const QuotaRequest &Asked) {
   return this->Allocator.lease(Asked, *this->Plan(), bootNow());
 }
--- a/src/root/quotas/WorkspaceQuotas.h
+++ b/src/root/quotas/WorkspaceQuotas.h
@@ -77,6 +77,7 @@
   void endAllocation() override;
   bool needsAuthority() const override;
   void confirmAuthority(TimePoint AsOf) override;
+  void formerAllocatorEnded() override;
   std::vector<QuotaLease> lease(const QuotaRequest &Asked) override;
 
 private:
--- a/src/root/relay/QuotaBoard.h
+++ b/src/root/relay/QuotaBoard.h
@@ -33,6 +33,8 @@
   virtual bool needsAuthority() const = 0;
   /// Records that no other relay had followed this one at \p AsOf.
   virtual void confirmAuthority(TimePoint AsOf) = 0;
+  /// Records that the relay before this one allocates no more.
+  virtual void formerAllocatorEnded() = 0;
   /// Returns the leases of another entry VM.
   virtual std::vector<QuotaLease> lease(const QuotaRequest &Asked) = 0;
 };
--- a/src/root/relay/QuotaCodec.cpp
+++ b/src/root/relay/QuotaCodec.cpp
@@ -36,6 +36,7 @@
     Out->set_held_burst(R.Held.Burst);
     Out->set_tokens(R.Tokens);
     Out->set_returned(R.Returned);
+    Out->set_waiting(R.Waiting);
   }
 }
 
@@ -56,7 +57,8 @@
                              D.demand(),
                              {D.held_rate(), D.held_burst()},
                              D.tokens(),
-                             D.returned()});
+                             D.returned(),
+                             D.waiting()});
   }
   return Out;
 }
--- a/src/root/relay/Relay.cpp
+++ b/src/root/relay/Relay.cpp
@@ -121,6 +121,7 @@
   Own.Vm = this->Options.Self;
   Own.Address = this->Options.ListenAddress;
   Own.Token = randomToken(this->Rng);
+  this->ClaimedTokens.insert(Own.Token);
   const std::string Operation = this->Options.Self.str() + "/" + Own.Token +
                                 "/" + std::to_string(++this->Operations);
   const RelayRow Former = this->row();
@@ -136,19 +137,28 @@
   else
     this->Election.observeStoreFailure(steadyNow(), this->Rng);
   this->applyRole();
-  if (succeeded(R) && valueOf(R).Applied && !Former.Vm.empty() &&
-      Former.Vm != this->Options.Self)
+  const bool Replaced =
+      succeeded(R) && valueOf(R).Applied && !Former.Vm.empty();
+  if (Replaced && Former.Vm != this->Options.Self)
     this->announceReplacement(Former);
+  else if (Replaced && this->Quotas)
+    this->Quotas->formerAllocatorEnded();
 }
 
 QCoro::Task<> Relay::announceReplacement(RelayRow Former) {
   const TaskGroup::Guard Guard(this->Tasks);
   relay::Request Message = this->makeRequest(Former);
   *Message.mutable_replacement() = this->makeReplacement();
+  const std::uint64_t Replacement = this->row().Version;
   const auto To = std::make_shared<RelayLink>(*this->Context, Former.Address);
   // A suspended relay reads the message when it wakes, if the connection was
   // made before.
-  co_await To->request(std::move(Message), steadyNow() + ClaimTimeout);
+  const std::optional<relay::Reply> Reply =
+      co_await To->request(std::move(Message), steadyNow() + ClaimTimeout);
+  // The former relay has accepted the replacement, or another process runs at
+  // its address.
+  if (Reply && this->Quotas && this->row().Version == Replacement)
+    this->Quotas->formerAllocatorEnded();
 }
 
 QCoro::Task<> Relay::readRow() {
@@ -231,6 +241,9 @@
   this->SilentUntil = TimePoint{};
   this->Quotas->startAllocation(!this->RowWasNew);
   this->Quotas->confirmAuthority(this->RowAskedAt);
+  // A row that this process has not claimed is that of a former run.
+  if (this->ClaimedTokens.count(this->row().Token) == 0)
+    this->Quotas->formerAllocatorEnded();
 }
 
 QCoro::Task<> Relay::confirmAuthority() {
@@ -474,7 +487,12 @@
     return;
   }
   if (Asked.has_replacement()) {
-    this->observeReplacement(Asked.replacement());
+    const bool Accepted = this->observeReplacement(Asked.replacement());
+    if (Accepted) {
+      this->updateAllocation();
+      *Answer.mutable_not_relay() = this->makeRejection(Asked.token());
+      this->Listener.reply(From, Answer);
+    }
     return;
   }
   if (this->Followers.size() < MaxFollowers) {
--- a/src/root/relay/Relay.h
+++ b/src/root/relay/Relay.h
@@ -26,6 +26,8 @@
 
 #include <map>
 #include <memory>
+#include <set>
+#include <string>
 
 namespace amaranthspur {
 
@@ -173,11 +175,12 @@
   Metrics &Counters;
   EvidenceBoard *Board = nullptr;
   QuotaBoard *Quotas = nullptr;
-  bool Allocates = false;       ///< The quotas, as the relay.
-  bool RowWasNew = false;       ///< No relay was before this one.
-  TimePoint RowAskedAt{};       ///< Boot clock; last claim or read.
-  TimePoint SilentUntil{};      ///< Steady clock; see SilencePeriod.
-  bool LeasesRequested = false; ///< A task waits to wake the follower.
+  bool Allocates = false;              ///< The quotas, as the relay.
+  std::set<std::string> ClaimedTokens; ///< Of this process.
+  bool RowWasNew = false;              ///< No relay was before this one.
+  TimePoint RowAskedAt{};              ///< Boot clock; last claim or read.
+  TimePoint SilentUntil{};             ///< Steady clock; see SilencePeriod.
+  bool LeasesRequested = false;        ///< A task waits to wake the follower.
   RelayElection Election;
   std::unique_ptr<zmq::context_t> Context; ///< Created at the start.
   RelayListener Listener;
