--- a/src/policy/quotas/QuotaAllocator.cpp
+++ b/src/policy/quotas/QuotaAllocator.cpp
@@ -140,7 +140,7 @@
   Own.Amount = Report.Held;
   Own.Demand = Report.Demand;
   Own.DemandAt = Now;
-  Own.End = Now + LeaseLength + ExpiryMargin;
+  Own.End = Now + CommitmentTime;
   const QuotaAmount Sum = sumOf(A);
   this->resizePool(A, Share, Now);
   A.Pool.add(Report.Returned, Now);
@@ -215,7 +215,7 @@
     return;
   this->CleanedAt = Now;
   std::erase_if(this->Holders, [Now](const auto &Entry) {
-    return Now - Entry.second.LastRequest > 2 * (LeaseLength + ExpiryMargin);
+    return Now - Entry.second.LastRequest > 2 * CommitmentTime;
   });
   // An account without holders is forgotten with its pool, which starts empty
   // when the workspace is reported again.
--- a/src/policy/quotas/QuotaAllocator.h
+++ b/src/policy/quotas/QuotaAllocator.h
@@ -18,7 +18,9 @@
 //  2. The holder counts a lease from the time at which it sent its request, the
 //     allocator from its reply plus ExpiryMargin, which exceeds the difference
 //     of clock rates. A holder never uses a lease that the allocator has
-//     dropped. A reply that was delayed beyond the lease is not applied.
+//     dropped. A reply that was delayed beyond the lease is not applied. The
+//     allocator counts a lease for AuthorityTime longer: until then its holder
+//     may have renewed it at an allocator that has followed this one.
 //  3. What is not committed fills a bucket of the allocator, the pool. The sum
 //     of the rates and the sum of the bursts of the commitments and of the pool
 //     never exceed the share. New leases are cut to what is left.
@@ -66,13 +68,19 @@
   /// followed it: the relay finds that a follower is silent after 1.2 s.
   static constexpr Duration AuthorityTime =
       ConfirmationTime + milliseconds(1200);
+  /// Time for which a lease is counted unless its holder reports again. It is
+  /// longer than the lease, since the holder may have renewed it at an
+  /// allocator that has followed this one, and since a delayed request may
+  /// renew it.
+  static constexpr Duration CommitmentTime =
+      LeaseLength + ExpiryMargin + AuthorityTime;
   /// Time for which an allocator that follows another one grants only what is
   /// reported as held.
   static constexpr Duration TakeoverTime =
       LeaseLength + 2 * ExpiryMargin + AuthorityTime;
   /// Part of the demand that is leased as a rate while there is less demand
   /// than the share. Operations beyond it use tokens of the pool.
-  static constexpr double LeasedPart = 0.7;
+  static constexpr double LeasedPart = 0.85;
   /// Demand of this many seconds is the burst that a holder gets, in addition
   /// to one operation, as far as that is free. It covers the time between two
   /// requests.
--- a/src/policy/quotas/QuotaLeaseHolder.cpp
+++ b/src/policy/quotas/QuotaLeaseHolder.cpp
@@ -208,6 +208,7 @@
 
 std::vector<QuotaUse> QuotaLeaseHolder::uses() const {
   std::vector<QuotaUse> Out;
+  Out.reserve(this->States.size());
   for (const auto &[Workspace, S] : this->States)
     Out.push_back(
         {Workspace, S.Limit, S.Leased.capacity(), S.Spent, S.Refused});
--- a/src/policy/quotas/testing/QuotaAllocatorTest.cpp
+++ b/src/policy/quotas/testing/QuotaAllocatorTest.cpp
@@ -92,6 +92,7 @@
     QuotaAllocator Allocator(1, {});
     Allocator.start(false, at(0));
     std::vector<Holder> Holders;
+    Holders.reserve(R.Before.size());
     for (std::size_t I = 0; I < R.Before.size(); ++I)
       Holders.push_back({vm(static_cast<int>(I)), 0, {}});
     for (int Ms = 0; Ms < 5000; Ms += 400)
@@ -117,6 +118,7 @@
   QuotaAllocator Allocator(1, {});
   Allocator.start(false, at(0));
   std::vector<Holder> Holders;
+  Holders.reserve(6);
   for (int I = 0; I < 6; ++I)
     Holders.push_back({vm(I), 0, {}});
   for (int Ms = 0; Ms <= 3600; Ms += 400)
@@ -173,9 +175,8 @@
     int AtMs;
     bool Returned;
   };
-  const int End = static_cast<int>(
-      (QuotaAllocator::LeaseLength + QuotaAllocator::ExpiryMargin).count() /
-      1000);
+  const int End =
+      static_cast<int>(QuotaAllocator::CommitmentTime.count() / 1000);
   const Row Rows[] = {
       {"not heard of", false, 1, End - 100, false},
       {"not heard of until the end", false, 1, End, true},
@@ -241,6 +242,7 @@
   QuotaAllocator Allocator(1, {});
   Allocator.start(false, at(0));
   std::vector<Holder> Holders;
+  Holders.reserve(4);
   for (int I = 0; I < 4; ++I)
     Holders.push_back({vm(I), 0, {}});
   for (int Ms = 0; Ms < 2000; Ms += 400)
--- a/src/policy/quotas/testing/QuotaSafetyTest.cpp
+++ b/src/policy/quotas/testing/QuotaSafetyTest.cpp
@@ -224,14 +224,16 @@
       Vm.Holder->applyLeases(E.Granted, Vm.Clock.at(E.SentMs),
                              Vm.Clock.at(Now));
       Vm.Pending.reset();
-    } else if (Now - E.SentMs >= 500 && this->Given.DelayPerMille == 0) {
-      Vm.Holder->abandonRequest(Vm.Clock.at(Now));
-      Vm.Pending.reset();
-    } else if (Now - E.SentMs >= 500 && this->Rng.below(100) < 3) {
-      // With delays, a request is kept for longer, so that late replies count.
-      Vm.Holder->abandonRequest(Vm.Clock.at(Now));
-      Vm.Pending.reset();
+      return;
     }
+    // With delays, a request is kept for longer, so that late replies count.
+    const bool IsGivenUp =
+        Now - E.SentMs >= 500 &&
+        (this->Given.DelayPerMille == 0 || this->Rng.below(100) < 3);
+    if (!IsGivenUp)
+      return;
+    Vm.Holder->abandonRequest(Vm.Clock.at(Now));
+    Vm.Pending.reset();
   }
 
   void attempt(ModelVm &Vm, int Now, std::deque<int> &Window,
@@ -310,7 +312,7 @@
       {"everything, no burst", {30, 0}, Usual, All},
   };
   for (const Row &R : Rows) {
-    for (std::uint64_t Seed = 1; Seed <= 12; ++Seed) {
+    for (std::uint64_t Seed = 1; Seed <= 25; ++Seed) {
       CAPTURE(R.Name, Seed);
       const double Limit = R.Quota.RatePerSecond * 5 + R.Quota.Burst;
       const bool IsExact = R.Tolerance == None;
--- a/src/root/testing/LineDaemonTest.cpp
+++ b/src/root/testing/LineDaemonTest.cpp
@@ -37,7 +37,9 @@
 struct Fixture {
   /// \param OrderPort port of the platform's promotions; 0 for the port of its
   /// store.
-  explicit Fixture(int TimeoutMs = 1000, std::uint16_t OrderPort = 0) {
+  /// \param More further flags of the daemon.
+  explicit Fixture(int TimeoutMs = 1000, std::uint16_t OrderPort = 0,
+                   const QStringList &More = {}) {
     const quint16 Port = this->Server.listen(QHostAddress::LocalHost);
     this->Store.setExternalRow("op", "config", planWith(TimeoutMs));
     this->addServer(this->A, "a", "primary");
@@ -51,29 +53,31 @@
     const Result<std::string> Program = findProgram("amaranthspurd");
     REQUIRE(succeeded(Program));
     this->Daemon.setProcessChannelMode(QProcess::MergedChannels);
-    this->Daemon.start(QString::fromStdString(valueOf(Program)),
-                       {"--front-end",
-                        "lines",
-                        "--vm-id",
-                        "vm-1",
-                        "--data-centre",
-                        "here",
-                        "--regions",
-                        "here=r",
-                        "--caller-address",
-                        LocalAddress(this->CallerPort),
-                        "--readiness-address",
-                        LocalAddress(this->ReadyPort),
-                        "--admin-address",
-                        LocalAddress(freePort("127.0.0.1")),
-                        "--platform-address",
-                        LocalAddress(Port),
-                        "--promotion-address",
-                        LocalAddress(OrderPort == 0 ? Port : OrderPort),
-                        "--drain-notice-ms",
-                        "300",
-                        "--drain-timeout-ms",
-                        "3000"});
+    this->Daemon.start(
+        QString::fromStdString(valueOf(Program)),
+        QStringList{"--front-end",
+                    "lines",
+                    "--vm-id",
+                    "vm-1",
+                    "--data-centre",
+                    "here",
+                    "--regions",
+                    "here=r",
+                    "--caller-address",
+                    LocalAddress(this->CallerPort),
+                    "--readiness-address",
+                    LocalAddress(this->ReadyPort),
+                    "--admin-address",
+                    LocalAddress(freePort("127.0.0.1")),
+                    "--platform-address",
+                    LocalAddress(Port),
+                    "--promotion-address",
+                    LocalAddress(OrderPort == 0 ? Port : OrderPort),
+                    "--drain-notice-ms",
+                    "300",
+                    "--drain-timeout-ms",
+                    "3000"} +
+            More);
     this->waitForOutput("event=readiness-changed ready=yes");
   }
   ~Fixture() {
@@ -364,3 +368,50 @@
     CHECK(Orders.status() == ECONNRESET);
   }
 }
+
+// Guards against a daemon that runs operations above the quota of a workspace,
+// refuses those below it, or shows a key.
+TEST_CASE("the quota of a workspace is kept with and without a relay") {
+  struct Row {
+    const char *Name;
+    bool UsesRelay;
+  };
+  const Row Rows[] = {{"without a relay", false}, {"as the relay", true}};
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    QStringList More;
+    if (R.UsesRelay)
+      More << "--relay-address"
+           << "127.0.0.1:" + QString::number(freePort("127.0.0.1"));
+    Fixture F(1000, 0, More);
+    std::string Plan = planWith(1000);
+    Plan.replace(Plan.find("3"), 1, "4");
+    Plan.insert(1, R"("tenants":[{"name":"acme","api-keys":["secret-key"],)"
+                   R"("priority":0,"rate-per-s":4,"burst":2}],)");
+    F.Store.setExternalRow("op", "config", Plan);
+    F.waitForOutput("event=plan-accepted revision=4");
+    Caller First(F);
+    REQUIRE(First.request("CONNECT orders secret-key") == "READY I -|");
+    unsigned Run = 0;
+    unsigned Refused = 0;
+    const TimePoint Start = steadyNow();
+    while (steadyNow() - Start < std::chrono::seconds(3)) {
+      const std::string Answer = First.request("QUERY q1 READ item");
+      const bool IsRun = Answer.starts_with("COMPLETE");
+      const bool IsRefused = Answer.starts_with("ERROR BUSY") &&
+                             Answer.find("not run") != std::string::npos &&
+                             Answer.find("limit") != std::string::npos;
+      CAPTURE(Answer);
+      CHECK(IsRun != IsRefused);
+      Run += IsRun ? 1 : 0;
+      Refused += IsRefused ? 1 : 0;
+      runTask([]() -> QCoro::Task<> { co_await sleepFor(milliseconds(20)); }());
+    }
+    const std::chrono::duration<double> Passed = steadyNow() - Start;
+    CHECK(Run >= 4);
+    CHECK(Run <= 2 + 4 * Passed.count());
+    CHECK(Refused > 0);
+    F.waitForOutput("event=quota-reached workspace=acme");
+    CHECK_FALSE(F.Log.contains("secret-key"));
+  }
+}
