--- a/src/policy/quotas/QuotaAllocator.cpp
+++ b/src/policy/quotas/QuotaAllocator.cpp
@@ -55,6 +55,7 @@
 
 void QuotaAllocator::stop() {
   this->Started = false;
+  this->SpreadsAll = false;
   this->Accounts.clear();
   this->Holders.clear();
 }
@@ -96,7 +97,8 @@
 }
 
 QuotaAmount QuotaAllocator::target(const Account &A, const QuotaHolderId &Self,
-                                   const QuotaAmount &Share, TimePoint Now) {
+                                   const QuotaAmount &Share,
+                                   TimePoint Now) const {
   std::vector<double> Rates;
   std::vector<double> Bursts;
   std::size_t Own = 0;
@@ -113,9 +115,12 @@
   // A bucket that is full would waste what it is leased, so less than the
   // demand is leased unless there is demand for everything. The pool adds what
   // is missing with each reply.
-  const double Part =
-      Demands > 0 ? std::clamp(Demands / Share.RatePerSecond, LeasedPart, 1.0)
-                  : LeasedPart;
+  const double Wanted = Demands / Share.RatePerSecond;
+  double Part = LeasedPart;
+  if (Demands > 0 && this->SpreadsAll)
+    Part = std::max(1.0, 1 / Wanted);
+  else if (Demands > 0)
+    Part = std::clamp(Wanted, LeasedPart, 1.0);
   QuotaAmount Out{Part * maxMinPart(Share.RatePerSecond, Rates, Own),
                   maxMinPart(Share.Burst, Bursts, Own)};
   double Used = 0;
@@ -123,9 +128,11 @@
     Used += maxMinPart(Share.Burst, Bursts, I);
   // A burst of less than one operation is of no use to anyone. It stays in the
   // pool, where whoever needs it first gets it.
-  const double Spare = std::max(0.0, Share.Burst - Used) * SparePart /
-                       static_cast<double>(Bursts.size());
-  if (Spare >= 1)
+  const double Unused = std::max(0.0, Share.Burst - Used);
+  const double Spare = Unused * SparePart / static_cast<double>(Bursts.size());
+  if (Demands > 0 && this->SpreadsAll)
+    Out.Burst += Unused * Rates[Own] / Demands;
+  else if (Spare >= 1)
     Out.Burst += Spare;
   return Out;
 }
--- a/src/policy/quotas/QuotaAllocator.h
+++ b/src/policy/quotas/QuotaAllocator.h
@@ -106,6 +106,9 @@
   /// Starts to allocate, with nothing known.
   /// \param FollowsAnother whether another allocator may have leases left.
   void start(bool FollowsAnother, TimePoint Now);
+  /// Leases everything to those with demand from now on, because another
+  /// allocator is about to follow, which can only renew what is held.
+  void spreadAll() { this->SpreadsAll = true; }
   /// Forgets everything and grants nothing until the next start.
   void stop();
   /// Records that no other allocator had followed this one at \p AsOf.
@@ -141,8 +144,8 @@
   static void removeExpired(Account &A, TimePoint Now);
   void resizePool(Account &A, const QuotaAmount &Share, TimePoint Now) const;
   /// Returns what \p Self is to have by its demand and that of the others.
-  static QuotaAmount target(const Account &A, const QuotaHolderId &Self,
-                            const QuotaAmount &Share, TimePoint Now);
+  QuotaAmount target(const Account &A, const QuotaHolderId &Self,
+                     const QuotaAmount &Share, TimePoint Now) const;
   QuotaLease leaseOne(const QuotaHolderId &Holder, const QuotaReport &Report,
                       const QuotaAmount &Share, TimePoint Now);
   void removeOldHolders(TimePoint Now);
@@ -150,6 +153,7 @@
   std::size_t DataCentres;
   QuotaTolerance Tolerance;
   bool Started = false;
+  bool SpreadsAll = false;
   TimePoint GrantsFreelyAt{};
   TimePoint CleanedAt{};
   TimePoint ConfirmedAt{};
--- a/src/policy/quotas/testing/QuotaAllocatorTest.cpp
+++ b/src/policy/quotas/testing/QuotaAllocatorTest.cpp
@@ -318,3 +318,37 @@
     CHECK(Fits);
   }
 }
+
+// Guards against a planned change of the relay after which entry VMs have only
+// a part of what their workspaces may use: the next allocator can only renew
+// what is held.
+TEST_CASE("an allocator that is about to end leases everything") {
+  const AccessPlan Plan = planWith(100, 40);
+  QuotaAllocator Allocator(1, {});
+  Allocator.start(false, at(0));
+  std::vector<Holder> Holders = {
+      {vm(0), 0, {}}, {vm(1), 0, {}}, {vm(2), 0, {}}};
+  const std::vector<double> Demands = {10, 30, 0};
+  const auto AskAll = [&](int Ms) {
+    for (std::size_t I = 0; I < Holders.size(); ++I)
+      Holders[I].ask(Allocator, Plan, Demands[I], Ms);
+  };
+  for (int Ms = 0; Ms < 2000; Ms += 400)
+    AskAll(Ms);
+  CHECK(Allocator.committed(W, at(2000)).RatePerSecond < 50);
+  Allocator.spreadAll();
+  AskAll(2000);
+  CHECK(Holders[0].Held.RatePerSecond > 24);
+  CHECK(Holders[1].Held.RatePerSecond > 74);
+  CHECK(Holders[0].Held.Burst + Holders[1].Held.Burst > 25);
+  const QuotaAmount Sum = Allocator.committed(W, at(2000));
+  CHECK(Sum.RatePerSecond <= 100.0001);
+  CHECK(Sum.Burst <= 40.0001);
+
+  // The next allocator renews it.
+  QuotaAllocator Next(1, {});
+  Next.start(true, at(2400));
+  for (std::size_t I = 0; I < Holders.size(); ++I)
+    Holders[I].ask(Next, Plan, Demands[I], 2400);
+  CHECK(Holders[1].Held.RatePerSecond > 74);
+}
--- a/src/root/quotas/WorkspaceQuotas.h
+++ b/src/root/quotas/WorkspaceQuotas.h
@@ -74,6 +74,7 @@
   void abandonRequest() override;
   void shareAmong(std::size_t EntryVms) override;
   void startAllocation(bool FollowsAnother) override;
+  void prepareEnd() override { this->Allocator.spreadAll(); }
   void endAllocation() override;
   bool needsAuthority() const override;
   void confirmAuthority(TimePoint AsOf) override;
--- a/src/root/relay/QuotaBoard.h
+++ b/src/root/relay/QuotaBoard.h
@@ -27,6 +27,8 @@
   /// Starts to lease to others, as the relay.
   /// \param FollowsAnother whether another relay may have granted leases.
   virtual void startAllocation(bool FollowsAnother) = 0;
+  /// Prepares the end: another relay is about to follow.
+  virtual void prepareEnd() = 0;
   virtual void endAllocation() = 0;
   /// Returns whether there is anything to lease, so that the relay has to
   /// confirm that it still is the relay.
--- a/src/root/relay/Relay.cpp
+++ b/src/root/relay/Relay.cpp
@@ -81,6 +81,12 @@
   co_await this->Tasks.waitUntilEmpty(Deadline);
 }
 
+void Relay::leave() {
+  this->Leaving = true;
+  if (this->Quotas)
+    this->Quotas->prepareEnd();
+}
+
 QCoro::Task<> Relay::run() {
   const TaskGroup::Guard Guard(this->Tasks);
   this->Election.start(steadyNow(), this->Rng);
--- a/src/root/relay/Relay.h
+++ b/src/root/relay/Relay.h
@@ -95,7 +95,7 @@
 
   /// Tells followers that this entry VM is about to stop, so that another one
   /// becomes the relay while this one still answers.
-  void leave() { this->Leaving = true; }
+  void leave();
 
   RelayRole role() const { return this->Election.role(); }
   std::size_t followers() const { return this->Followers.size(); }
