--- a/src/policy/quotas/QuotaAllocator.cpp
+++ b/src/policy/quotas/QuotaAllocator.cpp
@@ -1,7 +1,7 @@
 #include "policy/quotas/QuotaAllocator.h"
 
 #include <algorithm>
-#include <cmath>
+#include <utility>
 
 namespace amaranthspur {
 namespace {
@@ -96,22 +96,29 @@
                 Now);
 }
 
-double QuotaAllocator::wantedTokens(const Account &A, const QuotaHolderId &Self,
-                                    const QuotaReport &Report,
-                                    const QuotaAmount &Share,
-                                    TimePoint Now) const {
+double QuotaAllocator::missingTokens(const Account &A,
+                                     const QuotaHolderId &Self,
+                                     const QuotaReport &Report,
+                                     const QuotaAmount &Share,
+                                     TimePoint SinceLast, TimePoint Now) const {
   std::vector<double> Demands;
   std::size_t Own = 0;
   std::size_t Active = 0;
+  double All = 0;
   for (const auto &[Id, C] : A.Holders) {
     const bool Counts = Id == Self || Now - C.DemandAt < DemandTime;
     if (Id == Self)
       Own = Demands.size();
     Demands.push_back(Counts ? C.Demand : 0);
     Active += Demands.back() > ActiveDemand ? 1 : 0;
+    All += Demands.back();
   }
   const double Fair = maxMinPart(Share.RatePerSecond, Demands, Own);
-  double Kept = Fair * (this->SpreadsAll ? HandoverSeconds : BurstSeconds);
+  const double Seconds = this->SpreadsAll ? HandoverSeconds : BurstSeconds;
+  // What all holders keep together leaves a part of the burst in the pool.
+  const double AllKept = std::min(All, Share.RatePerSecond) * Seconds;
+  const double MostKept = Share.Burst * (1 - SparePart);
+  double Kept = Fair * Seconds * (AllKept > MostKept ? MostKept / AllKept : 1);
   if (Kept < 1) {
     const bool IsPlenty =
         Report.Demand > ActiveDemand &&
@@ -120,7 +127,14 @@
   }
   const double Served =
       std::min<double>(Report.Waiting, 1 + Fair * WaitingSeconds);
-  return std::max(0.0, Served + Kept - Report.Tokens);
+  const double Missing = Served + Kept - Report.Tokens;
+  if (Missing <= 0 || All <= Share.RatePerSecond || Active <= 1)
+    return Missing;
+  // Not all demand can be met. Without a limit, the holder that asks first
+  // after the pool has filled would get everything.
+  const std::chrono::duration<double> Passed = Now - SinceLast;
+  const double Part = Fair * std::min(Passed.count(), BurstSeconds);
+  return std::min(Missing, std::max<double>(Part, Report.Waiting > 0 ? 1 : 0));
 }
 
 QuotaAllocator::Account &
@@ -152,14 +166,18 @@
   // The report replaces what was committed before.
   Own.Tokens = Report.Tokens;
   Own.Demand = Report.Demand;
-  Own.DemandAt = Now;
+  const TimePoint SinceLast = std::exchange(Own.DemandAt, Now);
   Own.End = Now + CommitmentTime;
   this->resizePool(A, Share, Now);
-  const double Granted =
-      A.Pool.take(this->wantedTokens(A, Holder, Report, Share, Now), Now);
+  A.Pool.add(Report.Returned, Now);
+  const double Missing =
+      this->missingTokens(A, Holder, Report, Share, SinceLast, Now);
+  const double Granted = A.Pool.take(std::max(0.0, Missing), Now);
   Own.Tokens += Granted;
   this->resizePool(A, Share, Now);
-  return {Report.Workspace, {0, Own.Tokens}, Granted, LeaseLength};
+  // A holder gives up what it does not need and reports it as returned.
+  const double Surplus = std::max(0.0, -Missing - SurplusAllowed);
+  return {Report.Workspace, {0, Own.Tokens - Surplus}, Granted, LeaseLength};
 }
 
 std::vector<QuotaLease> QuotaAllocator::lease(const QuotaRequest &Asked,
--- a/src/policy/quotas/QuotaAllocator.h
+++ b/src/policy/quotas/QuotaAllocator.h
@@ -89,6 +89,8 @@
   static constexpr double SparePart = 0.4;
   /// A holder with a demand above this, in operations per second, has demand.
   static constexpr double ActiveDemand = 0.1;
+  /// Tokens beyond its need that a holder may keep.
+  static constexpr double SurplusAllowed = 1;
   /// Demand counts for this time after its report.
   static constexpr Duration DemandTime = milliseconds(1200);
   /// Interval at which the state of absent holders is removed.
@@ -99,7 +101,9 @@
   QuotaAllocator(std::size_t DataCentres, QuotaTolerance Tolerance)
       : DataCentres(DataCentres), Tolerance(Tolerance) {}
 
-  /// Starts to allocate, with nothing known.
+  /// Starts to allocate, with nothing known. If there was no other allocator,
+  /// nothing has run, and the pool of a workspace is full when it is first
+  /// reported.
   /// \param FollowsAnother whether another allocator may have leases left.
   void start(bool FollowsAnother, TimePoint Now);
   /// Leases everything to those with demand from now on, because another
@@ -145,10 +149,12 @@
   static double sumOf(const Account &A);
   static void removeExpired(Account &A, TimePoint Now);
   void resizePool(Account &A, const QuotaAmount &Share, TimePoint Now) const;
-  /// Returns how many tokens \p Self is to get in addition to those it has.
-  double wantedTokens(const Account &A, const QuotaHolderId &Self,
-                      const QuotaReport &Report, const QuotaAmount &Share,
-                      TimePoint Now) const;
+  /// Returns how many tokens \p Self lacks; a negative number if it has more
+  /// than it needs.
+  /// \param SinceLast when it last reported.
+  double missingTokens(const Account &A, const QuotaHolderId &Self,
+                       const QuotaReport &Report, const QuotaAmount &Share,
+                       TimePoint SinceLast, TimePoint Now) const;
   /// Returns the account of \p Workspace. The pool of a new one is full if that
   /// of an account without use would be.
   Account &accountOf(const WorkspaceName &Workspace, const QuotaAmount &Share,
@@ -162,7 +168,7 @@
   bool Started = false;
   bool SpreadsAll = false;
   TimePoint GrantsFreelyAt{};
-  bool FollowsAnother = false;
+  bool FollowsAnother = false; ///< Another allocator was before.
   TimePoint CleanedAt{};
   TimePoint ConfirmedAt{};
   std::map<WorkspaceName, Account> Accounts;
--- a/src/policy/quotas/QuotaLeaseHolder.cpp
+++ b/src/policy/quotas/QuotaLeaseHolder.cpp
@@ -207,12 +207,12 @@
   return Lost;
 }
 
-std::vector<QuotaUse> QuotaLeaseHolder::uses() const {
+std::vector<QuotaUse> QuotaLeaseHolder::uses(TimePoint Now) const {
   std::vector<QuotaUse> Out;
   Out.reserve(this->States.size());
   for (const auto &[Workspace, S] : this->States)
     Out.push_back(
-        {Workspace, S.Limit, S.Leased.capacity(), S.Spent, S.Refused});
+        {Workspace, S.Limit, S.Leased.tokens(Now), S.Spent, S.Refused});
   return Out;
 }
 
--- a/src/policy/quotas/QuotaLeaseHolder.h
+++ b/src/policy/quotas/QuotaLeaseHolder.h
@@ -42,7 +42,7 @@
 struct QuotaUse {
   WorkspaceName Workspace;
   WorkspaceQuota Limit;
-  QuotaAmount Leased;
+  double Tokens = 0; ///< Operations that may run now by a lease.
   std::uint64_t Spent = 0;
   std::uint64_t Refused = 0;
 };
@@ -111,7 +111,7 @@
   std::vector<WorkspaceName> endExpired(TimePoint Now);
 
   /// Returns the use of each workspace that has a state here.
-  std::vector<QuotaUse> uses() const;
+  std::vector<QuotaUse> uses(TimePoint Now) const;
 
 private:
   struct State {
--- a/src/policy/quotas/testing/QuotaSafetyTest.cpp
+++ b/src/policy/quotas/testing/QuotaSafetyTest.cpp
@@ -78,7 +78,7 @@
 
 struct ModelResult {
   double WorstExcess = -1e9; ///< Operations in a window above the allowed ones.
-  /// Largest part of a data centre's share that entry VMs held at once.
+  /// Largest part of a data centre's burst that entry VMs held at once.
   double WorstHeld = 0;
   unsigned Attempts = 0;
   unsigned Refused = 0;
@@ -170,20 +170,16 @@
   }
 
   void checkHeld(std::size_t D, int Now, ModelResult &Out) {
-    QuotaAmount Sum;
+    double Sum = 0;
     for (ModelVm &Vm : this->Vms[D]) {
       Vm.Holder->endExpired(Vm.Clock.at(Now));
-      for (const QuotaUse &Use : Vm.Holder->uses()) {
-        Sum.RatePerSecond += Use.Leased.RatePerSecond;
-        Sum.Burst += Use.Leased.Burst;
-      }
+      for (const QuotaUse &Use : Vm.Holder->uses(Vm.Clock.at(Now)))
+        Sum += Use.Tokens;
     }
     const QuotaAmount Share = dataCentreShare(
         *this->Plan.Workspaces.at(W).Quota, this->Tolerance, this->DataCentres);
-    Out.WorstHeld =
-        std::max(Out.WorstHeld, Sum.RatePerSecond / Share.RatePerSecond);
     if (Share.Burst > 0)
-      Out.WorstHeld = std::max(Out.WorstHeld, Sum.Burst / Share.Burst);
+      Out.WorstHeld = std::max(Out.WorstHeld, Sum / Share.Burst);
   }
 
   int delay() {
--- a/src/root/LineDaemon.cpp
+++ b/src/root/LineDaemon.cpp
@@ -136,8 +136,7 @@
         QJsonObject{{"workspace", QString::fromStdString(Use.Workspace.str())},
                     {"rate_per_s", Use.Limit.RatePerSecond},
                     {"burst", Use.Limit.Burst},
-                    {"leased_per_s", Use.Leased.RatePerSecond},
-                    {"leased_burst", Use.Leased.Burst},
+                    {"leased", Use.Tokens},
                     {"spent", static_cast<qint64>(Use.Spent)},
                     {"refused", static_cast<qint64>(Use.Refused)}});
   return Out;
--- a/src/root/quotas/WorkspaceQuotas.cpp
+++ b/src/root/quotas/WorkspaceQuotas.cpp
@@ -66,12 +66,15 @@
   }
 }
 
+std::vector<QuotaUse> WorkspaceQuotas::uses() const {
+  return this->Holder.uses(bootNow());
+}
+
 void WorkspaceQuotas::updateMetrics() {
-  for (const QuotaUse &Use : this->Holder.uses()) {
+  for (const QuotaUse &Use : this->uses()) {
     this->Counters.set(Gauge::QuotaLimit, Use.Limit.RatePerSecond,
                        Use.Workspace.str());
-    this->Counters.set(Gauge::QuotaLeased, Use.Leased.RatePerSecond,
-                       Use.Workspace.str());
+    this->Counters.set(Gauge::QuotaLeased, Use.Tokens, Use.Workspace.str());
   }
 }
 
--- a/src/root/quotas/WorkspaceQuotas.h
+++ b/src/root/quotas/WorkspaceQuotas.h
@@ -55,7 +55,7 @@
   /// Puts the limits of the plan in force. Called after each change of it.
   void applyPlan();
   /// Returns the use of each workspace with sessions or recent demand.
-  std::vector<QuotaUse> uses() const { return this->Holder.uses(); }
+  std::vector<QuotaUse> uses() const;
 
   std::string_view name() const override { return "quotas"; }
   QCoro::Task<Result<Success>> start() override;
--- a/src/root/relay/testing/RelayTest.cpp
+++ b/src/root/relay/testing/RelayTest.cpp
@@ -123,7 +123,7 @@
   }
   double leasedBurst() const {
     const std::vector<QuotaUse> Uses = this->Quotas.uses();
-    return Uses.empty() ? 0 : Uses[0].Leased.Burst;
+    return Uses.empty() ? 0 : Uses[0].Tokens;
   }
 
   std::shared_ptr<const AccessPlan> Plan = std::make_shared<AccessPlan>();
--- a/src/root/telemetry/Metrics.h
+++ b/src/root/telemetry/Metrics.h
@@ -163,8 +163,8 @@
      "Entry VMs that follow this relay; 0 on an entry VM that is not one."},
     {Gauge::QuotaLimit, "amaranthspur_quota_limit_per_second", "workspace",
      "Limit of the operations of a workspace on all entry VMs together."},
-    {Gauge::QuotaLeased, "amaranthspur_quota_leased_per_second", "workspace",
-     "Part of a workspace's limit that is leased to this entry VM."},
+    {Gauge::QuotaLeased, "amaranthspur_quota_leased", "workspace",
+     "Operations of a workspace that may run now by a lease."},
 });
 } // namespace detail
 
