--- a/src/policy/GroupBeliefs.cpp
+++ b/src/policy/GroupBeliefs.cpp
@@ -63,6 +63,37 @@
   Server->AdoptedTerm = Report.AdoptedTerm;
   Server->FailingSince.reset();
   Server->LastAnswer = Now;
+  if (Report.Role == ServerRole::Primary)
+    this->observePrimaryEnd(Report.Received, Now);
+  else
+    Server->Progress.observePosition({Report.Received, Now, Report.ApplyLag},
+                                     this->PrimaryEnds);
+}
+
+void GroupBeliefs::observePrimaryEnd(LogPosition End, TimePoint At) {
+  // A takeover changes what the replicas follow.
+  if (End.TermNumber > this->PrimaryEnds.newestTerm())
+    for (auto &[Id, Server] : this->Servers)
+      Server.Progress.allowProbe();
+  this->PrimaryEnds.observe(End, At);
+}
+
+void GroupBeliefs::observeReplica(const ServerId &Id,
+                                  const ReplicaPosition &Seen) {
+  if (ServerBelief *Server = this->findMutable(Id))
+    Server->Progress.observePosition(Seen, this->PrimaryEnds);
+}
+
+void GroupBeliefs::observeLagging(const ServerId &Id, LogPosition Floor,
+                                  TimePoint SentAt, TimePoint Now,
+                                  Random &Rng) {
+  if (ServerBelief *Server = this->findMutable(Id))
+    Server->Progress.observeRefusal(Floor, SentAt, Now, this->PrimaryEnds, Rng);
+}
+
+void GroupBeliefs::observeServed(const ServerId &Id, TimePoint SentAt) {
+  if (ServerBelief *Server = this->findMutable(Id))
+    Server->Progress.observeSuccess(SentAt);
 }
 
 void GroupBeliefs::observeLeader(const ServerId &Id, Term T) {
@@ -84,10 +115,12 @@
   ServerBelief *Server = this->findMutable(Id);
   if (!Server)
     return;
-  if (Position) {
-    Server->Position = std::max(Server->Position, *Position);
-    Server->PositionAt = Now;
-  }
+  const std::optional<BelievedPrimary> Leader = this->primary();
+  if (Position && Leader && Leader->Id == Id)
+    this->observePrimaryEnd(*Position, Now);
+  else if (Position)
+    Server->Progress.observePosition({*Position, Now, Duration::zero()},
+                                     this->PrimaryEnds);
   Server->FailingSince.reset();
   Server->LastAnswer = Now;
 }
@@ -158,7 +191,6 @@
 
 double GroupBeliefs::readCost(const ServerBelief &Server,
                               const std::optional<BelievedPrimary> &Leader,
-                              std::optional<LogPosition> Floor,
                               TimePoint Now) const {
   const auto Prior = static_cast<double>(PriorLatency.count());
   double Expected = Prior;
@@ -186,34 +218,50 @@
   const bool Leads = Leader && Leader->Id == Server.id();
   if (Leads)
     Cost += static_cast<double>(PrimaryReadCost.count());
-  else if (Floor && Server.Position != LogPosition() &&
-           Server.Position < *Floor)
-    Cost += static_cast<double>(Now - Server.PositionAt < RecentPositionAge
-                                    ? KnownBelowFloorCost.count()
-                                    : BelowFloorCost.count());
   return Cost;
 }
 
+ReplicaReadiness GroupBeliefs::readiness(const ServerBelief &Server,
+                                         std::optional<LogPosition> Floor,
+                                         TimePoint Now) const {
+  const std::optional<BelievedPrimary> Leader = this->primary();
+  if (!Floor || (Leader && Leader->Id == Server.id()))
+    return ReplicaReadiness::Ready;
+  return Server.Progress.readiness(*Floor, Now, this->PrimaryEnds);
+}
+
 std::vector<ServerId> GroupBeliefs::readOrder(std::optional<LogPosition> Floor,
                                               TimePoint Now) const {
   struct Candidate {
     bool Last; ///< Tried after all others.
+    bool Behind;
     double Cost;
     ServerId Id;
   };
   const std::optional<BelievedPrimary> Leader = this->primary();
+  const bool LeaderUsable =
+      Leader && !this->isAvoided(*this->find(Leader->Id), Now);
   std::vector<Candidate> Found;
   for (const auto &[Id, Server] : this->Servers) {
     if (Server.Registration.Draining && !(Leader && Leader->Id == Id))
       continue;
+    const ReplicaReadiness State = this->readiness(Server, Floor, Now);
+    if (LeaderUsable && State == ReplicaReadiness::Behind)
+      continue;
+    // A probe costs one read a round trip; it is tried first, since the servers
+    // after it can still run the read.
     Found.push_back(
         {this->isAvoided(Server, Now) || Server.Registration.Draining,
-         this->readCost(Server, Leader, Floor, Now), Id});
+         State == ReplicaReadiness::Behind,
+         State == ReplicaReadiness::Probe ? 0
+                                          : this->readCost(Server, Leader, Now),
+         Id});
   }
-  std::sort(
-      Found.begin(), Found.end(), [](const Candidate &A, const Candidate &B) {
-        return std::tie(A.Last, A.Cost, A.Id) < std::tie(B.Last, B.Cost, B.Id);
-      });
+  std::sort(Found.begin(), Found.end(),
+            [](const Candidate &A, const Candidate &B) {
+              return std::tie(A.Last, A.Behind, A.Cost, A.Id) <
+                     std::tie(B.Last, B.Behind, B.Cost, B.Id);
+            });
   std::vector<ServerId> Order;
   Order.reserve(Found.size());
   for (const Candidate &C : Found)
@@ -221,4 +269,19 @@
   return Order;
 }
 
+std::optional<ServerId>
+GroupBeliefs::chooseReader(std::optional<LogPosition> Floor,
+                           const std::set<ServerId> &Tried, TimePoint Now,
+                           Random &Rng) {
+  for (const ServerId &Id : this->readOrder(Floor, Now)) {
+    if (Tried.count(Id) != 0)
+      continue;
+    ServerBelief &Chosen = this->Servers.at(Id);
+    if (this->readiness(Chosen, Floor, Now) == ReplicaReadiness::Probe)
+      Chosen.Progress.beginProbe(Now, Rng);
+    return Id;
+  }
+  return std::nullopt;
+}
+
 } // namespace amaranthspur
--- a/src/policy/GroupBeliefs.h
+++ b/src/policy/GroupBeliefs.h
@@ -9,10 +9,13 @@
 #ifndef AMARANTHSPUR_POLICY_GROUPBELIEFS_H
 #define AMARANTHSPUR_POLICY_GROUPBELIEFS_H
 
+#include "core/Random.h"
 #include "policy/AccessPlan.h"
+#include "policy/ReplicaProgress.h"
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace amaranthspur {
@@ -51,12 +54,11 @@
 struct ServerBelief {
   RegisteredServer Registration;
   std::optional<ServerRole> Role;
-  Term TermNumber = 0;    ///< 0 if not known since the last role change.
-  Term AdoptedTerm = 0;   ///< Last known.
-  Term RefusedTerm = 0;   ///< In which it last refused a write as a replica,
-                          ///< or stepped down.
-  LogPosition Position;   ///< Highest log position in any of its answers.
-  TimePoint PositionAt{}; ///< Time of the last answer with a position.
+  Term TermNumber = 0;      ///< 0 if not known since the last role change.
+  Term AdoptedTerm = 0;     ///< Last known.
+  Term RefusedTerm = 0;     ///< In which it last refused a write as a replica,
+                            ///< or stepped down.
+  ReplicaProgress Progress; ///< Of its log, as a replica.
   std::optional<TimePoint> FailingSince; ///< First failure after a success.
   TimePoint LastFailure{};
   TimePoint LastAnswer{};
@@ -103,18 +105,6 @@
   /// a read goes to the primary only if each replica has about one more
   /// statement in flight.
   static constexpr Duration PrimaryReadCost = milliseconds(40);
-  /// Cost of a read on a replica whose last known position is below the floor.
-  /// Such a replica often refuses the read, which costs a round trip. Replicas
-  /// apply entries within 60 ms on average.
-  static constexpr Duration BelowFloorCost = milliseconds(20);
-  /// The same cost if the position is recent, so that the replica would almost
-  /// certainly refuse. It is ranked after a primary with three statements of
-  /// this entry VM in flight.
-  static constexpr Duration KnownBelowFloorCost = milliseconds(150);
-  /// Age up to which a known position counts as recent. A replica that does not
-  /// lag applies the missing entries within 60 ms on average.
-  static constexpr Duration RecentPositionAge = milliseconds(100);
-
   explicit GroupBeliefs(const Locality &Where) : Where(Where) {}
 
   /// Sets the registered servers of the group. The beliefs about a server that
@@ -133,6 +123,16 @@
   /// Records an answer of any kind. \p Position is the end of the server's log.
   void observeAnswer(const ServerId &Id, std::optional<LogPosition> Position,
                      TimePoint Now);
+  /// Records that the log of the primary ended at \p End at \p At.
+  void observePrimaryEnd(LogPosition End, TimePoint At);
+  /// Records what another entry VM knows of the log of \p Id.
+  void observeReplica(const ServerId &Id, const ReplicaPosition &Seen);
+  /// Records that \p Id refused a read with \p Floor because it lacked the
+  /// floor. Call it before observeAnswer() for the same answer.
+  void observeLagging(const ServerId &Id, LogPosition Floor, TimePoint SentAt,
+                      TimePoint Now, Random &Rng);
+  /// Records that \p Id ran a read that was sent at \p SentAt.
+  void observeServed(const ServerId &Id, TimePoint SentAt);
   /// Records that a statement that was not refused took \p Took.
   void observeLatency(const ServerId &Id, Duration Took, TimePoint Now);
   /// Records that the server could not be reached or a connection to it failed.
@@ -147,11 +147,26 @@
   std::optional<BelievedPrimary> primary() const;
 
   /// Returns the servers that may execute a read, best first. Servers that are
-  /// avoided after a failure or are draining come last.
+  /// avoided after a failure or are draining come last. Replicas that lack the
+  /// floor, as far as can be predicted, are left out, unless the primary is not
+  /// known or is avoided.
   /// \param Floor lowest log position that the read may see.
   std::vector<ServerId> readOrder(std::optional<LogPosition> Floor,
                                   TimePoint Now) const;
 
+  /// Returns the server on which to execute a read, or nothing if all that may
+  /// were tried. A read that is to find out how far a replica is counts as
+  /// sent.
+  std::optional<ServerId> chooseReader(std::optional<LogPosition> Floor,
+                                       const std::set<ServerId> &Tried,
+                                       TimePoint Now, Random &Rng);
+
+  /// Returns whether \p Server can run a read with \p Floor now.
+  ReplicaReadiness readiness(const ServerBelief &Server,
+                             std::optional<LogPosition> Floor,
+                             TimePoint Now) const;
+  const LogTimeline &primaryEnds() const { return this->PrimaryEnds; }
+
   /// Returns whether \p Server failed recently and should not be tried now.
   bool isAvoided(const ServerBelief &Server, TimePoint Now) const;
 
@@ -166,10 +181,11 @@
   /// microseconds.
   double readCost(const ServerBelief &Server,
                   const std::optional<BelievedPrimary> &Leader,
-                  std::optional<LogPosition> Floor, TimePoint Now) const;
+                  TimePoint Now) const;
 
   const Locality &Where;
   std::map<ServerId, ServerBelief> Servers;
+  LogTimeline PrimaryEnds;
 };
 
 } // namespace amaranthspur
--- a/src/policy/GroupEvidence.h
+++ b/src/policy/GroupEvidence.h
@@ -19,6 +19,14 @@
   unsigned Connections = 0;
 };
 
+/// How far a replica was in the log (policy/ReplicaProgress.h).
+struct ReplicaEvidence {
+  ServerId Server;
+  LogPosition Position;
+  TimePoint At{};      ///< When the replica was there.
+  Duration ApplyLag{}; ///< Zero if reads could see everything up to Position.
+};
+
 /// Evidence about the primary of one group (policy/Freshness.h).
 struct GroupEvidence {
   ServiceName Service;
@@ -29,6 +37,7 @@
   Term ProvedTerm = 0;    ///< 0 if there is no proof.
   TimePoint ProvedAt{};   ///< When the proof of ProvedTerm was requested.
   std::vector<ServerConnectionCount> Servers; ///< Recent counts only.
+  std::vector<ReplicaEvidence> Replicas;      ///< Recent positions only.
 };
 
 } // namespace amaranthspur
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -11,7 +11,7 @@
              const Locality &Where, EvidenceSource *Source, ClaimReader *Claims,
              Metrics *Counters)
     : Name(std::move(Name)), Connector(Connector), Where(Where), Source(Source),
-      Claims(Claims), Beliefs(Where), Search(*this),
+      Claims(Claims), Counters(Counters), Beliefs(Where), Search(*this),
       MissingCommits(this->Name, Counters) {}
 
 Group::~Group() = default;
@@ -164,6 +164,13 @@
   for (const auto &[Id, Count] : this->ConnectionCounts)
     if (steadyNow() - Count.second < ConnectionShare::CountMaxAge)
       Known.Servers.push_back({Id, Count.first});
+  const Duration BootAhead = bootNow() - steadyNow();
+  for (const auto &[Id, Server] : this->Beliefs.servers()) {
+    const std::optional<ReplicaPosition> &Seen = Server.Progress.latest();
+    if (Seen && Id != Known.Primary && steadyNow() - Seen->At < ReplicaMaxAge)
+      Known.Replicas.push_back(
+          {Id, Seen->Position, Seen->At + BootAhead, Seen->ApplyLag});
+  }
   return Known;
 }
 
@@ -171,6 +178,16 @@
   if (!Known.Primary.empty() && Known.TermNumber != 0)
     this->Beliefs.observeLeader(Known.Primary, Known.TermNumber);
   this->MissingCommits.observeEvidence(Known);
+  const Duration BootAhead = bootNow() - steadyNow();
+  if (Known.ReportedAt != TimePoint())
+    this->Beliefs.observePrimaryEnd(Known.Position,
+                                    Known.ReportedAt - BootAhead);
+  for (const ReplicaEvidence &Seen : Known.Replicas) {
+    const bool WasSetAside = this->isSetAside(Seen.Server);
+    this->Beliefs.observeReplica(
+        Seen.Server, {Seen.Position, Seen.At - BootAhead, Seen.ApplyLag});
+    this->reportSetAside(Seen.Server, WasSetAside);
+  }
   if (Known.ProvedTerm != 0) {
     this->recordProof(Known.ProvedTerm, Known.ProvedAt);
     if (Known.ReportedAt != TimePoint())
@@ -192,9 +209,43 @@
     Pool->share().setSharers(Count);
 }
 
-void Group::observeAnswer(const ServerId &Id, const Answer &A,
-                          TimePoint SentAt) {
-  this->Beliefs.observeAnswer(Id, A.Position, steadyNow());
+bool Group::isSetAside(const ServerId &Id) const {
+  const ServerBelief *Server = this->Beliefs.find(Id);
+  return Server && Server->Progress.isSetAside();
+}
+
+void Group::reportSetAside(const ServerId &Id, bool Before) {
+  const bool Now = this->isSetAside(Id);
+  if (Now == Before)
+    return;
+  const ReplicaProgress &Progress = this->Beliefs.find(Id)->Progress;
+  const Duration Lag =
+      Progress.lag(this->Beliefs.primaryEnds()).value_or(Duration::zero());
+  if (Now && this->Counters)
+    this->Counters->add(Counter::ReplicasSetAside, this->Name.str());
+  log(Now ? LogLevel::Warning : LogLevel::Info,
+      Now ? LogEvent::ReplicaSetAside : LogEvent::ReplicaUsedAgain,
+      {{"service", this->Name.str()},
+       {"server", Id.str()},
+       {"lag_ms", Lag / milliseconds(1)}});
+}
+
+std::optional<ServerId> Group::chooseReader(std::optional<LogPosition> Floor,
+                                            const std::set<ServerId> &Tried) {
+  return this->Beliefs.chooseReader(Floor, Tried, steadyNow(), this->Rng);
+}
+
+void Group::observeAnswer(const ServerId &Id, const Answer &A, TimePoint SentAt,
+                          std::optional<LogPosition> Floor) {
+  const bool WasSetAside = this->isSetAside(Id);
+  const TimePoint Now = steadyNow();
+  const TimePoint Sent = Now - (bootNow() - SentAt);
+  if (Floor && A.Code == AnswerCode::Lagging)
+    this->Beliefs.observeLagging(Id, *Floor, Sent, Now, this->Rng);
+  this->Beliefs.observeAnswer(Id, A.Position, Now);
+  if (Floor && A.succeeded())
+    this->Beliefs.observeServed(Id, Sent);
+  this->reportSetAside(Id, WasSetAside);
   const std::optional<BelievedPrimary> Leader = this->Beliefs.primary();
   if (A.Position && Leader && Leader->Id == Id && Leader->TermNumber != 0) {
     this->Fresh.observeReport(Leader->TermNumber, *A.Position, SentAt);
@@ -289,7 +340,9 @@
     this->recordEnd(Report.TermNumber, Report.Received, SentAt);
   else
     this->Leaving.observeEnd(Id, Report.Received, SentAt);
+  const bool WasSetAside = this->isSetAside(Id);
   this->Beliefs.observeStatus(Id, Report, steadyNow());
+  this->reportSetAside(Id, WasSetAside);
   this->Search.observeReport(Id, Report);
   this->MissingCommits.observeReport(Id, Report);
   if (const std::shared_ptr<ServerPool> Pool = this->pool(Id)) {
--- a/src/root/groups/Group.h
+++ b/src/root/groups/Group.h
@@ -11,6 +11,7 @@
 #define AMARANTHSPUR_ROOT_GROUPS_GROUP_H
 
 #include "core/Async.h"
+#include "core/Random.h"
 #include "policy/ForwarderChoice.h"
 #include "policy/Freshness.h"
 #include "policy/GroupBeliefs.h"
@@ -24,6 +25,7 @@
 
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 
 namespace amaranthspur {
@@ -42,6 +44,10 @@
   /// A follower samples the primary itself if the relay's evidence is older
   /// than this.
   static constexpr Duration MaxEvidenceAge = milliseconds(1250);
+  /// Age up to which the position of a replica is passed on. Replicas that lag
+  /// are probed every 2 s at least.
+  static constexpr Duration ReplicaMaxAge =
+      ReplicaProgress::LongestProbeInterval;
   /// Time limit of a proof by the relay: a round trip within the data centre
   /// and one to a replica. After a failure the group proves by itself for
   /// RelayProofPause.
@@ -148,7 +154,13 @@
 
   /// Records that \p Id answered a statement that was sent at \p SentAt, a time
   /// of the boot clock.
-  void observeAnswer(const ServerId &Id, const Answer &A, TimePoint SentAt);
+  /// \param Floor of the statement.
+  void observeAnswer(const ServerId &Id, const Answer &A, TimePoint SentAt,
+                     std::optional<LogPosition> Floor = std::nullopt);
+  /// Returns the server on which to run a read, or nothing if all that may run
+  /// it were tried.
+  std::optional<ServerId> chooseReader(std::optional<LogPosition> Floor,
+                                       const std::set<ServerId> &Tried);
   /// Records that \p Id, which was believed to be the primary, acknowledged a
   /// commit that was sent at \p SentAt (boot clock) and is reported to the
   /// caller now.
@@ -257,6 +269,11 @@
   std::vector<ServerId> preferredServers() const override;
   void requestProof(TimePoint Since) override;
 
+  /// Logs and counts that \p Id is set aside because it lags, or used again.
+  /// \param Before whether it was set aside before the last observation.
+  void reportSetAside(const ServerId &Id, bool Before);
+  bool isSetAside(const ServerId &Id) const;
+
   QCoro::Task<> proveLeadership();
   QCoro::Task<> samplePrimary();
   /// Asks the servers for their connection counts where the pool's share of the
@@ -293,6 +310,7 @@
   const Locality &Where;
   EvidenceSource *Source;
   ClaimReader *Claims;
+  Metrics *Counters;
   ServiceLimits Limits;
   GroupBeliefs Beliefs;
   Freshness Fresh;
@@ -302,6 +320,8 @@
   std::optional<BelievedPrimary> LastPrimary;
   MissingCommitAlarm MissingCommits;
   LogPosition Acknowledged;
+  /// Of the choice of servers. The entry VMs need different seeds.
+  Random Rng{std::random_device{}()};
   LogPosition EndAfterLoss;
   Term EndTerm = 0;      ///< In which EndAfterLoss was reported.
   bool EndWanted = true; ///< No primary has reported since the last loss.
--- a/src/root/relay/RelayCodec.cpp
+++ b/src/root/relay/RelayCodec.cpp
@@ -135,6 +135,14 @@
     Server->set_server(Count.Server.str());
     Server->set_connections(Count.Connections);
   }
+  for (const ReplicaEvidence &Seen : Known.Replicas) {
+    relay::ReplicaProgress *Replica = Message.add_replicas();
+    Replica->set_server(Seen.Server.str());
+    Replica->mutable_position()->set_term(Seen.Position.TermNumber);
+    Replica->mutable_position()->set_index(Seen.Position.Index);
+    Replica->set_age_us(ageAt(ReceivedAt, Seen.At));
+    Replica->set_apply_lag_us(Seen.ApplyLag.count());
+  }
   return Message;
 }
 
@@ -162,6 +170,16 @@
       return Error{"evidence names no server"};
     Known.Servers.push_back({ServerId(Server.server()), Server.connections()});
   }
+  for (const relay::ReplicaProgress &Replica : Message.replicas()) {
+    if (!isName(Replica.server()) || !isAge(Replica.age_us()) ||
+        !isAge(Replica.apply_lag_us()) || Replica.apply_lag_us() < 0)
+      return Error{"the progress of a replica is out of bounds"};
+    Known.Replicas.push_back(
+        {ServerId(Replica.server()),
+         {Replica.position().term(), Replica.position().index()},
+         SentAt - Duration(Replica.age_us()),
+         Duration(Replica.apply_lag_us())});
+  }
   return Known;
 }
 
--- a/src/root/relay/testing/RelayCodecTest.cpp
+++ b/src/root/relay/testing/RelayCodecTest.cpp
@@ -254,6 +254,8 @@
     Known.ReportedAt = at(Reported + RelayOffset);
     Known.ProvedTerm = 3;
     Known.ProvedAt = at(Proved + RelayOffset);
+    Known.Replicas.push_back(
+        {ServerId("b"), {3, 7}, at(Reported + RelayOffset), milliseconds(40)});
     const Result<GroupEvidence> Decoded =
         evidenceOf(toMessage(Known, at(Handled + RelayOffset)), at(Sent));
     REQUIRE(succeeded(Decoded));
@@ -262,6 +264,12 @@
     CHECK(valueOf(Decoded).ProvedAt - valueOf(Decoded).ReportedAt ==
           milliseconds(Proved - Reported));
     CHECK(valueOf(Decoded).Position == Known.Position);
+    REQUIRE(valueOf(Decoded).Replicas.size() == 1);
+    const ReplicaEvidence &Replica = valueOf(Decoded).Replicas.front();
+    CHECK(Replica.Server == ServerId("b"));
+    CHECK(Replica.Position == LogPosition{3, 7});
+    CHECK(Replica.At <= at(Reported));
+    CHECK(Replica.ApplyLag == milliseconds(40));
   }
 }
 
@@ -273,10 +281,17 @@
     std::int64_t ProofAgeUs;
     const char *Service;
     bool Valid;
+    std::int64_t ReplicaAgeUs = 0;
+    std::int64_t ApplyLagUs = 0;
+    const char *Replica = "b";
   };
   constexpr std::int64_t Most = std::numeric_limits<std::int64_t>::max();
   const Row Rows[] = {
       {"valid", 1000, 1000, "s", true},
+      {"a huge age of a replica", 0, 0, "s", false, Most},
+      {"a huge lag", 0, 0, "s", false, 0, Most},
+      {"a negative lag", 0, 0, "s", false, 0, -1},
+      {"no replica", 0, 0, "s", false, 0, 0, ""},
       {"after the request", -1000, -2000, "s", true},
       {"a huge age", Most, 0, "s", false},
       {"a huge negative age", 0, -Most, "s", false},
@@ -290,6 +305,10 @@
     Message.set_position_age_us(R.PositionAgeUs);
     Message.set_proved_term(1);
     Message.set_proof_age_us(R.ProofAgeUs);
+    relay::ReplicaProgress *Replica = Message.add_replicas();
+    Replica->set_server(R.Replica);
+    Replica->set_age_us(R.ReplicaAgeUs);
+    Replica->set_apply_lag_us(R.ApplyLagUs);
     CHECK(succeeded(evidenceOf(Message, at(100000))) == R.Valid);
   }
 }
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -133,18 +133,6 @@
   }
 }
 
-/// Returns the best server for a read that is not in \p Tried, or nothing if
-/// all were tried.
-std::optional<ServerId> nextServer(const StatementContext &E,
-                                   const ReadConstraint &Constraint,
-                                   const std::set<ServerId> &Tried) {
-  for (const ServerId &Id :
-       E.ServerGroup->beliefs().readOrder(Constraint.Floor, steadyNow()))
-    if (Tried.count(Id) == 0)
-      return Id;
-  return std::nullopt;
-}
-
 TimePoint attemptDeadline(const StatementContext &E) {
   const Duration Left = E.Deadline - steadyNow();
   return steadyNow() +
@@ -254,7 +242,7 @@
       if (Leader)
         Id = Leader->Id;
     } else {
-      Id = nextServer(E, Constraint, Tried);
+      Id = E.ServerGroup->chooseReader(Constraint.Floor, Tried);
     }
     if (!Id) {
       if (Constraint.AtPrimary)
@@ -296,7 +284,7 @@
     if (A.Code == AnswerCode::UnknownStatement)
       Link.drop();
     Link.release();
-    E.ServerGroup->observeAnswer(*Id, A, SentAt);
+    E.ServerGroup->observeAnswer(*Id, A, SentAt, Constraint.Floor);
     if (A.succeeded()) {
       E.ServerGroup->beliefs().observeLatency(*Id, steadyNow() - Sent,
                                               steadyNow());
@@ -419,7 +407,7 @@
         break;
       Id = Leader->Id;
     } else {
-      Id = nextServer(E, Constraint, Tried);
+      Id = E.ServerGroup->chooseReader(Constraint.Floor, Tried);
     }
     if (!Id) {
       Tried.clear();
@@ -444,7 +432,7 @@
       Tried.insert(*Id);
       continue;
     }
-    E.ServerGroup->observeAnswer(*Id, valueOf(R), SentAt);
+    E.ServerGroup->observeAnswer(*Id, valueOf(R), SentAt, Constraint.Floor);
     if (valueOf(R).succeeded()) {
       OpenTransaction Begun;
       Begun.Link = std::move(Link);
--- a/src/root/telemetry/Metrics.h
+++ b/src/root/telemetry/Metrics.h
@@ -43,6 +43,7 @@
   EventLoopPauses,
   ConfigurationsAccepted,
   RelayRequests,
+  ReplicasSetAside,
 };
 
 /// The name, label and help text of a counter.
@@ -93,6 +94,9 @@
      "Configuration revisions taken into force."},
     {Counter::RelayRequests, "amaranthspur_relay_requests_total", "result",
      "Requests to the relay of the data centre, by result."},
+    {Counter::ReplicasSetAside, "amaranthspur_replicas_set_aside_total",
+     "service",
+     "Times that a replica was set aside because it lagged, by service."},
 });
 } // namespace detail
 
