--- a/src/root/groups/ServerPool.cpp
+++ b/src/root/groups/ServerPool.cpp
@@ -82,6 +82,13 @@
   return Link;
 }
 
+bool ServerPool::hasIdle(const WorkspaceName &For) const {
+  return std::any_of(this->Idle.begin(), this->Idle.end(),
+                     [&For](const std::unique_ptr<PooledLink> &Link) {
+                       return Link->For == For && Link->Link->isUsable();
+                     });
+}
+
 bool ServerPool::makeRoom() {
   if (this->Share.mayOpen(this->open(), steadyNow()))
     return true;
@@ -93,10 +100,11 @@
 }
 
 QCoro::Task<std::optional<std::unique_ptr<PooledLink>>>
-ServerPool::waitForTurn(LinkRequest Wanted, Waiter Self, TimePoint Deadline) {
+ServerPool::waitForTurn(LinkRequest Wanted, WaitingTurn Self,
+                        TimePoint Deadline) {
   std::optional<std::unique_ptr<PooledLink>> Turn;
   while (true) {
-    if (*this->Waiting.begin() == Self) {
+    if (this->Waiting.isNext(Self)) {
       Turn = this->takeIdle(Wanted);
       if (*Turn || this->makeRoom())
         co_return Turn;
@@ -112,12 +120,11 @@
 
 QCoro::Task<AcquiredLink> ServerPool::acquire(LinkRequest Wanted,
                                               TimePoint Deadline) {
-  const Waiter Self{Wanted.Urgency, ++this->LastSequence};
   const WorkspaceName For = Wanted.For.value_or(WorkspaceName());
-  this->Waiting.insert(Self);
+  const WaitingTurn Self = this->Waiting.add(Wanted.Urgency, For);
   std::optional<std::unique_ptr<PooledLink>> Turn =
       co_await this->waitForTurn(std::move(Wanted), Self, Deadline);
-  this->Waiting.erase(Self);
+  this->Waiting.remove(Self, Turn.has_value());
   // The next task in the queue may find a connection available.
   this->Released.notifyAll();
   if (!Turn)
--- a/src/root/groups/ServerPool.h
+++ b/src/root/groups/ServerPool.h
@@ -10,6 +10,7 @@
 
 #include "core/Async.h"
 #include "policy/ConnectionShare.h"
+#include "policy/WaitingTurns.h"
 #include "root/groups/ServerLink.h"
 
 #include <functional>
@@ -69,8 +70,8 @@
 ///
 /// Invariants: a connection is opened only while the number that are open or
 /// being opened is below the pool's share. Waiting tasks are served by urgency,
-/// and in order of arrival among those of equal urgency. A connection runs the
-/// statements of one workspace from its opening to its end.
+/// then in turn among the workspaces, then in order of arrival. A connection
+/// runs the statements of one workspace from its opening to its end.
 class ServerPool {
 public:
   /// Timeout for opening a connection. It costs 12 ms of a server slot, which
@@ -110,24 +111,18 @@
   /// Returns when the next idle connection is due to be closed.
   TimePoint nextClose(TimePoint Now) const;
 
+  /// Returns whether a connection of workspace \p For is idle.
+  bool hasIdle(const WorkspaceName &For) const;
+
   /// Returns how many connections are open or being opened.
   std::size_t open() const { return this->InUse + this->Idle.size(); }
 
 private:
-  /// A task that waits for a connection.
-  struct Waiter {
-    unsigned Urgency = 0;
-    std::uint64_t Sequence = 0; ///< Order of arrival.
-
-    auto operator<=>(const Waiter &) const = default;
-  };
-  using Waiters = std::set<Waiter>;
-
   /// Waits until \p Self is first in line and a connection is available.
   /// \returns an idle connection, null if one may be opened, or nothing if
   /// \p Deadline passes first.
   QCoro::Task<std::optional<std::unique_ptr<PooledLink>>>
-  waitForTurn(LinkRequest Wanted, Waiter Self, TimePoint Deadline);
+  waitForTurn(LinkRequest Wanted, WaitingTurn Self, TimePoint Deadline);
   Duration idleTimeout(const PooledLink &Link, TimePoint Now) const;
   std::unique_ptr<PooledLink> takeIdle(const LinkRequest &Wanted);
   /// Returns whether a connection may be opened. Closes an idle one first if
@@ -139,8 +134,7 @@
   ConnectionShare Share;
   std::size_t InUse = 0; ///< Acquired or being opened.
   std::vector<std::unique_ptr<PooledLink>> Idle;
-  Waiters Waiting;
-  std::uint64_t LastSequence = 0;
+  WaitingTurns Waiting;
   TimePoint LastAcquired{};
   TaskCondition Released;
 };
--- a/src/root/groups/testing/ServerPoolTest.cpp
+++ b/src/root/groups/testing/ServerPoolTest.cpp
@@ -17,10 +17,12 @@
 
 /// Acquires a connection, appends \p Name to \p Order and releases the
 /// connection.
-QCoro::Task<> use(ServerPool &Pool, unsigned Urgency, std::string Name,
-                  std::vector<std::string> &Order, TaskGroup &Users) {
+QCoro::Task<> use(ServerPool &Pool, unsigned Urgency, std::string For,
+                  std::string Name, std::vector<std::string> &Order,
+                  TaskGroup &Users) {
   const TaskGroup::Guard Guard(Users);
   LinkRequest Wanted;
+  Wanted.For = WorkspaceName(For);
   Wanted.Urgency = Urgency;
   AcquiredLink Taken =
       co_await Pool.acquire(std::move(Wanted), steadyNow() + WaitLimit);
@@ -37,12 +39,14 @@
 } // namespace
 
 // Guards against an urgent statement that waits behind less urgent ones for the
-// only connection, and against a task that overtakes an earlier one of equal
-// urgency.
+// only connection, against a task that overtakes an earlier one of equal
+// urgency and the same workspace, and against a workspace that makes the others
+// wait for all of its tasks.
 TEST_CASE("a connection goes to the most urgent task, then to the oldest") {
   struct User {
     const char *Name;
     unsigned Urgency;
+    const char *For = "";
   };
   struct Row {
     const char *Name;
@@ -57,6 +61,12 @@
       {"urgent tasks come in between",
        {{"a", 2}, {"b", 1}, {"c", 2}, {"d", 1}, {"e", 0}},
        {"a", "e", "b", "d", "c"}},
+      {"workspaces in turn",
+       {{"a", 1, "x"}, {"b", 1, "x"}, {"c", 1, "x"}, {"d", 1, "y"}},
+       {"a", "b", "d", "c"}},
+      {"urgency before turns",
+       {{"a", 1, "x"}, {"b", 1, "x"}, {"c", 2, "y"}, {"d", 1, "x"}},
+       {"a", "b", "d", "c"}},
   };
   testApplication();
   for (const Row &R : Rows) {
@@ -69,7 +79,7 @@
     std::vector<std::string> Order;
     TaskGroup Users;
     for (const User &U : R.Users)
-      use(Pool, U.Urgency, U.Name, Order, Users);
+      use(Pool, U.Urgency, U.For, U.Name, Order, Users);
     runTask(awaitAll(Users));
     CHECK(Order == R.Order);
     CHECK(Pool.open() == 1);
