--- a/src/policy/GroupBeliefs.cpp
+++ b/src/policy/GroupBeliefs.cpp
@@ -63,6 +63,8 @@
   Server->AdoptedTerm = Report.AdoptedTerm;
   Server->FailingSince.reset();
   Server->LastAnswer = Now;
+  Server->Busy = Report.Busy;
+  Server->BusyAt = Now;
   if (Report.Role == ServerRole::Primary)
     this->observePrimaryEnd(Report.Received, Now);
   else
@@ -139,6 +141,11 @@
   Server->LatencyAt = Now;
 }
 
+void GroupBeliefs::observeBusy(const ServerId &Id, TimePoint Now) {
+  if (ServerBelief *Server = this->findMutable(Id))
+    Server->RefusedAt = Now;
+}
+
 void GroupBeliefs::observeFailure(const ServerId &Id, TimePoint Now) {
   ServerBelief *Server = this->findMutable(Id);
   if (!Server)
@@ -189,36 +196,42 @@
   return Server.FailingSince && Now - Server.LastFailure < AvoidAfterFailure;
 }
 
-double GroupBeliefs::readCost(const ServerBelief &Server,
-                              const std::optional<BelievedPrimary> &Leader,
-                              TimePoint Now) const {
-  const auto Prior = static_cast<double>(PriorLatency.count());
-  double Expected = Prior;
+SelectionCandidate
+GroupBeliefs::candidate(const ServerBelief &Server,
+                        const std::optional<BelievedPrimary> &Leader,
+                        const ReadChoice &Read, TimePoint Now) const {
+  SelectionCandidate C;
+  C.Id = Server.id();
+  C.Slots = std::max(Server.Registration.Slots, 1U);
+  C.InFlight = Server.InFlight;
+  C.Latency = PriorLatency;
   if (Server.LatencyAt != TimePoint()) {
     const double HalfLives =
         static_cast<double>((Now - Server.LatencyAt).count()) /
         static_cast<double>(LatencyHalfLife.count());
-    Expected += (static_cast<double>(Server.Latency.count()) - Prior) *
-                std::exp2(-HalfLives);
+    C.Latency += Duration(std::llround(
+        static_cast<double>((Server.Latency - PriorLatency).count()) *
+        std::exp2(-HalfLives)));
   }
-  // The slots of the server are shared with statements of other entry VMs,
-  // which are not visible here. Each statement that this entry VM has in flight
-  // therefore stands for a part of the queue.
-  double Cost = Expected * (1.0 + Server.InFlight);
+  if (Server.RefusedAt)
+    C.RefusalAge = Now - *Server.RefusedAt;
+  C.Busy = Server.Busy;
+  C.BusyAge = Now - Server.BusyAt;
   switch (this->Where.distanceTo(Server.Registration.Location)) {
   case Distance::SameDataCentre:
     break;
   case Distance::SameRegion:
-    Cost += static_cast<double>(SameRegionCost.count());
+    C.Cost += SameRegionCost;
     break;
   case Distance::OtherRegion:
-    Cost += static_cast<double>(OtherRegionCost.count());
+    C.Cost += OtherRegionCost;
     break;
   }
-  const bool Leads = Leader && Leader->Id == Server.id();
-  if (Leads)
-    Cost += static_cast<double>(PrimaryReadCost.count());
-  return Cost;
+  if (Leader && Leader->Id == Server.id())
+    C.Cost += PrimaryReadCost;
+  if (Read.Connected && Read.Connected->count(Server.id()) == 0)
+    C.Cost += OpenCost;
+  return C;
 }
 
 ReplicaReadiness GroupBeliefs::readiness(const ServerBelief &Server,
@@ -230,54 +243,46 @@
   return Server.Progress.readiness(*Floor, Now, this->PrimaryEnds);
 }
 
-std::vector<ServerId> GroupBeliefs::readOrder(std::optional<LogPosition> Floor,
-                                              TimePoint Now) const {
-  struct Candidate {
-    bool Last; ///< Tried after all others.
-    bool Behind;
-    double Cost;
-    ServerId Id;
-  };
+std::vector<ServerId> GroupBeliefs::readOrder(const ReadChoice &Read,
+                                              TimePoint Now,
+                                              Random &Rng) const {
   const std::optional<BelievedPrimary> Leader = this->primary();
   const bool LeaderUsable =
       Leader && !this->isAvoided(*this->find(Leader->Id), Now);
-  std::vector<Candidate> Found;
+  // A probe costs one read a round trip; it is tried first, since the servers
+  // after it can still run the read.
+  std::vector<ServerId> Order;
+  std::vector<SelectionCandidate> Usable;
+  std::vector<SelectionCandidate> Behind;
+  std::vector<SelectionCandidate> Last;
   for (const auto &[Id, Server] : this->Servers) {
     if (Server.Registration.Draining && !(Leader && Leader->Id == Id))
       continue;
-    const ReplicaReadiness State = this->readiness(Server, Floor, Now);
+    const ReplicaReadiness State = this->readiness(Server, Read.Floor, Now);
     if (LeaderUsable && State == ReplicaReadiness::Behind)
       continue;
-    // A probe costs one read a round trip; it is tried first, since the servers
-    // after it can still run the read.
-    Found.push_back(
-        {this->isAvoided(Server, Now) || Server.Registration.Draining,
-         State == ReplicaReadiness::Behind,
-         State == ReplicaReadiness::Probe ? 0
-                                          : this->readCost(Server, Leader, Now),
-         Id});
+    if (this->isAvoided(Server, Now) || Server.Registration.Draining)
+      Last.push_back(this->candidate(Server, Leader, Read, Now));
+    else if (State == ReplicaReadiness::Probe)
+      Order.push_back(Id);
+    else if (State == ReplicaReadiness::Behind)
+      Behind.push_back(this->candidate(Server, Leader, Read, Now));
+    else
+      Usable.push_back(this->candidate(Server, Leader, Read, Now));
   }
-  std::sort(Found.begin(), Found.end(),
-            [](const Candidate &A, const Candidate &B) {
-              return std::tie(A.Last, A.Behind, A.Cost, A.Id) <
-                     std::tie(B.Last, B.Behind, B.Cost, B.Id);
-            });
-  std::vector<ServerId> Order;
-  Order.reserve(Found.size());
-  for (const Candidate &C : Found)
-    Order.push_back(C.Id);
+  for (const auto *Part : {&Usable, &Behind, &Last})
+    for (ServerId &Id : selectionOrder(*Part, Read.Choosers, Rng))
+      Order.push_back(std::move(Id));
   return Order;
 }
 
-std::optional<ServerId>
-GroupBeliefs::chooseReader(std::optional<LogPosition> Floor,
-                           const std::set<ServerId> &Tried, TimePoint Now,
-                           Random &Rng) {
-  for (const ServerId &Id : this->readOrder(Floor, Now)) {
-    if (Tried.count(Id) != 0)
+std::optional<ServerId> GroupBeliefs::chooseReader(const ReadChoice &Read,
+                                                   TimePoint Now, Random &Rng) {
+  for (const ServerId &Id : this->readOrder(Read, Now, Rng)) {
+    if (Read.Tried.count(Id) != 0)
       continue;
     ServerBelief &Chosen = this->Servers.at(Id);
-    if (this->readiness(Chosen, Floor, Now) == ReplicaReadiness::Probe)
+    if (this->readiness(Chosen, Read.Floor, Now) == ReplicaReadiness::Probe)
       Chosen.Progress.beginProbe(Now, Rng);
     return Id;
   }
--- a/src/policy/GroupBeliefs.h
+++ b/src/policy/GroupBeliefs.h
@@ -12,6 +12,7 @@
 #include "core/Random.h"
 #include "policy/AccessPlan.h"
 #include "policy/ReplicaProgress.h"
+#include "policy/ServerSelection.h"
 
 #include <map>
 #include <optional>
@@ -65,6 +66,9 @@
   Duration Latency{};    ///< Moving average of the time of a statement.
   TimePoint LatencyAt{}; ///< Time of the last latency observation.
   unsigned InFlight = 0; ///< Statements of this entry VM running on it.
+  std::optional<TimePoint> RefusedAt; ///< Last refusal for lack of a slot.
+  std::optional<unsigned> Busy;       ///< Slots in use by its last report.
+  TimePoint BusyAt{};                 ///< Time of that report.
 
   const ServerId &id() const { return this->Registration.Id; }
 };
@@ -77,6 +81,16 @@
   bool operator==(const BelievedPrimary &) const = default;
 };
 
+/// A read for which a server is chosen.
+struct ReadChoice {
+  std::optional<LogPosition> Floor; ///< Lowest log position that it may see.
+  std::set<ServerId> Tried;         ///< Not to be chosen again.
+  /// Servers to which a connection is idle that could run the read; nothing if
+  /// that is not known.
+  std::optional<std::set<ServerId>> Connected;
+  std::size_t Choosers = 0; ///< Entry VMs that use the group; 0: not known.
+};
+
 /// Beliefs about one group.
 class GroupBeliefs {
 public:
@@ -92,9 +106,6 @@
   /// halved if there is no new observation, so that a server that was slow is
   /// tried again.
   static constexpr Duration LatencyHalfLife = std::chrono::seconds(3);
-  /// Latency that is assumed for a server before any observation: the mean
-  /// service time of the statement classes of the deployments, 28 ms.
-  static constexpr Duration PriorLatency = milliseconds(28);
   /// Cost of a read on a server in another data centre of the same region.
   static constexpr Duration SameRegionCost = milliseconds(3);
   /// Cost of a read on a server of another region. Traffic between regions
@@ -102,9 +113,11 @@
   /// 30 Mbit/s.
   static constexpr Duration OtherRegionCost = milliseconds(40);
   /// Cost of a read on the primary. Keeps the slots of the primary for writes:
-  /// a read goes to the primary only if each replica has about one more
-  /// statement in flight.
+  /// a read goes to the primary only if the replicas lag, fail or let it wait.
   static constexpr Duration PrimaryReadCost = milliseconds(40);
+  /// Cost of opening a connection: 12 ms of a slot and two round trips.
+  static constexpr Duration OpenCost = milliseconds(15);
+
   explicit GroupBeliefs(const Locality &Where) : Where(Where) {}
 
   /// Sets the registered servers of the group. The beliefs about a server that
@@ -135,6 +148,8 @@
   void observeServed(const ServerId &Id, TimePoint SentAt);
   /// Records that a statement that was not refused took \p Took.
   void observeLatency(const ServerId &Id, Duration Took, TimePoint Now);
+  /// Records that the server refused a statement for lack of a slot.
+  void observeBusy(const ServerId &Id, TimePoint Now);
   /// Records that the server could not be reached or a connection to it failed.
   void observeFailure(const ServerId &Id, TimePoint Now);
   /// Records that the server refused a write because it is not the primary.
@@ -146,20 +161,19 @@
   /// registered as primary and whose term is not known yet goes first.
   std::optional<BelievedPrimary> primary() const;
 
-  /// Returns the servers that may execute a read, best first. Servers that are
-  /// avoided after a failure or are draining come last. Replicas that lack the
-  /// floor, as far as can be predicted, are left out, unless the primary is not
-  /// known or is avoided.
-  /// \param Floor lowest log position that the read may see.
-  std::vector<ServerId> readOrder(std::optional<LogPosition> Floor,
-                                  TimePoint Now) const;
+  /// Returns the servers that may execute a read, in the order in which they
+  /// are to be tried. It is partly random (policy/ServerSelection.h). Servers
+  /// that are avoided after a failure or are draining come last. Replicas that
+  /// lack the floor, as far as can be predicted, are left out, unless the
+  /// primary is not known or is avoided.
+  std::vector<ServerId> readOrder(const ReadChoice &Read, TimePoint Now,
+                                  Random &Rng) const;
 
   /// Returns the server on which to execute a read, or nothing if all that may
   /// were tried. A read that is to find out how far a replica is counts as
   /// sent.
-  std::optional<ServerId> chooseReader(std::optional<LogPosition> Floor,
-                                       const std::set<ServerId> &Tried,
-                                       TimePoint Now, Random &Rng);
+  std::optional<ServerId> chooseReader(const ReadChoice &Read, TimePoint Now,
+                                       Random &Rng);
 
   /// Returns whether \p Server can run a read with \p Floor now.
   ReplicaReadiness readiness(const ServerBelief &Server,
@@ -177,11 +191,10 @@
 
 private:
   ServerBelief *findMutable(const ServerId &Id);
-  /// Returns the expected time of a read on \p Server, with the costs above, in
-  /// microseconds.
-  double readCost(const ServerBelief &Server,
-                  const std::optional<BelievedPrimary> &Leader,
-                  TimePoint Now) const;
+  /// Returns what is known of \p Server for a read.
+  SelectionCandidate candidate(const ServerBelief &Server,
+                               const std::optional<BelievedPrimary> &Leader,
+                               const ReadChoice &Read, TimePoint Now) const;
 
   const Locality &Where;
   std::map<ServerId, ServerBelief> Servers;
--- a/src/policy/testing/ReplicaProgressTest.cpp
+++ b/src/policy/testing/ReplicaProgressTest.cpp
@@ -264,13 +264,15 @@
   };
   for (const Row &R : Rows) {
     CAPTURE(R.Name);
-    const Locality Where{DataCentre("here"), {}};
+    const Locality Where{DataCentre("here"),
+                         {{DataCentre("here"), Region("r")},
+                          {DataCentre("other"), Region("r")}}};
     GroupBeliefs Beliefs(Where);
     std::vector<RegisteredServer> Servers;
     for (const char *Id : {"a", "b", "c"}) {
       RegisteredServer S;
       S.Id = ServerId(Id);
-      S.Location = DataCentre("here");
+      S.Location = DataCentre(S.Id.str() == "c" ? "other" : "here");
       S.Slots = 4;
       S.Role = S.Id.str() == "a" ? ServerRole::Primary : ServerRole::Replica;
       Servers.push_back(S);
@@ -310,7 +312,11 @@
     }
     }
     std::vector<std::string> Order;
-    for (const ServerId &Id : Beliefs.readOrder(endAt(8500), at(10000)))
+    ReadChoice Read;
+    Read.Floor = endAt(8500);
+    // The choice is random; with these costs the order is practically certain.
+    Read.Connected = {ServerId("a"), ServerId("b")};
+    for (const ServerId &Id : Beliefs.readOrder(Read, at(10000), Rng))
       Order.push_back(Id.str());
     CHECK(Order == R.Expected);
   }
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -230,9 +230,18 @@
        {"lag_ms", Lag / milliseconds(1)}});
 }
 
-std::optional<ServerId> Group::chooseReader(std::optional<LogPosition> Floor,
+std::optional<ServerId> Group::chooseReader(const WorkspaceName &For,
+                                            std::optional<LogPosition> Floor,
                                             const std::set<ServerId> &Tried) {
-  return this->Beliefs.chooseReader(Floor, Tried, steadyNow(), this->Rng);
+  ReadChoice Read;
+  Read.Floor = Floor;
+  Read.Tried = Tried;
+  Read.Connected.emplace();
+  for (const auto &[Id, Pool] : this->Pools)
+    if (Pool->hasIdle(For))
+      Read.Connected->insert(Id);
+  Read.Choosers = this->EntryVms;
+  return this->Beliefs.chooseReader(Read, steadyNow(), this->Rng);
 }
 
 void Group::observeAnswer(const ServerId &Id, const Answer &A, TimePoint SentAt,
@@ -242,6 +251,8 @@
   const TimePoint Sent = Now - (bootNow() - SentAt);
   if (Floor && A.Code == AnswerCode::Lagging)
     this->Beliefs.observeLagging(Id, *Floor, Sent, Now, this->Rng);
+  if (A.Code == AnswerCode::Busy)
+    this->Beliefs.observeBusy(Id, Now);
   this->Beliefs.observeAnswer(Id, A.Position, Now);
   if (Floor && A.succeeded())
     this->Beliefs.observeServed(Id, Sent);
@@ -406,7 +417,7 @@
 }
 
 std::vector<ServerId> Group::preferredServers() const {
-  return this->Beliefs.readOrder(std::nullopt, steadyNow());
+  return this->Beliefs.readOrder(ReadChoice(), steadyNow(), this->Rng);
 }
 
 void Group::requestProof(TimePoint Since) {
--- a/src/root/groups/Group.h
+++ b/src/root/groups/Group.h
@@ -157,9 +157,10 @@
   /// \param Floor of the statement.
   void observeAnswer(const ServerId &Id, const Answer &A, TimePoint SentAt,
                      std::optional<LogPosition> Floor = std::nullopt);
-  /// Returns the server on which to run a read, or nothing if all that may run
-  /// it were tried.
-  std::optional<ServerId> chooseReader(std::optional<LogPosition> Floor,
+  /// Returns the server on which to run a read of workspace \p For, or nothing
+  /// if all that may run it were tried.
+  std::optional<ServerId> chooseReader(const WorkspaceName &For,
+                                       std::optional<LogPosition> Floor,
                                        const std::set<ServerId> &Tried);
   /// Records that \p Id, which was believed to be the primary, acknowledged a
   /// commit that was sent at \p SentAt (boot clock) and is reported to the
@@ -321,7 +322,7 @@
   MissingCommitAlarm MissingCommits;
   LogPosition Acknowledged;
   /// Of the choice of servers. The entry VMs need different seeds.
-  Random Rng{std::random_device{}()};
+  mutable Random Rng{std::random_device{}()};
   LogPosition EndAfterLoss;
   Term EndTerm = 0;      ///< In which EndAfterLoss was reported.
   bool EndWanted = true; ///< No primary has reported since the last loss.
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -242,7 +242,7 @@
       if (Leader)
         Id = Leader->Id;
     } else {
-      Id = E.ServerGroup->chooseReader(Constraint.Floor, Tried);
+      Id = E.ServerGroup->chooseReader(E.Workspace, Constraint.Floor, Tried);
     }
     if (!Id) {
       if (Constraint.AtPrimary)
@@ -407,7 +407,7 @@
         break;
       Id = Leader->Id;
     } else {
-      Id = E.ServerGroup->chooseReader(Constraint.Floor, Tried);
+      Id = E.ServerGroup->chooseReader(E.Workspace, Constraint.Floor, Tried);
     }
     if (!Id) {
       Tried.clear();
--- a/src/root/sessions/testing/StatementRunnerTest.cpp
+++ b/src/root/sessions/testing/StatementRunnerTest.cpp
@@ -436,6 +436,54 @@
   }
 }
 
+// Guards against reads that are refused one after the other by replicas that
+// are known to lag, and against replicas that are not used again after they
+// have caught up.
+TEST_CASE("replicas that lag are left out until they have caught up") {
+  struct Row {
+    const char *Name;
+    bool LagsB;
+    bool LagsC;
+    std::size_t LeastAtPrimary; ///< Of the reads while they lag.
+  };
+  const Row Rows[] = {
+      {"both lag", true, true, 20},
+      {"one of two lags", true, false, 0},
+      {"none lags", false, false, 0},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    REQUIRE(F.run("WRITE item data").succeeded());
+    F.Group["b"].Lags = R.LagsB;
+    F.Group["c"].Lags = R.LagsC;
+    REQUIRE(F.run("WRITE item data").succeeded());
+    const auto Read = [&F](unsigned &Attempts) {
+      StatementContext E = F.context(ReadConsistency::ReadYourWrites);
+      const ReadConstraint Constraint{F.Group["a"].Log, false};
+      const Answer A =
+          runTask(runReadHere(statement("READ item"), E, Constraint));
+      CHECK(A.succeeded());
+      Attempts += E.Attempts;
+    };
+    const std::size_t BeforeA = F.ran("a");
+    unsigned Attempts = 0;
+    constexpr unsigned Reads = 20;
+    for (unsigned I = 0; I < Reads; ++I)
+      Read(Attempts);
+    CHECK(F.ran("a") - BeforeA >= R.LeastAtPrimary);
+    // Each lagging replica refuses one read, and perhaps a probe or two.
+    CHECK(Attempts <= Reads + 6);
+    F.Group["b"].Lags = F.Group["c"].Lags = false;
+    F.Group.replicate("a");
+    const std::size_t BeforeReplicas = F.ran("b") + F.ran("c");
+    const TimePoint Until = steadyNow() + milliseconds(1500);
+    while (F.ran("b") + F.ran("c") == BeforeReplicas && steadyNow() < Until)
+      Read(Attempts);
+    CHECK(F.ran("b") + F.ran("c") > BeforeReplicas);
+  }
+}
+
 // Guards against a connection that is dropped, and a server that counts as
 // failing, because the connection was acquired shortly before the dispatch
 // deadline. Applying the session's settings takes a round trip, 16 ms between
