--- a/src/root/groups/testing/GroupEvidenceTest.cpp
+++ b/src/root/groups/testing/GroupEvidenceTest.cpp
@@ -223,6 +223,51 @@
   CHECK(F.Orders.Orders > 0);
 }
 
+// Guards against entry VMs that each have to be refused by a replica that lags
+// although the relay knows it.
+TEST_CASE("the positions of replicas are passed on") {
+  struct Row {
+    const char *Name;
+    Duration Age; ///< Of the position that the relay knows.
+    Duration Lag; ///< Of b at that time.
+    bool Passed;  ///< Whether an entry VM passes the position on.
+    bool Left;    ///< Whether b is left out.
+  };
+  const Row Rows[] = {
+      {"14 s behind", milliseconds(20), std::chrono::seconds(14), true, true},
+      {"14 s behind, old", milliseconds(2500), std::chrono::seconds(14), false,
+       false},
+      {"100 ms behind", milliseconds(20), milliseconds(100), true, false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    // The primary's log: one entry per 100 ms.
+    const TimePoint Now = bootNow();
+    GroupEvidence Known;
+    for (int I = 0; I <= 200; ++I) {
+      Known = F.evidence(milliseconds(100) * (200 - I));
+      Known.Position = {1, static_cast<std::uint64_t>(I) + 1};
+      F.Servers->applyEvidence(Known);
+    }
+    const auto Behind =
+        static_cast<std::uint64_t>((R.Lag + R.Age) / milliseconds(100));
+    Known.Replicas = {
+        {ServerId("b"), {1, 201 - Behind}, Now - R.Age, Duration::zero()}};
+    F.Servers->applyEvidence(Known);
+    const std::vector<ReplicaEvidence> Shared = F.Servers->evidence().Replicas;
+    CHECK(Shared.size() == (R.Passed ? 1 : 0));
+    std::set<ServerId> Offered;
+    const LogPosition Floor{1, 201 - 15}; // Of 1.5 s ago.
+    while (const std::optional<ServerId> Next =
+               F.Servers->chooseReader(WorkspaceName(), Floor, Offered))
+      Offered.insert(*Next);
+    CHECK(Offered.count(ServerId("a")) == 1);
+    CHECK(Offered.count(ServerId("c")) == 1);
+    CHECK(Offered.count(ServerId("b")) == (R.Left ? 0 : 1));
+  }
+}
+
 // Guards against a promoted server that lacks commits which only a lost server
 // had received: a report from before the loss says nothing of them, and without
 // a report the end of the primary's log is not known.
