--- a/src/root/telemetry/Metrics.h
+++ b/src/root/telemetry/Metrics.h
@@ -46,6 +46,7 @@
   QuotaSpent,
   QuotaRefused,
   QuotaLeasesExpired,
+  ReplicasSetAside,
 };
 
 /// The name, label and help text of a counter.
@@ -102,6 +103,9 @@
      "Operations refused because of the quota of a workspace."},
     {Counter::QuotaLeasesExpired, "amaranthspur_quota_leases_expired_total", "",
      "Leases of quotas that expired without a renewal."},
+    {Counter::ReplicasSetAside, "amaranthspur_replicas_set_aside_total",
+     "service",
+     "Times that a replica was set aside because it lagged, by service."},
 });
 } // namespace detail
 
