--- a/src/core/ProcessSignals.cpp
+++ b/src/core/ProcessSignals.cpp
@@ -3,9 +3,13 @@
 #include <QCoreApplication>
 #include <QSocketNotifier>
 
+#include <atomic>
 #include <csignal>
 #include <cstdlib>
+#include <ctime>
 #include <fcntl.h>
+#include <poll.h>
+#include <string_view>
 #include <unistd.h>
 
 namespace amaranthspur {
@@ -35,7 +39,39 @@
 SignalPipe Termination;
 SignalPipe Reload;
 
-void handleTermination(int /*Number*/) { Termination.notify(); }
+/// When the first termination signal was delivered, in TimePoint's unit.
+std::atomic<Duration::rep> TerminatedAt{0};
+static_assert(std::atomic<Duration::rep>::is_always_lock_free);
+/// Sends SIGALRM when the time of a termination is over, if it is limited.
+timer_t LimitTimer;
+itimerspec TerminationLimit = {};
+std::atomic<bool> IsLimited{false};
+
+// The handlers call only async-signal-safe functions.
+
+void handleTermination(int /*Number*/) {
+  timespec Now = {};
+  clock_gettime(CLOCK_MONOTONIC, &Now);
+  const Duration At = std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(Now.tv_sec) + std::chrono::nanoseconds(Now.tv_nsec));
+  Duration::rep NotTerminated = 0;
+  const bool First =
+      TerminatedAt.compare_exchange_strong(NotTerminated, At.count());
+  if (First && IsLimited)
+    timer_settime(LimitTimer, 0, &TerminationLimit, nullptr);
+  Termination.notify();
+}
+
+void handleLimit(int /*Number*/) {
+  constexpr std::string_view Line =
+      "event=exit-forced why=\"the stop took too long\"\n";
+  pollfd Output{STDOUT_FILENO, POLLOUT, 0};
+  if (poll(&Output, 1, 0) == 1 && (Output.revents & POLLOUT) != 0) {
+    [[maybe_unused]] const ssize_t Written =
+        write(STDOUT_FILENO, Line.data(), Line.size());
+  }
+  _exit(EXIT_SUCCESS);
+}
 void handleReload(int /*Number*/) { Reload.notify(); }
 
 void install(int Number, void (*Handler)(int)) {
@@ -47,19 +83,30 @@
 
 } // namespace
 
-void onTerminationSignal(std::function<void()> OnSignal) {
+void onTerminationSignal(std::function<void(TimePoint)> OnSignal) {
   Termination.open();
   auto *Notifier = new QSocketNotifier(
       Termination.Ends[0], QSocketNotifier::Read, QCoreApplication::instance());
   QObject::connect(Notifier, &QSocketNotifier::activated, Notifier,
                    [Notifier, OnSignal = std::move(OnSignal)] {
                      Notifier->setEnabled(false);
-                     OnSignal();
+                     OnSignal(TimePoint(Duration(TerminatedAt.load())));
                    });
   install(SIGTERM, handleTermination);
   install(SIGINT, handleTermination);
 }
 
+void limitTermination(Duration Limit) {
+  if (timer_create(CLOCK_MONOTONIC, nullptr, &LimitTimer) != 0)
+    std::abort();
+  const auto Seconds = std::chrono::floor<std::chrono::seconds>(Limit);
+  TerminationLimit.it_value = {
+      static_cast<time_t>(Seconds.count()),
+      static_cast<long>(std::chrono::nanoseconds(Limit - Seconds).count())};
+  install(SIGALRM, handleLimit);
+  IsLimited = true;
+}
+
 void onReloadSignal(std::function<void()> OnSignal) {
   Reload.open();
   auto *Notifier = new QSocketNotifier(Reload.Ends[0], QSocketNotifier::Read,
--- a/src/policy/StopSchedule.cpp
+++ b/src/policy/StopSchedule.cpp
@@ -30,8 +30,11 @@
   StopLimits Limits;
   Limits.Notice = Notice;
   Limits.Transactions = Grace / 2;
-  Limits.End = Grace - std::min(StopSchedule::ExitTime,
-                                Grace / StopSchedule::MaxExitDivisor);
+  const Duration ExitTime =
+      std::min(StopSchedule::ExitTime, Grace / StopSchedule::MaxExitDivisor);
+  Limits.End = Grace - ExitTime;
+  Limits.Exit = Limits.End + std::chrono::duration_cast<Duration>(
+                                 ExitTime * StopSchedule::ForcedExitPart);
   return Limits;
 }
 
--- a/src/policy/StopSchedule.h
+++ b/src/policy/StopSchedule.h
@@ -45,6 +45,8 @@
   Duration Notice{};       ///< Until idle sessions are closed.
   Duration Transactions{}; ///< Until open transactions are rolled back.
   Duration End{};          ///< Until all sessions have ended.
+  /// Until the process exits, whatever still runs; 0 if nothing kills it.
+  Duration Exit{};
 };
 
 /// Returns the limits of a stop after which the process is killed.
@@ -63,6 +65,9 @@
   /// Time between the end of the stop and the kill, in which the other parts of
   /// the process stop.
   static constexpr Duration ExitTime = milliseconds(800);
+  /// Part of the exit time after which the process exits without waiting any
+  /// longer. The rest allows for a signal that is delivered late.
+  static constexpr double ForcedExitPart = 0.6;
   /// The exit time is at most the grace time divided by this, as a server that
   /// still works in the last sixth of it is no fault of the stop.
   static constexpr int MaxExitDivisor = 6;
--- a/src/policy/testing/StopScheduleTest.cpp
+++ b/src/policy/testing/StopScheduleTest.cpp
@@ -97,3 +97,14 @@
           R.StatementsEndMs);
   }
 }
+
+// Guards against a process that still waits for its sessions when it is killed.
+TEST_CASE("the process exits between the end of the sessions and the kill") {
+  for (const int GraceMs : {1, 100, 3000, 6000, 60000}) {
+    CAPTURE(GraceMs);
+    const StopLimits Limits =
+        stopLimitsFor(milliseconds(GraceMs), milliseconds(2200));
+    CHECK(Limits.End < Limits.Exit);
+    CHECK(Limits.Exit < milliseconds(GraceMs));
+  }
+}
--- a/src/root/Daemon.cpp
+++ b/src/root/Daemon.cpp
@@ -257,12 +257,13 @@
   co_return Started;
 }
 
-QCoro::Task<> Daemon::stop() {
+QCoro::Task<> Daemon::stop(TimePoint Since) {
   if (std::exchange(this->Draining, true))
     co_return;
   log(LogLevel::Info, LogEvent::DrainStarted);
   this->Peers.leave();
-  co_await this->RootSupervisor.stop(steadyNow() + this->Values.Stop.End);
+  const TimePoint Deadline = Since + this->Values.Stop.End;
+  co_await this->RootSupervisor.stop(Deadline, Deadline + StopMargin);
   log(LogLevel::Info, LogEvent::DrainFinished);
 }
 
--- a/src/root/Daemon.h
+++ b/src/root/Daemon.h
@@ -25,6 +25,11 @@
 /// The daemon with the PostgreSQL front end.
 class Daemon {
 public:
+  /// Time after the deadline of a stop in which the children end what they
+  /// still run. The sessions use up to 1 s of it, the handover of the servers
+  /// up to twice its timeout.
+  static constexpr Duration StopMargin = std::chrono::seconds(5);
+
   explicit Daemon(Settings Values);
 
   /// Starts all children.
@@ -32,7 +37,8 @@
 
   /// Stops gracefully: /ready answers 503, callers' sessions finish, and the
   /// ownership of servers is handed over to other entry VMs.
-  QCoro::Task<> stop();
+  /// \param Since when the stop was requested. The grace time counts from then.
+  QCoro::Task<> stop(TimePoint Since);
 
   /// Logs that a reload was requested and changes nothing: the settings are
   /// fixed at start, and the configuration is read from the platform's service.
--- a/src/root/LineDaemon.cpp
+++ b/src/root/LineDaemon.cpp
@@ -131,12 +131,13 @@
   co_return Started;
 }
 
-QCoro::Task<> LineDaemon::stop() {
+QCoro::Task<> LineDaemon::stop(TimePoint Since) {
   if (std::exchange(this->Draining, true))
     co_return;
   log(LogLevel::Info, LogEvent::DrainStarted);
   this->DataCentreRelay.leave();
-  co_await this->RootSupervisor.stop(steadyNow() + this->Values.Stop.End);
+  const TimePoint Deadline = Since + this->Values.Stop.End;
+  co_await this->RootSupervisor.stop(Deadline, Deadline + StopMargin);
   log(LogLevel::Info, LogEvent::DrainFinished);
 }
 
--- a/src/root/LineDaemon.h
+++ b/src/root/LineDaemon.h
@@ -39,13 +39,18 @@
   /// the store itself.
   static constexpr double ContactAgePart = 0.65;
 
+  /// Time after the deadline of a stop in which the children end what they
+  /// still run. The sessions use up to 200 ms of it.
+  static constexpr Duration StopMargin = milliseconds(300);
+
   explicit LineDaemon(Settings Values);
 
   /// Starts all children.
   QCoro::Task<Result<Success>> start();
 
   /// Stops gracefully: /ready answers 503 and sessions finish.
-  QCoro::Task<> stop();
+  /// \param Since when the stop was requested. The grace time counts from then.
+  QCoro::Task<> stop(TimePoint Since);
 
   /// Logs that a reload was requested and changes nothing: the settings are
   /// fixed at start, and everything that can change while the process runs is
--- a/src/root/Main.cpp
+++ b/src/root/Main.cpp
@@ -39,9 +39,11 @@
   std::fflush(stdout);
 }
 
-template <typename Root> QCoro::Task<> stopDaemon(Root &Tree) {
-  log(LogLevel::Info, LogEvent::Stopping);
-  co_await Tree.stop();
+template <typename Root> QCoro::Task<> stopDaemon(Root &Tree, TimePoint Since) {
+  log(LogLevel::Info, LogEvent::Stopping,
+      {{"since_signal_ms",
+        static_cast<std::uint64_t>((steadyNow() - Since) / milliseconds(1))}});
+  co_await Tree.stop(Since);
   log(LogLevel::Info, LogEvent::Stopped);
   // Coroutines can still be suspended in library calls. They hold no state that
   // has to be saved, so the process exits without waiting for them.
@@ -52,7 +54,9 @@
 /// Runs a daemon of type \p Root until a termination signal arrives.
 template <typename Root> int serve(const Settings &Values) {
   Root Tree(Values);
-  onTerminationSignal([&Tree] { stopDaemon(Tree); });
+  onTerminationSignal([&Tree](TimePoint At) { stopDaemon(Tree, At); });
+  if (Values.Stop.Exit > Duration::zero())
+    limitTermination(Values.Stop.Exit);
   onReloadSignal([&Tree] { Tree.reload(); });
   runDaemon(Tree);
   return QCoreApplication::exec();
--- a/src/root/Supervisor.cpp
+++ b/src/root/Supervisor.cpp
@@ -1,5 +1,7 @@
 #include "root/Supervisor.h"
 
+#include "root/telemetry/Log.h"
+
 #include <algorithm>
 
 namespace amaranthspur {
@@ -37,10 +39,26 @@
   co_return Success();
 }
 
-QCoro::Task<> Supervisor::stop(TimePoint Deadline) {
+QCoro::Task<> Supervisor::stop(TimePoint Deadline, TimePoint Limit) {
   this->Stopping = true;
-  for (std::size_t I = this->Entries.size(); I > 0; --I)
-    co_await this->Entries[I - 1].C->stop(Deadline);
+  for (std::size_t I = this->Entries.size(); I > 0; --I) {
+    Child &C = *this->Entries[I - 1].C;
+    const auto Running = std::make_shared<TaskGroup>();
+    stopChild(C, Deadline, Running);
+    // Each wait takes a turn of the event loop, which is long under load.
+    bool Stopped = Running->size() == 0;
+    if (!Stopped && steadyNow() < Limit)
+      Stopped = co_await Running->waitUntilEmpty(Limit);
+    if (!Stopped)
+      log(LogLevel::Warning, LogEvent::ChildFailed,
+          {{"child", C.name()}, {"error", "did not stop in time"}});
+  }
+}
+
+QCoro::Task<> Supervisor::stopChild(Child &C, TimePoint Deadline,
+                                    std::shared_ptr<TaskGroup> Running) {
+  const TaskGroup::Guard Guard(*Running);
+  co_await C.stop(Deadline);
 }
 
 QCoro::Task<> Supervisor::restart(std::size_t Index, Error Reason) {
--- a/src/root/Supervisor.h
+++ b/src/root/Supervisor.h
@@ -59,8 +59,11 @@
   QCoro::Task<Result<Success>> start();
 
   /// Stops the children in the reverse order. \p Deadline applies to all of
-  /// them together.
-  QCoro::Task<> stop(TimePoint Deadline);
+  /// them together. A child that has not stopped by \p Limit is no longer
+  /// waited for.
+  /// \param Limit later than \p Deadline by the time that children need to end
+  /// what the deadline has cut off.
+  QCoro::Task<> stop(TimePoint Deadline, TimePoint Limit);
 
 private:
   struct Entry {
@@ -71,6 +74,10 @@
   };
 
   QCoro::Task<> restart(std::size_t Index, Error Reason);
+  /// Stops \p C and records in \p Running when that is done. It uses nothing of
+  /// the supervisor, which may be destroyed before.
+  static QCoro::Task<> stopChild(Child &C, TimePoint Deadline,
+                                 std::shared_ptr<TaskGroup> Running);
 
   std::function<void(std::string_view, const Error &)> OnRestart;
   std::vector<Entry> Entries;
--- a/src/root/testing/LineDaemonTest.cpp
+++ b/src/root/testing/LineDaemonTest.cpp
@@ -37,7 +37,9 @@
 struct Fixture {
   /// \param OrderPort port of the platform's promotions; 0 for the port of its
   /// store.
-  explicit Fixture(int TimeoutMs = 1000, std::uint16_t OrderPort = 0) {
+  /// \param Flags further flags of the daemon.
+  explicit Fixture(int TimeoutMs = 1000, std::uint16_t OrderPort = 0,
+                   const QStringList &Flags = {}) {
     const quint16 Port = this->Server.listen(QHostAddress::LocalHost);
     this->Store.setExternalRow("op", "config", planWith(TimeoutMs));
     this->addServer(this->A, "a", "primary");
@@ -51,29 +53,31 @@
     const Result<std::string> Program = findProgram("amaranthspurd");
     REQUIRE(succeeded(Program));
     this->Daemon.setProcessChannelMode(QProcess::MergedChannels);
-    this->Daemon.start(QString::fromStdString(valueOf(Program)),
-                       {"--front-end",
-                        "lines",
-                        "--vm-id",
-                        "vm-1",
-                        "--data-centre",
-                        "here",
-                        "--regions",
-                        "here=r",
-                        "--caller-address",
-                        LocalAddress(this->CallerPort),
-                        "--readiness-address",
-                        LocalAddress(this->ReadyPort),
-                        "--admin-address",
-                        LocalAddress(freePort("127.0.0.1")),
-                        "--platform-address",
-                        LocalAddress(Port),
-                        "--promotion-address",
-                        LocalAddress(OrderPort == 0 ? Port : OrderPort),
-                        "--drain-notice-ms",
-                        "300",
-                        "--drain-timeout-ms",
-                        "3000"});
+    this->Daemon.start(
+        QString::fromStdString(valueOf(Program)),
+        QStringList{"--front-end",
+                    "lines",
+                    "--vm-id",
+                    "vm-1",
+                    "--data-centre",
+                    "here",
+                    "--regions",
+                    "here=r",
+                    "--caller-address",
+                    LocalAddress(this->CallerPort),
+                    "--readiness-address",
+                    LocalAddress(this->ReadyPort),
+                    "--admin-address",
+                    LocalAddress(freePort("127.0.0.1")),
+                    "--platform-address",
+                    LocalAddress(Port),
+                    "--promotion-address",
+                    LocalAddress(OrderPort == 0 ? Port : OrderPort),
+                    "--drain-notice-ms",
+                    "300",
+                    "--drain-timeout-ms",
+                    "3000"} +
+            Flags);
     this->waitForOutput("event=readiness-changed ready=yes");
   }
   ~Fixture() {
@@ -364,3 +368,94 @@
     CHECK(Orders.status() == ECONNRESET);
   }
 }
+
+namespace {
+
+/// Time between SIGTERM and SIGKILL on the users' machines.
+constexpr Duration Grace = std::chrono::seconds(6);
+
+/// Lets the daemon run for \p Part of the time, as a limit of its CPU time
+/// does, until it has ended.
+QCoro::Task<> limitCpu(const QProcess &Daemon, double Part, TaskGroup &Tasks) {
+  constexpr Duration Period = milliseconds(100);
+  const TaskGroup::Guard Guard(Tasks);
+  const auto Running = std::chrono::duration_cast<Duration>(Period * Part);
+  while (Daemon.state() == QProcess::Running) {
+    const auto Process = static_cast<pid_t>(Daemon.processId());
+    ::kill(Process, SIGSTOP);
+    co_await sleepFor(Period - Running);
+    ::kill(Process, SIGCONT);
+    co_await sleepFor(Running);
+  }
+}
+
+/// Sends statements, each after the answer to the one before it, until the
+/// daemon closes the connection.
+/// \param Batch number of statements that are sent together.
+QCoro::Task<> sendUntilClosed(const Fixture &F, unsigned Batch,
+                              TaskGroup &Tasks) {
+  const TaskGroup::Guard Guard(Tasks);
+  const Address Daemon{"127.0.0.1", F.CallerPort};
+  const TimePoint ConnectBy = steadyNow() + std::chrono::seconds(5);
+  QTcpSocket *Socket = co_await openSocket(Daemon, ConnectBy);
+  if (Socket == nullptr)
+    co_return;
+  LineStream Stream(Socket);
+  Stream.write("CONNECT orders u1\r\n");
+  std::string Statements;
+  for (unsigned I = 0; I < Batch; ++I)
+    Statements += "QUERY q READ item\r\n";
+  unsigned Unanswered = 1;
+  while (Stream.isOpen()) {
+    const std::optional<std::string> Line =
+        co_await Stream.nextLine(steadyNow() + std::chrono::seconds(20));
+    if (!Line)
+      co_return;
+    if (!Line->starts_with("READY") || --Unanswered > 0)
+      continue;
+    Stream.write(Statements);
+    Unanswered = Batch;
+  }
+}
+
+} // namespace
+
+// Guards against a stop that takes longer than the time until the platform
+// kills the process.
+TEST_CASE("a daemon without enough CPU time ends within the grace time") {
+  struct Row {
+    const char *Name;
+    double CpuPart;
+    unsigned Sessions;
+    unsigned Batch;
+  };
+  const Row Rows[] = {
+      {"idle", 1, 10, 0},
+      {"a third of a core", 0.3, 130, 1},
+      {"a tenth of a core, and statements that wait", 0.1, 130, 50},
+      {"hardly any time", 0.01, 300, 200},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F(5000, 0, {"--grace-seconds", "6", "--drain-notice-ms", "2200"});
+    TaskGroup Tasks;
+    for (unsigned I = 0; I < R.Sessions; ++I)
+      sendUntilClosed(F, R.Batch, Tasks);
+    runTask([]() -> QCoro::Task<> { co_await sleepFor(milliseconds(500)); }());
+    if (R.CpuPart < 1)
+      limitCpu(F.Daemon, R.CpuPart, Tasks);
+    runTask([]() -> QCoro::Task<> { co_await sleepFor(milliseconds(500)); }());
+    const TimePoint SentAt = steadyNow();
+    ::kill(static_cast<pid_t>(F.Daemon.processId()), SIGTERM);
+    F.waitUntil([&F] {
+      F.Log += F.Daemon.readAll();
+      return F.Daemon.state() == QProcess::NotRunning;
+    });
+    const Duration Taken = steadyNow() - SentAt;
+    CAPTURE(Taken.count());
+    CHECK(Taken < Grace);
+    CHECK(F.Daemon.exitStatus() == QProcess::NormalExit);
+    CHECK(F.Daemon.exitCode() == 0);
+    runTask(Tasks.waitUntilEmpty(steadyNow() + std::chrono::seconds(30)));
+  }
+}
--- a/src/testing/fake-backend/Main.cpp
+++ b/src/testing/fake-backend/Main.cpp
@@ -38,7 +38,7 @@
     std::fprintf(stderr, "fake-backend: %s\n", errorOf(Started).c_str());
     return 1;
   }
-  onTerminationSignal([&Backend] { stopAndQuit(Backend); });
+  onTerminationSignal([&Backend](TimePoint) { stopAndQuit(Backend); });
   std::puts("ready");
   std::fflush(stdout);
   return QCoreApplication::exec();
--- a/src/testing/fault-proxy/Main.cpp
+++ b/src/testing/fault-proxy/Main.cpp
@@ -34,7 +34,7 @@
     std::fprintf(stderr, "fault-proxy: %s\n", errorOf(Started).c_str());
     return 1;
   }
-  onTerminationSignal([&Proxy] { stopAndQuit(Proxy); });
+  onTerminationSignal([&Proxy](TimePoint) { stopAndQuit(Proxy); });
   std::puts("ready");
   std::fflush(stdout);
   return QCoreApplication::exec();
