--- a/src/root/testing/LineDaemonTest.cpp
+++ b/src/root/testing/LineDaemonTest.cpp
@@ -135,9 +135,11 @@
       : Stream(runTask(openSocket({"127.0.0.1", F.CallerPort},
                                   steadyNow() + std::chrono::seconds(5)))) {}
 
+  /// Sends \p Line.
+  void write(const std::string &Line) { this->Stream.write(Line + "\r\n"); }
   /// Sends \p Line and returns the answer, as answer() does.
   std::string request(const std::string &Line) {
-    this->Stream.write(Line + "\r\n");
+    this->write(Line);
     return this->answer();
   }
 
@@ -459,3 +461,81 @@
     runTask(Tasks.waitUntilEmpty(steadyNow() + std::chrono::seconds(30)));
   }
 }
+
+// Guards against a stop in which one component waits for something that does
+// not come, without a limit.
+TEST_CASE("a daemon ends within the grace time whatever it waits for") {
+  struct Row {
+    const char *Name;
+    std::function<void(Fixture &, Caller &)> Begin;
+  };
+  const auto SlowServers = [](Fixture &F) {
+    for (auto &[Id, S] : F.Group.servers())
+      S.RunDelay = S.SetDelay = std::chrono::seconds(4);
+  };
+  const Row Rows[] = {
+      {"a server, for a statement that was sent before the stop",
+       [&](Fixture &F, Caller &C) {
+         SlowServers(F);
+         C.write("QUERY q1 WRITE item data");
+       }},
+      {"a server, for the setting of a session",
+       [&](Fixture &F, Caller &C) {
+         REQUIRE(C.request("QUERY q1 SET zone x").starts_with("COMPLETE"));
+         SlowServers(F);
+         C.write("QUERY q2 READ item");
+       }},
+      {"a caller that leaves a transaction open",
+       [&](Fixture &, Caller &C) {
+         REQUIRE(C.request("QUERY q1 BEGIN").starts_with("COMPLETE"));
+         REQUIRE(C.request("QUERY q2 WRITE item data").starts_with("COMPLETE"));
+       }},
+      {"the rollback of a transaction",
+       [&](Fixture &F, Caller &C) {
+         REQUIRE(C.request("QUERY q1 BEGIN").starts_with("COMPLETE"));
+         REQUIRE(C.request("QUERY q2 WRITE item data").starts_with("COMPLETE"));
+         SlowServers(F);
+         C.write("QUERY q3 ROLLBACK");
+       }},
+      {"the store",
+       [&](Fixture &F, Caller &) {
+         fakeplatform::Faults Slow;
+         Slow.Delay = std::chrono::seconds(20);
+         F.Store.setFaults(Slow, std::nullopt);
+         // A change of a row ends the polls that are under way.
+         F.Store.setExternalRow("op", "config", planWith(20001));
+       }},
+      {"a primary that is unreachable",
+       [&](Fixture &F, Caller &C) {
+         F.Group["a"].Reachable = false;
+         C.write("QUERY q1 WRITE item data");
+       }},
+      {"the answer to an order",
+       [&](Fixture &F, Caller &) {
+         F.addServer(F.A, "a", "primary", "draining");
+         F.waitForOutput("event=promotion-started");
+       }},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    HeldListener Orders;
+    Fixture F(20000, Orders.address().Port, {"--grace-seconds", "3"});
+    Caller C(F);
+    REQUIRE(C.request("CONNECT orders u1") == "READY I -|");
+    R.Begin(F, C);
+    runTask([]() -> QCoro::Task<> { co_await sleepFor(milliseconds(200)); }());
+    const TimePoint SentAt = steadyNow();
+    ::kill(static_cast<pid_t>(F.Daemon.processId()), SIGTERM);
+    F.waitUntil([&F] { return F.Daemon.state() == QProcess::NotRunning; });
+    const Duration Taken = steadyNow() - SentAt;
+    CAPTURE(Taken.count());
+    CHECK(Taken < std::chrono::seconds(3));
+    F.Log += F.Daemon.readAll();
+    INFO(F.Log.toStdString());
+    CHECK(F.Daemon.exitStatus() == QProcess::NormalExit);
+    CHECK(F.Daemon.exitCode() == 0);
+    // The children stop by themselves; nothing is forced.
+    CHECK(F.Log.contains("event=drain-finished"));
+    CHECK_FALSE(F.Log.contains("event=exit-forced"));
+  }
+}
