--- a/src/root/testing/LineDaemonTest.cpp
+++ b/src/root/testing/LineDaemonTest.cpp
@@ -37,9 +37,9 @@
 struct Fixture {
   /// \param OrderPort port of the platform's promotions; 0 for the port of its
   /// store.
-  /// \param More further flags of the daemon.
+  /// \param Flags further flags of the daemon.
   explicit Fixture(int TimeoutMs = 1000, std::uint16_t OrderPort = 0,
-                   const QStringList &More = {}) {
+                   const QStringList &Flags = {}) {
     const quint16 Port = this->Server.listen(QHostAddress::LocalHost);
     this->Store.setExternalRow("op", "config", planWith(TimeoutMs));
     this->addServer(this->A, "a", "primary");
@@ -77,7 +77,7 @@
                     "300",
                     "--drain-timeout-ms",
                     "3000"} +
-            More);
+            Flags);
     this->waitForOutput("event=readiness-changed ready=yes");
   }
   ~Fixture() {
@@ -135,9 +135,11 @@
       : Stream(runTask(openSocket({"127.0.0.1", F.CallerPort},
                                   steadyNow() + std::chrono::seconds(5)))) {}
 
+  /// Sends \p Line.
+  void write(const std::string &Line) { this->Stream.write(Line + "\r\n"); }
   /// Sends \p Line and returns the answer, as answer() does.
   std::string request(const std::string &Line) {
-    this->Stream.write(Line + "\r\n");
+    this->write(Line);
     return this->answer();
   }
 
@@ -413,5 +415,172 @@
     CHECK(Refused > 0);
     F.waitForOutput("event=quota-reached workspace=acme");
     CHECK_FALSE(F.Log.contains("secret-key"));
+
+namespace {
+
+/// Time between SIGTERM and SIGKILL on the users' machines.
+constexpr Duration Grace = std::chrono::seconds(6);
+
+/// Lets the daemon run for \p Part of the time, as a limit of its CPU time
+/// does, until it has ended.
+QCoro::Task<> limitCpu(const QProcess &Daemon, double Part, TaskGroup &Tasks) {
+  constexpr Duration Period = milliseconds(100);
+  const TaskGroup::Guard Guard(Tasks);
+  const auto Running = std::chrono::duration_cast<Duration>(Period * Part);
+  while (Daemon.state() == QProcess::Running) {
+    const auto Process = static_cast<pid_t>(Daemon.processId());
+    ::kill(Process, SIGSTOP);
+    co_await sleepFor(Period - Running);
+    ::kill(Process, SIGCONT);
+    co_await sleepFor(Running);
+  }
+}
+
+/// Sends statements, each after the answer to the one before it, until the
+/// daemon closes the connection.
+/// \param Batch number of statements that are sent together.
+QCoro::Task<> sendUntilClosed(const Fixture &F, unsigned Batch,
+                              TaskGroup &Tasks) {
+  const TaskGroup::Guard Guard(Tasks);
+  const Address Daemon{"127.0.0.1", F.CallerPort};
+  const TimePoint ConnectBy = steadyNow() + std::chrono::seconds(5);
+  QTcpSocket *Socket = co_await openSocket(Daemon, ConnectBy);
+  if (Socket == nullptr)
+    co_return;
+  LineStream Stream(Socket);
+  Stream.write("CONNECT orders u1\r\n");
+  std::string Statements;
+  for (unsigned I = 0; I < Batch; ++I)
+    Statements += "QUERY q READ item\r\n";
+  unsigned Unanswered = 1;
+  while (Stream.isOpen()) {
+    const std::optional<std::string> Line =
+        co_await Stream.nextLine(steadyNow() + std::chrono::seconds(20));
+    if (!Line)
+      co_return;
+    if (!Line->starts_with("READY") || --Unanswered > 0)
+      continue;
+    Stream.write(Statements);
+    Unanswered = Batch;
+  }
+}
+
+} // namespace
+
+// Guards against a stop that takes longer than the time until the platform
+// kills the process.
+TEST_CASE("a daemon without enough CPU time ends within the grace time") {
+  struct Row {
+    const char *Name;
+    double CpuPart;
+    unsigned Sessions;
+    unsigned Batch;
+  };
+  const Row Rows[] = {
+      {"idle", 1, 10, 0},
+      {"a third of a core", 0.3, 130, 1},
+      {"a tenth of a core, and statements that wait", 0.1, 130, 50},
+      {"hardly any time", 0.01, 300, 200},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F(5000, 0, {"--grace-seconds", "6", "--drain-notice-ms", "2200"});
+    TaskGroup Tasks;
+    for (unsigned I = 0; I < R.Sessions; ++I)
+      sendUntilClosed(F, R.Batch, Tasks);
+    runTask([]() -> QCoro::Task<> { co_await sleepFor(milliseconds(500)); }());
+    if (R.CpuPart < 1)
+      limitCpu(F.Daemon, R.CpuPart, Tasks);
+    runTask([]() -> QCoro::Task<> { co_await sleepFor(milliseconds(500)); }());
+    const TimePoint SentAt = steadyNow();
+    ::kill(static_cast<pid_t>(F.Daemon.processId()), SIGTERM);
+    F.waitUntil([&F] {
+      F.Log += F.Daemon.readAll();
+      return F.Daemon.state() == QProcess::NotRunning;
+    });
+    const Duration Taken = steadyNow() - SentAt;
+    CAPTURE(Taken.count());
+    CHECK(Taken < Grace);
+    CHECK(F.Daemon.exitStatus() == QProcess::NormalExit);
+    CHECK(F.Daemon.exitCode() == 0);
+    runTask(Tasks.waitUntilEmpty(steadyNow() + std::chrono::seconds(30)));
+  }
+}
+
+// Guards against a stop in which one component waits for something that does
+// not come, without a limit.
+TEST_CASE("a daemon ends within the grace time whatever it waits for") {
+  struct Row {
+    const char *Name;
+    std::function<void(Fixture &, Caller &)> Begin;
+  };
+  const auto SlowServers = [](Fixture &F) {
+    for (auto &[Id, S] : F.Group.servers())
+      S.RunDelay = S.SetDelay = std::chrono::seconds(4);
+  };
+  const Row Rows[] = {
+      {"a server, for a statement that was sent before the stop",
+       [&](Fixture &F, Caller &C) {
+         SlowServers(F);
+         C.write("QUERY q1 WRITE item data");
+       }},
+      {"a server, for the setting of a session",
+       [&](Fixture &F, Caller &C) {
+         REQUIRE(C.request("QUERY q1 SET zone x").starts_with("COMPLETE"));
+         SlowServers(F);
+         C.write("QUERY q2 READ item");
+       }},
+      {"a caller that leaves a transaction open",
+       [&](Fixture &, Caller &C) {
+         REQUIRE(C.request("QUERY q1 BEGIN").starts_with("COMPLETE"));
+         REQUIRE(C.request("QUERY q2 WRITE item data").starts_with("COMPLETE"));
+       }},
+      {"the rollback of a transaction",
+       [&](Fixture &F, Caller &C) {
+         REQUIRE(C.request("QUERY q1 BEGIN").starts_with("COMPLETE"));
+         REQUIRE(C.request("QUERY q2 WRITE item data").starts_with("COMPLETE"));
+         SlowServers(F);
+         C.write("QUERY q3 ROLLBACK");
+       }},
+      {"the store",
+       [&](Fixture &F, Caller &) {
+         fakeplatform::Faults Slow;
+         Slow.Delay = std::chrono::seconds(20);
+         F.Store.setFaults(Slow, std::nullopt);
+         // A change of a row ends the polls that are under way.
+         F.Store.setExternalRow("op", "config", planWith(20001));
+       }},
+      {"a primary that is unreachable",
+       [&](Fixture &F, Caller &C) {
+         F.Group["a"].Reachable = false;
+         C.write("QUERY q1 WRITE item data");
+       }},
+      {"the answer to an order",
+       [&](Fixture &F, Caller &) {
+         F.addServer(F.A, "a", "primary", "draining");
+         F.waitForOutput("event=promotion-started");
+       }},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    HeldListener Orders;
+    Fixture F(20000, Orders.address().Port, {"--grace-seconds", "3"});
+    Caller C(F);
+    REQUIRE(C.request("CONNECT orders u1") == "READY I -|");
+    R.Begin(F, C);
+    runTask([]() -> QCoro::Task<> { co_await sleepFor(milliseconds(200)); }());
+    const TimePoint SentAt = steadyNow();
+    ::kill(static_cast<pid_t>(F.Daemon.processId()), SIGTERM);
+    F.waitUntil([&F] { return F.Daemon.state() == QProcess::NotRunning; });
+    const Duration Taken = steadyNow() - SentAt;
+    CAPTURE(Taken.count());
+    CHECK(Taken < std::chrono::seconds(3));
+    F.Log += F.Daemon.readAll();
+    INFO(F.Log.toStdString());
+    CHECK(F.Daemon.exitStatus() == QProcess::NormalExit);
+    CHECK(F.Daemon.exitCode() == 0);
+    // The children stop by themselves; nothing is forced.
+    CHECK(F.Log.contains("event=drain-finished"));
+    CHECK_FALSE(F.Log.contains("event=exit-forced"));
   }
 }
