--- a/src/policy/ConnectionShare.cpp
+++ b/src/policy/ConnectionShare.cpp
@@ -21,6 +21,42 @@
   this->applyEqualPart();
 }
 
+void ConnectionShare::setHomes(std::size_t Count) { this->Homes = Count; }
+
+void ConnectionShare::observeHomeUse(TimePoint Now) {
+  // The shares of all homes fit into the server's limit, so a new home need not
+  // approach its share step by step.
+  if (!this->isHome(Now) && this->Homes > 0 && !this->RefusedAt)
+    this->Limit = std::max(this->Limit, this->homeShare());
+  this->HomeUsedAt = Now;
+}
+
+bool ConnectionShare::isHome(TimePoint Now) const {
+  return this->Homes > 0 && within(this->HomeUsedAt, HomeTime, Now);
+}
+
+std::size_t ConnectionShare::homeShare() const {
+  const double Part = static_cast<double>(this->Maximum) * HomesPart /
+                      static_cast<double>(this->Homes);
+  return std::max<std::size_t>(1, static_cast<std::size_t>(Part));
+}
+
+std::size_t ConnectionShare::limit(TimePoint Now) const {
+  return this->isHome(Now) ? std::min(this->Limit, this->homeShare())
+                           : this->Limit;
+}
+
+bool ConnectionShare::mayOpenAtHome(std::size_t Open, TimePoint Now) {
+  if (Open < this->limit(Now))
+    return true;
+  if (Open >= this->homeShare() || within(this->RefusedAt, RefusalPause, Now) ||
+      within(this->IncreasedAt, GrowthInterval, Now))
+    return false;
+  this->Limit = Open + 1;
+  this->IncreasedAt = Now;
+  return true;
+}
+
 bool ConnectionShare::isOversubscribed(TimePoint Now) const {
   return this->Sharers >= this->Maximum && !within(this->KeptAt, KeepTime, Now);
 }
@@ -35,6 +71,8 @@
 }
 
 bool ConnectionShare::mayOpen(std::size_t Open, TimePoint Now) {
+  if (this->isHome(Now))
+    return this->mayOpenAtHome(Open, Now);
   if (Open < this->Limit)
     return true;
   const bool Counted = within(this->CountedAt, CountMaxAge, Now);
@@ -71,6 +109,8 @@
 }
 
 bool ConnectionShare::isCrowded() const {
+  if (this->Homes > 0)
+    return this->Count * 10 > this->Maximum * 9;
   return this->Count * 4 > this->Maximum * 3;
 }
 
@@ -81,10 +121,19 @@
 }
 
 bool ConnectionShare::wantsCount(std::size_t Open, TimePoint Now) const {
-  return Open > InitialShare && !within(this->CountedAt, CountMaxAge, Now);
+  // The share of a home does not depend on the count.
+  return Open > InitialShare && !this->isHome(Now) &&
+         !within(this->CountedAt, CountMaxAge, Now);
 }
 
-Duration ConnectionShare::idleTimeout(bool Newest, TimePoint Now) const {
+Duration ConnectionShare::idleTimeout(bool Newest, bool ForWorkspace,
+                                      TimePoint Now) const {
+  if (ForWorkspace && this->isHome(Now))
+    return HomeIdleTimeout;
+  if (!ForWorkspace && Newest && this->Homes > 0)
+    return StatusIdleTimeout;
+  if (ForWorkspace && this->Homes > 0)
+    return this->scarce(Now) ? ScarceIdleTimeout : SurplusIdleTimeout;
   if (this->scarce(Now))
     return ScarceIdleTimeout;
   return Newest ? IdleTimeout : SurplusIdleTimeout;
@@ -93,7 +142,8 @@
 void ConnectionShare::observeCount(std::size_t Seen, TimePoint Now) {
   this->Count = Seen;
   this->CountedAt = Now;
-  if (!this->isCrowded() || within(this->DecreasedAt, DecreaseInterval, Now))
+  if (!this->isCrowded() || this->isHome(Now) ||
+      within(this->DecreasedAt, DecreaseInterval, Now))
     return;
   // All entry VMs see the same count and multiply their shares by the same
   // factor, so the largest shares decrease most.
--- a/src/policy/ConnectionShare.h
+++ b/src/policy/ConnectionShare.h
@@ -8,6 +8,12 @@
 // the competing entry VMs. Without the reported count, the entry VMs that
 // connected first would never be refused and would keep all connections. A
 // refused connection does no harm, because no statement was sent over it.
+//
+// In a deployment with workspaces the forwarders are the homes of connections
+// (docs/design/homes.md). The homes divide most of a server's limit among
+// themselves equally, and a home keeps its connections while they are idle. The
+// number of open connections then says little about the load, so the other
+// entry VMs, which share the rest, count as crowded later.
 #ifndef AMARANTHSPUR_POLICY_CONNECTIONSHARE_H
 #define AMARANTHSPUR_POLICY_CONNECTIONSHARE_H
 
@@ -61,6 +67,21 @@
   static constexpr Duration DecreaseInterval = milliseconds(500);
   /// See keepIdle().
   static constexpr Duration KeepTime = std::chrono::seconds(2);
+  /// Part of a server's limit that all homes may use together. The rest is for
+  /// transactions, for status calls and for statements that are not forwarded.
+  static constexpr double HomesPart = 0.8;
+  /// An entry VM counts as a home for this time after it has run a statement as
+  /// one.
+  static constexpr Duration HomeTime = std::chrono::seconds(60);
+  /// A home keeps an idle connection for this time. Servers close idle
+  /// connections after 60 s; a statement that is sent as the server closes its
+  /// connection is lost.
+  static constexpr Duration HomeIdleTimeout = std::chrono::seconds(50);
+  /// In a deployment with homes, the most recently used connection without a
+  /// workspace is kept for this time even if connections are scarce. It carries
+  /// the status calls of a relay, which makes them every 550 ms; a new
+  /// connection for each of them would take 12 ms of slot time.
+  static constexpr Duration StatusIdleTimeout = std::chrono::seconds(2);
   /// A decrease multiplies the share by this factor.
   static constexpr double DecreaseFactor = 0.75;
 
@@ -70,6 +91,15 @@
   /// Sets the number of entry VMs that share the limit; 0 if it is not known.
   void setSharers(std::size_t Count);
 
+  /// Sets the number of homes of the deployment; 0 if there are none.
+  void setHomes(std::size_t Count);
+
+  /// Records that this entry VM runs a statement of a workspace as its home.
+  void observeHomeUse(TimePoint Now);
+
+  /// Returns whether this entry VM is a home of some workspace.
+  bool isHome(TimePoint Now) const;
+
   /// Records that this entry VM runs the statements of others, so that it keeps
   /// idle connections for KeepTime even if there are more entry VMs than
   /// connections.
@@ -93,9 +123,11 @@
 
   /// Returns how long a connection may be idle before it is closed.
   /// \param Newest whether it is the most recently used connection.
-  Duration idleTimeout(bool Newest, TimePoint Now) const;
+  /// \param ForWorkspace whether it is for a workspace.
+  Duration idleTimeout(bool Newest, bool ForWorkspace, TimePoint Now) const;
 
-  std::size_t limit() const { return this->Limit; }
+  /// Returns how many connections may be open at once.
+  std::size_t limit(TimePoint Now) const;
 
 private:
   /// Returns whether connections are so scarce that an idle connection of this
@@ -104,8 +136,12 @@
   /// are more entry VMs than connections.
   bool scarce(TimePoint Now) const;
   /// Returns whether more than three quarters of the server's connections are
-  /// open.
+  /// open; with homes, whether more than nine tenths are.
   bool isCrowded() const;
+  /// Returns how many connections a home may have.
+  std::size_t homeShare() const;
+  /// mayOpen() of a home.
+  bool mayOpenAtHome(std::size_t Open, TimePoint Now);
   /// Returns whether there are at least as many entry VMs as connections, so
   /// that not every entry VM can keep one.
   bool isOversubscribed(TimePoint Now) const;
@@ -124,6 +160,8 @@
   std::optional<TimePoint> CountedAt;
   std::optional<TimePoint> DecreasedAt;
   std::optional<TimePoint> KeptAt;
+  std::size_t Homes = 0;
+  std::optional<TimePoint> HomeUsedAt;
 };
 
 } // namespace amaranthspur
--- a/src/policy/ForwarderChoice.cpp
+++ b/src/policy/ForwarderChoice.cpp
@@ -1,8 +1,10 @@
 #include "policy/ForwarderChoice.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <tuple>
+#include <utility>
 
 namespace amaranthspur {
 namespace {
@@ -39,8 +41,34 @@
   return Candidates;
 }
 
+namespace {
+
+/// Returns the cost of \p F as the home of \p Pair; the lowest is preferred.
+/// Weighted rendezvous hashing: with a uniform hash in (0, 1), -log(hash) /
+/// weight is lowest for each entry VM with a probability proportional to its
+/// weight. Rounding may differ between machines; entry VMs that disagree break
+/// nothing.
+double homeCost(const ForwarderVm &F, const std::string &Pair) {
+  constexpr double Range = 18446744073709551616.0; // 2 to the power of 64.
+  const double Hash =
+      (static_cast<double>(hashOf(F.Vm.str(), Pair)) + 1) / (Range + 2);
+  return -std::log(Hash) / std::max(1U, F.CpuPercent);
+}
+
+} // namespace
+
 std::vector<ForwarderVm> forwarderOrder(std::vector<ForwarderVm> Forwarders,
-                                        const ServiceName &Service) {
+                                        const ServiceName &Service,
+                                        const WorkspaceName &Of) {
+  if (!Of.empty()) {
+    const std::string Pair = Service.str() + '\n' + Of.str();
+    std::sort(Forwarders.begin(), Forwarders.end(),
+              [&Pair](const ForwarderVm &A, const ForwarderVm &B) {
+                return std::pair(homeCost(A, Pair), A.Vm) <
+                       std::pair(homeCost(B, Pair), B.Vm);
+              });
+    return Forwarders;
+  }
   std::sort(Forwarders.begin(), Forwarders.end(),
             [&Service](const ForwarderVm &A, const ForwarderVm &B) {
               const std::uint64_t HashA = hashOf(A.Vm.str(), Service.str());
--- a/src/policy/ForwarderChoice.h
+++ b/src/policy/ForwarderChoice.h
@@ -1,12 +1,13 @@
 // Chooses the entry VMs that run reads for the others of a data centre.
 //
-// With more entry VMs than connections to a server, an entry VM can keep no
-// connection of its own: nearly each statement opens one, which takes slot time
-// of the server. A few entry VMs, the forwarders, therefore run the reads of
-// the whole data centre over connections that stay in use. The choice is a
-// matter of efficiency only. Two entry VMs that choose differently break
-// nothing, since a forwarder runs whatever it is asked to, and an entry VM
-// whose forwarder does not answer runs the read itself.
+// With more entry VMs than connections to a server, or with workspaces, each of
+// which needs connections of its own, an entry VM can keep no connection:
+// nearly each statement opens one, which takes slot time of the server. A few
+// entry VMs, the forwarders, therefore run the reads of the whole data centre
+// over connections that stay in use. The choice is a matter of efficiency only.
+// Two entry VMs that choose differently break nothing, since a forwarder runs
+// whatever it is asked to, and an entry VM whose forwarder does not answer runs
+// the read itself.
 #ifndef AMARANTHSPUR_POLICY_FORWARDERCHOICE_H
 #define AMARANTHSPUR_POLICY_FORWARDERCHOICE_H
 
@@ -39,9 +40,14 @@
 std::vector<ForwarderVm> chooseForwarders(std::vector<ForwarderVm> Candidates);
 
 /// Orders \p Forwarders for \p Service, the preferred one first, by rendezvous
-/// hashing: without a forwarder only its services move.
+/// hashing: without a forwarder only its services move. With a workspace, the
+/// first one is the home of the pair of workspace and service
+/// (docs/design/homes.md); each forwarder is the home of a part of the pairs
+/// that is proportional to its CPU.
+/// \param Of the workspace; empty for none.
 std::vector<ForwarderVm> forwarderOrder(std::vector<ForwarderVm> Forwarders,
-                                        const ServiceName &Service);
+                                        const ServiceName &Service,
+                                        const WorkspaceName &Of);
 
 /// Returns whether reads are worth forwarding: whether the \p EntryVms of the
 /// deployment have less than one connection each to a server that accepts
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -53,6 +53,7 @@
       ++Remaining;
     Pool->share().setMaximum(this->Limits.MaxConnections);
     Pool->share().setSharers(this->EntryVms);
+    Pool->share().setHomes(this->Homes);
   }
   // The log of a server that has left or restarted is gone.
   if (Remaining < this->Pools.size()) {
@@ -134,6 +135,11 @@
     Pool->share().keepIdle(steadyNow());
 }
 
+void Group::observeHomeUse() {
+  for (const auto &[Id, Pool] : this->Pools)
+    Pool->share().observeHomeUse(steadyNow());
+}
+
 void Group::requestFloors() {
   const bool WasUnused = !this->wantsFloors();
   this->LastFloorRequest = steadyNow();
@@ -192,6 +198,14 @@
     Pool->share().setSharers(Count);
 }
 
+void Group::setHomes(std::size_t Count) {
+  if (this->Homes == Count)
+    return;
+  this->Homes = Count;
+  for (const auto &[Id, Pool] : this->Pools)
+    Pool->share().setHomes(Count);
+}
+
 void Group::observeAnswer(const ServerId &Id, const Answer &A,
                           TimePoint SentAt) {
   this->Beliefs.observeAnswer(Id, A.Position, steadyNow());
--- a/src/root/groups/Group.h
+++ b/src/root/groups/Group.h
@@ -213,6 +213,9 @@
   bool wantsFloors() const {
     return steadyNow() - this->LastFloorRequest <= SamplingIdleLimit;
   }
+  /// Sets how many homes of connections the deployment has; 0 if there are no
+  /// workspaces.
+  void setHomes(std::size_t Count);
   /// Waits for the relay's evidence if there is a relay and no floor for
   /// \p Since is known yet, for FloorWait at most.
   QCoro::Task<> awaitFloor(TimePoint Since, TimePoint Deadline);
@@ -232,6 +235,9 @@
   /// Keeps idle connections for some time although there are more entry VMs
   /// than connections, because this one runs the reads of others.
   void keepConnections();
+  /// Keeps the connections of workspaces, because this entry VM runs a
+  /// statement of a workspace as its home.
+  void observeHomeUse();
   /// Keeps the primary sampled for SamplingIdleLimit.
   void requestFloors();
   /// Returns whether a relay observes the group for this entry VM.
@@ -308,7 +314,8 @@
   TimePoint LostAt{};    ///< Boot clock; when the last loss was noticed.
   std::multiset<TimePoint> PendingWrites;
   std::map<ServerId, std::pair<unsigned, TimePoint>> ConnectionCounts;
-  std::size_t EntryVms = 0;    ///< 0: not known.
+  std::size_t EntryVms = 0; ///< 0: not known.
+  std::size_t Homes = 0;
   int Readers = 0;             ///< Open sessions that read with a floor.
   TimePoint RelayProofsFrom{}; ///< Steady clock.
   TimePoint ProofWantedFor{};  ///< Latest time to prove (boot clock).
--- a/src/root/groups/GroupRegistry.cpp
+++ b/src/root/groups/GroupRegistry.cpp
@@ -51,6 +51,7 @@
       this->addGroup(Service);
     this->Groups[Service].ServerGroup->configure(Limits, Servers[Service]);
   }
+  this->applyHomes();
 }
 
 void GroupRegistry::addGroup(const ServiceName &Service) {
@@ -126,6 +127,18 @@
     E.ServerGroup->setEntryVms(Count);
 }
 
+void GroupRegistry::setForwarders(std::size_t Count) {
+  this->Forwarders = Count;
+  this->applyHomes();
+}
+
+void GroupRegistry::applyHomes() {
+  const std::size_t Homes =
+      this->Directory.plan()->HasWorkspaces ? this->Forwarders : 0;
+  for (const auto &[Service, E] : this->Groups)
+    E.ServerGroup->setHomes(Homes);
+}
+
 QCoro::Task<bool> GroupRegistry::prove(ServiceName Service, Term T,
                                        TimePoint Deadline) {
   const std::shared_ptr<Group> Of = this->find(Service);
--- a/src/root/groups/GroupRegistry.h
+++ b/src/root/groups/GroupRegistry.h
@@ -43,6 +43,7 @@
   void suspect(const ServiceName &Service) override;
   void applyEvidence(const GroupEvidence &Known) override;
   void setEntryVms(std::size_t Count) override;
+  void setForwarders(std::size_t Count) override;
   QCoro::Task<bool> prove(ServiceName Service, Term T,
                           TimePoint Deadline) override;
 
@@ -53,6 +54,8 @@
   };
 
   void addGroup(const ServiceName &Service);
+  /// Tells the groups how many homes there are.
+  void applyHomes();
   QCoro::Task<> stopGroup(Entry Stopped);
 
   const PlatformDirectory &Directory;
@@ -61,7 +64,8 @@
   MonitorDependencies Dependencies;
   StoredClaims Claims;
   EvidenceSource *Source;
-  std::size_t EntryVms = 0; ///< That share the servers; 0: not known.
+  std::size_t EntryVms = 0;   ///< That share the servers; 0: not known.
+  std::size_t Forwarders = 0; ///< Of the deployment.
   std::map<ServiceName, Entry> Groups;
   TaskGroup StoppingGroups;
   bool Running = false;
--- a/src/root/groups/ServerPool.cpp
+++ b/src/root/groups/ServerPool.cpp
@@ -145,7 +145,7 @@
 void ServerPool::release(std::unique_ptr<PooledLink> Link) {
   --this->InUse;
   // Connections beyond the share are closed to leave room for other entry VMs.
-  if (Link->Link->isUsable() && this->open() < this->Share.limit()) {
+  if (Link->Link->isUsable() && this->open() < this->Share.limit(steadyNow())) {
     Link->IdleSince = steadyNow();
     this->Idle.push_back(std::move(Link));
   }
@@ -154,16 +154,30 @@
 
 Duration ServerPool::idleTimeout(const PooledLink &Link, TimePoint Now) const {
   // Idle connections are ordered by time of release, the most recent last.
-  return this->Share.idleTimeout(&Link == this->Idle.back().get(), Now);
+  const auto Newest = std::find_if(
+      this->Idle.rbegin(), this->Idle.rend(), [&Link](const auto &Other) {
+        return Other->For.empty() == Link.For.empty();
+      });
+  return this->Share.idleTimeout(Newest->get() == &Link, !Link.For.empty(),
+                                 Now);
 }
 
 void ServerPool::closeIdle(TimePoint Now) {
+  // All timeouts are compared before a connection is removed, because they
+  // depend on which is the newest.
+  std::vector<bool> IsKept;
+  for (const std::unique_ptr<PooledLink> &Link : this->Idle)
+    IsKept.push_back(Link->Link->isUsable() &&
+                     Now - Link->IdleSince <= this->idleTimeout(*Link, Now));
   std::vector<std::unique_ptr<PooledLink>> Kept;
-  for (std::unique_ptr<PooledLink> &Link : this->Idle)
-    if (Link->Link->isUsable() &&
-        Now - Link->IdleSince <= this->idleTimeout(*Link, Now))
-      Kept.push_back(std::move(Link));
+  for (std::size_t I = 0; I < this->Idle.size(); ++I)
+    if (IsKept[I])
+      Kept.push_back(std::move(this->Idle[I]));
   this->Idle = std::move(Kept);
+  // A refusal or another home has reduced the share.
+  while (this->Share.isHome(Now) && !this->Idle.empty() &&
+         this->open() > this->Share.limit(Now))
+    this->Idle.erase(this->Idle.begin());
 }
 
 TimePoint ServerPool::nextClose(TimePoint Now) const {
--- a/src/root/groups/ServerPool.h
+++ b/src/root/groups/ServerPool.h
@@ -98,7 +98,8 @@
   /// the share.
   void release(std::unique_ptr<PooledLink> Link);
 
-  /// Closes unusable connections and those that were idle for too long.
+  /// Closes unusable connections, those that were idle for too long, and at a
+  /// home those beyond the share.
   void closeIdle(TimePoint Now);
 
   /// Returns whether a connection was acquired recently, so that a waiting task
--- a/src/root/relay/EvidenceBoard.h
+++ b/src/root/relay/EvidenceBoard.h
@@ -33,6 +33,9 @@
   virtual void applyEvidence(const GroupEvidence &Known) = 0;
   /// Records how many entry VMs share the servers' connections.
   virtual void setEntryVms(std::size_t Count) = 0;
+  /// Records how many forwarders the deployment has, which are the homes of
+  /// connections if there are workspaces.
+  virtual void setForwarders(std::size_t Count) = 0;
 
   /// Waits for a proof, requested after the call, that the primary of \p T
   /// leads.
--- a/src/root/relay/ReadForwarder.cpp
+++ b/src/root/relay/ReadForwarder.cpp
@@ -2,6 +2,8 @@
 
 #include "root/relay/ReadCodec.h"
 
+#include <algorithm>
+
 namespace amaranthspur {
 
 void ReadForwarder::setForwarders(zmq::context_t &Context,
@@ -33,27 +35,47 @@
   this->Forwarders.clear();
 }
 
-const ReadForwarder::Target *
-ReadForwarder::targetOf(const ServiceName &Service) const {
+const ForwarderVm *ReadForwarder::chosen(const ServiceName &Service,
+                                         const WorkspaceName &Of) const {
   std::size_t Considered = 0;
-  for (const ForwarderVm &F : forwarderOrder(this->Forwarders, Service)) {
-    if (F.Vm == this->Self || Considered++ >= MaxCandidates)
+  for (const ForwarderVm &F : forwarderOrder(this->Forwarders, Service, Of)) {
+    const auto Listed =
+        std::find(this->Forwarders.begin(), this->Forwarders.end(), F);
+    if (F.Vm == this->Self)
+      return &*Listed;
+    if (Considered++ >= MaxCandidates)
       return nullptr;
     const auto Found = this->Targets.find(F.Vm);
     if (Found != this->Targets.end() &&
         steadyNow() >= Found->second.AvoidedUntil)
-      return &Found->second;
+      return &*Listed;
   }
   return nullptr;
 }
 
-bool ReadForwarder::isForwarded(const ServiceName &Service) const {
-  return this->targetOf(Service) != nullptr;
+const ReadForwarder::Target *
+ReadForwarder::targetOf(const ServiceName &Service,
+                        const WorkspaceName &Of) const {
+  const ForwarderVm *Chosen = this->chosen(Service, Of);
+  if (!Chosen || Chosen->Vm == this->Self)
+    return nullptr;
+  return &this->Targets.find(Chosen->Vm)->second;
+}
+
+bool ReadForwarder::isHome(const ServiceName &Service,
+                           const WorkspaceName &Of) const {
+  const ForwarderVm *Chosen = this->chosen(Service, Of);
+  return Chosen && Chosen->Vm == this->Self;
+}
+
+bool ReadForwarder::isForwarded(const ServiceName &Service,
+                                const WorkspaceName &Of) const {
+  return this->targetOf(Service, Of) != nullptr;
 }
 
 QCoro::Task<std::optional<ForwardedAnswer>>
 ReadForwarder::forward(ForwardedRead Read) {
-  const Target *Chosen = this->targetOf(Read.Service);
+  const Target *Chosen = this->targetOf(Read.Service, Read.Workspace);
   if (!Chosen)
     co_return std::nullopt;
   const EntryVmId Vm = Chosen->Who.Vm;
--- a/src/root/relay/ReadForwarder.h
+++ b/src/root/relay/ReadForwarder.h
@@ -38,7 +38,10 @@
   /// Closes all links; reads are run here from now on.
   void close();
 
-  bool isForwarded(const ServiceName &Service) const override;
+  bool isForwarded(const ServiceName &Service,
+                   const WorkspaceName &Of) const override;
+  bool isHome(const ServiceName &Service,
+              const WorkspaceName &Of) const override;
   QCoro::Task<std::optional<ForwardedAnswer>>
   forward(ForwardedRead Read) override;
 
@@ -49,8 +52,14 @@
     TimePoint AvoidedUntil{};
   };
 
-  /// Returns the forwarder of \p Service, or null if its reads are run here.
-  const Target *targetOf(const ServiceName &Service) const;
+  /// Returns the forwarder of \p Service and \p Of, which may be this entry VM;
+  /// null if none of the first ones is usable.
+  const ForwarderVm *chosen(const ServiceName &Service,
+                            const WorkspaceName &Of) const;
+  /// Returns the forwarder of \p Service and \p Of, or null if their reads are
+  /// run here.
+  const Target *targetOf(const ServiceName &Service,
+                         const WorkspaceName &Of) const;
 
   EntryVmId Self;
   std::string Token;
--- a/src/root/relay/Relay.cpp
+++ b/src/root/relay/Relay.cpp
@@ -314,7 +314,7 @@
   std::vector<ForwarderVm> Listed;
   for (const relay::Forwarder &F : Reply.forwarders())
     if (succeeded(parseAddress(F.address())))
-      Listed.push_back({EntryVmId(F.vm()), F.address(), 0});
+      Listed.push_back({EntryVmId(F.vm()), F.address(), F.cpu_percent()});
   this->OwnReads.setForwarders(*this->Context, std::move(Listed),
                                this->row().Token);
   if (!this->Board)
@@ -325,6 +325,8 @@
       this->Board->applyEvidence(valueOf(Known));
   }
   this->Board->setEntryVms(Reply.entry_vms() * this->Options.DataCentres);
+  this->Board->setForwarders(static_cast<std::size_t>(Reply.forwarders_size()) *
+                             this->Options.DataCentres);
 }
 
 bool Relay::isAvailable() const {
@@ -360,8 +362,11 @@
   this->updateForwarders();
   this->Counters.set(Gauge::RelayFollowers,
                      static_cast<double>(this->Followers.size()));
-  if (this->Board)
-    this->Board->setEntryVms((this->Followers.size() + 1) *
+  if (!this->Board)
+    return;
+  this->Board->setEntryVms((this->Followers.size() + 1) *
+                           this->Options.DataCentres);
+  this->Board->setForwarders(this->Forwarders.size() *
                              this->Options.DataCentres);
 }
 
@@ -459,6 +464,7 @@
     relay::Forwarder *Named = Reply.add_forwarders();
     Named->set_vm(F.Vm.str());
     Named->set_address(F.Address);
+    Named->set_cpu_percent(F.CpuPercent);
   }
   for (const WatchedTable Table : Tables)
     this->addChanges(Reply, Table, positionOf(Asked, Table), ReceivedAt);
--- a/src/root/relay/testing/RelayTest.cpp
+++ b/src/root/relay/testing/RelayTest.cpp
@@ -37,6 +37,7 @@
     this->Applied = Known;
   }
   void setEntryVms(std::size_t Count) override { this->EntryVms = Count; }
+  void setForwarders(std::size_t Count) override { this->Forwarders = Count; }
   QCoro::Task<bool> prove(ServiceName, Term T, TimePoint) override {
     co_return T == this->Own.TermNumber;
   }
@@ -46,6 +47,7 @@
   std::vector<ServiceName> Suspects;
   std::vector<ServiceName> Reported;
   std::size_t EntryVms = 0;
+  std::size_t Forwarders = 0;
 };
 
 /// Answers forwarded reads, unless it is told to be silent.
@@ -210,6 +212,8 @@
     CHECK(Vm->Board.Applied->Primary == First->Board.Own.Primary);
     CHECK(Vm->Node.isAvailable());
     F.waitUntil([&Vm = Vm] { return Vm->Board.EntryVms == 6; });
+    // The two followers of each data centre.
+    F.waitUntil([&Vm = Vm] { return Vm->Board.Forwarders == 4; });
     const bool Proved = runTask(Vm->Node.prove(
         ServiceName("s"), 4, steadyNow() + std::chrono::seconds(1)));
     CHECK(Proved);
@@ -282,7 +286,7 @@
   Read.Values = {{"unit", "kg"}};
   Read.Remaining = std::chrono::seconds(3);
   F.waitUntil([Caller, &Service] {
-    return Caller->Node.forwarding().isForwarded(Service);
+    return Caller->Node.forwarding().isForwarded(Service, WorkspaceName());
   });
   const auto Forward = [Caller, &Read] {
     const TimePoint Start = steadyNow();
@@ -310,7 +314,7 @@
   for (const Row &R : Rows) {
     CAPTURE(R.Name);
     F.waitUntil([Caller, &Service] {
-      return Caller->Node.forwarding().isForwarded(Service);
+      return Caller->Node.forwarding().isForwarded(Service, WorkspaceName());
     });
     for (const auto &[Name, Vm] : F.Vms)
       if (Vm.get() != Caller)
@@ -318,7 +322,8 @@
     CHECK_FALSE(Forward());
     CHECK_FALSE(Forward());
     // Both forwarders are avoided now; the reads run here.
-    CHECK_FALSE(Caller->Node.forwarding().isForwarded(Service));
+    CHECK_FALSE(
+        Caller->Node.forwarding().isForwarded(Service, WorkspaceName()));
     for (const auto &[Name, Vm] : F.Vms) {
       Vm->Reads.Silent = false;
       Vm->Reads.KnowsService = true;
--- a/src/root/sessions/ForwardedRead.h
+++ b/src/root/sessions/ForwardedRead.h
@@ -45,8 +45,13 @@
 public:
   virtual ~ReadForwarding() = default;
 
-  /// Returns whether reads of \p Service go to another entry VM now.
-  virtual bool isForwarded(const ServiceName &Service) const = 0;
+  /// Returns whether reads of \p Service by \p Of, which is empty for no
+  /// workspace, go to another entry VM now.
+  virtual bool isForwarded(const ServiceName &Service,
+                           const WorkspaceName &Of) const = 0;
+  /// Returns whether this entry VM is the home of \p Service and \p Of now.
+  virtual bool isHome(const ServiceName &Service,
+                      const WorkspaceName &Of) const = 0;
   /// Forwards \p Read and waits for the answer.
   /// \returns nothing if the read has to be run here, because no forwarder
   /// answered.
--- a/src/root/sessions/LocalReads.cpp
+++ b/src/root/sessions/LocalReads.cpp
@@ -11,7 +11,10 @@
   E.ServerGroup = this->Groups.find(Read.Service);
   if (!E.ServerGroup)
     co_return std::nullopt;
-  E.ServerGroup->keepConnections();
+  if (Read.Workspace.empty())
+    E.ServerGroup->keepConnections();
+  else
+    E.ServerGroup->observeHomeUse();
   E.Route.Service = Read.Service;
   E.Route.Consistency = ReadConsistency::BoundedStaleness;
   E.Route.Urgency = Read.Urgency;
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -183,7 +183,7 @@
 /// \returns nothing if the read has to be run here.
 QCoro::Task<std::optional<Answer>> forwardRead(Statement S, StatementContext &E,
                                                LogPosition Floor) {
-  if (!E.Forwarding->isForwarded(E.Route.Service) ||
+  if (!E.Forwarding->isForwarded(E.Route.Service, E.Workspace) ||
       S.Text.size() > MaxForwardedTextBytes)
     co_return std::nullopt;
   const TimePoint Now = steadyNow();
@@ -230,8 +230,14 @@
 
 QCoro::Task<Answer> runRead(Statement S, StatementContext &E) {
   const ReadConstraint Constraint = co_await awaitReadConstraint(E);
-  if (!Constraint.AtPrimary && E.Forwarding &&
-      E.ServerGroup->isOversubscribed()) {
+  // A workspace needs connections of its own, which no entry VM but its home
+  // can keep.
+  const bool IsUseful =
+      !E.Workspace.empty() || E.ServerGroup->isOversubscribed();
+  if (!E.Workspace.empty() && E.Forwarding &&
+      E.Forwarding->isHome(E.Route.Service, E.Workspace))
+    E.ServerGroup->observeHomeUse();
+  if (!Constraint.AtPrimary && E.Forwarding && IsUseful) {
     std::optional<Answer> Forwarded =
         co_await forwardRead(S, E, *Constraint.Floor);
     if (Forwarded)
--- a/src/root/sessions/testing/StatementRunnerTest.cpp
+++ b/src/root/sessions/testing/StatementRunnerTest.cpp
@@ -471,7 +471,13 @@
 TEST_CASE("a read without an answer of its forwarder is run here") {
   class SilentForwarding final : public ReadForwarding {
   public:
-    bool isForwarded(const ServiceName &) const override { return true; }
+    bool isForwarded(const ServiceName &,
+                     const WorkspaceName &) const override {
+      return true;
+    }
+    bool isHome(const ServiceName &, const WorkspaceName &) const override {
+      return false;
+    }
     QCoro::Task<std::optional<ForwardedAnswer>>
     forward(ForwardedRead) override {
       co_await sleepFor(milliseconds(150));
