--- a/src/root/LineDaemon.cpp
+++ b/src/root/LineDaemon.cpp
@@ -45,7 +45,7 @@
              {this->Values.VmId, this->PlatformClient, this->Registrations,
               this->Promoter, this->Counters, this->RandomSource},
              &this->DataCentreRelay),
-      Reads(this->Groups),
+      Statements(this->Groups),
       Dependencies{this->Directory, this->Groups, this->Counters,
                    &this->DataCentreRelay.forwarding()},
       Sessions(this->Dependencies, this->StreamFactory, this->Values.Callers,
@@ -58,11 +58,11 @@
       }) {
   this->Directory.Changed = [this] { this->Groups.refresh(); };
   this->DataCentreRelay.setBoard(this->Groups);
-  this->DataCentreRelay.setReadRunner(this->Reads);
+  this->DataCentreRelay.setStatementRunner(this->Statements);
   this->addStatus();
   for (Child *C : std::initializer_list<Child *>{
            &this->Admin, &this->DataCentreRelay, &this->Directory,
-           &this->Groups, &this->Sessions})
+           &this->Groups, &this->Statements, &this->Sessions})
     this->RootSupervisor.add(*C);
 }
 
--- a/src/root/LineDaemon.h
+++ b/src/root/LineDaemon.h
@@ -18,7 +18,7 @@
 #include "root/directory/StoredRegistrations.h"
 #include "root/groups/GroupRegistry.h"
 #include "root/relay/Relay.h"
-#include "root/sessions/LocalReads.h"
+#include "root/sessions/LocalStatements.h"
 #include "root/sessions/SessionListener.h"
 #include "root/telemetry/AbandonedCallLog.h"
 #include "root/telemetry/AdminServer.h"
@@ -78,7 +78,7 @@
   PlatformDirectory Directory;
   StoredRegistrations Registrations;
   GroupRegistry Groups;
-  LocalReads Reads;
+  LocalStatements Statements;
   SessionDependencies Dependencies;
   SessionListener Sessions;
   AdminServer Admin;
--- a/src/root/relay/Relay.cpp
+++ b/src/root/relay/Relay.cpp
@@ -1,8 +1,8 @@
 #include "root/relay/Relay.h"
 
 #include "core/BootClock.h"
-#include "root/relay/ReadCodec.h"
 #include "root/relay/RelayCodec.h"
+#include "root/relay/StatementCodec.h"
 #include "root/telemetry/Log.h"
 #include "wire/ByteStream.h"
 
@@ -47,7 +47,7 @@
     : Options(std::move(Given)), Store(Store), Feed(Feed), Rng(Rng),
       Counters(Counters), Election(this->Options.Self, this->Options.CpuShare,
                                    this->Options.MaxContactAge),
-      OwnReads(this->Options.Self) {}
+      OwnStatements(this->Options.Self) {}
 
 Relay::~Relay() = default;
 
@@ -69,13 +69,14 @@
 QCoro::Task<> Relay::stop(TimePoint Deadline) {
   this->Stopping = true;
   this->Feed.setSource(FeedSource::Store, false);
-  this->Listener.close();
-  this->Listening = false;
-  this->OwnReads.close();
+  this->OwnStatements.close();
   if (this->Link)
     this->Link->close();
   this->Wake.wake();
+  // Statements that run here for others get their answers.
   co_await this->Tasks.waitUntilEmpty(Deadline);
+  this->Listener.close();
+  this->Listening = false;
 }
 
 QCoro::Task<> Relay::run() {
@@ -315,8 +316,8 @@
   for (const relay::Forwarder &F : Reply.forwarders())
     if (succeeded(parseAddress(F.address())))
       Listed.push_back({EntryVmId(F.vm()), F.address(), F.cpu_percent()});
-  this->OwnReads.setForwarders(*this->Context, std::move(Listed),
-                               this->row().Token);
+  this->OwnStatements.setForwarders(*this->Context, std::move(Listed),
+                                    this->row().Token);
   if (!this->Board)
     return;
   for (const relay::Evidence &Message : Reply.evidence()) {
@@ -377,22 +378,19 @@
         steadyNow() - F.LastRequest <= ForwarderTimeout)
       Candidates.push_back(F.Self);
   this->Forwarders = chooseForwarders(std::move(Candidates));
-  this->OwnReads.setForwarders(*this->Context, this->Forwarders,
-                               this->row().Token);
+  this->OwnStatements.setForwarders(*this->Context, this->Forwarders,
+                                    this->row().Token);
 }
 
 void Relay::onRequest(const RelayListener::Peer &From,
                       const relay::Request &Asked) {
   relay::Reply Answer;
   Answer.set_correlation(Asked.correlation());
+  if (this->Stopping && !Asked.has_read())
+    return;
   const bool KnowsToken = Asked.token() == this->row().Token;
-  if (KnowsToken && Asked.has_read() && this->Reads && !this->Leaving) {
-    Result<ForwardedRead> Read = forwardedReadOf(Asked.read());
-    if (succeeded(Read) && this->Tasks.size() < MaxServed) {
-      this->serveRead(From, Asked.correlation(), valueOf(std::move(Read)));
-      return;
-    }
-  }
+  if (KnowsToken && Asked.has_read() && this->acceptStatement(From, Asked))
+    return;
   if (!this->isRelay() || !KnowsToken || Asked.has_read()) {
     *Answer.mutable_not_relay() = this->makeRejection(Asked.token());
     this->Listener.reply(From, Answer);
@@ -420,6 +418,33 @@
   this->Listener.reply(From, Answer);
 }
 
+bool Relay::acceptStatement(const RelayListener::Peer &From,
+                            const relay::Request &Asked) {
+  Result<ForwardedStatement> Decoded = forwardedStatementOf(Asked.read());
+  if (!succeeded(Decoded) || !this->Statements || this->Leaving ||
+      this->Stopping || this->Tasks.size() >= MaxServed)
+    return false;
+  ForwardedStatement Given = valueOf(std::move(Decoded));
+  const std::optional<Duration> Delay =
+      this->Delays.observe(From, Given.SentAt, bootNow());
+  if (Given.isWrite() && (!Delay || *Delay > MaxWriteDelay)) {
+    log(LogLevel::Info, LogEvent::ForwardRefused,
+        {{"id", Given.Query.Id},
+         {"service", Given.Service.str()},
+         {"sender", Asked.sender()},
+         {"why", Delay ? "delayed" : "first request of the connection"},
+         {"delay_ms", Delay ? *Delay / milliseconds(1) : 0}});
+    relay::Reply Answer;
+    Answer.set_correlation(Asked.correlation());
+    Answer.mutable_read()->set_not_run(true);
+    this->Listener.reply(From, Answer);
+    return true;
+  }
+  Given.Remaining -= std::min(Given.Remaining, Delay.value_or(Duration(0)));
+  this->serveStatement(From, Asked.correlation(), std::move(Given));
+  return true;
+}
+
 relay::Replacement Relay::makeReplacement() const {
   relay::Replacement Message;
   Message.set_row_version(this->row().Version);
@@ -536,11 +561,12 @@
   this->Listener.reply(From, Answer);
 }
 
-QCoro::Task<> Relay::serveRead(RelayListener::Peer From,
-                               std::uint64_t Correlation, ForwardedRead Asked) {
+QCoro::Task<> Relay::serveStatement(RelayListener::Peer From,
+                                    std::uint64_t Correlation,
+                                    ForwardedStatement Asked) {
   const TaskGroup::Guard Guard(this->Tasks);
   const std::optional<ForwardedAnswer> Given =
-      co_await this->Reads->run(std::move(Asked));
+      co_await this->Statements->run(std::move(Asked));
   relay::Reply Answer;
   Answer.set_correlation(Correlation);
   if (Given)
--- a/src/root/relay/Relay.h
+++ b/src/root/relay/Relay.h
@@ -8,19 +8,20 @@
 // relay that stops, is suspended or is cut off costs calls and breaks nothing.
 //
 // One task runs the election and follows the relay; one task per proof and per
-// forwarded read serves other entry VMs. Requests must carry the token of the
-// relay's row, which only entry VMs of the deployment can read.
+// forwarded statement serves other entry VMs. Requests must carry the token of
+// the relay's row, which only entry VMs of the deployment can read.
 #ifndef AMARANTHSPUR_ROOT_RELAY_RELAY_H
 #define AMARANTHSPUR_ROOT_RELAY_RELAY_H
 
 #include "core/Random.h"
 #include "policy/RelayElection.h"
+#include "policy/RequestDelays.h"
 #include "root/Supervisor.h"
 #include "root/relay/EvidenceBoard.h"
-#include "root/relay/ReadForwarder.h"
 #include "root/relay/RelayLink.h"
 #include "root/relay/RelayListener.h"
 #include "root/relay/RelayedFeed.h"
+#include "root/relay/StatementForwarder.h"
 #include "root/telemetry/Metrics.h"
 
 #include <map>
@@ -55,9 +56,14 @@
   static constexpr Duration FollowerTimeout = std::chrono::seconds(3);
   /// Interval at which a relay updates the number of followers.
   static constexpr Duration RelayInterval = std::chrono::seconds(1);
-  /// Most services in one request, and most proofs and reads served at once.
+  /// Most services in one request, and most proofs and statements served at
+  /// once.
   static constexpr int MaxServices = 512;
   static constexpr std::size_t MaxServed = 1000;
+  /// A write that was under way for longer than this is refused as not run. An
+  /// entry VM that was suspended finds older ones in its socket, which their
+  /// senders may have given up.
+  static constexpr Duration MaxWriteDelay = milliseconds(250);
   /// A follower that has not asked for this long is not a forwarder. It asks
   /// every SyncInterval.
   static constexpr Duration ForwarderTimeout = milliseconds(1200);
@@ -72,11 +78,13 @@
   /// Sets the groups whose evidence is exchanged.
   /// \pre start() has not been called.
   void setBoard(EvidenceBoard &Groups) { this->Board = &Groups; }
-  /// Sets what runs the reads that other entry VMs forward to this one.
+  /// Sets what runs the statements that other entry VMs forward to this one.
   /// \pre start() has not been called.
-  void setReadRunner(ForwardedReadRunner &Reads) { this->Reads = &Reads; }
-  /// Returns the forwarding of this entry VM's own reads.
-  ReadForwarding &forwarding() { return this->OwnReads; }
+  void setStatementRunner(ForwardedStatementRunner &Runner) {
+    this->Statements = &Runner;
+  }
+  /// Returns the forwarding of this entry VM's own statements.
+  StatementForwarding &forwarding() { return this->OwnStatements; }
 
   std::string_view name() const override { return "relay"; }
   QCoro::Task<Result<Success>> start() override;
@@ -142,8 +150,13 @@
     ForwarderVm Self; ///< Without an address if it cannot be a forwarder.
   };
 
-  QCoro::Task<> serveRead(RelayListener::Peer From, std::uint64_t Correlation,
-                          ForwardedRead Asked);
+  /// Runs or refuses the statement in \p Asked.
+  /// \returns false if it is malformed or not accepted now.
+  bool acceptStatement(const RelayListener::Peer &From,
+                       const relay::Request &Asked);
+  QCoro::Task<> serveStatement(RelayListener::Peer From,
+                               std::uint64_t Correlation,
+                               ForwardedStatement Asked);
 
   RelayOptions Options;
   Platform &Store;
@@ -160,11 +173,12 @@
   RelayRow ServedRow; ///< The last row that named this entry VM.
   std::map<std::string, FollowerState> Followers; ///< By name.
   std::vector<ForwarderVm> Forwarders; ///< Of the data centre, as the relay.
-  ReadForwarder OwnReads;
-  ForwardedReadRunner *Reads = nullptr;
+  StatementForwarder OwnStatements;
+  ForwardedStatementRunner *Statements = nullptr;
   /// Encoded rows with long values, by table and key: one compression serves
   /// all followers.
   std::map<std::pair<WatchedTable, std::string>, relay::Row> EncodedRows;
+  RequestDelays Delays; ///< Of forwarded statements.
   std::uint64_t Operations = 0;
   TimePoint LastSync{};
   WaitPoint Wake;
--- a/src/root/relay/RelayLink.cpp
+++ b/src/root/relay/RelayLink.cpp
@@ -16,7 +16,8 @@
 constexpr int ReconnectIntervalMs = 20;
 constexpr int MaxReconnectIntervalMs = 200;
 
-zmq::socket_t connectTo(zmq::context_t &Context, const std::string &Address) {
+zmq::socket_t connectTo(zmq::context_t &Context, const std::string &Address,
+                        LinkQueueing Queueing) {
   zmq::socket_t S(Context, zmq::socket_type::dealer);
   S.set(zmq::sockopt::linger, 0);
   S.set(zmq::sockopt::sndhwm, SendHighWaterMark);
@@ -27,15 +28,18 @@
   S.set(zmq::sockopt::reconnect_ivl_max, MaxReconnectIntervalMs);
   S.set(zmq::sockopt::maxmsgsize,
         static_cast<std::int64_t>(MaxRelayReplyBytes));
+  S.set(zmq::sockopt::immediate, Queueing == LinkQueueing::WhenConnected);
   S.connect("tcp://" + Address);
   return S;
 }
 
 } // namespace
 
-RelayLink::RelayLink(zmq::context_t &Context, const std::string &Address) {
+RelayLink::RelayLink(zmq::context_t &Context, const std::string &Address,
+                     LinkQueueing Queueing) {
   try {
-    this->Endpoint = std::make_unique<ZmqEndpoint>(connectTo(Context, Address));
+    this->Endpoint =
+        std::make_unique<ZmqEndpoint>(connectTo(Context, Address, Queueing));
   } catch (const zmq::error_t &) {
     // The address comes from the store. Requests over the link fail.
     return;
--- a/src/root/relay/RelayLink.h
+++ b/src/root/relay/RelayLink.h
@@ -12,6 +12,13 @@
 
 namespace amaranthspur {
 
+/// Which requests a link accepts.
+enum class LinkQueueing {
+  Always,        ///< Also before the connection exists; sent when it does.
+  WhenConnected, ///< Only over an existing connection, so that a request to a
+                 ///< machine that is gone is known not to have been sent.
+};
+
 /// Sends requests to one relay and matches the replies to them.
 ///
 /// A malformed or unexpected reply is dropped; its request then ends at its
@@ -20,7 +27,11 @@
 public:
   /// \param Context of the ZeroMQ socket; must outlive the link.
   /// \param Address host:port of the relay.
-  RelayLink(zmq::context_t &Context, const std::string &Address);
+  RelayLink(zmq::context_t &Context, const std::string &Address,
+            LinkQueueing Queueing = LinkQueueing::Always);
+
+  /// Returns whether a request can be queued now.
+  bool canSend() const { return this->Endpoint && this->Endpoint->canSend(); }
 
   /// Sends \p Message and waits for the reply.
   /// \returns nothing if there is no reply by \p Deadline.
--- a/src/root/relay/ReadForwarder.h
+++ b/src/root/relay/StatementForwarder.h
@@ -1,10 +1,10 @@
-// Forwards reads to the forwarders of the data centre.
-#ifndef AMARANTHSPUR_ROOT_RELAY_READFORWARDER_H
-#define AMARANTHSPUR_ROOT_RELAY_READFORWARDER_H
+// Forwards statements to the forwarders of the data centre.
+#ifndef AMARANTHSPUR_ROOT_RELAY_STATEMENTFORWARDER_H
+#define AMARANTHSPUR_ROOT_RELAY_STATEMENTFORWARDER_H
 
 #include "policy/ForwarderChoice.h"
 #include "root/relay/RelayLink.h"
-#include "root/sessions/ForwardedRead.h"
+#include "root/sessions/ForwardedStatement.h"
 
 #include <map>
 #include <memory>
@@ -14,12 +14,14 @@
 
 /// The links of one entry VM to the forwarders of its data centre.
 ///
-/// A read is sent to one forwarder once. If that does not answer, or refuses,
-/// it is avoided for a while and the read is run here.
-class ReadForwarder final : public ReadForwarding {
+/// A statement is sent to one forwarder once. If that does not answer, or
+/// refuses, it is avoided for a while.
+class StatementForwarder final : public StatementForwarding {
 public:
   /// A forwarder is given up for a read after this time without a reply to any
-  /// request. A read takes 47 ms on average, and 250 ms in a full queue.
+  /// request. A write is waited for until its deadline, since the outcome would
+  /// be unknown and a takeover takes longer than this. A read takes 47 ms on
+  /// average, and 250 ms in a full queue.
   static constexpr Duration Patience = milliseconds(400);
   /// Time for which a forwarder is avoided that gave no answer, or refused.
   static constexpr Duration AvoidTime = std::chrono::seconds(2);
@@ -27,7 +29,7 @@
   static constexpr std::size_t MaxCandidates = 2;
 
   /// \param Self name of this entry VM.
-  explicit ReadForwarder(EntryVmId Self) : Self(std::move(Self)) {}
+  explicit StatementForwarder(EntryVmId Self) : Self(std::move(Self)) {}
 
   /// Sets the forwarders of the data centre. Links to others are closed.
   /// \param Context of the ZeroMQ sockets; must outlive the links.
@@ -35,15 +37,14 @@
   void setForwarders(zmq::context_t &Context,
                      std::vector<ForwarderVm> Forwarders,
                      const std::string &Token);
-  /// Closes all links; reads are run here from now on.
+  /// Closes all links; statements are run here from now on.
   void close();
 
   bool isForwarded(const ServiceName &Service,
                    const WorkspaceName &Of) const override;
   bool isHome(const ServiceName &Service,
               const WorkspaceName &Of) const override;
-  QCoro::Task<std::optional<ForwardedAnswer>>
-  forward(ForwardedRead Read) override;
+  QCoro::Task<ForwardResult> forward(ForwardedStatement Given) override;
 
 private:
   struct Target {
@@ -56,11 +57,14 @@
   /// null if none of the first ones is usable.
   const ForwarderVm *chosen(const ServiceName &Service,
                             const WorkspaceName &Of) const;
-  /// Returns the forwarder of \p Service and \p Of, or null if their reads are
-  /// run here.
+  /// Returns the forwarder of \p Service and \p Of, or null if their statements
+  /// are run here.
   const Target *targetOf(const ServiceName &Service,
                          const WorkspaceName &Of) const;
 
+  /// Forwards nothing to \p Vm for AvoidTime.
+  void avoid(const EntryVmId &Vm);
+
   EntryVmId Self;
   std::string Token;
   std::vector<ForwarderVm> Forwarders;
@@ -69,4 +73,4 @@
 
 } // namespace amaranthspur
 
-#endif // AMARANTHSPUR_ROOT_RELAY_READFORWARDER_H
+#endif // AMARANTHSPUR_ROOT_RELAY_STATEMENTFORWARDER_H
--- a/src/root/relay/ZmqEndpoint.cpp
+++ b/src/root/relay/ZmqEndpoint.cpp
@@ -43,6 +43,18 @@
   return Sent;
 }
 
+bool ZmqEndpoint::canSend() {
+  try {
+    const int Events = readyEvents(this->Socket);
+    // Reading the events may have consumed the readiness of the descriptor.
+    if ((Events & ZMQ_POLLIN) != 0)
+      this->scheduleDrain();
+    return (Events & ZMQ_POLLOUT) != 0;
+  } catch (const zmq::error_t &) {
+    return false;
+  }
+}
+
 void ZmqEndpoint::scheduleDrain() {
   if (std::exchange(this->DrainScheduled, true))
     return;
--- a/src/root/relay/ZmqEndpoint.h
+++ b/src/root/relay/ZmqEndpoint.h
@@ -38,6 +38,9 @@
   /// or the receiver is not connected.
   bool send(const Parts &Message);
 
+  /// Returns whether a message can be queued now.
+  bool canSend();
+
 private:
   /// Queues a call of drain(), which must not run inside the caller.
   void scheduleDrain();
--- a/src/root/sessions/Session.h
+++ b/src/root/sessions/Session.h
@@ -32,7 +32,7 @@
   const PlatformDirectory &Directory;
   const GroupRegistry &Groups;
   Metrics &Counters;
-  ReadForwarding *Forwarding = nullptr; ///< Null: reads are run here.
+  StatementForwarding *Forwarding = nullptr; ///< Null: all is run here.
 };
 
 /// One caller's session.
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -19,7 +19,7 @@
 constexpr unsigned MaxReadExecutions = 4;
 /// Highest number of times that a read which ran and failed is run again.
 constexpr unsigned MaxReadFailures = 1;
-/// Reads with a longer text are run here. Texts of reads are short, and a
+/// Statements with a longer text are run here. Most texts are short, and a
 /// request to a forwarder has a limit (root/relay/RelayCodec.h).
 constexpr std::size_t MaxForwardedTextBytes = 64UL * 1024;
 
@@ -179,43 +179,61 @@
 
 namespace {
 
-/// Lets a forwarder of the data centre run the read, if there is one.
-/// \returns nothing if the read has to be run here.
-QCoro::Task<std::optional<Answer>> forwardRead(Statement S, StatementContext &E,
-                                               LogPosition Floor) {
-  if (!E.Forwarding->isForwarded(E.Route.Service, E.Workspace) ||
-      S.Text.size() > MaxForwardedTextBytes)
-    co_return std::nullopt;
+/// Returns whether a statement with \p Text goes to another entry VM.
+/// \param HasFloor whether it is a read that any server with the floor may run.
+bool isForwarded(const StatementContext &E, const std::string &Text,
+                 bool HasFloor) {
+  if (!E.Forwarding || Text.size() > MaxForwardedTextBytes ||
+      !E.CallerPresent())
+    return false;
+  // A workspace needs connections of its own, which no entry VM but its home
+  // can keep.
+  if (E.Workspace.empty())
+    return HasFloor && E.ServerGroup->isOversubscribed() &&
+           E.Forwarding->isForwarded(E.Route.Service, E.Workspace);
+  if (!E.Forwarding->isHome(E.Route.Service, E.Workspace))
+    return E.Forwarding->isForwarded(E.Route.Service, E.Workspace);
+  E.ServerGroup->observeHomeUse();
+  return false;
+}
+
+/// Lets the forwarder of the data centre run \p S.
+/// \param Constraint of a read; empty for a write.
+QCoro::Task<ForwardResult> forwardStatement(Statement S, StatementContext &E,
+                                            ReadConstraint Constraint) {
   const TimePoint Now = steadyNow();
-  ForwardedRead Read;
-  Read.Service = E.Route.Service;
-  Read.Read = std::move(S);
-  Read.Floor = Floor;
-  Read.Workspace = E.Workspace;
-  Read.Values = E.Values;
-  Read.Prepared = E.Prepared;
-  Read.Urgency = E.Route.Urgency;
-  Read.Remaining = E.Deadline - Now;
-  Read.DispatchIn = E.DispatchBy - Now;
-  Read.QueuedDispatchIn = E.QueuedDispatchBy - Now;
-  const std::optional<ForwardedAnswer> Given =
-      co_await E.Forwarding->forward(std::move(Read));
-  if (!Given) {
-    // As with a lost connection to a server, the read may have run, and it has
-    // the time up to its deadline.
-    recordFailedAttempt(E, ServerId("forwarder"), "lost");
-    E.MayHaveRun = true;
-    E.Dispatched = true;
-    co_return std::nullopt;
+  ForwardedStatement Sent;
+  Sent.Service = E.Route.Service;
+  Sent.Query = std::move(S);
+  Sent.Floor = Constraint.Floor;
+  Sent.AtPrimary = Constraint.AtPrimary;
+  Sent.Workspace = E.Workspace;
+  Sent.Values = E.Values;
+  Sent.Prepared = E.Prepared;
+  Sent.Urgency = E.Route.Urgency;
+  Sent.Remaining = E.Deadline - Now;
+  Sent.DispatchIn = E.DispatchBy - Now;
+  Sent.QueuedDispatchIn = E.QueuedDispatchBy - Now;
+  const ForwardResult Out = co_await E.Forwarding->forward(std::move(Sent));
+  if (Out.Fate != ForwardFate::Answered) {
+    recordFailedAttempt(E, ServerId("forwarder"), nameOf(Out.Fate));
+    // As with a lost connection to a server, the statement may have run, and it
+    // has the time up to its deadline.
+    const bool MayHaveRun = Out.Fate == ForwardFate::Unknown;
+    E.MayHaveRun = E.MayHaveRun || MayHaveRun;
+    E.Dispatched = E.Dispatched || MayHaveRun;
+    co_return Out;
   }
-  E.Floor = Floor;
-  E.LastServer = Given->LastServer;
-  E.Forwarder = Given->Forwarder;
-  E.Attempts += Given->Attempts;
-  E.Dispatched = E.Dispatched || Given->Dispatched;
-  E.Trail += E.Trail.empty() || Given->Trail.empty() ? "" : ",";
-  E.Trail += Given->Trail;
-  co_return Given->Given;
+  const ForwardedAnswer &Given = Out.Given;
+  E.Floor = Constraint.Floor;
+  E.LastServer = Given.LastServer;
+  E.Holder = Given.Holder;
+  E.Forwarder = Given.Forwarder;
+  E.Attempts += Given.Attempts;
+  E.Dispatched = E.Dispatched || Given.Dispatched;
+  E.Trail += E.Trail.empty() || Given.Trail.empty() ? "" : ",";
+  E.Trail += Given.Trail;
+  co_return Out;
 }
 
 } // namespace
@@ -230,18 +248,12 @@
 
 QCoro::Task<Answer> runRead(Statement S, StatementContext &E) {
   const ReadConstraint Constraint = co_await awaitReadConstraint(E);
-  // A workspace needs connections of its own, which no entry VM but its home
-  // can keep.
-  const bool IsUseful =
-      !E.Workspace.empty() || E.ServerGroup->isOversubscribed();
-  if (!E.Workspace.empty() && E.Forwarding &&
-      E.Forwarding->isHome(E.Route.Service, E.Workspace))
-    E.ServerGroup->observeHomeUse();
-  if (!Constraint.AtPrimary && E.Forwarding && IsUseful) {
-    std::optional<Answer> Forwarded =
-        co_await forwardRead(S, E, *Constraint.Floor);
-    if (Forwarded)
-      co_return std::move(*Forwarded);
+  const bool Forwarded =
+      isForwarded(E, S.Text, Constraint.Floor && !Constraint.AtPrimary);
+  if (Forwarded) {
+    const ForwardResult Out = co_await forwardStatement(S, E, Constraint);
+    if (Out.Fate == ForwardFate::Answered)
+      co_return Out.Given.Given;
   }
   co_return co_await runReadHere(std::move(S), E, Constraint);
 }
@@ -360,6 +372,34 @@
 }
 
 QCoro::Task<Answer> runWrite(Statement S, StatementContext &E) {
+  const bool Forwarded = isForwarded(E, S.Text, false);
+  if (!Forwarded)
+    co_return co_await runWriteHere(std::move(S), E);
+  const TimePoint SentAt = bootNow();
+  // g++ 12 destroys an aggregate temporary in a co_await expression twice.
+  const ReadConstraint None;
+  const ForwardResult Out = co_await forwardStatement(S, E, None);
+  switch (Out.Fate) {
+  case ForwardFate::NotRun:
+    co_return co_await runWriteHere(std::move(S), E);
+  case ForwardFate::Unknown:
+    co_return failure(AnswerCode::OutcomeUnknown, "the home gave no answer");
+  case ForwardFate::Answered:
+    break;
+  }
+  const Answer &A = Out.Given.Given;
+  if (!A.succeeded())
+    co_return A;
+  // A takeover by this entry VM must keep the commit, like one by the home. The
+  // home has awaited its holder unless its configuration differs.
+  if (E.ServerGroup->commitsAreProofs() && A.Position && E.Holder.empty())
+    co_return failure(AnswerCode::OutcomeUnknown,
+                      "no registered replica is known to hold the commit");
+  E.ServerGroup->observeCommit(E.LastServer, A, SentAt, E.Holder);
+  co_return A;
+}
+
+QCoro::Task<Answer> runWriteHere(Statement S, StatementContext &E) {
   while (true) {
     const bool NeedsProof = !E.ServerGroup->commitsAreProofs();
     const std::optional<BelievedPrimary> Leader =
--- a/src/root/sessions/StatementRunner.h
+++ b/src/root/sessions/StatementRunner.h
@@ -7,7 +7,7 @@
 #include "policy/AccessPlan.h"
 #include "policy/Statement.h"
 #include "root/groups/Group.h"
-#include "root/sessions/ForwardedRead.h"
+#include "root/sessions/ForwardedStatement.h"
 
 #include <functional>
 #include <map>
@@ -78,8 +78,8 @@
   TimePoint DispatchBy; ///< The statement is refused if not dispatched by then.
   TimePoint QueuedDispatchBy; ///< Replaces DispatchBy while the pool is active.
   TimePoint Deadline;         ///< Of the answer.
-  std::function<bool()> CallerPresent;  ///< Whether the caller is connected.
-  ReadForwarding *Forwarding = nullptr; ///< Null: reads are run here.
+  std::function<bool()> CallerPresent; ///< Whether the caller is connected.
+  StatementForwarding *Forwarding = nullptr; ///< Null: all is run here.
 
   // What has happened to the statement, also for its log line.
   std::uint64_t Transaction = 0; ///< Number in the session; 0 outside one.
@@ -87,7 +87,7 @@
   bool MayHaveRun = false; ///< A forwarder was asked and gave no answer.
   bool Dispatched = false; ///< Sent to a server that could have run it.
   ServerId LastServer;
-  EntryVmId Forwarder; ///< That ran the read; empty: run here.
+  EntryVmId Forwarder; ///< That ran it; empty: run here.
   ServerId
       Holder; ///< Of a commit, besides the primary (policy/CommitHolders.h).
   std::optional<LogPosition> Floor;
@@ -139,10 +139,13 @@
 QCoro::Task<Answer> runReadHere(Statement S, StatementContext &E,
                                 ReadConstraint Constraint);
 
-/// Runs a write outside a transaction. It is sent again only after a server has
-/// answered that it did not run the write.
+/// Runs a write outside a transaction. It is sent again only after a server or
+/// the home has answered that it did not run the write.
 QCoro::Task<Answer> runWrite(Statement S, StatementContext &E);
 
+/// Runs a write here, whatever E.Forwarding says.
+QCoro::Task<Answer> runWriteHere(Statement S, StatementContext &E);
+
 /// A transaction that has begun on a connection.
 struct OpenTransaction {
   LinkLease Link;
--- a/src/root/sessions/testing/StatementRunnerTest.cpp
+++ b/src/root/sessions/testing/StatementRunnerTest.cpp
@@ -469,7 +469,7 @@
 // have run it, and against one that is not run here because waiting for the
 // forwarder took longer than the time to dispatch it.
 TEST_CASE("a read without an answer of its forwarder is run here") {
-  class SilentForwarding final : public ReadForwarding {
+  class SilentForwarding final : public StatementForwarding {
   public:
     bool isForwarded(const ServiceName &,
                      const WorkspaceName &) const override {
@@ -478,10 +478,11 @@
     bool isHome(const ServiceName &, const WorkspaceName &) const override {
       return false;
     }
-    QCoro::Task<std::optional<ForwardedAnswer>>
-    forward(ForwardedRead) override {
+    QCoro::Task<ForwardResult> forward(ForwardedStatement) override {
       co_await sleepFor(milliseconds(150));
-      co_return std::nullopt;
+      ForwardResult Lost;
+      Lost.Fate = ForwardFate::Unknown;
+      co_return Lost;
     }
   };
   struct Row {
@@ -512,6 +513,139 @@
   }
 }
 
+// Guards against a write that runs twice because its home gave no answer,
+// against an answer "not run" for a write that may have run, against a commit
+// that is acknowledged without a known holder or that this entry VM does not
+// know as acknowledged, and against statements of other sessions that are
+// forwarded.
+TEST_CASE("statements of a workspace run at its home") {
+  class FakeForwarding final : public StatementForwarding {
+  public:
+    bool isForwarded(const ServiceName &,
+                     const WorkspaceName &) const override {
+      return !this->IsHome;
+    }
+    bool isHome(const ServiceName &, const WorkspaceName &) const override {
+      return this->IsHome;
+    }
+    QCoro::Task<ForwardResult> forward(ForwardedStatement Given) override {
+      this->Sent.push_back(Given);
+      co_return this->Out;
+    }
+
+    ForwardResult Out;
+    bool IsHome = false;
+    std::vector<ForwardedStatement> Sent;
+  };
+  struct Row {
+    const char *Name;
+    const char *Text;
+    const char *Workspace;
+    bool IsHome;
+    ForwardFate Fate;
+    std::optional<AnswerCode> Given; ///< By the home.
+    const char *Holder;
+    std::optional<AnswerCode> Code; ///< That the caller gets.
+    std::size_t Forwarded;
+    std::size_t RanHere;
+  };
+  const ForwardFate Answered = ForwardFate::Answered;
+  const ForwardFate NotRun = ForwardFate::NotRun;
+  const ForwardFate Unknown = ForwardFate::Unknown;
+  const char *Write = "WRITE item data";
+  const char *Read = "READ item";
+  const Row Rows[] = {
+      {"a write", Write, "w", false, Answered, {}, "b", {}, 1, 0},
+      {"a write without a holder",
+       Write,
+       "w",
+       false,
+       Answered,
+       {},
+       "",
+       AnswerCode::OutcomeUnknown,
+       1,
+       0},
+      {"a refused write", Write, "w", false, Answered, AnswerCode::Busy, "",
+       AnswerCode::Busy, 1, 0},
+      {"a write of unknown outcome", Write, "w", false, Answered,
+       AnswerCode::OutcomeUnknown, "", AnswerCode::OutcomeUnknown, 1, 0},
+      {"a write that has not run", Write, "w", false, NotRun, {}, "", {}, 1, 1},
+      {"a write without a reply",
+       Write,
+       "w",
+       false,
+       Unknown,
+       {},
+       "",
+       AnswerCode::OutcomeUnknown,
+       1,
+       0},
+      {"a write at its home", Write, "w", true, Answered, {}, "b", {}, 0, 1},
+      {"a write without a workspace",
+       Write,
+       "",
+       false,
+       Answered,
+       {},
+       "b",
+       {},
+       0,
+       1},
+      {"a read", Read, "w", false, Answered, {}, "", {}, 1, 0},
+      {"a read that has not run", Read, "w", false, NotRun, {}, "", {}, 1, 1},
+      {"a read without a reply", Read, "w", false, Unknown, {}, "", {}, 1, 1},
+      {"a read without a workspace",
+       Read,
+       "",
+       false,
+       Answered,
+       {},
+       "",
+       {},
+       0,
+       1},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    FakeForwarding Forwarding;
+    Forwarding.IsHome = R.IsHome;
+    Forwarding.Out.Fate = R.Fate;
+    ForwardedAnswer &Given = Forwarding.Out.Given;
+    Given.Given.Code = R.Given;
+    Given.Given.Position = LogPosition{1, 50};
+    Given.LastServer = ServerId("a");
+    Given.Holder = ServerId(R.Holder);
+    Given.Forwarder = EntryVmId("home");
+    StatementContext E = F.context(ReadConsistency::Primary);
+    E.Workspace = WorkspaceName(R.Workspace);
+    E.Values = {{"zone", "a"}};
+    E.Forwarding = &Forwarding;
+    const Statement S = statement(R.Text);
+    const bool Writes = S.Kind == StatementVerb::Write;
+    const LogPosition Before = F.Servers->acknowledged();
+    const Answer A = runTask(Writes ? runWrite(S, E) : runRead(S, E));
+    CHECK(A.Code == R.Code);
+    CHECK(Forwarding.Sent.size() == R.Forwarded);
+    CHECK(F.ran("a") == R.RanHere);
+    if (R.Forwarded == 0)
+      continue;
+    const ForwardedStatement &Sent = Forwarding.Sent.front();
+    CHECK(Sent.Query.Id == S.Id);
+    CHECK(Sent.Query.Text == S.Text);
+    CHECK(Sent.Workspace == E.Workspace);
+    CHECK(Sent.Values == E.Values);
+    CHECK(Sent.isWrite() == Writes);
+    CHECK(Sent.AtPrimary == !Writes);
+    CHECK(E.Forwarder.empty() == (R.Fate != Answered));
+    const bool Acknowledged = Writes && A.succeeded() && R.RanHere == 0;
+    if (R.RanHere == 0)
+      CHECK(F.Servers->acknowledged() ==
+            (Acknowledged ? LogPosition{1, 50} : Before));
+  }
+}
+
 // Guards against running work that is given up or run again because the server
 // was only silent: its registration expires while the store is slow, or another
 // connection to it fails.
