--- a/src/root/relay/Relay.cpp
+++ b/src/root/relay/Relay.cpp
@@ -428,6 +428,7 @@
   const std::optional<Duration> Delay =
       this->Delays.observe(From, Given.SentAt, bootNow());
   if (Given.isWrite() && (!Delay || *Delay > MaxWriteDelay)) {
+    this->Counters.add(Counter::HomeStatements, "refused");
     log(LogLevel::Info, LogEvent::ForwardRefused,
         {{"id", Given.Query.Id},
          {"service", Given.Service.str()},
@@ -567,6 +568,7 @@
   const TaskGroup::Guard Guard(this->Tasks);
   const std::optional<ForwardedAnswer> Given =
       co_await this->Statements->run(std::move(Asked));
+  this->Counters.add(Counter::HomeStatements, Given ? "answered" : "rejected");
   relay::Reply Answer;
   Answer.set_correlation(Correlation);
   if (Given)
--- a/src/root/telemetry/Metrics.h
+++ b/src/root/telemetry/Metrics.h
@@ -43,6 +43,7 @@
   EventLoopPauses,
   ConfigurationsAccepted,
   RelayRequests,
+  HomeStatements,
 };
 
 /// The name, label and help text of a counter.
@@ -93,6 +94,8 @@
      "Configuration revisions taken into force."},
     {Counter::RelayRequests, "amaranthspur_relay_requests_total", "result",
      "Requests to the relay of the data centre, by result."},
+    {Counter::HomeStatements, "amaranthspur_home_statements_total", "result",
+     "Statements that other entry VMs forwarded to this one, by result."},
 });
 } // namespace detail
 
