--- a/src/root/LineDaemon.cpp
+++ b/src/root/LineDaemon.cpp
@@ -58,7 +58,7 @@
              {this->Values.VmId, this->PlatformClient, this->Registrations,
               this->Promoter, this->Counters, this->RandomSource},
              &this->DataCentreRelay),
-      Reads(this->Groups),
+      Statements(this->Groups),
       Dependencies{this->Directory, this->Groups, this->Counters,
                    &this->DataCentreRelay.forwarding(), &this->Quotas},
       Sessions(this->Dependencies, this->StreamFactory, this->Values.Callers,
@@ -74,12 +74,12 @@
     this->Groups.refresh();
   };
   this->DataCentreRelay.setBoard(this->Groups);
-  this->DataCentreRelay.setReadRunner(this->Reads);
+  this->DataCentreRelay.setStatementRunner(this->Statements);
   this->DataCentreRelay.setQuotas(this->Quotas);
   this->addStatus();
   for (Child *C : std::initializer_list<Child *>{
            &this->Admin, &this->Quotas, &this->DataCentreRelay,
-           &this->Directory, &this->Groups, &this->Sessions})
+           &this->Directory, &this->Groups, &this->Statements, &this->Sessions})
     this->RootSupervisor.add(*C);
 }
 
--- a/src/root/LineDaemon.h
+++ b/src/root/LineDaemon.h
@@ -20,7 +20,7 @@
 #include "root/groups/GroupRegistry.h"
 #include "root/quotas/WorkspaceQuotas.h"
 #include "root/relay/Relay.h"
-#include "root/sessions/LocalReads.h"
+#include "root/sessions/LocalStatements.h"
 #include "root/sessions/SessionListener.h"
 #include "root/telemetry/AbandonedCallLog.h"
 #include "root/telemetry/AdminServer.h"
@@ -91,7 +91,7 @@
   WorkspaceQuotas Quotas;
   StoredRegistrations Registrations;
   GroupRegistry Groups;
-  LocalReads Reads;
+  LocalStatements Statements;
   SessionDependencies Dependencies;
   SessionListener Sessions;
   AdminServer Admin;
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -55,6 +55,7 @@
       ++Remaining;
     Pool->share().setMaximum(this->Limits.MaxConnections);
     Pool->share().setSharers(this->EntryVms);
+    Pool->share().setHomes(this->Homes);
   }
   // The log of a server that has left or restarted is gone.
   if (Remaining < this->Pools.size()) {
@@ -136,6 +137,11 @@
     Pool->share().keepIdle(steadyNow());
 }
 
+void Group::observeHomeUse() {
+  for (const auto &[Id, Pool] : this->Pools)
+    Pool->share().observeHomeUse(steadyNow());
+}
+
 void Group::requestFloors() {
   const bool WasUnused = !this->wantsFloors();
   this->LastFloorRequest = steadyNow();
@@ -211,6 +217,14 @@
     Pool->share().setSharers(Count);
 }
 
+void Group::setHomes(std::size_t Count) {
+  if (this->Homes == Count)
+    return;
+  this->Homes = Count;
+  for (const auto &[Id, Pool] : this->Pools)
+    Pool->share().setHomes(Count);
+}
+
 bool Group::isSetAside(const ServerId &Id) const {
   const ServerBelief *Server = this->Beliefs.find(Id);
   return Server && Server->Progress.isSetAside();
--- a/src/root/sessions/Session.h
+++ b/src/root/sessions/Session.h
@@ -33,8 +33,8 @@
   const PlatformDirectory &Directory;
   const GroupRegistry &Groups;
   Metrics &Counters;
-  ReadForwarding *Forwarding = nullptr; ///< Null: reads are run here.
-  OperationQuota *Quota = nullptr;      ///< Null: no workspace is limited.
+  StatementForwarding *Forwarding = nullptr; ///< Null: all is run here.
+  OperationQuota *Quota = nullptr;           ///< Null: no workspace is limited.
 };
 
 /// One caller's session.
--- a/src/root/telemetry/Metrics.h
+++ b/src/root/telemetry/Metrics.h
@@ -47,6 +47,7 @@
   QuotaRefused,
   QuotaLeasesExpired,
   ReplicasSetAside,
+  HomeStatements,
 };
 
 /// The name, label and help text of a counter.
@@ -106,6 +107,8 @@
     {Counter::ReplicasSetAside, "amaranthspur_replicas_set_aside_total",
      "service",
      "Times that a replica was set aside because it lagged, by service."},
+    {Counter::HomeStatements, "amaranthspur_home_statements_total", "result",
+     "Statements that other entry VMs forwarded to this one, by result."},
 });
 } // namespace detail
 
