--- a/src/core/ProcessSignals.cpp
+++ b/src/core/ProcessSignals.cpp
@@ -10,6 +10,7 @@
 #include <fcntl.h>
 #include <poll.h>
 #include <string_view>
+#include <sys/time.h>
 #include <unistd.h>
 
 namespace amaranthspur {
@@ -42,9 +43,8 @@
 /// When the first termination signal was delivered, in TimePoint's unit.
 std::atomic<Duration::rep> TerminatedAt{0};
 static_assert(std::atomic<Duration::rep>::is_always_lock_free);
-/// Sends SIGALRM when the time of a termination is over, if it is limited.
-timer_t LimitTimer;
-itimerspec TerminationLimit = {};
+/// Time from the signal to SIGALRM, if it is limited.
+itimerval TerminationLimit = {};
 std::atomic<bool> IsLimited{false};
 
 // The handlers call only async-signal-safe functions.
@@ -58,7 +58,7 @@
   const bool First =
       TerminatedAt.compare_exchange_strong(NotTerminated, At.count());
   if (First && IsLimited)
-    timer_settime(LimitTimer, 0, &TerminationLimit, nullptr);
+    setitimer(ITIMER_REAL, &TerminationLimit, nullptr);
   Termination.notify();
 }
 
@@ -97,12 +97,14 @@
 }
 
 void limitTermination(Duration Limit) {
-  if (timer_create(CLOCK_MONOTONIC, nullptr, &LimitTimer) != 0)
-    std::abort();
   const auto Seconds = std::chrono::floor<std::chrono::seconds>(Limit);
   TerminationLimit.it_value = {
       static_cast<time_t>(Seconds.count()),
-      static_cast<long>(std::chrono::nanoseconds(Limit - Seconds).count())};
+      static_cast<suseconds_t>((Limit - Seconds).count())};
+  // The users' platform has no timer_create(), and may refuse this one too.
+  const itimerval Disarmed = {};
+  if (setitimer(ITIMER_REAL, &Disarmed, nullptr) != 0)
+    return;
   install(SIGALRM, handleLimit);
   IsLimited = true;
 }
--- a/src/core/ProcessSignals.h
+++ b/src/core/ProcessSignals.h
@@ -17,7 +17,8 @@
 /// Makes the process exit with status 0 as soon as \p Limit has passed since
 /// the first SIGTERM or SIGINT, whatever its threads do. Bytes that were
 /// written to a socket before are still sent. A line is written to standard
-/// output if that does not block.
+/// output if that does not block. Has no effect where the system refuses
+/// interval timers.
 /// \pre \p Limit is greater than 0.
 void limitTermination(Duration Limit);
 
--- a/src/root/testing/LineDaemonTest.cpp
+++ b/src/root/testing/LineDaemonTest.cpp
@@ -415,6 +415,8 @@
     CHECK(Refused > 0);
     F.waitForOutput("event=quota-reached workspace=acme");
     CHECK_FALSE(F.Log.contains("secret-key"));
+  }
+}
 
 namespace {
 
