--- a/src/bench/soak/Callers.cpp
+++ b/src/bench/soak/Callers.cpp
@@ -147,7 +147,8 @@
 
 bool Caller::surges() const {
   return !this->Context.Surging.empty() &&
-         this->Context.Surging == this->Context.Tenants.nameOf(this->Number);
+         this->Context.Surging ==
+             this->Context.WorkspaceList.nameOf(this->Number);
 }
 
 bool Caller::usable() const { return this->Stream && this->Stream->isOpen(); }
@@ -185,8 +186,8 @@
   this->Transaction = 0;
   const bool Anonymous = isAnonymous(this->Group, this->Route);
   this->Key = Anonymous ? ""
-                        : this->Context.Tenants.keyFor(this->Number,
-                                                       this->Context.Generator);
+                        : this->Context.WorkspaceList.keyFor(
+                              this->Number, this->Context.Generator);
   this->Stream->write(
       "CONNECT " + databaseOf(this->Group, this->Route) + " " +
       (Anonymous ? "c" + std::to_string(this->Number) : this->Key) + "\r\n");
--- a/src/bench/soak/Callers.h
+++ b/src/bench/soak/Callers.h
@@ -21,7 +21,7 @@
   TaskGroup &Tasks;
   const std::vector<std::unique_ptr<EntryVm>> &Vms;
   Random &Generator;
-  const Workspaces &Tenants;
+  const Workspaces &WorkspaceList;
   /// Workspace whose callers send seven times as much; empty: none.
   const std::string &Surging;
   bool Stopping = false;
--- a/src/bench/soak/Faults.cpp
+++ b/src/bench/soak/Faults.cpp
@@ -213,13 +213,13 @@
 
 void FaultPlan::changeKeys() {
   this->Target.Events.disrupt(FaultKind::Keys, "configuration");
-  this->Target.Tenants.changeKey(this->Generator);
+  this->Target.WorkspaceList.changeKey(this->Generator);
   this->Target.configure(this->TimeoutMs, this->ProbedRoute);
 }
 
 void FaultPlan::changeQuota() {
   this->Target.Events.disrupt(FaultKind::Quota, "configuration");
-  this->Target.Tenants.changeQuota(this->Generator);
+  this->Target.WorkspaceList.changeQuota(this->Generator);
   this->Target.configure(this->TimeoutMs, this->ProbedRoute);
 }
 
@@ -227,7 +227,7 @@
   const TaskGroup::Guard Counted(this->Target.Tasks);
   if (!this->Target.Surging.empty())
     co_return;
-  const auto &Entries = this->Target.Tenants.entries();
+  const auto &Entries = this->Target.WorkspaceList.entries();
   const Duration Length = this->draw(2000, 6000);
   this->Target.Surging = Entries[this->Generator.below(Entries.size())].Name;
   this->Target.Events.disrupt(FaultKind::Surge, this->Target.Surging,
--- a/src/bench/soak/Site.cpp
+++ b/src/bench/soak/Site.cpp
@@ -143,7 +143,7 @@
   const QJsonObject Document{{"version", static_cast<int>(this->Version)},
                              {"routes", Routes},
                              {"services", Services},
-                             {"tenants", this->Tenants.document()},
+                             {"tenants", this->WorkspaceList.document()},
                              {"limits", Limits}};
   this->Version += VersionStep;
   this->Platform.put("op", "config",
@@ -151,7 +151,7 @@
   this->Events.Seen.RouteChanges.push_back(
       {WithProbedRoute, this->Events.now()});
   this->Events.Seen.WorkspaceVersions.push_back(
-      {this->Events.now(), this->Tenants.entries()});
+      {this->Events.now(), this->WorkspaceList.entries()});
 }
 
 std::string Site::ownerOf(std::uint16_t LocalPort, std::uint16_t RemotePort) {
--- a/src/bench/soak/Site.h
+++ b/src/bench/soak/Site.h
@@ -40,7 +40,7 @@
   std::string ownerOf(std::uint16_t LocalPort, std::uint16_t RemotePort);
   EntryVm *findVm(const std::string &Name);
   /// What configure() writes.
-  Workspaces Tenants;
+  Workspaces WorkspaceList;
   /// Workspace whose callers send more than usual; empty: none.
   std::string Surging;
   Record &Events;
--- a/src/root/groups/ServerPool.h
+++ b/src/root/groups/ServerPool.h
@@ -86,7 +86,7 @@
   /// even if its own deadline is sooner. Opening one in another region takes
   /// three round trips of 16 ms and 12 ms of a server slot. If the task gave up
   /// sooner, a healthy server would be taken for an unreachable one.
-  static constexpr Duration MinOpenWait = milliseconds(100);
+  static constexpr Duration MinOpenWait = milliseconds(80);
   /// The pool counts as active if a connection was acquired within this time.
   /// Statements take 28 ms on average and seldom more than 100 ms.
   static constexpr Duration ActiveWindow = milliseconds(150);
