--- a/src/platform/testing/DocumentsTest.cpp
+++ b/src/platform/testing/DocumentsTest.cpp
@@ -116,8 +116,12 @@
   std::string Many;
   for (int I = 0; I < 10000; ++I) {
     const std::string N = std::to_string(I);
-    Many += std::string(I == 0 ? "" : ",") + "{\"name\":\"t" + N +
-            "\",\"api-keys\":[\"secret" + N + "\"],\"rate-per-s\":1}";
+    Many += I == 0 ? "" : ",";
+    Many += R"({"name":"t)";
+    Many += N;
+    Many += R"(","api-keys":["secret)";
+    Many += N;
+    Many += R"("],"rate-per-s":1})";
   }
   struct Row {
     const char *Name;
--- a/src/root/groups/ServerPool.cpp
+++ b/src/root/groups/ServerPool.cpp
@@ -199,6 +199,7 @@
     IsKept.push_back(Link->Link->isUsable() &&
                      Now - Link->IdleSince <= this->idleTimeout(*Link, Now));
   std::vector<std::unique_ptr<PooledLink>> Kept;
+  Kept.reserve(this->Idle.size());
   for (std::size_t I = 0; I < this->Idle.size(); ++I)
     if (IsKept[I])
       Kept.push_back(std::move(this->Idle[I]));
--- a/src/root/testing/LineDaemonTest.cpp
+++ b/src/root/testing/LineDaemonTest.cpp
@@ -387,7 +387,7 @@
            << "127.0.0.1:" + QString::number(freePort("127.0.0.1"));
     Fixture F(1000, 0, More);
     std::string Plan = planWith(1000);
-    Plan.replace(Plan.find("3"), 1, "4");
+    Plan.replace(Plan.find('3'), 1, "4");
     Plan.insert(1, R"("tenants":[{"name":"acme","api-keys":["secret-key"],)"
                    R"("priority":0,"rate-per-s":4,"burst":2}],)");
     F.Store.setExternalRow("op", "config", Plan);
