--- a/src/root/groups/ServerPool.cpp
+++ b/src/root/groups/ServerPool.cpp
@@ -195,6 +195,7 @@
   // All timeouts are compared before a connection is removed, because they
   // depend on which is the newest.
   std::vector<bool> IsKept;
+  IsKept.reserve(this->Idle.size());
   for (const std::unique_ptr<PooledLink> &Link : this->Idle)
     IsKept.push_back(Link->Link->isUsable() &&
                      Now - Link->IdleSince <= this->idleTimeout(*Link, Now));
