--- a/src/root/LineDaemon.h
+++ b/src/root/LineDaemon.h
@@ -2,7 +2,7 @@
 // line protocol.
 //
 // The children start in this order: admin, quotas, relay, directory, groups,
-// sessions.
+// home, sessions.
 // They stop in the reverse order, so that sessions finish while everything that
 // they need still runs.
 #ifndef AMARANTHSPUR_ROOT_LINEDAEMON_H
