--- a/src/bench/soak/History.h
+++ b/src/bench/soak/History.h
@@ -142,6 +142,13 @@
   double To = 0;
 };
 
+/// The soak's own process handled no events in this time, so that what it saw
+/// at the end may have happened at any moment of it.
+struct Stall {
+  double From = 0;
+  double To = 0;
+};
+
 /// A process had not ended at the end of its grace time, and was killed.
 struct LateStop {
   std::string Vm;
@@ -197,6 +204,7 @@
   std::vector<Order> Orders;
   std::vector<Disruption> Disruptions;
   std::vector<LateStop> LateStops;
+  std::vector<Stall> Stalls;
   std::vector<DrainReport> DrainReports;
   std::vector<RouteChange> RouteChanges;
   std::vector<RouteProbe> RouteProbes;
--- a/src/bench/soak/Record.h
+++ b/src/bench/soak/Record.h
@@ -15,6 +15,11 @@
 /// Collects what is seen during a run.
 class Record {
 public:
+  /// Interval at which stalls are looked for, and the shortest one that counts.
+  /// Timers are late by a few milliseconds without a stall.
+  static constexpr Duration StallInterval = milliseconds(10);
+  static constexpr Duration ShortestStall = milliseconds(30);
+
   /// \param Directory for `record.txt`; empty: no file.
   explicit Record(const std::string &Directory) {
     if (!Directory.empty())
@@ -42,6 +47,20 @@
     return this->Seen.Disruptions.size() - 1;
   }
 
+  /// Records stalls of this process until \p Stopping is set.
+  QCoro::Task<> watchStalls(TaskGroup &Tasks, const bool &Stopping) {
+    const TaskGroup::Guard Counted(Tasks);
+    while (!Stopping) {
+      const double Due = this->now() + toMilliseconds(StallInterval);
+      co_await sleepFor(StallInterval);
+      if (this->now() - Due < toMilliseconds(ShortestStall))
+        continue;
+      this->Seen.Stalls.push_back({Due, this->now()});
+      this->note("stall of the soak for " +
+                 std::to_string(static_cast<int>(this->now() - Due)) + " ms");
+    }
+  }
+
   History Seen;
 
 private:
--- a/src/bench/soak/Soak.cpp
+++ b/src/bench/soak/Soak.cpp
@@ -72,6 +72,7 @@
   for (const auto &Each : Callers)
     Each->run();
   probeRoutes(Context);
+  S.Events.watchStalls(CallerTasks, Context.Stopping);
   co_await sleepFor(CalmStart);
   FaultPlan Plan(S, Generator);
   std::vector<FaultProfile> Phases = Settings.Phases;
--- a/src/bench/soak/testing/JudgeTest.cpp
+++ b/src/bench/soak/testing/JudgeTest.cpp
@@ -239,6 +239,24 @@
        H.Disruptions = {{FaultKind::Terminate, "vm-1", 39900, 41000}};
      },
      Rule::Lost},
+    {"no answer at a stop, not run and seen late, since the soak stalled",
+     [](History &H) {
+       closeStatement(H);
+       H.Runs.pop_back();
+       H.Statements.back().EndedAt += LateMs;
+       H.Stalls = {{39950, 40000 + LateMs}};
+       H.Disruptions = {{FaultKind::Terminate, "vm-1", 39900, 41000}};
+     },
+     std::nullopt},
+    {"no answer at a stop, not run and read long before a short stall",
+     [](History &H) {
+       closeStatement(H);
+       H.Runs.pop_back();
+       H.Statements.back().EndedAt += LateMs;
+       H.Stalls = {{40000, 40090}, {39000, 39900}};
+       H.Disruptions = {{FaultKind::Terminate, "vm-1", 39900, 41000}};
+     },
+     Rule::Lost},
     {"no answer at a stop, not run and just sent",
      [](History &H) {
        closeStatement(H);
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -330,7 +330,7 @@
 }
 
 void Group::observeOpenFailure(const ServerId &Id, const OpenFailure &Failure) {
-  if (Failure.Code == AnswerCode::TooManyConnections)
+  if (Failure.Code == AnswerCode::TooManyConnections || Failure.GivenUp)
     return;
   const ServerBelief *Server = this->Beliefs.find(Id);
   const std::shared_ptr<ServerPool> Pool = this->pool(Id);
--- a/src/root/groups/ServerLink.h
+++ b/src/root/groups/ServerLink.h
@@ -75,6 +75,8 @@
   bool Reached = false;           ///< The server accepted the connection.
   std::optional<AnswerCode> Code; ///< The server's answer, if it sent one.
   std::string Detail;
+  /// The task had no time left to wait, which says nothing about the server.
+  bool GivenUp = false;
 };
 
 /// The result of opening a connection.
--- a/src/root/groups/ServerPool.cpp
+++ b/src/root/groups/ServerPool.cpp
@@ -121,6 +121,7 @@
 QCoro::Task<AcquiredLink> ServerPool::acquire(LinkRequest Wanted,
                                               TimePoint Deadline) {
   const WorkspaceName For = Wanted.For.value_or(WorkspaceName());
+  const TimePoint LatestEnd = Wanted.LatestEnd;
   const WaitingTurn Self = this->Waiting.add(Wanted.Urgency, For);
   std::optional<std::unique_ptr<PooledLink>> Turn =
       co_await this->waitForTurn(std::move(Wanted), Self, Deadline);
@@ -136,13 +137,15 @@
     co_return AcquiredLink(std::move(*Turn));
   const auto Asked = std::make_shared<Opening>();
   this->openLink(For, Asked);
-  const TimePoint Until = std::max(Deadline, steadyNow() + MinOpenWait);
+  const TimePoint Patient = std::max(Deadline, steadyNow() + MinOpenWait);
+  const TimePoint Until = std::min(Patient, LatestEnd);
   while (!Asked->Result && steadyNow() < Until)
     co_await Asked->Finished.wait(Until);
   if (!Asked->Result) {
     Asked->Abandoned = true;
-    co_return AcquiredLink(
-        OpenFailure{false, std::nullopt, "no connection was opened in time"});
+    co_return AcquiredLink(OpenFailure{false, std::nullopt,
+                                       "no connection was opened in time",
+                                       Until < Patient});
   }
   co_return std::move(*Asked->Result);
 }
--- a/src/root/groups/ServerPool.h
+++ b/src/root/groups/ServerPool.h
@@ -40,6 +40,8 @@
   std::optional<WorkspaceName> For;
   SessionSettingValues Values; ///< Preferred settings.
   unsigned Urgency = 0;        ///< 0 is the most urgent.
+  /// When the task must go on, even if that is before MinOpenWait is over.
+  TimePoint LatestEnd = NoDeadline;
 };
 
 /// A connection with its settings and prepared statements.
@@ -83,9 +85,10 @@
   /// may have to wait behind a full queue.
   static constexpr Duration OpenTimeout = milliseconds(800);
   /// Least time that a task waits for the connection that is opened for it,
-  /// even if its own deadline is sooner. Opening one in another region takes
-  /// three round trips of 16 ms and 12 ms of a server slot. If the task gave up
-  /// sooner, a healthy server would be taken for an unreachable one.
+  /// even if its own deadline is sooner, unless LinkRequest::LatestEnd is.
+  /// Opening one in another region takes three round trips of 16 ms and 12 ms
+  /// of a server slot. If the task gave up sooner, a healthy server would be
+  /// taken for an unreachable one.
   static constexpr Duration MinOpenWait = milliseconds(80);
   /// The pool counts as active if a connection was acquired within this time.
   /// Statements take 28 ms on average and seldom more than 100 ms.
--- a/src/root/groups/testing/ServerPoolTest.cpp
+++ b/src/root/groups/testing/ServerPoolTest.cpp
@@ -171,18 +171,23 @@
 
 // Guards against a healthy but distant server that is taken for an unreachable
 // one because the statement's own deadline ends before the connection is open,
-// and against the loss of the slot time of a connection that was opened late.
+// against the loss of the slot time of a connection that was opened late, and
+// against a statement that waits until it is too late to answer.
 TEST_CASE("a task's short deadline does not end the opening of a connection") {
   struct Row {
     const char *Name;
     Duration OpenDelay;
     bool First; ///< Whether the first task gets the connection.
     bool Kept;  ///< Whether the next task finds it open.
+    /// Time after which the first task must go on.
+    Duration Latest = std::chrono::seconds(5);
   };
   const Row Rows[] = {
       {"opened at once", Duration::zero(), true, true},
       {"opened after the deadline", milliseconds(50), true, true},
       {"opened after the wait", milliseconds(200), false, true},
+      {"the answer is due before that", milliseconds(50), false, true,
+       milliseconds(25)},
   };
   testApplication();
   for (const Row &R : Rows) {
@@ -192,10 +197,14 @@
     const auto Pool =
         std::make_shared<ServerPool>(Group, Group.registrations().front());
     Pool->share().setMaximum(33);
+    LinkRequest Wanted;
+    Wanted.LatestEnd = steadyNow() + R.Latest;
     AcquiredLink Taken =
-        runTask(Pool->acquire(LinkRequest(), steadyNow() + milliseconds(20)));
+        runTask(Pool->acquire(Wanted, steadyNow() + milliseconds(20)));
     auto *Link = std::get_if<std::unique_ptr<PooledLink>>(&Taken);
     CHECK((Link != nullptr) == R.First);
+    const auto *Failure = std::get_if<OpenFailure>(&Taken);
+    CHECK((Failure && Failure->GivenUp) == (R.Latest < R.OpenDelay));
     if (Link)
       Pool->release(std::move(*Link));
     runTask(Pool->finishOpening());
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -68,11 +68,12 @@
   if (Pool->isActive(steadyNow()))
     E.DispatchBy = std::max(E.DispatchBy, E.QueuedDispatchBy);
   // g++ 12 destroys an aggregate temporary in a co_await expression twice.
-  LinkRequest Wanted{E.Workspace, E.Values, E.Route.Urgency};
+  LinkRequest Wanted{E.Workspace, E.Values, E.Route.Urgency, E.Deadline};
   AcquiredLink Acquired = co_await Pool->acquire(
       std::move(Wanted), std::min(Limit, dispatchDeadline(E)));
   if (const auto *Failure = std::get_if<OpenFailure>(&Acquired)) {
-    const bool Full = Failure->Code == AnswerCode::TooManyConnections;
+    const bool Full =
+        Failure->Code == AnswerCode::TooManyConnections || Failure->GivenUp;
     recordFailedAttempt(E, Id, Full ? "no-connection" : "unreachable");
     E.ServerGroup->observeOpenFailure(Id, *Failure);
     co_return LinkLease();
