--- a/src/root/LineDaemon.cpp
+++ b/src/root/LineDaemon.cpp
@@ -23,6 +23,9 @@
   Options.MaxContactAge = std::chrono::duration_cast<Duration>(
       Values.ConfigurationBound * ContactAgePart);
   Options.DataCentres = std::max<std::size_t>(1, Values.Regions.size());
+  for (const auto &[Location, In] : Values.Regions)
+    if (Location != Values.Location)
+      Options.Others.push_back(Location);
   return Options;
 }
 
@@ -76,6 +79,8 @@
   this->DataCentreRelay.setBoard(this->Groups);
   this->DataCentreRelay.setStatementRunner(this->Statements);
   this->DataCentreRelay.setQuotas(this->Quotas);
+  this->DataCentreRelay.setWorkspaceCheck(
+      [this] { return this->Directory.plan()->HasWorkspaces; });
   this->addStatus();
   for (Child *C : std::initializer_list<Child *>{
            &this->Admin, &this->Quotas, &this->DataCentreRelay,
--- a/src/root/quotas/WorkspaceQuotas.h
+++ b/src/root/quotas/WorkspaceQuotas.h
@@ -80,6 +80,13 @@
   void confirmAuthority(TimePoint AsOf) override;
   void formerAllocatorEnded() override;
   std::vector<QuotaLease> lease(const QuotaRequest &Asked) override;
+  std::optional<QuotaLoanRequest> makeLoanRequest(const DataCentre &) override {
+    return std::nullopt;
+  }
+  std::vector<QuotaLoan> lend(const QuotaLoanRequest &) override { return {}; }
+  void applyLoans(const DataCentre &, const std::vector<QuotaLoan> &,
+                  TimePoint) override {}
+  void abandonLoanRequest(const DataCentre &) override {}
 
 private:
   QCoro::Task<> run();
--- a/src/root/relay/QuotaBoard.h
+++ b/src/root/relay/QuotaBoard.h
@@ -39,6 +39,18 @@
   virtual void formerAllocatorEnded() = 0;
   /// Returns the leases of another entry VM.
   virtual std::vector<QuotaLease> lease(const QuotaRequest &Asked) = 0;
+
+  /// Returns what to ask the relay of \p Lender for, or nothing if no tokens
+  /// are lacking. applyLoans() or abandonLoanRequest() follows.
+  virtual std::optional<QuotaLoanRequest>
+  makeLoanRequest(const DataCentre &Lender) = 0;
+  /// Returns what is lent to another data centre.
+  virtual std::vector<QuotaLoan> lend(const QuotaLoanRequest &Asked) = 0;
+  /// Takes the loans of \p Lender for the request sent at \p SentAt.
+  virtual void applyLoans(const DataCentre &Lender,
+                          const std::vector<QuotaLoan> &Loans,
+                          TimePoint SentAt) = 0;
+  virtual void abandonLoanRequest(const DataCentre &Lender) = 0;
 };
 
 /// The relay, as the quotas of an entry VM use it.
--- a/src/root/relay/QuotaCodec.cpp
+++ b/src/root/relay/QuotaCodec.cpp
@@ -90,4 +90,57 @@
   return Out;
 }
 
+void addLoanRequest(relay::ExchangeRequest &Message,
+                    const QuotaLoanRequest &Asked) {
+  relay::QuotaLoanRequest *Out = Message.mutable_loan();
+  Out->set_start(Asked.Borrower.Start);
+  Out->set_sequence(Asked.Sequence);
+  for (const QuotaLoanWish &W : Asked.Wishes) {
+    if (Out->wishes_size() >= MaxQuotasInMessage)
+      return;
+    relay::QuotaLoanWish *Wish = Out->add_wishes();
+    Wish->set_workspace(W.Workspace.str());
+    Wish->set_tokens(W.Tokens);
+  }
+}
+
+std::optional<QuotaLoanRequest>
+loanRequestOf(const relay::ExchangeRequest &Message,
+              const std::string &Sender) {
+  if (!Message.has_loan())
+    return std::nullopt;
+  const relay::QuotaLoanRequest &Asked = Message.loan();
+  QuotaLoanRequest Out{
+      {EntryVmId(Sender), Asked.start()}, Asked.sequence(), {}};
+  const int Count = std::min(Asked.wishes_size(), MaxQuotasInMessage);
+  for (int I = 0; I < Count; ++I) {
+    const relay::QuotaLoanWish &W = Asked.wishes(I);
+    if (isName(W.workspace()) && isAmount(W.tokens()))
+      Out.Wishes.push_back({WorkspaceName(W.workspace()), W.tokens()});
+  }
+  return Out;
+}
+
+void addLoans(relay::ExchangeReply &Message,
+              const std::vector<QuotaLoan> &Loans) {
+  for (const QuotaLoan &L : Loans) {
+    relay::QuotaLoan *Out = Message.add_loans();
+    Out->set_workspace(L.Workspace.str());
+    Out->set_tokens(L.Tokens);
+    Out->set_length_us(L.Length.count());
+  }
+}
+
+std::vector<QuotaLoan> loansOf(const relay::ExchangeReply &Message) {
+  std::vector<QuotaLoan> Out;
+  for (const relay::QuotaLoan &L : Message.loans()) {
+    const bool IsValid = isName(L.workspace()) && isAmount(L.tokens()) &&
+                         L.length_us() > 0 && L.length_us() <= MaxLengthUs;
+    if (IsValid)
+      Out.push_back(
+          {WorkspaceName(L.workspace()), L.tokens(), Duration(L.length_us())});
+  }
+  return Out;
+}
+
 } // namespace amaranthspur
--- a/src/root/relay/QuotaCodec.h
+++ b/src/root/relay/QuotaCodec.h
@@ -26,6 +26,20 @@
 /// Returns the leases of \p Message. Malformed ones are left out.
 std::vector<QuotaLease> quotaLeasesOf(const relay::SyncReply &Message);
 
+/// Sets the loan request of \p Message to \p Asked.
+void addLoanRequest(relay::ExchangeRequest &Message,
+                    const QuotaLoanRequest &Asked);
+/// Returns the loan request of \p Sender, or nothing if \p Message has none.
+/// Malformed wishes are left out.
+std::optional<QuotaLoanRequest>
+loanRequestOf(const relay::ExchangeRequest &Message, const std::string &Sender);
+
+/// Adds \p Loans to \p Message.
+void addLoans(relay::ExchangeReply &Message,
+              const std::vector<QuotaLoan> &Loans);
+/// Returns the loans of \p Message. Malformed ones are left out.
+std::vector<QuotaLoan> loansOf(const relay::ExchangeReply &Message);
+
 } // namespace amaranthspur
 
 #endif // AMARANTHSPUR_ROOT_RELAY_QUOTACODEC_H
--- a/src/root/relay/Relay.h
+++ b/src/root/relay/Relay.h
@@ -21,14 +21,18 @@
 #include "root/relay/QuotaBoard.h"
 #include "root/relay/RelayLink.h"
 #include "root/relay/RelayListener.h"
+#include "root/relay/RelayPeers.h"
 #include "root/relay/RelayedFeed.h"
 #include "root/relay/StatementForwarder.h"
 #include "root/telemetry/Metrics.h"
 
+#include <array>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace amaranthspur {
 
@@ -40,6 +44,7 @@
   double CpuShare = 0;       ///< Part of a core that this entry VM has.
   Duration MaxContactAge{};  ///< See RelayElection.
   std::size_t DataCentres = 1;
+  std::vector<DataCentre> Others; ///< The other data centres.
 };
 
 /// Runs the election, serves followers and follows the relay.
@@ -90,7 +95,16 @@
   void setBoard(EvidenceBoard &Groups) { this->Board = &Groups; }
   /// Sets the quotas that are exchanged.
   /// \pre start() has not been called.
-  void setQuotas(QuotaBoard &Shared) { this->Quotas = &Shared; }
+  void setQuotas(QuotaBoard &Shared) {
+    this->Quotas = &Shared;
+    this->Peers.setQuotas(Shared);
+  }
+  /// Sets what tells whether the configuration in force has workspaces. Without
+  /// them nothing is exchanged with other data centres.
+  /// \pre start() has not been called.
+  void setWorkspaceCheck(std::function<bool()> HasWorkspaces) {
+    this->HasWorkspaces = std::move(HasWorkspaces);
+  }
   /// Sets what runs the statements that other entry VMs forward to this one.
   /// \pre start() has not been called.
   void setStatementRunner(ForwardedStatementRunner &Runner) {
@@ -123,6 +137,10 @@
   void requestLeases() override;
 
 private:
+  /// The tables whose rows are passed on.
+  static constexpr std::array<WatchedTable, 2> Tables = {WatchedTable::Operator,
+                                                         WatchedTable::Servers};
+
   QCoro::Task<> run();
   /// Claims the relay's row, or learns who holds it.
   QCoro::Task<> claim();
@@ -142,6 +160,12 @@
   relay::Request makeRequest(const RelayRow &To) const;
   relay::Request makeSyncRequest();
   void updateSource();
+  /// Hands the forwarders of the deployment to the forwarding of this entry VM
+  /// and to its groups.
+  void applyForwarders(std::vector<ForwarderVm> Own,
+                       std::vector<RemoteForwarders> Others);
+  /// Starts or ends the exchange with other data centres with the role.
+  void updateExchange();
   /// Starts or ends the allocation of quotas with the role.
   void updateAllocation();
   /// Confirms to the quotas that this entry VM still is the relay. Reads the
@@ -173,6 +197,9 @@
     ForwarderVm Self; ///< Without an address if it cannot be a forwarder.
   };
 
+  /// Answers the relay of another data centre.
+  void answerExchange(const RelayListener::Peer &From,
+                      const relay::Request &Asked);
   /// Runs or refuses the statement in \p Asked.
   /// \returns false if it is malformed or not accepted now.
   bool acceptStatement(const RelayListener::Peer &From,
@@ -203,6 +230,8 @@
   RelayRow ServedRow; ///< The last row that named this entry VM.
   std::map<std::string, FollowerState> Followers; ///< By name.
   std::vector<ForwarderVm> Forwarders; ///< Of the data centre, as the relay.
+  RelayPeers Peers;                    ///< Of the other data centres.
+  std::function<bool()> HasWorkspaces = [] { return false; };
   StatementForwarder OwnStatements;
   ForwardedStatementRunner *Statements = nullptr;
   /// Encoded rows with long values, by table and key: one compression serves
--- a/src/root/relay/RelayCodec.cpp
+++ b/src/root/relay/RelayCodec.cpp
@@ -8,6 +8,8 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 
+#include <algorithm>
+
 namespace amaranthspur {
 namespace {
 
@@ -66,6 +68,8 @@
     return Error{"the request is malformed"};
   if (Message.has_proof() && !isName(Message.proof().service()))
     return Error{"the request names no service"};
+  if (Message.has_exchange() && !isName(Message.exchange().data_centre()))
+    return Error{"the request names no data centre"};
   return Message;
 }
 
@@ -183,6 +187,60 @@
   return Known;
 }
 
+ForwarderMessages toMessages(const std::vector<ForwarderVm> &Forwarders) {
+  ForwarderMessages Out;
+  for (const ForwarderVm &F : Forwarders) {
+    if (Out.size() >= MaxForwardersInMessage)
+      break;
+    relay::Forwarder *Named = Out.Add();
+    Named->set_vm(F.Vm.str());
+    Named->set_address(F.Address);
+    Named->set_cpu_percent(F.CpuPercent);
+  }
+  return Out;
+}
+
+std::vector<ForwarderVm> forwardersOf(const ForwarderMessages &Messages) {
+  std::vector<ForwarderVm> Out;
+  const int Count = std::min(Messages.size(), MaxForwardersInMessage);
+  for (int I = 0; I < Count; ++I) {
+    const relay::Forwarder &F = Messages.Get(I);
+    if (isName(F.vm()) && succeeded(parseAddress(F.address())))
+      Out.push_back({EntryVmId(F.vm()), F.address(), F.cpu_percent()});
+  }
+  return Out;
+}
+
+relay::RemoteForwarders toMessage(const RemoteForwarders &Known) {
+  relay::RemoteForwarders Out;
+  Out.set_data_centre(Known.Location.str());
+  Out.set_token(Known.Token);
+  *Out.mutable_forwarders() = toMessages(Known.Forwarders);
+  return Out;
+}
+
+std::vector<RemoteForwarders>
+remoteForwardersOf(const relay::SyncReply &Message) {
+  std::vector<RemoteForwarders> Out;
+  for (const relay::RemoteForwarders &R : Message.remote_forwarders())
+    if (isName(R.data_centre()) && isName(R.token()))
+      Out.push_back({DataCentre(R.data_centre()), R.token(),
+                     forwardersOf(R.forwarders())});
+  return Out;
+}
+
+std::string relayRowKey(const DataCentre &Location) {
+  return "relay/" + Location.str();
+}
+
+Result<RelayRow> relayRowOf(const relay::Replacement &Message) {
+  RelayRow Row;
+  Row.Vm = EntryVmId(Message.relay());
+  Row.Address = Message.address();
+  Row.Token = Message.token();
+  return decodeRelayRow(encodeRelayRow(Row), Message.row_version());
+}
+
 std::string encodeRelayRow(const RelayRow &Row) {
   const QJsonObject O{{"vm", QString::fromStdString(Row.Vm.str())},
                       {"address", QString::fromStdString(Row.Address)},
--- a/src/root/relay/RelayCodec.h
+++ b/src/root/relay/RelayCodec.h
@@ -5,12 +5,14 @@
 
 #include "core/Result.h"
 #include "platform/Platform.h"
+#include "policy/ForwarderChoice.h"
 #include "policy/GroupEvidence.h"
 #include "policy/RelayElection.h"
 #include "relay.pb.h"
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace amaranthspur {
 
@@ -26,6 +28,9 @@
 /// and small entry VMs have links of 10 Mbit/s.
 inline constexpr std::size_t CompressionThreshold = 2048;
 
+/// Most forwarders of a data centre in a message, those of 4,096 entry VMs.
+inline constexpr int MaxForwardersInMessage = 512;
+
 /// Stops the protobuf library from writing a line to standard error for each
 /// malformed message. Whoever can connect could otherwise fill the log. Called
 /// once at the start.
@@ -53,8 +58,28 @@
 Result<GroupEvidence> evidenceOf(const relay::Evidence &Message,
                                  TimePoint SentAt);
 
+/// The field of a message that lists forwarders.
+using ForwarderMessages = google::protobuf::RepeatedPtrField<relay::Forwarder>;
+
+/// Encodes \p Forwarders.
+ForwarderMessages toMessages(const std::vector<ForwarderVm> &Forwarders);
+/// Decodes forwarders. Those without a valid name or address are left out.
+std::vector<ForwarderVm> forwardersOf(const ForwarderMessages &Messages);
+
+/// Encodes the forwarders of another data centre.
+relay::RemoteForwarders toMessage(const RemoteForwarders &Known);
+/// Decodes the forwarders of the other data centres in \p Message. Entries
+/// without a valid name or token are left out.
+std::vector<RemoteForwarders>
+remoteForwardersOf(const relay::SyncReply &Message);
+
+/// Returns the key of the row that names the relay of \p Location.
+std::string relayRowKey(const DataCentre &Location);
 /// Returns the value of the row that names a relay.
 std::string encodeRelayRow(const RelayRow &Row);
+/// Decodes the row that \p Message tells of, which must be as valid as one that
+/// was read from the store.
+Result<RelayRow> relayRowOf(const relay::Replacement &Message);
 /// Decodes the value of the row that names a relay.
 Result<RelayRow> decodeRelayRow(const std::string &Value,
                                 std::uint64_t Version);
--- a/src/root/relay/StatementForwarder.cpp
+++ b/src/root/relay/StatementForwarder.cpp
@@ -30,7 +30,13 @@
   this->Targets = std::move(Kept);
 }
 
+void StatementForwarder::setRemoteForwarders(
+    zmq::context_t & /*Context*/, std::vector<RemoteForwarders> Others) {
+  this->Remote = std::move(Others);
+}
+
 void StatementForwarder::close() {
+  this->Remote.clear();
   for (auto &[Vm, T] : this->Targets)
     T.Link->close();
   this->Targets.clear();
--- a/src/root/relay/StatementForwarder.h
+++ b/src/root/relay/StatementForwarder.h
@@ -37,6 +37,10 @@
   void setForwarders(zmq::context_t &Context,
                      std::vector<ForwarderVm> Forwarders,
                      const std::string &Token);
+  /// Sets the forwarders of the other data centres.
+  /// \param Context of the ZeroMQ sockets; must outlive the links.
+  void setRemoteForwarders(zmq::context_t &Context,
+                           std::vector<RemoteForwarders> Others);
   /// Closes all links; statements are run here from now on.
   void close();
 
@@ -68,7 +72,8 @@
   EntryVmId Self;
   std::string Token;
   std::vector<ForwarderVm> Forwarders;
-  std::map<EntryVmId, Target> Targets; ///< Without this entry VM.
+  std::vector<RemoteForwarders> Remote; ///< Of the other data centres.
+  std::map<EntryVmId, Target> Targets;  ///< Without this entry VM.
 };
 
 } // namespace amaranthspur
--- a/src/root/relay/testing/RelayCodecTest.cpp
+++ b/src/root/relay/testing/RelayCodecTest.cpp
@@ -57,6 +57,13 @@
        [](relay::Request &R) { R.mutable_proof()->set_term(1); }, false},
       {"a proof",
        [](relay::Request &R) { R.mutable_proof()->set_service("s"); }, true},
+      {"an exchange of no data centre",
+       [](relay::Request &R) { R.mutable_exchange(); }, false},
+      {"an exchange",
+       [](relay::Request &R) {
+         R.mutable_exchange()->set_data_centre("there");
+       },
+       true},
       {"too long",
        [](relay::Request &R) {
          R.mutable_sync()->add_services(std::string(MaxRelayRequestBytes, 'a'));
@@ -442,6 +449,64 @@
     CHECK(Asked->Holder == QuotaHolderId{EntryVmId("vm"), 7});
     const bool IsReport = R.Workspace[0] != 0 && R.Number == 5;
     CHECK(Asked->Reports.size() == (IsReport ? 1U : 0U));
+    relay::ExchangeReply Lent;
+    addLoans(Lent,
+             {{WorkspaceName(R.Workspace), R.Number, Duration(R.LengthUs)}});
+    CHECK(loansOf(Lent).size() == (R.Valid ? 1U : 0U));
+    relay::ExchangeRequest Borrow;
+    addLoanRequest(
+        Borrow,
+        {{EntryVmId("vm"), 7}, 3, {{WorkspaceName(R.Workspace), R.Number}}});
+    const std::optional<QuotaLoanRequest> Wanted = loanRequestOf(Borrow, "vm");
+    REQUIRE(Wanted);
+    CHECK(Wanted->Borrower == QuotaHolderId{EntryVmId("vm"), 7});
+    CHECK(Wanted->Sequence == 3);
+    CHECK(Wanted->Wishes.size() == (IsReport ? 1U : 0U));
   }
   CHECK_FALSE(quotaRequestOf(relay::SyncRequest(), "vm"));
+  CHECK_FALSE(loanRequestOf(relay::ExchangeRequest(), "vm"));
+}
+
+// Guards against statements that are forwarded to an address or with a token
+// that no relay has given.
+TEST_CASE("malformed forwarders are left out") {
+  struct Row {
+    const char *Name;
+    const char *Location;
+    const char *Token;
+    ForwarderVm Forwarder;
+    bool IsEntry;
+    bool IsForwarder;
+  };
+  const ForwarderVm Valid{EntryVmId("f"), "127.0.0.1:5", 50};
+  const Row Rows[] = {
+      {"valid", "there", "token", Valid, true, true},
+      {"no data centre", "", "token", Valid, false, false},
+      {"no token", "there", "", Valid, false, false},
+      {"no name",
+       "there",
+       "token",
+       {EntryVmId(), "127.0.0.1:5", 50},
+       true,
+       false},
+      {"no address", "there", "token", {EntryVmId("f"), "", 50}, true, false},
+      {"no port",
+       "there",
+       "token",
+       {EntryVmId("f"), "127.0.0.1", 50},
+       true,
+       false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    relay::SyncReply Reply;
+    *Reply.add_remote_forwarders() = toMessage(
+        RemoteForwarders{DataCentre(R.Location), R.Token, {R.Forwarder}});
+    const std::vector<RemoteForwarders> Known = remoteForwardersOf(Reply);
+    REQUIRE(Known.size() == (R.IsEntry ? 1U : 0U));
+    if (Known.empty())
+      continue;
+    CHECK(Known[0].Token == R.Token);
+    CHECK(Known[0].Forwarders.size() == (R.IsForwarder ? 1U : 0U));
+  }
 }
