--- a/src/policy/GroupBeliefs.cpp
+++ b/src/policy/GroupBeliefs.cpp
@@ -275,6 +275,12 @@
     else
       Usable.push_back(this->candidate(Server, Leader, Read, Now));
   }
+  const bool IsConnected = std::any_of(
+      Usable.begin(), Usable.end(), [&Read](const SelectionCandidate &C) {
+        return Read.Connected && Read.Connected->count(C.Id) != 0;
+      });
+  if (!Read.AtHomeOf.empty() && !IsConnected)
+    preferByHash(Usable, Read.AtHomeOf);
   for (const auto *Part : {&Usable, &Behind, &Last})
     for (ServerId &Id : selectionOrder(*Part, Read.Choosers, Rng))
       Order.push_back(std::move(Id));
--- a/src/policy/GroupBeliefs.h
+++ b/src/policy/GroupBeliefs.h
@@ -92,6 +92,9 @@
   /// that is not known.
   std::optional<std::set<ServerId>> Connected;
   std::size_t Choosers = 0; ///< Entry VMs that use the group; 0: not known.
+  /// Workspace of a read at its home; empty otherwise. Without an idle
+  /// connection, its reads prefer the same server.
+  WorkspaceName AtHomeOf;
 };
 
 /// Beliefs about one group.
--- a/src/policy/ServerSelection.cpp
+++ b/src/policy/ServerSelection.cpp
@@ -1,5 +1,7 @@
 #include "policy/ServerSelection.h"
 
+#include "policy/StableHash.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -83,4 +85,28 @@
   return Order;
 }
 
+void preferByHash(std::vector<SelectionCandidate> &Candidates,
+                  const WorkspaceName &Of) {
+  if (Candidates.size() < 2)
+    return;
+  const auto ByCost = [](const auto &A, const auto &B) {
+    return A.Cost < B.Cost;
+  };
+  const Duration Limit =
+      std::min_element(Candidates.begin(), Candidates.end(), ByCost)->Cost +
+      AffinityRange;
+  const SelectionCandidate *Preferred = nullptr;
+  std::uint64_t Least = 0;
+  for (const SelectionCandidate &C : Candidates) {
+    const std::uint64_t Hash = stableHash(C.Id.str(), Of.str());
+    if (C.Cost > Limit || (Preferred && Hash >= Least))
+      continue;
+    Preferred = &C;
+    Least = Hash;
+  }
+  for (SelectionCandidate &C : Candidates)
+    if (&C != Preferred)
+      C.Cost += AffinityCost;
+}
+
 } // namespace amaranthspur
--- a/src/policy/ServerSelection.h
+++ b/src/policy/ServerSelection.h
@@ -48,6 +48,14 @@
 /// costs 3 ms more, the primary or another region 40 ms.
 inline constexpr Duration CostScale = milliseconds(4);
 
+/// Cost of the servers that the hash of a workspace does not prefer. Another
+/// one of the same region is chosen in 5 of 100 cases, and as soon as the
+/// preferred one lets its statements wait this long.
+inline constexpr Duration AffinityCost = milliseconds(12);
+/// The hash chooses among the servers that cost at most this much more than the
+/// cheapest one: those of the region, without the primary.
+inline constexpr Duration AffinityRange = milliseconds(5);
+
 /// Waiting time that a refusal stands for, halved in RefusalHalfLife. A full
 /// queue of 32 statements of 28 ms at 4 slots takes 220 ms.
 inline constexpr Duration RefusalWait = milliseconds(200);
@@ -63,6 +71,11 @@
 selectionOrder(const std::vector<SelectionCandidate> &Candidates,
                std::size_t Choosers, Random &Rng);
 
+/// Adds AffinityCost to all servers but the one that a hash of \p Of prefers,
+/// so that the connections of a workspace are opened at one server.
+void preferByHash(std::vector<SelectionCandidate> &Candidates,
+                  const WorkspaceName &Of);
+
 /// Returns the weights with which selectionOrder() chooses the first server.
 std::vector<double>
 selectionWeights(const std::vector<SelectionCandidate> &Candidates,
--- a/src/policy/testing/ServerSelectionTest.cpp
+++ b/src/policy/testing/ServerSelectionTest.cpp
@@ -1,6 +1,7 @@
 #include "policy/ServerSelection.h"
 
 #include "policy/GroupBeliefs.h"
+#include "policy/StableHash.h"
 
 #include <catch2/catch.hpp>
 
@@ -100,6 +101,57 @@
   }
 }
 
+// Guards against reads of a workspace that open connections at several servers,
+// against workspaces that all prefer the same server, and against a preference
+// that outweighs distance or load.
+TEST_CASE("a workspace without a connection prefers a server by hash") {
+  struct Row {
+    const char *Name;
+    std::vector<SelectionCandidate> Servers;
+    double Least; ///< Expected share of the reads at the preferred server.
+    double Most;
+    std::size_t Preferred; ///< Servers that some workspace prefers.
+  };
+  Row Rows[] = {
+      {"equal", {candidate("a"), candidate("b"), candidate("c")}, 0.9, 1, 3},
+      {"one in another data centre",
+       {candidate("a"), candidate("b", 28, 3)},
+       0.9,
+       1,
+       2},
+      {"the primary too", {candidate("a"), candidate("b", 28, 40)}, 0.99, 1, 1},
+      {"one server", {candidate("a")}, 1, 1, 1},
+      {"statements wait at both",
+       {candidate("a", 100), candidate("b", 100)},
+       0.5,
+       0.5,
+       2},
+  };
+  for (Row &R : Rows) {
+    CAPTURE(R.Name);
+    std::map<std::size_t, int> Preferred;
+    for (int W = 0; W < 60; ++W) {
+      std::vector<SelectionCandidate> Servers = R.Servers;
+      preferByHash(Servers, WorkspaceName("w" + std::to_string(W)));
+      std::size_t Chosen = Servers.size();
+      for (std::size_t I = 0; I < Servers.size(); ++I)
+        if (Servers[I].Cost == R.Servers[I].Cost)
+          Chosen = I;
+      REQUIRE(Chosen < Servers.size());
+      ++Preferred[Chosen];
+      const std::vector<double> Weights = selectionWeights(Servers, 12);
+      double Sum = 0;
+      for (const double Weight : Weights)
+        Sum += Weight;
+      CHECK(Weights[Chosen] / Sum >= R.Least - 0.001);
+      CHECK(Weights[Chosen] / Sum <= R.Most + 0.001);
+    }
+    CHECK(Preferred.size() == R.Preferred);
+    for (const auto &[Server, Count] : Preferred)
+      CHECK(Count >= 60 / static_cast<int>(R.Preferred) / 2);
+  }
+}
+
 namespace {
 
 /// How the choosers choose.
@@ -135,8 +187,14 @@
   /// Whether a connection has to be opened if the chooser has none that is idle
   /// (and Variant::Built knows the idle ones).
   bool Connections = false;
+  /// Whether the choosers are homes: each statement is of one of 76 workspaces,
+  /// whose sizes follow a Zipf distribution with exponent 1.2, runs at the home
+  /// of its workspace and needs a connection of it.
+  bool Homes = false;
 };
 
+constexpr std::size_t Workspaces = 76;
+
 struct Outcome {
   double BusiestOverMean = 0; ///< Of the work relative to what a server can do.
   double Rejected = 0;
@@ -151,6 +209,9 @@
 /// Slot time of a new connection, and time after which an idle one is closed.
 constexpr double OpenMs = 12;
 constexpr double IdleMs = 1000;
+/// The same at a home.
+constexpr double HomeIdleMs = 50000;
+constexpr double ZipfExponent = 1.2;
 /// Part of what all servers together can do. The peaks of the fare deployment
 /// reach about this.
 constexpr double Load = 0.7;
@@ -177,6 +238,8 @@
       this->Choosers[I].Beliefs->setServers(Registered);
     }
     this->Servers[0].Slowness = C.SlowFactor;
+    for (std::size_t W = 0; W < Workspaces; ++W)
+      this->TotalSize += std::pow(static_cast<double>(W + 1), -ZipfExponent);
   }
 
   Outcome run() {
@@ -202,6 +265,7 @@
 private:
   struct Waiting {
     std::size_t Chooser;
+    std::size_t Workspace;
     double Arrived;
     double ExtraMs; ///< Slot time besides the statement's.
   };
@@ -216,9 +280,9 @@
   struct Chooser {
     std::unique_ptr<GroupBeliefs> Beliefs;
     std::vector<unsigned> InFlight = std::vector<unsigned>(ServerCount);
-    /// Times of the last use of the idle connections to each server.
-    std::vector<std::vector<double>> Idle =
-        std::vector<std::vector<double>>(ServerCount);
+    /// Times of the last use of the idle connections to each server, by
+    /// workspace; 0 without one.
+    std::map<std::size_t, std::vector<std::vector<double>>> Idle;
   };
 
   static ServerId idOf(std::size_t I) {
@@ -261,7 +325,18 @@
     return Best;
   }
 
-  std::size_t choose(Chooser &By) {
+  /// Returns a workspace; the larger ones more often.
+  std::size_t drawWorkspace() {
+    double Left = this->Rng.unit() * this->TotalSize;
+    for (std::size_t W = 0; W < Workspaces; ++W) {
+      Left -= std::pow(static_cast<double>(W + 1), -ZipfExponent);
+      if (Left < 0)
+        return W;
+    }
+    return Workspaces - 1;
+  }
+
+  std::size_t choose(Chooser &By, std::size_t Of) {
     const auto Reported = [this](std::size_t I) {
       return static_cast<double>(this->reportedLoad(I));
     };
@@ -289,9 +364,11 @@
       if (this->C.Connections) {
         Choice.Connected.emplace();
         for (std::size_t I = 0; I < ServerCount; ++I)
-          if (this->hasIdle(By, I))
+          if (this->hasIdle(By, Of, I))
             Choice.Connected->insert(idOf(I));
       }
+      if (this->C.Homes)
+        Choice.AtHomeOf = WorkspaceName("w" + std::to_string(Of));
       const auto Id = By.Beliefs->chooseReader(Choice, this->time(), this->Rng);
       return static_cast<std::size_t>(Id->str()[0] - 'a');
     }
@@ -299,16 +376,27 @@
     return 0;
   }
 
-  bool hasIdle(Chooser &By, std::size_t I) const {
-    std::erase_if(By.Idle[I],
-                  [this](double Since) { return this->Now - Since > IdleMs; });
-    return !By.Idle[I].empty();
+  std::vector<double> &idle(Chooser &By, std::size_t Of, std::size_t I) const {
+    return By.Idle.try_emplace(Of, ServerCount).first->second[I];
+  }
+
+  bool hasIdle(Chooser &By, std::size_t Of, std::size_t I) const {
+    std::vector<double> &Idle = this->idle(By, Of, I);
+    const double Limit = this->C.Homes ? HomeIdleMs : IdleMs;
+    std::erase_if(Idle, [this, Limit](double Since) {
+      return this->Now - Since > Limit;
+    });
+    return !Idle.empty();
   }
 
   void send() {
-    const std::size_t From = this->Rng.below(this->Choosers.size());
+    const std::size_t Of = this->C.Homes ? this->drawWorkspace() : 0;
+    const std::size_t From =
+        this->C.Homes
+            ? stableHash(std::to_string(Of), "home") % this->Choosers.size()
+            : this->Rng.below(this->Choosers.size());
     Chooser &By = this->Choosers[From];
-    const std::size_t To = this->choose(By);
+    const std::size_t To = this->choose(By, Of);
     Server &S = this->Servers[To];
     const bool Counted = this->Now >= WarmUpMs;
     this->Sent += Counted;
@@ -321,11 +409,11 @@
     }
     ++By.InFlight[To];
     By.Beliefs->addInFlight(idOf(To), 1);
-    const bool Connected = !this->C.Connections || this->hasIdle(By, To);
+    const bool Connected = !this->C.Connections || this->hasIdle(By, Of, To);
     if (this->C.Connections && Connected)
-      By.Idle[To].pop_back();
+      this->idle(By, Of, To).pop_back();
     this->Opened += Counted && !Connected;
-    S.Queue.push_back({From, this->Now, Connected ? 0 : OpenMs});
+    S.Queue.push_back({From, Of, this->Now, Connected ? 0 : OpenMs});
     this->startNext(To);
     this->recordLoad(S);
   }
@@ -353,7 +441,7 @@
     this->recordLoad(S);
     Chooser &By = this->Choosers[Done.Chooser];
     --By.InFlight[I];
-    By.Idle[I].push_back(this->Now);
+    this->idle(By, Done.Workspace, I).push_back(this->Now);
     By.Beliefs->addInFlight(idOf(I), -1);
     const Duration Took(std::llround((this->Now - Done.Arrived) * 1000));
     this->at(this->Now + this->C.AgeMs, [this, &By, I, Took] {
@@ -388,6 +476,7 @@
   std::vector<Chooser> Choosers;
   std::multimap<double, std::function<void()>> Events;
   double Now = 0;
+  double TotalSize = 0; ///< Of all workspaces.
   std::size_t Sent = 0;
   std::size_t RejectedCount = 0;
   std::size_t Opened = 0;
@@ -430,3 +519,30 @@
   INFO(Table.str());
   CHECK(!Table.str().empty());
 }
+
+// Guards against homes whose workspaces keep to the servers at which they have
+// connections although these are busier than the others: the largest workspace
+// sends 29 of 100 statements. The bounds are those of
+// docs/design/workspaces-and-load.md, 2.3 and 2.4.
+TEST_CASE("homes spread over the servers with old evidence") {
+  std::ostringstream Table;
+  Table << std::fixed;
+  for (const std::size_t Homes : {2, 6, 12}) {
+    for (const int SlowFactor : {1, 3, 8}) {
+      for (const int AgeMs : {0, 50, 200, 500}) {
+        const Conditions C{Homes, SlowFactor, AgeMs, true, true};
+        const Outcome Found = Simulation(Variant::Built, C).run();
+        Table << "| " << Homes << " | " << SlowFactor << " | " << AgeMs << " | "
+              << std::setprecision(2) << Found.BusiestOverMean << " | "
+              << std::setprecision(1) << 100 * Found.Rejected << " % | "
+              << std::setprecision(0) << Found.WaitP99Ms << " ms | "
+              << std::setprecision(3) << Found.Opened << " |\n";
+        CAPTURE(Homes, SlowFactor, AgeMs);
+        CHECK(Found.BusiestOverMean <= 1.3);
+        CHECK(Found.Rejected < 0.01);
+      }
+    }
+  }
+  INFO(Table.str());
+  CHECK(!Table.str().empty());
+}
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -256,6 +256,12 @@
   for (const auto &[Id, Pool] : this->Pools)
     if (Pool->hasIdle(For))
       Read.Connected->insert(Id);
+  const bool AtHome = std::any_of(
+      this->Pools.begin(), this->Pools.end(), [](const auto &Entry) {
+        return Entry.second->share().isHome(steadyNow());
+      });
+  if (AtHome)
+    Read.AtHomeOf = For;
   Read.Choosers = this->EntryVms;
   return this->Beliefs.chooseReader(Read, steadyNow(), this->Rng);
 }
