--- a/src/policy/ConnectionShare.cpp
+++ b/src/policy/ConnectionShare.cpp
@@ -11,6 +11,19 @@
 
 } // namespace
 
+HomeDivision homeDivision(const Locality &Where, const DataCentre &Server,
+                          std::size_t Homes) {
+  std::size_t Near = 0;
+  for (const auto &[Place, Of] : Where.Regions)
+    if (Where.isSameRegion(Place, Server))
+      ++Near;
+  const std::size_t All = Where.Regions.size();
+  if (Near == 0 || Near == All || Homes < All)
+    return {Homes, 0, true};
+  const std::size_t NearHomes = Homes * Near / All;
+  return {NearHomes, Homes - NearHomes, Where.isSameRegion(Where.Here, Server)};
+}
+
 void ConnectionShare::setMaximum(std::size_t Count) {
   this->Maximum = Count;
   this->applyEqualPart();
@@ -21,24 +34,34 @@
   this->applyEqualPart();
 }
 
-void ConnectionShare::setHomes(std::size_t Count) { this->Homes = Count; }
+void ConnectionShare::setHomes(const HomeDivision &Given) {
+  this->Division = Given;
+}
 
 void ConnectionShare::observeHomeUse(TimePoint Now) {
   // The shares of all homes fit into the server's limit, so a new home need not
   // approach its share step by step.
-  if (!this->isHome(Now) && this->Homes > 0 && !this->RefusedAt)
+  if (!this->isHome(Now) && this->Division.homes() > 0 && !this->RefusedAt)
     this->Limit = std::max(this->Limit, this->homeShare());
   this->HomeUsedAt = Now;
 }
 
 bool ConnectionShare::isHome(TimePoint Now) const {
-  return this->Homes > 0 && within(this->HomeUsedAt, HomeTime, Now);
+  return this->Division.homes() > 0 && within(this->HomeUsedAt, HomeTime, Now);
 }
 
 std::size_t ConnectionShare::homeShare() const {
-  const double Part = static_cast<double>(this->Maximum) * HomesPart /
-                      static_cast<double>(this->Homes);
-  return std::max<std::size_t>(1, static_cast<std::size_t>(Part));
+  const auto Each = [](double Total, std::size_t Homes) {
+    const double Part = std::max(Total, 0.0) / static_cast<double>(Homes);
+    return std::max<std::size_t>(1, static_cast<std::size_t>(Part));
+  };
+  const HomeDivision &D = this->Division;
+  const double Total = static_cast<double>(this->Maximum) * HomesPart;
+  if (D.Far == 0)
+    return Each(Total, D.Near);
+  const std::size_t FarEach = Each(Total * FarHomesPart, D.Far);
+  return D.IsNear ? Each(Total - static_cast<double>(FarEach * D.Far), D.Near)
+                  : FarEach;
 }
 
 std::size_t ConnectionShare::limit(TimePoint Now) const {
@@ -62,8 +85,10 @@
 }
 
 void ConnectionShare::applyEqualPart() {
-  const bool Adapted =
-      this->IncreasedAt || this->RefusedAt || this->DecreasedAt;
+  // A home has its share from the start; to lower it to an equal part would
+  // close the connections of its workspaces.
+  const bool Adapted = this->IncreasedAt || this->RefusedAt ||
+                       this->DecreasedAt || this->HomeUsedAt;
   if (Adapted || this->Sharers == 0)
     return;
   this->Limit =
@@ -109,7 +134,7 @@
 }
 
 bool ConnectionShare::isCrowded() const {
-  if (this->Homes > 0)
+  if (this->Division.homes() > 0)
     return this->Count * 10 > this->Maximum * 9;
   return this->Count * 4 > this->Maximum * 3;
 }
@@ -130,9 +155,9 @@
                                       TimePoint Now) const {
   if (ForWorkspace && this->isHome(Now))
     return HomeIdleTimeout;
-  if (!ForWorkspace && Newest && this->Homes > 0)
+  if (!ForWorkspace && Newest && this->Division.homes() > 0)
     return StatusIdleTimeout;
-  if (ForWorkspace && this->Homes > 0)
+  if (ForWorkspace && this->Division.homes() > 0)
     return this->scarce(Now) ? ScarceIdleTimeout : SurplusIdleTimeout;
   if (this->scarce(Now))
     return ScarceIdleTimeout;
--- a/src/policy/ConnectionShare.h
+++ b/src/policy/ConnectionShare.h
@@ -11,19 +11,35 @@
 //
 // In a deployment with workspaces the forwarders are the homes of connections
 // (docs/design/homes.md). The homes divide most of a server's limit among
-// themselves equally, and a home keeps its connections while they are idle. The
+// themselves, and a home keeps its connections while they are idle. The
 // number of open connections then says little about the load, so the other
 // entry VMs, which share the rest, count as crowded later.
 #ifndef AMARANTHSPUR_POLICY_CONNECTIONSHARE_H
 #define AMARANTHSPUR_POLICY_CONNECTIONSHARE_H
 
 #include "core/Clock.h"
+#include "policy/GroupBeliefs.h"
 
 #include <cstddef>
 #include <optional>
 
 namespace amaranthspur {
 
+/// The homes of a deployment that divide the connections to a server.
+struct HomeDivision {
+  std::size_t Near = 0; ///< In the server's region, or all if that is unknown.
+  std::size_t Far = 0;  ///< In other regions.
+  bool IsNear = true;   ///< Whether this entry VM is among the former.
+
+  std::size_t homes() const { return this->Near + this->Far; }
+};
+
+/// Returns how the \p Homes of a deployment, of which each data centre has
+/// equally many, divide the connections to a server in \p Server.
+/// \param Where of the home.
+HomeDivision homeDivision(const Locality &Where, const DataCentre &Server,
+                          std::size_t Homes);
+
 /// The share of one server's connections that one entry VM may use.
 class ConnectionShare {
 public:
@@ -70,6 +86,11 @@
   /// Part of a server's limit that all homes may use together. The rest is for
   /// transactions, for status calls and for statements that are not forwarded.
   static constexpr double HomesPart = 0.8;
+  /// Part of that which the homes of other regions than the server's may use,
+  /// but at least one connection each. They run few statements there: reads of
+  /// a region without a replica that can serve them, and statements for which
+  /// the homes of the server's region are not known.
+  static constexpr double FarHomesPart = 0.1;
   /// An entry VM counts as a home for this time after it has run a statement as
   /// one.
   static constexpr Duration HomeTime = std::chrono::seconds(60);
@@ -91,8 +112,12 @@
   /// Sets the number of entry VMs that share the limit; 0 if it is not known.
   void setSharers(std::size_t Count);
 
-  /// Sets the number of homes of the deployment; 0 if there are none.
-  void setHomes(std::size_t Count);
+  /// Sets the homes of the deployment.
+  void setHomes(const HomeDivision &Division);
+  /// Sets the number of homes, which divide the connections equally.
+  void setHomes(std::size_t Count) {
+    this->setHomes(HomeDivision{Count, 0, true});
+  }
 
   /// Records that this entry VM runs a statement of a workspace as its home.
   void observeHomeUse(TimePoint Now);
@@ -145,8 +170,8 @@
   /// Returns whether there are at least as many entry VMs as connections, so
   /// that not every entry VM can keep one.
   bool isOversubscribed(TimePoint Now) const;
-  /// Lowers the share to an equal part of the limit, once, if it was not
-  /// adapted yet.
+  /// Lowers the share to an equal part of the limit, if it was not adapted yet
+  /// and this entry VM has not been a home.
   void applyEqualPart();
   static std::size_t decreased(std::size_t Open);
 
@@ -160,7 +185,7 @@
   std::optional<TimePoint> CountedAt;
   std::optional<TimePoint> DecreasedAt;
   std::optional<TimePoint> KeptAt;
-  std::size_t Homes = 0;
+  HomeDivision Division;
   std::optional<TimePoint> HomeUsedAt;
 };
 
--- a/src/policy/RequestDelays.h
+++ b/src/policy/RequestDelays.h
@@ -26,8 +26,8 @@
   /// A request counts as the fastest one for one to two of these times. Clocks
   /// that differ by 100 ppm move apart by 12 ms within two of them.
   static constexpr Duration Window = std::chrono::seconds(60);
-  /// Most connections that are remembered. The entry VMs of a data centre have
-  /// one each.
+  /// Most connections that are remembered. Each entry VM of the deployment has
+  /// at most one, and a second one for a short time after a failure.
   static constexpr std::size_t MaxConnections = 10000;
 
   /// Records a request of \p Connection.
--- a/src/policy/testing/ConnectionShareTest.cpp
+++ b/src/policy/testing/ConnectionShareTest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
 #include <vector>
 
 using namespace amaranthspur;
@@ -276,6 +277,83 @@
   }
 }
 
+// Guards against homes that may together have more connections than they are to
+// use, and against homes in the region of a server that have too few of them,
+// since nearly all of its statements run there.
+TEST_CASE("homes divide the connections to a server by region") {
+  const std::map<DataCentre, Region> Regions = {
+      {DataCentre("a1"), Region("a")}, {DataCentre("a2"), Region("a")},
+      {DataCentre("a3"), Region("a")}, {DataCentre("b1"), Region("b")},
+      {DataCentre("b2"), Region("b")}, {DataCentre("b3"), Region("b")}};
+  struct Row {
+    const char *Name;
+    const char *Home; ///< Data centre.
+    const char *Server;
+    std::size_t Homes;
+    std::size_t Share;
+  };
+  const Row Rows[] = {
+      {"in the data centre", "a1", "a1", 12, 8},
+      {"in the region", "a1", "a3", 12, 8},
+      {"in another region", "b1", "a3", 12, 1},
+      {"four homes each", "a1", "a2", 24, 3},
+      {"four homes each, another region", "b1", "a2", 24, 1},
+      {"eight homes each", "a1", "a2", 48, 1},
+      {"eight homes each, another region", "b1", "a2", 48, 1},
+      {"a server in an unknown place", "a1", "c1", 12, 4},
+      {"fewer homes than data centres", "a1", "a1", 4, 14},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    ConnectionShare S;
+    S.setMaximum(70);
+    S.setHomes(homeDivision({DataCentre(R.Home), Regions}, DataCentre(R.Server),
+                            R.Homes));
+    S.observeHomeUse(at(0));
+    CHECK(S.limit(at(0)) == R.Share);
+  }
+  // Without regions and with one region, the division is equal.
+  for (const auto &Known :
+       {std::map<DataCentre, Region>(),
+        std::map<DataCentre, Region>{{DataCentre("a1"), Region("a")},
+                                     {DataCentre("a2"), Region("a")}}}) {
+    const HomeDivision Found =
+        homeDivision({DataCentre("a1"), Known}, DataCentre("a2"), 12);
+    CHECK(Found.Near == 12);
+    CHECK(Found.Far == 0);
+  }
+}
+
+// Guards against a home that closes the connections of its workspaces whenever
+// the registrations are read again or an entry VM joins or leaves.
+TEST_CASE("a home keeps its share when settings are applied again") {
+  struct Row {
+    const char *Name;
+    bool IsHome;
+    std::size_t Maximum;
+    std::size_t Sharers;
+    std::size_t Limit;
+  };
+  const Row Rows[] = {
+      {"the same settings", true, 70, 67, 4},
+      {"an entry VM less", true, 70, 66, 4},
+      {"a lower limit of the server", true, 20, 67, 1},
+      {"another entry VM", false, 70, 67, 1},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    ConnectionShare S;
+    S.setMaximum(70);
+    S.setSharers(67);
+    S.setHomes(12);
+    if (R.IsHome)
+      S.observeHomeUse(at(0));
+    S.setMaximum(R.Maximum);
+    S.setSharers(R.Sharers);
+    CHECK(S.limit(at(1000)) == R.Limit);
+  }
+}
+
 // Guards against a home that stays at a reduced share after a refusal, and
 // against one that grows beyond its part.
 TEST_CASE("a home regains its share after a refusal") {
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -55,7 +55,8 @@
       ++Remaining;
     Pool->share().setMaximum(this->Limits.MaxConnections);
     Pool->share().setSharers(this->EntryVms);
-    Pool->share().setHomes(this->Homes);
+    Pool->share().setHomes(
+        homeDivision(this->Where, Server.Location, this->Homes));
   }
   // The log of a server that has left or restarted is gone.
   if (Remaining < this->Pools.size()) {
@@ -222,7 +223,8 @@
     return;
   this->Homes = Count;
   for (const auto &[Id, Pool] : this->Pools)
-    Pool->share().setHomes(Count);
+    Pool->share().setHomes(
+        homeDivision(this->Where, Pool->server().Location, Count));
 }
 
 bool Group::isSetAside(const ServerId &Id) const {
