--- a/src/policy/GroupBeliefs.h
+++ b/src/policy/GroupBeliefs.h
@@ -49,6 +49,9 @@
   std::map<DataCentre, Region> Regions; ///< The region of each data centre.
 
   Distance distanceTo(const DataCentre &There) const;
+  /// Returns whether \p A and \p B are the same data centre or known to be in
+  /// the same region.
+  bool isSameRegion(const DataCentre &A, const DataCentre &B) const;
 };
 
 /// Beliefs about one server.
@@ -89,6 +92,9 @@
   /// that is not known.
   std::optional<std::set<ServerId>> Connected;
   std::size_t Choosers = 0; ///< Entry VMs that use the group; 0: not known.
+  /// Workspace of a read at its home; empty otherwise. Without an idle
+  /// connection, its reads prefer the same server.
+  WorkspaceName AtHomeOf;
 };
 
 /// Beliefs about one group.
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -55,7 +55,8 @@
       ++Remaining;
     Pool->share().setMaximum(this->Limits.MaxConnections);
     Pool->share().setSharers(this->EntryVms);
-    Pool->share().setHomes(this->Homes);
+    Pool->share().setHomes(
+        homeDivision(this->Where, Server.Location, this->Homes));
   }
   // The log of a server that has left or restarted is gone.
   if (Remaining < this->Pools.size()) {
@@ -222,7 +223,8 @@
     return;
   this->Homes = Count;
   for (const auto &[Id, Pool] : this->Pools)
-    Pool->share().setHomes(Count);
+    Pool->share().setHomes(
+        homeDivision(this->Where, Pool->server().Location, Count));
 }
 
 bool Group::isSetAside(const ServerId &Id) const {
@@ -256,6 +258,12 @@
   for (const auto &[Id, Pool] : this->Pools)
     if (Pool->hasIdle(For))
       Read.Connected->insert(Id);
+  const bool AtHome = std::any_of(
+      this->Pools.begin(), this->Pools.end(), [](const auto &Entry) {
+        return Entry.second->share().isHome(steadyNow());
+      });
+  if (AtHome)
+    Read.AtHomeOf = For;
   Read.Choosers = this->EntryVms;
   return this->Beliefs.chooseReader(Read, steadyNow(), this->Rng);
 }
