--- a/src/policy/quotas/QuotaAmount.h
+++ b/src/policy/quotas/QuotaAmount.h
@@ -15,6 +15,7 @@
 #include "policy/AccessPlan.h"
 
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 namespace amaranthspur {
@@ -98,20 +99,23 @@
   Duration Length{}; ///< From the time at which the request was sent.
 };
 
-/// Tokens that a data centre lacks for a workspace.
+/// The tokens of one workspace that a data centre wants to borrow.
 struct QuotaLoanWish {
   WorkspaceName Workspace;
   double Tokens = 0;
+  /// Tokens of earlier loans of this lender that the borrower may still have;
+  /// the lender counts no more than that. Nothing if it is not known.
+  std::optional<double> Held{};
 };
 
-/// What the allocator of one data centre asks that of another one for.
+/// What the allocator of one data centre asks the one of another for.
 struct QuotaLoanRequest {
   QuotaHolderId Borrower;
-  std::uint64_t Sequence = 0; ///< Increases with each request of the borrower.
+  std::uint64_t Sequence = 0; ///< Increases with each request to a lender.
   std::vector<QuotaLoanWish> Wishes;
 };
 
-/// Tokens that another data centre has lent.
+/// A loan, which cannot be renewed.
 struct QuotaLoan {
   WorkspaceName Workspace;
   double Tokens = 0;
--- a/src/root/relay/QuotaCodec.cpp
+++ b/src/root/relay/QuotaCodec.cpp
@@ -101,6 +101,8 @@
     relay::QuotaLoanWish *Wish = Out->add_wishes();
     Wish->set_workspace(W.Workspace.str());
     Wish->set_tokens(W.Tokens);
+    if (W.Held)
+      Wish->set_held(*W.Held);
   }
 }
 
@@ -115,8 +117,12 @@
   const int Count = std::min(Asked.wishes_size(), MaxQuotasInMessage);
   for (int I = 0; I < Count; ++I) {
     const relay::QuotaLoanWish &W = Asked.wishes(I);
-    if (isName(W.workspace()) && isAmount(W.tokens()))
-      Out.Wishes.push_back({WorkspaceName(W.workspace()), W.tokens()});
+    if (!isName(W.workspace()) || !isAmount(W.tokens()))
+      continue;
+    QuotaLoanWish Wish{WorkspaceName(W.workspace()), W.tokens(), std::nullopt};
+    if (W.has_held() && isAmount(W.held()))
+      Wish.Held = W.held();
+    Out.Wishes.push_back(std::move(Wish));
   }
   return Out;
 }
