--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -12,6 +12,7 @@
              Metrics *Counters)
     : Name(std::move(Name)), Connector(Connector), Where(Where), Source(Source),
       Claims(Claims), Counters(Counters), Beliefs(Where), Search(*this),
+      Outages(this->Name, *this, Counters),
       MissingCommits(this->Name, Counters) {}
 
 Group::~Group() = default;
@@ -32,6 +33,7 @@
   this->MonitorWake.wake();
   this->ProofReceived.notifyAll();
   this->PrimaryChange.notifyAll();
+  co_await this->Outages.stop();
   co_await this->Search.stop();
   co_await this->Tasks.waitUntilEmpty();
   for (const auto &[Id, Pool] : this->Pools)
@@ -111,6 +113,14 @@
   return false;
 }
 
+PrimaryContact Group::contactOf(const BelievedPrimary &Primary) const {
+  const ServerBelief *Server = this->Beliefs.find(Primary.Id);
+  if (!Server || this->Beliefs.isAvoided(*Server, steadyNow()))
+    return PrimaryContact::Avoided;
+  return Server->FailingSince ? PrimaryContact::Unanswered
+                              : PrimaryContact::Answers;
+}
+
 std::optional<LogPosition> Group::floorAsOf(TimePoint Since) {
   this->requestFloors();
   return this->Fresh.floorAsOf(Since);
--- a/src/root/groups/Group.h
+++ b/src/root/groups/Group.h
@@ -5,8 +5,9 @@
 // reads and commits that wait for one. The second samples the end of the
 // primary's log while sessions read from the group. The third closes
 // connections that were idle for too long. Replicas that hold acknowledged
-// commits are found by a part of its own (HolderSearch.h). Takeovers are
-// carried out by a separate object (GroupMonitor.h).
+// commits are found by a part of its own (HolderSearch.h), and another one
+// decides how long statements wait for the primary (PrimaryOutages.h).
+// Takeovers are carried out by a separate object (GroupMonitor.h).
 #ifndef AMARANTHSPUR_ROOT_GROUPS_GROUP_H
 #define AMARANTHSPUR_ROOT_GROUPS_GROUP_H
 
@@ -20,6 +21,7 @@
 #include "root/groups/ClaimReader.h"
 #include "root/groups/HolderSearch.h"
 #include "root/groups/MissingCommitAlarm.h"
+#include "root/groups/PrimaryOutages.h"
 #include "root/groups/ServerPool.h"
 #include "root/relay/EvidenceBoard.h"
 
@@ -31,7 +33,7 @@
 namespace amaranthspur {
 
 /// One group. Session tasks keep it alive through a shared pointer.
-class Group final : private ReplicaAccess {
+class Group final : private ReplicaAccess, private PrimaryAccess {
 public:
   /// Interval at which the primary's log position is sampled while sessions
   /// read with a staleness bound. It is less than half of the smallest bound in
@@ -260,7 +262,9 @@
   /// Asks the relay, if there is one, for its present evidence.
   void refreshEvidence();
   /// Wakes the monitor, and asks the relay for news of the primary.
-  void primaryWanted();
+  void primaryWanted() override;
+  /// Returns what decides how long statements wait for the primary.
+  PrimaryOutages &outages() { return this->Outages; }
 
   /// Returns whether any server has not failed since its last answer.
   bool anyServerReachable() const;
@@ -276,6 +280,21 @@
   std::vector<ServerId> preferredServers() const override;
   void requestProof(TimePoint Since) override;
 
+  std::optional<BelievedPrimary> believedPrimary() const override {
+    return this->Beliefs.primary();
+  }
+  PrimaryContact contactOf(const BelievedPrimary &Primary) const override;
+  bool meets(const BelievedPrimary &Primary, PrimaryNeed Need) override {
+    return (!Need.KnownTerm || Primary.TermNumber != 0) &&
+           (Need.Mode == Access::Read || this->mayWriteAt(Primary));
+  }
+  QCoro::Task<> requestPrimaryReport(BelievedPrimary Primary) override {
+    return this->requestReport(Primary.Id);
+  }
+  QCoro::Task<> awaitPrimaryChange(TimePoint Deadline) override {
+    co_await this->PrimaryChange.wait(Deadline);
+  }
+
   /// Logs and counts that \p Id is set aside because it lags, or used again.
   /// \param Before whether it was set aside before the last observation.
   void reportSetAside(const ServerId &Id, bool Before);
@@ -322,6 +341,7 @@
   GroupBeliefs Beliefs;
   Freshness Fresh;
   HolderSearch Search;
+  PrimaryOutages Outages;
   LeavingLogs Leaving;
   std::map<ServerId, std::shared_ptr<ServerPool>> Pools;
   std::optional<BelievedPrimary> LastPrimary;
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -487,9 +487,13 @@
 void GroupMonitor::observeClaim(const TableRow &Row, TimePoint SentAt) {
   if (Row.StoreMs)
     this->Claim.observeClock(*Row.StoreMs, SentAt, bootNow());
+  const ClaimRow Parsed = parseClaimRow(Row.Version, Row.Value);
+  // A claim is confirmed with its target just before a promotion is ordered.
+  if (Row.Version > this->LastRow.Version && Parsed.State == ClaimState::Held &&
+      Parsed.Target)
+    this->Monitored->outages().observeTakeover();
   this->LastRow = Row;
-  this->Claim.observe(Row.Version, parseClaimRow(Row.Version, Row.Value),
-                      bootNow(),
+  this->Claim.observe(Row.Version, Parsed, bootNow(),
                       Row.Operation.rfind(this->operationPrefix(), 0) == 0);
 }
 
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -100,36 +100,46 @@
   return E.Prepared ? preparedStatementName(*E.Prepared) : std::string();
 }
 
-/// Waits for a believed primary that is not being avoided after a failure.
-/// \param Mode for a write, the primary must be one at which a write could be
+/// The primary that a statement may use, or the refusal of the statement.
+using PrimaryOrRefusal = std::variant<BelievedPrimary, Answer>;
+
+/// Returns the refusal of a statement that found no primary.
+Answer refuseWithoutPrimary(PrimaryOutages &Outages, PrimaryNeed Need) {
+  if (!Outages.isRefusing(Need))
+    return refuseNotRun("no primary is known");
+  return refuseNotRun("no usable primary for longer than a takeover takes",
+                      TransactionState::Idle, Outages.countRefusal());
+}
+
+/// Waits for a believed primary that is not being avoided after a failure, for
+/// as long as policy/PrimaryWait.h allows.
+/// \param Need for a write, the primary must be one at which a write could be
 /// reported as a success. Under an open takeover it could not.
-/// \param NeedTerm whether its term must be known.
-QCoro::Task<std::optional<BelievedPrimary>>
-awaitPrimary(StatementContext &E, Access Mode, bool NeedTerm) {
+QCoro::Task<PrimaryOrRefusal> awaitPrimary(StatementContext &E,
+                                           PrimaryNeed Need) {
+  PrimaryOutages &Outages = E.ServerGroup->outages();
+  const WaitingStatement Limits{E.Arrived +
+                                    E.Route.LatencyObjective / DispatchDivisor,
+                                E.Deadline, E.Route.LatencyObjective};
   bool Waited = false;
   while (true) {
-    const GroupBeliefs &Beliefs = E.ServerGroup->beliefs();
-    const std::optional<BelievedPrimary> Leader = Beliefs.primary();
-    const bool Usable =
-        Leader && (!NeedTerm || Leader->TermNumber != 0) &&
-        !Beliefs.isAvoided(*Beliefs.find(Leader->Id), steadyNow()) &&
-        (Mode == Access::Read || E.ServerGroup->mayWriteAt(*Leader));
-    if (Usable) {
+    const std::optional<BelievedPrimary> Leader = Outages.usablePrimary(Need);
+    if (Leader) {
       // All statements that waited for the primary reach it at the same time.
       // They must not be refused because of the resulting queue.
       if (Waited)
         E.DispatchBy = E.Deadline;
-      co_return Leader;
+      co_return PrimaryOrRefusal(*Leader);
     }
-    if (steadyNow() >= E.Deadline || !E.CallerPresent())
-      co_return std::nullopt;
-    // A takeover takes less time than all of a caller's attempts together, and
-    // every other entry VM would refuse too. The statement therefore waits and
-    // is served late, after the takeover.
-    Waited = true;
+    // A refused statement asks as well, so that the end of an outage is noticed
+    // early.
     E.ServerGroup->primaryWanted();
-    co_await E.ServerGroup->primaryChanged().wait(std::min(
-        E.Deadline, steadyNow() + GroupBeliefs::AvoidAfterFailure / 4));
+    const TimePoint Until = Outages.waitUntil(Need, Limits);
+    if (steadyNow() >= Until || !E.CallerPresent())
+      co_return PrimaryOrRefusal(refuseWithoutPrimary(Outages, Need));
+    Waited = true;
+    co_await E.ServerGroup->primaryChanged().wait(
+        std::min(Until, steadyNow() + PrimaryOutages::CheckInterval));
   }
 }
 
@@ -252,20 +262,24 @@
   std::set<ServerId> Tried;
   unsigned Failed = 0;
   unsigned Runs = E.MayHaveRun ? 1 : 0;
+  Answer Refusal = refuseNotRun("no server accepted the statement");
   while (Runs < MaxReadExecutions && steadyNow() < dispatchDeadline(E) &&
          E.CallerPresent()) {
     std::optional<BelievedPrimary> Leader = E.ServerGroup->beliefs().primary();
     std::optional<ServerId> Id;
     if (Constraint.AtPrimary) {
-      Leader = co_await awaitPrimary(E, Access::Read, true);
-      if (Leader)
-        Id = Leader->Id;
+      const PrimaryNeed Need{Access::Read, true};
+      PrimaryOrRefusal Found = co_await awaitPrimary(E, Need);
+      if (auto *Refused = std::get_if<Answer>(&Found)) {
+        Refusal = std::move(*Refused);
+        break;
+      }
+      Leader = std::get<BelievedPrimary>(Found);
+      Id = Leader->Id;
     } else {
       Id = E.ServerGroup->chooseReader(E.Workspace, Constraint.Floor, Tried);
     }
     if (!Id) {
-      if (Constraint.AtPrimary)
-        break;
       Tried.clear();
       co_await sleepFor(RetryPause);
       continue;
@@ -332,7 +346,7 @@
       co_await sleepFor(RetryPause);
   }
   if (Runs == 0)
-    co_return refuseNotRun("no server accepted the statement");
+    co_return Refusal;
   if (steadyNow() >= E.Deadline)
     co_return failure(AnswerCode::Timeout, "read timed out");
   co_return failure(AnswerCode::Failed, "no server gave a usable answer");
@@ -390,12 +404,12 @@
 
 QCoro::Task<Answer> runWriteHere(Statement S, StatementContext &E) {
   while (true) {
-    const bool NeedsProof = !E.ServerGroup->commitsAreProofs();
-    const std::optional<BelievedPrimary> Leader =
-        co_await awaitPrimary(E, Access::Write, NeedsProof);
-    if (!Leader)
-      co_return refuseNotRun("no primary is known");
-    LinkLease Link = co_await leaseLink(E, Leader->Id, E.Deadline);
+    const PrimaryNeed Need{Access::Write, !E.ServerGroup->commitsAreProofs()};
+    PrimaryOrRefusal Found = co_await awaitPrimary(E, Need);
+    if (auto *Refused = std::get_if<Answer>(&Found))
+      co_return std::move(*Refused);
+    const BelievedPrimary Leader = std::get<BelievedPrimary>(Found);
+    LinkLease Link = co_await leaseLink(E, Leader.Id, E.Deadline);
     const bool OutOfTime =
         steadyNow() >= (Link ? E.Deadline : dispatchDeadline(E));
     if (!E.CallerPresent() || OutOfTime)
@@ -405,33 +419,33 @@
       continue;
     }
     ++E.Attempts;
-    E.LastServer = Leader->Id;
+    E.LastServer = Leader.Id;
     const TimePoint SentAt = bootNow();
     const TimePoint Sent = steadyNow();
-    const InFlight Running(*E.ServerGroup, Leader->Id);
+    const InFlight Running(*E.ServerGroup, Leader.Id);
     const PendingWrite Pending(*E.ServerGroup);
     Result<Answer> R =
         co_await Link.link().run(S, std::nullopt, preparedName(E), E.Deadline);
     if (!succeeded(R)) {
-      recordFailedAttempt(E, Leader->Id, "lost");
-      E.ServerGroup->observeFailure(Leader->Id, errorOf(R));
+      recordFailedAttempt(E, Leader.Id, "lost");
+      E.ServerGroup->observeFailure(Leader.Id, errorOf(R));
       Link.drop();
       co_return failure(AnswerCode::OutcomeUnknown, errorOf(R));
     }
     Answer A = valueOf(std::move(R));
     recordDispatch(E, A);
-    E.ServerGroup->observeAnswer(Leader->Id, A, SentAt);
+    E.ServerGroup->observeAnswer(Leader.Id, A, SentAt);
     if (A.succeeded()) {
-      E.ServerGroup->beliefs().observeLatency(Leader->Id, steadyNow() - Sent,
+      E.ServerGroup->beliefs().observeLatency(Leader.Id, steadyNow() - Sent,
                                               steadyNow());
       Link.release();
-      co_return co_await confirmCommit(std::move(A), *Leader, SentAt, E);
+      co_return co_await confirmCommit(std::move(A), Leader, SentAt, E);
     }
-    recordFailedAttempt(E, Leader->Id, nameOf(*A.Code));
+    recordFailedAttempt(E, Leader.Id, nameOf(*A.Code));
     if (!isNotRun(*A.Code))
       co_return A;
     if (A.Code == AnswerCode::ReadOnly)
-      E.ServerGroup->markNotPrimary(Leader->Id);
+      E.ServerGroup->markNotPrimary(Leader.Id);
     if (A.Code == AnswerCode::UnknownStatement)
       Link.drop();
     Link.release();
@@ -443,15 +457,20 @@
 beginTransaction(Statement Begin, ReadConstraint Constraint,
                  StatementContext &E) {
   std::set<ServerId> Tried;
+  Answer Refusal = refuseNotRun("no server could begin the transaction");
   while (steadyNow() < dispatchDeadline(E) && E.CallerPresent()) {
     std::optional<BelievedPrimary> Leader = E.ServerGroup->beliefs().primary();
     std::optional<ServerId> Id;
     if (Constraint.AtPrimary || Begin.Mode == Access::Write) {
-      Leader = co_await awaitPrimary(E, Begin.Mode,
-                                     Constraint.AtPrimary ||
-                                         !E.ServerGroup->commitsAreProofs());
-      if (!Leader)
+      const PrimaryNeed Need{Begin.Mode,
+                             Constraint.AtPrimary ||
+                                 !E.ServerGroup->commitsAreProofs()};
+      PrimaryOrRefusal Found = co_await awaitPrimary(E, Need);
+      if (auto *Refused = std::get_if<Answer>(&Found)) {
+        Refusal = std::move(*Refused);
         break;
+      }
+      Leader = std::get<BelievedPrimary>(Found);
       Id = Leader->Id;
     } else {
       Id = E.ServerGroup->chooseReader(E.Workspace, Constraint.Floor, Tried);
@@ -498,8 +517,7 @@
       Constraint = ReadConstraint{std::nullopt, true};
     co_await sleepFor(RetryPause);
   }
-  co_return std::variant<OpenTransaction, Answer>(
-      refuseNotRun("no server could begin the transaction"));
+  co_return std::variant<OpenTransaction, Answer>(std::move(Refusal));
 }
 
 } // namespace amaranthspur
--- a/src/root/telemetry/Metrics.h
+++ b/src/root/telemetry/Metrics.h
@@ -48,6 +48,8 @@
   QuotaLeasesExpired,
   ReplicasSetAside,
   HomeStatements,
+  PrimaryOutages,
+  PrimaryOutageRefusals,
 };
 
 /// The name, label and help text of a counter.
@@ -109,6 +111,11 @@
      "Times that a replica was set aside because it lagged, by service."},
     {Counter::HomeStatements, "amaranthspur_home_statements_total", "result",
      "Statements that other entry VMs forwarded to this one, by result."},
+    {Counter::PrimaryOutages, "amaranthspur_primary_outages_total", "service",
+     "Times that a primary was unusable for longer than a takeover takes."},
+    {Counter::PrimaryOutageRefusals,
+     "amaranthspur_primary_outage_refusals_total", "service",
+     "Statements refused because of such an outage of the primary."},
 });
 } // namespace detail
 
