--- a/src/root/LineDaemon.cpp
+++ b/src/root/LineDaemon.cpp
@@ -23,6 +23,7 @@
   Options.MaxContactAge = std::chrono::duration_cast<Duration>(
       Values.ConfigurationBound * ContactAgePart);
   Options.DataCentres = std::max<std::size_t>(1, Values.Regions.size());
+  Options.Regions = Values.Regions;
   return Options;
 }
 
--- a/src/root/relay/Relay.cpp
+++ b/src/root/relay/Relay.cpp
@@ -48,7 +48,8 @@
     : Options(std::move(Given)), Store(Store), Feed(Feed), Rng(Rng),
       Counters(Counters), Election(this->Options.Self, this->Options.CpuShare,
                                    this->Options.MaxContactAge),
-      OwnStatements(this->Options.Self) {}
+      OwnStatements(this->Options.Self,
+                    {this->Options.Location, this->Options.Regions}) {}
 
 Relay::~Relay() = default;
 
--- a/src/root/relay/Relay.h
+++ b/src/root/relay/Relay.h
@@ -40,6 +40,7 @@
   double CpuShare = 0;       ///< Part of a core that this entry VM has.
   Duration MaxContactAge{};  ///< See RelayElection.
   std::size_t DataCentres = 1;
+  std::map<DataCentre, Region> Regions; ///< The region of each data centre.
 };
 
 /// Runs the election, serves followers and follows the relay.
--- a/src/root/relay/StatementForwarder.cpp
+++ b/src/root/relay/StatementForwarder.cpp
@@ -6,92 +6,152 @@
 #include <algorithm>
 
 namespace amaranthspur {
+namespace {
+
+/// Returns the time that a round trip to a forwarder takes longer than one
+/// within a data centre: 16 ms between regions and 2 ms between data centres of
+/// a region, and as much again for a link in use.
+constexpr Duration extraRoundTrip(Distance Away) {
+  switch (Away) {
+  case Distance::SameDataCentre:
+    return Duration::zero();
+  case Distance::SameRegion:
+    return milliseconds(4);
+  case Distance::OtherRegion:
+    return milliseconds(32);
+  }
+  return Duration::zero();
+}
+
+} // namespace
 
 void StatementForwarder::setForwarders(zmq::context_t &Context,
                                        std::vector<ForwarderVm> Wanted,
                                        const std::string &NewToken) {
+  this->Context = &Context;
+  if (Wanted == this->Choice.own() && NewToken == this->Token)
+    return;
   this->Token = NewToken;
-  if (Wanted == this->Forwarders)
+  this->Choice.setOwn(std::move(Wanted));
+  this->updateTargets();
+}
+
+void StatementForwarder::setRemoteForwarders(
+    zmq::context_t &Context, std::vector<RemoteForwarders> Others) {
+  this->Context = &Context;
+  if (Others == this->Choice.remote())
     return;
-  this->Forwarders = std::move(Wanted);
+  this->Choice.setRemote(std::move(Others));
+  this->updateTargets();
+}
+
+void StatementForwarder::updateTargets() {
   std::map<EntryVmId, Target> Kept;
-  for (const ForwarderVm &F : this->Forwarders) {
-    if (F.Vm == this->Self)
-      continue;
-    const auto Known = this->Targets.find(F.Vm);
-    if (Known != this->Targets.end() && Known->second.Who.Address == F.Address)
-      Kept[F.Vm] = Known->second;
-    else
-      Kept[F.Vm].Link = std::make_shared<RelayLink>(
-          Context, F.Address, LinkQueueing::WhenConnected);
-    Kept[F.Vm].Who = F;
-  }
+  for (const ForwarderVm &F : this->Choice.own())
+    this->keepTarget(Kept, F, this->Token, Distance::SameDataCentre);
+  for (const RemoteForwarders &R : this->Choice.remote())
+    for (const ForwarderVm &F : R.Forwarders)
+      this->keepTarget(Kept, F, R.Token, this->Where.distanceTo(R.Location));
   // Requests over a link that is left out keep it until they end.
   this->Targets = std::move(Kept);
 }
 
+void StatementForwarder::keepTarget(std::map<EntryVmId, Target> &Kept,
+                                    const ForwarderVm &Who,
+                                    const std::string &OfToken,
+                                    Distance Away) const {
+  if (Who.Vm == this->Self || Kept.count(Who.Vm) != 0)
+    return;
+  Target &T = Kept[Who.Vm];
+  const auto Known = this->Targets.find(Who.Vm);
+  if (Known != this->Targets.end() && Known->second.Who.Address == Who.Address)
+    T = Known->second;
+  // A forwarder that rejected the former token is tried again.
+  if (Away != Distance::SameDataCentre && T.Token != OfToken)
+    T.AvoidedUntil = TimePoint();
+  T.Who = Who;
+  T.Token = OfToken;
+  T.Away = Away;
+  if (!T.Link && Away == Distance::SameDataCentre)
+    T.Link = this->openLink(Who);
+}
+
+std::shared_ptr<RelayLink>
+StatementForwarder::openLink(const ForwarderVm &Who) const {
+  return std::make_shared<RelayLink>(*this->Context, Who.Address,
+                                     LinkQueueing::WhenConnected);
+}
+
 void StatementForwarder::close() {
   for (auto &[Vm, T] : this->Targets)
-    T.Link->close();
+    if (T.Link)
+      T.Link->close();
   this->Targets.clear();
-  this->Forwarders.clear();
+  this->Choice.setOwn({});
+  this->Choice.setRemote({});
 }
 
-const ForwarderVm *StatementForwarder::chosen(const ServiceName &Service,
-                                              const WorkspaceName &Of) const {
-  std::size_t Considered = 0;
-  for (const ForwarderVm &F : forwarderOrder(this->Forwarders, Service, Of)) {
-    const auto Listed =
-        std::find(this->Forwarders.begin(), this->Forwarders.end(), F);
-    if (F.Vm == this->Self)
-      return &*Listed;
-    if (Considered++ >= MaxCandidates)
-      return nullptr;
-    const auto Found = this->Targets.find(F.Vm);
-    if (Found != this->Targets.end() &&
-        steadyNow() >= Found->second.AvoidedUntil &&
-        Found->second.Link->canSend())
-      return &*Listed;
-  }
-  return nullptr;
+std::size_t StatementForwarder::remoteLinks() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->Targets.begin(), this->Targets.end(), [](const auto &Entry) {
+        return Entry.second.Link &&
+               Entry.second.Away != Distance::SameDataCentre;
+      }));
 }
 
-const StatementForwarder::Target *
-StatementForwarder::targetOf(const ServiceName &Service,
-                             const WorkspaceName &Of) const {
-  const ForwarderVm *Chosen = this->chosen(Service, Of);
-  if (!Chosen || Chosen->Vm == this->Self)
-    return nullptr;
-  return &this->Targets.find(Chosen->Vm)->second;
+bool StatementForwarder::isUsable(Target &T) const {
+  if (steadyNow() < T.AvoidedUntil)
+    return false;
+  if (!T.Link)
+    T.Link = this->openLink(T.Who);
+  return T.Link->canSend();
 }
 
-bool StatementForwarder::isHome(const ServiceName &Service,
-                                const WorkspaceName &Of) const {
-  const ForwarderVm *Chosen = this->chosen(Service, Of);
-  return Chosen && Chosen->Vm == this->Self;
+std::optional<EntryVmId> StatementForwarder::chosen(const HomeQuery &Query) {
+  for (EntryVmId &Vm : this->Choice.candidates(Query)) {
+    if (Vm == this->Self)
+      return std::move(Vm);
+    const auto Found = this->Targets.find(Vm);
+    if (Found != this->Targets.end() && this->isUsable(Found->second))
+      return std::move(Vm);
+  }
+  return std::nullopt;
+}
+
+bool StatementForwarder::isHome(const HomeQuery &Query) {
+  return this->chosen(Query) == this->Self;
 }
 
-bool StatementForwarder::isForwarded(const ServiceName &Service,
-                                     const WorkspaceName &Of) const {
-  return this->targetOf(Service, Of) != nullptr;
+bool StatementForwarder::isForwarded(const HomeQuery &Query) {
+  const std::optional<EntryVmId> Home = this->chosen(Query);
+  return Home && Home != this->Self;
 }
 
 QCoro::Task<ForwardResult>
-StatementForwarder::forward(ForwardedStatement Given) {
+StatementForwarder::forward(HomeQuery Query, ForwardedStatement Given) {
   ForwardResult Out;
-  const Target *Chosen = this->targetOf(Given.Service, Given.Workspace);
-  if (!Chosen)
+  const std::optional<EntryVmId> Home = this->chosen(Query);
+  if (!Home || Home == this->Self)
     co_return Out;
-  const EntryVmId Vm = Chosen->Who.Vm;
-  const std::shared_ptr<RelayLink> Link = Chosen->Link;
+  const Target &Chosen = this->Targets.at(*Home);
+  const std::shared_ptr<RelayLink> Link = Chosen.Link;
+  const Duration Extra = extraRoundTrip(Chosen.Away);
+  const TimePoint Deadline = steadyNow() + Given.Remaining;
+  const Duration Wait = Given.isWrite() ? Given.Remaining : Patience + Extra;
+  // The home counts its times from the arrival of the request, and its answer
+  // is under way for half of the round trip.
+  if (Given.Remaining <= Extra)
+    co_return Out;
+  Given.Remaining -= Extra;
+  for (Duration *Limit : {&Given.DispatchIn, &Given.QueuedDispatchIn})
+    *Limit -= std::clamp(*Limit, Duration::zero(), Duration(Extra / 2));
   Given.SentAt = bootNow().time_since_epoch();
   relay::Request Message;
-  Message.set_token(this->Token);
+  Message.set_token(Chosen.Token);
   Message.set_sender(this->Self.str());
   *Message.mutable_read() = toMessage(Given);
-  const Duration Wait = Given.isWrite() ? Given.Remaining : Patience;
-  const std::optional<relay::Reply> Reply = co_await Link->requestPatiently(
-      std::move(Message), steadyNow() + Given.Remaining, Wait);
+  const std::optional<relay::Reply> Reply =
+      co_await Link->requestPatiently(std::move(Message), Deadline, Wait);
   Out.Fate = ForwardFate::Unknown;
   if (Reply && Reply->has_read() && Reply->read().not_run()) {
     // The home measures the delay of the next request; it is not at fault.
@@ -103,21 +163,29 @@
     if (succeeded(Decoded)) {
       Out.Fate = ForwardFate::Answered;
       Out.Given = valueOf(std::move(Decoded));
-      Out.Given.Forwarder = Vm;
+      Out.Given.Forwarder = *Home;
       co_return Out;
     }
   }
   // A forwarder rejects what it has not begun to run.
   if (Reply && Reply->has_not_relay())
     Out.Fate = ForwardFate::NotRun;
-  this->avoid(Vm);
+  this->avoid(*Home, Link);
   co_return Out;
 }
 
-void StatementForwarder::avoid(const EntryVmId &Vm) {
+void StatementForwarder::avoid(const EntryVmId &Vm,
+                               const std::shared_ptr<RelayLink> &Used) {
   const auto Found = this->Targets.find(Vm);
-  if (Found != this->Targets.end())
-    Found->second.AvoidedUntil = steadyNow() + AvoidTime;
+  if (Found == this->Targets.end() || Found->second.Link != Used)
+    return;
+  Target &T = Found->second;
+  T.AvoidedUntil = steadyNow() + AvoidTime;
+  // An established connection to a machine that is cut off accepts requests,
+  // and after AvoidTime further statements would be lost. A new one accepts
+  // them only once the forwarder has answered its handshake.
+  if (T.Away != Distance::SameDataCentre)
+    T.Link = this->openLink(T.Who);
 }
 
 } // namespace amaranthspur
--- a/src/root/sessions/ForwardedStatement.h
+++ b/src/root/sessions/ForwardedStatement.h
@@ -1,4 +1,4 @@
-// Statements that one entry VM runs for another one of its data centre.
+// Statements that one entry VM runs for another one.
 //
 // Only statements outside transactions are forwarded, each with one request and
 // one reply. A read may run twice, so a read without a reply is run where it
@@ -8,6 +8,7 @@
 #define AMARANTHSPUR_ROOT_SESSIONS_FORWARDEDSTATEMENT_H
 
 #include "core/Enums.h"
+#include "policy/ForwarderChoice.h"
 #include "policy/Statement.h"
 #include "root/groups/ServerPool.h"
 
@@ -81,15 +82,13 @@
 public:
   virtual ~StatementForwarding() = default;
 
-  /// Returns whether statements of \p Service by \p Of, which is empty for no
-  /// workspace, go to another entry VM now.
-  virtual bool isForwarded(const ServiceName &Service,
-                           const WorkspaceName &Of) const = 0;
-  /// Returns whether this entry VM is the home of \p Service and \p Of now.
-  virtual bool isHome(const ServiceName &Service,
-                      const WorkspaceName &Of) const = 0;
-  /// Forwards \p Given, once, and waits for the answer.
-  virtual QCoro::Task<ForwardResult> forward(ForwardedStatement Given) = 0;
+  /// Returns whether \p Query goes to another entry VM now.
+  virtual bool isForwarded(const HomeQuery &Query) = 0;
+  /// Returns whether this entry VM is the home of \p Query now.
+  virtual bool isHome(const HomeQuery &Query) = 0;
+  /// Forwards \p Given to the home of \p Query, once, and waits for the answer.
+  virtual QCoro::Task<ForwardResult> forward(HomeQuery Query,
+                                             ForwardedStatement Given) = 0;
 };
 
 /// Runs the statements that other entry VMs have forwarded.
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -168,27 +168,41 @@
 
 namespace {
 
-/// Returns whether a statement with \p Text goes to another entry VM.
+/// Returns what decides on the home of a statement.
 /// \param HasFloor whether it is a read that any server with the floor may run.
+HomeQuery homeQuery(const StatementContext &E, bool HasFloor) {
+  HomeQuery Query;
+  Query.Service = E.Route.Service;
+  Query.Of = E.Workspace;
+  Query.Role = HasFloor ? HomeRole::AnyServer : HomeRole::Primary;
+  const GroupBeliefs &Beliefs = E.ServerGroup->beliefs();
+  if (const std::optional<BelievedPrimary> Leader = Beliefs.primary())
+    Query.Primary = Beliefs.find(Leader->Id)->Registration.Location;
+  return Query;
+}
+
+/// Returns whether a statement with \p Text goes to another entry VM.
 bool isForwarded(const StatementContext &E, const std::string &Text,
-                 bool HasFloor) {
+                 const HomeQuery &Query) {
   if (!E.Forwarding || Text.size() > MaxForwardedTextBytes ||
       !E.CallerPresent())
     return false;
   // A workspace needs connections of its own, which no entry VM but its home
   // can keep.
   if (E.Workspace.empty())
-    return HasFloor && E.ServerGroup->isOversubscribed() &&
-           E.Forwarding->isForwarded(E.Route.Service, E.Workspace);
-  if (!E.Forwarding->isHome(E.Route.Service, E.Workspace))
-    return E.Forwarding->isForwarded(E.Route.Service, E.Workspace);
+    return Query.Role == HomeRole::AnyServer &&
+           E.ServerGroup->isOversubscribed() &&
+           E.Forwarding->isForwarded(Query);
+  if (!E.Forwarding->isHome(Query))
+    return E.Forwarding->isForwarded(Query);
   E.ServerGroup->observeHomeUse();
   return false;
 }
 
-/// Lets the forwarder of the data centre run \p S.
+/// Lets the home of \p Query run \p S.
 /// \param Constraint of a read; empty for a write.
 QCoro::Task<ForwardResult> forwardStatement(Statement S, StatementContext &E,
+                                            HomeQuery Query,
                                             ReadConstraint Constraint) {
   const TimePoint Now = steadyNow();
   ForwardedStatement Sent;
@@ -203,7 +217,8 @@
   Sent.Remaining = E.Deadline - Now;
   Sent.DispatchIn = E.DispatchBy - Now;
   Sent.QueuedDispatchIn = E.QueuedDispatchBy - Now;
-  const ForwardResult Out = co_await E.Forwarding->forward(std::move(Sent));
+  const ForwardResult Out =
+      co_await E.Forwarding->forward(std::move(Query), std::move(Sent));
   if (Out.Fate != ForwardFate::Answered) {
     recordFailedAttempt(E, ServerId("forwarder"), nameOf(Out.Fate));
     // As with a lost connection to a server, the statement may have run, and it
@@ -237,10 +252,11 @@
 
 QCoro::Task<Answer> runRead(Statement S, StatementContext &E) {
   const ReadConstraint Constraint = co_await awaitReadConstraint(E);
-  const bool Forwarded =
-      isForwarded(E, S.Text, Constraint.Floor && !Constraint.AtPrimary);
-  if (Forwarded) {
-    const ForwardResult Out = co_await forwardStatement(S, E, Constraint);
+  const HomeQuery Query =
+      homeQuery(E, Constraint.Floor && !Constraint.AtPrimary);
+  if (isForwarded(E, S.Text, Query)) {
+    const ForwardResult Out =
+        co_await forwardStatement(S, E, Query, Constraint);
     if (Out.Fate == ForwardFate::Answered)
       co_return Out.Given.Given;
   }
@@ -361,13 +377,13 @@
 }
 
 QCoro::Task<Answer> runWrite(Statement S, StatementContext &E) {
-  const bool Forwarded = isForwarded(E, S.Text, false);
-  if (!Forwarded)
+  const HomeQuery Query = homeQuery(E, false);
+  if (!isForwarded(E, S.Text, Query))
     co_return co_await runWriteHere(std::move(S), E);
   const TimePoint SentAt = bootNow();
   // g++ 12 destroys an aggregate temporary in a co_await expression twice.
   const ReadConstraint None;
-  const ForwardResult Out = co_await forwardStatement(S, E, None);
+  const ForwardResult Out = co_await forwardStatement(S, E, Query, None);
   switch (Out.Fate) {
   case ForwardFate::NotRun:
     co_return co_await runWriteHere(std::move(S), E);
--- a/src/root/sessions/testing/StatementRunnerTest.cpp
+++ b/src/root/sessions/testing/StatementRunnerTest.cpp
@@ -519,14 +519,9 @@
 TEST_CASE("a read without an answer of its forwarder is run here") {
   class SilentForwarding final : public StatementForwarding {
   public:
-    bool isForwarded(const ServiceName &,
-                     const WorkspaceName &) const override {
-      return true;
-    }
-    bool isHome(const ServiceName &, const WorkspaceName &) const override {
-      return false;
-    }
-    QCoro::Task<ForwardResult> forward(ForwardedStatement) override {
+    bool isForwarded(const HomeQuery &) override { return true; }
+    bool isHome(const HomeQuery &) override { return false; }
+    QCoro::Task<ForwardResult> forward(HomeQuery, ForwardedStatement) override {
       co_await sleepFor(milliseconds(150));
       ForwardResult Lost;
       Lost.Fate = ForwardFate::Unknown;
@@ -569,20 +564,18 @@
 TEST_CASE("statements of a workspace run at its home") {
   class FakeForwarding final : public StatementForwarding {
   public:
-    bool isForwarded(const ServiceName &,
-                     const WorkspaceName &) const override {
-      return !this->IsHome;
-    }
-    bool isHome(const ServiceName &, const WorkspaceName &) const override {
-      return this->IsHome;
-    }
-    QCoro::Task<ForwardResult> forward(ForwardedStatement Given) override {
+    bool isForwarded(const HomeQuery &) override { return !this->IsHome; }
+    bool isHome(const HomeQuery &) override { return this->IsHome; }
+    QCoro::Task<ForwardResult> forward(HomeQuery Query,
+                                       ForwardedStatement Given) override {
+      this->Asked.push_back(Query);
       this->Sent.push_back(Given);
       co_return this->Out;
     }
 
     ForwardResult Out;
     bool IsHome = false;
+    std::vector<HomeQuery> Asked;
     std::vector<ForwardedStatement> Sent;
   };
   struct Row {
@@ -686,6 +679,12 @@
     CHECK(Sent.Values == E.Values);
     CHECK(Sent.isWrite() == Writes);
     CHECK(Sent.AtPrimary == !Writes);
+    const HomeQuery &Query = Forwarding.Asked.front();
+    CHECK(Query.Service == E.Route.Service);
+    CHECK(Query.Of == E.Workspace);
+    CHECK(Query.Role == HomeRole::Primary);
+    CHECK(Query.Primary ==
+          F.Servers->beliefs().find(ServerId("a"))->Registration.Location);
     CHECK(E.Forwarder.empty() == (R.Fate != Answered));
     const bool Acknowledged = Writes && A.succeeded() && R.RanHere == 0;
     if (R.RanHere == 0)
