--- a/src/root/groups/ServerPool.cpp
+++ b/src/root/groups/ServerPool.cpp
@@ -1,6 +1,8 @@
 #include "root/groups/ServerPool.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace amaranthspur {
 namespace {
@@ -64,8 +66,10 @@
   std::erase_if(this->Idle, [](const std::unique_ptr<PooledLink> &Link) {
     return !Link->Link->isUsable();
   });
+  if (!Wanted.For)
+    return this->borrowIdle();
   const auto IsAllowed = [&Wanted](const auto &Link) {
-    return !Wanted.For || Link->For == *Wanted.For;
+    return Link->For == *Wanted.For;
   };
   auto Chosen = std::find_if(
       this->Idle.rbegin(), this->Idle.rend(), [&](const auto &Link) {
@@ -82,6 +86,27 @@
   return Link;
 }
 
+std::unique_ptr<PooledLink> ServerPool::borrowIdle() {
+  const auto IsForNone = [](const auto &Link) { return Link->For.empty(); };
+  const auto None =
+      std::find_if(this->Idle.rbegin(), this->Idle.rend(), IsForNone);
+  // Idle connections are ordered by time of release, the most recent last.
+  const auto Oldest =
+      std::find_if_not(this->Idle.begin(), this->Idle.end(), IsForNone);
+  // A home needs its share for connections of workspaces. One without a
+  // workspace is not used while there are others, so that it is closed.
+  const bool UseOldest =
+      Oldest != this->Idle.end() &&
+      (None == this->Idle.rend() || this->Share.isHome(steadyNow()));
+  if (!UseOldest && None == this->Idle.rend())
+    return nullptr;
+  const auto Chosen = UseOldest ? Oldest : std::next(None).base();
+  std::unique_ptr<PooledLink> Link = std::move(*Chosen);
+  this->Idle.erase(Chosen);
+  Link->IsBorrowed = !Link->For.empty();
+  return Link;
+}
+
 bool ServerPool::hasIdle(const WorkspaceName &For) const {
   return std::any_of(this->Idle.begin(), this->Idle.end(),
                      [&For](const std::unique_ptr<PooledLink> &Link) {
@@ -175,8 +200,14 @@
   --this->InUse;
   // Connections beyond the share are closed to leave room for other entry VMs.
   if (Link->Link->isUsable() && this->open() < this->Share.limit(steadyNow())) {
-    Link->IdleSince = steadyNow();
-    this->Idle.push_back(std::move(Link));
+    if (!std::exchange(Link->IsBorrowed, false))
+      Link->IdleSince = steadyNow();
+    const auto Next =
+        std::upper_bound(this->Idle.begin(), this->Idle.end(), Link->IdleSince,
+                         [](TimePoint Since, const auto &Other) {
+                           return Since < Other->IdleSince;
+                         });
+    this->Idle.insert(Next, std::move(Link));
   }
   this->Released.notifyAll();
 }
--- a/src/root/groups/ServerPool.h
+++ b/src/root/groups/ServerPool.h
@@ -49,6 +49,9 @@
   SessionSettingValues Values;
   std::set<std::string> Prepared; ///< By preparedStatementName().
   TimePoint IdleSince{};
+  /// Whether a statement of the proxy itself uses it. It then returns to its
+  /// place among the idle ones, as if it had not been used.
+  bool IsBorrowed = false;
 };
 
 /// Returns the name under which \p Statement is prepared on every connection.
@@ -152,6 +155,9 @@
   waitForTurn(LinkRequest Wanted, WaitingTurn Self, TimePoint Deadline);
   Duration idleTimeout(const PooledLink &Link, TimePoint Now) const;
   std::unique_ptr<PooledLink> takeIdle(const LinkRequest &Wanted);
+  /// Takes an idle connection for a statement of the proxy itself: not one that
+  /// a workspace is likely to need next.
+  std::unique_ptr<PooledLink> borrowIdle();
   /// Returns whether a connection may be opened. Closes an idle one first if
   /// that is needed.
   bool makeRoom();
--- a/src/root/groups/testing/ServerPoolTest.cpp
+++ b/src/root/groups/testing/ServerPoolTest.cpp
@@ -291,3 +291,56 @@
     CHECK(Pool.open() == Idle);
   }
 }
+
+// Guards against a status call that occupies the connection which a workspace
+// needs next, so that its statement opens another one, and against one that
+// keeps a connection without a workspace, or an unused one, in a home's share.
+TEST_CASE(
+    "a status call leaves recently used connections to their workspaces") {
+  struct Row {
+    const char *Name;
+    bool IsHome;
+    std::vector<std::string> Idle; ///< Workspaces, in the order of their use.
+    std::string Used;              ///< By the status call.
+    std::string Evicted;           ///< By the next workspace, at a home.
+  };
+  const Row Rows[] = {
+      {"the oldest one", true, {"x", "y", "z", "u"}, "x", "x"},
+      {"not the one without a workspace", true, {"", "x", "y", "z"}, "x", ""},
+      {"only one without a workspace", true, {""}, "", ""},
+      {"another entry VM", false, {"x", "", "y"}, "", ""},
+      {"another entry VM, workspaces only", false, {"x", "y"}, "x", ""},
+  };
+  testApplication();
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    LineGroup Group;
+    const auto Owned =
+        std::make_shared<ServerPool>(Group, Group.registrations().front());
+    ServerPool &Pool = *Owned;
+    Pool.share().setMaximum(70);
+    Pool.share().setHomes(12);
+    if (R.IsHome)
+      Pool.share().observeHomeUse(steadyNow());
+    const auto Acquire = [&Pool](std::optional<std::string> Of) {
+      LinkRequest Wanted;
+      if (Of)
+        Wanted.For = WorkspaceName(*Of);
+      AcquiredLink Taken =
+          runTask(Pool.acquire(Wanted, steadyNow() + WaitLimit));
+      auto *Link = std::get_if<std::unique_ptr<PooledLink>>(&Taken);
+      REQUIRE(Link);
+      return std::move(*Link);
+    };
+    for (const std::string &Of : R.Idle)
+      Pool.release(Acquire(Of));
+    std::unique_ptr<PooledLink> Used = Acquire(std::nullopt);
+    CHECK(Used->For == WorkspaceName(R.Used));
+    Pool.release(std::move(Used));
+    if (R.Idle.size() < 4)
+      continue;
+    Pool.release(Acquire("new"));
+    for (const std::string &Of : R.Idle)
+      CHECK(Pool.hasIdle(WorkspaceName(Of)) == (Of != R.Evicted));
+  }
+}
