--- a/src/root/relay/Relay.cpp
+++ b/src/root/relay/Relay.cpp
@@ -23,6 +23,14 @@
   return Token;
 }
 
+std::vector<DataCentre> otherDataCentres(const RelayOptions &Options) {
+  std::vector<DataCentre> Others;
+  for (const auto &[Location, In] : Options.Regions)
+    if (Location != Options.Location)
+      Others.push_back(Location);
+  return Others;
+}
+
 } // namespace
 
 Relay::Relay(RelayOptions Given, Platform &Store, RelayedFeed &Feed,
@@ -30,9 +38,10 @@
     : Options(std::move(Given)), Store(Store), Feed(Feed), Rng(Rng),
       Counters(Counters), Election(this->Options.Self, this->Options.CpuShare,
                                    this->Options.MaxContactAge),
-      Peers(this->Options.Self, this->Options.Location, this->Options.Others,
-            Store, Counters),
-      OwnStatements(this->Options.Self) {}
+      Peers(this->Options.Self, this->Options.Location,
+            otherDataCentres(this->Options), Store, Counters),
+      OwnStatements(this->Options.Self,
+                    {this->Options.Location, this->Options.Regions}) {}
 
 Relay::~Relay() = default;
 
