--- a/src/root/relay/testing/RelayTest.cpp
+++ b/src/root/relay/testing/RelayTest.cpp
@@ -81,19 +81,21 @@
 
 /// One entry VM: a feed and a relay that use the fake platform.
 struct EntryVm {
-  EntryVm(const std::string &Name, quint16 StorePort)
+  EntryVm(const std::string &Name, quint16 StorePort,
+          const std::string &Location = "here")
       : Rng(std::hash<std::string>{}(Name)),
         Store({"127.0.0.1", StorePort}, this->Rng.below(1U << 30U)),
         Feed(this->Store, milliseconds(500)),
         Address("127.0.0.1:" + std::to_string(freePort("127.0.0.1"))),
-        Node(options(Name, this->Address), this->Store, this->Feed, this->Rng,
-             this->Counters) {
+        Node(options(Name, this->Address, Location), this->Store, this->Feed,
+             this->Rng, this->Counters) {
     this->Board.Own.Service = ServiceName("s");
     this->Board.Own.Primary = ServerId("of-" + Name);
     this->Board.Own.TermNumber = 4;
     this->Node.setBoard(this->Board);
     this->Node.setStatementRunner(this->Statements);
     this->Node.setQuotas(this->Quotas);
+    this->Node.setWorkspaceCheck([this] { return this->Plan->HasWorkspaces; });
     runTask(this->Quotas.start());
     runTask(this->Node.start());
   }
@@ -103,10 +105,12 @@
   }
 
   static RelayOptions options(const std::string &Name,
-                              const std::string &Address) {
+                              const std::string &Address,
+                              const std::string &Location) {
     RelayOptions Options;
     Options.Self = EntryVmId(Name);
-    Options.Location = DataCentre("here");
+    Options.Location = DataCentre(Location);
+    Options.Others = {DataCentre(Location == "here" ? "there" : "here")};
     Options.ListenAddress = Address;
     Options.CpuShare = 1;
     Options.MaxContactAge = std::chrono::seconds(2);
@@ -154,12 +158,13 @@
     this->Store.setExternalRow("op", "config", std::string(5000, 'c'));
     this->Store.setExternalRow("servers", "i-1", "one");
     for (const char *Name : {"a", "b", "c"})
-      this->Vms[Name] = std::make_unique<EntryVm>(Name, this->Port);
-    // The feeds of all entry VMs follow both tables, as the directory does.
-    for (const auto &[Name, Vm] : this->Vms)
-      for (const WatchedTable Table :
-           {WatchedTable::Operator, WatchedTable::Servers})
-        this->follow(Vm->Feed, Table);
+      this->add(Name, "here");
+  }
+  /// Adds an entry VM. Its feed follows both tables, as the directory does.
+  void add(const std::string &Name, const std::string &Location) {
+    this->Vms[Name] = std::make_unique<EntryVm>(Name, this->Port, Location);
+    this->follow(this->Vms[Name]->Feed, WatchedTable::Operator);
+    this->follow(this->Vms[Name]->Feed, WatchedTable::Servers);
   }
   ~Fixture() {
     this->Ending = true;
@@ -297,9 +302,8 @@
   F.Vms["d"] = std::make_unique<EntryVm>("d", F.Port);
   F.waitUntil([&F, &Row] { return F.Vms["d"]->Node.row() == Row; });
   F.Store.setFaults(Down, std::nullopt);
-  for (const WatchedTable Table :
-       {WatchedTable::Operator, WatchedTable::Servers})
-    F.follow(F.Vms["d"]->Feed, Table);
+  F.follow(F.Vms["d"]->Feed, WatchedTable::Operator);
+  F.follow(F.Vms["d"]->Feed, WatchedTable::Servers);
   F.waitUntil([&F] { return F.allHave("i-1", "one"); });
   F.Store.setFaults({}, std::nullopt);
   F.Store.setExternalRow("servers", "i-5", "six");
@@ -576,3 +580,20 @@
     CHECK(Vm->admit().Admitted);
   }
 }
+
+// Guards against lists that get lost, and an exchange without workspaces.
+TEST_CASE("followers know the forwarders of all data centres") {
+  const bool HasWorkspaces = GENERATE(true, false);
+  Fixture F;
+  F.add("x", "there");
+  F.add("y", "there");
+  for (const auto &[Name, Vm] : F.Vms)
+    if (HasWorkspaces)
+      Vm->limit({100, 50});
+  runTask(pause(std::chrono::seconds(2)));
+  for (const auto &[Name, Vm] : F.Vms) {
+    // Two here and one there; the number of an unknown data centre is guessed.
+    const std::size_t Count = HasWorkspaces ? 3 : (Name < "x" ? 4 : 2);
+    F.waitUntil([&Vm = Vm, Count] { return Vm->Board.Forwarders == Count; });
+  }
+}
