--- a/src/root/relay/testing/RelayPeersTest.cpp
+++ b/src/root/relay/testing/RelayPeersTest.cpp
@@ -44,6 +44,7 @@
   }
   std::vector<QuotaLoan> lend(const QuotaLoanRequest &Asked) override {
     std::vector<QuotaLoan> Out;
+    Out.reserve(Asked.Wishes.size());
     for (const QuotaLoanWish &W : Asked.Wishes)
       Out.push_back({W.Workspace, W.Tokens, milliseconds(900)});
     return Out;
