--- a/src/root/quotas/WorkspaceQuotas.cpp
+++ b/src/root/quotas/WorkspaceQuotas.cpp
@@ -70,6 +70,16 @@
   return this->Holder.uses(bootNow());
 }
 
+void WorkspaceQuotas::countLoans(Counter Total,
+                                 const std::vector<QuotaLoan> &Loans) {
+  // Counters are whole numbers. Rounding at random keeps the sum of parts of a
+  // token right on average.
+  for (const QuotaLoan &Loan : Loans)
+    this->Counters.add(
+        Total, Loan.Workspace.str(),
+        static_cast<std::uint64_t>(Loan.Tokens + this->Rng.unit()));
+}
+
 void WorkspaceQuotas::updateMetrics() {
   for (const QuotaUse &Use : this->uses()) {
     this->Counters.set(Gauge::QuotaLimit, Use.Limit.RatePerSecond,
@@ -231,6 +241,30 @@
   return this->Allocator.lease(Asked, *this->Plan(), bootNow());
 }
 
+std::optional<QuotaLoanRequest>
+WorkspaceQuotas::makeLoanRequest(const DataCentre &Lender) {
+  return this->Allocator.makeLoanRequest(Lender, this->Options.Self, bootNow());
+}
+
+std::vector<QuotaLoan> WorkspaceQuotas::lend(const QuotaLoanRequest &Asked) {
+  std::vector<QuotaLoan> Loans =
+      this->Allocator.lend(Asked, *this->Plan(), bootNow());
+  this->countLoans(Counter::QuotaTokensLent, Loans);
+  return Loans;
+}
+
+void WorkspaceQuotas::applyLoans(const DataCentre &Lender,
+                                 const std::vector<QuotaLoan> &Loans,
+                                 TimePoint SentAt) {
+  this->countLoans(
+      Counter::QuotaTokensBorrowed,
+      this->Allocator.applyLoans(Lender, Loans, SentAt, bootNow()));
+}
+
+void WorkspaceQuotas::abandonLoanRequest(const DataCentre &Lender) {
+  this->Allocator.abandonLoanRequest(Lender);
+}
+
 void WorkspaceQuotas::leaseToSelf() {
   const TimePoint Now = bootNow();
   this->OwnLeasedAt = Now;
--- a/src/root/quotas/WorkspaceQuotas.h
+++ b/src/root/quotas/WorkspaceQuotas.h
@@ -80,6 +80,12 @@
   void confirmAuthority(TimePoint AsOf) override;
   void formerAllocatorEnded() override;
   std::vector<QuotaLease> lease(const QuotaRequest &Asked) override;
+  std::optional<QuotaLoanRequest>
+  makeLoanRequest(const DataCentre &Lender) override;
+  std::vector<QuotaLoan> lend(const QuotaLoanRequest &Asked) override;
+  void applyLoans(const DataCentre &Lender, const std::vector<QuotaLoan> &Loans,
+                  TimePoint SentAt) override;
+  void abandonLoanRequest(const DataCentre &Lender) override;
 
 private:
   QCoro::Task<> run();
@@ -90,6 +96,8 @@
   void endExpired();
   void logLimit(const WorkspaceName &Workspace, const WorkspaceQuota &Limit);
   void updateMetrics();
+  /// Adds the tokens of \p Loans to \p Total.
+  void countLoans(Counter Total, const std::vector<QuotaLoan> &Loans);
 
   WorkspaceQuotaOptions Options;
   PlanSource Plan;
--- a/src/root/relay/QuotaBoard.h
+++ b/src/root/relay/QuotaBoard.h
@@ -39,6 +39,21 @@
   virtual void formerAllocatorEnded() = 0;
   /// Returns the leases of another entry VM.
   virtual std::vector<QuotaLease> lease(const QuotaRequest &Asked) = 0;
+
+  /// Returns what to borrow from the allocator of \p Lender, or nothing while
+  /// nothing is lacking or a request to it is under way. applyLoans() or
+  /// abandonLoanRequest() follows.
+  virtual std::optional<QuotaLoanRequest>
+  makeLoanRequest(const DataCentre &Lender) = 0;
+  /// Returns the loans for the allocator of another data centre.
+  virtual std::vector<QuotaLoan> lend(const QuotaLoanRequest &Asked) = 0;
+  /// Applies the reply to the request under way.
+  virtual void applyLoans(const DataCentre &Lender,
+                          const std::vector<QuotaLoan> &Loans,
+                          TimePoint SentAt) = 0;
+  /// Records that the request under way has no reply; one that arrives later
+  /// must not be applied.
+  virtual void abandonLoanRequest(const DataCentre &Lender) = 0;
 };
 
 /// The relay, as the quotas of an entry VM use it.
