--- a/src/root/relay/QuotaBoard.h
+++ b/src/root/relay/QuotaBoard.h
@@ -40,16 +40,19 @@
   /// Returns the leases of another entry VM.
   virtual std::vector<QuotaLease> lease(const QuotaRequest &Asked) = 0;
 
-  /// Returns what to ask the relay of \p Lender for, or nothing if no tokens
-  /// are lacking. applyLoans() or abandonLoanRequest() follows.
+  /// Returns what to borrow from the allocator of \p Lender, or nothing while
+  /// nothing is lacking or a request to it is under way. applyLoans() or
+  /// abandonLoanRequest() follows.
   virtual std::optional<QuotaLoanRequest>
   makeLoanRequest(const DataCentre &Lender) = 0;
-  /// Returns what is lent to another data centre.
+  /// Returns the loans for the allocator of another data centre.
   virtual std::vector<QuotaLoan> lend(const QuotaLoanRequest &Asked) = 0;
-  /// Takes the loans of \p Lender for the request sent at \p SentAt.
+  /// Applies the reply to the request under way.
   virtual void applyLoans(const DataCentre &Lender,
                           const std::vector<QuotaLoan> &Loans,
                           TimePoint SentAt) = 0;
+  /// Records that the request under way has no reply; one that arrives later
+  /// must not be applied.
   virtual void abandonLoanRequest(const DataCentre &Lender) = 0;
 };
 
