--- a/src/policy/AccessPlan.h
+++ b/src/policy/AccessPlan.h
@@ -76,12 +76,17 @@
   std::map<WorkspaceName, Workspace> Workspaces;
   std::map<std::string, WorkspaceName> KeyHolders; ///< By access key.
 
+  /// Returns whether callers of \p Route need the key of a workspace.
+  bool needsWorkspace(const DatabaseRoute &Route) const {
+    return this->HasWorkspaces && !Route.Anonymous;
+  }
+
   /// Returns the workspace of a caller that presents \p Key for \p Route. The
   /// name is empty if the route needs none.
   /// \returns nothing if the key is not valid.
   std::optional<WorkspaceName> workspaceOf(const DatabaseRoute &Route,
                                            const std::string &Key) const {
-    if (!this->HasWorkspaces || Route.Anonymous)
+    if (!this->needsWorkspace(Route))
       return WorkspaceName();
     const auto Holder = this->KeyHolders.find(Key);
     if (Holder == this->KeyHolders.end())
--- a/src/policy/GroupBeliefs.cpp
+++ b/src/policy/GroupBeliefs.cpp
@@ -243,35 +243,52 @@
   return Server.Progress.readiness(*Floor, Now, this->PrimaryEnds);
 }
 
-std::vector<ServerId> GroupBeliefs::readOrder(const ReadChoice &Read,
-                                              TimePoint Now,
-                                              Random &Rng) const {
+ReadTier GroupBeliefs::tierOf(const ServerBelief &Server,
+                              const std::optional<BelievedPrimary> &Leader,
+                              bool LeaderUsable, const ReadChoice &Read,
+                              TimePoint Now) const {
+  const bool IsLeader = Leader && Leader->Id == Server.id();
+  if (Server.Registration.Draining && !IsLeader)
+    return ReadTier::LeftOut;
+  const ReplicaReadiness State = this->readiness(Server, Read.Floor, Now);
+  if (LeaderUsable && State == ReplicaReadiness::Behind)
+    return ReadTier::LeftOut;
+  if (this->isAvoided(Server, Now) || Server.Registration.Draining)
+    return ReadTier::Last;
+  // A probe costs one read a round trip; it is tried first, since the servers
+  // after it can still run the read.
+  if (State == ReplicaReadiness::Probe)
+    return ReadTier::Probe;
+  return State == ReplicaReadiness::Behind ? ReadTier::Behind
+                                           : ReadTier::Usable;
+}
+
+std::vector<ReadCandidate> GroupBeliefs::readCandidates(const ReadChoice &Read,
+                                                        TimePoint Now) const {
   const std::optional<BelievedPrimary> Leader = this->primary();
   const bool LeaderUsable =
       Leader && !this->isAvoided(*this->find(Leader->Id), Now);
-  // A probe costs one read a round trip; it is tried first, since the servers
-  // after it can still run the read.
+  std::vector<ReadCandidate> Out;
+  Out.reserve(this->Servers.size());
+  for (const auto &[Id, Server] : this->Servers)
+    Out.push_back({this->candidate(Server, Leader, Read, Now),
+                   this->tierOf(Server, Leader, LeaderUsable, Read, Now)});
+  return Out;
+}
+
+std::vector<ServerId> GroupBeliefs::readOrder(const ReadChoice &Read,
+                                              TimePoint Now,
+                                              Random &Rng) const {
   std::vector<ServerId> Order;
-  std::vector<SelectionCandidate> Usable;
-  std::vector<SelectionCandidate> Behind;
-  std::vector<SelectionCandidate> Last;
-  for (const auto &[Id, Server] : this->Servers) {
-    if (Server.Registration.Draining && !(Leader && Leader->Id == Id))
-      continue;
-    const ReplicaReadiness State = this->readiness(Server, Read.Floor, Now);
-    if (LeaderUsable && State == ReplicaReadiness::Behind)
-      continue;
-    if (this->isAvoided(Server, Now) || Server.Registration.Draining)
-      Last.push_back(this->candidate(Server, Leader, Read, Now));
-    else if (State == ReplicaReadiness::Probe)
-      Order.push_back(Id);
-    else if (State == ReplicaReadiness::Behind)
-      Behind.push_back(this->candidate(Server, Leader, Read, Now));
-    else
-      Usable.push_back(this->candidate(Server, Leader, Read, Now));
+  std::map<ReadTier, std::vector<SelectionCandidate>> Tiers;
+  for (ReadCandidate &C : this->readCandidates(Read, Now)) {
+    if (C.Tier == ReadTier::Probe)
+      Order.push_back(std::move(C.Evidence.Id));
+    else if (C.Tier != ReadTier::LeftOut)
+      Tiers[C.Tier].push_back(std::move(C.Evidence));
   }
-  for (const auto *Part : {&Usable, &Behind, &Last})
-    for (ServerId &Id : selectionOrder(*Part, Read.Choosers, Rng))
+  for (const auto &[Tier, Servers] : Tiers)
+    for (ServerId &Id : selectionOrder(Servers, Read.Choosers, Rng))
       Order.push_back(std::move(Id));
   return Order;
 }
--- a/src/policy/GroupBeliefs.h
+++ b/src/policy/GroupBeliefs.h
@@ -91,6 +91,31 @@
   std::size_t Choosers = 0; ///< Entry VMs that use the group; 0: not known.
 };
 
+/// How a server is considered for a read, in the order in which they are tried.
+enum class ReadTier {
+  Probe,   ///< It probably lacks the floor, and the read is to find out.
+  Usable,  ///< It can run the read, as far as is known.
+  Behind,  ///< It probably lacks the floor; there is no primary to use instead.
+  Last,    ///< It is avoided after a failure, or draining.
+  LeftOut, ///< It is not tried.
+};
+
+template <> struct EnumNames<ReadTier> {
+  static constexpr auto Entries =
+      std::to_array<std::pair<ReadTier, std::string_view>>(
+          {{ReadTier::Probe, "probe"},
+           {ReadTier::Usable, "usable"},
+           {ReadTier::Behind, "behind"},
+           {ReadTier::Last, "last"},
+           {ReadTier::LeftOut, "left-out"}});
+};
+
+/// A server that is considered for a read.
+struct ReadCandidate {
+  SelectionCandidate Evidence;
+  ReadTier Tier = ReadTier::LeftOut;
+};
+
 /// Beliefs about one group.
 class GroupBeliefs {
 public:
@@ -161,6 +186,10 @@
   /// registered as primary and whose term is not known yet goes first.
   std::optional<BelievedPrimary> primary() const;
 
+  /// Returns all servers as candidates for a read, by identifier.
+  std::vector<ReadCandidate> readCandidates(const ReadChoice &Read,
+                                            TimePoint Now) const;
+
   /// Returns the servers that may execute a read, in the order in which they
   /// are to be tried. It is partly random (policy/ServerSelection.h). Servers
   /// that are avoided after a failure or are draining come last. Replicas that
@@ -191,6 +220,12 @@
 
 private:
   ServerBelief *findMutable(const ServerId &Id);
+  /// Returns how \p Server is considered for a read.
+  /// \param LeaderUsable whether there is a primary that is not avoided.
+  ReadTier tierOf(const ServerBelief &Server,
+                  const std::optional<BelievedPrimary> &Leader,
+                  bool LeaderUsable, const ReadChoice &Read,
+                  TimePoint Now) const;
   /// Returns what is known of \p Server for a read.
   SelectionCandidate candidate(const ServerBelief &Server,
                                const std::optional<BelievedPrimary> &Leader,
--- a/src/root/groups/Group.cpp
+++ b/src/root/groups/Group.cpp
@@ -256,17 +256,23 @@
        {"lag_ms", Lag / milliseconds(1)}});
 }
 
-std::optional<ServerId> Group::chooseReader(const WorkspaceName &For,
-                                            std::optional<LogPosition> Floor,
-                                            const std::set<ServerId> &Tried) {
+ReadChoice Group::readChoice(const WorkspaceName &For,
+                             std::optional<LogPosition> Floor) const {
   ReadChoice Read;
   Read.Floor = Floor;
-  Read.Tried = Tried;
   Read.Connected.emplace();
   for (const auto &[Id, Pool] : this->Pools)
     if (Pool->hasIdle(For))
       Read.Connected->insert(Id);
   Read.Choosers = this->EntryVms;
+  return Read;
+}
+
+std::optional<ServerId> Group::chooseReader(const WorkspaceName &For,
+                                            std::optional<LogPosition> Floor,
+                                            const std::set<ServerId> &Tried) {
+  ReadChoice Read = this->readChoice(For, Floor);
+  Read.Tried = Tried;
   return this->Beliefs.chooseReader(Read, steadyNow(), this->Rng);
 }
 
--- a/src/root/groups/Group.h
+++ b/src/root/groups/Group.h
@@ -159,6 +159,9 @@
   /// \param Floor of the statement.
   void observeAnswer(const ServerId &Id, const Answer &A, TimePoint SentAt,
                      std::optional<LogPosition> Floor = std::nullopt);
+  /// Returns the choice of a server for a read of workspace \p For.
+  ReadChoice readChoice(const WorkspaceName &For,
+                        std::optional<LogPosition> Floor) const;
   /// Returns the server on which to run a read of workspace \p For, or nothing
   /// if all that may run it were tried.
   std::optional<ServerId> chooseReader(const WorkspaceName &For,
--- a/src/root/sessions/ForwardedStatement.h
+++ b/src/root/sessions/ForwardedStatement.h
@@ -8,6 +8,7 @@
 #define AMARANTHSPUR_ROOT_SESSIONS_FORWARDEDSTATEMENT_H
 
 #include "core/Enums.h"
+#include "policy/RouteChoice.h"
 #include "policy/Statement.h"
 #include "root/groups/ServerPool.h"
 
@@ -77,17 +78,8 @@
 };
 
 /// Forwards statements to other entry VMs.
-class StatementForwarding {
+class StatementForwarding : public ForwarderDirectory {
 public:
-  virtual ~StatementForwarding() = default;
-
-  /// Returns whether statements of \p Service by \p Of, which is empty for no
-  /// workspace, go to another entry VM now.
-  virtual bool isForwarded(const ServiceName &Service,
-                           const WorkspaceName &Of) const = 0;
-  /// Returns whether this entry VM is the home of \p Service and \p Of now.
-  virtual bool isHome(const ServiceName &Service,
-                      const WorkspaceName &Of) const = 0;
   /// Forwards \p Given, once, and waits for the answer.
   virtual QCoro::Task<ForwardResult> forward(ForwardedStatement Given) = 0;
 };
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -160,20 +160,10 @@
 }
 
 ReadConstraint readConstraintFor(const StatementContext &E) {
-  ReadConstraint Constraint;
-  if (E.Route.Consistency == ReadConsistency::Primary) {
-    Constraint.AtPrimary = true;
-    return Constraint;
-  }
-  Constraint.Floor = E.ServerGroup->floorAsOf(
-      E.ArrivedBoot - E.Route.MaxStaleness + StalenessMargin);
-  if (!Constraint.Floor) {
-    Constraint.AtPrimary = true;
-    return Constraint;
-  }
-  if (E.Route.Consistency == ReadConsistency::ReadYourWrites && E.SessionFloor)
-    Constraint.Floor = std::max(*Constraint.Floor, *E.SessionFloor);
-  return Constraint;
+  std::optional<LogPosition> Known;
+  if (E.Route.Consistency != ReadConsistency::Primary)
+    Known = E.ServerGroup->floorAsOf(floorTime(E.Route, E.ArrivedBoot));
+  return chooseConstraint(E.Route, Known, E.SessionFloor);
 }
 
 namespace {
@@ -185,15 +175,12 @@
   if (!E.Forwarding || Text.size() > MaxForwardedTextBytes ||
       !E.CallerPresent())
     return false;
-  // A workspace needs connections of its own, which no entry VM but its home
-  // can keep.
-  if (E.Workspace.empty())
-    return HasFloor && E.ServerGroup->isOversubscribed() &&
-           E.Forwarding->isForwarded(E.Route.Service, E.Workspace);
-  if (!E.Forwarding->isHome(E.Route.Service, E.Workspace))
-    return E.Forwarding->isForwarded(E.Route.Service, E.Workspace);
-  E.ServerGroup->observeHomeUse();
-  return false;
+  const bool IsShared = HasFloor && E.ServerGroup->isOversubscribed();
+  const StatementPlace Place =
+      choosePlace(*E.Forwarding, E.Route.Service, E.Workspace, IsShared);
+  if (Place == StatementPlace::OwnHome)
+    E.ServerGroup->observeHomeUse();
+  return isElsewhere(Place);
 }
 
 /// Lets the forwarder of the data centre run \p S.
@@ -239,8 +226,7 @@
 
 QCoro::Task<ReadConstraint> awaitReadConstraint(StatementContext &E) {
   if (E.Route.Consistency != ReadConsistency::Primary)
-    co_await E.ServerGroup->awaitFloor(E.ArrivedBoot - E.Route.MaxStaleness +
-                                           StalenessMargin,
+    co_await E.ServerGroup->awaitFloor(floorTime(E.Route, E.ArrivedBoot),
                                        dispatchDeadline(E));
   co_return readConstraintFor(E);
 }
@@ -268,7 +254,8 @@
     std::optional<BelievedPrimary> Leader = E.ServerGroup->beliefs().primary();
     std::optional<ServerId> Id;
     if (Constraint.AtPrimary) {
-      const PrimaryNeed Need{Access::Read, true};
+      const PrimaryNeed Need =
+          needOf(Access::Read, true, E.ServerGroup->commitsAreProofs());
       PrimaryOrRefusal Found = co_await awaitPrimary(E, Need);
       if (auto *Refused = std::get_if<Answer>(&Found)) {
         Refusal = std::move(*Refused);
@@ -404,7 +391,8 @@
 
 QCoro::Task<Answer> runWriteHere(Statement S, StatementContext &E) {
   while (true) {
-    const PrimaryNeed Need{Access::Write, !E.ServerGroup->commitsAreProofs()};
+    const PrimaryNeed Need =
+        needOf(Access::Write, false, E.ServerGroup->commitsAreProofs());
     PrimaryOrRefusal Found = co_await awaitPrimary(E, Need);
     if (auto *Refused = std::get_if<Answer>(&Found))
       co_return std::move(*Refused);
@@ -462,9 +450,8 @@
     std::optional<BelievedPrimary> Leader = E.ServerGroup->beliefs().primary();
     std::optional<ServerId> Id;
     if (Constraint.AtPrimary || Begin.Mode == Access::Write) {
-      const PrimaryNeed Need{Begin.Mode,
-                             Constraint.AtPrimary ||
-                                 !E.ServerGroup->commitsAreProofs()};
+      const PrimaryNeed Need = needOf(Begin.Mode, Constraint.AtPrimary,
+                                      E.ServerGroup->commitsAreProofs());
       PrimaryOrRefusal Found = co_await awaitPrimary(E, Need);
       if (auto *Refused = std::get_if<Answer>(&Found)) {
         Refusal = std::move(*Refused);
--- a/src/root/sessions/StatementRunner.h
+++ b/src/root/sessions/StatementRunner.h
@@ -4,7 +4,7 @@
 #ifndef AMARANTHSPUR_ROOT_SESSIONS_STATEMENTRUNNER_H
 #define AMARANTHSPUR_ROOT_SESSIONS_STATEMENTRUNNER_H
 
-#include "policy/AccessPlan.h"
+#include "policy/RouteChoice.h"
 #include "policy/Statement.h"
 #include "root/groups/Group.h"
 #include "root/sessions/ForwardedStatement.h"
@@ -57,13 +57,6 @@
   std::unique_ptr<PooledLink> Link;
 };
 
-/// Which servers may run a read or a transaction.
-struct ReadConstraint {
-  std::optional<LogPosition> Floor; ///< The server's log must reach it.
-  bool AtPrimary = false; ///< Only the primary may run it, with a proof that it
-                          ///< still led when the read arrived.
-};
-
 /// The state of one statement, or of the start of one transaction, while it is
 /// being run.
 struct StatementContext {
@@ -117,6 +110,13 @@
                     TransactionState State = TransactionState::Idle,
                     Duration After = RetryAfter);
 
+/// Returns the time at which the floor of a read of \p Route counts: it must
+/// cover the commits acknowledged before.
+/// \param Arrived boot clock; when the read arrived.
+inline TimePoint floorTime(const DatabaseRoute &Route, TimePoint Arrived) {
+  return Arrived - Route.MaxStaleness + StalenessMargin;
+}
+
 /// Returns which servers may run a read of \p E, by the route's consistency and
 /// the known floor.
 ReadConstraint readConstraintFor(const StatementContext &E);
