--- a/src/ctl/Commands.cpp
+++ b/src/ctl/Commands.cpp
@@ -7,6 +7,7 @@
 #include "core/Async.h"
 #include "ctl/Explain.h"
 #include "ctl/Revisions.h"
+#include "ctl/RouteReport.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -114,6 +115,8 @@
       co_return co_await this->show();
     case CommandKind::Status:
       co_return co_await this->status();
+    case CommandKind::Route:
+      co_return co_await this->route();
     case CommandKind::Drain:
       co_return co_await this->drain(true);
     case CommandKind::Undrain:
@@ -369,6 +372,21 @@
     co_return statusReport(Newest, Answers, Problem);
   }
 
+  QCoro::Task<Report> route() {
+    const std::vector<std::string> &Given = this->O.Arguments;
+    const Result<Address> From = parseAddress(Given[0]);
+    if (!succeeded(From))
+      co_return failure(ExitStatus::Invalid, errorOf(From));
+    RouteParameters Asked{Given[1], Given[2],
+                          Given.size() > 3 ? Given[3] : "read"};
+    const Result<QJsonObject> Answer =
+        co_await this->Context.Status->fetchRoute(
+            valueOf(From), std::move(Asked), this->Deadline);
+    if (!succeeded(Answer))
+      co_return failure(ExitStatus::Unreachable, errorOf(Answer));
+    co_return routeReport(valueOf(Answer));
+  }
+
   static std::vector<PollTarget>
   pollTargets(const std::vector<PlatformVm> &List) {
     std::vector<PollTarget> Vms;
--- a/src/ctl/Options.cpp
+++ b/src/ctl/Options.cpp
@@ -16,9 +16,9 @@
 struct CommandInfo {
   CommandKind Command;
   /// The arguments in the usage line. A trailing "..." means that the last one
-  /// may be repeated.
+  /// may be repeated, and brackets that it may be left out.
   std::string_view Arguments;
-  std::size_t Count; ///< The number of arguments, or the minimum with "...".
+  std::size_t Count; ///< The number of arguments that have to be given.
   bool NeedsPlatform;
   std::string_view Summary;
 };
@@ -37,6 +37,8 @@
      "print the answers of the newest or the given revision"},
     {CommandKind::Status, "", 0, false,
      "ask the entry VMs which revision they have in force"},
+    {CommandKind::Route, "STATUS-ADDRESS DATABASE WORKSPACE [read|write]", 3,
+     false, "explain where an entry VM would route a statement now"},
     {CommandKind::Drain, "backend-server|entry-vm ID", 2, true,
      "accept a revision in which it gets no new work"},
     {CommandKind::Undrain, "backend-server|entry-vm ID", 2, true,
@@ -203,8 +205,9 @@
   O.Arguments.assign(Positionals.begin() + 1, Positionals.end());
   const CommandInfo &Info = infoOf(*Command);
   const bool IsVariadic = Info.Arguments.ends_with("...");
+  const std::size_t Most = Info.Count + (Info.Arguments.ends_with("]") ? 1 : 0);
   if (O.Arguments.size() < Info.Count ||
-      (!IsVariadic && O.Arguments.size() > Info.Count))
+      (!IsVariadic && O.Arguments.size() > Most))
     return Read.problem("usage: amaranthspurctl " + Positionals[0] + " " +
                         std::string(Info.Arguments));
   if (Info.NeedsPlatform && !O.Platform)
--- a/src/ctl/StatusQuery.cpp
+++ b/src/ctl/StatusQuery.cpp
@@ -49,15 +49,22 @@
 
 } // namespace
 
-QCoro::Task<Result<QJsonObject>> HttpStatusSource::fetch(Address From,
-                                                         TimePoint Deadline) {
-  QNetworkAccessManager Http;
-  Http.setProxy(QNetworkProxy::NoProxy);
+namespace {
+
+/// Returns the address of a resource of the entry VM at \p From.
+QUrl urlOf(const Address &From, const QString &Path) {
   QUrl Url;
   Url.setScheme("http");
   Url.setHost(text(From.Host));
   Url.setPort(From.Port);
-  Url.setPath("/status");
+  Url.setPath(Path);
+  return Url;
+}
+
+/// Returns the JSON object at \p Url.
+QCoro::Task<Result<QJsonObject>> fetchObject(QUrl Url, TimePoint Deadline) {
+  QNetworkAccessManager Http;
+  Http.setProxy(QNetworkProxy::NoProxy);
   const std::unique_ptr<QNetworkReply> Reply(Http.get(QNetworkRequest(Url)));
   WaitPoint Finished;
   QObject::connect(Reply.get(), &QNetworkReply::finished, Reply.get(),
@@ -77,6 +84,27 @@
   co_return Document.object();
 }
 
+} // namespace
+
+QCoro::Task<Result<QJsonObject>> HttpStatusSource::fetch(Address From,
+                                                         TimePoint Deadline) {
+  return fetchObject(urlOf(From, "/status"), Deadline);
+}
+
+QCoro::Task<Result<QJsonObject>>
+HttpStatusSource::fetchRoute(Address From, RouteParameters Asked,
+                             TimePoint Deadline) {
+  QUrl Url = urlOf(From, "/route");
+  QString Query;
+  for (const auto &[Key, Value] :
+       {std::pair("database", Asked.Database),
+        std::pair("workspace", Asked.Workspace), std::pair("mode", Asked.Mode)})
+    Query += QString(Query.isEmpty() ? "" : "&") + Key + "=" +
+             QString::fromLatin1(QUrl::toPercentEncoding(text(Value)));
+  Url.setQuery(Query, QUrl::StrictMode);
+  return fetchObject(Url, Deadline);
+}
+
 QCoro::Task<std::vector<VmAnswer>>
 pollAll(StatusSource &Source, std::vector<PollTarget> Vms, TimePoint Deadline) {
   std::vector<VmAnswer> Answers(Vms.size());
--- a/src/ctl/StatusQuery.h
+++ b/src/ctl/StatusQuery.h
@@ -15,6 +15,13 @@
 
 namespace amaranthspur::ctl {
 
+/// The statement whose route is asked for.
+struct RouteParameters {
+  std::string Database;
+  std::string Workspace;
+  std::string Mode;
+};
+
 /// Reads the status of entry VMs.
 class StatusSource {
 public:
@@ -23,6 +30,9 @@
   /// Returns the JSON object that the entry VM at \p From serves as `/status`.
   virtual QCoro::Task<Result<QJsonObject>> fetch(Address From,
                                                  TimePoint Deadline) = 0;
+  /// Returns the JSON object that it serves as `/route`.
+  virtual QCoro::Task<Result<QJsonObject>>
+  fetchRoute(Address From, RouteParameters Asked, TimePoint Deadline) = 0;
 };
 
 /// Reads the status over HTTP.
@@ -30,6 +40,8 @@
 public:
   QCoro::Task<Result<QJsonObject>> fetch(Address From,
                                          TimePoint Deadline) override;
+  QCoro::Task<Result<QJsonObject>>
+  fetchRoute(Address From, RouteParameters Asked, TimePoint Deadline) override;
 };
 
 /// One entry VM to query.
--- a/src/root/LineDaemon.cpp
+++ b/src/root/LineDaemon.cpp
@@ -61,6 +61,11 @@
       Statements(this->Groups),
       Dependencies{this->Directory, this->Groups, this->Counters,
                    &this->DataCentreRelay.forwarding(), &this->Quotas},
+      Routes(
+          {[this] { return this->Directory.plan(); },
+           [this](const ServiceName &S) { return this->Groups.find(S); },
+           &this->DataCentreRelay.forwarding(),
+           [this](const WorkspaceName &Of) { return this->quotaState(Of); }}),
       Sessions(this->Dependencies, this->StreamFactory, this->Values.Callers,
                this->Values.MaxCallers, this->Values.Stop),
       Admin({this->Values.Admin, this->Values.Readiness}, this->Counters),
@@ -90,6 +95,10 @@
 
 void LineDaemon::addStatus() {
   this->Admin.setReady([this] { return this->isReady(); });
+  this->Admin.addQuery("route",
+                       [this](const AdminServer::QueryParameters &Asked) {
+                         return this->Routes.answer(Asked);
+                       });
   this->Admin.addStatus("vm", [this] {
     return QJsonValue(QJsonObject{
         {"id", QString::fromStdString(this->Values.VmId.str())},
@@ -129,6 +138,20 @@
   });
 }
 
+std::optional<QuotaState>
+LineDaemon::quotaState(const WorkspaceName &Of) const {
+  const std::optional<QuotaDecision> Next = this->Quotas.peek(Of);
+  if (!Next)
+    return std::nullopt;
+  QuotaState Out;
+  Out.Use.Limit = *this->Directory.plan()->Workspaces.at(Of).Quota;
+  for (const QuotaUse &Use : this->Quotas.uses())
+    if (Use.Workspace == Of)
+      Out.Use = Use;
+  Out.Next = Next->Verdict;
+  return Out;
+}
+
 QJsonArray LineDaemon::quotaStatus() const {
   QJsonArray Out;
   for (const QuotaUse &Use : this->Quotas.uses())
--- a/src/root/LineDaemon.h
+++ b/src/root/LineDaemon.h
@@ -21,6 +21,7 @@
 #include "root/quotas/WorkspaceQuotas.h"
 #include "root/relay/Relay.h"
 #include "root/sessions/LocalStatements.h"
+#include "root/sessions/RouteQueries.h"
 #include "root/sessions/SessionListener.h"
 #include "root/telemetry/AbandonedCallLog.h"
 #include "root/telemetry/AdminServer.h"
@@ -71,6 +72,8 @@
   /// Registers the providers of /ready and of the members of /status.
   void addStatus();
   QJsonArray quotaStatus() const;
+  /// Returns the quota of \p Of; nothing if it is not limited.
+  std::optional<QuotaState> quotaState(const WorkspaceName &Of) const;
   /// Updates the gauges and logs changes of readiness at a fixed interval until
   /// the daemon drains.
   QCoro::Task<> monitorReadiness();
@@ -93,6 +96,7 @@
   GroupRegistry Groups;
   LocalStatements Statements;
   SessionDependencies Dependencies;
+  RouteQueries Routes;
   SessionListener Sessions;
   AdminServer Admin;
   Supervisor RootSupervisor;
--- a/src/root/groups/PrimaryOutages.cpp
+++ b/src/root/groups/PrimaryOutages.cpp
@@ -38,6 +38,12 @@
   return Leader;
 }
 
+std::optional<BelievedPrimary> PrimaryOutages::peekPrimary(PrimaryNeed Need) {
+  const auto Found = this->Waits.find(Need);
+  PrimaryWait Copy = Found == this->Waits.end() ? PrimaryWait() : Found->second;
+  return this->check(Need, Copy);
+}
+
 TimePoint PrimaryOutages::waitUntil(PrimaryNeed Need,
                                     const WaitingStatement &S) const {
   return this->Waits.at(Need).waitUntil(S);
--- a/src/root/groups/PrimaryOutages.h
+++ b/src/root/groups/PrimaryOutages.h
@@ -74,6 +74,8 @@
   /// Otherwise an outage begins or goes on. While statements are refused, a
   /// primary that failed is not returned until it has answered.
   std::optional<BelievedPrimary> usablePrimary(PrimaryNeed Need);
+  /// Returns the same without an effect on outages, for an explanation.
+  std::optional<BelievedPrimary> peekPrimary(PrimaryNeed Need);
   /// Returns until when \p S may wait for a primary.
   TimePoint waitUntil(PrimaryNeed Need, const WaitingStatement &S) const;
   /// Returns whether statements with \p Need are refused immediately.
--- a/src/root/quotas/WorkspaceQuotas.cpp
+++ b/src/root/quotas/WorkspaceQuotas.cpp
@@ -70,6 +70,17 @@
   return this->Holder.uses(bootNow());
 }
 
+std::optional<QuotaDecision>
+WorkspaceQuotas::peek(const WorkspaceName &Workspace) const {
+  const std::shared_ptr<const AccessPlan> InForce = this->Plan();
+  const auto Found = InForce->Workspaces.find(Workspace);
+  if (Found == InForce->Workspaces.end() || !Found->second.Quota)
+    return std::nullopt;
+  // A decision takes a token.
+  QuotaLeaseHolder Copy = this->Holder;
+  return Copy.admit(Workspace, *Found->second.Quota, false, bootNow());
+}
+
 void WorkspaceQuotas::updateMetrics() {
   for (const QuotaUse &Use : this->uses()) {
     this->Counters.set(Gauge::QuotaLimit, Use.Limit.RatePerSecond,
--- a/src/root/quotas/WorkspaceQuotas.h
+++ b/src/root/quotas/WorkspaceQuotas.h
@@ -57,6 +57,10 @@
   /// Returns the use of each workspace with sessions or recent demand.
   std::vector<QuotaUse> uses() const;
 
+  /// Returns what would be decided about the next operation of \p Workspace,
+  /// without counting one; nothing if it is not limited.
+  std::optional<QuotaDecision> peek(const WorkspaceName &Workspace) const;
+
   std::string_view name() const override { return "quotas"; }
   QCoro::Task<Result<Success>> start() override;
   QCoro::Task<> stop(TimePoint Deadline) override;
--- a/src/root/telemetry/AdminServer.cpp
+++ b/src/root/telemetry/AdminServer.cpp
@@ -2,9 +2,11 @@
 
 #include <QHostAddress>
 #include <QHttpServer>
+#include <QHttpServerRequest>
 #include <QHttpServerResponse>
 #include <QJsonDocument>
 #include <QJsonObject>
+#include <QUrlQuery>
 
 namespace amaranthspur {
 namespace {
@@ -12,6 +14,14 @@
 /// The content type of version 0.0.4 of Prometheus's text format.
 constexpr const char *MetricsType = "text/plain; version=0.0.4; charset=utf-8";
 
+AdminServer::QueryParameters parametersOf(const QHttpServerRequest &Request) {
+  AdminServer::QueryParameters Out;
+  for (const auto &[Key, Value] :
+       Request.query().queryItems(QUrl::FullyDecoded))
+    Out[Key.toStdString()] = Value.toStdString();
+  return Out;
+}
+
 } // namespace
 
 AdminServer::AdminServer(std::vector<Address> Listen, const Metrics &Source)
@@ -28,6 +38,12 @@
   this->Providers.erase(Name);
 }
 
+void AdminServer::addQuery(
+    std::string Name,
+    std::function<QJsonObject(const QueryParameters &)> Provider) {
+  this->Queries.insert_or_assign(std::move(Name), std::move(Provider));
+}
+
 void AdminServer::setReady(std::function<bool()> IsReady) {
   this->IsReady = std::move(IsReady);
 }
@@ -44,6 +60,14 @@
     return QHttpServerResponse("application/json", QJsonDocument(Status).toJson(
                                                        QJsonDocument::Compact));
   });
+  for (const auto &[Name, Provider] : this->Queries)
+    this->Server->route(
+        QString::fromStdString("/" + Name), QHttpServerRequest::Method::Get,
+        [&Provider](const QHttpServerRequest &Request) {
+          return QHttpServerResponse(
+              "application/json", QJsonDocument(Provider(parametersOf(Request)))
+                                      .toJson(QJsonDocument::Compact));
+        });
   this->Server->route("/ready", QHttpServerRequest::Method::Get, [this] {
     if (this->IsReady())
       return QHttpServerResponse("text/plain", "ready\n");
--- a/src/root/telemetry/AdminServer.h
+++ b/src/root/telemetry/AdminServer.h
@@ -1,4 +1,5 @@
-// The HTTP server for operators and monitoring: /metrics, /status, /ready.
+// The HTTP server for operators and monitoring: /metrics, /status, /ready, and
+// queries.
 #ifndef AMARANTHSPUR_ROOT_TELEMETRY_ADMINSERVER_H
 #define AMARANTHSPUR_ROOT_TELEMETRY_ADMINSERVER_H
 
@@ -6,6 +7,7 @@
 #include "root/telemetry/Metrics.h"
 #include "wire/Connection.h"
 
+#include <QJsonObject>
 #include <QJsonValue>
 
 #include <functional>
@@ -21,6 +23,8 @@
 /// Serves
 /// - `GET /metrics`: the metrics, in Prometheus's text format;
 /// - `GET /status`: one JSON object with a member for each provider;
+/// - `GET /<name>?<key>=<value>&...`: a JSON object, for each query that was
+///   added;
 /// - `GET /ready`: 200 if the process accepts work, otherwise 503.
 ///
 /// Requests are answered on the event loop, so providers must not block.
@@ -40,6 +44,15 @@
   /// Removes a member of `/status`.
   void removeStatus(const std::string &Name);
 
+  /// The parameters of a query, by key.
+  using QueryParameters = std::map<std::string, std::string>;
+
+  /// Adds a query. Call it before start().
+  /// \param Name its path, without the first `/`.
+  /// \param Provider called for each request.
+  void addQuery(std::string Name,
+                std::function<QJsonObject(const QueryParameters &)> Provider);
+
   /// Sets the predicate that `/ready` reports. Before the first call, `/ready`
   /// answers 503.
   void setReady(std::function<bool()> IsReady);
@@ -56,6 +69,8 @@
   std::vector<Address> Listen;
   const Metrics &Source;
   std::map<std::string, std::function<QJsonValue()>> Providers;
+  std::map<std::string, std::function<QJsonObject(const QueryParameters &)>>
+      Queries;
   std::function<bool()> IsReady = [] { return false; };
   std::unique_ptr<QHttpServer> Server;
 };
--- a/src/root/telemetry/testing/AdminServerTest.cpp
+++ b/src/root/telemetry/testing/AdminServerTest.cpp
@@ -58,6 +58,12 @@
   Server.addStatus("members", [] { return QJsonValue(4); });
   Server.addStatus("gone", [] { return QJsonValue(1); });
   Server.removeStatus("gone");
+  Server.addQuery("route", [](const AdminServer::QueryParameters &Asked) {
+    QJsonObject Out;
+    for (const auto &[Key, Value] : Asked)
+      Out[QString::fromStdString(Key)] = QString::fromStdString(Value);
+    return Out;
+  });
   REQUIRE(succeeded(QCoro::waitFor(Server.start())));
 
   struct Row {
@@ -73,6 +79,8 @@
       {"/status", true, 200, "application/json", "{\"members\":4}"},
       {"/ready", true, 200, "text/plain", "ready"},
       {"/ready", false, 503, "text/plain", "not ready"},
+      {"/route?database=a%26b%20c&mode=read", true, 200, "application/json",
+       "{\"database\":\"a&b c\",\"mode\":\"read\"}"},
       {"/elsewhere", true, 404, "", ""},
   };
   CHECK(get(Port, "/ready").Status == 503);
