--- a/src/ctl/RouteReport.cpp
+++ b/src/ctl/RouteReport.cpp
@@ -97,7 +97,7 @@
          line(Answer["constraint"].toObject(), ConstraintMembers));
   if (Answer.contains("primary"))
     R.line("primary: " + line(Answer["primary"].toObject(), PrimaryMembers));
-  for (const QJsonValue &V : Answer["candidates"].toArray()) {
+  for (const auto &V : Answer["candidates"].toArray()) {
     const QJsonObject C = V.toObject();
     R.line("candidate " + textOf(C["server"]) + ": " +
            line(C, CandidateMembers));
--- a/src/root/groups/PrimaryOutages.cpp
+++ b/src/root/groups/PrimaryOutages.cpp
@@ -13,7 +13,7 @@
 
 std::optional<BelievedPrimary> PrimaryOutages::check(PrimaryNeed Need,
                                                      PrimaryWait &Of) {
-  const std::optional<BelievedPrimary> Leader = this->Access.believedPrimary();
+  std::optional<BelievedPrimary> Leader = this->Access.believedPrimary();
   if (!Leader)
     return std::nullopt;
   const PrimaryContact Contact = this->Access.contactOf(*Leader);
@@ -28,7 +28,7 @@
 
 std::optional<BelievedPrimary> PrimaryOutages::usablePrimary(PrimaryNeed Need) {
   PrimaryWait &Wait = this->Waits[Need];
-  const std::optional<BelievedPrimary> Leader = this->check(Need, Wait);
+  std::optional<BelievedPrimary> Leader = this->check(Need, Wait);
   if (!Leader) {
     Wait.observeNeed(this->Access.believedPrimary(), steadyNow());
     if (this->Tasks.size() == 0 && !this->Stopping)
--- a/src/root/sessions/RouteQueries.cpp
+++ b/src/root/sessions/RouteQueries.cpp
@@ -125,8 +125,7 @@
                                WorkspaceName(Value("workspace")), *Asked};
   const std::shared_ptr<const AccessPlan> Plan = this->Dependencies.Plan();
   const RouteExplainer Explainer(*Plan, *this);
-  const QJsonObject Out =
-      toJson(Explainer.explain(Question, steadyNow()), *Asked);
+  QJsonObject Out = toJson(Explainer.explain(Question, steadyNow()), *Asked);
   this->Asked.reset();
   return Out;
 }
--- a/src/root/sessions/testing/RouteQueriesTest.cpp
+++ b/src/root/sessions/testing/RouteQueriesTest.cpp
@@ -159,8 +159,10 @@
   const QJsonArray Candidates =
       V.ask("departures", "kiosks", "read")["candidates"].toArray();
   std::map<std::string, double> Weights;
-  for (const QJsonValue &C : Candidates)
+  for (const auto &Entry : Candidates) {
+    const QJsonObject C = Entry.toObject();
     Weights[C["server"].toString().toStdString()] = C["weight"].toDouble();
+  }
   std::map<std::string, double> Chosen;
   constexpr int Choices = 2000;
   for (int I = 0; I < Choices; ++I) {
