--- a/src/root/sessions/ForwardedStatement.h
+++ b/src/root/sessions/ForwardedStatement.h
@@ -8,7 +8,7 @@
 #define AMARANTHSPUR_ROOT_SESSIONS_FORWARDEDSTATEMENT_H
 
 #include "core/Enums.h"
-#include "policy/ForwarderChoice.h"
+#include "policy/RouteChoice.h"
 #include "policy/Statement.h"
 #include "root/groups/ServerPool.h"
 
@@ -78,14 +78,8 @@
 };
 
 /// Forwards statements to other entry VMs.
-class StatementForwarding {
+class StatementForwarding : public ForwarderDirectory {
 public:
-  virtual ~StatementForwarding() = default;
-
-  /// Returns whether \p Query goes to another entry VM now.
-  virtual bool isForwarded(const HomeQuery &Query) = 0;
-  /// Returns whether this entry VM is the home of \p Query now.
-  virtual bool isHome(const HomeQuery &Query) = 0;
   /// Forwards \p Given to the home of \p Query, once, and waits for the answer.
   virtual QCoro::Task<ForwardResult> forward(HomeQuery Query,
                                              ForwardedStatement Given) = 0;
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -161,53 +161,26 @@
 }
 
 ReadConstraint readConstraintFor(const StatementContext &E) {
-  ReadConstraint Constraint;
-  if (E.Route.Consistency == ReadConsistency::Primary) {
-    Constraint.AtPrimary = true;
-    return Constraint;
-  }
-  Constraint.Floor = E.ServerGroup->floorAsOf(
-      E.ArrivedBoot - E.Route.MaxStaleness + StalenessMargin);
-  if (!Constraint.Floor) {
-    Constraint.AtPrimary = true;
-    return Constraint;
-  }
-  if (E.Route.Consistency == ReadConsistency::ReadYourWrites && E.SessionFloor)
-    Constraint.Floor = std::max(*Constraint.Floor, *E.SessionFloor);
-  return Constraint;
+  std::optional<LogPosition> Known;
+  if (E.Route.Consistency != ReadConsistency::Primary)
+    Known = E.ServerGroup->floorAsOf(floorTime(E.Route, E.ArrivedBoot));
+  return chooseConstraint(E.Route, Known, E.SessionFloor);
 }
 
 namespace {
 
-/// Returns what decides on the home of a statement.
-/// \param HasFloor whether it is a read that any server with the floor may run.
-HomeQuery homeQuery(const StatementContext &E, bool HasFloor) {
-  HomeQuery Query;
-  Query.Service = E.Route.Service;
-  Query.Of = E.Workspace;
-  Query.Role = HasFloor ? HomeRole::AnyServer : HomeRole::Primary;
-  const GroupBeliefs &Beliefs = E.ServerGroup->beliefs();
-  if (const std::optional<BelievedPrimary> Leader = Beliefs.primary())
-    Query.Primary = Beliefs.find(Leader->Id)->Registration.Location;
-  return Query;
-}
-
 /// Returns whether a statement with \p Text goes to another entry VM.
 bool isForwarded(const StatementContext &E, const std::string &Text,
                  const HomeQuery &Query) {
   if (!E.Forwarding || Text.size() > MaxForwardedTextBytes ||
       !E.CallerPresent())
     return false;
-  // A workspace needs connections of its own, which no entry VM but its home
-  // can keep.
-  if (E.Workspace.empty())
-    return Query.Role == HomeRole::AnyServer &&
-           E.ServerGroup->isOversubscribed() &&
-           E.Forwarding->isForwarded(Query);
-  if (!E.Forwarding->isHome(Query))
-    return E.Forwarding->isForwarded(Query);
-  E.ServerGroup->observeHomeUse();
-  return false;
+  const bool IsShared = Query.Role == HomeRole::AnyServer &&
+                        E.ServerGroup->isOversubscribed();
+  const StatementPlace Place = choosePlace(*E.Forwarding, Query, IsShared);
+  if (Place == StatementPlace::OwnHome)
+    E.ServerGroup->observeHomeUse();
+  return isElsewhere(Place);
 }
 
 /// Lets the home of \p Query run \p S.
@@ -255,8 +228,7 @@
 
 QCoro::Task<ReadConstraint> awaitReadConstraint(StatementContext &E) {
   if (E.Route.Consistency != ReadConsistency::Primary)
-    co_await E.ServerGroup->awaitFloor(E.ArrivedBoot - E.Route.MaxStaleness +
-                                           StalenessMargin,
+    co_await E.ServerGroup->awaitFloor(floorTime(E.Route, E.ArrivedBoot),
                                        dispatchDeadline(E));
   co_return readConstraintFor(E);
 }
@@ -264,7 +236,8 @@
 QCoro::Task<Answer> runRead(Statement S, StatementContext &E) {
   const ReadConstraint Constraint = co_await awaitReadConstraint(E);
   const HomeQuery Query =
-      homeQuery(E, Constraint.Floor && !Constraint.AtPrimary);
+      homeQuery(E.ServerGroup->beliefs(), E.Route.Service, E.Workspace,
+                Constraint.Floor && !Constraint.AtPrimary);
   if (isForwarded(E, S.Text, Query)) {
     const ForwardResult Out =
         co_await forwardStatement(S, E, Query, Constraint);
@@ -285,7 +258,8 @@
     std::optional<BelievedPrimary> Leader = E.ServerGroup->beliefs().primary();
     std::optional<ServerId> Id;
     if (Constraint.AtPrimary) {
-      const PrimaryNeed Need{Access::Read, true};
+      const PrimaryNeed Need =
+          needOf(Access::Read, true, E.ServerGroup->commitsAreProofs());
       PrimaryOrRefusal Found = co_await awaitPrimary(E, Need);
       if (auto *Refused = std::get_if<Answer>(&Found)) {
         Refusal = std::move(*Refused);
@@ -392,7 +366,7 @@
 }
 
 QCoro::Task<Answer> runWrite(Statement S, StatementContext &E) {
-  const HomeQuery Query = homeQuery(E, false);
+  const HomeQuery Query = homeQuery(E.ServerGroup->beliefs(), E.Route.Service, E.Workspace, false);
   if (!isForwarded(E, S.Text, Query))
     co_return co_await runWriteHere(std::move(S), E);
   const TimePoint SentAt = bootNow();
@@ -421,7 +395,8 @@
 
 QCoro::Task<Answer> runWriteHere(Statement S, StatementContext &E) {
   while (true) {
-    const PrimaryNeed Need{Access::Write, !E.ServerGroup->commitsAreProofs()};
+    const PrimaryNeed Need =
+        needOf(Access::Write, false, E.ServerGroup->commitsAreProofs());
     PrimaryOrRefusal Found = co_await awaitPrimary(E, Need);
     if (auto *Refused = std::get_if<Answer>(&Found))
       co_return std::move(*Refused);
@@ -479,9 +454,8 @@
     std::optional<BelievedPrimary> Leader = E.ServerGroup->beliefs().primary();
     std::optional<ServerId> Id;
     if (Constraint.AtPrimary || Begin.Mode == Access::Write) {
-      const PrimaryNeed Need{Begin.Mode,
-                             Constraint.AtPrimary ||
-                                 !E.ServerGroup->commitsAreProofs()};
+      const PrimaryNeed Need = needOf(Begin.Mode, Constraint.AtPrimary,
+                                      E.ServerGroup->commitsAreProofs());
       PrimaryOrRefusal Found = co_await awaitPrimary(E, Need);
       if (auto *Refused = std::get_if<Answer>(&Found)) {
         Refusal = std::move(*Refused);
