--- a/src/policy/PrimaryWait.cpp
+++ b/src/policy/PrimaryWait.cpp
@@ -47,10 +47,9 @@
     this->Current.reset();
 }
 
-TimePoint PrimaryWait::waitUntil(const WaitingStatement &S) const {
-  const TimePoint Own =
-      std::max(S.Deadline - S.Objective, std::min(S.DispatchBy, S.Deadline));
-  return this->Current ? std::min(Own, this->Current->RefuseFrom) : Own;
+TimePoint PrimaryWait::waitUntil(TimePoint Deadline) const {
+  return this->Current ? std::min(Deadline, this->Current->RefuseFrom)
+                       : Deadline;
 }
 
 Duration PrimaryWait::retryAfter(Random &Rng) {
--- a/src/policy/PrimaryWait.h
+++ b/src/policy/PrimaryWait.h
@@ -31,13 +31,6 @@
   auto operator<=>(const PrimaryNeed &) const = default;
 };
 
-/// The time limits of a statement that needs the primary.
-struct WaitingStatement {
-  TimePoint DispatchBy; ///< It may wait for a connection until then.
-  TimePoint Deadline;   ///< Of its answer.
-  Duration Objective{}; ///< Latency objective of the caller's operation.
-};
-
 /// The waits of the statements with one need.
 class PrimaryWait {
 public:
@@ -77,10 +70,10 @@
     return this->Current && Now >= this->Current->RefuseFrom;
   }
 
-  /// Returns until when \p S may wait. It leaves the caller one latency
-  /// objective for another attempt. Where its limits have no room for that, it
-  /// may wait as long as for a connection.
-  TimePoint waitUntil(const WaitingStatement &S) const;
+  /// Returns until when a statement whose answer is due by \p Deadline may
+  /// wait. Takeovers that end in time are waited for up to that: a shorter wait
+  /// would refuse statements that are served late otherwise.
+  TimePoint waitUntil(TimePoint Deadline) const;
 
   /// Returns the time after which a refused caller is told to retry.
   static Duration retryAfter(Random &Rng);
--- a/src/root/groups/PrimaryOutages.cpp
+++ b/src/root/groups/PrimaryOutages.cpp
@@ -45,8 +45,8 @@
 }
 
 TimePoint PrimaryOutages::waitUntil(PrimaryNeed Need,
-                                    const WaitingStatement &S) const {
-  return this->Waits.at(Need).waitUntil(S);
+                                    TimePoint Deadline) const {
+  return this->Waits.at(Need).waitUntil(Deadline);
 }
 
 bool PrimaryOutages::isRefusing(PrimaryNeed Need) const {
--- a/src/root/groups/PrimaryOutages.h
+++ b/src/root/groups/PrimaryOutages.h
@@ -76,8 +76,9 @@
   std::optional<BelievedPrimary> usablePrimary(PrimaryNeed Need);
   /// Returns the same without an effect on outages, for an explanation.
   std::optional<BelievedPrimary> peekPrimary(PrimaryNeed Need);
-  /// Returns until when \p S may wait for a primary.
-  TimePoint waitUntil(PrimaryNeed Need, const WaitingStatement &S) const;
+  /// Returns until when a statement may wait for a primary whose answer is due
+  /// by \p Deadline.
+  TimePoint waitUntil(PrimaryNeed Need, TimePoint Deadline) const;
   /// Returns whether statements with \p Need are refused immediately.
   bool isRefusing(PrimaryNeed Need) const;
   /// Counts a statement as refused because of a long outage.
--- a/src/root/sessions/LocalStatements.cpp
+++ b/src/root/sessions/LocalStatements.cpp
@@ -41,10 +41,6 @@
   E.Deadline = E.Arrived + Given.Remaining;
   E.DispatchBy = E.Arrived + Given.DispatchIn;
   E.QueuedDispatchBy = E.Arrived + Given.QueuedDispatchIn;
-  // The caller's entry VM has derived both times from the objective.
-  E.Route.LatencyObjective = (Given.QueuedDispatchIn - Given.DispatchIn) *
-                             DispatchDivisor * QueuedDispatchDivisor /
-                             (DispatchDivisor - QueuedDispatchDivisor);
   // The home cannot see whether the caller is still connected. As with a
   // statement that was sent to a server, it is too late to withdraw it.
   E.CallerPresent = [] { return true; };
--- a/src/root/sessions/StatementRunner.cpp
+++ b/src/root/sessions/StatementRunner.cpp
@@ -119,9 +119,6 @@
 QCoro::Task<PrimaryOrRefusal> awaitPrimary(StatementContext &E,
                                            PrimaryNeed Need) {
   PrimaryOutages &Outages = E.ServerGroup->outages();
-  const WaitingStatement Limits{E.Arrived +
-                                    E.Route.LatencyObjective / DispatchDivisor,
-                                E.Deadline, E.Route.LatencyObjective};
   bool Waited = false;
   while (true) {
     const std::optional<BelievedPrimary> Leader = Outages.usablePrimary(Need);
@@ -135,7 +132,7 @@
     // A refused statement asks as well, so that the end of an outage is noticed
     // early.
     E.ServerGroup->primaryWanted();
-    const TimePoint Until = Outages.waitUntil(Need, Limits);
+    const TimePoint Until = Outages.waitUntil(Need, E.Deadline);
     if (steadyNow() >= Until || !E.CallerPresent())
       co_return PrimaryOrRefusal(refuseWithoutPrimary(Outages, Need));
     Waited = true;
@@ -175,8 +172,8 @@
   if (!E.Forwarding || Text.size() > MaxForwardedTextBytes ||
       !E.CallerPresent())
     return false;
-  const bool IsShared = Query.Role == HomeRole::AnyServer &&
-                        E.ServerGroup->isOversubscribed();
+  const bool IsShared =
+      Query.Role == HomeRole::AnyServer && E.ServerGroup->isOversubscribed();
   const StatementPlace Place = choosePlace(*E.Forwarding, Query, IsShared);
   if (Place == StatementPlace::OwnHome)
     E.ServerGroup->observeHomeUse();
@@ -366,7 +363,8 @@
 }
 
 QCoro::Task<Answer> runWrite(Statement S, StatementContext &E) {
-  const HomeQuery Query = homeQuery(E.ServerGroup->beliefs(), E.Route.Service, E.Workspace, false);
+  const HomeQuery Query =
+      homeQuery(E.ServerGroup->beliefs(), E.Route.Service, E.Workspace, false);
   if (!isForwarded(E, S.Text, Query))
     co_return co_await runWriteHere(std::move(S), E);
   const TimePoint SentAt = bootNow();
