--- a/src/root/sessions/testing/StatementRunnerTest.cpp
+++ b/src/root/sessions/testing/StatementRunnerTest.cpp
@@ -4,7 +4,6 @@
 
 using namespace amaranthspur;
 using linegroup::FakeServer;
-using linegroup::LineGroup;
 using linegroup::LinkFault;
 using runnertest::Fixture;
 using runnertest::statement;
