--- a/src/policy/AccessPlan.h
+++ b/src/policy/AccessPlan.h
@@ -81,6 +81,14 @@
     return this->HasWorkspaces && !Route.Anonymous;
   }
 
+  /// Returns the quota of \p Of, or null if it is not limited or not known.
+  const WorkspaceQuota *quotaOf(const WorkspaceName &Of) const {
+    const auto Found = this->Workspaces.find(Of);
+    const bool IsLimited =
+        Found != this->Workspaces.end() && Found->second.Quota.has_value();
+    return IsLimited ? &*Found->second.Quota : nullptr;
+  }
+
   /// Returns the workspace of a caller that presents \p Key for \p Route. The
   /// name is empty if the route needs none.
   /// \returns nothing if the key is not valid.
--- a/src/policy/quotas/QuotaAllocator.cpp
+++ b/src/policy/quotas/QuotaAllocator.cpp
@@ -9,15 +9,10 @@
 /// Longest time to fill a bucket that is waited for.
 constexpr double MaxFillSeconds = 3600;
 
-bool isPlausible(double Number) {
-  // Also false for a value that is not a number.
-  return Number >= 0 && Number <= QuotaAllocator::MaxAmount;
-}
-
 bool isPlausible(const QuotaReport &R) {
-  return isPlausible(R.Demand) && isPlausible(R.Held.RatePerSecond) &&
-         isPlausible(R.Held.Burst) && isPlausible(R.Tokens) &&
-         isPlausible(R.Returned);
+  return isQuotaNumber(R.Demand) && isQuotaNumber(R.Held.RatePerSecond) &&
+         isQuotaNumber(R.Held.Burst) && isQuotaNumber(R.Tokens) &&
+         isQuotaNumber(R.Returned);
 }
 
 } // namespace
@@ -240,14 +235,12 @@
   H.LastRequest = Now;
   std::set<WorkspaceName> Reported;
   for (const QuotaReport &R : Asked.Reports) {
-    const auto Found = Plan.Workspaces.find(R.Workspace);
-    const bool HasQuota =
-        Found != Plan.Workspaces.end() && Found->second.Quota.has_value();
+    const WorkspaceQuota *Quota = Plan.quotaOf(R.Workspace);
     const bool IsFirst = Reported.insert(R.Workspace).second;
-    if (!HasQuota || !IsFirst || !isPlausible(R))
+    if (!Quota || !IsFirst || !isPlausible(R))
       continue;
-    const QuotaAmount Share = dataCentreShare(
-        *Found->second.Quota, this->Tolerance, this->DataCentres);
+    const QuotaAmount Share =
+        dataCentreShare(*Quota, this->Tolerance, this->DataCentres);
     Out.push_back(this->leaseOne(Asked.Holder, R, Share, Now));
   }
   // What is not listed is not held any more.
--- a/src/policy/quotas/QuotaAllocator.h
+++ b/src/policy/quotas/QuotaAllocator.h
@@ -149,8 +149,6 @@
   static constexpr Duration DemandTime = milliseconds(1200);
   /// Interval at which the state of absent holders is removed.
   static constexpr Duration CleanInterval = milliseconds(500);
-  /// Bound of the numbers that a report may contain.
-  static constexpr double MaxAmount = 1e9;
 
   QuotaAllocator(std::size_t DataCentres, QuotaTolerance Tolerance)
       : DataCentres(DataCentres), Tolerance(Tolerance) {}
--- a/src/policy/quotas/QuotaAllocatorLoans.cpp
+++ b/src/policy/quotas/QuotaAllocatorLoans.cpp
@@ -5,14 +5,6 @@
 #include <cmath>
 
 namespace amaranthspur {
-namespace {
-
-bool isTokens(double Number) {
-  // Also false for a value that is not a number.
-  return Number >= 0 && Number <= QuotaAllocator::MaxAmount;
-}
-
-} // namespace
 
 double QuotaAllocator::loanRate(const Account &A, TimePoint Now) {
   const std::chrono::duration<double> Passed = Now - A.LoanRateAt;
@@ -109,16 +101,14 @@
     return Out;
   std::set<WorkspaceName> Wished;
   for (const QuotaLoanWish &Wish : Asked.Wishes) {
-    const auto Found = Plan.Workspaces.find(Wish.Workspace);
-    const bool HasQuota =
-        Found != Plan.Workspaces.end() && Found->second.Quota.has_value();
+    const WorkspaceQuota *Quota = Plan.quotaOf(Wish.Workspace);
     const bool IsFirst = Wished.insert(Wish.Workspace).second;
     const bool IsValid =
-        isTokens(Wish.Tokens) && (!Wish.Held || isTokens(*Wish.Held));
-    if (!HasQuota || !IsFirst || !IsValid)
+        isQuotaNumber(Wish.Tokens) && (!Wish.Held || isQuotaNumber(*Wish.Held));
+    if (!Quota || !IsFirst || !IsValid)
       continue;
-    const QuotaAmount Share = dataCentreShare(
-        *Found->second.Quota, this->Tolerance, this->DataCentres);
+    const QuotaAmount Share =
+        dataCentreShare(*Quota, this->Tolerance, this->DataCentres);
     Account &A = this->accountOf(Wish.Workspace, Share, Now);
     A.Share = Share;
     removeExpired(A, Now);
@@ -150,7 +140,8 @@
   for (const QuotaLoan &Loan : Loans) {
     const auto Found = this->Accounts.find(Loan.Workspace);
     const TimePoint End = SentAt + std::min(Loan.Length, Duration(LoanLength));
-    if (Found == this->Accounts.end() || !isTokens(Loan.Tokens) || Now >= End)
+    if (Found == this->Accounts.end() || !isQuotaNumber(Loan.Tokens) ||
+        Now >= End)
       continue;
     Account &A = Found->second;
     removeExpired(A, Now);
--- a/src/policy/quotas/QuotaAmount.h
+++ b/src/policy/quotas/QuotaAmount.h
@@ -20,6 +20,15 @@
 
 namespace amaranthspur {
 
+/// Bound of the numbers in messages about quotas.
+inline constexpr double MaxQuotaNumber = 1e9;
+
+/// Returns whether \p Number, which came from another entry VM, is within the
+/// bounds. False for a value that is not a number.
+constexpr bool isQuotaNumber(double Number) {
+  return Number >= 0 && Number <= MaxQuotaNumber;
+}
+
 /// A part of a quota.
 struct QuotaAmount {
   double RatePerSecond = 0;
--- a/src/policy/quotas/QuotaLeaseHolder.cpp
+++ b/src/policy/quotas/QuotaLeaseHolder.cpp
@@ -58,8 +58,8 @@
 
 void QuotaLeaseHolder::applyLimits(const AccessPlan &Plan, TimePoint Now) {
   for (auto At = this->States.begin(); At != this->States.end();) {
-    const auto Found = Plan.Workspaces.find(At->first);
-    if (Found == Plan.Workspaces.end() || !Found->second.Quota) {
+    const WorkspaceQuota *Quota = Plan.quotaOf(At->first);
+    if (!Quota) {
       // Sessions are counted even while there is no quota, since it may return.
       At->second.LeaseEnd.reset();
       this->applyLimit(At->second, {}, Now);
@@ -68,7 +68,7 @@
         continue;
       }
     } else {
-      this->applyLimit(At->second, *Found->second.Quota, Now);
+      this->applyLimit(At->second, *Quota, Now);
     }
     ++At;
   }
--- a/src/root/quotas/WorkspaceQuotas.cpp
+++ b/src/root/quotas/WorkspaceQuotas.cpp
@@ -83,12 +83,12 @@
 std::optional<QuotaDecision>
 WorkspaceQuotas::peek(const WorkspaceName &Workspace) const {
   const std::shared_ptr<const AccessPlan> InForce = this->Plan();
-  const auto Found = InForce->Workspaces.find(Workspace);
-  if (Found == InForce->Workspaces.end() || !Found->second.Quota)
+  const WorkspaceQuota *Limit = InForce->quotaOf(Workspace);
+  if (!Limit)
     return std::nullopt;
   // A decision takes a token.
   QuotaLeaseHolder Copy = this->Holder;
-  return Copy.admit(Workspace, *Found->second.Quota, false, bootNow());
+  return Copy.admit(Workspace, *Limit, false, bootNow());
 }
 
 void WorkspaceQuotas::updateMetrics() {
@@ -112,12 +112,10 @@
   bool IsFirst = true;
   while (true) {
     const std::shared_ptr<const AccessPlan> InForce = this->Plan();
-    const auto Found = InForce->Workspaces.find(Workspace);
-    const bool IsLimited =
-        Found != InForce->Workspaces.end() && Found->second.Quota.has_value();
-    if (!IsLimited)
+    const WorkspaceQuota *Quota = InForce->quotaOf(Workspace);
+    if (!Quota)
       co_return Out;
-    Limit = *Found->second.Quota;
+    Limit = *Quota;
     Decision = this->Holder.admit(Workspace, Limit, IsFirst, bootNow());
     IsFirst = false;
     if (Decision.Verdict != QuotaVerdict::LeaseWanted || this->Stopping ||
@@ -194,8 +192,7 @@
   QuotaRequest Asked = this->Holder.makeRequest(bootNow());
   const std::shared_ptr<const AccessPlan> InForce = this->Plan();
   std::erase_if(Asked.Reports, [&InForce](const QuotaReport &R) {
-    const auto Found = InForce->Workspaces.find(R.Workspace);
-    return Found == InForce->Workspaces.end() || !Found->second.Quota;
+    return InForce->quotaOf(R.Workspace) == nullptr;
   });
   // Without workspaces nothing is sent. The last of them is given up once.
   const bool Lists = !Asked.Reports.empty();
--- a/src/root/relay/QuotaCodec.cpp
+++ b/src/root/relay/QuotaCodec.cpp
@@ -7,8 +7,6 @@
 namespace amaranthspur {
 namespace {
 
-/// Bound of the amounts of a quota.
-constexpr double MaxAmount = 1e9;
 /// Bound of the length of a lease.
 constexpr std::int64_t MaxLengthUs = 60LL * 1000 * 1000;
 
@@ -16,11 +14,6 @@
   return !Text.empty() && Text.size() <= MaxRelayNameBytes;
 }
 
-bool isAmount(double Number) {
-  // Also false for a value that is not a number.
-  return Number >= 0 && Number <= MaxAmount;
-}
-
 } // namespace
 
 void addQuotas(relay::SyncRequest &Message, const QuotaRequest &Asked) {
@@ -49,9 +42,10 @@
   const int Count = std::min(Message.quotas_size(), MaxQuotasInMessage);
   for (int I = 0; I < Count; ++I) {
     const relay::QuotaDemand &D = Message.quotas(I);
-    const bool IsValid = isName(D.workspace()) && isAmount(D.demand()) &&
-                         isAmount(D.held_rate()) && isAmount(D.held_burst()) &&
-                         isAmount(D.tokens()) && isAmount(D.returned());
+    const bool IsValid =
+        isName(D.workspace()) && isQuotaNumber(D.demand()) &&
+        isQuotaNumber(D.held_rate()) && isQuotaNumber(D.held_burst()) &&
+        isQuotaNumber(D.tokens()) && isQuotaNumber(D.returned());
     if (IsValid)
       Out.Reports.push_back({WorkspaceName(D.workspace()),
                              D.demand(),
@@ -78,9 +72,10 @@
 std::vector<QuotaLease> quotaLeasesOf(const relay::SyncReply &Message) {
   std::vector<QuotaLease> Out;
   for (const relay::QuotaGrant &G : Message.quotas()) {
-    const bool IsValid = isName(G.workspace()) && isAmount(G.rate()) &&
-                         isAmount(G.burst()) && isAmount(G.tokens()) &&
-                         G.length_us() > 0 && G.length_us() <= MaxLengthUs;
+    const bool IsValid = isName(G.workspace()) && isQuotaNumber(G.rate()) &&
+                         isQuotaNumber(G.burst()) &&
+                         isQuotaNumber(G.tokens()) && G.length_us() > 0 &&
+                         G.length_us() <= MaxLengthUs;
     if (IsValid)
       Out.push_back({WorkspaceName(G.workspace()),
                      {G.rate(), G.burst()},
@@ -117,10 +112,10 @@
   const int Count = std::min(Asked.wishes_size(), MaxQuotasInMessage);
   for (int I = 0; I < Count; ++I) {
     const relay::QuotaLoanWish &W = Asked.wishes(I);
-    if (!isName(W.workspace()) || !isAmount(W.tokens()))
+    if (!isName(W.workspace()) || !isQuotaNumber(W.tokens()))
       continue;
     QuotaLoanWish Wish{WorkspaceName(W.workspace()), W.tokens(), std::nullopt};
-    if (W.has_held() && isAmount(W.held()))
+    if (W.has_held() && isQuotaNumber(W.held()))
       Wish.Held = W.held();
     Out.Wishes.push_back(std::move(Wish));
   }
@@ -140,7 +135,7 @@
 std::vector<QuotaLoan> loansOf(const relay::ExchangeReply &Message) {
   std::vector<QuotaLoan> Out;
   for (const relay::QuotaLoan &L : Message.loans()) {
-    const bool IsValid = isName(L.workspace()) && isAmount(L.tokens()) &&
+    const bool IsValid = isName(L.workspace()) && isQuotaNumber(L.tokens()) &&
                          L.length_us() > 0 && L.length_us() <= MaxLengthUs;
     if (IsValid)
       Out.push_back(
