--- a/src/policy/RouteChoice.h
+++ b/src/policy/RouteChoice.h
@@ -79,16 +79,29 @@
          Place == StatementPlace::Forwarder;
 }
 
+/// Where the home of a statement is.
+enum class HomePlace {
+  None, ///< No entry VM is usable as its home.
+  ThisVm,
+  OtherVm,
+};
+
+template <> struct EnumNames<HomePlace> {
+  static constexpr auto Entries =
+      std::to_array<std::pair<HomePlace, std::string_view>>(
+          {{HomePlace::None, "none"},
+           {HomePlace::ThisVm, "this-vm"},
+           {HomePlace::OtherVm, "other-vm"}});
+};
+
 /// Knows which entry VMs run statements for others.
 class ForwarderDirectory {
 public:
   virtual ~ForwarderDirectory() = default;
 
-  /// Returns whether \p Query goes to another entry VM now. A link that is
-  /// first needed is opened.
-  virtual bool isForwarded(const HomeQuery &Query) = 0;
-  /// Returns whether this entry VM is the home of \p Query now.
-  virtual bool isHome(const HomeQuery &Query) = 0;
+  /// Returns where the home of \p Query is now. A link that is first needed is
+  /// opened.
+  virtual HomePlace homeOf(const HomeQuery &Query) = 0;
 };
 
 /// Returns where a statement is run that may be forwarded.
@@ -98,13 +111,18 @@
                                   const HomeQuery &Query, bool IsShared) {
   // A workspace needs connections of its own, which no entry VM but its home
   // can keep.
-  if (Query.Of.empty())
-    return IsShared && Forwarders.isForwarded(Query) ? StatementPlace::Forwarder
-                                                     : StatementPlace::Here;
-  if (Forwarders.isHome(Query))
-    return StatementPlace::OwnHome;
-  return Forwarders.isForwarded(Query) ? StatementPlace::OtherHome
-                                       : StatementPlace::Here;
+  const bool HasWorkspace = !Query.Of.empty();
+  if (!HasWorkspace && !IsShared)
+    return StatementPlace::Here;
+  switch (Forwarders.homeOf(Query)) {
+  case HomePlace::None:
+    break;
+  case HomePlace::ThisVm:
+    return HasWorkspace ? StatementPlace::OwnHome : StatementPlace::Here;
+  case HomePlace::OtherVm:
+    return HasWorkspace ? StatementPlace::OtherHome : StatementPlace::Forwarder;
+  }
+  return StatementPlace::Here;
 }
 
 } // namespace amaranthspur
--- a/src/root/relay/StatementForwarder.cpp
+++ b/src/root/relay/StatementForwarder.cpp
@@ -118,13 +118,11 @@
   return std::nullopt;
 }
 
-bool StatementForwarder::isHome(const HomeQuery &Query) {
-  return this->chosen(Query) == this->Self;
-}
-
-bool StatementForwarder::isForwarded(const HomeQuery &Query) {
+HomePlace StatementForwarder::homeOf(const HomeQuery &Query) {
   const std::optional<EntryVmId> Home = this->chosen(Query);
-  return Home && Home != this->Self;
+  if (!Home)
+    return HomePlace::None;
+  return Home == this->Self ? HomePlace::ThisVm : HomePlace::OtherVm;
 }
 
 QCoro::Task<ForwardResult>
--- a/src/root/relay/StatementForwarder.h
+++ b/src/root/relay/StatementForwarder.h
@@ -55,8 +55,7 @@
   /// Returns the number of links to forwarders of other data centres.
   std::size_t remoteLinks() const;
 
-  bool isForwarded(const HomeQuery &Query) override;
-  bool isHome(const HomeQuery &Query) override;
+  HomePlace homeOf(const HomeQuery &Query) override;
   QCoro::Task<ForwardResult> forward(HomeQuery Query,
                                      ForwardedStatement Given) override;
 
--- a/src/root/relay/testing/RelayTest.cpp
+++ b/src/root/relay/testing/RelayTest.cpp
@@ -328,7 +328,7 @@
   Read.Values = {{"unit", "kg"}};
   Read.Remaining = std::chrono::seconds(3);
   F.waitUntil([Caller, &Query] {
-    return Caller->Node.forwarding().isForwarded(Query);
+    return Caller->Node.forwarding().homeOf(Query) == HomePlace::OtherVm;
   });
   const auto Forward = [Caller, &Query, &Read] {
     const TimePoint Start = steadyNow();
@@ -357,7 +357,7 @@
   for (const Row &R : Rows) {
     CAPTURE(R.Name);
     F.waitUntil([Caller, &Query] {
-      return Caller->Node.forwarding().isForwarded(Query);
+      return Caller->Node.forwarding().homeOf(Query) == HomePlace::OtherVm;
     });
     for (const auto &[Name, Vm] : F.Vms)
       if (Vm.get() != Caller)
@@ -365,7 +365,7 @@
     CHECK(Forward().Fate != ForwardFate::Answered);
     CHECK(Forward().Fate != ForwardFate::Answered);
     // Both forwarders are avoided now; the reads run here.
-    CHECK_FALSE(Caller->Node.forwarding().isForwarded(Query));
+    CHECK(Caller->Node.forwarding().homeOf(Query) != HomePlace::OtherVm);
     for (const auto &[Name, Vm] : F.Vms) {
       Vm->Statements.Silent = false;
       Vm->Statements.KnowsService = true;
@@ -461,7 +461,7 @@
     StatementForwarder Sender(EntryVmId("sender"));
     Sender.setForwarders(Context, {{EntryVmId(Home->first), Vm.Address, 50}},
                          Token);
-    F.waitUntil([&] { return Sender.isForwarded(Query); });
+    F.waitUntil([&] { return Sender.homeOf(Query) == HomePlace::OtherVm; });
     if (!R.IsFirst)
       REQUIRE(runTask(Sender.forward(Query, Write)).Fate ==
               ForwardFate::NotRun);
--- a/src/root/relay/testing/StatementForwarderTest.cpp
+++ b/src/root/relay/testing/StatementForwarderTest.cpp
@@ -146,7 +146,7 @@
 
   /// Returns which forwarder answers a read now; empty for none.
   std::string answering() {
-    if (!this->Sender.isForwarded(this->Query))
+    if (this->Sender.homeOf(this->Query) != HomePlace::OtherVm)
       return "";
     const TimePoint Start = steadyNow();
     const ForwardResult Out = this->forward(StatementVerb::Read);
@@ -241,7 +241,7 @@
   HomeQuery WithoutPrimary = F.Query;
   WithoutPrimary.Primary = DataCentre();
   const TimePoint Limit = steadyNow() + std::chrono::seconds(10);
-  while (!F.Sender.isForwarded(WithoutPrimary)) {
+  while (F.Sender.homeOf(WithoutPrimary) != HomePlace::OtherVm) {
     REQUIRE(steadyNow() < Limit);
     runTask(pause(milliseconds(20)));
   }
@@ -283,10 +283,10 @@
     // Statements of other regions open no link.
     HomeQuery Elsewhere = F.Query;
     Elsewhere.Primary = DataCentre("c1");
-    F.Sender.isForwarded(Elsewhere);
+    F.Sender.homeOf(Elsewhere);
     CHECK(F.Sender.remoteLinks() == 0);
     unsigned Name = 0;
-    while (F.Sender.isHome(F.Query) || !F.Sender.isForwarded(F.Query) ||
+    while (F.Sender.homeOf(F.Query) != HomePlace::OtherVm ||
            F.answering() != "remote") {
       REQUIRE(++Name < 500);
       F.Query.Service = ServiceName("s" + std::to_string(Name));
--- a/src/root/sessions/testing/RouteQueriesTest.cpp
+++ b/src/root/sessions/testing/RouteQueriesTest.cpp
@@ -17,11 +17,9 @@
 
 class FakeForwarders final : public ForwarderDirectory {
 public:
-  bool isForwarded(const HomeQuery &) override { return this->Forwarded; }
-  bool isHome(const HomeQuery &) override { return this->Home; }
+  HomePlace homeOf(const HomeQuery &) override { return this->Home; }
 
-  bool Forwarded = false;
-  bool Home = false;
+  HomePlace Home = HomePlace::None;
 };
 
 /// An entry VM with two databases and a workspace.
@@ -106,11 +104,11 @@
       {"a read of a primary route", "ledger", "kiosks", "read",
        [](Vm &V) { V.knowFloor(); }, "none", "here", "a", Ok},
       {"a write at its home", "departures", "kiosks", "write",
-       [](Vm &V) { V.write().Forwarders.Home = true; }, "none", "here-as-home",
-       "a", Ok},
+       [](Vm &V) { V.write().Forwarders.Home = HomePlace::ThisVm; }, "none",
+       "here-as-home", "a", Ok},
       {"a write of another home", "departures", "kiosks", "write",
-       [](Vm &V) { V.write().Forwarders.Forwarded = true; }, "none", "home",
-       "a", Ok},
+       [](Vm &V) { V.write().Forwarders.Home = HomePlace::OtherVm; }, "none",
+       "home", "a", Ok},
       {"no primary", "departures", "kiosks", "write",
        [](Vm &V) { V.write().F.Servers->markNotPrimary(ServerId("a")); },
        "no-primary-now", "here", "", No},
--- a/src/root/sessions/testing/StatementRunnerTest.cpp
+++ b/src/root/sessions/testing/StatementRunnerTest.cpp
@@ -442,8 +442,7 @@
 TEST_CASE("a read without an answer of its forwarder is run here") {
   class SilentForwarding final : public StatementForwarding {
   public:
-    bool isForwarded(const HomeQuery &) override { return true; }
-    bool isHome(const HomeQuery &) override { return false; }
+    HomePlace homeOf(const HomeQuery &) override { return HomePlace::OtherVm; }
     QCoro::Task<ForwardResult> forward(HomeQuery, ForwardedStatement) override {
       co_await sleepFor(milliseconds(150));
       ForwardResult Lost;
@@ -487,8 +486,9 @@
 TEST_CASE("statements of a workspace run at its home") {
   class FakeForwarding final : public StatementForwarding {
   public:
-    bool isForwarded(const HomeQuery &) override { return !this->IsHome; }
-    bool isHome(const HomeQuery &) override { return this->IsHome; }
+    HomePlace homeOf(const HomeQuery &) override {
+      return this->IsHome ? HomePlace::ThisVm : HomePlace::OtherVm;
+    }
     QCoro::Task<ForwardResult> forward(HomeQuery Query,
                                        ForwardedStatement Given) override {
       this->Asked.push_back(Query);
