--- a/src/root/groups/testing/GroupEvidenceTest.cpp
+++ b/src/root/groups/testing/GroupEvidenceTest.cpp
@@ -3,6 +3,7 @@
 #include "core/BootClock.h"
 #include "platform/testing/MemoryPlatform.h"
 #include "root/groups/testing/GroupRegistrations.h"
+#include "root/groups/testing/GroupSetup.h"
 #include "testing/TaskRunner.h"
 
 #include <catch2/catch.hpp>
@@ -44,10 +45,7 @@
 struct Fixture {
   Fixture() {
     testApplication();
-    ServiceLimits Limits;
-    Limits.MaxConnections = 33;
-    Limits.SyncReplicas = 1;
-    this->Servers->configure(Limits, this->Group.registrations());
+    configureGroup(*this->Servers, this->Group);
     this->Servers->start();
     this->Monitor.start();
   }
@@ -158,34 +156,28 @@
     Term TermNumber;
     std::optional<BelievedPrimary> Expected;
   };
-  const auto Leads = [](class Group &Of, const char *Id, Term T) {
-    ServerReport Report;
-    Report.Role = ServerRole::Primary;
-    Report.TermNumber = Report.AdoptedTerm = T;
-    Of.observeReport(ServerId(Id), Report, bootNow());
-  };
   const BelievedPrimary A{ServerId("a"), 1};
   const BelievedPrimary B{ServerId("b"), 2};
   const Row Rows[] = {
       {"the term of the registered primary", [](class Group &) {},
        ServerId("a"), 1, A},
-      {"a later primary", [&Leads](class Group &Of) { Leads(Of, "a", 1); },
+      {"a later primary", [](class Group &Of) { reportPrimary(Of, "a", 1); },
        ServerId("b"), 2, B},
       {"an earlier primary",
-       [&Leads](class Group &Of) {
-         Leads(Of, "a", 1);
-         Leads(Of, "b", 2);
+       [](class Group &Of) {
+         reportPrimary(Of, "a", 1);
+         reportPrimary(Of, "b", 2);
        },
        ServerId("a"), 1, B},
       {"a server that has refused a write in this term",
-       [&Leads](class Group &Of) {
-         Leads(Of, "a", 1);
+       [](class Group &Of) {
+         reportPrimary(Of, "a", 1);
          Of.markNotPrimary(ServerId("a"));
        },
        ServerId("a"), 1, std::nullopt},
       {"the same server in a later term",
-       [&Leads](class Group &Of) {
-         Leads(Of, "a", 1);
+       [](class Group &Of) {
+         reportPrimary(Of, "a", 1);
          Of.markNotPrimary(ServerId("a"));
        },
        ServerId("a"), 3, BelievedPrimary{ServerId("a"), 3}},
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -3,6 +3,7 @@
 #include "core/BootClock.h"
 #include "platform/testing/MemoryPlatform.h"
 #include "root/groups/testing/GroupRegistrations.h"
+#include "root/groups/testing/GroupSetup.h"
 #include "testing/CapturedLog.h"
 #include "testing/TaskRunner.h"
 
@@ -66,12 +67,7 @@
     runTask(this->Servers->stop());
   }
 
-  void refresh() {
-    ServiceLimits Limits;
-    Limits.MaxConnections = 33;
-    Limits.SyncReplicas = 1;
-    this->Servers->configure(Limits, this->Group.registrations());
-  }
+  void refresh() { configureGroup(*this->Servers, this->Group); }
 
   /// Waits until an order is given or \p Limit has passed.
   void pass(Duration Limit) {
--- a/src/root/groups/testing/GroupProofTest.cpp
+++ b/src/root/groups/testing/GroupProofTest.cpp
@@ -1,8 +1,6 @@
-#include "root/groups/Group.h"
-
 #include "core/BootClock.h"
+#include "root/groups/testing/GroupSetup.h"
 #include "testing/TaskRunner.h"
-#include "testing/line-group/LineGroup.h"
 
 #include <catch2/catch.hpp>
 
@@ -29,15 +27,9 @@
 struct Fixture {
   Fixture() {
     testApplication();
-    ServiceLimits Limits;
-    Limits.MaxConnections = 33;
-    Limits.SyncReplicas = 1;
-    this->Servers->configure(Limits, this->Group.registrations());
+    configureGroup(*this->Servers, this->Group);
     this->Servers->start();
-    ServerReport Report;
-    Report.Role = ServerRole::Primary;
-    Report.TermNumber = Report.AdoptedTerm = 1;
-    this->Servers->observeReport(ServerId("a"), Report, bootNow());
+    reportPrimary(*this->Servers, "a", 1);
   }
   ~Fixture() { runTask(this->Servers->stop()); }
 
--- a/src/root/groups/testing/MissingCommitAlarmTest.cpp
+++ b/src/root/groups/testing/MissingCommitAlarmTest.cpp
@@ -1,8 +1,7 @@
 #include "core/BootClock.h"
-#include "root/groups/Group.h"
+#include "root/groups/testing/GroupSetup.h"
 #include "testing/CapturedLog.h"
 #include "testing/TaskRunner.h"
-#include "testing/line-group/LineGroup.h"
 
 #include <catch2/catch.hpp>
 
@@ -16,10 +15,7 @@
 struct Fixture {
   Fixture() {
     testApplication();
-    ServiceLimits Limits;
-    Limits.MaxConnections = 33;
-    Limits.SyncReplicas = 1;
-    this->Servers->configure(Limits, this->Group.registrations());
+    configureGroup(*this->Servers, this->Group);
     this->report("a", 1, {1, 8});
     Answer A;
     A.Position = LogPosition{1, 9};
@@ -28,11 +24,7 @@
   ~Fixture() { runTask(this->Servers->stop()); }
 
   void report(const char *Id, Term T, LogPosition End) {
-    ServerReport Report;
-    Report.Role = ServerRole::Primary;
-    Report.TermNumber = Report.AdoptedTerm = T;
-    Report.Received = End;
-    this->Servers->observeReport(ServerId(Id), Report, bootNow());
+    reportPrimary(*this->Servers, Id, T, End);
   }
   /// Records an answer of \p Id, which is believed to lead.
   void answer(const char *Id, LogPosition Position) {
--- a/src/root/sessions/testing/PrimaryWaitsTest.cpp
+++ b/src/root/sessions/testing/PrimaryWaitsTest.cpp
@@ -39,11 +39,7 @@
   co_await sleepFor(Delay);
   F.Group.promote("b");
   F.Servers->configure(F.Servers->limits(), F.Group.registrations());
-  ServerReport Report;
-  Report.Role = ServerRole::Primary;
-  Report.TermNumber = Report.AdoptedTerm = 2;
-  Report.Received = F.Group["b"].Log;
-  F.Servers->observeReport(ServerId("b"), Report, bootNow());
+  reportPrimary(*F.Servers, "b", 2, F.Group["b"].Log);
 }
 
 constexpr Duration Period = PrimaryWait::Period;
--- a/src/root/sessions/testing/RunnerFixture.h
+++ b/src/root/sessions/testing/RunnerFixture.h
@@ -5,9 +5,9 @@
 #include "core/BootClock.h"
 #include "platform/LineCodec.h"
 #include "platform/testing/MemoryPlatform.h"
+#include "root/groups/testing/GroupSetup.h"
 #include "root/sessions/StatementRunner.h"
 #include "testing/TaskRunner.h"
-#include "testing/line-group/LineGroup.h"
 
 #include <catch2/catch.hpp>
 
@@ -26,17 +26,11 @@
 struct Fixture {
   Fixture() {
     testApplication();
-    ServiceLimits Limits;
-    Limits.MaxConnections = 33;
-    Limits.SyncReplicas = 1;
-    this->Servers->configure(Limits, this->Group.registrations());
+    configureGroup(*this->Servers, this->Group);
     this->Servers->start();
     // No monitor runs in this test. This report replaces the status that the
     // monitor would request from the primary to get its term.
-    ServerReport Report;
-    Report.Role = ServerRole::Primary;
-    Report.TermNumber = Report.AdoptedTerm = 1;
-    this->Servers->observeReport(ServerId("a"), Report, bootNow());
+    reportPrimary(*this->Servers, "a", 1);
   }
   ~Fixture() { runTask(this->Servers->stop()); }
 
