--- a/src/bench/soak/Workspaces.h
+++ b/src/bench/soak/Workspaces.h
@@ -22,7 +22,7 @@
   Workspaces();
 
   const std::vector<WorkspaceEntry> &entries() const { return this->Entries; }
-  /// Returns the field `tenants` of the configuration.
+  /// Returns the list of workspaces, as the configuration has it.
   QJsonArray document() const;
 
   /// Adds a key to a workspace or withdraws one. A workspace keeps at least one
--- a/src/policy/ConnectionShare.h
+++ b/src/policy/ConnectionShare.h
@@ -114,10 +114,6 @@
 
   /// Sets the homes of the deployment.
   void setHomes(const HomeDivision &Division);
-  /// Sets the number of homes, which divide the connections equally.
-  void setHomes(std::size_t Count) {
-    this->setHomes(HomeDivision{Count, 0, true});
-  }
 
   /// Records that this entry VM runs a statement of a workspace as its home.
   void observeHomeUse(TimePoint Now);
--- a/src/policy/ForwarderChoice.h
+++ b/src/policy/ForwarderChoice.h
@@ -66,9 +66,10 @@
                                         const WorkspaceName &Of);
 
 /// Returns the number of forwarders of the deployment. A data centre that is
-/// not listed is assumed to have as many as this one. \param Own number of
-/// forwarders of this data centre. \param Others data centres whose forwarders
-/// are known. \param DataCentres number of data centres, this one included.
+/// not listed is assumed to have as many as this one.
+/// \param Own number of forwarders of this data centre.
+/// \param Others data centres whose forwarders are known.
+/// \param DataCentres number of data centres, this one included.
 std::size_t countForwarders(std::size_t Own,
                             const std::vector<RemoteForwarders> &Others,
                             std::size_t DataCentres);
--- a/src/policy/RelayContact.h
+++ b/src/policy/RelayContact.h
@@ -76,8 +76,8 @@
   /// Records that the row is read.
   void observeRowRead(TimePoint Now) { this->RowReadAt = Now; }
   /// Records the row, which was read or sent by a relay that was replaced. A
-  /// row that is not newer than the known one is ignored. \returns whether the
-  /// row is new; the forwarders are then unknown.
+  /// row that is not newer than the known one is ignored.
+  /// \returns whether the row is new; the forwarders are then unknown.
   bool observeRow(const RelayRow &Seen, TimePoint Now);
   /// Records that no tokens were wanted.
   void observeNothingWanted(TimePoint Now) { this->WishCheckedAt = Now; }
--- a/src/policy/testing/ConnectionShareTest.cpp
+++ b/src/policy/testing/ConnectionShareTest.cpp
@@ -260,7 +260,7 @@
     Share S;
     S.setMaximum(70);
     S.setSharers(67);
-    S.setHomes(R.Homes);
+    S.setHomes({R.Homes});
     S.observeHomeUse(at(0));
     if (R.RefusedAtMs != Never)
       S.observeRefusal(2, at(R.RefusedAtMs));
@@ -345,7 +345,7 @@
     ConnectionShare S;
     S.setMaximum(70);
     S.setSharers(67);
-    S.setHomes(12);
+    S.setHomes({12});
     if (R.IsHome)
       S.observeHomeUse(at(0));
     S.setMaximum(R.Maximum);
@@ -359,7 +359,7 @@
 TEST_CASE("a home regains its share after a refusal") {
   ConnectionShare S;
   S.setMaximum(70);
-  S.setHomes(12);
+  S.setHomes({12});
   S.observeHomeUse(at(0));
   S.observeRefusal(3, at(0));
   REQUIRE(S.limit(at(0)) == 2);
@@ -380,7 +380,7 @@
 TEST_CASE("a home does not ask for the number of connections") {
   ConnectionShare S;
   S.setMaximum(70);
-  S.setHomes(2);
+  S.setHomes({2});
   CHECK(S.wantsCount(10, at(0)));
   S.observeHomeUse(at(0));
   CHECK_FALSE(S.wantsCount(10, at(0)));
--- a/src/policy/testing/HomesModelTest.cpp
+++ b/src/policy/testing/HomesModelTest.cpp
@@ -180,7 +180,7 @@
         if (this->C.IsByRegion)
           Share.setHomes(homeDivision(At.Where, R.Location, HomeCount));
         else
-          Share.setHomes(HomeCount);
+          Share.setHomes({HomeCount});
       }
     }
     for (auto &[Id, P] : Found.Pools)
--- a/src/root/groups/testing/ServerPoolTest.cpp
+++ b/src/root/groups/testing/ServerPoolTest.cpp
@@ -246,7 +246,7 @@
     ServerPool &Pool = *Owned;
     Pool.share().setMaximum(70);
     Pool.share().setSharers(67);
-    Pool.share().setHomes(12);
+    Pool.share().setHomes({12});
     if (R.IsHome)
       Pool.share().observeHomeUse(steadyNow());
     for (const char *Of : {"w1", "w2", "w3", "w4"}) {
@@ -277,7 +277,7 @@
     const auto Owned = std::make_shared<ServerPool>(Group, Server);
     ServerPool &Pool = *Owned;
     Pool.share().setMaximum(70);
-    Pool.share().setHomes(12);
+    Pool.share().setHomes({12});
     Pool.share().observeHomeUse(steadyNow());
     std::vector<std::string> Opened;
     for (std::size_t I = 0; I < Idle; ++I) {
@@ -328,7 +328,7 @@
         std::make_shared<ServerPool>(Group, Group.registrations().front());
     ServerPool &Pool = *Owned;
     Pool.share().setMaximum(70);
-    Pool.share().setHomes(12);
+    Pool.share().setHomes({12});
     if (R.IsHome)
       Pool.share().observeHomeUse(steadyNow());
     const auto Acquire = [&Pool](std::optional<std::string> Of) {
--- a/src/root/sessions/StatementRunner.h
+++ b/src/root/sessions/StatementRunner.h
@@ -127,8 +127,8 @@
 
 /// Decides what a caller is told of the commit that \p Primary acknowledged
 /// with \p A: success if no takeover can lose it as far as is known, otherwise
-/// that the outcome is unknown. Waits for the evidence by E.Deadline. \param
-/// SentAt boot clock; when the write or COMMIT was sent.
+/// that the outcome is unknown. Waits for the evidence by E.Deadline.
+/// \param SentAt boot clock; when the write or COMMIT was sent.
 QCoro::Task<Answer> confirmCommit(Answer A, BelievedPrimary Primary,
                                   TimePoint SentAt, StatementContext &E);
 
