Let the store of the soak come back from older copies

A phase, store-returns, makes the store go away for 0.2 to 3 s and come back from a copy that is 1 to 8 s old, in the next era, with or without its clock, beside changes of the configuration, releases, crashes, stops and cuts. The rows of others are written again one by one within 1 s, and rows of servers that have left expire. Writes of others to the store let versions fall by up to 200.

--- a/src/bench/soak/Faults.cpp
+++ b/src/bench/soak/Faults.cpp
@@ -36,23 +36,24 @@
 };
 
 constexpr FaultWeight FaultWeights[] = {
-    {FaultKind::Kill, {0, 1, 2, 0, 0, 1, 0}},
-    {FaultKind::Terminate, {4, 1, 3, 0, 0, 2, 1}},
-    {FaultKind::Freeze, {0, 1, 2, 0, 0, 1, 0}},
-    {FaultKind::HangUp, {2, 0, 1, 0, 0, 0, 0}},
-    {FaultKind::Cut, {0, 8, 4, 1, 1, 0, 0}},
-    {FaultKind::Configuration, {1, 0, 2, 0, 0, 0, 0}},
-    {FaultKind::Store, {0, 1, 2, 0, 0, 1, 0}},
-    {FaultKind::ServerCrash, {0, 0, 2, 0, 0, 0, 0}},
-    {FaultKind::ServerRestart, {0, 0, 1, 0, 0, 0, 0}},
-    {FaultKind::DeafReplica, {1, 1, 2, 0, 0, 0, 0}},
-    {FaultKind::Release, {8, 2, 4, 3, 3, 0, 0}},
-    {FaultKind::PrimaryCrash, {0, 0, 0, 6, 6, 0, 0}},
-    {FaultKind::Isolation, {0, 0, 0, 3, 3, 0, 0}},
-    {FaultKind::Keys, {0, 0, 0, 0, 0, 6, 0}},
-    {FaultKind::Quota, {0, 0, 0, 0, 0, 0, 2}},
-    {FaultKind::Surge, {0, 0, 0, 0, 0, 0, 3}},
-    {FaultKind::StoreCut, {0, 0, 0, 0, 0, 3, 1}},
+    {FaultKind::Kill, {0, 1, 2, 0, 0, 1, 0, 1}},
+    {FaultKind::Terminate, {4, 1, 3, 0, 0, 2, 1, 2}},
+    {FaultKind::Freeze, {0, 1, 2, 0, 0, 1, 0, 1}},
+    {FaultKind::HangUp, {2, 0, 1, 0, 0, 0, 0, 0}},
+    {FaultKind::Cut, {0, 8, 4, 1, 1, 0, 0, 1}},
+    {FaultKind::Configuration, {1, 0, 2, 0, 0, 0, 0, 3}},
+    {FaultKind::Store, {0, 1, 2, 0, 0, 1, 0, 0}},
+    {FaultKind::ServerCrash, {0, 0, 2, 0, 0, 0, 0, 2}},
+    {FaultKind::ServerRestart, {0, 0, 1, 0, 0, 0, 0, 0}},
+    {FaultKind::DeafReplica, {1, 1, 2, 0, 0, 0, 0, 0}},
+    {FaultKind::Release, {8, 2, 4, 3, 3, 0, 0, 3}},
+    {FaultKind::PrimaryCrash, {0, 0, 0, 6, 6, 0, 0, 0}},
+    {FaultKind::Isolation, {0, 0, 0, 3, 3, 0, 0, 0}},
+    {FaultKind::Keys, {0, 0, 0, 0, 0, 6, 0, 0}},
+    {FaultKind::Quota, {0, 0, 0, 0, 0, 0, 2, 0}},
+    {FaultKind::Surge, {0, 0, 0, 0, 0, 0, 3, 0}},
+    {FaultKind::StoreCut, {0, 0, 0, 0, 0, 3, 1, 0}},
+    {FaultKind::StoreReturn, {0, 0, 0, 0, 0, 0, 0, 4}},
 };
 
 // An order that is held up can arrive after a later one, so that it is drawn
@@ -157,6 +158,9 @@
   case FaultKind::StoreCut:
     this->cutStore();
     return;
+  case FaultKind::StoreReturn:
+    this->returnStore();
+    return;
   case FaultKind::Start:
   case FaultKind::PowerLoss:
     return;
--- a/src/bench/soak/Faults.h
+++ b/src/bench/soak/Faults.h
@@ -44,6 +44,11 @@
   QCoro::Task<> surge();
   QCoro::Task<> cutStore();
   void storeFault();
+  /// Makes the store go away and come back from a copy of the present moment,
+  /// some seconds later.
+  QCoro::Task<> returnStore();
+  /// Writes again, row by row, what the operator and the servers have written.
+  QCoro::Task<> writeRowsAgain();
   void crashServer(bool KeepLog);
   void deafenReplica();
   void isolatePrimary();
@@ -83,6 +88,7 @@
   /// Groups in which a server is down, restarts or is deaf. A second such fault
   /// could end all copies of a commit, which nothing can prevent.
   std::vector<bool> Impaired;
+  bool StoreReturning = false; ///< A copy is kept for comeBack().
   bool ProbedRoute = true;
   unsigned TimeoutMs = 1000; ///< Of the statements on primary routes.
   double EndMs = 0;
--- a/src/bench/soak/History.h
+++ b/src/bench/soak/History.h
@@ -52,6 +52,7 @@
   StoreCut,     ///< An entry VM is cut off from the store.
   PrimaryCrash, ///< The server returns with its log under another ID.
   Isolation,    ///< A primary is cut off while a server joins.
+  StoreReturn,  ///< The store goes away and comes back from an older copy.
 };
 
 /// A prefix of the log of a server at one moment.
@@ -239,7 +240,8 @@
            {Kind::Surge, "surge"},
            {Kind::StoreCut, "store-cut"},
            {Kind::PrimaryCrash, "primary-crash"},
-           {Kind::Isolation, "isolation"}});
+           {Kind::Isolation, "isolation"},
+           {Kind::StoreReturn, "store-return"}});
 };
 
 template <> struct EnumNames<bench::soak::Outcome> {
--- a/src/bench/soak/Judge.cpp
+++ b/src/bench/soak/Judge.cpp
@@ -58,7 +58,7 @@
 bool endsContact(FaultKind Kind) {
   return Kind == FaultKind::Kill || Kind == FaultKind::Freeze ||
          Kind == FaultKind::Cut || Kind == FaultKind::Store ||
-         Kind == FaultKind::PowerLoss;
+         Kind == FaultKind::StoreReturn || Kind == FaultKind::PowerLoss;
 }
 
 std::string ms(double Time) {
--- a/src/bench/soak/Phases.h
+++ b/src/bench/soak/Phases.h
@@ -23,6 +23,9 @@
   Keys,
   /// Quotas change, and workspaces send seven times their usual rate.
   Quotas,
+  /// The store comes back from older copies of itself, around takeovers and
+  /// changes of the configuration.
+  StoreReturns,
 };
 
 } // namespace amaranthspur::bench::soak
@@ -39,7 +42,8 @@
            {Kind::LateWrites, "late-writes"},
            {Kind::LateOrders, "late-orders"},
            {Kind::Keys, "keys"},
-           {Kind::Quotas, "quotas"}});
+           {Kind::Quotas, "quotas"},
+           {Kind::StoreReturns, "store-returns"}});
 };
 
 } // namespace amaranthspur
--- a/src/bench/soak/Site.cpp
+++ b/src/bench/soak/Site.cpp
@@ -146,14 +146,18 @@
                              {"tenants", this->WorkspaceList.document()},
                              {"limits", Limits}};
   this->Version += VersionStep;
-  this->Platform.put("op", "config",
-                     QJsonDocument(Document).toJson(QJsonDocument::Compact));
+  this->Configuration = QJsonDocument(Document).toJson(QJsonDocument::Compact);
+  this->Platform.put("op", "config", this->Configuration);
   this->Events.Seen.RouteChanges.push_back(
       {WithProbedRoute, this->Events.now()});
   this->Events.Seen.WorkspaceVersions.push_back(
       {this->Events.now(), this->WorkspaceList.entries()});
 }
 
+void Site::configureAgain() {
+  this->Platform.put("op", "config", this->Configuration);
+}
+
 std::string Site::ownerOf(std::uint16_t LocalPort, std::uint16_t RemotePort) {
   const std::string Link = socketLink(LocalPort, RemotePort);
   if (!Link.empty())
--- a/src/bench/soak/Site.h
+++ b/src/bench/soak/Site.h
@@ -31,6 +31,8 @@
   /// \param TimeoutMs of the statements on primary routes.
   /// \param WithProbedRoute whether the probed route exists.
   void configure(unsigned TimeoutMs, bool WithProbedRoute);
+  /// Writes the last version of the configuration again.
+  void configureAgain();
 
   Store &platform() { return this->Platform; }
   std::vector<std::unique_ptr<ServerGroup>> &groups() { return this->Groups; }
@@ -54,6 +56,7 @@
   std::vector<std::unique_ptr<ServerGroup>> Groups;
   std::vector<std::unique_ptr<EntryVm>> Vms;
   unsigned Version = 7;
+  QByteArray Configuration; ///< As it was written last.
 };
 
 } // namespace amaranthspur::bench::soak
--- a/src/bench/soak/Store.cpp
+++ b/src/bench/soak/Store.cpp
@@ -71,6 +71,45 @@
   this->change({Table, Key}, Value, false);
 }
 
+void Store::copy() {
+  this->Copy = this->State;
+  this->CopiedAt = this->Events.now();
+  this->Events.note("store: copy at version " +
+                    std::to_string(this->Copy.Version));
+}
+
+void Store::goAway() {
+  this->Away = true;
+  this->Changed.notifyAll();
+  this->Events.note("store: away at version " +
+                    std::to_string(this->State.Version));
+}
+
+void Store::comeBack(bool ClockReturns) {
+  if (ClockReturns)
+    this->ClockBehind += this->Events.now() - this->CopiedAt;
+  this->State = this->Copy;
+  ++this->Era;
+  this->Away = false;
+  this->Events.note("store: back at version " +
+                    std::to_string(this->State.Version) + ", era " +
+                    std::to_string(this->Era) +
+                    (ClockReturns ? ", with the clock of the copy" : ""));
+}
+
+std::vector<std::string> Store::keys(const std::string &Table) const {
+  std::vector<std::string> Found;
+  for (const auto &[At, R] : this->State.Rows)
+    if (At.first == Table && !R.Deleted)
+      Found.push_back(At.second);
+  return Found;
+}
+
+bool Store::isLost(const Request &Call, std::uint64_t Arrived) const {
+  return !Call.Target.starts_with("/promotions") &&
+         (this->Away || this->Era != Arrived);
+}
+
 void Store::setLateCalls(LateCalls Calls, std::uint64_t Seed) {
   this->Late = Calls;
   this->Lateness = Random(Seed);
@@ -117,10 +156,10 @@
 }
 
 void Store::change(const Key &At, const QByteArray &Value, bool Deleted) {
-  this->Rows[At] = {++this->Version, Value, Deleted};
+  this->State.Rows[At] = {++this->State.Version, Value, Deleted};
   this->Events.note("store: row " + At.first + "/" + At.second +
-                    " becomes version " + std::to_string(this->Version) + ": " +
-                    (Deleted ? "deleted" : Value.toStdString()));
+                    " becomes version " + std::to_string(this->State.Version) +
+                    ": " + (Deleted ? "deleted" : Value.toStdString()));
   this->Changed.notifyAll();
 }
 
@@ -131,7 +170,14 @@
     const std::optional<Request> Call = co_await this->readRequest(*Stream);
     if (!Call)
       break;
-    const std::optional<Answer> Reply = co_await this->answer(*Call);
+    const std::uint64_t Arrived = this->Era;
+    std::optional<Answer> Reply;
+    if (!this->isLost(*Call, Arrived))
+      Reply = co_await this->answer(*Call);
+    if (this->isLost(*Call, Arrived)) {
+      Stream->abort();
+      break;
+    }
     if (!Reply) {
       // A connection on which an answer is lost delivers nothing further.
       while (Stream->isOpen())
@@ -141,9 +187,10 @@
     const QByteArray Body =
         QJsonDocument(Reply->Body).toJson(QJsonDocument::Compact);
     Stream->write("HTTP/1.1 " + std::to_string(Reply->Status) +
-                  " X\r\nContent-Type: application/json\r\nContent-Length: " +
-                  std::to_string(Body.size()) + "\r\n\r\n" +
-                  Body.toStdString());
+                  " X\r\nContent-Type: application/json\r\nStore-Era: " +
+                  std::to_string(this->Era) +
+                  "\r\nContent-Length: " + std::to_string(Body.size()) +
+                  "\r\n\r\n" + Body.toStdString());
     Open = Stream->isOpen();
   }
   this->Streams.erase(Stream);
@@ -249,8 +296,11 @@
 QCoro::Task<Store::Answer> Store::feed(std::string Table, std::uint64_t After,
                                        Duration Wait) {
   const TimePoint Deadline = steadyNow() + Wait;
+  if (After > this->State.Version)
+    co_return Answer{410, {}};
   auto Rows = this->changes(Table, After);
-  while (Rows.empty() && !this->Stopping && steadyNow() < Deadline) {
+  while (Rows.empty() && !this->Stopping && !this->Away &&
+         steadyNow() < Deadline) {
     co_await this->Changed.wait(Deadline);
     Rows = this->changes(Table, After);
   }
@@ -262,7 +312,7 @@
 Store::Answer Store::readRows(const std::string &Table, const std::string &From,
                               std::size_t Limit) const {
   std::vector<std::pair<Key, Row>> Found;
-  for (const auto &[At, R] : this->Rows)
+  for (const auto &[At, R] : this->State.Rows)
     if (At.first == Table && At.second >= From && !R.Deleted &&
         Found.size() < Limit)
       Found.emplace_back(At, R);
@@ -272,7 +322,7 @@
 std::vector<std::pair<Store::Key, Store::Row>>
 Store::changes(const std::string &Table, std::uint64_t After) const {
   std::vector<std::pair<Key, Row>> Found;
-  for (const auto &[At, R] : this->Rows)
+  for (const auto &[At, R] : this->State.Rows)
     if (At.first == Table && R.Version > After)
       Found.emplace_back(At, R);
   std::ranges::sort(Found, {},
@@ -292,10 +342,11 @@
       O["deleted"] = true;
     List.append(O);
   }
-  return {{"rows", List},
-          {"row-version", static_cast<qint64>(this->Version)},
-          {"has-more", false},
-          {"now-ms", static_cast<qint64>(this->Events.now())}};
+  return {
+      {"rows", List},
+      {"row-version", static_cast<qint64>(this->State.Version)},
+      {"has-more", false},
+      {"now-ms", static_cast<qint64>(this->Events.now() - this->ClockBehind)}};
 }
 
 Store::Answer Store::transact(const std::string &Body) {
@@ -311,8 +362,9 @@
   std::vector<std::pair<Key, Row>> Present;
   for (const auto &Entry : Expected) {
     const QJsonObject O = Entry.toObject();
-    const auto Found = this->Rows.find(KeyOf(O));
-    const bool Exists = Found != this->Rows.end() && !Found->second.Deleted;
+    const auto Found = this->State.Rows.find(KeyOf(O));
+    const bool Exists =
+        Found != this->State.Rows.end() && !Found->second.Deleted;
     const std::uint64_t At = Exists ? Found->second.Version : 0;
     Holds =
         Holds && At == static_cast<std::uint64_t>(O["row-version"].toInteger());
@@ -331,7 +383,7 @@
   const QJsonArray Removed = Call["remove"].toArray();
   for (const auto &Entry : Removed)
     this->change(KeyOf(Entry.toObject()), {}, true);
-  return {200, {{"row-version", static_cast<qint64>(this->Version)}}};
+  return {200, {{"row-version", static_cast<qint64>(this->State.Version)}}};
 }
 
 Store::Answer Store::order(const Request &Call, Duration Late) {
--- a/src/bench/soak/Store.h
+++ b/src/bench/soak/Store.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <vector>
 
 namespace amaranthspur::bench::soak {
 
@@ -62,6 +63,20 @@
 
   void setFault(StoreFault Fault) { this->Fault = Fault; }
   StoreFault fault() const { return this->Fault; }
+  /// Remembers the rows for comeBack().
+  void copy();
+  /// Advances the version as \p Count writes to tables would that nothing here
+  /// reads.
+  void skipVersions(std::uint64_t Count) { this->State.Version += Count; }
+  /// Performs and answers no calls about rows until comeBack(). Those that are
+  /// under way end without an answer.
+  void goAway();
+  /// Serves the rows of the copy, in the next era. Versions are given out
+  /// again. \param ClockReturns whether the clock goes back with the rows.
+  void comeBack(bool ClockReturns);
+  /// Returns the keys of the rows of \p Table.
+  std::vector<std::string> keys(const std::string &Table) const;
+
   /// \param Seed of the choice of calls and of their delays.
   void setLateCalls(LateCalls Calls, std::uint64_t Seed);
 
@@ -85,6 +100,10 @@
     QJsonObject Body;
   };
   using Key = std::pair<std::string, std::string>;
+  struct Contents {
+    std::map<Key, Row> Rows;
+    std::uint64_t Version = 0;
+  };
 
   QCoro::Task<> serve(std::shared_ptr<TextStream> Stream);
   QCoro::Task<std::optional<Request>> readRequest(TextStream &Stream);
@@ -103,6 +122,9 @@
                   std::size_t Limit) const;
   Answer transact(const std::string &Body);
   Answer order(const Request &Call, Duration Late);
+  /// Returns whether \p Call, which arrived in the era \p Arrived, ends without
+  /// an answer because the store has gone away.
+  bool isLost(const Request &Call, std::uint64_t Arrived) const;
   std::vector<std::pair<Key, Row>> changes(const std::string &Table,
                                            std::uint64_t After) const;
   QJsonObject page(const std::vector<std::pair<Key, Row>> &Rows) const;
@@ -113,8 +135,12 @@
   OrderHandler OnOrder;
   std::unique_ptr<QTcpServer> Listener;
   std::set<std::shared_ptr<TextStream>> Streams;
-  std::map<Key, Row> Rows;
-  std::uint64_t Version = 0;
+  Contents State;
+  Contents Copy;
+  double CopiedAt = 0;
+  double ClockBehind = 0; ///< Of the record's clock, in ms.
+  std::uint64_t Era = 1;
+  bool Away = false;
   TaskCondition Changed;
   StoreFault Fault = StoreFault::None;
   unsigned Calls = 0;
