--- a/src/ctl/Revisions.h
+++ b/src/ctl/Revisions.h
@@ -16,7 +16,7 @@
 /// The newest revision and the version of its row, which compare-and-set needs.
 struct HeadRow {
   config::Head Head;
-  std::uint64_t Version = 0;
+  StoreVersion Version;
 };
 
 /// The outcome of a change.
--- a/src/ctl/testing/StorePlatform.h
+++ b/src/ctl/testing/StorePlatform.h
@@ -37,7 +37,7 @@
 
 private:
   static TableRow toRow(const fakeplatform::Row &R) {
-    return {R.Version, R.Value, R.Operation};
+    return {StoreVersion(R.Version), R.Value, R.Operation};
   }
 
   Result<TableRow> read(const std::string &Key) {
@@ -46,7 +46,7 @@
     return toRow(this->Store.readRow(Key));
   }
 
-  Result<CasOutcome> write(const std::string &Key, std::uint64_t Expected,
+  Result<CasOutcome> write(const std::string &Key, StoreVersion Expected,
                            const std::string &Value,
                            const std::string &Operation) {
     // The hook is copied, because it may replace itself while it runs.
@@ -56,7 +56,7 @@
     if (F == CallFault::Refused)
       return Error{"scripted fault"};
     const fakeplatform::WriteOutcome Outcome =
-        this->Store.writeRow(Key, Expected, Value, Operation);
+        this->Store.writeRow(Key, Expected.number(), Value, Operation);
     const std::function<void()> After = this->AfterWrite;
     After();
     if (F == CallFault::AnswerLost)
--- a/src/platform/HttpClient.cpp
+++ b/src/platform/HttpClient.cpp
@@ -28,6 +28,13 @@
 
 } // namespace
 
+std::optional<QByteArray> HttpResponse::header(const QByteArray &Name) const {
+  for (const auto &[Known, Value] : this->Headers)
+    if (Known.compare(Name, Qt::CaseInsensitive) == 0)
+      return Value;
+  return std::nullopt;
+}
+
 HttpClient::HttpClient(const Address &Server, AbandonedCallObserver *Observer)
     : Server(Server), Observer(Observer) {}
 
--- a/src/platform/HttpClient.h
+++ b/src/platform/HttpClient.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -37,6 +38,11 @@
 struct HttpResponse {
   int Status = 0;
   QByteArray Body = {};
+  std::vector<std::pair<QByteArray, QByteArray>> Headers = {};
+
+  /// Returns the value of the header \p Name, whatever its case, or nothing if
+  /// it is missing.
+  std::optional<QByteArray> header(const QByteArray &Name) const;
 };
 
 inline constexpr int HttpOk = 200;
--- a/src/platform/HttpPlatform.cpp
+++ b/src/platform/HttpPlatform.cpp
@@ -2,7 +2,6 @@
 
 #include "core/Async.h"
 #include "platform/Backoff.h"
-#include "platform/RowCodec.h"
 
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -41,13 +40,6 @@
                ": " + Response.Body.left(MaxQuoted).toStdString()};
 }
 
-/// Decodes the page of rows in \p Response; any status but 200 is an error.
-Result<rows::Page> decodePageResponse(const HttpResponse &Response) {
-  if (Response.Status != HttpOk)
-    return unexpectedStatus(Response);
-  return rows::decodePage(Response.Body);
-}
-
 /// Returns the row \p Key of \p Page, or a row of version 0 if the page lacks
 /// it.
 Result<TableRow> findRow(const rows::Page &Page, const std::string &Key) {
@@ -60,6 +52,7 @@
     return Found;
   }
   TableRow Missing;
+  Missing.Version = StoreVersion(0, Page.Version.era());
   Missing.StoreMs = Page.StoreMs;
   return Missing;
 }
@@ -68,8 +61,22 @@
 
 HttpPlatform::HttpPlatform(const Address &Service, std::uint64_t Seed,
                            CircuitBreaker::Settings Thresholds,
-                           AbandonedCallObserver *Observer)
-    : Http(Service, Observer), Breaker(Thresholds), Rng(Seed) {}
+                           AbandonedCallObserver *Observer,
+                           StoreEraObserver *Eras)
+    : Http(Service, Observer), Breaker(Thresholds), Eras(Eras), Rng(Seed) {}
+
+Result<rows::Page> HttpPlatform::decodePage(const HttpResponse &Response,
+                                            int Wanted) {
+  const std::uint64_t Era = this->Eras.read(Response);
+  if (Response.Status != Wanted) {
+    this->Eras.report(StoreVersion(0, Era));
+    return unexpectedStatus(Response);
+  }
+  Result<rows::Page> Page = rows::decodePage(Response.Body, Era);
+  this->Eras.report(succeeded(Page) ? valueOf(Page).Version
+                                    : StoreVersion(0, Era));
+  return Page;
+}
 
 QCoro::Task<Result<TableRow>> HttpPlatform::readRow(std::string Key,
                                                     TimePoint Deadline) {
@@ -81,14 +88,14 @@
       co_await this->sendWithRetries(std::move(Request), Deadline);
   if (!succeeded(R))
     co_return Error{errorOf(R)};
-  const Result<rows::Page> Page = decodePageResponse(valueOf(R));
+  const Result<rows::Page> Page = this->decodePage(valueOf(R), HttpOk);
   if (!succeeded(Page))
     co_return Error{errorOf(Page)};
   co_return findRow(valueOf(Page), Key);
 }
 
 QCoro::Task<Result<CasOutcome>>
-HttpPlatform::compareAndSet(std::string Key, std::uint64_t Expected,
+HttpPlatform::compareAndSet(std::string Key, StoreVersion Expected,
                             std::string Value, std::string Operation,
                             TimePoint Deadline) {
   HttpRequest Request{
@@ -96,7 +103,7 @@
       rows::encodeConditionalWrite(OwnTable, Key, Expected,
                                    rows::encodeValue(Value, Operation)),
       "application/json"};
-  Request.Subject = {CallKind::RowWrite, "", Key, 0, Expected};
+  Request.Subject = {CallKind::RowWrite, "", Key, 0, Expected.number()};
   const Result<HttpResponse> R =
       co_await this->sendWithRetries(std::move(Request), Deadline);
   if (!succeeded(R))
@@ -104,16 +111,16 @@
   const HttpResponse &Response = valueOf(R);
   if (Response.Status == HttpOk) {
     const Result<rows::WriteReceipt> Receipt =
-        rows::decodeWriteReceipt(Response.Body);
+        rows::decodeWriteReceipt(Response.Body, this->Eras.read(Response));
     if (!succeeded(Receipt))
       co_return Error{errorOf(Receipt)};
+    this->Eras.report(valueOf(Receipt).Version);
     TableRow Written{valueOf(Receipt).Version, Value, Operation,
                      valueOf(Receipt).StoreMs};
     co_return CasOutcome{true, std::move(Written)};
   }
-  if (Response.Status != HttpPreconditionFailed)
-    co_return unexpectedStatus(Response);
-  const Result<rows::Page> Page = rows::decodePage(Response.Body);
+  const Result<rows::Page> Page =
+      this->decodePage(Response, HttpPreconditionFailed);
   if (!succeeded(Page))
     co_return Error{errorOf(Page)};
   Result<TableRow> Present = findRow(valueOf(Page), Key);
@@ -174,14 +181,22 @@
         co_await this->sendWithRetries(std::move(Request), Deadline);
     if (!succeeded(R))
       co_return Error{errorOf(R)};
-    Result<rows::Page> Page = decodePageResponse(valueOf(R));
+    Result<rows::Page> Page = this->decodePage(valueOf(R), HttpOk);
     if (!succeeded(Page))
       co_return Error{errorOf(Page)};
     rows::Page Read = valueOf(std::move(Page));
     // The pages are not read in one transaction. Rows that change between two
-    // pages appear again in the change feed after the first page's version.
+    // pages appear again in the change feed after the first page's version. The
+    // feed does not tell what a return from a copy has undone, so a table whose
+    // pages are of two eras is read anew.
+    if (!From.isEmpty() && Read.Version.era() != Out.Version.era()) {
+      Out = WatchedRows();
+      From.clear();
+      co_await sleepFor(RetryBackoff.delayAfter(1, this->Rng));
+      continue;
+    }
     if (From.isEmpty())
-      Out.Version = Read.StoreVersion;
+      Out.Version = Read.Version;
     const bool More = Read.HasMore && !Read.Rows.empty();
     if (More)
       From = "&from=" + percentEncoded(Read.Rows.back().Key + '\0');
@@ -194,12 +209,12 @@
 }
 
 QCoro::Task<Result<WatchedRows>> HttpPlatform::awaitChanges(WatchedTable Table,
-                                                            std::uint64_t After,
+                                                            StoreVersion After,
                                                             Duration Wait) {
   const auto WaitMs = static_cast<std::uint64_t>(Wait / milliseconds(1));
-  HttpRequest Request{
-      "GET", QString("/rows-feed?table=%1&after=%2&wait-ms=%3")
-                 .arg(tableName(Table), decimal(After), decimal(WaitMs))};
+  HttpRequest Request{"GET", QString("/rows-feed?table=%1&after=%2&wait-ms=%3")
+                                 .arg(tableName(Table), decimal(After.number()),
+                                      decimal(WaitMs))};
   // A long poll is not retried here, because the caller that follows the table
   // decides how to handle a failure.
   ++this->Counters.Attempts;
@@ -210,15 +225,23 @@
     co_return Error{errorOf(R)};
   }
   if (valueOf(R).Status == HttpGone) {
+    this->Eras.report(StoreVersion(0, this->Eras.read(valueOf(R))));
     WatchedRows Lost;
     Lost.HistoryLost = true;
     co_return Lost;
   }
-  Result<rows::Page> Page = decodePageResponse(valueOf(R));
+  Result<rows::Page> Page = this->decodePage(valueOf(R), HttpOk);
   if (!succeeded(Page))
     co_return Error{errorOf(Page)};
   rows::Page Changes = valueOf(std::move(Page));
-  co_return WatchedRows{std::move(Changes.Rows), Changes.StoreVersion, false};
+  // The number may have been given out again in the present era, and the
+  // changes between the copy and that number are then missing.
+  if (Changes.Version.era() != After.era()) {
+    WatchedRows Lost;
+    Lost.HistoryLost = true;
+    co_return Lost;
+  }
+  co_return WatchedRows{std::move(Changes.Rows), Changes.Version, false};
 }
 
 QCoro::Task<Result<std::vector<PlatformVm>>>
--- a/src/platform/HttpPlatform.h
+++ b/src/platform/HttpPlatform.h
@@ -6,6 +6,8 @@
 #include "platform/CircuitBreaker.h"
 #include "platform/HttpClient.h"
 #include "platform/Platform.h"
+#include "platform/RowCodec.h"
+#include "platform/StoreEra.h"
 
 namespace amaranthspur {
 
@@ -33,14 +35,16 @@
   /// \param Seed seed of the random jitter of retries.
   /// \param Thresholds thresholds of the circuit breaker.
   /// \param Observer is told of writes that were given up; may be null.
+  /// \param Eras is told of the eras in the answers; may be null.
   HttpPlatform(const Address &Service, std::uint64_t Seed,
                CircuitBreaker::Settings Thresholds = DefaultThresholds,
-               AbandonedCallObserver *Observer = nullptr);
+               AbandonedCallObserver *Observer = nullptr,
+               StoreEraObserver *Eras = nullptr);
 
   QCoro::Task<Result<TableRow>> readRow(std::string Key,
                                         TimePoint Deadline) override;
   QCoro::Task<Result<CasOutcome>>
-  compareAndSet(std::string Key, std::uint64_t Expected, std::string Value,
+  compareAndSet(std::string Key, StoreVersion Expected, std::string Value,
                 std::string Operation, TimePoint Deadline) override;
   QCoro::Task<Result<Success>> putObject(std::string Name, std::string Content,
                                          TimePoint Deadline) override;
@@ -49,7 +53,7 @@
   QCoro::Task<Result<WatchedRows>> readTable(WatchedTable Table,
                                              TimePoint Deadline) override;
   QCoro::Task<Result<WatchedRows>>
-  awaitChanges(WatchedTable Table, std::uint64_t After, Duration Wait) override;
+  awaitChanges(WatchedTable Table, StoreVersion After, Duration Wait) override;
   QCoro::Task<Result<std::vector<PlatformVm>>>
   listVms(TimePoint Deadline) override;
 
@@ -63,12 +67,16 @@
   /// nor 429, or until the next attempt would start after the deadline.
   QCoro::Task<Result<HttpResponse>> sendWithRetries(HttpRequest Request,
                                                     TimePoint Deadline);
+  /// Decodes the page of rows in \p Response; any status but \p Wanted is an
+  /// error.
+  Result<rows::Page> decodePage(const HttpResponse &Response, int Wanted);
   /// Reads all rows of a table, page by page.
   QCoro::Task<Result<WatchedRows>> readAll(std::string Table,
                                            TimePoint Deadline);
 
   HttpClient Http;
   CircuitBreaker Breaker;
+  StoreEraReader Eras;
   Random Rng;
   PlatformCounters Counters;
 };
--- a/src/platform/HttpStream.cpp
+++ b/src/platform/HttpStream.cpp
@@ -15,6 +15,10 @@
 constexpr unsigned HttpContinue = 100;
 constexpr unsigned FirstFinalStatus = 200;
 
+QByteArray toByteArray(boost::beast::string_view Text) {
+  return {Text.data(), static_cast<qsizetype>(Text.size())};
+}
+
 } // namespace
 
 /// Parses one response after another. Interim responses (1xx) are skipped.
@@ -58,9 +62,13 @@
            this->Message->get().keep_alive();
   }
   HttpResponse take() {
-    const std::string &Body = this->Message->get().body();
-    return {static_cast<int>(this->Message->get().result_int()),
-            QByteArray::fromStdString(Body)};
+    const auto &Received = this->Message->get();
+    HttpResponse Response{static_cast<int>(Received.result_int()),
+                          QByteArray::fromStdString(Received.body())};
+    for (const auto &Field : Received)
+      Response.Headers.emplace_back(toByteArray(Field.name_string()),
+                                    toByteArray(Field.value()));
+    return Response;
   }
 
 private:
--- a/src/platform/Platform.h
+++ b/src/platform/Platform.h
@@ -10,6 +10,7 @@
 #include "core/Clock.h"
 #include "core/Names.h"
 #include "core/Result.h"
+#include "core/StoreVersion.h"
 #include "core/Types.h"
 
 #include <QCoroTask>
@@ -24,7 +25,7 @@
 
 /// One row of the table.
 struct TableRow {
-  std::uint64_t Version = 0; ///< Increases with each change; 0: no row.
+  StoreVersion Version; ///< Increases with each change.
   std::string Value;
   std::string Operation; ///< Identifier of the change that wrote this version.
   /// The store's clock when it gave the answer with this row; nothing if the
@@ -64,15 +65,15 @@
 struct WatchedRow {
   std::string Key;
   std::string Value; ///< Arbitrary bytes.
-  std::uint64_t Version = 0;
+  StoreVersion Version;
   bool Removed = false;
 };
 
 /// Rows of a watched table, in the order of their changes.
 struct WatchedRows {
   std::vector<WatchedRow> Rows;
-  std::uint64_t Version = 0; ///< Changes up to this version are included.
-  bool HistoryLost = false;  ///< Changes are missing; read the whole table.
+  StoreVersion Version;     ///< Changes up to this version are included.
+  bool HistoryLost = false; ///< Changes are missing; read the whole table.
 };
 
 /// Client of the platform's service.
@@ -80,7 +81,8 @@
 public:
   virtual ~Platform() = default;
 
-  /// Reads the row \p Key. A row that was never written has version 0.
+  /// Reads the row \p Key. A row that was never written has no version, but the
+  /// era of the answer.
   virtual QCoro::Task<Result<TableRow>> readRow(std::string Key,
                                                 TimePoint Deadline) = 0;
 
@@ -89,7 +91,7 @@
   /// row, so that after a lost response a retry can tell that the change was
   /// applied.
   virtual QCoro::Task<Result<CasOutcome>>
-  compareAndSet(std::string Key, std::uint64_t Expected, std::string Value,
+  compareAndSet(std::string Key, StoreVersion Expected, std::string Value,
                 std::string Operation, TimePoint Deadline) = 0;
 
   /// Stores \p Content as the object \p Name. Storing the same content again is
@@ -111,14 +113,15 @@
 public:
   virtual ~TableFeed() = default;
 
-  /// Reads all rows of \p Table.
+  /// Reads all rows of \p Table, which are of one era.
   virtual QCoro::Task<Result<WatchedRows>> readTable(WatchedTable Table,
                                                      TimePoint Deadline) = 0;
 
-  /// Waits until rows of \p Table have changed since version \p After.
+  /// Waits until rows of \p Table have changed since version \p After. If the
+  /// store has begun another era since, the history is lost.
   /// \returns the changed rows, or no rows if nothing changed within \p Wait.
   virtual QCoro::Task<Result<WatchedRows>>
-  awaitChanges(WatchedTable Table, std::uint64_t After, Duration Wait) = 0;
+  awaitChanges(WatchedTable Table, StoreVersion After, Duration Wait) = 0;
 };
 
 } // namespace amaranthspur
--- a/src/platform/RowCodec.h
+++ b/src/platform/RowCodec.h
@@ -23,30 +23,32 @@
 /// Encodes the transaction that sets the row \p Key to \p Value if its version
 /// is \p Expected.
 QByteArray encodeConditionalWrite(const std::string &Table,
-                                  const std::string &Key,
-                                  std::uint64_t Expected,
+                                  const std::string &Key, StoreVersion Expected,
                                   const QByteArray &Value);
 
 /// The rows of one response.
 struct Page {
   std::vector<WatchedRow> Rows;
-  std::uint64_t StoreVersion = 0; ///< Of the store when it read the page.
-  bool HasMore = false;           ///< Rows of the range follow in another page.
+  StoreVersion Version; ///< Of the store when it read the page.
+  bool HasMore = false; ///< Rows of the range follow in another page.
   std::optional<std::int64_t> StoreMs; ///< The store's clock.
 };
 
 /// Decodes a response with rows. Rows without a valid key or version are
 /// skipped, since other programs write to the same tables.
-Result<Page> decodePage(const QByteArray &Body);
+/// \param Era of the response; all its versions get it.
+Result<Page> decodePage(const QByteArray &Body, std::uint64_t Era);
 
 /// The response to a transaction that was applied.
 struct WriteReceipt {
-  std::uint64_t Version = 0;           ///< Of the rows that were written.
+  StoreVersion Version;                ///< Of the rows that were written.
   std::optional<std::int64_t> StoreMs; ///< The store's clock, if it is told.
 };
 
 /// Decodes the response to a transaction that was applied.
-Result<WriteReceipt> decodeWriteReceipt(const QByteArray &Body);
+/// \param Era of the response.
+Result<WriteReceipt> decodeWriteReceipt(const QByteArray &Body,
+                                        std::uint64_t Era);
 
 /// Encodes the value of one of this program's own rows.
 QByteArray encodeValue(const std::string &Value, const std::string &Operation);
--- a/src/platform/testing/AbandonedCallTest.cpp
+++ b/src/platform/testing/AbandonedCallTest.cpp
@@ -129,8 +129,9 @@
   HttpPlatform Store(Listener.address(), 1, HttpPlatform::DefaultThresholds,
                      &Observer);
   acceptOne(Listener);
-  CHECK_FALSE(succeeded(runTask(Store.compareAndSet(
-      "takeover/ledger", 7, "claimed", "op", steadyNow() + CallTime))));
+  CHECK_FALSE(succeeded(
+      runTask(Store.compareAndSet("takeover/ledger", StoreVersion(7), "claimed",
+                                  "op", steadyNow() + CallTime))));
 }
 
 } // namespace
--- a/src/platform/testing/MemoryPlatform.h
+++ b/src/platform/testing/MemoryPlatform.h
@@ -25,7 +25,7 @@
   }
 
   QCoro::Task<Result<CasOutcome>>
-  compareAndSet(std::string Key, std::uint64_t Expected, std::string Value,
+  compareAndSet(std::string Key, StoreVersion Expected, std::string Value,
                 std::string Operation, TimePoint Deadline) override {
     if (this->Silent)
       co_await sleepFor(Deadline - steadyNow());
@@ -34,7 +34,8 @@
     TableRow &Row = this->Rows[Key];
     if (Row.Version != Expected)
       co_return CasOutcome{Row.Operation == Operation, this->answer(Row)};
-    Row = {++this->Counter, std::move(Value), std::move(Operation)};
+    Row = {StoreVersion(++this->Counter), std::move(Value),
+           std::move(Operation)};
     const CasOutcome Outcome{true, Row};
     if (this->LosesAnswer(Outcome.Current))
       co_return Error{"no answer"};
--- a/src/platform/testing/MockPlatform.h
+++ b/src/platform/testing/MockPlatform.h
@@ -14,7 +14,7 @@
   MAKE_MOCK2(readRow, QCoro::Task<Result<TableRow>>(std::string, TimePoint),
              override);
   MAKE_MOCK5(compareAndSet,
-             QCoro::Task<Result<CasOutcome>>(std::string, std::uint64_t,
+             QCoro::Task<Result<CasOutcome>>(std::string, StoreVersion,
                                              std::string, std::string,
                                              TimePoint),
              override);
--- a/src/policy/AccessPlan.h
+++ b/src/policy/AccessPlan.h
@@ -7,6 +7,7 @@
 #include "core/Clock.h"
 #include "core/Enums.h"
 #include "core/Names.h"
+#include "core/StoreVersion.h"
 #include "core/Types.h"
 
 #include <array>
@@ -113,7 +114,7 @@
   unsigned Slots = 1;           ///< Statements that it runs at the same time.
   std::int64_t StartedAtMs = 0; ///< Time of the start; differs after a restart.
   std::optional<ServerRole> Role; ///< As reported by the server itself.
-  std::uint64_t Version = 0;      ///< Version of the registration.
+  StoreVersion Version;           ///< Version of the registration.
 
   bool operator==(const RegisteredServer &) const = default;
 
--- a/src/policy/RelayElection.h
+++ b/src/policy/RelayElection.h
@@ -18,6 +18,7 @@
 #include "core/Clock.h"
 #include "core/Names.h"
 #include "core/Random.h"
+#include "core/StoreVersion.h"
 #include "core/Types.h"
 
 #include <array>
@@ -56,7 +57,7 @@
 
 /// The row that names the relay of a data centre.
 struct RelayRow {
-  std::uint64_t Version = 0; ///< 0: the row does not exist.
+  StoreVersion Version;
   EntryVmId Vm;
   std::string Address; ///< host:port that the relay listens on.
   std::string Token;   ///< Secret that followers present to the relay.
--- a/src/policy/Takeover.cpp
+++ b/src/policy/Takeover.cpp
@@ -75,10 +75,11 @@
   return Stranded;
 }
 
-void TakeoverClaim::observe(std::uint64_t Seen, const ClaimRow &Content,
+void TakeoverClaim::observe(StoreVersion Seen, const ClaimRow &Content,
                             TimePoint Now, bool IsOwn) {
-  const std::uint64_t SeenStart =
-      Content.ClaimedAs == 0 ? Seen : Content.ClaimedAs;
+  const StoreVersion SeenStart =
+      Content.ClaimedAs == 0 ? Seen
+                             : StoreVersion(Content.ClaimedAs, Seen.era());
   if (SeenStart != this->Start)
     this->SeenSince = Now;
   this->Start = SeenStart;
--- a/src/policy/Takeover.h
+++ b/src/policy/Takeover.h
@@ -5,6 +5,7 @@
 #ifndef AMARANTHSPUR_POLICY_TAKEOVER_H
 #define AMARANTHSPUR_POLICY_TAKEOVER_H
 
+#include "core/StoreVersion.h"
 #include "policy/ClaimRow.h"
 #include "policy/GroupBeliefs.h"
 #include "policy/StoreClock.h"
@@ -180,7 +181,7 @@
   /// Records that the row was read with \p Version, which is 0 if it does not
   /// exist, and the content \p Row.
   /// \param Own whether this process has written it.
-  void observe(std::uint64_t Version, const ClaimRow &Row, TimePoint Now,
+  void observe(StoreVersion Version, const ClaimRow &Row, TimePoint Now,
                bool Own = false);
 
   /// Records that this entry VM gives an order, which ends and takes effect
@@ -218,7 +219,7 @@
   bool hasLastOrder() const;
 
   /// Returns the version that was read last.
-  std::uint64_t version() const { return this->Version; }
+  StoreVersion version() const { return this->Version; }
   /// Returns the content that was read last.
   const ClaimRow &row() const { return this->Row; }
 
@@ -244,12 +245,12 @@
 
   EntryVmId Self;
   StoreClock Clock;
-  std::uint64_t Version = 0;
+  StoreVersion Version;
   ClaimRow Row = parseClaimRow(0, {});
-  std::uint64_t Start = 0; ///< Version from which the wait counts.
-  bool Own = false;        ///< This process has written the row.
-  TimePoint RenewAfter{};  ///< When an own claim may be claimed again.
-  TimePoint SeenSince{};   ///< When that version or a later one was first read.
+  StoreVersion Start;     ///< Version from which the wait counts.
+  bool Own = false;       ///< This process has written the row.
+  TimePoint RenewAfter{}; ///< When an own claim may be claimed again.
+  TimePoint SeenSince{};  ///< When that version or a later one was first read.
 };
 
 } // namespace amaranthspur
--- a/src/policy/testing/RelayContactTest.cpp
+++ b/src/policy/testing/RelayContactTest.cpp
@@ -13,7 +13,7 @@
 TimePoint at(std::int64_t Ms) { return TimePoint(milliseconds(Ms)); }
 
 RelayRow rowOf(std::uint64_t Version, const std::string &Vm) {
-  return {Version, EntryVmId(Vm), Vm + ":1", "token-" + Vm};
+  return {StoreVersion(Version), EntryVmId(Vm), Vm + ":1", "token-" + Vm};
 }
 
 /// Another data centre in a simulation with steps of 10 ms.
--- a/src/policy/testing/RelayElectionTest.cpp
+++ b/src/policy/testing/RelayElectionTest.cpp
@@ -118,7 +118,8 @@
                         Vm.Election.row().Version == this->Row.Version;
     if (Claims) {
       ModelVm *Former = this->relay();
-      this->Row = {this->Row.Version + 1, Vm.Id, "127.0.0.1:1", "token"};
+      this->Row = {StoreVersion(this->Row.Version.number() + 1), Vm.Id,
+                   "127.0.0.1:1", "token"};
       if (Former && Former != &Vm)
         Former->Replacement = this->Row;
     }
@@ -289,7 +290,8 @@
     TimePoint Now{std::chrono::seconds(100)};
     RelayElection E(EntryVmId("a"), 0.25, MaxContactAge);
     E.start(Now, Rng);
-    E.observeRow({7, EntryVmId("b"), "127.0.0.1:1", "token"}, Now);
+    E.observeRow({StoreVersion(7), EntryVmId("b"), "127.0.0.1:1", "token"},
+                 Now);
     for (const Event Next : R.Events) {
       Now += SyncInterval;
       switch (Next) {
--- a/src/policy/testing/TakeoverModel.cpp
+++ b/src/policy/testing/TakeoverModel.cpp
@@ -42,7 +42,7 @@
       this->RowWriter &&
       V.Claim.turnUntil(this->Now).Holder == vmId(*this->RowWriter) &&
       V.Process == this->RowProcess;
-  V.Claim.observe(this->RowVersion, this->Row, this->Now, Own);
+  V.Claim.observe(StoreVersion(this->RowVersion), this->Row, this->Now, Own);
 }
 
 void TakeoverModel::observeRow() {
@@ -108,7 +108,7 @@
   M.Now = Doing::Claiming;
   M.Undoing = false;
   M.Begun = this->Now;
-  M.Expected = M.Claim.version();
+  M.Expected = M.Claim.version().number();
 }
 
 void TakeoverModel::undo(std::size_t V) {
@@ -122,7 +122,7 @@
   M.Now = Doing::Claiming;
   M.Undoing = true;
   M.Begun = this->Now;
-  M.Expected = M.Claim.version();
+  M.Expected = M.Claim.version().number();
 }
 
 void TakeoverModel::claim(std::size_t V, Kind How) {
--- a/src/policy/testing/TakeoverTest.cpp
+++ b/src/policy/testing/TakeoverTest.cpp
@@ -175,7 +175,8 @@
       ClaimRow Seen;
       Seen.State = S.Finished ? ClaimState::Finished : ClaimState::Held;
       Seen.ClaimedAs = S.ClaimedAs;
-      Claim.observe(S.Version, Seen, Start + milliseconds(S.AtMs));
+      Claim.observe(StoreVersion(S.Version), Seen,
+                    Start + milliseconds(S.AtMs));
     }
     CHECK(Claim.mayClaim(Start + milliseconds(R.AtMs)) == R.MayClaim);
   }
@@ -239,7 +240,7 @@
     TakeoverClaim Claim(EntryVmId("vm"));
     const TimePoint Start{std::chrono::seconds(100)};
     for (const Observation &S : R.History)
-      Claim.observe(S.Version, parseClaimRow(S.Version, S.Value),
+      Claim.observe(StoreVersion(S.Version), parseClaimRow(S.Version, S.Value),
                     Start + milliseconds(S.AtMs));
     const TimePoint Now = Start + milliseconds(R.AtMs);
     CHECK(Claim.mayClaim(Now) == R.MayClaim);
@@ -284,7 +285,7 @@
     const TimePoint Received = Sent + milliseconds(900);
     if (R.StoreMs)
       Claim.observeClock(*R.StoreMs, Sent, Received);
-    Claim.observe(5, parseClaimRow(5, R.Value), Received);
+    Claim.observe(StoreVersion(5), parseClaimRow(5, R.Value), Received);
     CHECK(Claim.mayClaim(Received + milliseconds(R.AfterMs)) == R.MayClaim);
   }
 }
@@ -323,7 +324,7 @@
     const TimePoint Start{std::chrono::seconds(100)};
     if (R.EffectByMs != 0)
       Claim.recordOrder(Start + milliseconds(R.EffectByMs), R.Answered);
-    Claim.observe(5, parseClaimRow(5, R.Value), Start, R.Own);
+    Claim.observe(StoreVersion(5), parseClaimRow(5, R.Value), Start, R.Own);
     CHECK(Claim.mayClaim(Start + milliseconds(R.AtMs)) == R.MayClaim);
   }
 }
--- a/src/root/LineDaemon.cpp
+++ b/src/root/LineDaemon.cpp
@@ -41,9 +41,9 @@
       RandomSource(this->Incarnation ^
                    std::hash<EntryVmId>{}(this->Values.VmId)),
       OwnLocality{this->Values.Location, this->Values.Regions},
-      PlatformClient(this->Values.Platform,
-                     this->RandomSource.below(1ULL << 62U),
-                     HttpPlatform::DefaultThresholds, &this->Abandoned),
+      PlatformClient(
+          this->Values.Platform, this->RandomSource.below(1ULL << 62U),
+          HttpPlatform::DefaultThresholds, &this->Abandoned, &this->Returns),
       Promoter(this->Values.Promotions, &this->Abandoned),
       Connector(this->Values.VmId, &this->Abandoned),
       Feed(this->PlatformClient, this->Values.ConfigurationBound / PollDivisor),
@@ -114,6 +114,12 @@
         {"revision", static_cast<qint64>(this->Directory.plan()->Revision)}});
   });
   this->Admin.addStatus("relay", [this] {
+    this->Admin.addStatus("store", [this] {
+      const StoreVersion Newest = this->Returns.history().newest();
+      return QJsonValue(
+          QJsonObject{{"era", static_cast<qint64>(Newest.era())},
+                      {"version", static_cast<qint64>(Newest.number())}});
+    });
     return QJsonValue(QJsonObject{
         {"role",
          QString::fromUtf8(nameOf(this->DataCentreRelay.role()).data())},
--- a/src/root/LineDaemon.h
+++ b/src/root/LineDaemon.h
@@ -16,6 +16,7 @@
 #include "root/Settings.h"
 #include "root/Supervisor.h"
 #include "root/directory/PlatformDirectory.h"
+#include "root/directory/StoreReturns.h"
 #include "root/directory/StoredRegistrations.h"
 #include "root/groups/GroupRegistry.h"
 #include "root/quotas/WorkspaceQuotas.h"
@@ -82,6 +83,7 @@
   std::uint64_t Incarnation;
   Metrics Counters;
   AbandonedCallLog Abandoned{this->Counters};
+  StoreReturns Returns{this->Counters};
   Random RandomSource;
   Locality OwnLocality;
   HttpPlatform PlatformClient;
--- a/src/root/backends/GroupWatcher.h
+++ b/src/root/backends/GroupWatcher.h
@@ -167,7 +167,7 @@
   bool Stopping = false;
   std::uint64_t ClaimSequence = 0;
   /// Version of the claim's row when last read.
-  std::uint64_t ClaimVersion = 0;
+  StoreVersion ClaimVersion;
   /// Makes the operation identifiers of claims unique.
   std::uint64_t Incarnation;
   TimePoint PublishedAt{}; ///< When the view was last published.
--- a/src/root/directory/PlatformDirectory.cpp
+++ b/src/root/directory/PlatformDirectory.cpp
@@ -44,8 +44,9 @@
 
 QCoro::Task<> PlatformDirectory::follow(WatchedTable Table) {
   const TaskGroup::Guard Guard(this->Tasks);
-  std::optional<std::uint64_t> Version;
+  std::optional<StoreVersion> Version;
   Duration RetryDelay = InitialRetryDelay;
+  Duration LossDelay = InitialRetryDelay;
   while (!this->Stopping) {
     const bool FullRead = !Version;
     Result<WatchedRows> R = Error{};
@@ -68,9 +69,15 @@
     this->recordStoreState(Table, std::nullopt);
     RetryDelay = InitialRetryDelay;
     if (valueOf(R).HistoryLost) {
+      // A whole read does not show that the changes can be followed again, so
+      // this delay grows until they can.
       Version.reset();
+      co_await sleepFor(LossDelay);
+      LossDelay = std::min(LossDelay * 2, MaxRetryDelay);
       continue;
     }
+    if (!FullRead)
+      LossDelay = InitialRetryDelay;
     Version = valueOf(R).Version;
     this->apply(Table, valueOf(R), FullRead);
     if (!valueOf(R).Rows.empty())
@@ -116,7 +123,7 @@
   Result<AccessPlan> Decoded = decodePlan(Row.Value);
   if (!succeeded(Decoded)) {
     log(LogLevel::Error, LogEvent::PlanRejected,
-        {{"row_version", Row.Version}, {"why", errorOf(Decoded)}});
+        {{"row_version", Row.Version.str()}, {"why", errorOf(Decoded)}});
     return;
   }
   if (valueOf(Decoded).Revision <= this->Plan->Revision)
@@ -126,7 +133,7 @@
       {{"revision", this->Plan->Revision},
        {"databases", this->Plan->Databases.size()},
        {"services", this->Plan->Services.size()},
-       {"row_version", Row.Version}});
+       {"row_version", Row.Version.str()}});
 }
 
 void PlatformDirectory::applyServer(const WatchedRow &Row) {
@@ -144,7 +151,7 @@
   Result<RegisteredServer> Decoded = decodeServer(Row);
   if (!succeeded(Decoded)) {
     log(LogLevel::Warning, LogEvent::RegistrationRejected,
-        {{"row_version", Row.Version}, {"why", errorOf(Decoded)}});
+        {{"row_version", Row.Version.str()}, {"why", errorOf(Decoded)}});
     if (Known != this->Servers.end())
       this->removeServer(Id);
     return;
@@ -167,7 +174,7 @@
          {"started_at_ms", Server.StartedAtMs},
          {"known_ms_after_start",
           knownAfterStart(Server, Before, wallClockNow())},
-         {"row_version", Row.Version}});
+         {"row_version", Row.Version.str()}});
   }
   this->Servers.insert_or_assign(Id, Server);
 }
--- a/src/root/directory/testing/ConfigDirectoryTest.cpp
+++ b/src/root/directory/testing/ConfigDirectoryTest.cpp
@@ -38,7 +38,7 @@
 TableRow headRow(std::uint64_t Revision, const std::string &Content) {
   const config::Head H{Revision,   config::hashOf(Content), "op",
                        "operator", "2026-01-01T00:00:00Z",  ""};
-  return {Revision, config::formatHead(H), "op"};
+  return {StoreVersion(Revision), config::formatHead(H), "op"};
 }
 
 /// An entry VM with a directory and a mock platform with configurable answers.
--- a/src/root/groups/ClaimReader.h
+++ b/src/root/groups/ClaimReader.h
@@ -32,7 +32,7 @@
         co_await this->Store.readRow(claimKey(Service), Deadline);
     if (!succeeded(R))
       co_return Error{errorOf(R)};
-    co_return parseClaimRow(valueOf(R).Version, valueOf(R).Value);
+    co_return parseClaimRow(valueOf(R).Version.number(), valueOf(R).Value);
   }
 
 private:
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -471,13 +471,13 @@
     this->observeClaim(Row, Held.Begun);
     if (!valueOf(R).Applied)
       continue;
-    Held.Fence = Row.Version;
+    Held.Version = Row.Version;
     log(LogLevel::Info, LogEvent::TakeoverClaimed,
         {{"service", this->Monitored->name().str()},
          {"row", Value},
-         {"fence", Held.Fence},
-         {"before", Replaced.Version == 0 ? "-" : Replaced.Value},
-         {"before_by", Replaced.Version == 0 ? "-" : Replaced.Operation},
+         {"fence", Held.Version.number()},
+         {"before", !Replaced.Version.exists() ? "-" : Replaced.Value},
+         {"before_by", !Replaced.Version.exists() ? "-" : Replaced.Operation},
          {"took_ms", (bootNow() - Held.Begun) / milliseconds(1)}});
     co_return Held;
   }
@@ -487,7 +487,7 @@
 void GroupMonitor::observeClaim(const TableRow &Row, TimePoint SentAt) {
   if (Row.StoreMs)
     this->Claim.observeClock(*Row.StoreMs, SentAt, bootNow());
-  const ClaimRow Parsed = parseClaimRow(Row.Version, Row.Value);
+  const ClaimRow Parsed = parseClaimRow(Row.Version.number(), Row.Value);
   // A claim is confirmed with its target just before a promotion is ordered.
   if (Row.Version > this->LastRow.Version && Parsed.State == ClaimState::Held &&
       Parsed.Target)
@@ -531,7 +531,7 @@
     const TimePoint SentAt = bootNow();
     const Result<CasOutcome> R =
         co_await this->Dependencies.Store.compareAndSet(
-            claimKey(this->Monitored->name()), Held.Fence, Value, Operation,
+            claimKey(this->Monitored->name()), Held.Version, Value, Operation,
             Deadline);
     if (!succeeded(R)) {
       Held.Unanswered = Operation;
@@ -541,9 +541,10 @@
     this->observeClaim(Row, SentAt);
     const bool IsOwn = valueOf(R).Applied || (!Held.Unanswered.empty() &&
                                               Row.Operation == Held.Unanswered);
-    if (!IsOwn)
+    // In another era the number may be that of another entry VM's claim.
+    if (!IsOwn || Row.Version.era() != Held.Version.era())
       co_return ClaimCheck::Lost;
-    Held.Fence = Row.Version;
+    Held.Version = Row.Version;
     if (valueOf(R).Applied)
       co_return ClaimCheck::Held;
   }
@@ -566,7 +567,7 @@
       LogEvent::PromotionFinished,
       {{"service", this->Monitored->name().str()},
        {"how", How},
-       {"fence", Held.Fence},
+       {"fence", Held.Version.number()},
        {"row", Value},
        {"claim", Check == ClaimCheck::Held ? "finished" : nameOf(Check)}});
 }
@@ -716,7 +717,7 @@
   Order.Service = this->Monitored->name();
   Order.Target = std::move(Target);
   Order.Holder = this->Dependencies.Self;
-  Order.FencingToken = Held.Fence;
+  Order.FencingToken = Held.Version.number();
   Order.SendBy = std::min(SendBy, Held.OrderBy);
   const Duration Timeout = std::min(OrderTimeout, Held.OrderBy - bootNow());
   const PromotionOutcome Outcome =
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -122,14 +122,14 @@
 private:
   /// A claim on the takeover, held by this entry VM.
   struct HeldClaim {
-    std::uint64_t Fence = 0; ///< Version of the row.
-    TimePoint Begun;         ///< Boot clock (core/BootClock.h).
-    TimePoint OrderBy;       ///< Boot clock; end of OrderSpan.
-    ClaimRow Before;         ///< The row that the claim has replaced.
-    bool Ordered = false;    ///< An order was given under the claim.
-    TimePoint OrderEnd;      ///< Boot clock; end of the last order's call.
-    Term LedTerm = 0;        ///< Of the server that leads by the last order.
-    std::string Unanswered;  ///< Last change of the row without an answer.
+    StoreVersion Version;   ///< Of the row.
+    TimePoint Begun;        ///< Boot clock (core/BootClock.h).
+    TimePoint OrderBy;      ///< Boot clock; end of OrderSpan.
+    ClaimRow Before;        ///< The row that the claim has replaced.
+    bool Ordered = false;   ///< An order was given under the claim.
+    TimePoint OrderEnd;     ///< Boot clock; end of the last order's call.
+    Term LedTerm = 0;       ///< Of the server that leads by the last order.
+    std::string Unanswered; ///< Last change of the row without an answer.
     /// What the next holder has to require.
     std::optional<RequiredLog> Required;
   };
--- a/src/root/groups/GroupMonitorLog.cpp
+++ b/src/root/groups/GroupMonitorLog.cpp
@@ -11,7 +11,7 @@
   for (const auto &[Id, Report] : Seen) {
     const RegisteredServer *Known = this->registration(Id);
     Text += (Text.empty() ? "" : " ") + Id.str() + "@" +
-            std::to_string(Known ? Known->Version : 0) + ":" +
+            (Known ? Known->Version : StoreVersion()).str() + ":" +
             std::string(nameOf(Report.Role)) + "," +
             std::to_string(Report.TermNumber) + "," +
             positionText(Report.Received) + "," +
@@ -26,7 +26,7 @@
   std::string Text;
   for (const TakeoverServer &S : Listed)
     Text += (Text.empty() ? "" : " ") + S.Id.str() + "@" +
-            std::to_string(this->Found.at(S.Id).Version) +
+            this->Found.at(S.Id).Version.str() +
             (Procedure.isNew(S) ? ":new" : "");
   return Text;
 }
@@ -47,7 +47,7 @@
        {"step", nameOf(Action.Step)},
        {"target", Action.Target.empty() ? "-" : Action.Target.str()},
        {"term", T},
-       {"fence", Held.Fence},
+       {"fence", Held.Version.number()},
        {"since_claim_ms", (bootNow() - Held.Begun) / milliseconds(1)},
        {"asked", Asked.empty() ? "-" : Asked},
        {"required", HasEnds ? positionText(Action.Required.Position) : "-"},
--- a/src/root/relay/Relay.cpp
+++ b/src/root/relay/Relay.cpp
@@ -132,7 +132,8 @@
       Operation, steadyNow() + ClaimTimeout);
   if (this->Stopping)
     co_return;
-  this->RowWasNew = succeeded(R) && valueOf(R).Applied && Former.Version == 0;
+  this->RowWasNew =
+      succeeded(R) && valueOf(R).Applied && !Former.Version.exists();
   if (succeeded(R))
     this->observeRow(valueOf(R).Current);
   else
@@ -150,7 +151,7 @@
   const TaskGroup::Guard Guard(this->Tasks);
   relay::Request Message = this->makeRequest(Former);
   *Message.mutable_replacement() = this->makeReplacement();
-  const std::uint64_t Replacement = this->row().Version;
+  const StoreVersion Replacement = this->row().Version;
   const auto To = std::make_shared<RelayLink>(*this->Context, Former.Address);
   // A suspended relay reads the message when it wakes, if the connection was
   // made before.
@@ -197,7 +198,7 @@
         {{"role", nameOf(this->role())},
          {"relay", Row.Vm.empty() ? "none" : Row.Vm.str()},
          {"address", Row.Address.empty() ? "none" : Row.Address},
-         {"row_version", Row.Version}});
+         {"row_version", Row.Version.str()}});
 }
 
 void Relay::listen() {
@@ -308,7 +309,8 @@
     relay::TablePosition *Held = Sync->add_tables();
     Held->set_table(static_cast<std::uint32_t>(Table));
     Held->set_known(this->Feed.cache(Table).isKnown());
-    Held->set_version(this->Feed.cache(Table).version());
+    Held->set_version(this->Feed.cache(Table).version().number());
+    Held->set_era(this->Feed.cache(Table).version().era());
   }
   if (this->Listening && !this->Leaving)
     Sync->set_address(this->Options.ListenAddress);
@@ -379,10 +381,11 @@
       continue;
     }
     const Duration Age(std::max<std::int64_t>(0, Changes.contact_age_us()));
-    ++Named;
+    // A relay that is still in an earlier era has not read the tables yet.
+    const bool Current = this->Feed.applyRelayed(
+        valueOf(Table), valueOf(Rows), Changes.complete(), SentAt - Age);
+    Named += Current ? 1 : 0;
     OldestContact = std::max(OldestContact, Age);
-    this->Feed.applyRelayed(valueOf(Table), valueOf(Rows), Changes.complete(),
-                            SentAt - Age);
   }
   if (Named < Tables.size())
     this->Election.observeNotReady(steadyNow(), this->Rng);
--- a/src/root/relay/Relay.h
+++ b/src/root/relay/Relay.h
@@ -197,6 +197,12 @@
     ForwarderVm Self; ///< Without an address if it cannot be a forwarder.
   };
 
+  /// A row as it is sent to followers.
+  struct EncodedRow {
+    StoreVersion Version;
+    relay::Row Message;
+  };
+
   /// Answers the relay of another data centre.
   void answerExchange(const RelayListener::Peer &From,
                       const relay::Request &Asked);
@@ -236,7 +242,7 @@
   ForwardedStatementRunner *Statements = nullptr;
   /// Encoded rows with long values, by table and key: one compression serves
   /// all followers.
-  std::map<std::pair<WatchedTable, std::string>, relay::Row> EncodedRows;
+  std::map<std::pair<WatchedTable, std::string>, EncodedRow> EncodedRows;
   RequestDelays Delays; ///< Of forwarded statements.
   std::uint64_t Operations = 0;
   TimePoint LastSync{};
--- a/src/root/relay/RelayCodec.cpp
+++ b/src/root/relay/RelayCodec.cpp
@@ -86,7 +86,7 @@
 relay::Row toMessage(const WatchedRow &Row) {
   relay::Row Message;
   Message.set_key(Row.Key);
-  Message.set_version(Row.Version);
+  Message.set_version(Row.Version.number());
   Message.set_removed(Row.Removed);
   Message.set_compressed(Row.Value.size() > CompressionThreshold);
   if (Message.compressed())
@@ -100,7 +100,7 @@
 
 Result<WatchedRows> watchedRowsOf(const relay::TableChanges &Changes) {
   WatchedRows Rows;
-  Rows.Version = Changes.version();
+  Rows.Version = StoreVersion(Changes.version(), Changes.era());
   Rows.Rows.reserve(static_cast<std::size_t>(Changes.rows_size()));
   for (const relay::Row &Message : Changes.rows()) {
     if (!isName(Message.key()) || Message.version() > Changes.version())
@@ -109,7 +109,8 @@
     if (!succeeded(Value))
       return Error{errorOf(Value)};
     Rows.Rows.push_back({Message.key(), valueOf(std::move(Value)),
-                         Message.version(), Message.removed()});
+                         StoreVersion(Message.version(), Changes.era()),
+                         Message.removed()});
   }
   return Rows;
 }
@@ -238,7 +239,8 @@
   Row.Vm = EntryVmId(Message.relay());
   Row.Address = Message.address();
   Row.Token = Message.token();
-  return decodeRelayRow(encodeRelayRow(Row), Message.row_version());
+  return decodeRelayRow(encodeRelayRow(Row),
+                        StoreVersion(Message.row_version(), Message.row_era()));
 }
 
 std::string encodeRelayRow(const RelayRow &Row) {
@@ -249,7 +251,7 @@
 }
 
 Result<RelayRow> decodeRelayRow(const std::string &Value,
-                                std::uint64_t Version) {
+                                StoreVersion Version) {
   const QJsonDocument Parsed =
       QJsonDocument::fromJson(QByteArray::fromStdString(Value));
   const QJsonObject O = Parsed.object();
--- a/src/root/relay/RelayCodec.h
+++ b/src/root/relay/RelayCodec.h
@@ -81,8 +81,7 @@
 /// was read from the store.
 Result<RelayRow> relayRowOf(const relay::Replacement &Message);
 /// Decodes the value of the row that names a relay.
-Result<RelayRow> decodeRelayRow(const std::string &Value,
-                                std::uint64_t Version);
+Result<RelayRow> decodeRelayRow(const std::string &Value, StoreVersion Version);
 
 } // namespace amaranthspur
 
--- a/src/root/relay/RelayPeers.cpp
+++ b/src/root/relay/RelayPeers.cpp
@@ -188,7 +188,7 @@
          {"former", Former.Vm.str()},
          {"relay", Seen.Vm.empty() ? "none" : Seen.Vm.str()},
          {"address", Seen.Address.empty() ? "none" : Seen.Address},
-         {"row_version", Seen.Version}});
+         {"row_version", Seen.Version.str()}});
 }
 
 void RelayPeers::updateReached(Peer &P) {
--- a/src/root/relay/RelayServing.cpp
+++ b/src/root/relay/RelayServing.cpp
@@ -23,6 +23,12 @@
   return nullptr;
 }
 
+/// Returns the version that \p Held tells. One without an era comes from a
+/// build that knows none, and counts as one of the era of \p Own.
+StoreVersion heldVersion(const relay::TablePosition &Held, StoreVersion Own) {
+  return StoreVersion(Held.version(), Held.has_era() ? Held.era() : Own.era());
+}
+
 } // namespace
 
 void Relay::updateFollowers() {
@@ -143,7 +149,8 @@
 
 relay::Replacement Relay::makeReplacement() const {
   relay::Replacement Message;
-  Message.set_row_version(this->row().Version);
+  Message.set_row_version(this->row().Version.number());
+  Message.set_row_era(this->row().Version.era());
   Message.set_relay(this->row().Vm.str());
   Message.set_address(this->row().Address);
   Message.set_token(this->row().Token);
@@ -209,14 +216,15 @@
   WatchedRows Rows;
   Rows.HistoryLost = true;
   if (Held->known())
-    Rows = Cache.changesAfter(Held->version());
+    Rows = Cache.changesAfter(heldVersion(*Held, Cache.version()));
   const bool Complete = Rows.HistoryLost;
   if (Complete)
     Rows = Cache.all();
   relay::TableChanges *Changes = Reply.add_tables();
   Changes->set_table(static_cast<std::uint32_t>(Table));
   Changes->set_complete(Complete);
-  Changes->set_version(Rows.Version);
+  Changes->set_version(Rows.Version.number());
+  Changes->set_era(Rows.Version.era());
   Changes->set_contact_age_us(
       (ReceivedAt - this->Feed.contactAt(Table)).count());
   for (const WatchedRow &Row : Rows.Rows) {
@@ -224,10 +232,10 @@
       *Changes->add_rows() = toMessage(Row);
       continue;
     }
-    relay::Row &Encoded = this->EncodedRows[{Table, Row.Key}];
-    if (Encoded.version() != Row.Version)
-      Encoded = toMessage(Row);
-    *Changes->add_rows() = Encoded;
+    EncodedRow &Encoded = this->EncodedRows[{Table, Row.Key}];
+    if (Encoded.Version != Row.Version)
+      Encoded = {Row.Version, toMessage(Row)};
+    *Changes->add_rows() = Encoded.Message;
   }
 }
 
--- a/src/root/relay/RelayedFeed.cpp
+++ b/src/root/relay/RelayedFeed.cpp
@@ -31,13 +31,15 @@
   this->Changed.notifyAll();
 }
 
-void RelayedFeed::applyRelayed(WatchedTable Table, const WatchedRows &Rows,
+bool RelayedFeed::applyRelayed(WatchedTable Table, const WatchedRows &Rows,
                                bool Complete, TimePoint ContactAt) {
   TableState &S = this->state(Table);
-  S.Cache.apply(Rows, Complete);
+  if (!S.Cache.apply(Rows, Complete))
+    return false;
   S.ContactAt = std::max(S.ContactAt, ContactAt);
   if (Complete || !Rows.Rows.empty())
     this->Changed.notifyAll();
+  return true;
 }
 
 void RelayedFeed::recordStoreResult(bool Succeeded) {
@@ -104,7 +106,7 @@
 }
 
 QCoro::Task<Result<WatchedRows>> RelayedFeed::awaitChanges(WatchedTable Table,
-                                                           std::uint64_t After,
+                                                           StoreVersion After,
                                                            Duration Wait) {
   TableState &S = this->state(Table);
   const TimePoint End = steadyNow() + Wait;
--- a/src/root/relay/RelayedFeed.h
+++ b/src/root/relay/RelayedFeed.h
@@ -52,7 +52,7 @@
   QCoro::Task<Result<WatchedRows>> readTable(WatchedTable Table,
                                              TimePoint Deadline) override;
   QCoro::Task<Result<WatchedRows>>
-  awaitChanges(WatchedTable Table, std::uint64_t After, Duration Wait) override;
+  awaitChanges(WatchedTable Table, StoreVersion After, Duration Wait) override;
 
   /// Sets the source. Calls that wait for the other source end.
   /// \param RelayAnswers whether a relay answers, usable or not.
@@ -62,7 +62,8 @@
   /// Merges rows that the relay has sent in answer to a request.
   /// \param ContactAt boot clock; latest time up to which the relay is known to
   /// have had all changes.
-  void applyRelayed(WatchedTable Table, const WatchedRows &Rows, bool Complete,
+  /// \returns false if the rows are of an earlier era than the known ones.
+  bool applyRelayed(WatchedTable Table, const WatchedRows &Rows, bool Complete,
                     TimePoint ContactAt);
 
   const RowCache &cache(WatchedTable Table) const;
--- a/src/root/relay/RowCache.cpp
+++ b/src/root/relay/RowCache.cpp
@@ -5,7 +5,13 @@
 
 namespace amaranthspur {
 
-void RowCache::apply(const WatchedRows &Seen, bool Complete) {
+bool RowCache::apply(const WatchedRows &Seen, bool Complete) {
+  if (this->Known && Seen.Version.era() != this->Version.era()) {
+    const bool Replaces = Complete && Seen.Version.era() > this->Version.era();
+    if (Replaces)
+      this->replace(Seen);
+    return Replaces;
+  }
   std::set<std::string> Present;
   for (const WatchedRow &Row : Seen.Rows) {
     Present.insert(Row.Key);
@@ -16,7 +22,7 @@
     if (IsOutdated)
       continue;
     WatchedRow &Known = this->Rows[Row.Key];
-    if (Known.Version >= Row.Version && Known.Version != 0)
+    if (Known.Version >= Row.Version && Known.Version.exists())
       continue;
     this->Removals += Row.Removed ? 1 : 0;
     this->Removals -= Known.Removed ? 1 : 0;
@@ -39,12 +45,22 @@
   }
   this->Version = std::max(this->Version, Seen.Version);
   this->forgetOldRemovals();
+  return true;
+}
+
+void RowCache::replace(const WatchedRows &Seen) {
+  this->Rows.clear();
+  this->Removals = 0;
+  for (const WatchedRow &Row : Seen.Rows)
+    this->Rows[Row.Key] = Row;
+  this->Version = Seen.Version;
+  this->CompleteSince = Seen.Version;
 }
 
 void RowCache::forgetOldRemovals() {
   if (this->Removals <= MaxRemovals)
     return;
-  std::vector<std::uint64_t> Versions;
+  std::vector<StoreVersion> Versions;
   for (const auto &[Key, Row] : this->Rows)
     if (Row.Removed)
       Versions.push_back(Row.Version);
@@ -57,10 +73,11 @@
   });
 }
 
-WatchedRows RowCache::changesAfter(std::uint64_t After) const {
+WatchedRows RowCache::changesAfter(StoreVersion After) const {
   WatchedRows Out;
   Out.Version = std::max(this->Version, After);
-  if (!this->Known || After < this->CompleteSince) {
+  if (!this->Known || After < this->CompleteSince ||
+      After.era() != this->Version.era()) {
     Out.HistoryLost = true;
     return Out;
   }
--- a/src/root/relay/RowCache.h
+++ b/src/root/relay/RowCache.h
@@ -3,7 +3,10 @@
 //
 // Rows may come from several sources of different age. A row is replaced only
 // by a newer version of it, so the cache never goes back, whatever the order in
-// which answers arrive. Memory is linear in the rows and bounded in the
+// which answers arrive. All rows are of one era of the store: a complete answer
+// of a later era replaces the whole table, and answers of other eras are
+// ignored, since versions of two eras do not tell what changed between them.
+// Memory is linear in the rows and bounded in the
 // remembered removals.
 #ifndef AMARANTHSPUR_ROOT_RELAY_ROWCACHE_H
 #define AMARANTHSPUR_ROOT_RELAY_ROWCACHE_H
@@ -24,26 +27,30 @@
 
   /// Merges \p Seen, an answer of the store or of a relay.
   /// \param Complete whether it holds all rows of the table.
-  void apply(const WatchedRows &Seen, bool Complete);
+  /// \returns false if it is ignored because of its era.
+  bool apply(const WatchedRows &Seen, bool Complete);
 
   /// Returns whether the whole table has been read once.
   bool isKnown() const { return this->Known; }
   /// Returns the version up to which all changes are included.
-  std::uint64_t version() const { return this->Version; }
+  StoreVersion version() const { return this->Version; }
 
   /// Returns the changes since \p After, or HistoryLost if some of them are no
-  /// longer remembered. Takes time linear in the number of rows.
-  WatchedRows changesAfter(std::uint64_t After) const;
+  /// longer remembered or \p After is of another era. Takes time linear in the
+  /// number of rows.
+  WatchedRows changesAfter(StoreVersion After) const;
 
   /// Returns the whole table, without the removed rows.
   WatchedRows all() const;
 
 private:
+  /// Replaces the table by \p Seen, a complete answer of a later era.
+  void replace(const WatchedRows &Seen);
   void forgetOldRemovals();
 
   std::map<std::string, WatchedRow> Rows; ///< By key; includes removals.
-  std::uint64_t Version = 0;
-  std::uint64_t CompleteSince = 0; ///< Removals before it are not remembered.
+  StoreVersion Version;
+  StoreVersion CompleteSince; ///< Removals before it are not remembered.
   std::size_t Removals = 0;
   bool Known = false;
 };
--- a/src/root/relay/testing/RelayCodecTest.cpp
+++ b/src/root/relay/testing/RelayCodecTest.cpp
@@ -32,8 +32,9 @@
 relay::TableChanges validChanges() {
   relay::TableChanges C;
   C.set_version(9);
-  *C.add_rows() = toMessage(WatchedRow{"a", "value", 3, false});
-  *C.add_rows() = toMessage(WatchedRow{"b", std::string(9000, 'x'), 9, false});
+  *C.add_rows() = toMessage(WatchedRow{"a", "value", StoreVersion(3), false});
+  *C.add_rows() = toMessage(
+      WatchedRow{"b", std::string(9000, 'x'), StoreVersion(9), false});
   return C;
 }
 
@@ -390,8 +391,10 @@
 
 // Guards against a row of another writer that is taken for a relay's.
 TEST_CASE("a malformed row names no relay") {
-  const RelayRow Valid{5, EntryVmId("vm-1"), "127.0.0.1:7440", "secret"};
-  const Result<RelayRow> Decoded = decodeRelayRow(encodeRelayRow(Valid), 5);
+  const RelayRow Valid{StoreVersion(5), EntryVmId("vm-1"), "127.0.0.1:7440",
+                       "secret"};
+  const Result<RelayRow> Decoded =
+      decodeRelayRow(encodeRelayRow(Valid), StoreVersion(5));
   REQUIRE(succeeded(Decoded));
   CHECK(valueOf(Decoded) == Valid);
   const std::string Deep(100000, '[');
@@ -408,7 +411,7 @@
       R"({"vm":1,"address":"127.0.0.1:7440","token":"t"})"};
   for (const std::string &Text : Rows) {
     CAPTURE(Text.substr(0, 80));
-    CHECK_FALSE(succeeded(decodeRelayRow(Text, 5)));
+    CHECK_FALSE(succeeded(decodeRelayRow(Text, StoreVersion(5))));
   }
 }
 
--- a/src/root/relay/testing/RelayPeersTest.cpp
+++ b/src/root/relay/testing/RelayPeersTest.cpp
@@ -71,7 +71,8 @@
 class FakePeer {
 public:
   explicit FakePeer(const std::string &Name)
-      : Row{0, EntryVmId(Name),
+      : Row{{},
+            EntryVmId(Name),
             "127.0.0.1:" + std::to_string(freePort("127.0.0.1")),
             "token-" + Name},
         Forwarders{{EntryVmId(Name + "-f"), "127.0.0.1:9", 50}} {
@@ -100,7 +101,7 @@
     Answer.set_correlation(Asked.correlation());
     if (this->Next) {
       relay::Replacement *R = Answer.mutable_not_relay()->mutable_replacement();
-      R->set_row_version(this->Next->Version);
+      R->set_row_version(this->Next->Version.number());
       R->set_relay(this->Next->Vm.str());
       R->set_address(this->Next->Address);
       R->set_token(this->Next->Token);
@@ -151,7 +152,7 @@
         this->Store.writeRow(Key, this->Store.readRow(Key).Version,
                              encodeRelayRow(P.Row), P.Row.Vm.str());
     REQUIRE(Written.Applied);
-    P.Row.Version = Written.Present.Version;
+    P.Row.Version = StoreVersion(Written.Present.Version);
   }
   bool knows(const FakePeer &P) const {
     return this->Peers.remoteForwarders() ==
--- a/src/root/relay/testing/RelayTest.cpp
+++ b/src/root/relay/testing/RelayTest.cpp
@@ -174,7 +174,7 @@
 
   QCoro::Task<> follow(RelayedFeed &Feed, WatchedTable Table) {
     const TaskGroup::Guard Guard(this->Tasks);
-    std::uint64_t Version = 0;
+    StoreVersion Version;
     bool Known = false;
     while (!this->Ending) {
       Result<WatchedRows> R = Error{};
@@ -274,6 +274,51 @@
   F.waitUntil([&F] { return F.allHave("i-2", "three"); });
 }
 
+// Guards against entry VMs that keep the rows which a store has lost when it
+// came back from a copy, or ignore those that it has got since (review case 7).
+TEST_CASE("entry VMs follow a store that comes back from an older copy") {
+  struct Row {
+    const char *Name;
+    unsigned Returns;
+    unsigned LostChanges; ///< Before each return.
+    bool StopRelay;       ///< After the last return.
+  };
+  const Row Rows[] = {
+      {"one return", 1, 20, false},
+      {"two returns", 2, 20, false},
+      {"the number is passed again", 1, 1, false},
+      {"the relay ends after the return", 1, 20, true},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    F.Store.setEraHeader("1");
+    F.waitUntil([&F] { return F.allFollow() && F.allHave("i-1", "one"); });
+    std::string Newest;
+    for (unsigned Return = 1; Return <= R.Returns; ++Return) {
+      F.Store.copy();
+      for (unsigned I = 0; I < R.LostChanges; ++I)
+        F.Store.setExternalRow("servers", "lost", std::to_string(I));
+      F.waitUntil([&F, &R] {
+        return F.allHave("lost", std::to_string(R.LostChanges - 1));
+      });
+      F.Store.returnFromCopy();
+      Newest = "after " + std::to_string(Return);
+      F.Store.setExternalRow("servers", "i-1", Newest);
+      F.Store.setExternalRow("servers", "i-2", Newest);
+    }
+    if (R.StopRelay)
+      runTask(F.relay()->Node.stop(steadyNow() + milliseconds(100)));
+    F.waitUntil([&F, &Newest] {
+      return F.allHave("i-1", Newest) && F.allHave("i-2", Newest);
+    });
+    for (const auto &[Name, Vm] : F.Vms)
+      for (const WatchedRow &Row :
+           Vm->Feed.cache(WatchedTable::Servers).all().Rows)
+        CHECK(Row.Key != "lost");
+  }
+}
+
 // Guards against a follower that stays without changes when its relay is lost
 // or does not reach the store.
 TEST_CASE("entry VMs read the store themselves without a usable relay") {
--- a/src/root/sessions/testing/SessionTest.cpp
+++ b/src/root/sessions/testing/SessionTest.cpp
@@ -83,21 +83,23 @@
   QCoro::Task<Result<WatchedRows>> readTable(WatchedTable Table,
                                              TimePoint) override {
     WatchedRows Rows;
-    Rows.Version = this->Version;
+    Rows.Version = StoreVersion(this->Version);
     if (Table == WatchedTable::Operator)
-      Rows.Rows.push_back({"config", this->Plan, this->Version, false});
+      Rows.Rows.push_back(
+          {"config", this->Plan, StoreVersion(this->Version), false});
     else
       for (const RegisteredServer &R : this->Group.registrations())
-        Rows.Rows.push_back({R.Id.str(), document(R), 1, false});
+        Rows.Rows.push_back({R.Id.str(), document(R), StoreVersion(1), false});
     co_return Rows;
   }
   QCoro::Task<Result<WatchedRows>>
-  awaitChanges(WatchedTable Table, std::uint64_t Known, Duration) override {
+  awaitChanges(WatchedTable Table, StoreVersion Known, Duration) override {
     co_await sleepFor(milliseconds(20));
     WatchedRows Rows;
-    Rows.Version = this->Version;
-    if (Table == WatchedTable::Operator && Known < this->Version)
-      Rows.Rows.push_back({"config", this->Plan, this->Version, false});
+    Rows.Version = StoreVersion(this->Version);
+    if (Table == WatchedTable::Operator && Known < StoreVersion(this->Version))
+      Rows.Rows.push_back(
+          {"config", this->Plan, StoreVersion(this->Version), false});
     co_return Rows;
   }
 
--- a/src/root/sessions/testing/StatementRunnerTest.cpp
+++ b/src/root/sessions/testing/StatementRunnerTest.cpp
@@ -76,7 +76,7 @@
       F.Group[Id].Adopted = R.Adopted;
     }
     if (R.Adopted > 1)
-      F.Store.Rows["takeover/ledger"] = {1, "vm 2", "x"};
+      F.Store.Rows["takeover/ledger"] = {StoreVersion(1), "vm 2", "x"};
     if (R.Joins) {
       FakeServer &Joined = F.Group.servers()["d"];
       Joined.Id = ServerId("d");
@@ -124,7 +124,7 @@
     REQUIRE(F.run("WRITE item data").succeeded());
     F.Group["b"].Adopted = R.AdoptedByB;
     F.Group["c"].Adopted = R.AdoptedByC;
-    F.Store.Rows["takeover/ledger"] = {1, "vm 2", "x"};
+    F.Store.Rows["takeover/ledger"] = {StoreVersion(1), "vm 2", "x"};
     for (const char *Id : {"b", "c"}) {
       ServerReport Report;
       Report.TermNumber = 1;
@@ -189,7 +189,7 @@
       REQUIRE(F.run("WRITE item data").succeeded());
     F.Group["b"].Adopted = R.AdoptedByB;
     F.Group["c"].Adopted = R.AdoptedByC;
-    F.Store.Rows["takeover/ledger"] = {1, R.Claim, "x"};
+    F.Store.Rows["takeover/ledger"] = {StoreVersion(1), R.Claim, "x"};
     const std::size_t Before = F.ran("a");
     CHECK(F.run("WRITE item data").Code == R.Code);
     CHECK(F.ran("a") == Before + R.Ran);
@@ -244,7 +244,7 @@
     F.Group["c"].Adopted = R.AdoptedByC;
     F.Group["b"].Reachable = R.ReachableB;
     F.Group["c"].Reachable = R.ReachableC;
-    F.Store.Rows["takeover/ledger"] = {1, R.Claim, "x"};
+    F.Store.Rows["takeover/ledger"] = {StoreVersion(1), R.Claim, "x"};
     const Answer A = F.run("READ item");
     CHECK(A.succeeded() == R.Served);
   }
--- a/src/root/telemetry/Log.h
+++ b/src/root/telemetry/Log.h
@@ -95,6 +95,8 @@
   StatementRefused,
   Stopped,
   Stopping,
+  StoreEraRejected,
+  StoreReturned,
   TakeoverClaimed,
   TakeoverStepDone,
 };
@@ -163,6 +165,8 @@
            {LogEvent::StatementRefused, "statement-refused"},
            {LogEvent::Stopped, "stopped"},
            {LogEvent::Stopping, "stopping"},
+           {LogEvent::StoreEraRejected, "store-era-rejected"},
+           {LogEvent::StoreReturned, "store-returned"},
            {LogEvent::TakeoverClaimed, "takeover-claimed"},
            {LogEvent::TakeoverStepDone, "takeover-step"}});
 };
--- a/src/root/telemetry/Metrics.h
+++ b/src/root/telemetry/Metrics.h
@@ -53,6 +53,8 @@
   HomeStatements,
   PrimaryOutages,
   PrimaryOutageRefusals,
+  StoreReturns,
+  StoreErasRejected,
 };
 
 /// The name, label and help text of a counter.
@@ -125,6 +127,10 @@
     {Counter::PrimaryOutageRefusals,
      "amaranthspur_primary_outage_refusals_total", "service",
      "Statements refused because of such an outage of the primary."},
+    {Counter::StoreReturns, "amaranthspur_store_returns_total", "",
+     "Times that the platform's store came back from an older copy."},
+    {Counter::StoreErasRejected, "amaranthspur_store_eras_rejected_total",
+     "reason", "Answers of the store whose era could not be used, by reason."},
 });
 } // namespace detail
 
--- a/src/root/testing/LineDaemonTest.cpp
+++ b/src/root/testing/LineDaemonTest.cpp
@@ -24,8 +24,9 @@
 namespace {
 
 /// Returns a configuration whose only route has the timeout \p TimeoutMs.
-std::string planWith(int TimeoutMs) {
-  return R"({"version":3,"routes":[{"name":"r","host":"orders",)"
+std::string planWith(int TimeoutMs, unsigned Revision = 3) {
+  return R"({"version":)" + std::to_string(Revision) +
+         R"(,"routes":[{"name":"r","host":"orders",)"
          R"("route-type":"read_your_writes","timeout-ms":)" +
          std::to_string(TimeoutMs) +
          R"(,"latency-goal-ms":800,"service":"ledger","max-staleness-ms":2500}],)"
@@ -33,6 +34,8 @@
          R"("limits":{"tx-idle-ms":3000}})";
 }
 
+QCoro::Task<> pause(Duration Length) { co_await sleepFor(Length); }
+
 /// A fake platform, a group of three servers and one daemon process.
 struct Fixture {
   /// \param OrderPort port of the platform's promotions; 0 for the port of its
@@ -41,6 +44,7 @@
   explicit Fixture(int TimeoutMs = 1000, std::uint16_t OrderPort = 0,
                    const QStringList &Flags = {}) {
     const quint16 Port = this->Server.listen(QHostAddress::LocalHost);
+    this->Store.setEraHeader("1");
     this->Store.setExternalRow("op", "config", planWith(TimeoutMs));
     this->addServer(this->A, "a", "primary");
     this->addServer(this->B, "b", "replica");
@@ -166,6 +170,53 @@
 
 } // namespace
 
+// Guards against a configuration that is accepted after the store came back
+// from a copy and never comes into force (review case 7).
+TEST_CASE("a configuration comes into force after a return of the store") {
+  struct Row {
+    const char *Name;
+    unsigned Returns;
+    bool WrittenAgain; ///< The lost revision, before the next one.
+    bool Away;         ///< The store refuses calls before it returns.
+  };
+  const Row Rows[] = {
+      {"the lost revision is written again", 1, true, false},
+      {"only the next revision is written", 1, false, false},
+      {"the store is away", 1, true, true},
+      {"two returns", 2, true, true},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    unsigned Revision = 3;
+    for (unsigned Return = 1; Return <= R.Returns; ++Return) {
+      F.Store.copy();
+      ++Revision;
+      // Several writes, so that the numbers after the return are lower.
+      for (int I = 0; I < 20; ++I)
+        F.addServer(F.C, "c", "replica");
+      F.Store.setExternalRow("op", "config", planWith(1000, Revision));
+      F.waitForOutput(
+          ("plan-accepted revision=" + std::to_string(Revision)).c_str());
+      if (R.Away) {
+        fakeplatform::Faults Down;
+        Down.Outage = true;
+        F.Store.setFaults(Down, std::nullopt);
+        runTask(pause(milliseconds(700)));
+      }
+      F.Store.returnFromCopy();
+      F.Store.setFaults({}, std::nullopt);
+      if (R.WrittenAgain)
+        F.Store.setExternalRow("op", "config", planWith(1000, Revision));
+      ++Revision;
+      F.Store.setExternalRow("op", "config", planWith(1000, Revision));
+      F.waitForOutput(
+          ("plan-accepted revision=" + std::to_string(Revision)).c_str());
+      F.waitForOutput("event=store-returned");
+    }
+  }
+}
+
 // Guards against faults that appear only when all components of the front end
 // run together.
 TEST_CASE("a caller is served over the platform's line protocol") {
--- a/src/testing/fake-platform/PlatformServer.cpp
+++ b/src/testing/fake-platform/PlatformServer.cpp
@@ -242,8 +242,7 @@
           return;
         if (PollReply && Guard &&
             Guard->state() == QAbstractSocket::ConnectedState)
-          Responder->write(PollReply->Body, "application/json",
-                           static_cast<Status>(PollReply->Status));
+          this->write(*Responder, *PollReply);
         Timer->deleteLater();
         Timer->stop();
       });
@@ -319,6 +318,21 @@
   return {200, {}};
 }
 
+void PlatformServer::write(QHttpServerResponder &Responder,
+                           const Answer &Reply) const {
+  const QByteArray Type =
+      Reply.Binary ? "application/octet-stream" : "application/json";
+  const auto StatusCode = static_cast<Status>(Reply.Status);
+  const std::optional<std::string> &Era = this->Store.eraHeader();
+  if (Era)
+    Responder.write(Reply.Body,
+                    {{"Content-Type", Type},
+                     {"Store-Era", QByteArray::fromStdString(*Era)}},
+                    StatusCode);
+  else
+    Responder.write(Reply.Body, Type, StatusCode);
+}
+
 void PlatformServer::send(const QHttpServerRequest &Request, QTcpSocket *Socket,
                           const Answer &Reply) {
   // The responder holds a raw pointer to the socket, which may have been
@@ -326,13 +340,9 @@
   const QPointer<QTcpSocket> Guard(Socket);
   auto Responder = std::make_shared<QHttpServerResponder>(
       QAbstractHttpServer::makeResponder(Request, Socket));
-  const auto Write = [Guard, Responder, Reply] {
-    if (!Guard || Guard->state() != QAbstractSocket::ConnectedState)
-      return;
-    Responder->write(Reply.Body,
-                     Reply.Binary ? "application/octet-stream"
-                                  : "application/json",
-                     static_cast<Status>(Reply.Status));
+  const auto Write = [this, Guard, Responder, Reply] {
+    if (Guard && Guard->state() == QAbstractSocket::ConnectedState)
+      this->write(*Responder, Reply);
   };
   const Duration Delay = this->Store.faults().Delay;
   if (Delay == Duration::zero())
--- a/src/testing/fake-platform/PlatformServer.h
+++ b/src/testing/fake-platform/PlatformServer.h
@@ -10,6 +10,7 @@
 
 #include <QAbstractHttpServer>
 #include <QHttpServerRequest>
+#include <QHttpServerResponder>
 #include <QUrlQuery>
 
 #include <optional>
@@ -55,6 +56,7 @@
   Answer setFault(const QByteArray &Body);
   void send(const QHttpServerRequest &Request, QTcpSocket *Socket,
             const Answer &Reply);
+  void write(QHttpServerResponder &Responder, const Answer &Reply) const;
 
   PlatformStore &Store;
 };
--- a/src/testing/fake-platform/PlatformStore.cpp
+++ b/src/testing/fake-platform/PlatformStore.cpp
@@ -25,37 +25,37 @@
 PlatformStore::PlatformStore(std::uint64_t Seed) : Generator(Seed) {}
 
 Row PlatformStore::readRow(const std::string &Key) const {
-  const auto Found = this->Rows.find(Key);
-  return Found == this->Rows.end() ? Row{} : Found->second;
+  const auto Found = this->State.Rows.find(Key);
+  return Found == this->State.Rows.end() ? Row{} : Found->second;
 }
 
 WriteOutcome PlatformStore::writeRow(const std::string &Key,
                                      std::uint64_t Expected, std::string Value,
                                      std::string Operation) {
-  Row &Present = this->Rows[Key];
+  Row &Present = this->State.Rows[Key];
   if (Present.Version != Expected)
     return {false, Present};
-  Present = {++this->Counter, std::move(Value), std::move(Operation)};
+  Present = {++this->State.Counter, std::move(Value), std::move(Operation)};
   return {true, Present};
 }
 
 void PlatformStore::setExternalRow(const std::string &Table,
                                    const std::string &Key, std::string Value) {
-  this->ExternalRows[Table][Key] = {Key, std::move(Value), ++this->Counter,
-                                    false};
+  this->State.ExternalRows[Table][Key] = {Key, std::move(Value),
+                                          ++this->State.Counter, false};
 }
 
 void PlatformStore::removeExternalRow(const std::string &Table,
                                       const std::string &Key) {
-  this->ExternalRows[Table][Key] = {Key, {}, ++this->Counter, true};
+  this->State.ExternalRows[Table][Key] = {Key, {}, ++this->State.Counter, true};
 }
 
 std::vector<ExternalRow>
 PlatformStore::externalRowsAfter(const std::string &Table,
                                  std::uint64_t After) const {
   std::vector<ExternalRow> Changed;
-  const auto Found = this->ExternalRows.find(Table);
-  if (Found == this->ExternalRows.end())
+  const auto Found = this->State.ExternalRows.find(Table);
+  if (Found == this->State.ExternalRows.end())
     return Changed;
   for (const auto &[Key, R] : Found->second)
     if (R.Version > After)
@@ -67,6 +67,11 @@
   return Changed;
 }
 
+void PlatformStore::returnFromCopy() {
+  this->State = this->Copy;
+  this->EraHeader = std::to_string(++this->Era);
+}
+
 void PlatformStore::putObject(const std::string &Name, std::string Content) {
   this->Objects[Name] = std::move(Content);
 }
--- a/src/testing/fake-platform/PlatformStore.h
+++ b/src/testing/fake-platform/PlatformStore.h
@@ -101,13 +101,28 @@
                                              std::uint64_t After) const;
   /// Discards the change history up to the present version, so that readers can
   /// no longer request the changes after an older version.
-  void discardHistory() { this->HistoryFrom = this->Counter; }
+  void discardHistory() { this->State.HistoryFrom = this->State.Counter; }
   /// Returns whether the changes after version \p After are still available.
   bool hasHistory(std::uint64_t After) const {
-    return After >= this->HistoryFrom;
+    return After >= this->State.HistoryFrom && After <= this->State.Counter;
   }
   /// Returns the version of the last change to any row.
-  std::uint64_t version() const { return this->Counter; }
+  std::uint64_t version() const { return this->State.Counter; }
+
+  /// Remembers the rows for returnFromCopy().
+  void copy() { this->Copy = this->State; }
+  /// Goes back to the rows of the last copy and begins the next era. Versions
+  /// are given out again.
+  void returnFromCopy();
+  /// Replaces the era that the answers tell by \p Header until the next return;
+  /// nothing: they tell none.
+  void setEraHeader(std::optional<std::string> Header) {
+    this->EraHeader = std::move(Header);
+  }
+  /// Returns the era that the answers tell, or nothing.
+  const std::optional<std::string> &eraHeader() const {
+    return this->EraHeader;
+  }
 
   void putObject(const std::string &Name, std::string Content);
   const std::string *findObject(const std::string &Name) const;
@@ -136,10 +151,17 @@
     std::optional<Vm> NewState; ///< Empty if the VM was removed.
   };
 
-  std::uint64_t Counter = 0; ///< Version of the last change to any row.
-  std::uint64_t HistoryFrom = 0;
-  std::map<std::string, Row> Rows;
-  std::map<std::string, std::map<std::string, ExternalRow>> ExternalRows;
+  struct Contents {
+    std::uint64_t Counter = 0; ///< Version of the last change to any row.
+    std::uint64_t HistoryFrom = 0;
+    std::map<std::string, Row> Rows;
+    std::map<std::string, std::map<std::string, ExternalRow>> ExternalRows;
+  };
+
+  Contents State;
+  Contents Copy;
+  std::uint64_t Era = 1;
+  std::optional<std::string> EraHeader;
   std::map<std::string, std::string> Objects;
   std::map<std::string, std::vector<VmChange>> Vms;
   Faults ActiveFaults;
--- a/src/testing/line-group/LineGroup.cpp
+++ b/src/testing/line-group/LineGroup.cpp
@@ -203,7 +203,7 @@
     R.Location = DataCentre("here");
     R.Role = S.Role;
     R.Draining = S.Draining;
-    R.Version = Port;
+    R.Version = StoreVersion(Port);
     List.push_back(R);
   }
   return List;
