--- a/src/platform/HttpPlatform.cpp
+++ b/src/platform/HttpPlatform.cpp
@@ -98,6 +98,8 @@
 HttpPlatform::compareAndSet(std::string Key, StoreVersion Expected,
                             std::string Value, std::string Operation,
                             TimePoint Deadline) {
+  if (Expected.exists() && Expected.era() < this->Eras.latest())
+    co_return co_await this->rejectOutdatedWrite(std::move(Key), Deadline);
   HttpRequest Request{
       "POST", "/rows-tx",
       rows::encodeConditionalWrite(OwnTable, Key, Expected,
@@ -132,6 +134,14 @@
   co_return CasOutcome{Applied, valueOf(std::move(Present))};
 }
 
+QCoro::Task<Result<CasOutcome>>
+HttpPlatform::rejectOutdatedWrite(std::string Key, TimePoint Deadline) {
+  Result<TableRow> Present = co_await this->readRow(std::move(Key), Deadline);
+  if (!succeeded(Present))
+    co_return Error{errorOf(Present)};
+  co_return CasOutcome{false, valueOf(std::move(Present))};
+}
+
 QCoro::Task<Result<Success>> HttpPlatform::putObject(std::string Name,
                                                      std::string Content,
                                                      TimePoint Deadline) {
--- a/src/platform/HttpPlatform.h
+++ b/src/platform/HttpPlatform.h
@@ -67,6 +67,10 @@
   /// nor 429, or until the next attempt would start after the deadline.
   QCoro::Task<Result<HttpResponse>> sendWithRetries(HttpRequest Request,
                                                     TimePoint Deadline);
+  /// Answers a conditional write on a version of an earlier era, whose number
+  /// may have been given out again, with the present row. Nothing is written.
+  QCoro::Task<Result<CasOutcome>> rejectOutdatedWrite(std::string Key,
+                                                      TimePoint Deadline);
   /// Decodes the page of rows in \p Response; any status but \p Wanted is an
   /// error.
   Result<rows::Page> decodePage(const HttpResponse &Response, int Wanted);
--- a/src/platform/Platform.h
+++ b/src/platform/Platform.h
@@ -87,6 +87,10 @@
                                                 TimePoint Deadline) = 0;
 
   /// Sets the row \p Key to \p Value if its version is \p Expected.
+  ///
+  /// The store compares numbers only. If the answer is of a later era than
+  /// \p Expected, the change may have replaced another row than the one that
+  /// the caller has read. It is not attempted if the later era is known.
   /// \param Operation unique identifier of this change. It is stored in the
   /// row, so that after a lost response a retry can tell that the change was
   /// applied.
--- a/src/platform/testing/HttpPlatformTest.cpp
+++ b/src/platform/testing/HttpPlatformTest.cpp
@@ -236,3 +236,35 @@
     CHECK(Seen.Newest.has_value() == (R.Before || R.Header));
   }
 }
+
+// Guards against a write that replaces a row of another writer: after a return
+// from a copy, the store gives the number of a known version out again.
+TEST_CASE("a conditional write on a version of an earlier era is not sent") {
+  struct Row {
+    const char *Name;
+    bool IsKnown; ///< The client has had an answer of the later era.
+    bool Applied;
+  };
+  const Row Rows[] = {{"the return is known", true, false},
+                      {"the return is not known", false, true}};
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    F.Store.setEraHeader("1");
+    F.Store.copy();
+    const auto Own = QCoro::waitFor(
+        F.Client.compareAndSet("k", {}, "own", "op-1", secondsFromNow(5)));
+    REQUIRE(succeeded(Own));
+    F.Store.returnFromCopy();
+    F.Store.writeRow("k", 0, "other", "op-2");
+    if (R.IsKnown)
+      REQUIRE(
+          succeeded(QCoro::waitFor(F.Client.readRow("x", secondsFromNow(5)))));
+    const auto Again = QCoro::waitFor(F.Client.compareAndSet(
+        "k", valueOf(Own).Current.Version, "mine", "op-3", secondsFromNow(5)));
+    REQUIRE(succeeded(Again));
+    CHECK(valueOf(Again).Applied == R.Applied);
+    CHECK(valueOf(Again).Current.Version.era() == 2);
+    CHECK(valueOf(Again).Current.Value == (R.Applied ? "mine" : "other"));
+  }
+}
--- a/src/platform/testing/MemoryPlatform.h
+++ b/src/platform/testing/MemoryPlatform.h
@@ -32,11 +32,12 @@
     if (this->Down || this->Silent)
       co_return Error{"no answer"};
     TableRow &Row = this->Rows[Key];
-    if (Row.Version != Expected)
+    // The store compares numbers, whatever their eras.
+    if (Row.Version.number() != Expected.number())
       co_return CasOutcome{Row.Operation == Operation, this->answer(Row)};
-    Row = {StoreVersion(++this->Counter), std::move(Value),
+    Row = {StoreVersion(++this->Counter, this->Era), std::move(Value),
            std::move(Operation)};
-    const CasOutcome Outcome{true, Row};
+    const CasOutcome Outcome{true, this->answer(Row, false)};
     if (this->LosesAnswer(Outcome.Current))
       co_return Error{"no answer"};
     const Duration Delay = this->AnswerDelay(Outcome.Current);
@@ -57,8 +58,24 @@
     co_return Error{"not used"};
   }
 
-  bool Down = false;   ///< Whether every call on rows fails.
-  bool Silent = false; ///< Whether no call on rows is answered in time.
+  /// Remembers the rows for returnFromCopy().
+  void copy() {
+    this->Copy = this->Rows;
+    this->CopiedCounter = this->Counter;
+  }
+  /// Goes back to the rows of the last copy and begins the next era.
+  void returnFromCopy() {
+    this->Rows = this->Copy;
+    this->Counter = this->CopiedCounter;
+    ++this->Era;
+  }
+
+  /// Called with the newest version in each answer, if the platform tells an
+  /// era.
+  std::function<void(StoreVersion)> Answered = [](StoreVersion) {};
+  std::uint64_t Era = 0; ///< 0: the answers tell none.
+  bool Down = false;     ///< Whether every call on rows fails.
+  bool Silent = false;   ///< Whether no call on rows is answered in time.
   /// Returns the time until the writer of a row gets its answer, whatever its
   /// deadline, as if the writer was suspended.
   std::function<Duration(const TableRow &)> AnswerDelay = [](const TableRow &) {
@@ -77,10 +94,17 @@
   std::map<std::string, TableRow> Rows;
 
 private:
-  TableRow answer(TableRow Row) const {
-    Row.StoreMs = this->StoreMs();
+  TableRow answer(TableRow Row, bool TellsClock = true) const {
+    Row.Version = StoreVersion(Row.Version.number(), this->Era);
+    if (this->Era != 0)
+      this->Answered(StoreVersion(this->Counter, this->Era));
+    if (TellsClock)
+      Row.StoreMs = this->StoreMs();
     return Row;
   }
+
+  std::map<std::string, TableRow> Copy;
+  std::uint64_t CopiedCounter = 0;
 };
 
 } // namespace amaranthspur
--- a/src/policy/ClaimRow.cpp
+++ b/src/policy/ClaimRow.cpp
@@ -89,6 +89,11 @@
 
 } // namespace
 
+std::uint64_t fencingToken(StoreVersion Version) {
+  constexpr std::uint64_t EraUnit = 1'000'000'000'000;
+  return Version.era() * EraUnit + Version.number();
+}
+
 std::string claimKey(const ServiceName &Service) {
   return std::string(ClaimKeyPrefix) + Service.str();
 }
@@ -143,6 +148,13 @@
   return Row;
 }
 
+ClaimRow withoutStatement(ClaimRow Row) {
+  if (Row.State == ClaimState::Missing)
+    Row.State = ClaimState::Finished;
+  Row.LastTerm = 0;
+  return Row;
+}
+
 std::optional<RequiredLog>
 stillRequired(const std::optional<RequiredLog> &Required, Term Led) {
   return Required && Required->Of >= Led ? Required : std::nullopt;
--- a/src/policy/ClaimRow.h
+++ b/src/policy/ClaimRow.h
@@ -37,7 +37,9 @@
 //  - It has given no order, and the row before was `finished T`. A row that
 //    does not exist stands for the term in which servers start.
 //
-// Otherwise it writes `finished`. In particular, an order that was given under
+// Otherwise it writes `finished`. A row that may have been followed by others
+// before the store came back from a copy states nothing (withoutStatement()).
+// In particular, an order that was given under
 // a claim that expired may still take effect. As everywhere in the takeover, an
 // order is taken to have its effect within TakeoverClaim::Lease or never.
 #ifndef AMARANTHSPUR_POLICY_CLAIMROW_H
@@ -45,6 +47,7 @@
 
 #include "core/Enums.h"
 #include "core/Names.h"
+#include "core/StoreVersion.h"
 #include "core/Types.h"
 
 #include <cstdint>
@@ -121,6 +124,14 @@
   std::optional<RequiredLog> Required = {};
 };
 
+/// Returns the fencing token of the holder of the claim row with \p Version. It
+/// is higher than that of each earlier holder, also after the store has come
+/// back from an older copy and gives its numbers out again. In decimal, it is
+/// the era followed by twelve digits of the number; without an era, the number.
+/// A store with 400 writes per second takes 79 years to exceed twelve digits.
+/// \pre the era of \p Version is at most MaxEra (platform/StoreEra.h).
+std::uint64_t fencingToken(StoreVersion Version);
+
 /// Returns the key of the claim row of \p Service.
 std::string claimKey(const ServiceName &Service);
 
@@ -132,6 +143,10 @@
 /// exist, and \p Value.
 ClaimRow parseClaimRow(std::uint64_t Version, const std::string &Value);
 
+/// Returns \p Row without its statement that no later term has been led. A row
+/// that does not exist makes that statement for FirstTerm.
+ClaimRow withoutStatement(ClaimRow Row);
+
 /// Returns \p Required unless a promotion to a later term has taken effect.
 /// \param Led the latest term that a primary is known to have led.
 std::optional<RequiredLog>
--- a/src/policy/Takeover.cpp
+++ b/src/policy/Takeover.cpp
@@ -77,6 +77,8 @@
 
 void TakeoverClaim::observe(StoreVersion Seen, const ClaimRow &Content,
                             TimePoint Now, bool IsOwn) {
+  if (Seen.era() < this->Version.era())
+    return;
   const StoreVersion SeenStart =
       Content.ClaimedAs == 0 ? Seen
                              : StoreVersion(Content.ClaimedAs, Seen.era());
@@ -88,7 +90,17 @@
   this->Own = IsOwn;
 }
 
+void TakeoverClaim::observeReturn(TimePoint At) {
+  if (this->ReturnedAt == At)
+    return;
+  this->ReturnedAt = At;
+  // The store's clock may have gone back with its rows.
+  this->Clock = StoreClock();
+}
+
 bool TakeoverClaim::mayClaim(TimePoint Now, ClaimPurpose Purpose) const {
+  if (this->mayMissClaim(Now))
+    return false;
   switch (this->Row.State) {
   case ClaimState::Missing:
     return true;
--- a/src/policy/Takeover.h
+++ b/src/policy/Takeover.h
@@ -146,7 +146,13 @@
 /// adoptions is excepted: it may have replaced a row that names the turn of
 /// another entry VM.
 ///
-/// Gaps remain: a holder that is suspended between the check of the time and
+/// When the store comes back from an older copy, the row may be that of an
+/// earlier holder, or gone, while a later holder goes on until it learns of the
+/// return. Nobody claims until that one's lease would have ended, had it
+/// written the row just before the return.
+///
+/// Gaps remain: an entry VM that starts after a return of the store and does
+/// not know of it; a holder that is suspended between the check of the time and
 /// the sending of its order, alone or with its machine; a row of an earlier
 /// version, which tells no turn or not the end of an order; and a holder to
 /// which the store gives no answer to the confirmation. That holder orders
@@ -178,8 +184,8 @@
   /// \param Self the entry VM that observes the claim.
   explicit TakeoverClaim(EntryVmId Self) : Self(std::move(Self)) {}
 
-  /// Records that the row was read with \p Version, which is 0 if it does not
-  /// exist, and the content \p Row.
+  /// Records that the row was read with \p Version and the content \p Row. A
+  /// row of an earlier era of the store than the known one is ignored.
   /// \param Own whether this process has written it.
   void observe(StoreVersion Version, const ClaimRow &Row, TimePoint Now,
                bool Own = false);
@@ -193,6 +199,16 @@
     this->RenewAfter = Answered ? EffectBy : EffectBy + Lease;
   }
 
+  /// Records that the store came back from an older copy.
+  /// \param At when this entry VM has first seen it.
+  void observeReturn(TimePoint At);
+
+  /// Returns whether claims of other entry VMs that were lost when the store
+  /// came back may still be held.
+  bool mayMissClaim(TimePoint Now) const {
+    return this->ReturnedAt && Now - *this->ReturnedAt < Lease + OrderSpan;
+  }
+
   /// Records an answer of the store; see StoreClock.
   void observeClock(std::int64_t StoreMs, TimePoint SentAt,
                     TimePoint ReceivedAt) {
@@ -247,8 +263,9 @@
   StoreClock Clock;
   StoreVersion Version;
   ClaimRow Row = parseClaimRow(0, {});
-  StoreVersion Start;     ///< Version from which the wait counts.
-  bool Own = false;       ///< This process has written the row.
+  StoreVersion Start;                  ///< Version from which the wait counts.
+  bool Own = false;                    ///< This process has written the row.
+  std::optional<TimePoint> ReturnedAt; ///< Last return of the store.
   TimePoint RenewAfter{}; ///< When an own claim may be claimed again.
   TimePoint SeenSince{};  ///< When that version or a later one was first read.
 };
--- a/src/policy/testing/ClaimRowTest.cpp
+++ b/src/policy/testing/ClaimRowTest.cpp
@@ -1,4 +1,5 @@
 #include "policy/ClaimRow.h"
+#include "policy/LeadershipProof.h"
 
 #include <catch2/catch.hpp>
 
@@ -229,3 +230,46 @@
                               turn("vm-1", 0)}) == R.Expected);
   }
 }
+
+// Guards against a fencing token that is lower than an earlier one because the
+// store gives the numbers of versions out again (review case 6).
+TEST_CASE("fencing tokens rise with the versions of the claim row") {
+  struct Row {
+    StoreVersion Version;
+    std::uint64_t Token;
+  };
+  // In the order of the claims.
+  const Row Rows[] = {
+      {StoreVersion(71), 71},
+      {StoreVersion(101), 101},
+      {StoreVersion(1, 1), 1'000'000'000'001},
+      {StoreVersion(999'999'999'999, 1), 1'999'999'999'999},
+      {StoreVersion(40, 2), 2'000'000'000'040},
+      {StoreVersion(3, 4), 4'000'000'000'003},
+      {StoreVersion(999'999'999'999, 9'000'000), 9'000'000'999'999'999'999U},
+  };
+  std::uint64_t Last = 0;
+  for (const Row &R : Rows) {
+    CAPTURE(R.Version.str());
+    CHECK(fencingToken(R.Version) == R.Token);
+    CHECK(fencingToken(R.Version) > Last);
+    Last = fencingToken(R.Version);
+  }
+}
+
+// Guards against a proof by a row of the copy, which a takeover that was lost
+// may have followed: a superseded primary would go on with reads.
+TEST_CASE("a row without its statement proves no term") {
+  for (const char *Value : {"", "finished 3", "finished 3 other@0", "vm@0 4"}) {
+    CAPTURE(Value);
+    const std::uint64_t Version = *Value == 0 ? 0 : 5;
+    const ClaimRow Row = parseClaimRow(Version, Value);
+    const ClaimRow Without = withoutStatement(Row);
+    CHECK(Without.LastTerm == 0);
+    CHECK(Without.State != ClaimState::Missing);
+    CHECK(Without.Turn == Row.Turn);
+    LeadershipProof Proof(FirstTerm, TimePoint());
+    Proof.recordClaim(Without);
+    CHECK(Proof.state({ServerId("b"), ServerId("c")}) != ProofState::Proved);
+  }
+}
--- a/src/policy/testing/TakeoverTest.cpp
+++ b/src/policy/testing/TakeoverTest.cpp
@@ -290,6 +290,63 @@
   }
 }
 
+// Guards against two holders within the lease: the claim that was written just
+// before the store went away is gone, or an earlier one stands there again.
+TEST_CASE("nobody claims while a claim that a return has lost may be held") {
+  struct Row {
+    const char *Name;
+    const char *Value; ///< Of the row in the copy; empty if there is none.
+    bool Own;          ///< This process has written it.
+    int AtMs;          ///< Since the return was first seen.
+    bool MayClaim;
+  };
+  const Row Rows[] = {
+      {"no row", "", false, 4799, false},
+      {"no row, later", "", false, 4800, true},
+      {"finished", "finished 3", false, 4799, false},
+      {"finished, later", "finished 3", false, 4800, true},
+      {"finished by this entry VM", "finished 3 vm@0", true, 4799, false},
+      {"its own claim stands again", "vm@0 4 i-7", true, 4799, false},
+      {"its own claim, later", "vm@0 4 i-7", true, 4800, true},
+      {"another's claim stands again", "other@0 4 i-7", false, 4799, false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    TakeoverClaim Claim(EntryVmId("vm"));
+    const TimePoint Start{std::chrono::seconds(100)};
+    Claim.observe(StoreVersion(9, 1), parseClaimRow(9, "finished 4"), Start);
+    REQUIRE(Claim.mayClaim(Start));
+    const TimePoint Returned = Start + std::chrono::seconds(30);
+    Claim.observeReturn(Returned);
+    const std::string Value = R.Value;
+    const std::uint64_t Number = Value.empty() ? 0 : 5;
+    Claim.observe(StoreVersion(Number, 2), parseClaimRow(Number, Value),
+                  Returned, R.Own);
+    // An answer of the former era arrives late.
+    Claim.observe(StoreVersion(10, 1), parseClaimRow(10, "third@0 5"),
+                  Returned + milliseconds(5));
+    CHECK(Claim.version() == StoreVersion(Number, 2));
+    const TimePoint Now = Returned + milliseconds(R.AtMs);
+    CHECK(Claim.mayClaim(Now) == R.MayClaim);
+    CHECK((Claim.mayMissClaim(Now) || R.AtMs >= 4800));
+  }
+}
+
+// Guards against a clock of the former era that ends a wait too early.
+TEST_CASE("the store's clock is not known after a return") {
+  const TimePoint Start{std::chrono::seconds(100)};
+  TakeoverClaim Claim(EntryVmId("vm"));
+  Claim.observeClock(90000, Start, Start);
+  REQUIRE(Claim.knowsClock(Start));
+  Claim.observeReturn(Start);
+  CHECK_FALSE(Claim.knowsClock(Start));
+  CHECK(Claim.turnUntil(Start).WaitFromMs == 0);
+  // Only the first sight of a return makes the clock unknown.
+  Claim.observeClock(82000, Start, Start);
+  Claim.observeReturn(Start);
+  CHECK(Claim.knowsClock(Start));
+}
+
 // Guards against an entry VM that waits for the lease of its own claim, and
 // against one that gives another order while the one before may take effect.
 TEST_CASE("an entry VM claims again under its own claim when no order can take "
--- a/src/root/LineDaemon.cpp
+++ b/src/root/LineDaemon.cpp
@@ -57,7 +57,8 @@
       Registrations(this->PlatformClient),
       Groups(this->Directory, this->Connector, this->OwnLocality,
              {this->Values.VmId, this->PlatformClient, this->Registrations,
-              this->Promoter, this->Counters, this->RandomSource},
+              this->Promoter, this->Counters, this->RandomSource,
+              this->Returns.history()},
              &this->DataCentreRelay),
       Statements(this->Groups),
       Dependencies{this->Directory, this->Groups, this->Counters,
@@ -113,13 +114,13 @@
     return QJsonValue(QJsonObject{
         {"revision", static_cast<qint64>(this->Directory.plan()->Revision)}});
   });
+  this->Admin.addStatus("store", [this] {
+    const StoreVersion Newest = this->Returns.history().newest();
+    return QJsonValue(
+        QJsonObject{{"era", static_cast<qint64>(Newest.era())},
+                    {"version", static_cast<qint64>(Newest.number())}});
+  });
   this->Admin.addStatus("relay", [this] {
-    this->Admin.addStatus("store", [this] {
-      const StoreVersion Newest = this->Returns.history().newest();
-      return QJsonValue(
-          QJsonObject{{"era", static_cast<qint64>(Newest.era())},
-                      {"version", static_cast<qint64>(Newest.number())}});
-    });
     return QJsonValue(QJsonObject{
         {"role",
          QString::fromUtf8(nameOf(this->DataCentreRelay.role()).data())},
--- a/src/root/groups/ClaimReader.h
+++ b/src/root/groups/ClaimReader.h
@@ -5,6 +5,7 @@
 
 #include "platform/Platform.h"
 #include "policy/ClaimRow.h"
+#include "policy/StoreHistory.h"
 
 namespace amaranthspur {
 
@@ -23,8 +24,9 @@
 /// The claim rows in the platform's store. A read takes one call to the store.
 class StoredClaims final : public ClaimReader {
 public:
-  /// \param Store must outlive this object.
-  explicit StoredClaims(Platform &Store) : Store(Store) {}
+  /// \param Store, History must outlive this object.
+  StoredClaims(Platform &Store, const StoreHistory &History)
+      : Store(Store), History(History) {}
 
   QCoro::Task<Result<ClaimRow>> read(ServiceName Service,
                                      TimePoint Deadline) override {
@@ -32,11 +34,16 @@
         co_await this->Store.readRow(claimKey(Service), Deadline);
     if (!succeeded(R))
       co_return Error{errorOf(R)};
-    co_return parseClaimRow(valueOf(R).Version.number(), valueOf(R).Value);
+    const TableRow &Row = valueOf(R);
+    ClaimRow Parsed = parseClaimRow(Row.Version.number(), Row.Value);
+    if (!this->History.isSinceReturn(Row.Version))
+      Parsed = withoutStatement(std::move(Parsed));
+    co_return Parsed;
   }
 
 private:
   Platform &Store;
+  const StoreHistory &History;
 };
 
 } // namespace amaranthspur
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -52,6 +52,7 @@
     const TakeoverReason Reason = co_await this->checkPrimary();
     this->Degraded = Reason != TakeoverReason::None || this->Degraded;
     // Another entry VM's claim must end before this one may act.
+    this->observeReturn();
     if (Reason != TakeoverReason::None && this->Claim.mayClaim(bootNow()))
       co_await this->takeOver(Reason);
     co_await this->undoStrandedAdoptions();
@@ -439,6 +440,7 @@
 GroupMonitor::claim(ClaimPurpose Purpose, Term T) {
   HeldClaim Held;
   const std::string Operation = this->nextOperation();
+  this->observeReturn();
   // The answer to a write that was applied may lack the store's clock.
   if (!this->Claim.knowsClock(bootNow())) {
     const TimePoint SentAt = bootNow();
@@ -472,10 +474,20 @@
     if (!valueOf(R).Applied)
       continue;
     Held.Version = Row.Version;
+    // The answer may be the first one after a return of the store. The numbers
+    // of versions are given out again, so the row that was replaced may be the
+    // claim of another entry VM.
+    if (this->Claim.mayMissClaim(bootNow())) {
+      log(LogLevel::Warning, LogEvent::TakeoverClaimAbandoned,
+          {{"service", this->Monitored->name().str()},
+           {"row", Value},
+           {"fence", fencingToken(Held.Version)}});
+      co_return std::nullopt;
+    }
     log(LogLevel::Info, LogEvent::TakeoverClaimed,
         {{"service", this->Monitored->name().str()},
          {"row", Value},
-         {"fence", Held.Version.number()},
+         {"fence", fencingToken(Held.Version)},
          {"before", !Replaced.Version.exists() ? "-" : Replaced.Value},
          {"before_by", !Replaced.Version.exists() ? "-" : Replaced.Operation},
          {"took_ms", (bootNow() - Held.Begun) / milliseconds(1)}});
@@ -484,10 +496,20 @@
   co_return std::nullopt;
 }
 
+void GroupMonitor::observeReturn() {
+  if (this->Dependencies.History.returnedAt())
+    this->Claim.observeReturn(*this->Dependencies.History.returnedAt());
+}
+
 void GroupMonitor::observeClaim(const TableRow &Row, TimePoint SentAt) {
+  this->observeReturn();
+  if (Row.Version.era() < this->Dependencies.History.era())
+    return;
   if (Row.StoreMs)
     this->Claim.observeClock(*Row.StoreMs, SentAt, bootNow());
-  const ClaimRow Parsed = parseClaimRow(Row.Version.number(), Row.Value);
+  ClaimRow Parsed = parseClaimRow(Row.Version.number(), Row.Value);
+  if (!this->Dependencies.History.isSinceReturn(Row.Version))
+    Parsed = withoutStatement(std::move(Parsed));
   // A claim is confirmed with its target just before a promotion is ordered.
   if (Row.Version > this->LastRow.Version && Parsed.State == ClaimState::Held &&
       Parsed.Target)
@@ -516,6 +538,8 @@
 
 QCoro::Task<ClaimCheck>
 GroupMonitor::renewConfirmation(HeldClaim &Held, ServerId Target, Term T) {
+  if (this->isOutdated(Held))
+    co_return ClaimCheck::Lost;
   if (Held.OrderBy - bootNow() >= TakeoverClaim::LeastOrderTime)
     co_return ClaimCheck::Held;
   co_return co_await this->confirm(Held, std::move(Target), T);
@@ -527,6 +551,8 @@
   // An earlier write of this holder may have been applied without an answer.
   // The second attempt then uses the version that it has given the row.
   for (int Attempt = 0; Attempt < 2; ++Attempt) {
+    if (this->isOutdated(Held))
+      co_return ClaimCheck::Lost;
     const std::string Operation = this->nextOperation();
     const TimePoint SentAt = bootNow();
     const Result<CasOutcome> R =
@@ -567,7 +593,7 @@
       LogEvent::PromotionFinished,
       {{"service", this->Monitored->name().str()},
        {"how", How},
-       {"fence", Held.Version.number()},
+       {"fence", fencingToken(Held.Version)},
        {"row", Value},
        {"claim", Check == ClaimCheck::Held ? "finished" : nameOf(Check)}});
 }
@@ -619,6 +645,13 @@
     const TakeoverAction Action = Procedure.next(bootNow());
     if (Action.Step == std::exchange(Previous, Action.Step))
       co_await sleepFor(StepRetryDelay);
+    // Without an order that may take effect, a lost claim interrupts no writes.
+    const bool Changes =
+        Action.Step != TakeoverStep::End && Action.Step != TakeoverStep::Resume;
+    if (Changes && !Held->Ordered && this->isOutdated(*Held)) {
+      Procedure.recordClaim(ClaimCheck::Lost);
+      continue;
+    }
     std::string Outcome;
     switch (Action.Step) {
     case TakeoverStep::Poll:
@@ -717,7 +750,7 @@
   Order.Service = this->Monitored->name();
   Order.Target = std::move(Target);
   Order.Holder = this->Dependencies.Self;
-  Order.FencingToken = Held.Version.number();
+  Order.FencingToken = fencingToken(Held.Version);
   Order.SendBy = std::min(SendBy, Held.OrderBy);
   const Duration Timeout = std::min(OrderTimeout, Held.OrderBy - bootNow());
   const PromotionOutcome Outcome =
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -13,6 +13,7 @@
 #include "platform/Platform.h"
 #include "platform/PromotionClient.h"
 #include "policy/ClaimRow.h"
+#include "policy/StoreHistory.h"
 #include "policy/TakeoverProcedure.h"
 #include "root/groups/Group.h"
 #include "root/telemetry/Metrics.h"
@@ -49,6 +50,7 @@
   PromotionClient &Orders;
   Metrics &Counters;
   Random &Rng;
+  const StoreHistory &History; ///< Of the store.
 };
 
 /// Monitors one group and carries out its takeovers.
@@ -122,7 +124,7 @@
 private:
   /// A claim on the takeover, held by this entry VM.
   struct HeldClaim {
-    StoreVersion Version;   ///< Of the row.
+    StoreVersion Version;   ///< Of the row; determines the fencing token.
     TimePoint Begun;        ///< Boot clock (core/BootClock.h).
     TimePoint OrderBy;      ///< Boot clock; end of OrderSpan.
     ClaimRow Before;        ///< The row that the claim has replaced.
@@ -240,6 +242,13 @@
                                   Duration Timeout);
   /// Marks the claim row as finished. If that fails, the claim expires.
   QCoro::Task<> release(HeldClaim Claim, std::string How);
+  /// Tells the claim of the store's last return.
+  void observeReturn();
+  /// Returns whether the store may have come back since the row of \p Held was
+  /// written, so that the claim may be lost.
+  bool isOutdated(const HeldClaim &Held) const {
+    return Held.Version.era() < this->Dependencies.History.era();
+  }
   /// Records \p Row as the claim row.
   /// \param SentAt boot clock; when the call was sent.
   void observeClaim(const TableRow &Row, TimePoint SentAt);
--- a/src/root/groups/GroupRegistry.cpp
+++ b/src/root/groups/GroupRegistry.cpp
@@ -10,7 +10,8 @@
                              MonitorDependencies Dependencies,
                              EvidenceSource *Source)
     : Directory(Directory), Connector(Connector), Where(Where),
-      Dependencies(std::move(Dependencies)), Claims(this->Dependencies.Store),
+      Dependencies(std::move(Dependencies)),
+      Claims(this->Dependencies.Store, this->Dependencies.History),
       Source(Source) {}
 
 QCoro::Task<Result<Success>> GroupRegistry::start() {
--- a/src/root/groups/testing/GroupEvidenceTest.cpp
+++ b/src/root/groups/testing/GroupEvidenceTest.cpp
@@ -81,6 +81,7 @@
 
   LineGroup Group;
   FakeSource Source;
+  StoreHistory History;
   MemoryPlatform Store;
   NoOrders Orders;
   GroupRegistrations Registrations{this->Group};
@@ -91,7 +92,8 @@
       ServiceName("ledger"), this->Group, this->Where, &this->Source);
   GroupMonitor Monitor{this->Servers,
                        {EntryVmId("vm"), this->Store, this->Registrations,
-                        this->Orders, this->Counters, this->Rng}};
+                        this->Orders, this->Counters, this->Rng,
+                        this->History}};
 };
 
 QCoro::Task<bool> prove(std::shared_ptr<class Group> Of) {
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -24,6 +24,8 @@
 
   QCoro::Task<PromotionOutcome> promote(PromotionRequest Order,
                                         TimePoint) override {
+    if (this->Orders.empty())
+      this->FirstAt = steadyNow();
     this->Orders.push_back(Order);
     this->BeforeEffect(Order);
     const PromotionOutcome Outcome = this->Answer;
@@ -46,6 +48,7 @@
   bool HasNoEffect = false; ///< The order is never carried out.
   Duration EffectDelay{};   ///< Time from an order to its effect.
   std::vector<PromotionRequest> Orders;
+  TimePoint FirstAt{}; ///< Time of the first of them.
   /// Called with each order before it takes effect.
   std::function<void(const PromotionRequest &)> BeforeEffect =
       [](const PromotionRequest &) {};
@@ -69,6 +72,15 @@
 
   void refresh() { configureGroup(*this->Servers, this->Group); }
 
+  /// Makes the store tell its era in each answer.
+  void tellEra() {
+    this->Store.Era = 1;
+    this->Store.Answered = [this](StoreVersion Newest) {
+      this->History.observe(Newest, bootNow());
+    };
+    this->Store.Answered(StoreVersion(this->Store.Counter, 1));
+  }
+
   /// Waits until an order is given or \p Limit has passed.
   void pass(Duration Limit) {
     runTask([](Fixture &F, Duration Limit) -> QCoro::Task<> {
@@ -81,6 +93,7 @@
   }
 
   LineGroup Group;
+  StoreHistory History;
   MemoryPlatform Store;
   RecordedOrders Orders{this->Group};
   GroupRegistrations Registrations{this->Group};
@@ -91,7 +104,8 @@
       ServiceName("ledger"), this->Group, this->Where);
   GroupMonitor Monitor{this->Servers,
                        {EntryVmId("vm"), this->Store, this->Registrations,
-                        this->Orders, this->Counters, this->Rng}};
+                        this->Orders, this->Counters, this->Rng,
+                        this->History}};
 };
 
 } // namespace
@@ -613,7 +627,8 @@
       Monitors.push_back(std::make_unique<GroupMonitor>(
           Groups.back(),
           MonitorDependencies{EntryVmId("vm" + std::to_string(I)), F.Store,
-                              F.Registrations, F.Orders, F.Counters, F.Rng}));
+                              F.Registrations, F.Orders, F.Counters, F.Rng,
+                              F.History}));
       Monitors.back()->start();
     }
     F.Group["a"].Reachable = false;
@@ -670,7 +685,7 @@
     Servers->configure(F.Servers->limits(), F.Group.registrations());
     Servers->start();
     GroupMonitor Second(Servers, {EntryVmId("vm2"), F.Store, F.Registrations,
-                                  F.Orders, F.Counters, F.Rng});
+                                  F.Orders, F.Counters, F.Rng, F.History});
     Second.start();
     runTask([](Fixture &F) -> QCoro::Task<> {
       co_await sleepFor(milliseconds(700));
@@ -892,7 +907,7 @@
     Servers->configure(F.Servers->limits(), F.Group.registrations());
     Servers->start();
     GroupMonitor Second(Servers, {EntryVmId("vm2"), F.Store, F.Registrations,
-                                  F.Orders, F.Counters, F.Rng});
+                                  F.Orders, F.Counters, F.Rng, F.History});
     Second.start();
     Servers->observeFailure(ServerId("a"), "test");
     F.pass(std::chrono::seconds(3));
@@ -1019,6 +1034,99 @@
           F.Orders.Orders[I].FencingToken);
 }
 
+// Guards against an order with a lower fence than an earlier one after the
+// store has come back from a copy (review case 6), and against an order within
+// the lease of a claim that was lost.
+TEST_CASE("the fence rises over a return of the store") {
+  struct Row {
+    const char *Name;
+    unsigned Returns;
+    bool CopiedAfterOrder; ///< The copy has the finished claim.
+    bool IsKnown;          ///< By other answers, before the next claim.
+    bool NumberIsReused;   ///< By another entry VM's claim, which has expired.
+  };
+  const Row Rows[] = {
+      {"the claim row is gone", 1, false, true, false},
+      {"the claim row is the copy's", 1, true, true, false},
+      {"two returns", 2, false, true, false},
+      {"the claim's answer is the first one since", 1, false, false, false},
+      {"the number of the row is given out again", 1, false, false, true},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    F.tellEra();
+    F.Store.copy();
+    F.Store.Counter += 100;
+    F.Group["a"].Draining = true;
+    F.refresh();
+    F.pass(std::chrono::seconds(3));
+    REQUIRE(F.Orders.Orders.size() == 1);
+    const std::uint64_t First = F.Orders.Orders[0].FencingToken;
+    const StoreVersion Finished = F.Store.Rows["takeover/ledger"].Version;
+    if (R.CopiedAfterOrder)
+      F.Store.copy();
+    for (unsigned I = 0; I < R.Returns; ++I)
+      F.Store.returnFromCopy();
+    if (R.NumberIsReused)
+      F.Store.Rows["takeover/ledger"] = {Finished, "other@0 9", "x"};
+    const TimePoint Returned = steadyNow();
+    if (R.IsKnown)
+      F.Store.Answered(StoreVersion(F.Store.Counter, F.Store.Era));
+    F.Orders.Orders.clear();
+    F.Group["b"].Draining = true;
+    F.refresh();
+    F.pass(std::chrono::seconds(12));
+    REQUIRE(F.Orders.Orders.size() == 1);
+    CHECK(F.Orders.Orders[0].Target == ServerId("c"));
+    CHECK(F.Orders.Orders[0].FencingToken > First);
+    const Duration Least = TakeoverClaim::Lease + TakeoverClaim::OrderSpan;
+    CHECK(F.Orders.FirstAt - Returned >= Least);
+  }
+}
+
+// Guards against an order or a write under a claim that the store has lost, and
+// against a claim of another entry VM that is overwritten.
+TEST_CASE("a claim ends when the store comes back from a copy") {
+  struct Row {
+    const char *Name;
+    const char *Value; ///< Of the claim row when the store comes back.
+    bool IsKnown;      ///< By other answers.
+  };
+  const Row Rows[] = {
+      {"after the claim, not known", "vm@0 2", false},
+      {"after the claim", "vm@0 2", true},
+      {"after the confirmation", "vm@0 2 b end=1:1.1", true},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    F.tellEra();
+    F.Store.copy();
+    bool Returned = false;
+    F.Store.AnswerDelay = [&](const TableRow &Written) {
+      if (Returned || Written.Value != R.Value)
+        return Duration::zero();
+      Returned = true;
+      F.Store.returnFromCopy();
+      // Another entry VM claims in the present era.
+      F.Store.Rows["takeover/ledger"] = {Written.Version, "other@0 9", "x"};
+      F.Store.Counter = Written.Version.number();
+      if (R.IsKnown)
+        F.Store.Answered(StoreVersion(F.Store.Counter, F.Store.Era));
+      return Duration::zero();
+    };
+    F.Group["a"].Draining = true;
+    F.refresh();
+    F.pass(std::chrono::seconds(4));
+    REQUIRE(Returned);
+    CHECK(F.Orders.Orders.empty());
+    CHECK(F.Group["a"].Role == ServerRole::Primary);
+    if (R.IsKnown)
+      CHECK(F.Store.Rows["takeover/ledger"].Value == "other@0 9");
+  }
+}
+
 // Guards against a takeover whose log lines do not tell which servers it knew,
 // what it required of its target and why.
 TEST_CASE("the log tells what a takeover knew and required") {
--- a/src/root/sessions/testing/RunnerFixture.h
+++ b/src/root/sessions/testing/RunnerFixture.h
@@ -70,7 +70,8 @@
   LineGroup Group;
   Locality Where{DataCentre("here"), {{DataCentre("here"), Region("r")}}};
   MemoryPlatform Store;
-  StoredClaims Claims{this->Store};
+  StoreHistory History;
+  StoredClaims Claims{this->Store, this->History};
   Metrics Counters;
   std::shared_ptr<class Group> Servers = std::make_shared<class Group>(
       ServiceName("ledger"), this->Group, this->Where, nullptr, &this->Claims,
--- a/src/root/sessions/testing/SessionTest.cpp
+++ b/src/root/sessions/testing/SessionTest.cpp
@@ -201,6 +201,7 @@
 
   LineGroup Group;
   FixedTables Tables{this->Group};
+  StoreHistory History;
   MemoryPlatform Store;
   NoPromotions Orders;
   GroupRegistrations Registrations{this->Group};
@@ -212,7 +213,8 @@
                        this->Group,
                        this->Where,
                        {EntryVmId("vm"), this->Store, this->Registrations,
-                        this->Orders, this->Counters, this->Rng}};
+                        this->Orders, this->Counters, this->Rng,
+                        this->History}};
   SessionDependencies Dependencies{this->Directory, this->Groups,
                                    this->Counters};
 };
--- a/src/root/telemetry/Log.h
+++ b/src/root/telemetry/Log.h
@@ -97,6 +97,7 @@
   Stopping,
   StoreEraRejected,
   StoreReturned,
+  TakeoverClaimAbandoned,
   TakeoverClaimed,
   TakeoverStepDone,
 };
@@ -167,6 +168,7 @@
            {LogEvent::Stopping, "stopping"},
            {LogEvent::StoreEraRejected, "store-era-rejected"},
            {LogEvent::StoreReturned, "store-returned"},
+           {LogEvent::TakeoverClaimAbandoned, "takeover-claim-abandoned"},
            {LogEvent::TakeoverClaimed, "takeover-claimed"},
            {LogEvent::TakeoverStepDone, "takeover-step"}});
 };
