--- a/src/policy/quotas/QuotaAllocator.h
+++ b/src/policy/quotas/QuotaAllocator.h
@@ -165,6 +165,9 @@
   void stop();
   /// Records that no other allocator had followed this one at \p AsOf.
   void confirm(TimePoint AsOf);
+  /// Records that another allocator may have followed this one. Nothing is
+  /// granted until the next confirmation.
+  void withdraw() { this->ConfirmedAt = TimePoint(); }
   /// Records that the former allocator has ended, so that only its leases
   /// count.
   void observeFormerEnded(TimePoint Now);
--- a/src/policy/quotas/testing/QuotaAllocatorTest.cpp
+++ b/src/policy/quotas/testing/QuotaAllocatorTest.cpp
@@ -279,8 +279,8 @@
   CHECK(Ran >= 20 * 3 - 8);
 }
 
-// Guards against a relay that was suspended or cut off and leases what the one
-// that has replaced it leases as well.
+// Guards against a relay that was suspended or cut off, or whose row was lost,
+// and leases what the one that has replaced it leases as well.
 TEST_CASE("nothing is leased without a recent confirmation") {
   const int Valid =
       static_cast<int>(QuotaAllocator::ConfirmationTime.count() / 1000);
@@ -289,6 +289,8 @@
     int ConfirmedMs;
     int AtMs;
     std::size_t Leases;
+    bool Withdrawn = false;      ///< After the confirmation.
+    bool ConfirmedAgain = false; ///< At AtMs.
   };
   const Row Rows[] = {
       {"after the start", 0, Valid, 1},
@@ -296,6 +298,8 @@
       {"confirmed", 2000, 2000 + Valid, 1},
       {"confirmed too long ago", 2000, 2001 + Valid, 0},
       {"an older confirmation", -5000, Valid, 1},
+      {"withdrawn", 2000, 2000, 0, true},
+      {"withdrawn and confirmed again", 2000, 2000, 1, true, true},
   };
   const AccessPlan Plan = planWith(100, 40);
   for (const Row &R : Rows) {
@@ -303,6 +307,10 @@
     QuotaAllocator Allocator(1, {});
     Allocator.start(false, at(0));
     Allocator.confirm(at(R.ConfirmedMs));
+    if (R.Withdrawn)
+      Allocator.withdraw();
+    if (R.ConfirmedAgain)
+      Allocator.confirm(at(R.AtMs));
     CHECK(Allocator.lease({vm(1), 1, {{W, 1, {}, 0, 0}}}, Plan, at(R.AtMs))
               .size() == R.Leases);
   }
--- a/src/root/LineDaemon.cpp
+++ b/src/root/LineDaemon.cpp
@@ -48,7 +48,8 @@
       Connector(this->Values.VmId, &this->Abandoned),
       Feed(this->PlatformClient, this->Values.ConfigurationBound / PollDivisor),
       DataCentreRelay(relayOptions(this->Values), this->PlatformClient,
-                      this->Feed, this->RandomSource, this->Counters),
+                      this->Feed, this->RandomSource, this->Counters,
+                      this->Returns),
       Directory(this->Feed),
       Quotas(
           quotaOptions(this->Values, this->Incarnation),
@@ -80,6 +81,7 @@
     this->Quotas.applyPlan();
     this->Groups.refresh();
   };
+  this->Returns.Returned = [this] { this->DataCentreRelay.observeReturn(); };
   this->DataCentreRelay.setBoard(this->Groups);
   this->DataCentreRelay.setStatementRunner(this->Statements);
   this->DataCentreRelay.setQuotas(this->Quotas);
--- a/src/root/directory/StoreReturns.cpp
+++ b/src/root/directory/StoreReturns.cpp
@@ -12,6 +12,7 @@
   this->Counters.add(Counter::StoreReturns);
   log(LogLevel::Warning, LogEvent::StoreReturned,
       {{"version", Newest.str()}, {"before", Before.str()}});
+  this->Returned();
 }
 
 void StoreReturns::observeFault(EraFault Fault, std::string_view Header) {
--- a/src/root/directory/StoreReturns.h
+++ b/src/root/directory/StoreReturns.h
@@ -27,6 +27,9 @@
 
   const StoreHistory &history() const { return this->History; }
 
+  /// Called when a return has been recorded.
+  std::function<void()> Returned = [] {};
+
 private:
   Metrics &Counters;
   StoreHistory History;
--- a/src/root/quotas/WorkspaceQuotas.h
+++ b/src/root/quotas/WorkspaceQuotas.h
@@ -82,6 +82,7 @@
   void endAllocation() override;
   bool needsAuthority() const override;
   void confirmAuthority(TimePoint AsOf) override;
+  void withdrawAuthority() override { this->Allocator.withdraw(); }
   void formerAllocatorEnded() override;
   std::vector<QuotaLease> lease(const QuotaRequest &Asked) override;
   std::optional<QuotaLoanRequest>
--- a/src/root/relay/QuotaBoard.h
+++ b/src/root/relay/QuotaBoard.h
@@ -35,6 +35,9 @@
   virtual bool needsAuthority() const = 0;
   /// Records that no other relay had followed this one at \p AsOf.
   virtual void confirmAuthority(TimePoint AsOf) = 0;
+  /// Records that another relay may have followed this one. Nothing is leased
+  /// until the next confirmation.
+  virtual void withdrawAuthority() = 0;
   /// Records that the relay before this one allocates no more.
   virtual void formerAllocatorEnded() = 0;
   /// Returns the leases of another entry VM.
--- a/src/root/relay/Relay.cpp
+++ b/src/root/relay/Relay.cpp
@@ -34,10 +34,11 @@
 } // namespace
 
 Relay::Relay(RelayOptions Given, Platform &Store, RelayedFeed &Feed,
-             Random &Rng, Metrics &Counters)
+             Random &Rng, Metrics &Counters, StoreReturns &Returns)
     : Options(std::move(Given)), Store(Store), Feed(Feed), Rng(Rng),
-      Counters(Counters), Election(this->Options.Self, this->Options.CpuShare,
-                                   this->Options.MaxContactAge),
+      Counters(Counters), Returns(Returns),
+      Election(this->Options.Self, this->Options.CpuShare,
+               this->Options.MaxContactAge),
       Peers(this->Options.Self, this->Options.Location,
             otherDataCentres(this->Options), Store, Counters),
       OwnStatements(this->Options.Self,
@@ -82,6 +83,17 @@
     this->Quotas->prepareEnd();
 }
 
+void Relay::observeReturn() {
+  if (this->Allocates)
+    this->Quotas->withdrawAuthority();
+  this->Wake.wake();
+}
+
+bool Relay::mayMissRelay() const {
+  const std::optional<TimePoint> At = this->Returns.history().returnedAt();
+  return At && bootNow() - *At < LostRelayPeriod;
+}
+
 QCoro::Task<> Relay::run() {
   const TaskGroup::Guard Guard(this->Tasks);
   this->Election.start(steadyNow(), this->Rng);
@@ -106,7 +118,7 @@
       this->updateFollowers();
       co_await this->confirmAuthority();
       const bool Verify = this->Election.takeVerification(steadyNow());
-      if (Verify)
+      if (Verify || this->isRowOutdated())
         co_await this->readRow();
       Next = steadyNow() + RelayInterval;
     }
@@ -132,8 +144,8 @@
       Operation, steadyNow() + ClaimTimeout);
   if (this->Stopping)
     co_return;
-  this->RowWasNew =
-      succeeded(R) && valueOf(R).Applied && !Former.Version.exists();
+  this->RowWasNew = succeeded(R) && valueOf(R).Applied &&
+                    !Former.Version.exists() && !this->mayMissRelay();
   if (succeeded(R))
     this->observeRow(valueOf(R).Current);
   else
@@ -143,7 +155,7 @@
       succeeded(R) && valueOf(R).Applied && !Former.Vm.empty();
   if (Replaced && Former.Vm != this->Options.Self)
     this->announceReplacement(Former);
-  else if (Replaced && this->Quotas)
+  else if (Replaced && this->Quotas && !this->mayMissRelay())
     this->Quotas->formerAllocatorEnded();
 }
 
@@ -159,7 +171,8 @@
       co_await To->request(std::move(Message), steadyNow() + ClaimTimeout);
   // The former relay has accepted the replacement, or another process runs at
   // its address.
-  if (Reply && this->Quotas && this->row().Version == Replacement)
+  if (Reply && this->Quotas && this->row().Version == Replacement &&
+      !this->mayMissRelay())
     this->Quotas->formerAllocatorEnded();
 }
 
@@ -250,7 +263,8 @@
   this->Quotas->startAllocation(!this->RowWasNew);
   this->Quotas->confirmAuthority(this->RowAskedAt);
   // A row that this process has not claimed is that of a former run.
-  if (this->ClaimedTokens.count(this->row().Token) == 0)
+  if (this->ClaimedTokens.count(this->row().Token) == 0 &&
+      !this->mayMissRelay())
     this->Quotas->formerAllocatorEnded();
 }
 
@@ -267,7 +281,7 @@
       });
   if (AnySilent)
     this->SilentUntil = Now + SilencePeriod;
-  if (Now < this->SilentUntil) {
+  if (Now < this->SilentUntil || this->isRowOutdated()) {
     const Result<TableRow> R = co_await this->Store.readRow(
         relayRowKey(this->Options.Location), Now + ClaimTimeout);
     if (this->Stopping || !succeeded(R))
@@ -275,7 +289,7 @@
     this->observeRow(valueOf(R));
     this->applyRole();
   }
-  if (this->isRelay())
+  if (this->isRelay() && !this->isRowOutdated())
     this->Quotas->confirmAuthority(AsOf);
 }
 
@@ -381,6 +395,9 @@
       continue;
     }
     const Duration Age(std::max<std::int64_t>(0, Changes.contact_age_us()));
+    // Builds that know of no era send 0.
+    if (valueOf(Rows).Version.era() != 0)
+      this->Returns.observeVersion(valueOf(Rows).Version);
     // A relay that is still in an earlier era has not read the tables yet.
     const bool Current = this->Feed.applyRelayed(
         valueOf(Table), valueOf(Rows), Changes.complete(), SentAt - Age);
--- a/src/root/relay/Relay.h
+++ b/src/root/relay/Relay.h
@@ -7,6 +7,10 @@
 // from. Without a usable relay every entry VM does all of this itself, so a
 // relay that stops, is suspended or is cut off costs calls and breaks nothing.
 //
+// When the store comes back from an older copy, an earlier relay's row may
+// stand there again, or none. The relay then grants no quotas until it has read
+// the row of the present era.
+//
 // One task runs the election and follows the relay; one task per proof and per
 // forwarded statement serves other entry VMs. Requests must carry the token of
 // the relay's row, which only entry VMs of the deployment can read.
@@ -16,7 +20,9 @@
 #include "core/Random.h"
 #include "policy/RelayElection.h"
 #include "policy/RequestDelays.h"
+#include "policy/quotas/QuotaAllocator.h"
 #include "root/Supervisor.h"
+#include "root/directory/StoreReturns.h"
 #include "root/relay/EvidenceBoard.h"
 #include "root/relay/QuotaBoard.h"
 #include "root/relay/RelayLink.h"
@@ -85,9 +91,16 @@
   /// Most followers that are counted. More are served, but not counted.
   static constexpr std::size_t MaxFollowers = 10000;
 
+  /// After a return of the store, a relay whose row was lost may have granted
+  /// quotas until it learned of the return, which takes a poll of the store and
+  /// a retry. Its grants have ended after this time.
+  static constexpr Duration LostRelayPeriod =
+      std::chrono::seconds(4) + QuotaAllocator::TakeoverTime;
+
   /// All referenced objects must outlive the relay.
+  /// \param Returns is told of the eras in the replies of the relay.
   Relay(RelayOptions Options, Platform &Store, RelayedFeed &Feed, Random &Rng,
-        Metrics &Counters);
+        Metrics &Counters, StoreReturns &Returns);
   ~Relay() override;
 
   /// Sets the groups whose evidence is exchanged.
@@ -121,6 +134,9 @@
   /// becomes the relay while this one still answers.
   void leave();
 
+  /// Records that the store has come back from an older copy.
+  void observeReturn();
+
   RelayRole role() const { return this->Election.role(); }
   std::size_t followers() const { return this->Followers.size(); }
   const RelayRow &row() const { return this->Election.row(); }
@@ -146,6 +162,13 @@
   QCoro::Task<> claim();
   /// Reads the relay's row again.
   QCoro::Task<> readRow();
+  /// Returns whether the known row may have been lost with a return of the
+  /// store.
+  bool isRowOutdated() const {
+    return this->row().Version.era() < this->Returns.history().era();
+  }
+  /// Returns whether a relay that the store has lost may still grant quotas.
+  bool mayMissRelay() const;
   void observeRow(const TableRow &Seen);
   void observeRow(RelayRow Row);
   /// Tells the relay of \p Former that this entry VM has replaced it, since it
@@ -219,6 +242,7 @@
   RelayedFeed &Feed;
   Random &Rng;
   Metrics &Counters;
+  StoreReturns &Returns;
   EvidenceBoard *Board = nullptr;
   QuotaBoard *Quotas = nullptr;
   bool Allocates = false;              ///< The quotas, as the relay.
--- a/src/root/relay/testing/RelayPeersTest.cpp
+++ b/src/root/relay/testing/RelayPeersTest.cpp
@@ -33,6 +33,7 @@
   void endAllocation() override {}
   bool needsAuthority() const override { return true; }
   void confirmAuthority(TimePoint) override {}
+  void withdrawAuthority() override {}
   void formerAllocatorEnded() override {}
   std::vector<QuotaLease> lease(const QuotaRequest &) override { return {}; }
   std::optional<QuotaLoanRequest> makeLoanRequest(const DataCentre &) override {
--- a/src/root/relay/testing/RelayTest.cpp
+++ b/src/root/relay/testing/RelayTest.cpp
@@ -84,11 +84,13 @@
   EntryVm(const std::string &Name, quint16 StorePort,
           const std::string &Location = "here")
       : Rng(std::hash<std::string>{}(Name)),
-        Store({"127.0.0.1", StorePort}, this->Rng.below(1U << 30U)),
+        Store({"127.0.0.1", StorePort}, this->Rng.below(1U << 30U),
+              HttpPlatform::DefaultThresholds, nullptr, &this->Returns),
         Feed(this->Store, milliseconds(500)),
         Address("127.0.0.1:" + std::to_string(freePort("127.0.0.1"))),
         Node(options(Name, this->Address, Location), this->Store, this->Feed,
-             this->Rng, this->Counters) {
+             this->Rng, this->Counters, this->Returns) {
+    this->Returns.Returned = [this] { this->Node.observeReturn(); };
     this->Board.Own.Service = ServiceName("s");
     this->Board.Own.Primary = ServerId("of-" + Name);
     this->Board.Own.TermNumber = 4;
@@ -140,6 +142,7 @@
   std::shared_ptr<const AccessPlan> Plan = std::make_shared<AccessPlan>();
   Random Rng;
   Metrics Counters;
+  StoreReturns Returns{this->Counters};
   HttpPlatform Store;
   RelayedFeed Feed;
   FakeBoard Board;
@@ -207,6 +210,11 @@
         return Vm.get();
     return nullptr;
   }
+  std::ptrdiff_t relays() const {
+    return std::count_if(
+        this->Vms.begin(), this->Vms.end(),
+        [](const auto &Entry) { return Entry.second->Node.isRelay(); });
+  }
   bool allFollow() {
     EntryVm *Current = this->relay();
     return Current && std::all_of(this->Vms.begin(), this->Vms.end(),
@@ -319,6 +327,46 @@
   }
 }
 
+// Guards against two relays that grant quotas at the same time: after a return
+// of the store, the row names the relay before the present one again, or none.
+TEST_CASE("one relay is left after a return of the store") {
+  struct Row {
+    const char *Name;
+    bool CopyHasRow; ///< Of the relay before the present one.
+  };
+  const Row Rows[] = {{"the row of an earlier relay", true}, {"no row", false}};
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    F.Store.setEraHeader("1");
+    if (!R.CopyHasRow)
+      F.Store.copy();
+    F.waitUntil([&F] { return F.allFollow(); });
+    EntryVm *Earlier = F.relay();
+    if (R.CopyHasRow) {
+      F.Store.copy();
+      Earlier->Node.leave();
+      F.waitUntil([&] { return F.relay() != Earlier && F.allFollow(); });
+    }
+    for (const auto &[Name, Vm] : F.Vms)
+      Vm->limit({100, 100});
+    F.Store.returnFromCopy();
+    F.Store.setExternalRow("servers", "i-1", "again");
+    const auto IsSettled = [&F] {
+      const EntryVm *Current = F.relay();
+      return Current && Current->Node.row().Version.era() == 2 &&
+             F.allFollow() && F.allHave("i-1", "again");
+    };
+    F.waitUntil(IsSettled);
+    CHECK(F.relays() == 1);
+    for (const auto &[Name, Vm] : F.Vms) {
+      CAPTURE(Name);
+      CHECK(Vm->Returns.history().era() == 2);
+      CHECK(Vm->Node.row().Token == F.relay()->Node.row().Token);
+    }
+  }
+}
+
 // Guards against a follower that stays without changes when its relay is lost
 // or does not reach the store.
 TEST_CASE("entry VMs read the store themselves without a usable relay") {
