--- a/src/platform/Documents.cpp
+++ b/src/platform/Documents.cpp
@@ -217,6 +217,7 @@
   Server.Slots = static_cast<unsigned>(O["slots"].toInteger(1));
   Server.StartedAtMs = O["born"].toInteger();
   Server.Version = Row.Version;
+  Server.Sequence = static_cast<std::uint64_t>(O["sequence"].toInteger());
   Server.Role = parseName<ServerRole>(stringValue(O["db-role"]));
   if (!Server.Role)
     return Malformed("an unknown role");
--- a/src/policy/AccessPlan.h
+++ b/src/policy/AccessPlan.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace amaranthspur {
 
@@ -115,9 +116,21 @@
   std::int64_t StartedAtMs = 0; ///< Time of the start; differs after a restart.
   std::optional<ServerRole> Role; ///< As reported by the server itself.
   StoreVersion Version;           ///< Version of the registration.
+  std::uint64_t Sequence = 0;     ///< Of the registration since the start.
 
   bool operator==(const RegisteredServer &) const = default;
 
+  /// Returns whether this registration is certainly older than \p Known, of the
+  /// same id, although its version is later: the store has come back from a
+  /// copy in between.
+  bool isOlderThan(const RegisteredServer &Known) const {
+    if (this->Version.era() <= Known.Version.era() || this->StartedAtMs == 0 ||
+        Known.StartedAtMs == 0)
+      return false;
+    return std::pair(this->StartedAtMs, this->Sequence) <
+           std::pair(Known.StartedAtMs, Known.Sequence);
+  }
+
   /// Returns whether \p Other, of the same id, is the same run of the server at
   /// the same address, so that connections and beliefs stay valid.
   bool isSameStart(const RegisteredServer &Other) const {
--- a/src/root/directory/PlatformDirectory.cpp
+++ b/src/root/directory/PlatformDirectory.cpp
@@ -156,8 +156,17 @@
       this->removeServer(Id);
     return;
   }
-  this->MissingSince.erase(Id);
   const RegisteredServer &Server = valueOf(Decoded);
+  if (Known != this->Servers.end() && Server.isOlderThan(Known->second)) {
+    // The row is the copy's. The server writes it again if it is alive, and it
+    // expires if it is not.
+    log(LogLevel::Info, LogEvent::RegistrationOutdated,
+        {{"server", Id.str()},
+         {"row_version", Row.Version.str()},
+         {"known_version", Known->second.Version.str()}});
+    return;
+  }
+  this->MissingSince.erase(Id);
   const bool IsChange = Known == this->Servers.end() ||
                         Known->second.Draining != Server.Draining ||
                         Known->second.StartedAtMs != Server.StartedAtMs ||
--- a/src/root/directory/testing/PlatformDirectoryTest.cpp
+++ b/src/root/directory/testing/PlatformDirectoryTest.cpp
@@ -123,6 +123,53 @@
   }
 }
 
+// Guards against new statements for a server that is leaving, or for one that
+// has restarted since, because the store came back with an older row of it.
+TEST_CASE("a server's row in a copy does not replace a newer one") {
+  struct Row {
+    const char *Name;
+    std::string Copied; ///< Fields of the row in the copy.
+    std::string Known;  ///< Fields of the row that was lost.
+    bool Replaces;      ///< The copied row, which is not draining.
+  };
+  const Row Rows[] = {
+      {"the known row has a higher number", R"("born":5,"sequence":3)",
+       R"("born":5,"sequence":4)", false},
+      {"the known row is of a later start", R"("born":5,"sequence":9)",
+       R"("born":6,"sequence":1)", false},
+      {"the numbers are the same", R"("born":5,"sequence":4)",
+       R"("born":5,"sequence":4)", true},
+      {"the copied row is of a later start", R"("born":7,"sequence":1)",
+       R"("born":5,"sequence":4)", true},
+      {"the start is not known", R"("sequence":3)", R"("sequence":4)", true},
+  };
+  const auto With = [](const char *State, const std::string &Fields) {
+    std::string Text = server(State);
+    const std::string Sequence = R"("sequence":1)";
+    return Text.replace(Text.find(Sequence), Sequence.size(), Fields);
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Fixture F;
+    F.Store.setEraHeader("1");
+    F.Store.setExternalRow("servers", "i-2", With("ready", R.Copied));
+    F.waitUntil([&F] { return F.Directory->servers().size() == 2; });
+    F.Store.copy();
+    F.Store.setExternalRow("servers", "i-2", With("draining", R.Known));
+    F.waitUntil(
+        [&F] { return F.Directory->servers().at(ServerId("i-2")).Draining; });
+    F.Store.returnFromCopy();
+    F.Store.setExternalRow("servers", "i-3", server("ready"));
+    F.waitUntil([&F] { return F.Directory->servers().size() == 3; });
+    CHECK(F.Directory->servers().at(ServerId("i-2")).Draining != R.Replaces);
+    // What the server writes itself counts.
+    F.Store.setExternalRow("servers", "i-2",
+                           With("ready", R"("born":8,"sequence":1)"));
+    F.waitUntil(
+        [&F] { return !F.Directory->servers().at(ServerId("i-2")).Draining; });
+  }
+}
+
 // Guards against one odd row of another writer that ends the process, hides the
 // other rows or stops the following of the table.
 TEST_CASE("a malformed row names no server and affects no other row") {
