--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -620,6 +620,11 @@
   co_return Servers;
 }
 
+bool GroupMonitor::mustStop(TakeoverStep Next, const HeldClaim &Held) const {
+  return this->isOutdated(Held) && !Held.Ordered && Next != TakeoverStep::End &&
+         Next != TakeoverStep::Resume;
+}
+
 QCoro::Task<std::optional<std::string>>
 GroupMonitor::execute(std::vector<TakeoverServer> Servers, Term KnownTerm) {
   std::optional<HeldClaim> Held =
@@ -645,10 +650,7 @@
     const TakeoverAction Action = Procedure.next(bootNow());
     if (Action.Step == std::exchange(Previous, Action.Step))
       co_await sleepFor(StepRetryDelay);
-    // Without an order that may take effect, a lost claim interrupts no writes.
-    const bool Changes =
-        Action.Step != TakeoverStep::End && Action.Step != TakeoverStep::Resume;
-    if (Changes && !Held->Ordered && this->isOutdated(*Held)) {
+    if (this->mustStop(Action.Step, *Held)) {
       Procedure.recordClaim(ClaimCheck::Lost);
       continue;
     }
--- a/src/root/groups/GroupMonitor.h
+++ b/src/root/groups/GroupMonitor.h
@@ -249,6 +249,10 @@
   bool isOutdated(const HeldClaim &Held) const {
     return Held.Version.era() < this->Dependencies.History.era();
   }
+  /// Returns whether the takeover under \p Held ends before \p Next, because
+  /// the claim may be lost and no order that may take effect has been given.
+  /// What it has done to the servers is still undone.
+  bool mustStop(TakeoverStep Next, const HeldClaim &Held) const;
   /// Records \p Row as the claim row.
   /// \param SentAt boot clock; when the call was sent.
   void observeClaim(const TableRow &Row, TimePoint SentAt);
