--- a/src/root/directory/StoreReturns.cpp
+++ b/src/root/directory/StoreReturns.cpp
@@ -22,7 +22,7 @@
   if (Described == this->LastFault)
     return;
   this->LastFault = Described;
-  log(LogLevel::Warning, LogEvent::StoreEraRejected,
+  log(LogLevel::Warning, LogEvent::EraRejected,
       {{"why", nameOf(Fault)},
        {"header", Header.empty() ? std::string_view("-") : Header},
        {"era", this->History.era()}});
--- a/src/root/directory/StoreReturns.h
+++ b/src/root/directory/StoreReturns.h
@@ -15,7 +15,7 @@
 /// Keeps the history of the store from what answers tell about its era.
 ///
 /// Writes a line (LogEvent::StoreReturned) for each return, and one
-/// (LogEvent::StoreEraRejected) for each era with a fault unless it is that of
+/// (LogEvent::EraRejected) for each era with a fault unless it is that of
 /// the last line.
 class StoreReturns final : public StoreEraObserver {
 public:
