--- a/src/platform/testing/MemoryPlatform.h
+++ b/src/platform/testing/MemoryPlatform.h
@@ -19,7 +19,7 @@
                                         TimePoint Deadline) override {
     if (this->Silent)
       co_await sleepFor(Deadline - steadyNow());
-    if (this->Down || this->Silent)
+    if (this->Down || this->Silent || this->ReadsFail)
       co_return Error{"no answer"};
     co_return this->answer(this->Rows[Key]);
   }
@@ -73,9 +73,10 @@
   /// Called with the newest version in each answer, if the platform tells an
   /// era.
   std::function<void(StoreVersion)> Answered = [](StoreVersion) {};
-  std::uint64_t Era = 0; ///< 0: the answers tell none.
-  bool Down = false;     ///< Whether every call on rows fails.
-  bool Silent = false;   ///< Whether no call on rows is answered in time.
+  std::uint64_t Era = 0;  ///< 0: the answers tell none.
+  bool Down = false;      ///< Whether every call on rows fails.
+  bool ReadsFail = false; ///< Whether reads of rows fail, but no writes.
+  bool Silent = false;    ///< Whether no call on rows is answered in time.
   /// Returns the time until the writer of a row gets its answer, whatever its
   /// deadline, as if the writer was suspended.
   std::function<Duration(const TableRow &)> AnswerDelay = [](const TableRow &) {
--- a/src/root/groups/GroupMonitor.cpp
+++ b/src/root/groups/GroupMonitor.cpp
@@ -441,13 +441,20 @@
   HeldClaim Held;
   const std::string Operation = this->nextOperation();
   this->observeReturn();
+  // After a return of the store, the number of the known row may be that of
+  // another entry VM's claim.
+  const bool IsLost =
+      this->Claim.version().exists() &&
+      this->Claim.version().era() < this->Dependencies.History.era();
   // The answer to a write that was applied may lack the store's clock.
-  if (!this->Claim.knowsClock(bootNow())) {
+  if (IsLost || !this->Claim.knowsClock(bootNow())) {
     const TimePoint SentAt = bootNow();
     const Result<TableRow> Read = co_await this->Dependencies.Store.readRow(
         claimKey(this->Monitored->name()), steadyNow() + ConfirmTimeout);
     if (succeeded(Read))
       this->observeClaim(valueOf(Read), SentAt);
+    else if (IsLost)
+      co_return std::nullopt;
   }
   // The known version may be outdated: another entry VM may have finished that
   // claim since. The second attempt uses the version read by the first.
--- a/src/root/groups/testing/GroupMonitorTest.cpp
+++ b/src/root/groups/testing/GroupMonitorTest.cpp
@@ -1127,6 +1127,31 @@
   }
 }
 
+// Guards against a claim that replaces another entry VM's, which has got the
+// number that the row had before the store came back.
+TEST_CASE("a claim after a return begins with a read of the row") {
+  Fixture F;
+  F.tellEra();
+  F.Store.copy();
+  F.Group["a"].Draining = true;
+  F.refresh();
+  F.pass(std::chrono::seconds(3));
+  REQUIRE(F.Orders.Orders.size() == 1);
+  const StoreVersion Finished = F.Store.Rows["takeover/ledger"].Version;
+  F.Store.returnFromCopy();
+  F.Store.Rows["takeover/ledger"] = {Finished, "other@0 9", "x"};
+  F.Store.Counter = Finished.number();
+  // A relay tells of the return; the store does not answer the read.
+  F.Store.Answered(StoreVersion(F.Store.Counter, F.Store.Era));
+  F.Store.ReadsFail = true;
+  F.Orders.Orders.clear();
+  F.Group["b"].Draining = true;
+  F.refresh();
+  F.pass(std::chrono::seconds(6));
+  CHECK(F.Orders.Orders.empty());
+  CHECK(F.Store.Rows["takeover/ledger"].Value == "other@0 9");
+}
+
 // Guards against a takeover whose log lines do not tell which servers it knew,
 // what it required of its target and why.
 TEST_CASE("the log tells what a takeover knew and required") {
